Thin path: entry, sidecar and stand-in engine answer one streamed request

Cause: the repository was empty. Before: nothing ran. After: `npm start` prints {"asked":1,"answered":1,...,"exitCodes":[0,0]} with entry and sidecar as separate processes; `npm test`: 1 test passed.

--- /dev/null
+++ b/src/base/index.ts
@@ -0,0 +1,26 @@
+/** Words that every part shares: time, ids, failures, and the shape of a decision core. */
+export type { AdapterId } from './adapterid.js';
+export type { Brand } from './brand.js';
+export type { Change } from './change.js';
+export type { ChangeId } from './changeid.js';
+export type { Clock } from './clock.js';
+export type { CustomerId } from './customerid.js';
+export type { Epoch } from './epoch.js';
+export type { Executed } from './executed.js';
+export type { Failure } from './failure.js';
+export { FailureError } from './failureerror.js';
+export type { HostId } from './hostid.js';
+export type { Incarnation } from './incarnation.js';
+export type { KindName } from './kindname.js';
+export type { ModelId } from './modelid.js';
+export type { Ms } from './ms.js';
+export type { RequestId } from './requestid.js';
+export { result } from './result.js';
+export type { Revision } from './revision.js';
+export type { ServiceId } from './serviceid.js';
+export { settle } from './settle.js';
+export type { Step } from './step.js';
+export { systemClock } from './systemclock.js';
+export type { TicketId } from './ticketid.js';
+export type { UpstreamId } from './upstreamid.js';
+export { VirtualClock } from './virtualclock.js';
--- /dev/null
+++ b/src/base/systemclock.ts
@@ -0,0 +1,11 @@
+import type { Clock } from './clock.js';
+
+/** The clock of the running process. */
+export const systemClock: Clock = {
+  nowMs: () => performance.now(),
+  wallMs: () => Date.now(),
+  after(delayMs, act) {
+    const timer = setTimeout(act, delayMs);
+    return () => clearTimeout(timer);
+  },
+};
--- /dev/null
+++ b/src/entry/entryschema.ts
@@ -0,0 +1,26 @@
+import type { JSONSchemaType } from 'ajv';
+import type { EntrySettings } from './entrysettings.js';
+
+const DEFAULT_BODY_BYTES = 1_048_576;
+
+/** Schema of an entry's settings file. */
+export const entrySchema: JSONSchemaType<EntrySettings> = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['hostId', 'region', 'availabilityZone', 'listen', 'documents'],
+  properties: {
+    hostId: { type: 'string', minLength: 1 },
+    region: { type: 'string', minLength: 1 },
+    availabilityZone: { type: 'string', minLength: 1 },
+    listen: {
+      type: 'object',
+      additionalProperties: false,
+      required: ['host', 'port'],
+      properties: { host: { type: 'string' }, port: { type: 'integer', minimum: 0 } },
+    },
+    documents: { type: 'array', items: { type: 'string' } },
+    logLevel: { type: 'string', enum: ['error', 'warn', 'info', 'debug'], default: 'info' },
+    drainTimeoutMs: { type: 'integer', minimum: 0, default: 30000 },
+    bodyBytes: { type: 'integer', minimum: 1024, default: DEFAULT_BODY_BYTES },
+  },
+};
--- /dev/null
+++ b/src/entry/part/outcome.ts
@@ -0,0 +1,13 @@
+import type { UpstreamId } from '../../base/index.js';
+import type { Refusal, UpstreamLoad } from '../../wire/index.js';
+import type { Want } from './want.js';
+
+/** What became of one attempt; the router learns load and health from it. */
+export interface Outcome {
+  readonly upstream: UpstreamId;
+  readonly want: Want;
+  readonly type: 'answered' | 'refused' | 'broken' | 'unreachable';
+  readonly firstTokenMs?: number;
+  readonly load?: UpstreamLoad;
+  readonly refusal?: Refusal;
+}
--- /dev/null
+++ b/src/entry/part/want.ts
@@ -0,0 +1,14 @@
+import type { Incarnation, RequestId, UpstreamId } from '../../base/index.js';
+import type { Target } from '../../core/document/index.js';
+
+/** A request that needs an upstream. */
+export interface Want {
+  readonly requestId: RequestId;
+  readonly target: Target;
+  readonly prefixHash: string;
+  readonly remainingMs: number;
+  /** Upstreams that have already refused or failed this request. */
+  readonly tried: readonly UpstreamId[];
+  /** Set when a ticket binds the request to one upstream. */
+  readonly bound?: { readonly upstream: UpstreamId; readonly incarnation: Incarnation };
+}
--- /dev/null
+++ b/src/entry/problem.ts
@@ -0,0 +1,42 @@
+import { Executed, type Refusal } from '../wire/index.js';
+
+/** HTTP status of each refusal type; 503 for those not listed. */
+const STATUS: Readonly<Record<string, number>> = {
+  unauthenticated: 401,
+  'not-found': 404,
+  'model-unknown': 404,
+  'body-too-large': 413,
+  malformed: 400,
+  'deadline-unmeetable': 503,
+  'upstream-cut': 502,
+  'ticket-expired': 409,
+};
+
+const EXECUTED: Readonly<Record<number, string>> = {
+  [Executed.EXECUTED_NO]: 'no',
+  [Executed.EXECUTED_YES]: 'yes',
+};
+
+const FALLBACK_STATUS = 503;
+const MS_PER_SECOND = 1000;
+
+/** An RFC 9457 answer for a refusal. */
+export function problem(
+  refusal: Refusal,
+  requestId: string,
+): { status: number; headers: Record<string, string>; body: string } {
+  const status = STATUS[refusal.type] ?? FALLBACK_STATUS;
+  const headers: Record<string, string> = { 'content-type': 'application/problem+json' };
+  if (refusal.retryAfterMs > 0) {
+    headers['retry-after'] = String(Math.ceil(refusal.retryAfterMs / MS_PER_SECOND));
+  }
+  const body = JSON.stringify({
+    type: `urn:tarragonstile:${refusal.type}`,
+    title: refusal.type.replaceAll('-', ' '),
+    status,
+    detail: refusal.detail,
+    executed: EXECUTED[refusal.executed] ?? 'unknown',
+    requestId,
+  });
+  return { status, headers, body };
+}
--- /dev/null
+++ b/src/port/index.ts
@@ -0,0 +1,20 @@
+/** The ports: one interface for each thing outside the process. Drivers live in src/shell. */
+export type { AnswerStream } from './answerstream.js';
+export type { Audit } from './audit.js';
+export type { CacheEvents } from './cacheevents.js';
+export type { Engine } from './engine.js';
+export type { EngineFailure } from './enginefailure.js';
+export type { EngineReport } from './enginereport.js';
+export type { Generation } from './generation.js';
+export type { HostList } from './hostlist.js';
+export type { KeyValue } from './keyvalue.js';
+export type { KeyValueStore } from './keyvaluestore.js';
+export type { Log } from './log.js';
+export type { Metrics } from './metrics.js';
+export type { Order } from './order.js';
+export type { PlainService } from './plainservice.js';
+export type { StoreFailure } from './storefailure.js';
+export type { Swap } from './swap.js';
+export type { SwapOutcome } from './swapoutcome.js';
+export type { WatchEvent } from './watchevent.js';
+export type { WeightStore } from './weightstore.js';
--- /dev/null
+++ b/src/port/keyvalue.ts
@@ -0,0 +1,9 @@
+import type { Revision } from '../base/index.js';
+
+/** One key of the store, as read. */
+export interface KeyValue {
+  readonly key: string;
+  readonly value: string;
+  /** Revision at which this value was written. */
+  readonly revision: Revision;
+}
--- /dev/null
+++ b/src/shell/board/index.ts
@@ -0,0 +1,4 @@
+/** The board: versioned records that all processes of a region share. */
+export type { Board } from './board.js';
+export type { BoardRecord } from './boardrecord.js';
+export { MemoryBoard } from './memoryboard.js';
--- /dev/null
+++ b/src/shell/board/memoryboard.ts
@@ -0,0 +1,51 @@
+import type { Revision } from '../../base/index.js';
+import type { Board } from './board.js';
+import type { BoardRecord } from './boardrecord.js';
+
+const DOCUMENTS = 'document/';
+
+function isNewer(record: BoardRecord, held: BoardRecord | undefined): boolean {
+  if (!held) return true;
+  if (record.epoch !== held.epoch) return record.epoch > held.epoch;
+  return record.sequence > held.sequence;
+}
+
+/** A board that lives in one process only. */
+export class MemoryBoard implements Board {
+  private readonly records = new Map<string, BoardRecord>();
+
+  private readonly listeners = new Set<(record: BoardRecord) => void>();
+
+  get(key: string): BoardRecord | undefined {
+    return this.records.get(key);
+  }
+
+  list(prefix: string): readonly BoardRecord[] {
+    return [...this.records.values()].filter(({ key }) => key.startsWith(prefix));
+  }
+
+  publish(record: BoardRecord): void {
+    if (!isNewer(record, this.records.get(record.key))) return;
+    this.records.set(record.key, record);
+    for (const listener of this.listeners) listener(record);
+  }
+
+  onChange(prefix: string, tell: (record: BoardRecord) => void): () => void {
+    const listener = (record: BoardRecord) => {
+      if (record.key.startsWith(prefix)) tell(record);
+    };
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  revision(): Revision {
+    const sequences = this.list(DOCUMENTS).map(({ sequence }) => sequence);
+    return Math.max(0, ...sequences) as Revision;
+  }
+
+  sawRevision(): void {}
+
+  caughtUp(): boolean {
+    return true;
+  }
+}
--- /dev/null
+++ b/src/shell/engine/httpengine.ts
@@ -0,0 +1,116 @@
+import { Pool, type Dispatcher } from 'undici';
+import type { Result } from 'ts-results';
+import { result, type RequestId } from '../../base/index.js';
+import type {
+  AnswerStream,
+  CacheEvents,
+  Engine,
+  EngineFailure,
+  EngineReport,
+  Generation,
+  Order,
+} from '../../port/index.js';
+import { failureOf } from './failureof.js';
+import { httpAnswer } from './httpanswer.js';
+import { splitEvents } from './splitevents.js';
+
+const ADMIN_TIMEOUT_MS = 2000;
+
+/** Drives an OpenAI-compatible engine over HTTP. The admin paths are listed in docs/ENGINES.md. */
+export class HttpEngine implements Engine {
+  private readonly pool: Pool;
+
+  constructor(url: string, connections: number) {
+    this.pool = new Pool(url, { connections, bodyTimeout: 0, headersTimeout: 0 });
+  }
+
+  generate(
+    generation: Generation,
+    signal: AbortSignal,
+  ): Promise<Result<AnswerStream, EngineFailure>> {
+    return this.stream(generation, {}, signal);
+  }
+
+  resume(
+    generation: Generation,
+    resumeToken: string,
+    signal: AbortSignal,
+  ): Promise<Result<AnswerStream, EngineFailure>> {
+    return this.stream(generation, { 'last-event-id': resumeToken }, signal);
+  }
+
+  async cancel(requestId: RequestId): Promise<Result<void, EngineFailure>> {
+    const answer = await this.admin('POST', `/admin/requests/${requestId}/cancel`);
+    return answer.map(() => undefined);
+  }
+
+  async order(order: Order): Promise<Result<void, EngineFailure>> {
+    const answer = await this.admin('POST', '/admin/orders', JSON.stringify(order));
+    return answer.map(() => undefined);
+  }
+
+  async report(): Promise<Result<EngineReport, EngineFailure>> {
+    const answer = await this.admin('GET', '/admin/report');
+    return answer.map((body) => JSON.parse(body.toString()) as EngineReport);
+  }
+
+  async cacheEvents(afterSequence: number): Promise<Result<CacheEvents, EngineFailure>> {
+    const answer = await this.admin('GET', `/admin/cache-events?after=${afterSequence}`);
+    return answer.map((body) => JSON.parse(body.toString()) as CacheEvents);
+  }
+
+  exportCache(requestId: RequestId): Promise<Result<Uint8Array, EngineFailure>> {
+    return this.admin('GET', `/admin/requests/${requestId}/cache`);
+  }
+
+  async importCache(requestId: RequestId, cache: Uint8Array): Promise<Result<void, EngineFailure>> {
+    const answer = await this.admin('PUT', `/admin/requests/${requestId}/cache`, cache);
+    return answer.map(() => undefined);
+  }
+
+  async close(): Promise<void> {
+    await this.pool.close();
+  }
+
+  private async stream(
+    generation: Generation,
+    extraHeaders: Record<string, string>,
+    signal: AbortSignal,
+  ): Promise<Result<AnswerStream, EngineFailure>> {
+    try {
+      const response = await this.pool.request({
+        method: 'POST',
+        path: generation.path,
+        headers: {
+          'content-type': 'application/json',
+          'x-request-id': generation.requestId,
+          'x-priority': String(generation.priority),
+          ...extraHeaders,
+        },
+        body: generation.body,
+        signal,
+      });
+      return result.Ok(httpAnswer(response, splitEvents()));
+    } catch (thrown) {
+      return result.Err(failureOf(thrown, signal));
+    }
+  }
+
+  private async admin(
+    method: Dispatcher.HttpMethod,
+    path: string,
+    body?: string | Uint8Array,
+  ): Promise<Result<Buffer, EngineFailure>> {
+    const signal = AbortSignal.timeout(ADMIN_TIMEOUT_MS);
+    try {
+      const headers = { 'content-type': 'application/json' };
+      const response = await this.pool.request({ method, path, body, headers, signal });
+      const answer = Buffer.from(await response.body.arrayBuffer());
+      if (response.statusCode < 300) return result.Ok(answer);
+      const type = response.statusCode === 412 ? 'upstream-fenced' : 'upstream-refused';
+      return result.Err({ type, detail: answer.toString().slice(0, 200), executed: 'no' });
+    } catch (thrown) {
+      return result.Err(failureOf(thrown, signal));
+    }
+  }
+}
--- /dev/null
+++ b/src/shell/engine/httpservice.ts
@@ -0,0 +1,40 @@
+import { Pool } from 'undici';
+import type { Result } from 'ts-results';
+import { result } from '../../base/index.js';
+import type { AnswerStream, EngineFailure, PlainService } from '../../port/index.js';
+import { failureOf } from './failureof.js';
+import { httpAnswer } from './httpanswer.js';
+
+const whole = (chunk: Buffer) => [{ payload: chunk, tokenCount: 0 }];
+
+/** Drives a plain HTTP service. */
+export class HttpService implements PlainService {
+  private readonly pool: Pool;
+
+  constructor(url: string, connections: number) {
+    this.pool = new Pool(url, { connections, bodyTimeout: 0, headersTimeout: 0 });
+  }
+
+  async call(
+    call: Parameters<PlainService['call']>[0],
+    signal: AbortSignal,
+  ): Promise<Result<AnswerStream, EngineFailure>> {
+    const headers = Object.fromEntries(call.headers.map(({ name, value }) => [name, value]));
+    try {
+      const response = await this.pool.request({
+        method: call.method,
+        path: call.path,
+        headers: { ...headers, 'x-request-id': call.requestId },
+        body: call.body.length > 0 ? call.body : undefined,
+        signal,
+      });
+      return result.Ok(httpAnswer(response, whole));
+    } catch (thrown) {
+      return result.Err(failureOf(thrown, signal));
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.pool.close();
+  }
+}
--- /dev/null
+++ b/src/shell/engine/index.ts
@@ -0,0 +1,3 @@
+/** Drivers of upstreams: engines and plain services, over HTTP. */
+export { HttpEngine } from './httpengine.js';
+export { HttpService } from './httpservice.js';
--- /dev/null
+++ b/src/shell/log/index.ts
@@ -0,0 +1,3 @@
+/** The log driver. */
+export { createLog } from './createlog.js';
+export { createAudit } from './createaudit.js';
--- /dev/null
+++ b/src/shell/metric/index.ts
@@ -0,0 +1,2 @@
+/** The metrics driver. */
+export { createMetrics } from './createmetrics.js';
--- /dev/null
+++ b/src/shell/settings/index.ts
@@ -0,0 +1,4 @@
+/** Reading and checking of settings files. */
+export { loadSettings } from './loadsettings.js';
+export { locate } from './locate.js';
+export type { SettingsFailure } from './settingsfailure.js';
--- /dev/null
+++ b/src/shell/settings/loadsettings.ts
@@ -0,0 +1,52 @@
+import { readFileSync } from 'node:fs';
+import { Ajv, type ErrorObject, type JSONSchemaType } from 'ajv';
+import { parse, parseTree, printParseErrorCode, type ParseError } from 'jsonc-parser';
+import type { Result } from 'ts-results';
+import { result, settle } from '../../base/index.js';
+import { locate } from './locate.js';
+import { position } from './position.js';
+import type { SettingsFailure } from './settingsfailure.js';
+
+function fieldOf(error: ErrorObject | undefined): string {
+  if (!error) return '';
+  const params = error.params as { additionalProperty?: string };
+  if (params.additionalProperty) return `${error.instancePath}/${params.additionalProperty}`;
+  return error.instancePath;
+}
+
+/**
+ * Reads a settings file (JSON with comments) and checks it against its schema. Defaults of the schema
+ * are filled in; unknown fields are refused.
+ */
+export function loadSettings<Settings>(
+  file: string,
+  schema: JSONSchemaType<Settings>,
+): Result<Settings, SettingsFailure> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (thrown) {
+    return result.Err({
+      ...settle('settings-unreadable', thrown),
+      type: 'settings-unreadable',
+      file,
+    });
+  }
+  const errors: ParseError[] = [];
+  const value: unknown = parse(text, errors, { allowTrailingComma: true });
+  const tree = parseTree(text, [], { allowTrailingComma: true });
+  const [syntax] = errors;
+  if (syntax) {
+    const { line, column } = position(text, syntax.offset);
+    const detail = `${file}:${line}:${column}: ${printParseErrorCode(syntax.error)}`;
+    return result.Err({ type: 'settings-syntax', detail, file, line, column });
+  }
+  const check = new Ajv({ useDefaults: true, allErrors: false }).compile(schema);
+  if (check(value)) return result.Ok(value);
+  const [invalid] = check.errors ?? [];
+  const field = fieldOf(invalid);
+  const place = locate(text, tree, field);
+  const name = field.slice(1).replaceAll('/', '.') || '(root)';
+  const detail = `${file}:${place.line}:${place.column}: ${name}: ${invalid?.message ?? 'is invalid'}`;
+  return result.Err({ type: 'settings-invalid', detail, file, ...place, field: name });
+}
--- /dev/null
+++ b/src/shell/store/index.ts
@@ -0,0 +1,2 @@
+/** Drivers of the platform's key-value service. */
+export { absentStore } from './absentstore.js';
--- /dev/null
+++ b/src/sidecar/callengine.ts
@@ -0,0 +1,22 @@
+import type { AdapterId, ModelId, RequestId } from '../base/index.js';
+import type { Engine } from '../port/index.js';
+import type { UpstreamCall } from './upstreamcall.js';
+
+/** Calls an engine for each request. */
+export function callEngine(engine: Engine): UpstreamCall {
+  return (requestId, head, signal) =>
+    engine.generate(
+      {
+        requestId: requestId as RequestId,
+        attempt: 1,
+        path: head.path,
+        headers: head.headers,
+        body: head.body,
+        streaming: head.streaming,
+        model: head.model as ModelId,
+        adapter: head.adapter ? (head.adapter as AdapterId) : undefined,
+        priority: 0,
+      },
+      signal,
+    );
+}
--- /dev/null
+++ b/src/sidecar/part/residency.ts
@@ -0,0 +1,19 @@
+import type { Result } from 'ts-results';
+import type {
+  PlacementPlan,
+  PlacementReply,
+  Refusal,
+  RescueReply,
+  RescueRequest,
+  Resident,
+} from '../../wire/index.js';
+
+/** What the upstream's memory holds, and the orders that change it. */
+export interface Residency {
+  /** Keeps a model (and adapter) in memory until the returned function is called. */
+  pin(model: string, adapter: string): Result<() => void, Refusal>;
+  place(plan: PlacementPlan): PlacementReply;
+  rescue(request: RescueRequest): RescueReply;
+  residents(): readonly Resident[];
+  freeBytes(): number;
+}
--- /dev/null
+++ b/src/sidecar/part/slot.ts
@@ -0,0 +1,9 @@
+/** A request's place among those that the upstream runs now. */
+export interface Slot {
+  /** Aborted when the request has to make room and be taken up again later. */
+  readonly preempted: AbortSignal;
+  /** Tells that tokens have come, so that the pace can be held. */
+  progress(tokenCount: number): void;
+  /** Gives the place back, once. */
+  release(outcome: 'answered' | 'broken' | 'cancelled' | 'preempted'): void;
+}
--- /dev/null
+++ b/src/sidecar/sidecarsettings.ts
@@ -0,0 +1,17 @@
+/** Settings of a sidecar. Addresses are IP numbers with a port. */
+export interface SidecarSettings {
+  readonly upstream: string;
+  readonly service: string;
+  readonly hostId: string;
+  readonly region: string;
+  readonly availabilityZone: string;
+  /** Where entries reach this sidecar. */
+  readonly listen: string;
+  readonly upstreamUrl: string;
+  readonly upstreamType: 'engine' | 'plain';
+  readonly logLevel: string;
+  /** How long a planned stop may wait for what is in flight. */
+  readonly drainTimeoutMs: number;
+  readonly slots: number;
+  readonly statsd: { readonly host: string; readonly port: number } | null;
+}
