Interface of the entry's run-once part

The request path and the run-once part are built side by side; this fixes what one asks of the other: issue a ticket, bind a request to one sidecar before its first attempt, and conclude from all attempts what the caller may be told. A plain 'is it retryable' flag was ruled out: the truth of a refusal depends on the earlier attempts as well.

--- /dev/null
+++ b/src/entry/part/bindask.ts
@@ -0,0 +1,23 @@
+import type { Result } from 'ts-results';
+import type { CustomerId, Ms, RequestId, ServiceId } from '../../base/index.js';
+import type { Refusal } from '../../wire/index.js';
+import type { Choice } from './choice.js';
+
+/** A caller's request as the run-once part has to know it. */
+export interface BindAsk {
+  readonly requestId: RequestId;
+  readonly customer: CustomerId;
+  readonly service: ServiceId;
+  /** `Tarragonstile-Ticket`, if the caller sent one. */
+  readonly ticket: string | undefined;
+  /** `Idempotency-Key`, if the caller sent one. */
+  readonly idempotencyKey: string | undefined;
+  readonly method: string;
+  /** Path with its query, as it goes to the upstream. */
+  readonly path: string;
+  readonly body: Uint8Array;
+  /** Longest life of a ticket, from the service document. */
+  readonly ticketValidMs: Ms;
+  /** Chooses the upstream that a new ticket is asked of; called only if one is needed. */
+  choose(): Promise<Result<Choice, Refusal>>;
+}
