A leaving mark on batches, and a sidecar's client for other calls

A planned stop of a sidecar must not lose requests that cross its end of stream: the mark lets the entry stop sending and end the stream first. Parts of an entry that call a sidecar (tickets, rescue, plans) need its connection too, so Link.client is public now.

--- a/src/entry/link.ts
+++ b/src/entry/link.ts
@@ -19,7 +19,7 @@
       sequence: 0,
       body: { $case: 'head' as const, value: head },
     };
-    call.write({ frames: [frame], revision: 0 });
+    call.write({ frames: [frame], revision: 0, leaving: false });
     try {
       for await (const batch of call as AsyncIterable<FrameBatch>) yield* batch.frames;
     } finally {
@@ -27,15 +27,16 @@
     }
   }
 
-  close(): void {
-    for (const client of this.clients.values()) client.close();
-  }
-
-  private client(sidecarAddress: string): WorkClient {
+  /** The client of a sidecar, for calls other than requests. */
+  client(sidecarAddress: string): WorkClient {
     const known = this.clients.get(sidecarAddress);
     if (known) return known;
     const made = new WorkClient(sidecarAddress, credentials.createInsecure());
     this.clients.set(sidecarAddress, made);
     return made;
   }
+
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+  }
 }
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -23,7 +23,7 @@
       const send = (body: NonNullable<Frame['body']>) => {
         const frames = [{ requestId, attempt, sequence, body }];
         sequence += 1;
-        return writeWhole(call, { frames, revision: 0 });
+        return writeWhole(call, { frames, revision: 0, leaving: false });
       };
       void door.run(requestId, frame.body.value, gone.signal, send).then(() => call.end());
     }
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -41,6 +41,11 @@
   readonly frames: readonly Frame[];
   /** The highest configuration revision that the sender has in force. */
   readonly revision: number;
+  /**
+   * Set by a sidecar that stops as planned: send it no further requests, and end the stream when
+   * none is left on it.
+   */
+  readonly leaving: boolean;
 }
 
 export interface Frame {
@@ -313,7 +318,7 @@
 }
 
 function createBaseFrameBatch(): FrameBatch {
-  return { frames: [], revision: 0 };
+  return { frames: [], revision: 0, leaving: false };
 }
 
 export const FrameBatch: MessageFns<FrameBatch> = {
@@ -324,6 +329,9 @@
     if (message.revision !== 0) {
       writer.uint32(16).uint64(message.revision);
     }
+    if (message.leaving !== false) {
+      writer.uint32(24).bool(message.leaving);
+    }
     return writer;
   },
 
@@ -356,6 +364,14 @@
             message.revision = longToNumber(reader.uint64());
             continue;
           }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.leaving = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -375,6 +391,7 @@
     const message = createBaseFrameBatch() as any;
     message.frames = object.frames?.map((e) => Frame.fromPartial(e)) || [];
     message.revision = object.revision ?? 0;
+    message.leaving = object.leaving ?? false;
     return message;
   },
 };
