--- a/src/entry/entryschema.ts
+++ b/src/entry/entryschema.ts
@@ -1,4 +1,5 @@
 import type { JSONSchemaType } from 'ajv';
+import { storeSchema } from '../shell/store/index.js';
 import type { EntrySettings } from './entrysettings.js';
 
 const DEFAULT_BODY_BYTES = 1_048_576;
@@ -22,5 +23,6 @@
     logLevel: { type: 'string', enum: ['error', 'warn', 'info', 'debug'], default: 'info' },
     drainTimeoutMs: { type: 'integer', minimum: 0, default: 30000 },
     bodyBytes: { type: 'integer', minimum: 1024, default: DEFAULT_BODY_BYTES },
+    store: storeSchema as never,
   },
 };
--- a/src/entry/entrysettings.ts
+++ b/src/entry/entrysettings.ts
@@ -1,3 +1,5 @@
+import type { StoreSettings } from '../shell/store/index.js';
+
 /** Settings of an entry. Addresses are IP numbers with a port. */
 export interface EntrySettings {
   readonly hostId: string;
@@ -12,4 +14,6 @@
   readonly drainTimeoutMs: number;
   /** Largest request body that is read. */
   readonly bodyBytes: number;
+  /** The platform's key-value service; without it, documents come from files and nothing is kept. */
+  readonly store?: StoreSettings | null;
 }
--- a/src/entry/startentry.ts
+++ b/src/entry/startentry.ts
@@ -7,7 +7,7 @@
 import type { Target } from '../core/document/index.js';
 import { createAudit, createLog } from '../shell/log/index.js';
 import { createMetrics } from '../shell/metric/index.js';
-import { absentStore } from '../shell/store/index.js';
+import { createStore } from '../shell/store/index.js';
 import type { Refusal, RequestHead } from '../wire/index.js';
 import { authenticate } from './authenticate.js';
 import type { EntrySettings } from './entrysettings.js';
@@ -59,7 +59,7 @@
     metrics: createMetrics('entry', undefined),
     audit: createAudit(log),
     board: createBoard(),
-    store: absentStore,
+    store: createStore(settings.store, systemClock),
   };
   const directory = createDirectory(context);
   const router = createRouter(context, directory);
--- a/src/port/storefailure.ts
+++ b/src/port/storefailure.ts
@@ -6,5 +6,12 @@
  */
 export interface StoreFailure extends Failure {
   readonly type:
-    'store-unavailable' | 'store-outcome-unknown' | 'store-rate-limited' | 'store-compacted';
+    | 'store-unavailable'
+    | 'store-outcome-unknown'
+    | 'store-rate-limited'
+    | 'store-compacted'
+    /** The lease that the write names has lapsed or was revoked. */
+    | 'store-lease-lapsed'
+    /** The store takes no such request, for example because the value is too large. */
+    | 'store-refused';
 }
--- /dev/null
+++ b/src/shell/store/base64.ts
@@ -0,0 +1,5 @@
+/** The gateway's way of writing keys and values. */
+export const base64 = {
+  encode: (text: string): string => Buffer.from(text).toString('base64'),
+  decode: (text: string): string => Buffer.from(text, 'base64').toString(),
+};
--- /dev/null
+++ b/src/shell/store/createstore.ts
@@ -0,0 +1,17 @@
+import { randomInt } from 'node:crypto';
+import type { Clock } from '../../base/index.js';
+import type { KeyValueStore } from '../../port/index.js';
+import { absentStore } from './absentstore.js';
+import { EtcdStore } from './etcdstore.js';
+import type { StoreSettings } from './storesettings.js';
+
+const SEED_LIMIT = 2 ** 31;
+
+/** The driver for these settings; without settings, one that says that there is no store. */
+export function createStore(
+  settings: StoreSettings | null | undefined,
+  clock: Clock,
+): KeyValueStore {
+  if (!settings) return absentStore;
+  return new EtcdStore({ ...settings, clock, seed: randomInt(SEED_LIMIT) });
+}
--- /dev/null
+++ b/src/shell/store/etcdstore.ts
@@ -0,0 +1,146 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Result } from 'ts-results';
+import { result, type Clock, type Ms, type Revision } from '../../base/index.js';
+import type {
+  KeyValue,
+  KeyValueStore,
+  StoreFailure,
+  Swap,
+  SwapOutcome,
+  WatchEvent,
+} from '../../port/index.js';
+import { base64 } from './base64.js';
+import { Budget } from './budget.js';
+import { Gateway } from './gateway.js';
+import type { GatewayAnswers } from './gatewayanswers.js';
+import { itemOf } from './itemof.js';
+import { rangeEnd } from './rangeend.js';
+import type { StoreSettings } from './storesettings.js';
+import { txnOf } from './txnof.js';
+import { watchGateway } from './watchgateway.js';
+
+/** Options of the driver. */
+interface EtcdStoreOptions extends StoreSettings {
+  readonly clock: Clock;
+  /** Seed of the jitter between repeated reads. */
+  readonly seed: number;
+}
+
+const SECOND_MS = 1000;
+const READ_ATTEMPTS = 4;
+const FIRST_PAUSE_MS = 50;
+const SPENT: StoreFailure = {
+  type: 'store-rate-limited',
+  detail: 'This process has spent its own budget of calls to the store.',
+};
+
+/**
+ * Drives the platform's key-value service over the etcd v3 JSON gateway. Reads are repeated with
+ * growing, jittered pauses; a write is sent once, and its outcome may be unknown.
+ */
+export class EtcdStore implements KeyValueStore {
+  private readonly gateway: Gateway;
+
+  private readonly budgets: Readonly<Record<'read' | 'write', Budget>>;
+
+  private readonly generator;
+
+  constructor(private readonly options: EtcdStoreOptions) {
+    this.gateway = new Gateway(options.urls, options.timeoutMs);
+    this.generator = xoroshiro128plus(options.seed);
+    this.budgets = {
+      read: new Budget(options.readsPerSecond),
+      write: new Budget(options.writesPerSecond),
+    };
+  }
+
+  async get(key: string): Promise<Result<KeyValue | undefined, StoreFailure>> {
+    const message = { key: base64.encode(key) };
+    const answer = await this.read<GatewayAnswers['range']>('/v3/kv/range', message);
+    return answer.map(({ kvs = [] }) => kvs.map(itemOf)[0]);
+  }
+
+  async list(
+    prefix: string,
+  ): Promise<Result<{ items: readonly KeyValue[]; revision: Revision }, StoreFailure>> {
+    const message = { key: base64.encode(prefix), range_end: rangeEnd(prefix) };
+    const answer = await this.read<GatewayAnswers['range']>('/v3/kv/range', message);
+    return answer.map(({ header, kvs = [] }) => ({
+      items: kvs.map(itemOf),
+      revision: Number(header.revision) as Revision,
+    }));
+  }
+
+  async swap(swap: Swap): Promise<Result<SwapOutcome, StoreFailure>> {
+    const answer = await this.write<GatewayAnswers['txn']>('/v3/kv/txn', txnOf(swap));
+    return answer.map(({ header, succeeded, responses = [] }): SwapOutcome => {
+      if (succeeded) return { type: 'swapped', revision: Number(header.revision) as Revision };
+      const [found] = responses[0]?.response_range?.kvs ?? [];
+      return { type: 'conflict', current: found ? itemOf(found) : undefined };
+    });
+  }
+
+  async grantLease(ttlMs: Ms): Promise<Result<string, StoreFailure>> {
+    const TTL = String(Math.max(1, Math.ceil(ttlMs / SECOND_MS)));
+    const answer = await this.write<GatewayAnswers['grant']>('/v3/lease/grant', { TTL });
+    return answer.map(({ ID }) => ID);
+  }
+
+  async renewLease(leaseId: string): Promise<Result<Ms, StoreFailure>> {
+    const message = { ID: leaseId };
+    const answer = await this.write<GatewayAnswers['keepalive']>('/v3/lease/keepalive', message);
+    return answer.map((renewed) => Number(renewed.result?.TTL ?? 0) * SECOND_MS);
+  }
+
+  async revokeLease(leaseId: string): Promise<Result<void, StoreFailure>> {
+    const answer = await this.write<object>('/v3/lease/revoke', { ID: leaseId });
+    return answer.map(() => undefined);
+  }
+
+  watch(prefix: string, fromRevision: Revision, tell: (event: WatchEvent) => void): () => void {
+    const stopped = new AbortController();
+    const tellOn = (event: WatchEvent) => {
+      if (!stopped.signal.aborted) tell(event);
+    };
+    if (!this.budgets.read.take(this.options.clock.nowMs())) {
+      queueMicrotask(() => tellOn({ type: 'ended', failure: SPENT }));
+      return () => stopped.abort();
+    }
+    void watchGateway(this.gateway, prefix, fromRevision, tellOn, stopped.signal).then((failure) =>
+      tellOn({ type: 'ended', failure }),
+    );
+    return () => stopped.abort();
+  }
+
+  /** Closes the connections; open calls fail. */
+  async close(): Promise<void> {
+    await this.gateway.close();
+  }
+
+  private async read<Answer>(path: string, message: object): Promise<Result<Answer, StoreFailure>> {
+    for (let attempt = 1; ; attempt += 1) {
+      if (!this.budgets.read.take(this.options.clock.nowMs())) return result.Err(SPENT);
+      const answer = await this.gateway.call<Answer>('read', path, message);
+      if (answer.ok || answer.val.type !== 'store-unavailable') return answer;
+      if (attempt === READ_ATTEMPTS) return answer;
+      await this.pause(FIRST_PAUSE_MS * 2 ** attempt);
+    }
+  }
+
+  private async write<Answer>(
+    path: string,
+    message: object,
+  ): Promise<Result<Answer, StoreFailure>> {
+    if (!this.budgets.write.take(this.options.clock.nowMs())) return result.Err(SPENT);
+    return this.gateway.call<Answer>('write', path, message);
+  }
+
+  /** Waits between half of `longestMs` and all of it. */
+  private pause(longestMs: Ms): Promise<void> {
+    const pauseMs = uniformInt(this.generator, Math.floor(longestMs / 2), longestMs);
+    return new Promise((resolve) => {
+      this.options.clock.after(pauseMs, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/shell/store/gateway.ts
@@ -0,0 +1,71 @@
+import { Agent, request } from 'undici';
+import type { Result } from 'ts-results';
+import { result, type Ms } from '../../base/index.js';
+import type { StoreFailure } from '../../port/index.js';
+import { gatewayFailure } from './gatewayfailure.js';
+import { sendFailure } from './sendfailure.js';
+
+const OK = 200;
+const CONNECTIONS = 4;
+
+/** Sends single calls to the service's JSON gateway, to one URL until that cannot be reached. */
+export class Gateway {
+  private readonly calls = new Agent({ connections: CONNECTIONS });
+
+  /** Apart from the calls, since each stream holds a connection. */
+  private readonly streams = new Agent({ bodyTimeout: 0 });
+
+  private turn = 0;
+
+  constructor(
+    private readonly urls: readonly string[],
+    private readonly timeoutMs: Ms,
+  ) {}
+
+  async call<Answer>(
+    kind: 'read' | 'write',
+    path: string,
+    message: object,
+  ): Promise<Result<Answer, StoreFailure>> {
+    try {
+      const response = await request(`${this.url()}${path}`, {
+        method: 'POST',
+        body: JSON.stringify(message),
+        dispatcher: this.calls,
+        signal: AbortSignal.timeout(this.timeoutMs),
+      });
+      const body = await response.body.text();
+      if (response.statusCode === OK) return result.Ok(JSON.parse(body) as Answer);
+      return result.Err(gatewayFailure(kind, response.statusCode, body));
+    } catch (thrown) {
+      this.turn += 1;
+      return result.Err(sendFailure(kind, thrown));
+    }
+  }
+
+  /** The messages of a streaming call, until the stream ends or breaks. */
+  async *stream(path: string, message: object, signal: AbortSignal): AsyncIterable<unknown> {
+    const response = await request(`${this.url()}${path}`, {
+      method: 'POST',
+      body: JSON.stringify(message),
+      dispatcher: this.streams,
+      signal,
+    });
+    response.body.setEncoding('utf8');
+    let rest = '';
+    for await (const chunk of response.body) {
+      const lines = (rest + String(chunk)).split('\n');
+      rest = lines.pop() ?? '';
+      for (const line of lines) yield JSON.parse(line);
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.calls.destroy();
+    await this.streams.destroy();
+  }
+
+  private url(): string {
+    return this.urls[this.turn % this.urls.length] ?? '';
+  }
+}
--- /dev/null
+++ b/src/shell/store/gatewayanswers.ts
@@ -0,0 +1,31 @@
+/** One key in the gateway's JSON: bytes as base64, 64-bit numbers as text. */
+interface GatewayItem {
+  readonly key: string;
+  readonly value?: string;
+  readonly mod_revision: string;
+}
+
+/** Answers of the etcd v3 JSON gateway, as far as the driver reads them. */
+export interface GatewayAnswers {
+  readonly item: GatewayItem;
+  readonly range: {
+    readonly header: { readonly revision?: string };
+    readonly kvs?: readonly GatewayItem[];
+  };
+  readonly txn: {
+    readonly header: { readonly revision?: string };
+    readonly succeeded?: boolean;
+    readonly responses?: readonly {
+      readonly response_range?: { readonly kvs?: readonly GatewayItem[] };
+    }[];
+  };
+  readonly grant: { readonly ID: string };
+  readonly keepalive: { readonly result?: { readonly TTL?: string } };
+  readonly watch: {
+    readonly result?: {
+      readonly canceled?: boolean;
+      readonly compact_revision?: string;
+      readonly events?: readonly { readonly type?: string; readonly kv: GatewayItem }[];
+    };
+  };
+}
--- a/src/sidecar/createcontext.ts
+++ b/src/sidecar/createcontext.ts
@@ -2,7 +2,7 @@
 import type { Engine } from '../port/index.js';
 import { createAudit, createLog } from '../shell/log/index.js';
 import { createMetrics } from '../shell/metric/index.js';
-import { absentStore } from '../shell/store/index.js';
+import { createStore } from '../shell/store/index.js';
 import type { Context } from './part/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 import { createBoard } from './wiring/createboard.js';
@@ -18,6 +18,6 @@
     metrics: createMetrics('sidecar', settings.statsd ?? undefined),
     audit: createAudit(log),
     board: createBoard(),
-    store: absentStore,
+    store: createStore(settings.store, systemClock),
   };
 }
--- a/src/sidecar/sidecarschema.ts
+++ b/src/sidecar/sidecarschema.ts
@@ -1,4 +1,5 @@
 import type { JSONSchemaType } from 'ajv';
+import { storeSchema } from '../shell/store/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 
 /** Schema of a sidecar's settings file. */
@@ -34,5 +35,6 @@
       properties: { host: { type: 'string' }, port: { type: 'integer' } },
       default: null,
     } as never,
+    store: storeSchema as never,
   },
 };
--- a/src/sidecar/sidecarsettings.ts
+++ b/src/sidecar/sidecarsettings.ts
@@ -1,3 +1,5 @@
+import type { StoreSettings } from '../shell/store/index.js';
+
 /** Settings of a sidecar. Addresses are IP numbers with a port. */
 export interface SidecarSettings {
   readonly upstream: string;
@@ -14,4 +16,6 @@
   readonly drainTimeoutMs: number;
   readonly slots: number;
   readonly statsd: { readonly host: string; readonly port: number } | null;
+  /** The platform's key-value service; without it, documents come from files and nothing is kept. */
+  readonly store?: StoreSettings | null;
 }
