A sidecar takes its incarnation by compare-and-swap

Orders and tickets need a number that names one life of a sidecar and rises with each. The hold on `/tarragonstile/upstreams/{upstream}` is a pure core: it reads the key, swaps in the next number under its own random name, and reads back after each answer that was lost; a later owner supersedes it for good. The same value holds the intents of orders, for upstreams that ignore fencing tokens.

Ruled out: a lease for the incarnation. A holder that is paused would go on believing in it; a compare-and-swap under the key's revision shows at each write whether another has come.

Conclusion: `Context.incarnation` gives the number (0 until taken) and whether it is still held.

--- /dev/null
+++ b/src/core/fence/emptyfence.ts
@@ -0,0 +1,19 @@
+import type { Incarnation, Revision } from '../../base/index.js';
+import type { FenceState } from './fencestate.js';
+
+/** A sidecar that has not yet asked the store. */
+export function emptyFence(owner: string): FenceState {
+  return {
+    phase: 'absent',
+    owner,
+    incarnation: 0 as Incarnation,
+    revision: 0 as Revision,
+    recorded: [],
+    wanted: [],
+    call: 'none',
+    writing: undefined,
+    failing: false,
+    retryAtMs: 0,
+    failures: 0,
+  };
+}
--- /dev/null
+++ b/src/core/fence/fenceeffect.ts
@@ -0,0 +1,18 @@
+import type { Failure, Incarnation, Revision } from '../../base/index.js';
+import type { Order } from '../../port/index.js';
+
+/** What the hold on an upstream's key asks for or tells. */
+export type FenceEffect =
+  | { readonly type: 'read-key' }
+  | { readonly type: 'swap-key'; readonly expectedRevision: Revision; readonly value: string }
+  /** The incarnation is ours; `inherited` are the intents of those before us. */
+  | {
+      readonly type: 'taken';
+      readonly incarnation: Incarnation;
+      readonly inherited: readonly Order[];
+    }
+  /** The store holds these intents, under our incarnation. */
+  | { readonly type: 'recorded'; readonly intents: readonly Order[] }
+  | { readonly type: 'superseded'; readonly by: Incarnation }
+  /** A call to the store failed, or the key could not be understood; it is tried again. */
+  | { readonly type: 'store-failing'; readonly failure: Failure };
--- /dev/null
+++ b/src/core/fence/index.ts
@@ -0,0 +1,9 @@
+/** A sidecar's hold on its upstream's key in the store: incarnation and order intents. */
+export { emptyFence } from './emptyfence.js';
+export type { FenceEffect } from './fenceeffect.js';
+export type { FenceEvent } from './fenceevent.js';
+export type { FencePhase } from './fencephase.js';
+export type { FenceRules } from './fencerules.js';
+export { fenceRulesInForce } from './fencerulesinforce.js';
+export type { FenceState } from './fencestate.js';
+export { stepFence } from './stepfence.js';
--- /dev/null
+++ b/src/core/fence/stepfence.ts
@@ -0,0 +1,128 @@
+import type { Change, Failure, Incarnation, Ms, Revision } from '../../base/index.js';
+import type { KeyValue, Order } from '../../port/index.js';
+import { follow } from '../chart/index.js';
+import chart from './fence.chart.json' with { type: 'json' };
+import type { FenceEffect } from './fenceeffect.js';
+import type { FenceEvent } from './fenceevent.js';
+import type { FencePhase } from './fencephase.js';
+import type { FenceRules } from './fencerules.js';
+import { fenceRulesInForce } from './fencerulesinforce.js';
+import type { FenceState } from './fencestate.js';
+import { readValue } from './readvalue.js';
+import type { UpstreamValue } from './upstreamvalue.js';
+
+type Held = Change<FenceState, FenceEffect>;
+
+const FIRST_RETRY_MS: Ms = 250;
+const LAST_RETRY_MS: Ms = 10_000;
+
+const after = follow<FencePhase, 'taken' | 'overtaken'>(chart);
+
+function sameOrders(one: readonly Order[], other: readonly Order[]): boolean {
+  if (one.length !== other.length) return false;
+  return one.every((order, index) => order.orderId === other[index]?.orderId);
+}
+
+function write(state: FenceState, incarnation: Incarnation, intents: readonly Order[]): Held {
+  const writing: UpstreamValue = { incarnation, owner: state.owner, intents };
+  const value = JSON.stringify(writing);
+  const swap: FenceEffect = { type: 'swap-key', expectedRevision: state.revision, value };
+  return { state: { ...state, call: 'swap', writing }, effects: [swap] };
+}
+
+/** Sends the next call, if one is due and none is under way. */
+function proceed(state: FenceState, nowMs: Ms): Held {
+  const waits = state.call !== 'none' || nowMs < state.retryAtMs;
+  if (waits || state.phase === 'superseded') return { state, effects: [] };
+  if (state.failing || state.phase === 'absent') {
+    return { state: { ...state, call: 'read' }, effects: [{ type: 'read-key' }] };
+  }
+  if (sameOrders(state.recorded, state.wanted)) return { state, effects: [] };
+  return write(state, state.incarnation, state.wanted);
+}
+
+/** The key holds these intents under our name: a taking or a write of intents has taken effect. */
+function own(state: FenceState, intents: readonly Order[]): Held {
+  const effects: FenceEffect[] = [{ type: 'recorded', intents }];
+  return { state: { ...state, recorded: intents }, effects };
+}
+
+function take(state: FenceState, { incarnation, intents }: UpstreamValue): Held {
+  const phase = after(state.phase, 'taken');
+  return {
+    state: { ...state, phase, incarnation, recorded: intents, wanted: intents },
+    effects: [{ type: 'taken', incarnation, inherited: intents }],
+  };
+}
+
+/** Asks again later; the wait doubles with each failure. */
+function retry(state: FenceState, failure: Failure, nowMs: Ms): Held {
+  const delayMs = Math.min(LAST_RETRY_MS, FIRST_RETRY_MS * 2 ** state.failures);
+  const failures = state.failures + 1;
+  const waiting = { ...state, failing: true, failures, retryAtMs: nowMs + delayMs };
+  return { state: waiting, effects: [{ type: 'store-failing', failure }] };
+}
+
+/** Looks at what the key truly holds. */
+function see(state: FenceState, item: KeyValue | undefined, nowMs: Ms, rules: FenceRules): Held {
+  const parsed = readValue(item);
+  if (parsed.err) return retry(state, parsed.val, nowMs);
+  const found = parsed.val;
+  const seen = { ...state, revision: item?.revision ?? (0 as Revision) };
+  if (state.phase === 'held') {
+    if (!rules.isOvertaken(state, found)) return own(seen, found.intents);
+    const superseded = { ...seen, phase: after(state.phase, 'overtaken') };
+    return { state: superseded, effects: [{ type: 'superseded', by: found.incarnation }] };
+  }
+  if (found.owner === state.owner) return take(seen, found);
+  return write(seen, (found.incarnation + 1) as Incarnation, rules.inherit(found));
+}
+
+type Handler<Type extends FenceEvent['type']> = (
+  state: FenceState,
+  event: Extract<FenceEvent, { type: Type }>,
+  nowMs: Ms,
+  rules: FenceRules,
+) => Held;
+
+const HANDLERS: { readonly [Type in FenceEvent['type']]: Handler<Type> } = {
+  tick: (state) => ({ state, effects: [] }),
+  wanted: (state, { intents }) => ({ state: { ...state, wanted: intents }, effects: [] }),
+  read: (state, { item }, nowMs, rules) => see({ ...state, failures: 0 }, item, nowMs, rules),
+  swapped(state, { outcome }, nowMs, rules) {
+    if (outcome.type === 'conflict') return see(state, outcome.current, nowMs, rules);
+    const { writing } = state;
+    const written = { ...state, revision: outcome.revision, failures: 0 };
+    if (!writing) return { state: written, effects: [] };
+    return state.phase === 'absent' ? take(written, writing) : own(written, writing.intents);
+  },
+  'store-failed': (state, { failure }, nowMs, rules) => {
+    const retried = retry(state, failure, nowMs);
+    const isLost = failure.type === 'store-outcome-unknown' && state.phase === 'held';
+    if (!isLost || !rules.trustsLostAnswer) return retried;
+    const trusted = own(retried.state, state.writing?.intents ?? []);
+    return { state: trusted.state, effects: [...retried.effects, ...trusted.effects] };
+  },
+};
+
+const ANSWERS: ReadonlySet<FenceEvent['type']> = new Set(['read', 'swapped', 'store-failed']);
+
+/**
+ * Holds an upstream's key in the store: takes the incarnation by compare-and-swap, and keeps the orders
+ * that may be under way written there. One call at a time; a lost answer is always read back.
+ */
+export function stepFence(
+  state: FenceState,
+  event: FenceEvent,
+  nowMs: Ms,
+  rules: FenceRules = fenceRulesInForce,
+): Held {
+  if (state.phase === 'superseded') return { state, effects: [] };
+  const answered: FenceState = ANSWERS.has(event.type)
+    ? { ...state, call: 'none', failing: false, retryAtMs: 0 }
+    : state;
+  const handle = HANDLERS[event.type] as Handler<FenceEvent['type']>;
+  const handled = handle(answered, event, nowMs, rules);
+  const proceeded = proceed(handled.state, nowMs);
+  return { state: proceeded.state, effects: [...handled.effects, ...proceeded.effects] };
+}
--- a/src/sidecar/createcontext.ts
+++ b/src/sidecar/createcontext.ts
@@ -3,13 +3,23 @@
 import { createAudit, createLog } from '../shell/log/index.js';
 import { createMetrics } from '../shell/metric/index.js';
 import { createStore } from '../shell/store/index.js';
+import { UpstreamKey } from './incarnation/index.js';
 import type { Context } from './part/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 import { createBoard } from './wiring/createboard.js';
 
-/** Builds the drivers that a sidecar's parts share. */
-export function createContext(settings: SidecarSettings, engine: Engine | undefined): Context {
+/** A context, and the way to end what its parts keep running. */
+interface OpenContext extends Context {
+  close(): void;
+}
+
+/** Builds the drivers that a sidecar's parts share, and begins to take the incarnation. */
+export function createContext(settings: SidecarSettings, engine: Engine | undefined): OpenContext {
   const log = createLog('sidecar', settings.logLevel);
+  const store = createStore(settings.store, systemClock);
+  const upstreamKey = new UpstreamKey(settings.upstream, { store, clock: systemClock, log });
+  const ends: (() => void)[] = [() => upstreamKey.stop()];
+  upstreamKey.start();
   return {
     settings,
     engine,
@@ -18,6 +28,14 @@
     metrics: createMetrics('sidecar', settings.statsd ?? undefined),
     audit: createAudit(log),
     board: createBoard(),
-    store: createStore(settings.store, systemClock),
+    store,
+    incarnation: upstreamKey,
+    intents: upstreamKey,
+    onStop: (act) => {
+      ends.push(act);
+    },
+    close() {
+      for (const end of ends) end();
+    },
   };
 }
--- /dev/null
+++ b/src/sidecar/incarnation/upstreamkey.ts
@@ -0,0 +1,116 @@
+import { nanoid } from 'nanoid';
+import type { Clock, Incarnation, Ms } from '../../base/index.js';
+import {
+  emptyFence,
+  stepFence,
+  type FenceEffect,
+  type FenceEvent,
+} from '../../core/fence/index.js';
+import type { KeyValueStore, Log, Order } from '../../port/index.js';
+import type { FenceListener, IncarnationHolder, IntentLog } from '../part/index.js';
+
+const PREFIX = '/tarragonstile/upstreams/';
+const TICK_MS: Ms = 250;
+
+type Act<Type extends FenceEffect['type']> = (effect: Extract<FenceEffect, { type: Type }>) => void;
+
+/** What the hold on the upstream's key needs from outside. */
+interface Ports {
+  readonly store: KeyValueStore;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Carries the calls of the hold on one upstream's key to the store, and their answers back. */
+export class UpstreamKey implements IncarnationHolder, IntentLog {
+  private state = emptyFence(nanoid());
+
+  private readonly listeners = new Set<FenceListener>();
+
+  private readonly key: string;
+
+  private endTicks: (() => void) | undefined;
+
+  private readonly acts: { readonly [Type in FenceEffect['type']]: Act<Type> } = {
+    'read-key': () => {
+      void this.read();
+    },
+    'swap-key': (effect) => {
+      void this.swap(effect);
+    },
+    taken: (effect) => {
+      this.ports.log.info('incarnation taken', { ...effect, inherited: effect.inherited.length });
+      this.tell(effect);
+    },
+    recorded: (effect) => this.tell(effect),
+    superseded: (effect) => {
+      this.ports.log.warn('superseded: another sidecar took this upstream', { ...effect });
+      this.tell(effect);
+    },
+    'store-failing': (effect) => {
+      this.ports.log.warn('the upstream key waits for the store', { ...effect.failure });
+      this.tell(effect);
+    },
+  };
+
+  constructor(
+    upstream: string,
+    private readonly ports: Ports,
+  ) {
+    this.key = `${PREFIX}${upstream}`;
+  }
+
+  current(): Incarnation {
+    return this.state.incarnation;
+  }
+
+  isHeld(): boolean {
+    return this.state.phase === 'held';
+  }
+
+  listen(listener: FenceListener): void {
+    this.listeners.add(listener);
+  }
+
+  /** Begins to take the incarnation. */
+  start(): void {
+    this.take({ type: 'tick' });
+    this.endTicks = this.ports.clock.after(TICK_MS, () => this.start());
+  }
+
+  stop(): void {
+    this.endTicks?.();
+  }
+
+  want(intents: readonly Order[]): void {
+    this.take({ type: 'wanted', intents });
+  }
+
+  private take(event: FenceEvent): void {
+    const change = stepFence(this.state, event, this.ports.clock.nowMs());
+    this.state = change.state;
+    for (const effect of change.effects) {
+      const act = this.acts[effect.type] as Act<FenceEffect['type']>;
+      act(effect);
+    }
+  }
+
+  private tell(effect: Parameters<FenceListener>[0]): void {
+    for (const listener of this.listeners) listener(effect);
+  }
+
+  private async read(): Promise<void> {
+    const answer = await this.ports.store.get(this.key);
+    if (answer.err) this.take({ type: 'store-failed', failure: answer.val });
+    else this.take({ type: 'read', item: answer.val });
+  }
+
+  private async swap({
+    expectedRevision,
+    value,
+  }: Extract<FenceEffect, { type: 'swap-key' }>): Promise<void> {
+    const answer = await this.ports.store.swap({ key: this.key, expectedRevision, value });
+    if (answer.err) this.take({ type: 'store-failed', failure: answer.val });
+    else this.take({ type: 'swapped', outcome: answer.val });
+  }
+}
--- a/src/sidecar/part/context.ts
+++ b/src/sidecar/part/context.ts
@@ -2,6 +2,8 @@
 import type { Audit, Engine, KeyValueStore, Log, Metrics } from '../../port/index.js';
 import type { Board } from '../../shell/board/index.js';
 import type { SidecarSettings } from '../sidecarsettings.js';
+import type { IncarnationHolder } from './incarnationholder.js';
+import type { IntentLog } from './intentlog.js';
 
 /** What each part of a sidecar is built from. */
 export interface Context {
@@ -12,6 +14,11 @@
   readonly audit: Audit;
   readonly board: Board;
   readonly store: KeyValueStore;
+  /** Names this life of the sidecar: tickets and orders carry it. */
+  readonly incarnation: IncarnationHolder;
+  readonly intents: IntentLog;
+  /** Calls `act` when the sidecar stops, after the last answer has gone out. */
+  readonly onStop: (act: () => void) => void;
   /** Absent before a plain service. */
   readonly engine: Engine | undefined;
 }
--- a/src/sidecar/part/index.ts
+++ b/src/sidecar/part/index.ts
@@ -1,6 +1,9 @@
 /** What the sidecar's shell asks of its parts: each is one interface with one implementation. */
 export type { Admission } from './admission.js';
 export type { Context } from './context.js';
+export type { FenceListener } from './fencelistener.js';
+export type { IncarnationHolder } from './incarnationholder.js';
+export type { IntentLog } from './intentlog.js';
 export type { Permit } from './permit.js';
 export type { Residency } from './residency.js';
 export type { RunOnce } from './runonce.js';
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -71,6 +71,7 @@
       await new Promise<void>((resolve) => {
         server.tryShutdown(() => resolve());
       });
+      context.close();
       await engine?.close();
       await service.close();
     },
