Core of the dissemination: relays, tree, pull and catching up

Every process keeps a table of versioned records and takes over only higher (epoch, sequence) pairs, through one function. What to push, to pull and to watch follows from the host list alone, so nothing has to be agreed.

Ruled out: a hash over all records for the pull of each second, since records of upstreams are always on their way and the hashes would never be equal; versions of all documents at each pull, since they are several kilobytes. So the pull of each second compares a hash over documents only.

--- /dev/null
+++ b/src/core/mesh/choosepeer.ts
@@ -0,0 +1,56 @@
+import type { Ms } from '../../base/index.js';
+import { byRendezvous } from './byrendezvous.js';
+import { draw } from './draw.js';
+import { isSuspect } from './issuspect.js';
+import type { MeshState } from './meshstate.js';
+import { relayRank } from './relayrank.js';
+
+/** One pull in so many goes to a relay, whoever asks, so that a dead one is noticed. */
+const RELAY_SHARE = 8;
+/** One pull in so many of a sidecar goes to an entry, the others to sidecars of its service. */
+const ENTRY_SHARE = 4;
+
+interface Drawn {
+  readonly state: MeshState;
+  readonly peer: string | undefined;
+}
+
+function pick(state: MeshState, peers: readonly string[], nowMs: Ms): Drawn {
+  const live = peers.filter((address) => !isSuspect(state, address, nowMs));
+  const from = live.length > 0 ? live : peers;
+  const { state: next, value } = draw(state, from.length);
+  return { state: next, peer: from[value] };
+}
+
+function forEntry(state: MeshState, others: readonly string[], nowMs: Ms): Drawn {
+  const rank = relayRank(state, nowMs);
+  const { relayCount } = state.options;
+  const mayFollow = rank >= relayCount && rank < relayCount * 2;
+  const { state: next, value } = draw(state, RELAY_SHARE);
+  if (!mayFollow && value > 0) return pick(next, others, nowMs);
+  const live = others.filter((address) => !isSuspect(state, address, nowMs));
+  return pick(next, live.length > 0 ? live.slice(0, relayCount) : others, nowMs);
+}
+
+function forSidecar(state: MeshState, others: readonly string[], nowMs: Ms): Drawn {
+  const { sidecarEntries, sidecarPeers } = state.options;
+  const { address } = state.self;
+  const entries = byRendezvous(others, address).slice(0, sidecarEntries);
+  const members = [...state.records.values()].flatMap((record) => record.members ?? []);
+  const siblings = byRendezvous(members, address).filter((member) => member !== address);
+  const { state: next, value } = draw(state, ENTRY_SHARE);
+  const toEntry = value === 0 || siblings.length === 0 || state.catchUp.phase !== 'current';
+  return pick(next, toEntry ? entries : siblings.slice(0, sidecarPeers), nowMs);
+}
+
+/** The peer that the next pull goes to. While catching up, one that has not answered yet. */
+export function choosePeer(state: MeshState, nowMs: Ms): Drawn {
+  const others = state.entries
+    .filter(({ id }) => id !== state.self.id)
+    .map(({ address }) => address);
+  if (others.length === 0) return { state, peer: undefined };
+  if (state.self.role === 'sidecar') return forSidecar(state, others, nowMs);
+  if (state.catchUp.phase === 'current') return forEntry(state, others, nowMs);
+  const fresh = others.filter((address) => !state.catchUp.readyPeers.includes(address));
+  return pick(state, fresh.length > 0 ? fresh : others, nowMs);
+}
--- /dev/null
+++ b/src/core/mesh/expire.ts
@@ -0,0 +1,43 @@
+import type { Ms } from '../../base/index.js';
+import type { HeldRecord } from './heldrecord.js';
+import { isDocument } from './isdocument.js';
+import type { MeshChange } from './meshchange.js';
+import type { MeshState } from './meshstate.js';
+import { tell } from './tell.js';
+
+const CHECK_INTERVAL_MS = 10_000;
+const EMPTY = new Uint8Array(0);
+
+function isOver(state: MeshState, record: HeldRecord, nowMs: Ms): boolean {
+  if (isDocument(record.key) || record.value.length === 0 || record.origin === '') return false;
+  if (record.origin === state.self.id || state.listedIds.has(record.origin)) return false;
+  return nowMs - record.adoptedAtMs >= state.options.expiryMs;
+}
+
+/** Keys of the oldest remembered versions beyond the bound. */
+function forgotten(state: MeshState): readonly string[] {
+  const dropped = [...state.records.values()].filter(
+    ({ key, value }) => value.length === 0 && !isDocument(key),
+  );
+  const excess = dropped.length - state.options.tombstoneCount;
+  if (excess <= 0) return [];
+  dropped.sort((a, b) => a.adoptedAtMs - b.adoptedAtMs);
+  return dropped.slice(0, excess).map(({ key }) => key);
+}
+
+/**
+ * Drops the records of upstreams whose host has long been off the list. Their versions stay (as many as
+ * the bound allows), so that a peer that was cut off cannot bring an older incarnation back.
+ */
+export function expire(state: MeshState, nowMs: Ms): MeshChange {
+  if (nowMs < state.nextExpiryAtMs || state.listedIds.size === 0) return { state, effects: [] };
+  const nextExpiryAtMs = nowMs + CHECK_INTERVAL_MS;
+  const over = [...state.records.values()].filter((record) => isOver(state, record, nowMs));
+  const old = forgotten(state);
+  if (over.length + old.length === 0) return { state: { ...state, nextExpiryAtMs }, effects: [] };
+  const records = new Map(state.records);
+  const emptied = over.map((record) => ({ ...record, value: EMPTY, adoptedAtMs: nowMs }));
+  for (const record of emptied) records.set(record.key, record);
+  for (const key of old) records.delete(key);
+  return { state: { ...state, records, nextExpiryAtMs }, effects: tell(emptied) };
+}
--- /dev/null
+++ b/src/core/mesh/isrelay.ts
@@ -0,0 +1,9 @@
+import type { Ms } from '../../base/index.js';
+import type { MeshState } from './meshstate.js';
+import { relayRank } from './relayrank.js';
+
+/** Whether this process holds a watch on the store, in its own view of the region. */
+export function isRelay(state: MeshState, nowMs: Ms): boolean {
+  if (state.self.role !== 'entry' || !state.hostsKnown) return false;
+  return relayRank(state, nowMs) < state.options.relayCount;
+}
--- /dev/null
+++ b/src/core/mesh/meshchange.ts
@@ -0,0 +1,6 @@
+import type { Change } from '../../base/index.js';
+import type { MeshEffect } from './mesheffect.js';
+import type { MeshState } from './meshstate.js';
+
+/** The next state and what the shell has to do. */
+export type MeshChange = Change<MeshState, MeshEffect>;
--- /dev/null
+++ b/src/core/mesh/meshversion.ts
@@ -0,0 +1,6 @@
+/** Names one record without its value. */
+export interface MeshVersion {
+  readonly key: string;
+  readonly epoch: number;
+  readonly sequence: number;
+}
--- /dev/null
+++ b/src/core/mesh/onpullanswered.ts
@@ -0,0 +1,53 @@
+import type { Ms } from '../../base/index.js';
+import { adopt } from './adopt.js';
+import { catchUp } from './catchup.js';
+import { clearSuspect } from './clearsuspect.js';
+import type { MeshBatch } from './meshbatch.js';
+import type { MeshChange } from './meshchange.js';
+import type { MeshState } from './meshstate.js';
+import { spread } from './spread.js';
+import { startPull } from './startpull.js';
+import { chain } from './chain.js';
+
+/** Notes what an answered pull says about catching up. */
+function note(state: MeshState, from: string, batch: MeshBatch, full: boolean): MeshState {
+  const { catchUp: progress, pull } = state;
+  const counts = full && batch.caughtUp && !batch.truncated;
+  const readyPeers = counts ? [...new Set([...progress.readyPeers, from])] : progress.readyPeers;
+  const coveredRevision = batch.truncated
+    ? pull.coveredRevision
+    : Math.max(pull.coveredRevision, batch.revision);
+  return {
+    ...state,
+    catchUp: { ...progress, readyPeers, anyAnswer: progress.anyAnswer || full },
+    pull: { ...pull, inFlight: undefined, coveredRevision },
+  };
+}
+
+/** Asks the same peer again, by versions, when its documents still differ and it is not behind. */
+function askFurther(state: MeshState, from: string, batch: MeshBatch, nowMs: Ms): MeshChange {
+  const { inFlight, promptTo } = state.pull;
+  if (inFlight || promptTo) return { state, effects: [] };
+  if (batch.truncated) return startPull(state, from, 'all', nowMs);
+  const differs = batch.hash !== state.documentsHash && batch.revision >= state.revision;
+  if (state.self.role === 'sidecar' || !differs) return { state, effects: [] };
+  return startPull(state, from, 'documents', nowMs);
+}
+
+/** A peer answered a pull: what is newer is adopted and passed on. */
+export function onPullAnswered(
+  state: MeshState,
+  event: { readonly from: string; readonly batch: MeshBatch },
+  nowMs: Ms,
+): MeshChange {
+  const { from, batch } = event;
+  const { inFlight } = state.pull;
+  const expected = inFlight?.to === from;
+  const known = clearSuspect(state, from);
+  const { state: held, adopted } = adopt(known, batch.records, nowMs);
+  const change = spread(held, adopted, from, nowMs);
+  if (!expected) return change;
+  const noted = { ...change, state: note(change.state, from, batch, inFlight.full) };
+  const further = chain(noted, (next) => askFurther(next, from, batch, nowMs));
+  return chain(further, (next) => catchUp(next, nowMs));
+}
--- /dev/null
+++ b/src/core/mesh/onwatchtold.ts
@@ -0,0 +1,13 @@
+import type { Ms } from '../../base/index.js';
+import { adopt } from './adopt.js';
+import type { MeshChange } from './meshchange.js';
+import type { MeshRecord } from './meshrecord.js';
+import type { MeshState } from './meshstate.js';
+import { spread } from './spread.js';
+
+/** A relay's watch told of a change. */
+export function onWatchTold(state: MeshState, record: MeshRecord, nowMs: Ms): MeshChange {
+  const { state: held, adopted } = adopt(state, [record], nowMs);
+  const revision = Math.max(held.store.revision, record.sequence);
+  return spread({ ...held, store: { ...held.store, revision } }, adopted, '', nowMs);
+}
--- /dev/null
+++ b/src/core/mesh/rankentries.ts
@@ -0,0 +1,14 @@
+import { hash32 } from './hash32.js';
+import type { MeshHost } from './meshhost.js';
+
+function weigh(host: MeshHost): number {
+  return hash32(`relay/${host.id}`);
+}
+
+/** Entries by rendezvous hash, the leaving ones last: the first of them hold the watches. */
+export function rankEntries(entries: readonly MeshHost[]): readonly MeshHost[] {
+  const leaving = (host: MeshHost) => Number(host.state === 'leaving');
+  return [...entries].sort(
+    (a, b) => leaving(a) - leaving(b) || weigh(b) - weigh(a) || (a.id < b.id ? -1 : 1),
+  );
+}
--- /dev/null
+++ b/src/core/mesh/relayrank.ts
@@ -0,0 +1,13 @@
+import type { Ms } from '../../base/index.js';
+import { isSuspect } from './issuspect.js';
+import type { MeshState } from './meshstate.js';
+
+/** How many entries come before this process in the order of relays, without suspected ones. */
+export function relayRank(state: MeshState, nowMs: Ms): number {
+  let rank = 0;
+  for (const { id, address } of state.entries) {
+    if (id === state.self.id) return rank;
+    if (!isSuspect(state, address, nowMs)) rank += 1;
+  }
+  return rank;
+}
--- /dev/null
+++ b/src/core/mesh/startpull.ts
@@ -0,0 +1,27 @@
+import type { Ms } from '../../base/index.js';
+import { digestOf } from './digestof.js';
+import type { MeshChange } from './meshchange.js';
+import type { MeshState } from './meshstate.js';
+
+/** How much a pull compares: a hash of the documents, their versions, or all versions. */
+type Scope = 'light' | 'documents' | 'all';
+
+const INTERESTS = { light: ['document/'], documents: ['document/'], all: [] } as const;
+
+/** Asks a peer for what this process lacks. One pull is in flight at a time. */
+export function startPull(state: MeshState, to: string, scope: Scope, nowMs: Ms): MeshChange {
+  const { self, options, pull } = state;
+  const isSidecar = self.role === 'sidecar';
+  const interests = isSidecar ? self.interests : INTERESTS[scope];
+  const digest = digestOf(state, interests, !isSidecar && scope === 'light');
+  const full = isSidecar || scope === 'all';
+  const catchingUp = state.catchUp.phase !== 'current';
+  const intervalMs = catchingUp ? options.catchUpPullIntervalMs : options.pullIntervalMs;
+  const next = {
+    ...pull,
+    inFlight: { to, sinceMs: nowMs, full },
+    nextAtMs: nowMs + intervalMs,
+    nextFullAtMs: full ? nowMs + options.fullPullIntervalMs : pull.nextFullAtMs,
+  };
+  return { state: { ...state, pull: next }, effects: [{ type: 'pull', to, digest }] };
+}
--- /dev/null
+++ b/src/core/mesh/waitfor.ts
@@ -0,0 +1,14 @@
+import type { MeshState } from './meshstate.js';
+
+/** Notes keys that are to be passed on to neighbours at the next flush. */
+export function waitFor(
+  state: MeshState,
+  later: ReadonlyMap<string, readonly string[]>,
+): MeshState {
+  if (later.size === 0) return state;
+  const pending = new Map(state.pending);
+  for (const [to, keys] of later) {
+    pending.set(to, new Set([...(pending.get(to) ?? []), ...keys]));
+  }
+  return { ...state, pending };
+}
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -292,7 +292,7 @@
 }
 
 export interface Digest {
-  /** Host that sends the digest. */
+  /** Address of the sender's gRPC listener. */
   readonly host: string;
   /** Highest configuration revision that the sender holds. */
   readonly revision: number;
@@ -307,14 +307,22 @@
   readonly key: string;
   readonly epoch: number;
   readonly sequence: number;
+  /** Empty when what the record told of is gone. */
   readonly value: Buffer;
+  /** Host that published the record; empty for what comes from the store. */
+  readonly origin: string;
 }
 
 export interface RecordBatch {
   readonly host: string;
   readonly revision: number;
   readonly records: readonly Record[];
+  /** Hash over the versions of all documents that the sender holds. */
   readonly hash: number;
+  /** True when the sender has itself caught up with its peers. */
+  readonly caughtUp: boolean;
+  /** True when more records were wanted than fit. */
+  readonly truncated: boolean;
 }
 
 function createBaseFrameBatch(): FrameBatch {
@@ -3180,7 +3188,7 @@
 };
 
 function createBaseRecord(): Record {
-  return { key: "", epoch: 0, sequence: 0, value: Buffer.alloc(0) };
+  return { key: "", epoch: 0, sequence: 0, value: Buffer.alloc(0), origin: "" };
 }
 
 export const Record: MessageFns<Record> = {
@@ -3197,6 +3205,9 @@
     if (message.value.length !== 0) {
       writer.uint32(34).bytes(message.value);
     }
+    if (message.origin !== "") {
+      writer.uint32(42).string(message.origin);
+    }
     return writer;
   },
 
@@ -3245,6 +3256,14 @@
             message.value = Buffer.from(reader.bytes());
             continue;
           }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.origin = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -3266,12 +3285,13 @@
     message.epoch = object.epoch ?? 0;
     message.sequence = object.sequence ?? 0;
     message.value = object.value ?? Buffer.alloc(0);
+    message.origin = object.origin ?? "";
     return message;
   },
 };
 
 function createBaseRecordBatch(): RecordBatch {
-  return { host: "", revision: 0, records: [], hash: 0 };
+  return { host: "", revision: 0, records: [], hash: 0, caughtUp: false, truncated: false };
 }
 
 export const RecordBatch: MessageFns<RecordBatch> = {
@@ -3288,6 +3308,12 @@
     if (message.hash !== 0) {
       writer.uint32(32).uint64(message.hash);
     }
+    if (message.caughtUp !== false) {
+      writer.uint32(40).bool(message.caughtUp);
+    }
+    if (message.truncated !== false) {
+      writer.uint32(48).bool(message.truncated);
+    }
     return writer;
   },
 
@@ -3336,6 +3362,22 @@
             message.hash = longToNumber(reader.uint64());
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.caughtUp = reader.bool();
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.truncated = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -3357,6 +3399,8 @@
     message.revision = object.revision ?? 0;
     message.records = object.records?.map((e) => Record.fromPartial(e)) || [];
     message.hash = object.hash ?? 0;
+    message.caughtUp = object.caughtUp ?? false;
+    message.truncated = object.truncated ?? false;
     return message;
   },
 };
