Run-once table: the core that says who may run what

A sidecar has to know of each ticket whether it was issued, runs, was answered, broke off or was cancelled, so that no retry runs a request again and no caller hears a false 'not run'. Tickets are checked by the table rather than signed: only the issuing incarnation (or the peer that took its table over) may act on one, and it holds a row for each, so a signature would add a key to hand round and prove nothing more. Ruled out: copying the table for each step.

--- /dev/null
+++ b/src/core/ticket/adopt.ts
@@ -0,0 +1,65 @@
+import type { Change, CustomerId, Ms, ServiceId } from '../../base/index.js';
+import type { TicketEntry } from '../../wire/index.js';
+import { refuse } from '../refusal/index.js';
+import { addRow } from './addrow.js';
+import { makeRoom } from './makeroom.js';
+import type { Phase } from './phase.js';
+import type { Row } from './row.js';
+import { rowBytes } from './rowbytes.js';
+import { sweep } from './sweep.js';
+import type { TableEffect } from './tableeffect.js';
+import type { TableEvent } from './tableevent.js';
+import type { TableState } from './tablestate.js';
+
+type Adopt = Extract<TableEvent, { type: 'adopt' }>;
+
+/** Only ended tickets can be taken over; of any other nobody knows how it will end. */
+const PHASES: Readonly<Record<string, Phase>> = {
+  answered: 'answered',
+  cancelled: 'cancelled',
+  expired: 'expired',
+};
+
+function rowOf(entry: TicketEntry, nowMs: Ms): Row {
+  const phase = PHASES[entry.phase] ?? 'unknown';
+  const { status, headers, body, pieceBytes } = entry;
+  const isHeld = phase === 'answered' && !entry.bodyDropped;
+  return {
+    customer: entry.customer as CustomerId,
+    service: entry.service as ServiceId,
+    phase,
+    expiresAtMs: nowMs + entry.remainingMs,
+    requestHash: entry.requestHash,
+    waiting: [],
+    answer: isHeld ? { status, headers, body, pieceBytes } : undefined,
+  };
+}
+
+/** Takes over ended tickets of a peer that stops. A row that is held already stays as it is. */
+export function adopt(
+  given: TableState,
+  { callId, upstream, incarnation, table }: Adopt,
+  nowMs: Ms,
+): Change<TableState, TableEffect> {
+  if (given.leaving) {
+    const refusal = refuse('upstream-leaving', 'This upstream leaves.');
+    return { state: given, effects: [{ type: 'refuse', callId, refusal }] };
+  }
+  let { state } = sweep(given, nowMs);
+  const fresh = table.entries.filter(({ ticket }) => !state.rows.has(ticket));
+  const rows = fresh.map((entry) => ({ ticket: entry.ticket, row: rowOf(entry, nowMs) }));
+  let leastBytes = 0;
+  for (const { row } of rows) leastBytes += rowBytes({ ...row, answer: undefined });
+  state = makeRoom(state, leastBytes);
+  if (state.usedBytes + leastBytes > state.limits.tableBytes) {
+    const refusal = refuse('ticket-table-full', 'The table of tickets has no room.');
+    return { state, effects: [{ type: 'refuse', callId, refusal }] };
+  }
+  for (const { ticket, row } of rows) {
+    const fits = state.usedBytes + rowBytes(row) <= state.limits.tableBytes;
+    state = addRow(state, ticket, fits ? row : { ...row, answer: undefined });
+  }
+  const origins = new Set([...state.origins, `${upstream}.${incarnation}`]);
+  const effects = [{ type: 'adopted', callId, takenCount: rows.length } as const];
+  return { state: { ...state, origins }, effects };
+}
--- /dev/null
+++ b/src/core/ticket/leave.ts
@@ -0,0 +1,13 @@
+import type { Change } from '../../base/index.js';
+import { nextPhase } from './nextphase.js';
+import type { TableEffect } from './tableeffect.js';
+import type { TableState } from './tablestate.js';
+
+/** Cancels what was issued and not used: from now on it can run nowhere. Running ones go on. */
+export function leave(state: TableState): Change<TableState, TableEffect> {
+  for (const [ticket, row] of state.rows) {
+    const phase = nextPhase(row.phase, 'CANCEL');
+    if (phase) state.rows.set(ticket, { ...row, phase });
+  }
+  return { state: { ...state, leaving: true }, effects: [] };
+}
--- /dev/null
+++ b/src/core/ticket/putrow.ts
@@ -0,0 +1,13 @@
+import type { Row } from './row.js';
+import { rowBytes } from './rowbytes.js';
+import type { TableState } from './tablestate.js';
+
+/** Replaces one row and keeps the account of memory. */
+export function putRow(state: TableState, ticket: string, row: Row): TableState {
+  const before = state.rows.get(ticket);
+  const usedBytes = state.usedBytes + rowBytes(row) - (before ? rowBytes(before) : 0);
+  state.rows.set(ticket, row);
+  if (row.answer) state.bodies.add(ticket);
+  else state.bodies.delete(ticket);
+  return { ...state, usedBytes };
+}
--- /dev/null
+++ b/src/core/ticket/sweep.ts
@@ -0,0 +1,39 @@
+import type { Change, Ms } from '../../base/index.js';
+import { rowBytes } from './rowbytes.js';
+import type { TableEffect } from './tableeffect.js';
+import type { TableState } from './tablestate.js';
+
+const MS_PER_S = 1000;
+
+/** Forgets the tickets of one second, but for those that still run: they are looked at again. */
+function forget(state: TableState, second: number, nowS: number): number {
+  const running: string[] = [];
+  let freedBytes = 0;
+  for (const ticket of state.expiries.get(second) ?? []) {
+    const row = state.rows.get(ticket);
+    if (!row) continue;
+    if (row.phase === 'running') {
+      running.push(ticket);
+      continue;
+    }
+    freedBytes += rowBytes(row);
+    state.rows.delete(ticket);
+    state.bodies.delete(ticket);
+  }
+  state.expiries.delete(second);
+  if (running.length > 0) {
+    state.expiries.set(nowS, [...(state.expiries.get(nowS) ?? []), ...running]);
+  }
+  return freedBytes;
+}
+
+/** Forgets tickets whose second of expiry is over. */
+export function sweep(state: TableState, nowMs: Ms): Change<TableState, TableEffect> {
+  const nowS = Math.floor(nowMs / MS_PER_S);
+  if (nowS <= state.sweptUntilS) return { state, effects: [] };
+  let { usedBytes } = state;
+  for (let second = state.sweptUntilS; second < nowS; second += 1) {
+    if (state.expiries.has(second)) usedBytes -= forget(state, second, nowS);
+  }
+  return { state: { ...state, usedBytes, sweptUntilS: nowS }, effects: [] };
+}
--- /dev/null
+++ b/src/core/ticket/ticketname.ts
@@ -0,0 +1,33 @@
+import type { Incarnation, TicketId, UpstreamId } from '../../base/index.js';
+
+/** What a ticket says in the open. */
+interface TicketName {
+  readonly upstream: UpstreamId;
+  readonly incarnation: Incarnation;
+  /** Only its holder and the issuing table know it. */
+  readonly secret: string;
+}
+
+const SHAPE = /^([^.]+)\.(\d{1,16})\.([\w-]{22,64})$/;
+
+/**
+ * Writes and reads tickets: `{upstream}.{incarnation}.{secret}`, with dots in the upstream's id escaped.
+ * Entries read where a ticket belongs; the table alone judges whether it was issued, and to whom.
+ */
+export const ticketName = {
+  write({ upstream, incarnation, secret }: TicketName): TicketId {
+    const place = encodeURIComponent(upstream).replaceAll('.', '%2E');
+    return `${place}.${incarnation}.${secret}` as TicketId;
+  },
+
+  read(ticket: string): TicketName | undefined {
+    const [, place = '', incarnation = '', secret = ''] = SHAPE.exec(ticket) ?? [];
+    if (!secret) return undefined;
+    try {
+      const upstream = decodeURIComponent(place) as UpstreamId;
+      return { upstream, incarnation: Number(incarnation) as Incarnation, secret };
+    } catch {
+      return undefined;
+    }
+  },
+};
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -221,6 +221,8 @@
   readonly upstream: string;
   readonly incarnation: number;
   readonly entries: readonly TicketEntry[];
+  /** Set on the last piece: the receiver may now tell that it holds this incarnation's table. */
+  readonly last: boolean;
 }
 
 export interface TicketEntry {
@@ -235,6 +237,9 @@
   readonly bodyDropped: boolean;
   /** Hash of method, path and body of the request that used the ticket. */
   readonly requestHash: string;
+  readonly service: string;
+  /** Sizes of the data frames that the body was sent in. */
+  readonly pieceBytes: readonly number[];
 }
 
 export interface HandOverReply {
@@ -2183,7 +2188,7 @@
 };
 
 function createBaseTicketTable(): TicketTable {
-  return { upstream: "", incarnation: 0, entries: [] };
+  return { upstream: "", incarnation: 0, entries: [], last: false };
 }
 
 export const TicketTable: MessageFns<TicketTable> = {
@@ -2197,6 +2202,9 @@
     for (const v of message.entries) {
       TicketEntry.encode(v!, writer.uint32(26).fork()).join();
     }
+    if (message.last !== false) {
+      writer.uint32(32).bool(message.last);
+    }
     return writer;
   },
 
@@ -2237,6 +2245,14 @@
             message.entries.push(TicketEntry.decode(reader, reader.uint32()));
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.last = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2257,6 +2273,7 @@
     message.upstream = object.upstream ?? "";
     message.incarnation = object.incarnation ?? 0;
     message.entries = object.entries?.map((e) => TicketEntry.fromPartial(e)) || [];
+    message.last = object.last ?? false;
     return message;
   },
 };
@@ -2272,6 +2289,8 @@
     body: Buffer.alloc(0),
     bodyDropped: false,
     requestHash: "",
+    service: "",
+    pieceBytes: [],
   };
 }
 
@@ -2304,6 +2323,16 @@
     if (message.requestHash !== "") {
       writer.uint32(74).string(message.requestHash);
     }
+    if (message.service !== "") {
+      writer.uint32(82).string(message.service);
+    }
+    if (message.pieceBytes.length !== 0) {
+      writer.uint32(90).fork();
+      for (const v of message.pieceBytes) {
+        writer.uint32(v);
+      }
+      writer.join();
+    }
     return writer;
   },
 
@@ -2392,6 +2421,32 @@
             message.requestHash = reader.string();
             continue;
           }
+          case 10: {
+            if (tag !== 82) {
+              break;
+            }
+
+            message.service = reader.string();
+            continue;
+          }
+          case 11: {
+            if (tag === 88) {
+              message.pieceBytes.push(reader.uint32());
+
+              continue;
+            }
+
+            if (tag === 90) {
+              const end2 = reader.uint32() + reader.pos;
+              while (reader.pos < end2) {
+                message.pieceBytes.push(reader.uint32());
+              }
+
+              continue;
+            }
+
+            break;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2418,6 +2473,8 @@
     message.body = object.body ?? Buffer.alloc(0);
     message.bodyDropped = object.bodyDropped ?? false;
     message.requestHash = object.requestHash ?? "";
+    message.service = object.service ?? "";
+    message.pieceBytes = object.pieceBytes?.map((e) => e) || [];
     return message;
   },
 };
