Experiment tool: policies meet seeded workloads in virtual time

The measures of the project (attainment per accelerator, moves, waits by class, true refusals) need a place where queue, routing and placement can be compared on the same requests. Engines follow the stand-in's own curve, step by step, with steps that nothing interrupts taken at once. A network model was left out: the delays that decide here are those of queues, prompts, tokens and loads.

Baselines: first in first out (as in the sidecar, and a stronger one that drops what has expired), round robin, least connections, static packing, load on demand with eviction of the least recently used.

--- /dev/null
+++ b/bench/experiment/baseline/loadondemand.ts
@@ -0,0 +1,49 @@
+import type { MakePlacement, PlacementOrder, UpstreamView } from '../placementpolicy.js';
+import { pack } from './pack.js';
+import { popularityOf } from '../popularity.js';
+
+/** Models to evict so that so many bytes fit, least recently used first; none if it cannot be. */
+function evictions(upstream: UpstreamView, sizeBytes: number): readonly string[] | undefined {
+  const evicted: string[] = [];
+  let { freeBytes } = upstream;
+  const idle = upstream.residents.filter(
+    ({ phase, running }) => phase === 'ready' && running === 0,
+  );
+  for (const resident of [...idle].sort((a, b) => a.lastUsedAtMs - b.lastUsedAtMs)) {
+    if (freeBytes >= sizeBytes) break;
+    evicted.push(resident.model);
+    freeBytes += resident.sizeBytes;
+  }
+  return freeBytes >= sizeBytes ? evicted : undefined;
+}
+
+/** Loads a model when a request finds it nowhere, where least runs, and evicts the least recently used. */
+export const loadOnDemand: MakePlacement = (deployment, seed) => {
+  const sizes = new Map<string, number>(
+    deployment.document.models.map(({ id, sizeBytes }) => [id, sizeBytes]),
+  );
+  return {
+    intervalMs: Infinity,
+    start: (view) => pack(deployment, popularityOf(deployment, seed), view),
+    plan: () => [],
+    missing(model, view) {
+      const sizeBytes = sizes.get(model) ?? 0;
+      const usable = view.upstreams.filter(
+        ({ alive, leaving, checksFencing }) => alive && !leaving && (view.storeUp || checksFencing),
+      );
+      for (const upstream of usable.sort((a, b) => a.running + a.queued - b.running - b.queued)) {
+        const evicted = evictions(upstream, sizeBytes);
+        if (!evicted) continue;
+        const { index } = upstream;
+        const unloads = evicted.map((old): PlacementOrder => ({
+          type: 'unload',
+          index,
+          model: old,
+          urgency: 0,
+        }));
+        return [...unloads, { type: 'load', index, model, urgency: 1 }];
+      }
+      return [];
+    },
+  };
+};
--- /dev/null
+++ b/bench/experiment/index.ts
@@ -0,0 +1,37 @@
+/**
+ * The experiment tool: policies meet seeded workloads in virtual time. Policies plug in by
+ * `QueuePolicy`, `RoutePolicy` and `PlacementPolicy`; the baselines are in `baseline/`.
+ */
+export { agency } from './agency.js';
+export type { Ask } from './ask.js';
+export { fifo } from './baseline/fifo.js';
+export { leastConnections } from './baseline/leastconnections.js';
+export { loadOnDemand } from './baseline/loadondemand.js';
+export { roundRobin } from './baseline/roundrobin.js';
+export { staticPlacement } from './baseline/staticplacement.js';
+export type { Deployment } from './deployment.js';
+export type { Fault } from './fault.js';
+export type {
+  ClusterView,
+  DemandView,
+  MakePlacement,
+  PlacementOrder,
+  PlacementPolicy,
+  ResidentView,
+  UpstreamView,
+} from './placementpolicy.js';
+export { popularityOf } from './popularity.js';
+export type { MakeQueue, QueuePolicy, SeenLoad } from './queuepolicy.js';
+export { Random } from './random.js';
+export { reenvio } from './reenvio.js';
+export type {
+  Candidate,
+  MakeRoute,
+  RouteOutcome,
+  RoutePolicy,
+  RouteSettings,
+} from './routepolicy.js';
+export type { RunOptions } from './runoptions.js';
+export { workload } from './workload.js';
+export type { WorkloadOptions } from './workload.js';
+export { World } from './world.js';
--- /dev/null
+++ b/bench/experiment/workload.ts
@@ -0,0 +1,214 @@
+import type { Kind } from '../../src/core/document/index.js';
+import type { Curve } from '../../standin/index.js';
+import type { Ask } from './ask.js';
+import { capacityPerMs, costMs, prefixTokensOf } from './cost.js';
+import type { Deployment, Traffic } from './deployment.js';
+import { popularityOf } from './popularity.js';
+import { Random } from './random.js';
+
+const SLICE_MS = 200;
+const SHIFT_EVERY_MS = 150_000;
+const SHIFT_TAKES_MS = 30_000;
+const SHIFT_SPAN = Math.sqrt(10);
+const BURST_EVERY_MS = 60_000;
+const BURST_MS = 5000;
+const BURST_FACTOR = 6;
+const PREFIXES_PER_MODEL = 6;
+const PROBE_EVERY_MS = 20_000;
+
+/** What a workload is drawn from. */
+export interface WorkloadOptions {
+  readonly seed: number;
+  /** 1 offers what the hardware can do. */
+  readonly load: number;
+  readonly durationMs: number;
+  readonly curve: Curve;
+  /** Multiplies what the largest customer sends; 1 if left out. */
+  readonly largestFactor?: number;
+  /** Multiplies the long jobs; 1 if left out. */
+  readonly longFactor?: number;
+  /** Demand for each model moves up to tenfold; true if left out. */
+  readonly shifts?: boolean;
+  /** Every model is asked for at least this often, so that its reach can be seen; true if left out. */
+  readonly probes?: boolean;
+}
+
+/** One source of requests: one model, one kind, one group of customers. */
+interface Source {
+  readonly model: string;
+  readonly traffic: Traffic;
+  readonly kind: Kind;
+  readonly largest: boolean;
+  /** Mean requests a ms. */
+  readonly rate: number;
+}
+
+/** Demand at a time of the run, as a multiple of the mean. */
+type Multiplier = (atMs: number) => number;
+
+interface Demand {
+  /** Moves tenfold within half a minute now and then. */
+  readonly level: Multiplier;
+  /** Short and high. */
+  readonly burst: Multiplier;
+}
+
+const STEADY: Multiplier = () => 1;
+
+function levelOf({ durationMs }: WorkloadOptions, random: Random): Multiplier {
+  const draw = () => Math.exp(random.between(-1, 1) * Math.log(SHIFT_SPAN));
+  const shifts = [{ atMs: -SHIFT_TAKES_MS, level: draw() }];
+  for (let atMs = 0; atMs < durationMs;) {
+    atMs += random.exponential(SHIFT_EVERY_MS);
+    shifts.push({ atMs, level: draw() });
+  }
+  return (atMs) => {
+    const index = shifts.findLastIndex((shift) => shift.atMs <= atMs);
+    const to = shifts[index]!;
+    const from = shifts[Math.max(0, index - 1)]!;
+    const part = Math.min(1, (atMs - to.atMs) / SHIFT_TAKES_MS);
+    return from.level + (to.level - from.level) * part;
+  };
+}
+
+function burstOf({ durationMs }: WorkloadOptions, random: Random): Multiplier {
+  const starts: number[] = [];
+  for (let atMs = 0; atMs < durationMs;) {
+    atMs += random.exponential(BURST_EVERY_MS);
+    starts.push(atMs);
+  }
+  const burstPart = 1 - Math.exp(-BURST_MS / BURST_EVERY_MS);
+  const base = 1 / (1 + (BURST_FACTOR - 1) * burstPart);
+  return (atMs) => {
+    const burst = starts.some((startMs) => atMs >= startMs && atMs < startMs + BURST_MS);
+    return burst ? base * BURST_FACTOR : base;
+  };
+}
+
+function demandOf(options: WorkloadOptions, model: string): Demand {
+  if (options.shifts === false) return { level: STEADY, burst: STEADY };
+  const random = new Random(options.seed, `demand ${model}`);
+  const level = levelOf(options, random);
+  return { level: model ? level : STEADY, burst: burstOf(options, random) };
+}
+
+function meanCostMs(curve: Curve, traffic: Traffic): number {
+  const prefixTokens = prefixTokensOf(traffic.promptTokens);
+  return costMs(curve, { ...traffic, prefixTokens });
+}
+
+/** Requests a ms that would just fill the hardware, for engines and for plain services. */
+function fullRates({ document, traffic }: Deployment, curve: Curve) {
+  const count = (type: 'engine' | 'plain') =>
+    document.groups
+      .filter((group) => group.type === type)
+      .reduce(
+        (sum, { slots, upstreams }) =>
+          sum + upstreams.length * (type === 'engine' ? capacityPerMs(curve) : slots),
+        0,
+      );
+  const mean = (plain: boolean) =>
+    traffic
+      .filter(({ serviceMs }) => serviceMs > 0 === plain)
+      .reduce((sum, one) => sum + one.part * meanCostMs(curve, one), 0);
+  return { engine: count('engine') / mean(false), plain: count('plain') / mean(true) };
+}
+
+function sourcesOf(deployment: Deployment, options: WorkloadOptions): readonly Source[] {
+  const { document, traffic, largestPart } = deployment;
+  const full = fullRates(deployment, options.curve);
+  const popularity = popularityOf(deployment, options.seed);
+  const sources: Source[] = [];
+  for (const one of traffic) {
+    const kind = document.kinds.find(({ name }) => name === one.kind)!;
+    const models = document.models.filter(({ defaultKind }) => {
+      const own = document.kinds.find(({ name }) => name === defaultKind)!;
+      return kind.longJob ? own.priority === 'normal' : defaultKind === kind.name;
+    });
+    const sum = models.reduce((total, { id }) => total + popularity.get(id)!, 0);
+    const targets =
+      one.serviceMs > 0
+        ? [{ model: '', part: 1 }]
+        : models.map(({ id }) => ({ model: id, part: popularity.get(id)! / sum }));
+    const fullRate = one.serviceMs > 0 ? full.plain : full.engine;
+    const factor = kind.longJob ? (options.longFactor ?? 1) : 1;
+    for (const { model, part } of targets) {
+      const rate = options.load * fullRate * one.part * part * factor;
+      const source = { model, traffic: one, kind };
+      const largestRate = rate * largestPart * (options.largestFactor ?? 1);
+      sources.push({ ...source, largest: true, rate: largestRate });
+      sources.push({ ...source, largest: false, rate: rate * (1 - largestPart) });
+    }
+  }
+  return sources;
+}
+
+function poisson(random: Random, mean: number): number {
+  const limit = Math.exp(-mean);
+  let count = 0;
+  for (let product = random.next(); product > limit; product *= random.next()) count += 1;
+  return count;
+}
+
+/** What keeps the sum of all models' levels at its mean. */
+function balance(
+  demands: ReadonlyMap<string, Demand>,
+  popularity: ReadonlyMap<string, number>,
+  atMs: number,
+): number {
+  let sum = 0;
+  for (const [model, { level }] of demands) sum += (popularity.get(model) ?? 0) * level(atMs);
+  return 1 / sum;
+}
+
+/** Draws the requests of one run, in order of arrival. */
+export function workload(deployment: Deployment, options: WorkloadOptions): readonly Ask[] {
+  const { seed, durationMs } = options;
+  const popularity = popularityOf(deployment, seed);
+  const models = deployment.document.models.map(({ id }) => id as string);
+  const demands = new Map(['', ...models].map((id) => [id, demandOf(options, id)]));
+  const smallCustomers = deployment.document.customers.slice(1);
+  const largestCustomer = deployment.document.customers[0]!.id;
+  const slices = Math.ceil(durationMs / SLICE_MS);
+  const balances = Array.from({ length: slices }, (_, at) =>
+    balance(demands, popularity, at * SLICE_MS),
+  );
+  const asks: Omit<Ask, 'requestId'>[] = [];
+  for (const source of sourcesOf(deployment, options)) {
+    const { model, traffic, kind, largest, rate } = source;
+    const name = `${model} ${kind.name} ${largest}`;
+    const random = new Random(seed, name);
+    const { level, burst } = demands.get(model)!;
+    const draw = (atMs: number) => {
+      const promptTokens = traffic.promptTokens > 0 ? random.size(traffic.promptTokens) : 0;
+      asks.push({
+        atMs,
+        kind,
+        model,
+        promptTokens,
+        customer: largest
+          ? largestCustomer
+          : smallCustomers[Math.floor(random.next() * smallCustomers.length)]!.id,
+        outputTokens: traffic.outputTokens > 0 ? random.size(traffic.outputTokens) : 0,
+        prefix: `${model} ${kind.name} ${Math.floor(random.next() * PREFIXES_PER_MODEL)}`,
+        prefixTokens: prefixTokensOf(promptTokens),
+        serviceMs: traffic.serviceMs > 0 ? Math.max(5, random.exponential(traffic.serviceMs)) : 0,
+      });
+    };
+    for (let at = 0; at < slices; at += 1) {
+      const atMs = at * SLICE_MS;
+      const even = model ? balances[at]! : 1;
+      const mean = rate * SLICE_MS * level(atMs) * burst(atMs) * even;
+      for (let left = poisson(random, mean); left > 0; left -= 1) {
+        draw(atMs + random.next() * SLICE_MS);
+      }
+    }
+    const probes = options.probes !== false && model && !largest && !kind.longJob;
+    for (let atMs = random.next() * PROBE_EVERY_MS; probes && atMs < durationMs;) {
+      draw(atMs);
+      atMs += PROBE_EVERY_MS;
+    }
+  }
+  asks.sort((a, b) => a.atMs - b.atMs);
+  return asks.map((ask, index) => ({ ...ask, requestId: `r${index}` }));
+}
--- /dev/null
+++ b/src/core/admission/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Admission and queue of one upstream: which request starts when, which is refused, and which long job
+ * makes room.
+ */
+export type { AdmissionEffect } from './admissioneffect.js';
+export type { AdmissionEvent } from './admissionevent.js';
+export type { AdmissionPolicy } from './admissionpolicy.js';
+export { Heap } from './heap.js';
+export type { Offer } from './offer.js';
