Stand-in engine: batching, prefix cache, orders, resume, memory that overflows

The thin path's engine gave tokens at a fixed pace and knew no memory, so nothing that is promised of memory, orders, resumed streams or priorities could be seen to break. The engine is now a pure core (stepEngine) under an HTTP shell that serves what HttpEngine speaks, with a weight store that has a rate and a parallel limit, and faults from a seeded or fixed list. A token depends on the whole text before it, so a continued answer can be compared byte for byte; a token drawn from prompt and position was ruled out, as the text of a continued completion cannot be told from its prompt.

--- /dev/null
+++ b/standin/engine/endorder.ts
@@ -0,0 +1,64 @@
+import type { Change } from '../../src/base/index.js';
+import type { Order } from '../../src/port/index.js';
+import type { EngineEffect } from './engineeffect.js';
+import type { EngineRequest, EngineResident, EngineState } from './enginestate.js';
+
+type End = (state: EngineState, order: Order) => EngineState;
+
+function isMeant(resident: EngineResident, order: Order): boolean {
+  if (resident.model !== order.model) return false;
+  return !order.version || resident.version === order.version;
+}
+
+function mapResident(
+  state: EngineState,
+  order: Order,
+  change: (resident: EngineResident) => EngineResident,
+): EngineState {
+  const residents = state.residents.map((other) => (isMeant(other, order) ? change(other) : other));
+  return { ...state, residents };
+}
+
+const END: Readonly<Record<Order['action'], End>> = {
+  'load-model': (state, order) =>
+    mapResident(state, order, (resident) => ({ ...resident, phase: 'ready' })),
+  'unload-model': (state, order) => ({
+    ...state,
+    residents: state.residents.filter((other) => !isMeant(other, order)),
+  }),
+  'load-adapter': (state, order) =>
+    mapResident(state, order, (resident) => ({
+      ...resident,
+      adapters: resident.adapters.map((adapter) =>
+        adapter.id === order.adapter ? { ...adapter, phase: 'ready' } : adapter,
+      ),
+    })),
+  'unload-adapter': (state, order) =>
+    mapResident(state, order, (resident) => ({
+      ...resident,
+      adapters: resident.adapters.filter(({ id }) => id !== order.adapter),
+    })),
+  'set-role': (state, { role = 'mixed' }) => ({ ...state, role }),
+};
+
+/** Whether a request names a model or adapter that is in memory. */
+function isServed(state: EngineState, { model }: EngineRequest): boolean {
+  return state.residents.some(
+    (resident) => resident.model === model || resident.adapters.some(({ id }) => id === model),
+  );
+}
+
+/** An order is done. Answers of a model that has been unloaded under them are cut. */
+export function endOrder(state: EngineState, order: Order): Change<EngineState, EngineEffect> {
+  const settledOrderIds = [...state.settledOrderIds, order.orderId];
+  const ended = { ...END[order.action](state, order), settledOrderIds };
+  if (!order.action.startsWith('unload')) return { state: ended, effects: [] };
+  const requests = new Map(ended.requests);
+  const effects: EngineEffect[] = [];
+  for (const request of ended.requests.values()) {
+    if (isServed(ended, request)) continue;
+    requests.delete(request.key);
+    effects.push({ type: 'cut', key: request.key });
+  }
+  return { state: { ...ended, requests }, effects };
+}
--- /dev/null
+++ b/standin/engine/isovercommitted.ts
@@ -0,0 +1,10 @@
+import type { EngineOptions } from './engineoptions.js';
+import type { EngineState } from './enginestate.js';
+import { usedBytes } from './usedbytes.js';
+
+/** Whether the accelerators are asked to hold more than they can. */
+export function isOvercommitted(state: EngineState, options: EngineOptions): boolean {
+  if (options.memoryBytes === undefined) return false;
+  const { weightBytes, kvBytes } = usedBytes(state, options);
+  return weightBytes + Math.max(kvBytes, options.kvCacheBytes) > options.memoryBytes;
+}
--- /dev/null
+++ b/standin/engine/reportof.ts
@@ -0,0 +1,34 @@
+import type { EngineReport } from '../../src/port/index.js';
+import type { EngineOptions } from './engineoptions.js';
+import type { EngineState } from './enginestate.js';
+import { usedBytes } from './usedbytes.js';
+
+const REPORTED_ORDERS = 200;
+
+/** What an engine in this state tells of itself. */
+export function reportOf(
+  state: EngineState,
+  options: EngineOptions,
+  told: Pick<EngineReport, 'engineId' | 'sequence' | 'ageMs' | 'leaving'>,
+): EngineReport {
+  const phases = [...state.requests.values()].map(({ phase }) => phase);
+  const { weightBytes, kvBytes } = usedBytes(state, options);
+  const residents = state.residents.map(({ adapters, ...resident }) => ({
+    ...resident,
+    adapters: adapters
+      .filter(({ phase }) => phase === 'ready')
+      .map(({ id, sizeBytes }) => ({ id, sizeBytes })),
+  }));
+  return {
+    ...told,
+    engineId: `${told.engineId}.${state.restarts}`,
+    settledOrderIds: state.settledOrderIds.slice(-REPORTED_ORDERS),
+    highestFencingToken: state.highestFencingToken as EngineReport['highestFencingToken'],
+    usedBytes: weightBytes + kvBytes,
+    memoryBytes: options.memoryBytes ?? 0,
+    residents: residents as unknown as EngineReport['residents'],
+    running: phases.filter((phase) => phase === 'running').length,
+    queued: phases.filter((phase) => phase === 'waiting').length,
+    role: state.role,
+  };
+}
--- /dev/null
+++ b/standin/engine/stepengine.ts
@@ -0,0 +1,114 @@
+import type { Change } from '../../src/base/index.js';
+import { endOrder } from './endorder.js';
+import type { EngineEffect } from './engineeffect.js';
+import type { EngineEvent } from './engineevent.js';
+import type { EngineOptions } from './engineoptions.js';
+import type { EngineRequest, EngineState } from './enginestate.js';
+import { isOvercommitted } from './isovercommitted.js';
+import { restart } from './restart.js';
+import { runSteps } from './runsteps.js';
+import { takeOrder } from './takeorder.js';
+
+type Changed = Change<EngineState, EngineEffect>;
+type Handlers = {
+  readonly [Type in EngineEvent['type']]: (
+    state: EngineState,
+    event: Extract<EngineEvent, { type: Type }>,
+    options: EngineOptions,
+  ) => Changed;
+};
+
+/** Answers that are kept for a resume, at most. */
+const KEPT_ANSWERS = 2000;
+
+function isReady(state: EngineState, name: string, options: EngineOptions): boolean {
+  if (options.memoryBytes === undefined) return true;
+  return state.residents.some(
+    ({ model, phase, adapters }) =>
+      phase === 'ready' &&
+      (model === name ||
+        adapters.some((adapter) => adapter.id === name && adapter.phase === 'ready')),
+  );
+}
+
+function withRequest(state: EngineState, request: EngineRequest): EngineState {
+  const requests = new Map(state.requests).set(request.key, request);
+  for (const [key, { phase }] of requests) {
+    if (requests.size <= KEPT_ANSWERS) break;
+    if (phase === 'kept' || phase === 'finished') requests.delete(key);
+  }
+  return { ...state, requests };
+}
+
+function setPhase(state: EngineState, key: number, phase: EngineRequest['phase']): Changed {
+  const request = state.requests.get(key);
+  if (!request || request.phase === 'finished') return { state, effects: [] };
+  return { state: withRequest(state, { ...request, phase }), effects: [] };
+}
+
+const HANDLERS: Handlers = {
+  ask: (state, { request }, options) => {
+    if (!isReady(state, request.model, options)) {
+      const reason = 'model-not-loaded';
+      return { state, effects: [{ type: 'refused', key: request.key, reason }] };
+    }
+    if (request.tokens > 0) return { state: withRequest(state, request), effects: [] };
+    const whole = { ...request, phase: 'finished' as const };
+    return {
+      state: withRequest(state, whole),
+      effects: [{ type: 'finished', key: request.key }],
+    };
+  },
+  resume: (state, { key }) => setPhase(state, key, 'waiting'),
+  gone: (state, { key }) => setPhase(state, key, 'kept'),
+  cancel: (state, { requestId }) => {
+    const requests = new Map(state.requests);
+    const effects: EngineEffect[] = [];
+    for (const request of state.requests.values()) {
+      if (request.requestId !== requestId) continue;
+      requests.delete(request.key);
+      if (request.phase !== 'finished') effects.push({ type: 'cut', key: request.key });
+    }
+    return { state: { ...state, requests }, effects };
+  },
+  import: (state, { request }) => ({ state: withRequest(state, request), effects: [] }),
+  order: (state, { order }, options) => takeOrder(state, order, options),
+  loaded: (state, { order }) => endOrder(state, order),
+  changed: (state, { order }) => endOrder(state, order),
+  tick: (state) => ({ state, effects: [] }),
+  crash: (state) => restart(state),
+};
+
+function overflow(state: EngineState, options: EngineOptions): Changed {
+  const counts = { ...state.counts, overcommits: state.counts.overcommits + 1 };
+  const lost = restart({ ...state, counts });
+  const detail = `More than ${options.memoryBytes} bytes were asked of the accelerators.`;
+  return { state: lost.state, effects: [...lost.effects, { type: 'overcommitted', detail }] };
+}
+
+/**
+ * The stand-in engine's core: one event in, the next state and what the shell has to do out. Memory
+ * that overflows takes the whole engine down, as it would, and is counted.
+ */
+export function stepEngine(
+  state: EngineState,
+  event: EngineEvent,
+  nowMs: number,
+  options: EngineOptions,
+): Changed {
+  const due = runSteps(state, options, nowMs);
+  const handle = HANDLERS[event.type] as (
+    state: EngineState,
+    event: EngineEvent,
+    options: EngineOptions,
+  ) => Changed;
+  const handled = handle(due.state, event, options);
+  const checked = isOvercommitted(handled.state, options)
+    ? overflow(handled.state, options)
+    : { state: handled.state, effects: [] };
+  const begun = runSteps(checked.state, options, nowMs);
+  return {
+    state: begun.state,
+    effects: [...due.effects, ...handled.effects, ...checked.effects, ...begun.effects],
+  };
+}
--- /dev/null
+++ b/standin/engine/usedbytes.ts
@@ -0,0 +1,19 @@
+import type { EngineOptions } from './engineoptions.js';
+import type { EngineState } from './enginestate.js';
+
+/** Memory that weights, adapters and the KV cache of running requests (to their end) take. */
+export function usedBytes(
+  state: EngineState,
+  options: EngineOptions,
+): { readonly weightBytes: number; readonly kvBytes: number } {
+  let weightBytes = 0;
+  for (const resident of state.residents) {
+    weightBytes += resident.sizeBytes;
+    for (const adapter of resident.adapters) weightBytes += adapter.sizeBytes;
+  }
+  let tokens = 0;
+  for (const request of state.requests.values()) {
+    if (request.phase === 'running') tokens += request.promptTokens + request.tokens;
+  }
+  return { weightBytes, kvBytes: tokens * options.kvCacheBytesPerToken };
+}
--- /dev/null
+++ b/standin/weights/advance.ts
@@ -0,0 +1,54 @@
+import type { WeightOptions } from './weightoptions.js';
+import type { WeightState } from './weightstate.js';
+
+const DONE_BYTES = 1;
+
+function speed(running: number, options: WeightOptions): number {
+  return options.bytesPerMs * Math.min(1, options.parallelLoads / Math.max(1, running));
+}
+
+/** When something next changes: a load begins or is done. Undefined while there is none. */
+function nextChangeAtMs(state: WeightState, options: WeightOptions): number | undefined {
+  const running = state.loads.filter(({ startsAtMs }) => startsAtMs <= state.atMs);
+  const bytesPerMs = speed(running.length, options);
+  const times = state.loads.map(({ startsAtMs, remainingBytes }) =>
+    startsAtMs > state.atMs ? startsAtMs : state.atMs + remainingBytes / bytesPerMs,
+  );
+  return times.length > 0 ? Math.min(...times) : undefined;
+}
+
+function moveTo(state: WeightState, atMs: number, options: WeightOptions): WeightState {
+  const running = state.loads.filter(({ startsAtMs }) => startsAtMs <= state.atMs);
+  const movedBytes = (atMs - state.atMs) * speed(running.length, options);
+  const loads = state.loads.map((load) =>
+    load.startsAtMs <= state.atMs
+      ? { ...load, remainingBytes: load.remainingBytes - movedBytes }
+      : load,
+  );
+  return { ...state, atMs, loads };
+}
+
+/** Moves the weight store to a time; gives the loads that are done and when to look again. */
+export function advance(
+  start: WeightState,
+  nowMs: number,
+  options: WeightOptions,
+): {
+  readonly state: WeightState;
+  readonly doneIds: readonly number[];
+  readonly wakeAtMs?: number;
+} {
+  let state = start;
+  const doneIds: number[] = [];
+  for (;;) {
+    const nextMs = nextChangeAtMs(state, options);
+    if (nextMs === undefined) return { state: { ...state, atMs: nowMs }, doneIds };
+    if (nextMs > nowMs) {
+      return { state: moveTo(state, nowMs, options), doneIds, wakeAtMs: nextMs };
+    }
+    state = moveTo(state, nextMs, options);
+    const done = state.loads.filter(({ remainingBytes }) => remainingBytes < DONE_BYTES);
+    doneIds.push(...done.map(({ id }) => id));
+    state = { ...state, loads: state.loads.filter((load) => !done.includes(load)) };
+  }
+}
