Stand-in engine: a cut answer flushes what it wrote before it breaks off

The connection now ends after what was written, and the tests resume from the start where nothing had arrived.

--- a/standin/engine/answerbook.ts
+++ b/standin/engine/answerbook.ts
@@ -39,7 +39,7 @@
     const grown = { ...answer, tokens: [...answer.tokens, text] };
     this.answers.set(key, grown);
     if (answer.fault.type === 'cut' && index >= answer.fault.afterTokens) {
-      answer.response?.destroy();
+      this.breakOff(key, grown);
       return;
     }
     if (answer.response && !answer.response.headersSent) writeAnswer.start(answer);
@@ -76,4 +76,15 @@
     this.answers.delete(key);
     response?.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
   }
+
+  /** Ends the connection after what has been written; the answer is kept for a resume. */
+  private breakOff(key: number, answer: Answer): void {
+    const { response } = answer;
+    if (!response) return;
+    this.answers.set(key, { ...answer, response: undefined });
+    if (response.headersSent) response.write('', () => response.destroy());
+    else response.destroy();
+    // Not at once: the engine is in the middle of carrying out effects.
+    queueMicrotask(() => this.tellGone(key));
+  }
 }
--- a/test/fakeengine.test.ts
+++ b/test/fakeengine.test.ts
@@ -35,13 +35,13 @@
 
 interface Read {
   readonly text: string;
-  readonly lastId?: string;
+  readonly lastId: string;
   readonly failure?: string;
 }
 
 async function read({ pieces }: AnswerStream): Promise<Read> {
   let text = '';
-  let lastId: string | undefined;
+  let lastId = '-1';
   for await (const piece of pieces) {
     if (piece.err) return { text, lastId, failure: piece.val.type };
     lastId = piece.val.resumeToken ?? lastId;
@@ -72,7 +72,7 @@
   await withEngine(fake, async (engine) => {
     const cut = await read((await engine.generate(chat('r1', 'hello'), forever)).unwrap());
     t.is(cut.failure, 'upstream-cut');
-    const again = await engine.resume(chat('r1', 'hello'), cut.lastId!, forever);
+    const again = await engine.resume(chat('r1', 'hello'), cut.lastId, forever);
     const rest = await read(again.unwrap());
     t.is(cut.text + rest.text, expectedAnswer('hello', TOKENS));
     t.is(fake.runs('r1'), 1);
@@ -100,7 +100,7 @@
       const cut = await read((await left.generate(chat('r1', 'hello'), forever)).unwrap());
       const cache = (await left.exportCache('r1' as RequestId)).unwrap();
       t.true((await right.importCache('r1' as RequestId, cache)).ok);
-      const again = await right.resume(chat('r1', 'hello'), cut.lastId!, forever);
+      const again = await right.resume(chat('r1', 'hello'), cut.lastId, forever);
       t.is(cut.text + (await read(again.unwrap())).text, expectedAnswer('hello', TOKENS));
       t.is(to.runs('r1'), 0);
     }),
