--- /dev/null
+++ b/src/core/hash/rendezvous.ts
@@ -0,0 +1,13 @@
+import { hash32 } from './hash32.js';
+
+/**
+ * Orders candidates for a key by rendezvous hashing (highest random weight). Every process gets the
+ * same order, and a candidate that comes or goes moves only the keys that it ranks first for.
+ */
+export function rendezvous<Id extends string>(key: string, candidates: readonly Id[]): Id[] {
+  const seed = hash32(key);
+  return candidates
+    .map((id) => ({ id, weight: hash32(id, seed) }))
+    .sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1))
+    .map(({ id }) => id);
+}
--- /dev/null
+++ b/src/core/routing/index.ts
@@ -0,0 +1,10 @@
+/** Which upstream a request goes to, and which sidecar loads a model that no upstream holds. */
+export { createRouting } from './createrouting.js';
+export { relativeLoad } from './relativeload.js';
+export type { RouteWant } from './routewant.js';
+export type { RoutingEffect } from './routingeffect.js';
+export type { RoutingEvent } from './routingevent.js';
+export { routingLimits } from './routinglimits.js';
+export type { RoutingState } from './routingstate.js';
+export { stepRouting } from './steprouting.js';
+export type { UpstreamView } from './upstreamview.js';
--- /dev/null
+++ b/src/core/routing/ondeclared.ts
@@ -0,0 +1,36 @@
+import type { Incarnation, UpstreamId } from '../../base/index.js';
+import { closedBreaker } from './closedbreaker.js';
+import type { RoutingChange } from './routingchange.js';
+import type { RoutingEvent } from './routingevent.js';
+import type { RoutingState } from './routingstate.js';
+import type { UpstreamView } from './upstreamview.js';
+
+type Declared = Extract<RoutingEvent, { type: 'declared' }>;
+
+const UNKNOWN_INCARNATION = 0 as Incarnation;
+
+function unknownView(declared: Declared['upstreams'][number]): UpstreamView {
+  return {
+    ...declared,
+    phase: 'joining',
+    incarnation: UNKNOWN_INCARNATION,
+    recorded: false,
+    freeBytes: 0,
+    residents: new Map(),
+    missing: new Set(),
+    inFlight: 0,
+    breaker: closedBreaker,
+    fullUntilMs: new Map(),
+  };
+}
+
+/** Adopts the upstreams and models of a document and keeps what is known of those that stay. */
+export function onDeclared(state: RoutingState, event: Declared): RoutingChange {
+  const upstreams = new Map<UpstreamId, UpstreamView>();
+  for (const declared of event.upstreams) {
+    const known = state.upstreams.get(declared.id);
+    upstreams.set(declared.id, known ? { ...known, ...declared } : unknownView(declared));
+  }
+  const modelBytes = new Map(event.models.map(({ id, sizeBytes }) => [id, sizeBytes]));
+  return { state: { ...state, upstreams, modelBytes }, effects: [] };
+}
--- /dev/null
+++ b/src/core/routing/serves.ts
@@ -0,0 +1,13 @@
+import type { Target } from '../document/index.js';
+import type { UpstreamView } from './upstreamview.js';
+
+/** Whether an upstream can answer the request now: a plain route, or model and adapter in memory. */
+export function serves(view: UpstreamView, target: Target): boolean {
+  if (target.model === undefined) {
+    if (view.type !== 'plain') return false;
+    return view.kinds.length === 0 || view.kinds.includes(target.kind.name);
+  }
+  const resident = view.residents.get(target.model);
+  if (resident?.phase !== 'ready' || view.missing.has(target.model)) return false;
+  return target.adapter === undefined || resident.adapters.has(target.adapter);
+}
--- a/src/entry/part/router.ts
+++ b/src/entry/part/router.ts
@@ -9,4 +9,6 @@
   /** Resolves at once, or when a model that is being loaded is ready, within the deadline. */
   choose(want: Want): Promise<Result<Choice, Refusal>>;
   learn(outcome: Outcome): void;
+  /** Stops listening to the board; requests that wait are settled by their deadlines. */
+  close(): void;
 }
--- a/src/entry/roundrobin.ts
+++ b/src/entry/roundrobin.ts
@@ -34,4 +34,6 @@
   }
 
   learn(): void {}
+
+  close(): void {}
 }
--- a/src/entry/startentry.ts
+++ b/src/entry/startentry.ts
@@ -151,6 +151,7 @@
       await new Promise((resolve) => {
         server.close(resolve);
       });
+      router.close();
       link.close();
     },
   };
--- a/src/entry/wiring/createrouter.ts
+++ b/src/entry/wiring/createrouter.ts
@@ -1,7 +1,7 @@
-import { RoundRobin } from '../roundrobin.js';
+import { PolicyRouter } from '../routing/index.js';
 import type { Context, Directory, Router } from '../part/index.js';
 
 /** The router of this entry. */
-export function createRouter(_context: Context, directory: Directory): Router {
-  return new RoundRobin(directory);
+export function createRouter(context: Context, directory: Directory): Router {
+  return new PolicyRouter(context, directory);
 }
