Service document: schema, checks before acceptance, examples

Cause: documents were read without any check, so a misspelt field or a model that fits nowhere would have been found by callers.

schema/service.schema.json is the only statement of the shape: editors read it and checkDocument compiles it. Checks of names, references, routes, owner, memory and fit follow, each one function in a table; all failures are told at once, with line, column and field. Fit is decided by packing (first, best and worst fit, decreasing) a model with its adapters as one bundle, with the spareUpstreams largest upstreams down, which is the worst case for any choice of those that fail.

An upstream's accelerators count as one pool, as the engines report them; the comment on sizeBytes said otherwise and was changed. Ruled out: comparing sums of bytes (models that fit in the sum may not pack).

--- /dev/null
+++ b/src/core/document/check/checkowner.ts
@@ -0,0 +1,16 @@
+import type { Check } from './check.js';
+
+/** Finds that the document belongs to another team than the one in force, or than the operator's. */
+export const checkOwner: Check = ({ owner, service }, { previous, team }) => {
+  const rightful = previous?.owner ?? team;
+  const pointer = '/owner';
+  if (rightful !== undefined && owner !== rightful) {
+    const detail = `${service} belongs to ${rightful}, not to ${owner}`;
+    return [{ type: 'document-other-owner', pointer, detail }];
+  }
+  if (team !== undefined && owner !== team) {
+    const detail = `${service} belongs to ${owner}; you act for ${team}`;
+    return [{ type: 'document-other-owner', pointer, detail }];
+  }
+  return [];
+};
--- /dev/null
+++ b/src/core/document/check/checkreferences.ts
@@ -0,0 +1,55 @@
+import { suggest } from '../../text/index.js';
+import type { Check } from './check.js';
+import type { Finding } from './finding.js';
+
+/** One use of a name that something else has to define. */
+interface Reference {
+  readonly name: string;
+  readonly pointer: string;
+}
+
+function dangling(
+  what: string,
+  references: readonly Reference[],
+  defined: readonly string[],
+): readonly Finding[] {
+  const names = new Set(defined);
+  return references
+    .filter(({ name }) => !names.has(name))
+    .map(({ name, pointer }) => {
+      const meant = suggest(name, defined);
+      const hint = meant ? `; did you mean ${meant.field}?` : '';
+      const detail = `there is no ${what} ${name}${hint}`;
+      return { type: 'document-dangling-name', pointer, detail };
+    });
+}
+
+/** Finds uses of kinds and models that the document does not define. */
+export const checkReferences: Check = ({ kinds, models, adapters, groups }) => {
+  const routeKinds = groups.flatMap(({ routes = [] }, group) =>
+    routes.map(({ kind }, index) => ({
+      name: kind,
+      pointer: `/groups/${group}/routes/${index}/kind`,
+    })),
+  );
+  const modelKinds = models.map(({ defaultKind }, index) => ({
+    name: defaultKind,
+    pointer: `/models/${index}/defaultKind`,
+  }));
+  const bases = adapters.map(({ model }, index) => ({
+    name: model,
+    pointer: `/adapters/${index}/model`,
+  }));
+  return [
+    ...dangling(
+      'kind',
+      [...modelKinds, ...routeKinds],
+      kinds.map(({ name }) => name),
+    ),
+    ...dangling(
+      'model',
+      bases,
+      models.map(({ id }) => id),
+    ),
+  ];
+};
--- /dev/null
+++ b/src/core/document/documentfailure.ts
@@ -0,0 +1,21 @@
+import type { Failure } from '../../base/index.js';
+
+/** Why a document cannot be accepted, and where. Lines and columns count from 1. */
+export interface DocumentFailure extends Failure {
+  readonly type:
+    | 'document-syntax'
+    | 'document-unknown-field'
+    | 'document-wrong-unit'
+    | 'document-invalid'
+    | 'document-duplicate'
+    | 'document-dangling-name'
+    | 'document-model-unplaceable'
+    | 'document-models-do-not-fit'
+    | 'document-shrinks-too-far'
+    | 'document-other-owner';
+  readonly file: string;
+  readonly line: number;
+  readonly column: number;
+  /** Path of the field, for example `kinds.0.deadlineMs`. */
+  readonly field: string;
+}
--- a/src/core/document/index.ts
+++ b/src/core/document/index.ts
@@ -8,3 +8,7 @@
 export type { Group } from './group.js';
 export type { ServiceDocument } from './servicedocument.js';
 export type { Target } from './target.js';
+export type { CheckContext } from './checkcontext.js';
+export { checkDocument } from './checkdocument.js';
+export type { DocumentFailure } from './documentfailure.js';
+export { readDocument } from './readdocument.js';
--- a/src/core/document/model.ts
+++ b/src/core/document/model.ts
@@ -4,7 +4,7 @@
 export interface Model {
   readonly id: ModelId;
   readonly version: string;
-  /** Accelerator memory for the weights, on each accelerator that holds the model. */
+  /** Accelerator memory that the weights take at one upstream, over all its accelerators. */
   readonly sizeBytes: number;
   /** Kind of request when the caller names none. */
   readonly defaultKind: KindName;
--- a/src/core/document/servicedocument.ts
+++ b/src/core/document/servicedocument.ts
@@ -7,6 +7,8 @@
 
 /** What a team declares about its service: the only thing that operators edit. */
 export interface ServiceDocument {
+  /** Where an editor finds the schema; of no meaning here. */
+  readonly $schema?: string;
   readonly schemaVersion: 1;
   readonly service: ServiceId;
   /** Team that owns the document; only it may change it. */
--- a/src/shell/settings/locate.ts
+++ b/src/core/text/locate.ts
@@ -1,7 +1,10 @@
 import { findNodeAtLocation, type Node } from 'jsonc-parser';
 import { position } from './position.js';
 
-/** Finds line and column (from 1) of the deepest existing node on a JSON pointer. */
+/**
+ * Finds line and column (from 1) of what a JSON pointer names: the field's name where it has one, else
+ * the value, else the deepest part of the path that exists.
+ */
 export function locate(
   text: string,
   tree: Node | undefined,
@@ -14,7 +17,7 @@
     .map((part) => (/^\d+$/.test(part) ? Number(part) : part));
   for (let depth = path.length; tree && depth >= 0; depth -= 1) {
     const node = findNodeAtLocation(tree, path.slice(0, depth));
-    if (node) return position(text, node.offset);
+    if (node) return position(text, (node.parent?.type === 'property' ? node.parent : node).offset);
   }
   return { line: 1, column: 1 };
 }
--- a/src/shell/settings/index.ts
+++ b/src/shell/settings/index.ts
@@ -1,4 +1,3 @@
 /** Reading and checking of settings files. */
 export { loadSettings } from './loadsettings.js';
-export { locate } from './locate.js';
 export type { SettingsFailure } from './settingsfailure.js';
--- a/src/shell/settings/loadsettings.ts
+++ b/src/shell/settings/loadsettings.ts
@@ -1,19 +1,11 @@
 import { readFileSync } from 'node:fs';
-import { Ajv, type ErrorObject, type JSONSchemaType } from 'ajv';
+import { Ajv, type JSONSchemaType } from 'ajv';
 import { parse, parseTree, printParseErrorCode, type ParseError } from 'jsonc-parser';
 import type { Result } from 'ts-results';
 import { result, settle } from '../../base/index.js';
-import { locate } from './locate.js';
-import { position } from './position.js';
+import { describeInvalid, locate, position } from '../../core/text/index.js';
 import type { SettingsFailure } from './settingsfailure.js';
 
-function fieldOf(error: ErrorObject | undefined): string {
-  if (!error) return '';
-  const params = error.params as { additionalProperty?: string };
-  if (params.additionalProperty) return `${error.instancePath}/${params.additionalProperty}`;
-  return error.instancePath;
-}
-
 /**
  * Reads a settings file (JSON with comments) and checks it against its schema. Defaults of the schema
  * are filled in; unknown fields are refused.
@@ -41,12 +33,12 @@
     const detail = `${file}:${line}:${column}: ${printParseErrorCode(syntax.error)}`;
     return result.Err({ type: 'settings-syntax', detail, file, line, column });
   }
-  const check = new Ajv({ useDefaults: true, allErrors: false }).compile(schema);
+  const check = new Ajv({ useDefaults: true, allErrors: false, verbose: true }).compile(schema);
   if (check(value)) return result.Ok(value);
-  const [invalid] = check.errors ?? [];
-  const field = fieldOf(invalid);
-  const place = locate(text, tree, field);
-  const name = field.slice(1).replaceAll('/', '.') || '(root)';
-  const detail = `${file}:${place.line}:${place.column}: ${name}: ${invalid?.message ?? 'is invalid'}`;
-  return result.Err({ type: 'settings-invalid', detail, file, ...place, field: name });
+  const [error] = check.errors ?? [];
+  const invalid = error ? describeInvalid(error) : { pointer: '', detail: 'is invalid' };
+  const place = locate(text, tree, invalid.pointer);
+  const field = invalid.pointer.slice(1).replaceAll('/', '.') || '(root)';
+  const detail = `${file}:${place.line}:${place.column}: ${field}: ${invalid.detail}`;
+  return result.Err({ type: 'settings-invalid', detail, file, ...place, field });
 }
