Stand-ins for a plain service and the host list

The promise that a confirmation runs at most once needs a witness outside the system. The plain service counts each business key when its work begins, not when its answer leaves, so that a lost answer cannot hide a run. The host list tells what was true a while ago.

--- a/standin/index.ts
+++ b/standin/index.ts
@@ -13,3 +13,5 @@
 export { noFaults } from './fault/nofaults.js';
 export { seededFaults } from './fault/seededfaults.js';
 export { FakeWeightStore } from './weights/fakeweightstore.js';
+export { FakeService } from './service/fakeservice.js';
+export { FakeHostList } from './hosts/fakehostlist.js';
