Board over gRPC in both daemons, and a directory that reads it

Both daemons had a board that lived in one process, and entries read their documents from files once. The directory reads a document once a change and keeps the last good one. GET /statusz tells revision, phase, relay and peers.

Ruled out: registering sidecars with entries, since the document itself names its sidecars' addresses.

--- a/src/core/mesh/catchup.ts
+++ b/src/core/mesh/catchup.ts
@@ -11,7 +11,8 @@
 
 function hasCaughtUp(state: MeshState): boolean {
   const { catchUp: progress, self, options } = state;
-  if (!self.hasHostList && self.role === 'sidecar') return true;
+  const readsStore = self.role === 'entry' && self.hasStore;
+  if (!self.hasHostList && !readsStore) return true;
   const peerCount = state.entries.filter(({ id }) => id !== self.id).length;
   if (progress.storeListed) return progress.anyAnswer || peerCount === 0;
   if (peerCount === 0) return false;
--- a/src/core/mesh/isrelay.ts
+++ b/src/core/mesh/isrelay.ts
@@ -4,6 +4,7 @@
 
 /** Whether this process holds a watch on the store, in its own view of the region. */
 export function isRelay(state: MeshState, nowMs: Ms): boolean {
-  if (state.self.role !== 'entry' || !state.hostsKnown) return false;
+  const { role, hasStore } = state.self;
+  if (role !== 'entry' || !hasStore || !state.hostsKnown) return false;
   return relayRank(state, nowMs) < state.options.relayCount;
 }
--- a/src/core/mesh/meshevent.ts
+++ b/src/core/mesh/meshevent.ts
@@ -6,6 +6,8 @@
 /** What can happen to a process's part in the dissemination. */
 export type MeshEvent =
   | { readonly type: 'tick' }
+  /** The listener of this process is open. */
+  | { readonly type: 'listening'; readonly address: string }
   | {
       readonly type: 'hostList';
       readonly entries: readonly MeshHost[];
--- a/src/core/mesh/meshself.ts
+++ b/src/core/mesh/meshself.ts
@@ -8,6 +8,8 @@
   readonly role: 'entry' | 'sidecar';
   /** Keys that this process wants; empty means all. */
   readonly interests: readonly string[];
-  /** False when no host list is set up: the process is alone then. */
+  /** False when no host list is set up: the process has no peers then. */
   readonly hasHostList: boolean;
+  /** False when no key-value service is set up. */
+  readonly hasStore: boolean;
 }
--- a/src/core/mesh/onpullarrived.ts
+++ b/src/core/mesh/onpullarrived.ts
@@ -26,7 +26,7 @@
   const known = clearSuspect(state, digest.host);
   const batch = answerDigest(known, digest);
   const answer = { type: 'answerPull' as const, callId, batch };
-  if (!isAhead(known, digest)) return { state: known, effects: [answer] };
+  if (digest.host === '' || !isAhead(known, digest)) return { state: known, effects: [answer] };
   const change = promptPull(known, digest.host, nowMs);
   return { state: change.state, effects: [answer, ...change.effects] };
 }
--- a/src/core/mesh/stepmesh.ts
+++ b/src/core/mesh/stepmesh.ts
@@ -30,6 +30,10 @@
 
 const handlers: Handlers = {
   tick: (state, _event, nowMs) => onTick(state, nowMs),
+  listening: (state, { address }) => ({
+    state: { ...state, self: { ...state.self, address } },
+    effects: [],
+  }),
   hostList: onHostList,
   published(state, { record }, nowMs) {
     const { state: held, adopted } = adopt(state, [record], nowMs);
--- /dev/null
+++ b/src/entry/boarddirectory.ts
@@ -0,0 +1,63 @@
+import { parse, type ParseError } from 'jsonc-parser';
+import type { Revision } from '../base/index.js';
+import type { ServiceDocument } from '../core/document/index.js';
+import type { Log, Metrics } from '../port/index.js';
+import type { Board, BoardRecord } from '../shell/board/index.js';
+import type { Directory } from './part/index.js';
+
+const DOCUMENTS = 'document/';
+
+function read({ value }: BoardRecord): ServiceDocument | undefined {
+  const errors: ParseError[] = [];
+  const document = parse(value.toString(), errors, { allowTrailingComma: true }) as ServiceDocument;
+  return errors.length === 0 ? document : undefined;
+}
+
+/**
+ * The documents of the board, each read once for each change. A text that cannot be read leaves the
+ * last good one in force, and is logged and counted.
+ */
+export class BoardDirectory implements Directory {
+  private readonly inForce = new Map<string, ServiceDocument>();
+
+  private all: readonly ServiceDocument[] = [];
+
+  constructor(
+    private readonly board: Board,
+    private readonly log: Log,
+    private readonly metrics: Metrics,
+  ) {
+    for (const record of board.list(DOCUMENTS)) this.take(record);
+    board.onChange(DOCUMENTS, (record) => this.take(record));
+  }
+
+  revision(): Revision {
+    return this.board.revision();
+  }
+
+  documents(): readonly ServiceDocument[] {
+    return this.all;
+  }
+
+  caughtUp(): boolean {
+    return this.board.caughtUp();
+  }
+
+  private take(record: BoardRecord): void {
+    if (record.value.length === 0) this.inForce.delete(record.key);
+    else this.replace(record);
+    this.all = [...this.inForce.values()];
+  }
+
+  private replace(record: BoardRecord): void {
+    const { key, sequence: revision } = record;
+    const document = read(record);
+    if (document) {
+      this.inForce.set(key, document);
+      this.log.info('document in force', { key, revision });
+      return;
+    }
+    this.metrics.count('directory.unreadable');
+    this.log.error('document cannot be read; the last good one stays', { key, revision });
+  }
+}
--- a/src/entry/entryschema.ts
+++ b/src/entry/entryschema.ts
@@ -1,4 +1,5 @@
 import type { JSONSchemaType } from 'ajv';
+import { hostListSchema } from '../shell/hosts/index.js';
 import { storeSchema } from '../shell/store/index.js';
 import type { EntrySettings } from './entrysettings.js';
 
@@ -8,7 +9,7 @@
 export const entrySchema: JSONSchemaType<EntrySettings> = {
   type: 'object',
   additionalProperties: false,
-  required: ['hostId', 'region', 'availabilityZone', 'listen', 'documents'],
+  required: ['hostId', 'region', 'availabilityZone', 'listen'],
   properties: {
     hostId: { type: 'string', minLength: 1 },
     region: { type: 'string', minLength: 1 },
@@ -19,7 +20,9 @@
       required: ['host', 'port'],
       properties: { host: { type: 'string' }, port: { type: 'integer', minimum: 0 } },
     },
-    documents: { type: 'array', items: { type: 'string' } },
+    meshListen: { type: 'string', nullable: true, pattern: '^[0-9a-fA-F.:\\[\\]]+:\\d+$' },
+    hostList: hostListSchema as never,
+    documents: { type: 'array', items: { type: 'string' }, nullable: true },
     logLevel: { type: 'string', enum: ['error', 'warn', 'info', 'debug'], default: 'info' },
     drainTimeoutMs: { type: 'integer', minimum: 0, default: 30000 },
     bodyBytes: { type: 'integer', minimum: 1024, default: DEFAULT_BODY_BYTES },
--- a/src/entry/entrysettings.ts
+++ b/src/entry/entrysettings.ts
@@ -1,3 +1,4 @@
+import type { HostListSettings } from '../shell/hosts/index.js';
 import type { StoreSettings } from '../shell/store/index.js';
 
 /** Settings of an entry. Addresses are IP numbers with a port. */
@@ -7,8 +8,15 @@
   readonly availabilityZone: string;
   /** Where callers reach this entry. */
   readonly listen: { readonly host: string; readonly port: number };
-  /** Service documents to serve from. */
-  readonly documents: string[];
+  /**
+   * IP number and port of the gRPC listener by which other processes reach this entry, as the host list
+   * shows it; without it this entry only asks others and is told nothing.
+   */
+  readonly meshListen?: string | null;
+  /** The platform's list of hosts; without it this entry has no peers. */
+  readonly hostList?: HostListSettings | null;
+  /** Documents read from files at the start, for trials without a store. */
+  readonly documents?: string[];
   readonly logLevel: string;
   /** How long a planned stop may wait for what is in flight. */
   readonly drainTimeoutMs: number;
--- a/src/entry/startentry.ts
+++ b/src/entry/startentry.ts
@@ -15,6 +15,7 @@
 import type { Choice, Context } from './part/index.js';
 import { problem } from './problem.js';
 import { reply } from './reply.js';
+import { openMesh } from './openmesh.js';
 import { createBoard } from './wiring/createboard.js';
 import { createDirectory } from './wiring/createdirectory.js';
 import { createRouter } from './wiring/createrouter.js';
@@ -51,16 +52,17 @@
 export async function startEntry(settings: EntrySettings): Promise<Entry> {
   const log = createLog('entry', settings.logLevel);
   const link = new Link();
-  const context: Context = {
+  const drivers = {
     settings,
     log,
     link,
     clock: systemClock,
     metrics: createMetrics('entry', undefined),
     audit: createAudit(log),
-    board: createBoard(),
     store: createStore(settings.store, systemClock),
   };
+  const board = createBoard(drivers);
+  const context: Context = { ...drivers, board };
   const directory = createDirectory(context);
   const router = createRouter(context, directory);
 
@@ -134,7 +136,9 @@
     await pass(choice.val, requestId, head, response);
   }
 
+  const mesh = await openMesh(board, settings.meshListen);
   const app = new H3();
+  app.get('/statusz', () => board.status());
   app.get('/healthz', () => ({ ok: true }));
   app.post('/v1/chat/completions', fromNodeHandler(generate as NodeHandler));
   app.post('/v1/completions', fromNodeHandler(generate as NodeHandler));
@@ -152,6 +156,7 @@
         server.close(resolve);
       });
       router.close();
+      mesh.close();
       link.close();
     },
   };
--- a/src/entry/wiring/createboard.ts
+++ b/src/entry/wiring/createboard.ts
@@ -1,6 +1,28 @@
-import { MemoryBoard, type Board } from '../../shell/board/index.js';
+import { randomInt } from 'node:crypto';
+import type { HostId } from '../../base/index.js';
+import { HttpHostList } from '../../shell/hosts/index.js';
+import { MeshBoard } from '../../shell/mesh/index.js';
+import type { Context } from '../part/index.js';
 
-/** The board of this entry. */
-export function createBoard(): Board {
-  return new MemoryBoard();
+const SEED_LIMIT = 2 ** 31;
+
+/** The board of this entry: it holds every record of its region. */
+export function createBoard(
+  context: Pick<Context, 'settings' | 'clock' | 'log' | 'metrics' | 'store'>,
+): MeshBoard {
+  const { settings, clock, log, metrics, store } = context;
+  const { hostList } = settings;
+  return new MeshBoard({
+    hostId: settings.hostId as HostId,
+    region: settings.region,
+    role: 'entry',
+    clock,
+    log,
+    metrics,
+    store,
+    hasStore: Boolean(settings.store),
+    hostList: hostList ? new HttpHostList(hostList) : undefined,
+    hostListPollMs: hostList?.pollMs,
+    seed: randomInt(SEED_LIMIT),
+  });
 }
--- a/src/shell/board/board.ts
+++ b/src/shell/board/board.ts
@@ -12,8 +12,11 @@
   publish(record: BoardRecord): void;
   /** Calls `tell` after a record under the prefix has been adopted; the result ends that. */
   onChange(prefix: string, tell: (record: BoardRecord) => void): () => void;
-  /** Highest configuration revision that this process has in force. */
-  revision(): Revision;
+  /**
+   * Highest configuration revision that this process has in force, or that of one service's document:
+   * a sidecar holds no other, so calls about a service carry that.
+   */
+  revision(service?: string): Revision;
   /** Tells the board of a revision seen on a call, so that a laggard asks for what it lacks. */
   sawRevision(revision: Revision, fromAddress: string): void;
   /** False until this process has caught up with its peers, or its bounded wait has passed. */
--- a/src/shell/board/boardrecord.ts
+++ b/src/shell/board/boardrecord.ts
@@ -6,5 +6,8 @@
   readonly epoch: number;
   /** The store's revision for documents; a counter for upstreams. */
   readonly sequence: number;
+  /** Empty when what the record told of is gone; `get` and `list` do not give such records. */
   readonly value: Buffer;
+  /** Host that published the record; filled in by the board. */
+  readonly origin?: string;
 }
--- a/src/shell/board/memoryboard.ts
+++ b/src/shell/board/memoryboard.ts
@@ -38,7 +38,10 @@
     return () => this.listeners.delete(listener);
   }
 
-  revision(): Revision {
+  revision(service?: string): Revision {
+    if (service !== undefined) {
+      return (this.records.get(`${DOCUMENTS}${service}`)?.sequence ?? 0) as Revision;
+    }
     const sequences = this.list(DOCUMENTS).map(({ sequence }) => sequence);
     return Math.max(0, ...sequences) as Revision;
   }
--- /dev/null
+++ b/src/shell/hosts/hostlistschema.ts
@@ -0,0 +1,12 @@
+/** Schema of the `hostList` field in settings files. */
+export const hostListSchema = {
+  type: 'object',
+  nullable: true,
+  additionalProperties: false,
+  required: ['url'],
+  properties: {
+    url: { type: 'string', pattern: '^https?://' },
+    pollMs: { type: 'integer', minimum: 100, default: 5000 },
+    timeoutMs: { type: 'integer', minimum: 1, default: 2000 },
+  },
+} as const;
--- /dev/null
+++ b/src/shell/mesh/meshboard.ts
@@ -0,0 +1,257 @@
+import type { ServerUnaryCall, sendUnaryData } from '@grpc/grpc-js';
+import type { Revision } from '../../base/index.js';
+import {
+  createMesh,
+  isNewer,
+  isRelay,
+  stepMesh,
+  type MeshEffect,
+  type MeshEvent,
+  type MeshRecord,
+  type MeshState,
+} from '../../core/mesh/index.js';
+import type { Digest, MeshServer, RecordBatch } from '../../wire/index.js';
+import type { Board, BoardRecord, BoardStatus } from '../board/index.js';
+import { fromWire } from './fromwire.js';
+import { HostPoll } from './hostpoll.js';
+import type { MeshBoardOptions } from './meshboardoptions.js';
+import { MeshClients } from './meshclients.js';
+import { StoreWatch } from './storewatch.js';
+import { toWire } from './towire.js';
+
+const TICK_MS = 50;
+const CALL_TIMEOUT_MS = 300;
+const HOST_LIST_POLL_MS = 5000;
+const DOCUMENTS = 'document/';
+
+type Carriers = {
+  readonly [Type in MeshEffect['type']]: (effect: Extract<MeshEffect, { type: Type }>) => void;
+};
+
+type Answer = (message: never) => void;
+
+function toBoard({ key, epoch, sequence, value, origin }: MeshRecord): BoardRecord {
+  return { key, epoch, sequence, value: value as Buffer, origin };
+}
+
+/** The board of a daemon: the records that this process shares with its region. */
+export class MeshBoard implements Board {
+  private state: MeshState;
+
+  private readonly listeners = new Set<(record: BoardRecord) => void>();
+
+  private readonly answers = new Map<number, Answer>();
+
+  private readonly clients: MeshClients;
+
+  private readonly watch: StoreWatch;
+
+  private readonly hosts: HostPoll;
+
+  private readonly events: MeshEvent[] = [];
+
+  private busy = false;
+
+  private callId = 0;
+
+  private stopTick: () => void = () => {};
+
+  private readonly carriers: Carriers = {
+    adopted: ({ records }) => this.announce(records),
+    push: ({ to, batch }) => {
+      void this.push(to, toWire(batch));
+    },
+    pull: ({ to, digest }) => {
+      void this.pull(to, digest);
+    },
+    answerPush: ({ callId, digest }) => this.answer(callId, digest as never),
+    answerPull: ({ callId, batch }) => this.answer(callId, toWire(batch) as never),
+    listStore: () => {
+      void this.watch.list();
+    },
+    openWatch: ({ fromRevision }) => this.watch.open(fromRevision),
+    closeWatch: () => this.watch.close(),
+    caughtUp: ({ phase }) => this.logCaughtUp(phase),
+  };
+
+  constructor(private readonly options: MeshBoardOptions) {
+    const { role, interests = [], hasStore, clock, seed, tuning } = options;
+    const hasHostList = options.hostList !== undefined;
+    const self = { id: options.hostId, address: '', role, interests, hasHostList, hasStore };
+    this.state = createMesh(self, seed, clock.nowMs(), tuning);
+    this.clients = new MeshClients(options.callTimeoutMs ?? CALL_TIMEOUT_MS);
+    this.watch = new StoreWatch(options.store, options.region, (event) => this.dispatch(event));
+    this.hosts = new HostPoll(options, options.hostListPollMs ?? HOST_LIST_POLL_MS, (event) =>
+      this.dispatch(event),
+    );
+  }
+
+  /** Handlers of the gRPC service `Mesh`, to be added to the process's server. */
+  handlers(): MeshServer {
+    return {
+      pull: (call: ServerUnaryCall<Digest, RecordBatch>, reply: sendUnaryData<RecordBatch>) => {
+        const callId = this.expect((batch: RecordBatch) => reply(null, batch));
+        this.dispatch({ type: 'pullArrived', callId, digest: call.request });
+      },
+      push: (call: ServerUnaryCall<RecordBatch, Digest>, reply: sendUnaryData<Digest>) => {
+        const callId = this.expect((digest: Digest) => reply(null, digest));
+        this.dispatch({ type: 'pushArrived', callId, batch: this.read(call.request) });
+      },
+    };
+  }
+
+  /** Begins to exchange records; `address` is where peers reach this process. */
+  start(address: string): void {
+    this.dispatch({ type: 'listening', address });
+    this.hosts.start();
+    this.tick();
+  }
+
+  /** Stops asking and telling. What is held stays readable. */
+  stop(): void {
+    this.stopTick();
+    this.hosts.stop();
+    this.watch.close();
+    this.clients.close();
+  }
+
+  get(key: string): BoardRecord | undefined {
+    const record = this.state.records.get(key);
+    return record && record.value.length > 0 ? toBoard(record) : undefined;
+  }
+
+  list(prefix: string): readonly BoardRecord[] {
+    const found: BoardRecord[] = [];
+    for (const record of this.state.records.values()) {
+      if (record.key.startsWith(prefix) && record.value.length > 0) found.push(toBoard(record));
+    }
+    return found;
+  }
+
+  publish(record: BoardRecord): void {
+    const origin = record.origin ?? this.options.hostId;
+    this.dispatch({ type: 'published', record: { ...record, origin } });
+  }
+
+  onChange(prefix: string, tell: (record: BoardRecord) => void): () => void {
+    const listener = (record: BoardRecord) => {
+      if (record.key.startsWith(prefix)) tell(record);
+    };
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  revision(service?: string): Revision {
+    if (service === undefined) return this.state.revision as Revision;
+    return (this.state.records.get(`${DOCUMENTS}${service}`)?.sequence ?? 0) as Revision;
+  }
+
+  sawRevision(revision: Revision, fromAddress: string): void {
+    if (revision <= this.state.revision) return;
+    this.dispatch({ type: 'revisionSeen', revision, from: fromAddress });
+  }
+
+  caughtUp(): boolean {
+    const { phase } = this.state.catchUp;
+    return phase === 'current' || phase === 'uncertain';
+  }
+
+  status(): BoardStatus {
+    const { state } = this;
+    const documents = this.list(DOCUMENTS).map(({ key, sequence }) => ({
+      service: key.slice(DOCUMENTS.length),
+      revision: sequence,
+    }));
+    const nowMs = this.options.clock.nowMs();
+    const suspects = [...state.suspects].filter(([, untilMs]) => untilMs > nowMs);
+    return {
+      address: state.self.address,
+      revision: state.revision,
+      documents,
+      phase: state.catchUp.phase,
+      relay: isRelay(state, nowMs),
+      store: state.store.phase,
+      entryCount: state.entries.length,
+      suspects: suspects.map(([address]) => address),
+      recordCount: state.records.size,
+    };
+  }
+
+  /** Events that come while effects are carried out wait for their turn. */
+  private dispatch(event: MeshEvent): void {
+    this.events.push(event);
+    if (this.busy) return;
+    this.busy = true;
+    try {
+      for (let next = this.events.shift(); next; next = this.events.shift()) this.step(next);
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  private step(event: MeshEvent): void {
+    const { state, effects } = stepMesh(this.state, event, this.options.clock.nowMs());
+    this.state = state;
+    for (const effect of effects) {
+      const carry = this.carriers[effect.type] as (carried: MeshEffect) => void;
+      carry(effect);
+    }
+  }
+
+  private tick(): void {
+    this.dispatch({ type: 'tick' });
+    this.stopTick = this.options.clock.after(TICK_MS, () => this.tick());
+  }
+
+  private async push(to: string, batch: RecordBatch): Promise<void> {
+    const keys = batch.records.map(({ key }) => key);
+    this.options.metrics.count('mesh.pushes');
+    const answer = await this.clients.push(to, batch);
+    if (answer.ok) {
+      this.dispatch({ type: 'pushAnswered', to, revision: answer.val.revision });
+      return;
+    }
+    this.options.metrics.count('mesh.push_failures');
+    this.dispatch({ type: 'pushFailed', to, keys });
+  }
+
+  private async pull(to: string, digest: Digest): Promise<void> {
+    this.options.metrics.count('mesh.pulls');
+    const answer = await this.clients.pull(to, digest);
+    if (answer.ok) {
+      this.dispatch({ type: 'pullAnswered', from: to, batch: this.read(answer.val) });
+      return;
+    }
+    this.options.metrics.count('mesh.pull_failures');
+    this.dispatch({ type: 'pullFailed', from: to });
+  }
+
+  private read(batch: RecordBatch) {
+    return fromWire(batch, (record) => !isNewer(record, this.state.records.get(record.key)));
+  }
+
+  private expect(reply: Answer): number {
+    this.callId += 1;
+    this.answers.set(this.callId, reply);
+    return this.callId;
+  }
+
+  private answer(callId: number, message: never): void {
+    this.answers.get(callId)?.(message);
+    this.answers.delete(callId);
+  }
+
+  private announce(records: readonly MeshRecord[]): void {
+    this.options.metrics.gauge('mesh.revision', this.state.revision);
+    this.options.metrics.gauge('mesh.records', this.state.records.size);
+    for (const record of records) {
+      for (const listener of this.listeners) listener(toBoard(record));
+    }
+  }
+
+  private logCaughtUp(phase: 'current' | 'uncertain'): void {
+    const { revision } = this.state;
+    if (phase === 'current') this.options.log.info('caught up', { revision });
+    else this.options.log.warn('not caught up in time; serving from what is here', { revision });
+  }
+}
--- /dev/null
+++ b/src/shell/mesh/servemesh.ts
@@ -0,0 +1,39 @@
+import { Server, ServerCredentials } from '@grpc/grpc-js';
+import type { Result } from 'ts-results';
+import { result, type Failure } from '../../base/index.js';
+import { MeshService } from '../../wire/index.js';
+import type { MeshBoard } from './meshboard.js';
+
+const MESSAGE_BYTES = 16_777_216;
+
+/** A listener that carries the mesh alone. */
+interface MeshListener {
+  /** IP number and port that it is bound to. */
+  readonly address: string;
+  close(): void;
+}
+
+/** Opens a gRPC listener for a board and starts the board's exchange. */
+export function serveMesh(
+  board: MeshBoard,
+  listen: string,
+  secrets: ServerCredentials = ServerCredentials.createInsecure(),
+): Promise<Result<MeshListener, Failure>> {
+  const server = new Server({ 'grpc.max_receive_message_length': MESSAGE_BYTES });
+  server.addService(MeshService, board.handlers());
+  return new Promise((resolve) => {
+    server.bindAsync(listen, secrets, (error, port) => {
+      if (error) {
+        resolve(result.Err({ type: 'listener-unavailable', detail: error.message }));
+        return;
+      }
+      const address = listen.replace(/\d+$/, String(port));
+      board.start(address);
+      const close = () => {
+        board.stop();
+        server.forceShutdown();
+      };
+      resolve(result.Ok({ address, close }));
+    });
+  });
+}
--- a/src/sidecar/createcontext.ts
+++ b/src/sidecar/createcontext.ts
@@ -2,6 +2,7 @@
 import type { Engine } from '../port/index.js';
 import { createAudit, createLog } from '../shell/log/index.js';
 import { createMetrics } from '../shell/metric/index.js';
+import type { MeshBoard } from '../shell/mesh/index.js';
 import { createStore } from '../shell/store/index.js';
 import { UpstreamKey } from './incarnation/index.js';
 import type { Context } from './part/index.js';
@@ -10,6 +11,7 @@
 
 /** A context, and the way to end what its parts keep running. */
 interface OpenContext extends Context {
+  readonly board: MeshBoard;
   close(): void;
 }
 
@@ -20,14 +22,17 @@
   const upstreamKey = new UpstreamKey(settings.upstream, { store, clock: systemClock, log });
   const ends: (() => void)[] = [() => upstreamKey.stop()];
   upstreamKey.start();
+  const metrics = createMetrics('sidecar', settings.statsd ?? undefined);
+  const board = createBoard({ settings, clock: systemClock, log, metrics, store });
+  ends.push(() => board.stop());
   return {
     settings,
     engine,
     log,
     clock: systemClock,
-    metrics: createMetrics('sidecar', settings.statsd ?? undefined),
+    metrics,
     audit: createAudit(log),
-    board: createBoard(),
+    board,
     store,
     incarnation: upstreamKey,
     intents: upstreamKey,
--- a/src/sidecar/sidecarschema.ts
+++ b/src/sidecar/sidecarschema.ts
@@ -1,4 +1,5 @@
 import type { JSONSchemaType } from 'ajv';
+import { hostListSchema } from '../shell/hosts/index.js';
 import { storeSchema } from '../shell/store/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 
@@ -35,6 +36,7 @@
       properties: { host: { type: 'string' }, port: { type: 'integer' } },
       default: null,
     } as never,
+    hostList: hostListSchema as never,
     store: storeSchema as never,
   },
 };
--- a/src/sidecar/sidecarsettings.ts
+++ b/src/sidecar/sidecarsettings.ts
@@ -1,3 +1,4 @@
+import type { HostListSettings } from '../shell/hosts/index.js';
 import type { StoreSettings } from '../shell/store/index.js';
 
 /** Settings of a sidecar. Addresses are IP numbers with a port. */
@@ -16,6 +17,8 @@
   readonly drainTimeoutMs: number;
   readonly slots: number;
   readonly statsd: { readonly host: string; readonly port: number } | null;
+  /** The platform's list of hosts; without it this sidecar has no peers and gets no document. */
+  readonly hostList?: HostListSettings | null;
   /** The platform's key-value service; without it, documents come from files and nothing is kept. */
   readonly store?: StoreSettings | null;
 }
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -1,10 +1,17 @@
 import { Server, ServerCredentials, status, type ServerDuplexStream } from '@grpc/grpc-js';
 import { HttpEngine, HttpService } from '../shell/engine/index.js';
 import { writeWhole } from '../shell/rpc/index.js';
-import { WorkService, type FrameBatch, type Frame, type WorkServer } from '../wire/index.js';
+import {
+  MeshService,
+  WorkService,
+  type FrameBatch,
+  type Frame,
+  type WorkServer,
+} from '../wire/index.js';
 import { callEngine } from './callengine.js';
 import { callService } from './callservice.js';
 import { createContext } from './createcontext.js';
+import { describe } from './describe.js';
 import { Door } from './door.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 import { createParts } from './wiring/createparts.js';
@@ -55,14 +62,16 @@
     handOver: (_call, reply) => reply({ code: status.UNIMPLEMENTED }),
     place: (call, reply) => reply(null, parts.residency.place(call.request)),
     rescue: (call, reply) => reply(null, parts.residency.rescue(call.request)),
-    describe: (_call, reply) => reply({ code: status.UNIMPLEMENTED }),
+    describe: (_call, reply) => reply(null, describe(context)),
   };
   server.addService(WorkService, handlers);
+  server.addService(MeshService, context.board.handlers());
   const port = await new Promise<number>((resolve, reject) => {
     server.bindAsync(settings.listen, ServerCredentials.createInsecure(), (error, bound) =>
       error ? reject(error) : resolve(bound),
     );
   });
+  context.board.start(settings.listen.replace(/\d+$/, String(port)));
   context.log.info('listening', { port, upstream: settings.upstream });
   return {
     port,
--- a/src/sidecar/wiring/createboard.ts
+++ b/src/sidecar/wiring/createboard.ts
@@ -1,6 +1,29 @@
-import { MemoryBoard, type Board } from '../../shell/board/index.js';
+import { randomInt } from 'node:crypto';
+import type { HostId } from '../../base/index.js';
+import { HttpHostList } from '../../shell/hosts/index.js';
+import { MeshBoard } from '../../shell/mesh/index.js';
+import type { Context } from '../part/index.js';
 
-/** The board of this sidecar. */
-export function createBoard(): Board {
-  return new MemoryBoard();
+const SEED_LIMIT = 2 ** 31;
+
+/** The board of this sidecar: it holds its service's document and its own upstream's record. */
+export function createBoard(
+  context: Pick<Context, 'settings' | 'clock' | 'log' | 'metrics' | 'store'>,
+): MeshBoard {
+  const { settings, clock, log, metrics, store } = context;
+  const { hostList, service, upstream } = settings;
+  return new MeshBoard({
+    hostId: settings.hostId as HostId,
+    region: settings.region,
+    role: 'sidecar',
+    interests: [`document/${service}`, `upstream/${service}/${upstream}`],
+    clock,
+    log,
+    metrics,
+    store,
+    hasStore: Boolean(settings.store),
+    hostList: hostList ? new HttpHostList(hostList) : undefined,
+    hostListPollMs: hostList?.pollMs,
+    seed: randomInt(SEED_LIMIT),
+  });
 }
