Request path: HTTP surface, frames, attempts, shared link, graceful stops

The thin path carried one kind of request over one gRPC stream each, by async iterators, and could neither retry nor continue. Now two pure cores decide: frames (what is passed on, dropped or missing) and attempts (retry, continue elsewhere, or a typed end), the latter by a state chart in a file. The entry has a table of routes, typed limits and answers that are held until they are whole. All requests to a sidecar share one stream with credit for each, so that a slow caller holds up its own answer only. The sidecar resumes at the engine that broke off, takes up pre-empted requests again, and checks that an engine's answer carries the id that it was given. Both daemons finish what is in flight on SIGTERM within a bound, or end it typed.

hot-shots' own mock keeps every message it is given, which would grow without bound in a daemon without a metrics address; such a daemon now sends nothing.

--- /dev/null
+++ b/src/core/attempt/stepattempt.ts
@@ -0,0 +1,82 @@
+import type { Change, Step } from '../../base/index.js';
+import { Executed } from '../../wire/index.js';
+import type { AttemptEffect } from './attempteffect.js';
+import type { AttemptEvent } from './attemptevent.js';
+import type { AttemptState } from './attemptstate.js';
+import { judge } from './judge.js';
+import { nextPhase } from './nextphase.js';
+import { remaining } from './remaining.js';
+
+type Changed = Change<AttemptState, AttemptEffect>;
+type Handler<Type extends AttemptEvent['type']> = (
+  state: AttemptState,
+  event: Extract<AttemptEvent, { type: Type }>,
+  nowMs: number,
+) => Changed;
+
+/** Takes a step of the chart; a step that the chart does not have changes nothing. */
+function take(
+  state: AttemptState,
+  step: string,
+  effects: readonly AttemptEffect[],
+  news: Partial<AttemptState> = {},
+): Changed {
+  const phase = nextPhase(state.phase, step);
+  if (!phase) return { state, effects: [] };
+  return { state: { ...state, ...news, phase }, effects };
+}
+
+function chooseAgain(state: AttemptState, step: string, nowMs: number): Changed {
+  const { upstream, bound, tried } = state;
+  const next = upstream === undefined || bound ? tried : [...tried, upstream];
+  const remainingMs = remaining(state, nowMs);
+  return take(state, step, [{ type: 'choose', tried: next, remainingMs }], { tried: next });
+}
+
+function ended(
+  state: AttemptState,
+  event: Extract<AttemptEvent, { type: 'refused' | 'broken' }>,
+  nowMs: number,
+): Changed {
+  const refusals = [...state.refusals, event.refusal];
+  const step = judge(state, event, nowMs);
+  if (step === 'fail') return take(state, step, [{ type: 'fail', refusals }], { refusals });
+  return chooseAgain({ ...state, refusals }, step, nowMs);
+}
+
+const HANDLERS: { readonly [Type in AttemptEvent['type']]: Handler<Type> } = {
+  chosen: (state, { upstream }, nowMs) => {
+    const attempt = state.attempt + 1;
+    const remainingMs = remaining(state, nowMs);
+    const continued = state.passed;
+    const effect: AttemptEffect = { type: 'ask', upstream, attempt, continued, remainingMs };
+    return take(state, 'ask', [effect], { attempt, upstream });
+  },
+  unchosen: (state, { refusal }) => {
+    // A sidecar's own word tells the caller more than "no upstream is left".
+    const refusals = state.refusals.length > 0 ? state.refusals : [refusal];
+    return take(state, 'fail', [{ type: 'fail', refusals }], { refusals });
+  },
+  started: (state) => take(state, 'answer', []),
+  passed: (state) => ({ state: { ...state, passed: true }, effects: [] }),
+  whole: (state) => take(state, 'finish', [{ type: 'finish' }]),
+  refused: ended,
+  broken: ended,
+  gone: (state) => take(state, 'leave', state.phase === 'choosing' ? [] : [{ type: 'cancel' }]),
+  expired: (state, { refusal }) => {
+    // A request that was never sent has certainly not run.
+    const unsent = state.attempt === 0 ? { executed: Executed.EXECUTED_NO } : {};
+    const refusals = [...state.refusals, { ...refusal, ...unsent }];
+    return take(state, 'fail', [{ type: 'cancel' }, { type: 'fail', refusals }], { refusals });
+  },
+};
+
+/** Decides what follows an event of a request. */
+export const stepAttempt: Step<AttemptState, AttemptEvent, AttemptEffect> = (
+  state,
+  event,
+  nowMs,
+) => {
+  const handle = HANDLERS[event.type] as Handler<AttemptEvent['type']>;
+  return handle(state, event, nowMs);
+};
--- /dev/null
+++ b/src/core/continuation/chunk.ts
@@ -0,0 +1,16 @@
+/** What matters of an OpenAI-compatible chunk. */
+export interface Chunk {
+  readonly id?: string;
+  readonly created?: number;
+  readonly system_fingerprint?: string;
+  readonly usage?: object | null;
+  readonly choices?: readonly {
+    readonly text?: string;
+    readonly delta?: {
+      readonly role?: string;
+      readonly content?: string | null;
+      readonly tool_calls?: unknown;
+    };
+    readonly finish_reason?: string | null;
+  }[];
+}
--- /dev/null
+++ b/src/entry/access.ts
@@ -0,0 +1,7 @@
+import type { Customer, ServiceDocument } from '../core/document/index.js';
+
+/** A customer of one service, known by its key. */
+export interface Access {
+  readonly document: ServiceDocument;
+  readonly customer: Customer;
+}
--- /dev/null
+++ b/src/entry/createdesk.ts
@@ -0,0 +1,51 @@
+import xxhash from 'xxhash-wasm';
+import { systemClock, type Revision } from '../base/index.js';
+import { createAudit, createLog } from '../shell/log/index.js';
+import type { MeshBoard } from '../shell/mesh/index.js';
+import { createMetrics } from '../shell/metric/index.js';
+import { createStore } from '../shell/store/index.js';
+import { defaultLimits } from './defaultlimits.js';
+import type { Desk } from './desk.js';
+import type { EntrySettings } from './entrysettings.js';
+import { Gate } from './gate.js';
+import { KeyIndex } from './keyindex.js';
+import { SharedLink } from './link/index.js';
+import type { Context } from './part/index.js';
+import { createBoard } from './wiring/createboard.js';
+import { createDirectory } from './wiring/createdirectory.js';
+import { createRouter } from './wiring/createrouter.js';
+import { createTickets } from './wiring/createtickets.js';
+
+function createContext(settings: EntrySettings): Context & { readonly board: MeshBoard } {
+  const log = createLog('entry', settings.logLevel);
+  const metrics = createMetrics('entry', settings.statsd ?? undefined);
+  const store = createStore(settings.store, systemClock);
+  const drivers = { settings, clock: systemClock, log, metrics, store };
+  const board = createBoard(drivers);
+  const link = new SharedLink({
+    clock: systemClock,
+    revision: () => board.revision(),
+    sawRevision: (revision, from) => board.sawRevision(revision as Revision, from),
+  });
+  return { ...drivers, link, board, audit: createAudit(log) };
+}
+
+/** Builds all that the handlers of an entry share. */
+export async function createDesk(settings: EntrySettings): Promise<Desk> {
+  const context = createContext(settings);
+  const directory = createDirectory(context);
+  const router = createRouter(context, directory);
+  const limits = { ...defaultLimits, ...settings.limits };
+  const { h64ToString } = await xxhash();
+  return {
+    ...context,
+    directory,
+    router,
+    tickets: createTickets(context, directory),
+    limits,
+    gate: new Gate(limits),
+    keys: new KeyIndex(),
+    hashPrefix: h64ToString,
+    runs: new Set(),
+  };
+}
--- /dev/null
+++ b/src/entry/defaultlimits.ts
@@ -0,0 +1,15 @@
+import type { EntryLimits } from './entrylimits.js';
+
+/** Limits of an entry whose settings name none. */
+export const defaultLimits: EntryLimits = {
+  inFlight: 4000,
+  inFlightPerCustomer: 3000,
+  connections: 8000,
+  headerBytes: 16_384,
+  requestTimeoutMs: 30_000,
+  heldAnswerBytes: 4_194_304,
+  continuationBytes: 65_536,
+  stallMs: 30_000,
+  callerStallMs: 60_000,
+  lateAnswerMs: 30_000,
+};
--- /dev/null
+++ b/src/entry/desk.ts
@@ -0,0 +1,21 @@
+import type { MeshBoard } from '../shell/mesh/index.js';
+import type { EntryLimits } from './entrylimits.js';
+import type { Gate } from './gate.js';
+import type { KeyIndex } from './keyindex.js';
+import type { Live } from './live.js';
+import type { Context, Directory, Router, Tickets } from './part/index.js';
+
+/** What the handlers of callers' requests share. */
+export interface Desk extends Context {
+  readonly board: MeshBoard;
+  readonly directory: Directory;
+  readonly router: Router;
+  readonly tickets: Tickets;
+  readonly limits: EntryLimits;
+  readonly gate: Gate;
+  readonly keys: KeyIndex;
+  /** Hash of a prompt's leading block. */
+  readonly hashPrefix: (text: string) => string;
+  /** Requests in flight. */
+  readonly runs: Set<Live>;
+}
--- a/src/entry/entryschema.ts
+++ b/src/entry/entryschema.ts
@@ -1,10 +1,19 @@
 import type { JSONSchemaType } from 'ajv';
 import { hostListSchema } from '../shell/hosts/index.js';
 import { storeSchema } from '../shell/store/index.js';
+import { defaultLimits } from './defaultlimits.js';
 import type { EntrySettings } from './entrysettings.js';
 
 const DEFAULT_BODY_BYTES = 1_048_576;
 
+/** Each limit by its name, with its default. */
+const limits = Object.fromEntries(
+  Object.entries(defaultLimits).map(([name, value]) => [
+    name,
+    { type: 'integer', minimum: 1, default: value },
+  ]),
+);
+
 /** Schema of an entry's settings file. */
 export const entrySchema: JSONSchemaType<EntrySettings> = {
   type: 'object',
@@ -27,5 +36,19 @@
     drainTimeoutMs: { type: 'integer', minimum: 0, default: 30000 },
     bodyBytes: { type: 'integer', minimum: 1024, default: DEFAULT_BODY_BYTES },
     store: storeSchema as never,
+    statsd: {
+      type: 'object',
+      nullable: true,
+      additionalProperties: false,
+      required: ['host', 'port'],
+      properties: { host: { type: 'string' }, port: { type: 'integer' } },
+      default: null,
+    } as never,
+    limits: {
+      type: 'object',
+      additionalProperties: false,
+      properties: limits,
+      default: {},
+    } as never,
   },
 };
--- a/src/entry/entrysettings.ts
+++ b/src/entry/entrysettings.ts
@@ -1,5 +1,6 @@
 import type { HostListSettings } from '../shell/hosts/index.js';
 import type { StoreSettings } from '../shell/store/index.js';
+import type { EntryLimits } from './entrylimits.js';
 
 /** Settings of an entry. Addresses are IP numbers with a port. */
 export interface EntrySettings {
@@ -24,4 +25,8 @@
   readonly bodyBytes: number;
   /** The platform's key-value service; without it, documents come from files and nothing is kept. */
   readonly store?: StoreSettings | null;
+  /** Where metrics go; without it none are sent. */
+  readonly statsd?: { readonly host: string; readonly port: number } | null;
+  /** Bounds on callers; those not given take their default. */
+  readonly limits?: Partial<EntryLimits>;
 }
--- /dev/null
+++ b/src/entry/handler/health.ts
@@ -0,0 +1,8 @@
+import type { Handler } from './handler.js';
+import { sendJson } from './sendjson.js';
+
+/** `GET /healthz`: the process is alive. */
+export const health: Handler = (_desk, caller) => {
+  sendJson(caller, 200, { alive: true });
+  return Promise.resolve();
+};
--- /dev/null
+++ b/src/entry/handler/listmodels.ts
@@ -0,0 +1,30 @@
+import { refuse } from '../../core/refusal/index.js';
+import type { Access } from '../access.js';
+import type { Handler } from './handler.js';
+import { refuseCaller } from './refusecaller.js';
+import { sendJson } from './sendjson.js';
+
+function offersOf({ document }: Access): object[] {
+  const { service, models, adapters = [] } = document;
+  const own = models.map(({ id }) => ({ id, object: 'model', created: 0, owned_by: service }));
+  const adapted = adapters.map(({ id, model }) => ({
+    id,
+    object: 'model',
+    created: 0,
+    owned_by: service,
+    parent: model,
+  }));
+  return [...own, ...adapted];
+}
+
+/** `GET /v1/models`: the models and adapters of the caller's services. */
+export const listModels: Handler = (desk, caller) => {
+  const { authorization } = caller.request.headers;
+  const accesses = desk.keys.find(authorization, desk.directory.documents());
+  if (accesses.length === 0) {
+    refuseCaller(desk, caller, refuse('unauthenticated', 'No service knows this key.'));
+  } else {
+    sendJson(caller, 200, { object: 'list', data: accesses.flatMap(offersOf) });
+  }
+  return Promise.resolve();
+};
--- /dev/null
+++ b/src/entry/handler/readiness.ts
@@ -0,0 +1,15 @@
+import type { Handler } from './handler.js';
+import { sendJson } from './sendjson.js';
+
+const READY_STATUS = 200;
+const UNREADY_STATUS = 503;
+
+/** `GET /readyz`: whether the balancer may send callers here. */
+export const readiness: Handler = ({ gate, directory }, caller) => {
+  const caughtUp = directory.caughtUp();
+  const leaving = !gate.ready();
+  const ready = caughtUp && !leaving;
+  const body = { ready, caughtUp, leaving, revision: directory.revision() };
+  sendJson(caller, ready ? READY_STATUS : UNREADY_STATUS, body);
+  return Promise.resolve();
+};
--- /dev/null
+++ b/src/entry/keyindex.ts
@@ -0,0 +1,38 @@
+import { createHash } from 'node:crypto';
+import type { ServiceDocument } from '../core/document/index.js';
+import type { Access } from './access.js';
+
+function indexOf(documents: readonly ServiceDocument[]): Map<string, Access[]> {
+  const index = new Map<string, Access[]>();
+  for (const document of documents) {
+    for (const customer of document.customers) {
+      for (const hash of customer.keyHashes) {
+        const accesses = index.get(hash) ?? [];
+        accesses.push({ document, customer });
+        index.set(hash, accesses);
+      }
+    }
+  }
+  return index;
+}
+
+/** Finds customers by the hash of their bearer key. Built anew when the documents change. */
+export class KeyIndex {
+  private documents: readonly ServiceDocument[] = [];
+
+  private index = new Map<string, Access[]>();
+
+  /** Every service that the key of an `Authorization` header opens. */
+  find(
+    authorization: string | undefined,
+    documents: readonly ServiceDocument[],
+  ): readonly Access[] {
+    const key = /^Bearer (.+)$/i.exec(authorization ?? '')?.[1];
+    if (key === undefined) return [];
+    if (documents !== this.documents) {
+      this.documents = documents;
+      this.index = indexOf(documents);
+    }
+    return this.index.get(createHash('sha256').update(key).digest('hex')) ?? [];
+  }
+}
--- /dev/null
+++ b/src/entry/link/linkoptions.ts
@@ -0,0 +1,12 @@
+import type { Clock } from '../../base/index.js';
+
+/** Options of the hop to the sidecars. */
+export interface LinkOptions {
+  readonly clock: Clock;
+  /** Highest configuration revision in force here. */
+  readonly revision: () => number;
+  /** Told when the revision in force at a sidecar has changed. */
+  readonly sawRevision: (revision: number, fromAddress: string) => void;
+  /** A sidecar that has nothing to do for so long is let go of. Defaults to a minute. */
+  readonly idleMs?: number;
+}
--- a/src/entry/part/context.ts
+++ b/src/entry/part/context.ts
@@ -2,7 +2,7 @@
 import type { Audit, KeyValueStore, Log, Metrics } from '../../port/index.js';
 import type { Board } from '../../shell/board/index.js';
 import type { EntrySettings } from '../entrysettings.js';
-import type { Link } from '../link.js';
+import type { Link } from '../link/index.js';
 
 /** What each part of an entry is built from. */
 export interface Context {
--- a/src/shell/engine/httpengine.ts
+++ b/src/shell/engine/httpengine.ts
@@ -10,9 +10,9 @@
   Generation,
   Order,
 } from '../../port/index.js';
+import { continuedBody } from './continuedbody.js';
+import { engineAnswer } from './engineanswer.js';
 import { failureOf } from './failureof.js';
-import { httpAnswer } from './httpanswer.js';
-import { splitEvents } from './splitevents.js';
 
 const ADMIN_TIMEOUT_MS = 2000;
 
@@ -77,20 +77,28 @@
     extraHeaders: Record<string, string>,
     signal: AbortSignal,
   ): Promise<Result<AnswerStream, EngineFailure>> {
+    const { path, continuation } = generation;
+    const body = continuation
+      ? continuedBody(path, generation.body, continuation)
+      : generation.body;
+    if (!body) {
+      const detail = 'A request of this sort cannot be continued.';
+      return result.Err({ type: 'upstream-unsupported', detail, executed: 'no' });
+    }
     try {
       const response = await this.pool.request({
         method: 'POST',
-        path: generation.path,
+        path,
         headers: {
           'content-type': 'application/json',
           'x-request-id': generation.requestId,
           'x-priority': String(generation.priority),
           ...extraHeaders,
         },
-        body: generation.body,
+        body,
         signal,
       });
-      return result.Ok(httpAnswer(response, splitEvents()));
+      return await engineAnswer(response, generation);
     } catch (thrown) {
       return result.Err(failureOf(thrown, signal));
     }
--- a/src/shell/engine/httpservice.ts
+++ b/src/shell/engine/httpservice.ts
@@ -2,11 +2,18 @@
 import type { Result } from 'ts-results';
 import { result } from '../../base/index.js';
 import type { AnswerStream, EngineFailure, PlainService } from '../../port/index.js';
+import { discard } from './discard.js';
 import { failureOf } from './failureof.js';
 import { httpAnswer } from './httpanswer.js';
 
 const whole = (chunk: Buffer) => [{ payload: chunk, tokenCount: 0 }];
 
+const wrongAnswer: EngineFailure = {
+  type: 'upstream-wrong-answer',
+  detail: 'The service sent the answer to another request.',
+  executed: 'unknown',
+};
+
 /** Drives a plain HTTP service. */
 export class HttpService implements PlainService {
   private readonly pool: Pool;
@@ -28,7 +35,12 @@
         body: call.body.length > 0 ? call.body : undefined,
         signal,
       });
-      return result.Ok(httpAnswer(response, whole));
+      const echoed = response.headers['x-request-id'];
+      if (echoed !== undefined && echoed !== call.requestId) {
+        discard(response);
+        return result.Err(wrongAnswer);
+      }
+      return result.Ok(httpAnswer(response, { split: whole }));
     } catch (thrown) {
       return result.Err(failureOf(thrown, signal));
     }
--- a/src/shell/engine/splitevents.ts
+++ b/src/shell/engine/splitevents.ts
@@ -1,24 +1,54 @@
-const EVENT_END = '\n\n';
+/** Whole events cut from a stream. */
+interface Piece {
+  readonly payload: Buffer;
+  readonly tokenCount: number;
+  readonly resumeToken?: string;
+}
+
+const EVENT_END = Buffer.from('\n\n');
+const DONE = Buffer.from('data: [DONE]');
+const ID = Buffer.from('id: ');
+const EMPTY = Buffer.alloc(0);
+const NEW_LINE = 0x0a;
+
+function countEvents(payload: Buffer): number {
+  let count = 0;
+  let at = payload.indexOf(EVENT_END);
+  while (at >= 0) {
+    count += 1;
+    at = payload.indexOf(EVENT_END, at + EVENT_END.length);
+  }
+  return count;
+}
+
+/** The `id` line of the last event; engines write it first. */
+function lastId(payload: Buffer): string | undefined {
+  const at = payload.lastIndexOf(ID);
+  const startsLine = at === 0 || payload[at - 1] === NEW_LINE;
+  if (at < 0 || !startsLine) return undefined;
+  return payload.toString('utf8', at + ID.length, payload.indexOf(NEW_LINE, at));
+}
+
+function pieceOf(payload: Buffer): Piece {
+  const doneCount = payload.includes(DONE) ? 1 : 0;
+  return { payload, tokenCount: countEvents(payload) - doneCount, resumeToken: lastId(payload) };
+}
 
 /**
- * Cuts a byte stream into whole server-sent events, keeping what is incomplete for the next chunk.
- * Each event counts as one token, but for the closing `[DONE]`.
+ * Cuts a byte stream after its last whole server-sent event and keeps what is incomplete for the next
+ * chunk. Each event counts as one token, but for the closing `[DONE]`.
  */
-export function splitEvents(): (
-  chunk: Buffer,
-) => { payload: Buffer; tokenCount: number; resumeToken?: string }[] {
-  let rest = '';
-  const decoder = new TextDecoder();
+export function splitEvents(): (chunk: Buffer) => Piece[] {
+  let rest: Buffer = EMPTY;
   return (chunk) => {
-    const parts = (rest + decoder.decode(chunk, { stream: true })).split(EVENT_END);
-    rest = parts.pop() ?? '';
-    return parts.map((part) => {
-      const id = /^id: ?(.*)$/m.exec(part)?.[1];
-      return {
-        payload: Buffer.from(part + EVENT_END),
-        tokenCount: part.includes('[DONE]') ? 0 : 1,
-        resumeToken: id,
-      };
-    });
+    const held = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+    const end = held.lastIndexOf(EVENT_END);
+    if (end < 0) {
+      rest = held;
+      return [];
+    }
+    const cut = end + EVENT_END.length;
+    rest = held.subarray(cut);
+    return [pieceOf(held.subarray(0, cut))];
   };
 }
--- a/src/shell/metric/createmetrics.ts
+++ b/src/shell/metric/createmetrics.ts
@@ -1,17 +1,23 @@
 import { StatsD } from 'hot-shots';
 import type { Metrics } from '../../port/index.js';
 
+type MetricsDriver = Metrics & { close(): void };
+
+const MAX_DATAGRAM_BYTES = 1400;
+
+// The library's own mock keeps every message, so it is no way to send nothing.
+const NOTHING: MetricsDriver = { count() {}, gauge() {}, histogram() {}, close() {} };
+
 /** Sends metrics as statsd datagrams over UDP; without an address it sends nothing. */
 export function createMetrics(
   process: string,
   address: { readonly host: string; readonly port: number } | undefined,
-): Metrics & { close(): void } {
+): MetricsDriver {
+  if (!address) return NOTHING;
   const client = new StatsD({
-    host: address?.host ?? '127.0.0.1',
-    port: address?.port ?? 8125,
+    ...address,
     prefix: `tarragonstile.${process}.`,
-    mock: !address,
-    maxBufferSize: address ? 1400 : 0,
+    maxBufferSize: MAX_DATAGRAM_BYTES,
     errorHandler: () => {},
   });
   return {
--- a/src/sidecar/callengine.ts
+++ b/src/sidecar/callengine.ts
@@ -4,19 +4,20 @@
 
 /** Calls an engine for each request. */
 export function callEngine(engine: Engine): UpstreamCall {
-  return (requestId, head, signal) =>
-    engine.generate(
-      {
-        requestId: requestId as RequestId,
-        attempt: 1,
-        path: head.path,
-        headers: head.headers,
-        body: head.body,
-        streaming: head.streaming,
-        model: head.model as ModelId,
-        adapter: head.adapter ? (head.adapter as AdapterId) : undefined,
-        priority: 0,
-      },
-      signal,
-    );
+  return ({ requestId, head, priority, resumeToken }, signal) => {
+    const generation = {
+      requestId: requestId as RequestId,
+      attempt: 1,
+      path: head.path,
+      headers: head.headers,
+      body: head.body,
+      streaming: head.streaming,
+      model: head.model as ModelId,
+      adapter: head.adapter ? (head.adapter as AdapterId) : undefined,
+      priority,
+      continuation: head.continuation,
+    };
+    if (resumeToken !== undefined) return engine.resume(generation, resumeToken, signal);
+    return engine.generate(generation, signal);
+  };
 }
--- /dev/null
+++ b/src/sidecar/exchanges.ts
@@ -0,0 +1,35 @@
+import type { ServerDuplexStream } from '@grpc/grpc-js';
+import type { Revision } from '../base/index.js';
+import type { Board } from '../shell/board/index.js';
+import type { FrameBatch } from '../wire/index.js';
+import type { Door } from './door.js';
+import { Exchange } from './exchange.js';
+
+/** The open streams of all entries. */
+export class Exchanges {
+  private readonly live = new Set<Exchange>();
+
+  private leaving = false;
+
+  constructor(
+    private readonly door: Door,
+    private readonly board: Board,
+  ) {}
+
+  open(stream: ServerDuplexStream<FrameBatch, FrameBatch>): void {
+    const exchange = new Exchange(stream, {
+      run: (requestId, head, outlet) => this.door.run(requestId, head, outlet),
+      revision: () => this.board.revision(),
+      sawRevision: (revision, from) => this.board.sawRevision(revision as Revision, from),
+    });
+    this.live.add(exchange);
+    stream.on('close', () => this.live.delete(exchange));
+    if (this.leaving) exchange.leave();
+  }
+
+  /** Tells every entry that this sidecar leaves. */
+  leave(): void {
+    this.leaving = true;
+    for (const exchange of this.live) exchange.leave();
+  }
+}
--- a/src/sidecar/part/residency.ts
+++ b/src/sidecar/part/residency.ts
@@ -16,4 +16,6 @@
   rescue(request: RescueRequest): RescueReply;
   residents(): readonly Resident[];
   freeBytes(): number;
+  /** Called on a planned stop, once nothing is in flight. */
+  stop?(): Promise<void>;
 }
--- a/src/sidecar/part/runonce.ts
+++ b/src/sidecar/part/runonce.ts
@@ -7,4 +7,6 @@
   issue(request: TicketRequest): TicketReply;
   /** A repeat of a running request waits here for its answer. */
   begin(requestId: string, head: RequestHead): Promise<Result<Permit, Refusal>>;
+  /** Called on a planned stop, once nothing is in flight: hands the table on. */
+  stop?(): Promise<void>;
 }
--- /dev/null
+++ b/src/sidecar/parts.ts
@@ -0,0 +1,8 @@
+import type { Admission, Residency, RunOnce } from './part/index.js';
+
+/** What a request passes through on its way to the upstream. */
+export interface Parts {
+  readonly admission: Admission;
+  readonly residency: Residency;
+  readonly runOnce: RunOnce;
+}
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -1,48 +1,27 @@
-import { Server, ServerCredentials, status, type ServerDuplexStream } from '@grpc/grpc-js';
+import { Server, ServerCredentials, status } from '@grpc/grpc-js';
 import { HttpEngine, HttpService } from '../shell/engine/index.js';
-import { writeWhole } from '../shell/rpc/index.js';
-import {
-  MeshService,
-  WorkService,
-  type FrameBatch,
-  type Frame,
-  type WorkServer,
-} from '../wire/index.js';
+import { channelOptions } from '../shell/rpc/index.js';
+import { MeshService, WorkService, type WorkServer } from '../wire/index.js';
 import { callEngine } from './callengine.js';
 import { callService } from './callservice.js';
 import { createContext } from './createcontext.js';
 import { describe } from './describe.js';
 import { Door } from './door.js';
+import { Exchanges } from './exchanges.js';
 import type { SidecarSettings } from './sidecarsettings.js';
+import { stopSidecar } from './stopsidecar.js';
 import { createParts } from './wiring/createparts.js';
 
 const UPSTREAM_CONNECTIONS = 512;
 
-function exchange(door: Door, call: ServerDuplexStream<FrameBatch, FrameBatch>): void {
-  const gone = new AbortController();
-  call.on('cancelled', () => gone.abort());
-  call.on('error', () => gone.abort());
-  call.on('data', (batch: FrameBatch) => {
-    for (const frame of batch.frames) {
-      if (frame.body?.$case !== 'head') continue;
-      const { requestId, attempt } = frame;
-      let sequence = 0;
-      const send = (body: NonNullable<Frame['body']>) => {
-        const frames = [{ requestId, attempt, sequence, body }];
-        sequence += 1;
-        return writeWhole(call, { frames, revision: 0, leaving: false });
-      };
-      void door.run(requestId, frame.body.value, gone.signal, send).then(() => call.end());
-    }
-  });
-}
-
 /** A running sidecar. */
 interface Sidecar {
   /** Port of its listener. */
   readonly port: number;
-  /** Refuses new work, waits for what is in flight, and closes. */
+  /** Refuses new work, waits for what is in flight (bound in settings), and closes. */
   stop(): Promise<void>;
+  /** Gives what is still in flight a typed end at once. */
+  expire(): void;
 }
 
 /** Starts a sidecar: the only door to its upstream. */
@@ -54,10 +33,12 @@
   const service = new HttpService(settings.upstreamUrl, UPSTREAM_CONNECTIONS);
   const context = createContext(settings, engine);
   const parts = createParts(context);
-  const door = new Door(engine ? callEngine(engine) : callService(service), parts);
-  const server = new Server();
+  const upstreamCall = engine ? callEngine(engine) : callService(service);
+  const door = new Door({ ...context, call: upstreamCall, parts });
+  const exchanges = new Exchanges(door, context.board);
+  const server = new Server(channelOptions);
   const handlers: WorkServer = {
-    exchange: (stream) => exchange(door, stream),
+    exchange: (stream) => exchanges.open(stream),
     issueTicket: (call, reply) => reply(null, parts.runOnce.issue(call.request)),
     handOver: (_call, reply) => reply({ code: status.UNIMPLEMENTED }),
     place: (call, reply) => reply(null, parts.residency.place(call.request)),
@@ -76,13 +57,11 @@
   return {
     port,
     async stop() {
-      await door.drain();
-      await new Promise<void>((resolve) => {
-        server.tryShutdown(() => resolve());
-      });
+      await stopSidecar({ context, parts, door, exchanges, server });
       context.close();
       await engine?.close();
       await service.close();
     },
+    expire: () => door.expire(),
   };
 }
--- /dev/null
+++ b/src/sidecar/work.ts
@@ -0,0 +1,191 @@
+import type { Result } from 'ts-results';
+import { result, type Executed as ExecutedWord } from '../base/index.js';
+import { refuse } from '../core/refusal/index.js';
+import type { EngineFailure } from '../port/index.js';
+import { Executed, type Refusal, type RequestHead } from '../wire/index.js';
+import type { Outlet } from './outlet.js';
+import type { Slot } from './part/index.js';
+import { Recorder } from './recorder.js';
+import { replay } from './replay.js';
+import { whenAborted } from './whenaborted.js';
+import type { WorkContext } from './workcontext.js';
+
+/** How often one answer is taken up again at the engine that broke it off. */
+const RESUME_LIMIT = 2;
+
+const EXECUTED: Readonly<Record<ExecutedWord, Executed>> = {
+  no: Executed.EXECUTED_NO,
+  unknown: Executed.EXECUTED_UNKNOWN,
+  yes: Executed.EXECUTED_YES,
+};
+
+/** One request at this sidecar: admission, the upstream's answer, and its typed end. */
+export class Work {
+  private readonly halt = new AbortController();
+
+  private haltRefusal = refuse('cancelled', 'The caller has gone.');
+
+  private readonly recorder: Recorder;
+
+  private started = false;
+
+  private dataCount = 0;
+
+  private resumeToken: string | undefined;
+
+  private resumes = 0;
+
+  constructor(
+    private readonly context: WorkContext,
+    private readonly requestId: string,
+    private readonly head: RequestHead,
+    private readonly outlet: Outlet,
+  ) {
+    this.recorder = new Recorder(head);
+    // A ticket's run goes on without its caller, who may come back for the answer.
+    if (head.ticket) return;
+    if (outlet.gone.aborted) this.halt.abort();
+    else outlet.gone.addEventListener('abort', () => this.halt.abort(), { once: true });
+  }
+
+  /** Runs to the typed end of the answer. */
+  async run(): Promise<void> {
+    const permit = await this.context.parts.runOnce.begin(this.requestId, this.head);
+    if (permit.err) {
+      this.refuse(permit.val);
+      return;
+    }
+    if (permit.val.type === 'replay') {
+      await replay(permit.val.answer, this.outlet);
+      return;
+    }
+    const refusal = await this.admit();
+    if (!refusal) {
+      permit.val.record({ type: 'answered', answer: this.recorder.answer() });
+      this.end('');
+      return;
+    }
+    const unrun = refusal.executed === Executed.EXECUTED_NO && !this.started;
+    permit.val.record({ type: unrun ? 'none' : 'unknown' });
+    if (this.started) this.end(refusal.type);
+    else this.refuse(refusal);
+  }
+
+  /** Ends it now, with this refusal if it has not begun to answer. */
+  expire(refusal: Refusal): void {
+    this.haltRefusal = refusal;
+    this.halt.abort();
+  }
+
+  private async admit(): Promise<Refusal | undefined> {
+    const slot = await this.offer();
+    if (slot.err) return slot.val;
+    const { model, adapter } = this.head;
+    const unpin = this.context.parts.residency.pin(model, adapter);
+    if (unpin.err) {
+      slot.val.release('cancelled');
+      return unpin.val;
+    }
+    try {
+      return await this.runLegs(slot.val);
+    } finally {
+      unpin.val();
+    }
+  }
+
+  /** Waits for a slot, no longer than until the deadline. */
+  private async offer(): Promise<Result<Slot, Refusal>> {
+    const late = new AbortController();
+    const { signal } = this.halt;
+    const forget = this.context.clock.after(this.head.deadlineMs, () => late.abort());
+    const either = AbortSignal.any([signal, late.signal]);
+    const offered = this.context.parts.admission.offer(this.requestId, this.head, either);
+    const slot = await Promise.race([offered, whenAborted(either)]);
+    forget();
+    if (slot && !either.aborted) return slot;
+    void offered.then((given) => given.ok && given.val.release('cancelled'));
+    if (signal.aborted) return result.Err(this.haltRefusal);
+    if (slot?.err) return slot;
+    return result.Err(refuse('deadline-passed', 'The deadline passed while it waited.'));
+  }
+
+  /** Calls the upstream, and again after a cut or a pre-emption. Undefined when the answer is whole. */
+  private async runLegs(first: Slot): Promise<Refusal | undefined> {
+    let slot = first;
+    for (;;) {
+      const failure = await this.leg(slot);
+      if (!failure) {
+        slot.release('answered');
+        return undefined;
+      }
+      if (this.halt.signal.aborted) {
+        slot.release('cancelled');
+        return { ...this.haltRefusal, executed: Executed.EXECUTED_UNKNOWN };
+      }
+      if (slot.preempted.aborted) {
+        slot.release('preempted');
+        if (this.started && this.resumeToken === undefined) return this.refusalOf(failure);
+        const next = await this.offer();
+        if (next.err) return { ...next.val, executed: Executed.EXECUTED_UNKNOWN };
+        slot = next.val;
+      } else if (!this.mayResume(failure)) {
+        slot.release('broken');
+        return this.refusalOf(failure);
+      }
+    }
+  }
+
+  private mayResume(failure: EngineFailure): boolean {
+    this.resumes += 1;
+    if (this.resumeToken === undefined || this.resumes > RESUME_LIMIT) return false;
+    this.context.metrics.count('answer.resumed');
+    return failure.type === 'upstream-cut';
+  }
+
+  /** One call to the upstream, passed on as it arrives. Undefined when it came to its end. */
+  private async leg(slot: Slot): Promise<EngineFailure | undefined> {
+    const signal = AbortSignal.any([this.halt.signal, slot.preempted]);
+    const { requestId, head, resumeToken } = this;
+    const priority = slot.priority ?? 0;
+    const stream = await this.context.call({ requestId, head, priority, resumeToken }, signal);
+    if (stream.err) return stream.val;
+    const { status, headers, pieces } = stream.val;
+    if (!this.started) this.start(status, headers);
+    for await (const piece of pieces) {
+      if (piece.err) return piece.val;
+      const { payload, tokenCount } = piece.val;
+      this.resumeToken = piece.val.resumeToken ?? this.resumeToken;
+      this.dataCount += 1;
+      this.recorder.data(payload);
+      this.outlet.send({ $case: 'data', value: { payload, tokenCount } });
+      slot.progress(tokenCount);
+      const full = this.outlet.ready();
+      if (full) await Promise.race([full, whenAborted(signal)]);
+    }
+    return undefined;
+  }
+
+  private start(status: number, headers: readonly { name: string; value: string }[]): void {
+    this.started = true;
+    this.recorder.start(status, headers);
+    this.outlet.send({ $case: 'start', value: { status, headers } });
+  }
+
+  private refusalOf({ type, detail, executed }: EngineFailure): Refusal {
+    return refuse(type, detail, { executed: EXECUTED[executed] });
+  }
+
+  private refuse(refusal: Refusal): void {
+    const load = refusal.load ?? this.context.parts.admission.load();
+    this.outlet.send({ $case: 'refusal', value: { ...refusal, load } });
+    this.context.metrics.count('request', 1, { end: refusal.type });
+  }
+
+  private end(failure: string): void {
+    const { dataCount } = this;
+    const load = this.context.parts.admission.load();
+    const resumeToken = this.resumeToken ?? '';
+    this.outlet.send({ $case: 'end', value: { dataCount, failure, load, resumeToken } });
+    this.context.metrics.count('request', 1, { end: failure || 'answered' });
+  }
+}
--- /dev/null
+++ b/src/sidecar/workcontext.ts
@@ -0,0 +1,12 @@
+import type { Clock } from '../base/index.js';
+import type { Metrics } from '../port/index.js';
+import type { Parts } from './parts.js';
+import type { UpstreamCall } from './upstreamcall.js';
+
+/** What each piece of work at the upstream needs. */
+export interface WorkContext {
+  readonly call: UpstreamCall;
+  readonly parts: Parts;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+}
