--- a/src/base/virtualclock.ts
+++ b/src/base/virtualclock.ts
@@ -3,7 +3,6 @@
 
 interface Alarm {
   readonly atMs: Ms;
-  readonly order: number;
   readonly act: () => void;
 }
 
@@ -11,9 +10,8 @@
 export class VirtualClock implements Clock {
   private currentMs: Ms = 0;
 
-  private order = 0;
-
-  private alarms: Alarm[] = [];
+  /** The earliest last, so that it is taken from the end. */
+  private readonly alarms: Alarm[] = [];
 
   nowMs(): Ms {
     return this.currentMs;
@@ -24,11 +22,11 @@
   }
 
   after(delayMs: Ms, act: () => void): () => void {
-    this.order += 1;
-    const alarm = { atMs: this.currentMs + Math.max(0, delayMs), order: this.order, act };
-    this.alarms.push(alarm);
+    const alarm = { atMs: this.currentMs + Math.max(0, delayMs), act };
+    this.alarms.splice(this.placeOf(alarm.atMs), 0, alarm);
     return () => {
-      this.alarms = this.alarms.filter((other) => other !== alarm);
+      const place = this.alarms.indexOf(alarm);
+      if (place >= 0) this.alarms.splice(place, 1);
     };
   }
 
@@ -41,11 +39,20 @@
     this.currentMs = untilMs;
   }
 
+  /** Where an alarm goes that is set now: before all that are due at the same time or earlier. */
+  private placeOf(atMs: Ms): number {
+    let low = 0;
+    let high = this.alarms.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if ((this.alarms[middle] as Alarm).atMs > atMs) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+
   private nextDue(untilMs: Ms): Alarm | undefined {
-    const [first] = this.alarms
-      .filter((alarm) => alarm.atMs <= untilMs)
-      .sort((a, b) => a.atMs - b.atMs || a.order - b.order);
-    if (first) this.alarms = this.alarms.filter((alarm) => alarm !== first);
-    return first;
+    const last = this.alarms.at(-1);
+    return last && last.atMs <= untilMs ? this.alarms.pop() : undefined;
   }
 }
--- a/src/core/mesh/createmesh.ts
+++ b/src/core/mesh/createmesh.ts
@@ -20,7 +20,7 @@
     startedAtMs: nowMs,
     hostsKnown: !self.hasHostList,
     entries: [],
-    listedIds: new Set(),
+    listedAtMs: new Map(),
     records: new Map(),
     revision: 0,
     documentsHash: 0,
--- a/src/core/mesh/expire.ts
+++ b/src/core/mesh/expire.ts
@@ -10,8 +10,10 @@
 
 function isOver(state: MeshState, record: HeldRecord, nowMs: Ms): boolean {
   if (isDocument(record.key) || record.value.length === 0 || record.origin === '') return false;
-  if (record.origin === state.self.id || state.listedIds.has(record.origin)) return false;
-  return nowMs - record.adoptedAtMs >= state.options.expiryMs;
+  if (record.origin === state.self.id) return false;
+  const listedAtMs = state.listedAtMs.get(record.origin) ?? record.adoptedAtMs;
+  const aliveAtMs = Math.max(record.adoptedAtMs, listedAtMs);
+  return nowMs - aliveAtMs >= state.options.expiryMs;
 }
 
 /** Keys of the oldest remembered versions beyond the bound. */
@@ -26,11 +28,11 @@
 }
 
 /**
- * Drops the records of upstreams whose host has long been off the list. Their versions stay (as many as
+ * Drops the records of upstreams whose host has been off the list for long, while the list is read. Their versions stay (as many as
  * the bound allows), so that a peer that was cut off cannot bring an older incarnation back.
  */
 export function expire(state: MeshState, nowMs: Ms): MeshChange {
-  if (nowMs < state.nextExpiryAtMs || state.listedIds.size === 0) return { state, effects: [] };
+  if (nowMs < state.nextExpiryAtMs || state.listedAtMs.size === 0) return { state, effects: [] };
   const nextExpiryAtMs = nowMs + CHECK_INTERVAL_MS;
   const over = [...state.records.values()].filter((record) => isOver(state, record, nowMs));
   const old = forgotten(state);
--- a/src/core/mesh/meshstate.ts
+++ b/src/core/mesh/meshstate.ts
@@ -17,8 +17,8 @@
   readonly hostsKnown: boolean;
   /** Entries of the region in relay order: the first live ones hold the watches. */
   readonly entries: readonly MeshHost[];
-  /** Every listed host of the region, by id. */
-  readonly listedIds: ReadonlySet<string>;
+  /** When each host of the region was last on the list, by id. */
+  readonly listedAtMs: ReadonlyMap<string, Ms>;
   readonly records: ReadonlyMap<string, HeldRecord>;
   /** Highest sequence among the held documents. */
   readonly revision: number;
@@ -37,7 +37,11 @@
     readonly lastPromptAtMs: Ms;
     /** Peer that is known to hold more, to be asked as soon as may be. */
     readonly promptTo: string;
-    readonly inFlight?: { readonly to: string; readonly sinceMs: Ms; readonly full: boolean };
+    readonly inFlight?: {
+      readonly to: string;
+      readonly sinceMs: Ms;
+      readonly scope: 'light' | 'documents' | 'all';
+    };
     /** Highest revision of an entry whose answer held nothing more for this process. */
     readonly coveredRevision: number;
   };
--- a/src/core/mesh/onhostlist.ts
+++ b/src/core/mesh/onhostlist.ts
@@ -14,10 +14,14 @@
   const entries = rankEntries(event.entries);
   // The list knows the address by which others reach this process better than its own listener does.
   const address = entries.find(({ id }) => id === state.self.id)?.address ?? state.self.address;
+  const sinceMs = nowMs - state.options.expiryMs;
+  const recent = [...state.listedAtMs].filter(([, atMs]) => atMs >= sinceMs);
+  const listedAtMs = new Map(recent);
+  for (const id of event.listedIds) listedAtMs.set(id, nowMs);
   const next = {
     ...state,
     entries,
-    listedIds: new Set(event.listedIds),
+    listedAtMs,
     hostsKnown: true,
     self: { ...state.self, address },
   };
--- a/src/core/mesh/onpullanswered.ts
+++ b/src/core/mesh/onpullanswered.ts
@@ -9,9 +9,12 @@
 import { startPull } from './startpull.js';
 import { chain } from './chain.js';
 
+type Scope = NonNullable<MeshState['pull']['inFlight']>['scope'];
+
 /** Notes what an answered pull says about catching up. */
-function note(state: MeshState, from: string, batch: MeshBatch, full: boolean): MeshState {
+function note(state: MeshState, from: string, batch: MeshBatch, scope: Scope): MeshState {
   const { catchUp: progress, pull } = state;
+  const full = scope === 'all';
   const counts = full && batch.caughtUp && !batch.truncated;
   const readyPeers = counts ? [...new Set([...progress.readyPeers, from])] : progress.readyPeers;
   const coveredRevision = batch.truncated
@@ -25,12 +28,19 @@
 }
 
 /** Asks the same peer again, by versions, when its documents still differ and it is not behind. */
-function askFurther(state: MeshState, from: string, batch: MeshBatch, nowMs: Ms): MeshChange {
+function askFurther(
+  state: MeshState,
+  from: string,
+  batch: MeshBatch,
+  scope: Scope,
+  nowMs: Ms,
+): MeshChange {
   const { inFlight, promptTo } = state.pull;
   if (inFlight || promptTo) return { state, effects: [] };
-  if (batch.truncated) return startPull(state, from, 'all', nowMs);
+  if (batch.truncated) return startPull(state, from, scope, nowMs);
   const differs = batch.hash !== state.documentsHash && batch.revision >= state.revision;
-  if (state.self.role === 'sidecar' || !differs) return { state, effects: [] };
+  // Once is enough: what a comparison by versions does not bring, this peer does not hold.
+  if (scope !== 'light' || !differs) return { state, effects: [] };
   return startPull(state, from, 'documents', nowMs);
 }
 
@@ -47,7 +57,7 @@
   const { state: held, adopted } = adopt(known, batch.records, nowMs);
   const change = spread(held, adopted, from, nowMs);
   if (!expected) return change;
-  const noted = { ...change, state: note(change.state, from, batch, inFlight.full) };
-  const further = chain(noted, (next) => askFurther(next, from, batch, nowMs));
+  const noted = { ...change, state: note(change.state, from, batch, inFlight.scope) };
+  const further = chain(noted, (next) => askFurther(next, from, batch, inFlight.scope, nowMs));
   return chain(further, (next) => catchUp(next, nowMs));
 }
--- a/src/core/mesh/startpull.ts
+++ b/src/core/mesh/startpull.ts
@@ -19,7 +19,7 @@
   const intervalMs = catchingUp ? options.catchUpPullIntervalMs : options.pullIntervalMs;
   const next = {
     ...pull,
-    inFlight: { to, sinceMs: nowMs, full },
+    inFlight: { to, sinceMs: nowMs, scope: isSidecar ? ('all' as const) : scope },
     nextAtMs: nowMs + intervalMs,
     nextFullAtMs: full ? nowMs + options.fullPullIntervalMs : pull.nextFullAtMs,
   };
--- /dev/null
+++ b/test/mesh.test.ts
@@ -0,0 +1,155 @@
+import test from 'ava';
+import type { HostId } from '../src/base/index.js';
+import {
+  createMesh,
+  stepMesh,
+  type MeshBatch,
+  type MeshEvent,
+  type MeshRecord,
+  type MeshState,
+} from '../src/core/mesh/index.js';
+import { session, type Happening } from './support/session.js';
+
+const IDS = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+function document(sequence: number, service = 'redactor'): MeshRecord {
+  const value = Uint8Array.of(sequence);
+  return { key: `document/${service}`, epoch: 0, sequence, value, origin: '' };
+}
+
+function start(id: string): MeshState {
+  const self = { id: id as HostId, address: id, role: 'entry' as const, interests: [] };
+  const all = { ...self, hasHostList: true, hasStore: true };
+  return createMesh(all, 1, 0, { degree: 2, fullPullIntervalMs: 1e9, resyncMs: 1e9 });
+}
+
+const hosts = (ids = IDS): MeshEvent => ({
+  type: 'hostList',
+  entries: ids.map((id) => ({ id: id as HostId, address: id, state: 'live' })),
+  listedIds: ids,
+});
+
+function batch(host: string, records: readonly MeshRecord[], caughtUp = true): MeshBatch {
+  const revision = Math.max(0, ...records.map(({ sequence }) => sequence));
+  return { host, revision, hash: 1, records, caughtUp, truncated: false };
+}
+
+const tick: MeshEvent = { type: 'tick' };
+const at = (atMs: number, event: MeshEvent): Happening<MeshEvent> => ({ atMs, event });
+const push = (host: string, ...records: MeshRecord[]): MeshEvent => ({
+  type: 'pushArrived',
+  callId: 1,
+  batch: batch(host, records),
+});
+const answer = (from: string, records: readonly MeshRecord[], caughtUp = true): MeshEvent => ({
+  type: 'pullAnswered',
+  from,
+  batch: batch(from, records, caughtUp),
+});
+const listed = (revision: number, ...records: MeshRecord[]): MeshEvent => ({
+  type: 'storeListed',
+  records,
+  revision,
+});
+
+/** Relay order of the six: the first two hold the watches. */
+const [FIRST = '', SECOND = '', THIRD = ''] = stepMesh(start('a'), hosts(), 0).state.entries.map(
+  ({ id }) => id as string,
+);
+
+/** The events by which a relay comes to watch. */
+const watching = [at(0, hosts()), at(0, tick), at(10, listed(5, document(5)))];
+
+test('relay dies: the second takes over its part of the tree, the third its watch', (t) => {
+  const told: MeshEvent = { type: 'watchTold', record: document(6) };
+  const second = session(t, 'mesh-relay-dies-second', stepMesh, start(SECOND), [
+    ...watching,
+    at(100, told),
+    at(101, { type: 'pushFailed', to: FIRST, keys: ['document/redactor'] }),
+  ]);
+  t.true(second.suspects.has(FIRST));
+  const third = session(t, 'mesh-relay-dies-third', stepMesh, start(THIRD), [
+    at(0, hosts()),
+    at(10, push(FIRST, document(5))),
+    at(20, { type: 'pullFailed', from: FIRST }),
+    at(50, tick),
+    at(60, listed(7, document(7))),
+  ]);
+  t.is(third.store.phase, 'watching');
+});
+
+test('partition and heal: a higher revision seen on a call asks for what was missed', (t) => {
+  const state = session(t, 'mesh-heal', stepMesh, start(THIRD), [
+    at(0, hosts()),
+    at(10, push(FIRST, document(5))),
+    at(9000, { type: 'revisionSeen', revision: 8, from: 'a-sidecar' }),
+    at(9010, answer('a-sidecar', [document(8)])),
+    at(9015, answer('a-sidecar', [])),
+    at(9020, { type: 'revisionSeen', revision: 8, from: 'a-sidecar' }),
+  ]);
+  t.is(state.revision, 8);
+});
+
+test('restart from a stale peer: nobody serves on the word of one that has not caught up', (t) => {
+  const state = session(t, 'mesh-stale-peer', stepMesh, start('a'), [
+    at(0, hosts()),
+    at(0, tick),
+    at(10, answer('e', [document(3)], false)),
+    at(100, tick),
+    at(110, answer('b', [document(6)])),
+    at(120, push('e', document(4))),
+    at(200, tick),
+    at(210, { type: 'pullFailed', from: 'd' }),
+    at(10_050, tick),
+  ]);
+  t.is(state.catchUp.phase, 'uncertain');
+  t.is(state.revision, 6);
+});
+
+test('store outage right after acceptance: the relay that heard passes it on, then asks again', (t) => {
+  const state = session(t, 'mesh-outage', stepMesh, start(FIRST), [
+    ...watching,
+    at(100, { type: 'watchTold', record: document(6) }),
+    at(101, { type: 'watchEnded', compacted: false }),
+    at(400, tick),
+    at(450, { type: 'storeFailed' }),
+    at(2000, tick),
+    at(2010, listed(6, document(6))),
+  ]);
+  t.is(state.store.phase, 'watching');
+});
+
+test('watch cut and compacted: the new list also tells what was deleted', (t) => {
+  const state = session(t, 'mesh-compacted', stepMesh, start(FIRST), [
+    ...watching,
+    at(100, push('c', document(4, 'padron'))),
+    at(200, { type: 'watchEnded', compacted: true }),
+    at(210, listed(9, document(8))),
+    at(300, push('c', document(4, 'padron'))),
+  ]);
+  t.is(state.records.get('document/padron')?.value.length, 0);
+});
+
+test('replaced fleet: the new relays have the store alone, and serve from it', (t) => {
+  const state = session(t, 'mesh-replaced', stepMesh, start(FIRST), [
+    at(0, hosts()),
+    at(0, tick),
+    at(10, listed(5, document(5))),
+    at(20, answer('d', [], false)),
+  ]);
+  t.is(state.catchUp.phase, 'current');
+});
+
+test('a node never goes lower, whoever tells it and however', (t) => {
+  const state = session(t, 'mesh-never-lower', stepMesh, start(FIRST), [
+    ...watching,
+    at(20, push('c', document(9))),
+    at(30, push('d', document(7))),
+    at(40, answer('e', [document(6)])),
+    at(50, { type: 'watchTold', record: document(8) }),
+    at(60, { type: 'watchEnded', compacted: true }),
+    at(70, listed(8, document(8))),
+    at(80, { type: 'published', record: document(1) }),
+  ]);
+  t.is(state.records.get('document/redactor')?.sequence, 9);
+});
