Placement: forecasts, the plan of a cell, and the planner's core

Cause: nothing decided which upstream holds which model, so memory went to whatever was asked for first.

A plan starts from what is in memory, gives every model one place, adds replicas where forecast demand is more than upstreams carry as long as the gain over a minute exceeds what the moves cost (times 1.2), and fills free memory with second places in other availability zones. Residents stay until their room is needed, and only what is ready elsewhere is given up. Loads go out under the weight store's limits, by urgency.

Ruled out: packing anew in every round (it moves models that need not move), and choosing the least loaded upstream also where memory is tight: the property test then found sets of models that fit and were not placed.

Conclusion: 150 random cells never plan beyond memory in any step, place whatever first fit places, and come to rest; the daemon's planner holds peaks, and the experiments will say whether that stays.

--- a/bench/table.ts
+++ b/bench/table.ts
@@ -1,4 +1,7 @@
 import type { Bench } from './bench.js';
 
 /** Every benchmark by its name: `npm run bench -- NAME`. */
-export const table: Readonly<Record<string, () => Promise<Bench>>> = {};
+export const table: Readonly<Record<string, () => Promise<Bench>>> = {
+  'planner-cost': async () => (await import('./plannercost.js')).plannerCost,
+  forecast: async () => (await import('./forecastbench.js')).forecastBench,
+};
--- /dev/null
+++ b/src/core/forecast/index.ts
@@ -0,0 +1,4 @@
+/** Forecasts of demand from the demand seen so far. */
+export type { Forecaster } from './forecaster.js';
+export { holtLog } from './holtlog.js';
+export { peakHold } from './peakhold.js';
--- /dev/null
+++ b/src/core/placement/draft.ts
@@ -0,0 +1,91 @@
+import type { AdapterId, ModelId, UpstreamId } from '../../base/index.js';
+import type { CellModel } from './cellmodel.js';
+import type { CellUpstream } from './cellupstream.js';
+import type { Placed } from './placed.js';
+
+/** One model in one bin, with what it takes there. */
+interface Entry extends Placed {
+  readonly sizeBytes: number;
+  /** True if callers can use it now. */
+  readonly ready: boolean;
+}
+
+/** A plan in the making: bins of memory with models in them. It changes in place within one call. */
+export class Draft {
+  private readonly entries = new Map<UpstreamId, Map<ModelId, Entry>>();
+
+  private readonly holders = new Map<ModelId, Set<UpstreamId>>();
+
+  private readonly usedBytes = new Map<UpstreamId, number>();
+
+  readonly dropped: Pick<Placed, 'upstream' | 'model'>[] = [];
+
+  constructor(
+    readonly bins: readonly CellUpstream[],
+    readonly models: ReadonlyMap<ModelId, CellModel>,
+  ) {
+    for (const { id } of bins) this.entries.set(id, new Map());
+  }
+
+  freeBytes({ id, capacityBytes }: CellUpstream): number {
+    return capacityBytes - (this.usedBytes.get(id) ?? 0);
+  }
+
+  at(upstream: UpstreamId): readonly Entry[] {
+    return [...(this.entries.get(upstream)?.values() ?? [])];
+  }
+
+  entry(upstream: UpstreamId, model: ModelId): Entry | undefined {
+    return this.entries.get(upstream)?.get(model);
+  }
+
+  holdersOf(model: ModelId): readonly UpstreamId[] {
+    return [...(this.holders.get(model) ?? [])];
+  }
+
+  holderCount(model: ModelId): number {
+    return this.holders.get(model)?.size ?? 0;
+  }
+
+  readyCount(model: ModelId): number {
+    let count = 0;
+    for (const holder of this.holders.get(model) ?? []) {
+      if (this.entry(holder, model)?.ready) count += 1;
+    }
+    return count;
+  }
+
+  /** Adds a model with those of its adapters that fit; false if the model itself does not. */
+  add(bin: CellUpstream, model: CellModel, why: Pick<Placed, 'reason' | 'gain' | 'cost'>): boolean {
+    if (this.entry(bin.id, model.id)) return false;
+    let freeBytes = this.freeBytes(bin) - model.sizeBytes;
+    if (freeBytes < 0) return false;
+    const adapters: AdapterId[] = [];
+    let { sizeBytes } = model;
+    for (const adapter of model.adapters) {
+      if (adapter.sizeBytes > freeBytes) continue;
+      adapters.push(adapter.id);
+      freeBytes -= adapter.sizeBytes;
+      sizeBytes += adapter.sizeBytes;
+    }
+    const ready = bin.residents.some((held) => held.model === model.id && held.phase === 'ready');
+    const entry = { ...why, upstream: bin.id, model: model.id, adapters, sizeBytes, ready };
+    this.entries.get(bin.id)?.set(model.id, entry);
+    this.usedBytes.set(bin.id, (this.usedBytes.get(bin.id) ?? 0) + sizeBytes);
+    this.holders.set(model.id, (this.holders.get(model.id) ?? new Set()).add(bin.id));
+    return true;
+  }
+
+  drop(upstream: UpstreamId, model: ModelId): void {
+    const entry = this.entry(upstream, model);
+    if (!entry) return;
+    this.entries.get(upstream)?.delete(model);
+    this.holders.get(model)?.delete(upstream);
+    this.usedBytes.set(upstream, (this.usedBytes.get(upstream) ?? 0) - entry.sizeBytes);
+    this.dropped.push({ upstream, model });
+  }
+
+  placed(): readonly Placed[] {
+    return this.bins.flatMap(({ id }) => this.at(id));
+  }
+}
--- a/src/entry/routing/policyrouter.ts
+++ b/src/entry/routing/policyrouter.ts
@@ -33,7 +33,7 @@
     this.refresh();
     const service = this.services.get(want.target.service);
     if (service) return service.choose(want);
-    const refusal = refuse('service-unknown', 'This entry knows no document of the service.');
+    const refusal = refuse('document-absent', 'This entry knows no document of the service.');
     return Promise.resolve(result.Err(refusal));
   }
 
