Run once: mapping of keys, routing of tickets, and a checker of interleavings

A key alone needs one compare-and-swap create in the store; every way in which that create or its answer can be late or lost has to end in a true refusal. The mapping is a core with a state chart: whatever fails leads to a read, and only a key that is seen to be absent, soon after the request came, is told 'no'.

Ruled out: 'no' whenever the store is down, as first planned. A retry would be told 'no' for a request that ran through another entry before the outage; the checker shows it (a key that cannot be read).

--- /dev/null
+++ b/bench/once/violation.ts
@@ -0,0 +1,4 @@
+/** A promise that was broken. */
+export class Violation extends Error {
+  override readonly name = 'Violation';
+}
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -4,4 +4,6 @@
 export const table: Readonly<Record<string, () => Promise<Bench>>> = {
   'planner-cost': async () => (await import('./plannercost.js')).plannerCost,
   forecast: async () => (await import('./forecastbench.js')).forecastBench,
+  'once-check': async () => (await import('./oncecheck.js')).onceCheck,
+  'once-mutations': async () => (await import('./oncemutations.js')).onceMutations,
 };
--- /dev/null
+++ b/src/core/idempotency/index.ts
@@ -0,0 +1,10 @@
+/** An entry's side of run-at-most-once: the mapping of `Idempotency-Key`s, and what callers are told. */
+export { conclude } from './conclude.js';
+export type { MappingEffect } from './mappingeffect.js';
+export type { MappingEvent } from './mappingevent.js';
+export type { MappingState } from './mappingstate.js';
+export { routeTicket } from './routeticket.js';
+export type { RouteView } from './routeview.js';
+export { sharedLease } from './sharedlease.js';
+export { startMapping } from './startmapping.js';
+export { stepMapping } from './stepmapping.js';
--- /dev/null
+++ b/src/core/idempotency/startmapping.ts
@@ -0,0 +1,28 @@
+import type { Change, Ms } from '../../base/index.js';
+import { refuse } from '../refusal/index.js';
+import type { MappingEffect } from './mappingeffect.js';
+import type { MappingState } from './mappingstate.js';
+import { sharedLease } from './sharedlease.js';
+
+/** A create whose answer was lost may be tried once more, after the store has been read. */
+const CREATE_LIMIT = 2;
+
+/** When a store that did not take a write may be asked again. */
+const RETRY_AFTER_MS = 1000;
+
+/** Begins to map the key of a request with this hash. */
+export function startMapping(
+  requestHash: string,
+  arrivedAtMs: Ms,
+): Change<MappingState, MappingEffect> {
+  const detail = 'The key could not be written down.';
+  const state: MappingState = {
+    phase: 'asking',
+    requestHash,
+    ticket: '',
+    boundUntilMs: sharedLease.boundUntilMs(arrivedAtMs),
+    createsLeft: CREATE_LIMIT,
+    reason: refuse('idempotency-store-failing', detail, { retryAfterMs: RETRY_AFTER_MS }),
+  };
+  return { state, effects: [{ type: 'ask-ticket' }] };
+}
