Acceptance of document changes with a hash-chained audit trail

Cause: two operators may race for a document, and an answer from the store can be lost after the write took effect. Without a change id and a read-back, one would overwrite the other or be told 'failed' falsely.

One value a service holds document and audit entries; one compare-and-swap under the operator's revision accepts both. After a lost answer the core reads back, looks for the change id, and where the key is unchanged sends the same swap again under the same revision. What stays open is outcome-unknown.

Ruled out: saying 'failed' when the key is unchanged after a lost answer (a late write proves it false); whole old texts in the value (they would go through every watch). Rollback uses reversed line hunks, checked against the hash that the entry names.

--- /dev/null
+++ b/bench/configrace/raceoptions.ts
@@ -0,0 +1,15 @@
+import type { AcceptanceTools } from '../../src/shell/acceptance/index.js';
+import type { StoreFaults } from '../../standin/index.js';
+
+/** A race between operators who change one service's document. */
+export interface RaceOptions {
+  readonly seed: number;
+  readonly operators: number;
+  /** Changes of all operators together. */
+  readonly changes: number;
+  readonly faults: StoreFaults;
+  /** Entries that the stored value keeps. */
+  readonly auditLimit?: number;
+  /** Another core, with a guard turned off. */
+  readonly step?: AcceptanceTools['step'];
+}
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -6,4 +6,6 @@
   forecast: async () => (await import('./forecastbench.js')).forecastBench,
   'once-check': async () => (await import('./oncecheck.js')).onceCheck,
   'once-mutations': async () => (await import('./oncemutations.js')).onceMutations,
+  'config-race': async () => (await import('./configrace.js')).configRace,
+  'config-faults': async () => (await import('./configfaults.js')).configFaults,
 };
--- /dev/null
+++ b/src/core/acceptance/decodestored.ts
@@ -0,0 +1,28 @@
+import type { Result } from 'ts-results';
+import { result, type Failure } from '../../base/index.js';
+import type { StoredService } from './storedservice.js';
+
+interface StoredValueFailure extends Failure {
+  readonly type: 'stored-value-unreadable';
+}
+
+function unreadable(detail: string): Result<StoredService, StoredValueFailure> {
+  return result.Err({ type: 'stored-value-unreadable', detail });
+}
+
+/** Reads the value under a service's key. */
+export function decodeStored(value: string): Result<StoredService, StoredValueFailure> {
+  let stored: Partial<StoredService> | null;
+  try {
+    stored = JSON.parse(value) as Partial<StoredService> | null;
+  } catch {
+    return unreadable('The value under the service key is not JSON.');
+  }
+  if (stored?.format !== 1) {
+    return unreadable('The value under the service key has another format.');
+  }
+  if (typeof stored.document !== 'string' || !Array.isArray(stored.audit)) {
+    return unreadable('The value under the service key lacks its document or its audit entries.');
+  }
+  return result.Ok(stored as StoredService);
+}
--- /dev/null
+++ b/src/core/acceptance/index.ts
@@ -0,0 +1,13 @@
+/** Acceptance of a change: checked, written by one compare-and-swap, and answered truthfully. */
+export type { AcceptanceEffect } from './acceptanceeffect.js';
+export type { AcceptanceEvent } from './acceptanceevent.js';
+export type { AcceptanceFailure } from './acceptancefailure.js';
+export type { AcceptanceState } from './acceptancestate.js';
+export type { Accepted } from './accepted.js';
+export type { Change } from './change.js';
+export { createAcceptance } from './createacceptance.js';
+export { decodeStored } from './decodestored.js';
+export { oldText } from './oldtext.js';
+export { serviceKey } from './servicekey.js';
+export { stepAcceptance } from './stepacceptance.js';
+export type { StoredService } from './storedservice.js';
--- /dev/null
+++ b/src/core/acceptance/propose.ts
@@ -0,0 +1,69 @@
+import type { Result } from 'ts-results';
+import { result } from '../../base/index.js';
+import type { KeyValue } from '../../port/index.js';
+import { checkDocument, readDocument } from '../document/index.js';
+import type { AuditEntry } from '../audit/index.js';
+import type { AcceptanceFailure } from './acceptancefailure.js';
+import type { AcceptanceState } from './acceptancestate.js';
+import { appendEntry } from './appendentry.js';
+import { decodeStored } from './decodestored.js';
+import { oldText } from './oldtext.js';
+import { rejections } from './rejections.js';
+import { serviceKey } from './servicekey.js';
+import type { StoredService } from './storedservice.js';
+
+/** Below the store's megabyte, so that key and framing fit beside it. */
+const VALUE_LIMIT_BYTES = 1_000_000;
+
+/** A state with the swap to send, and the entries that the swap drops. */
+interface Proposal {
+  readonly state: AcceptanceState;
+  readonly dropped: readonly AuditEntry[];
+}
+
+function wantedText(
+  { change, hash }: AcceptanceState,
+  before: StoredService | undefined,
+): Result<{ text: string; file: string }, AcceptanceFailure> {
+  const { source, service } = change;
+  if (source.type === 'text') return result.Ok(source);
+  if (!before) return result.Err({ type: 'service-unknown', detail: `There is no ${service}.` });
+  return oldText(before, source.to, hash).map((text) => ({ text, file: `after ${source.to}` }));
+}
+
+function checked(
+  { change }: AcceptanceState,
+  { text, file }: { readonly text: string; readonly file: string },
+  before: StoredService | undefined,
+): Result<string, AcceptanceFailure> {
+  const previous = before ? readDocument(before.document) : undefined;
+  const context = { file, team: change.team, previous: previous?.ok ? previous.val : undefined };
+  const document = checkDocument(text, context);
+  if (document.err) return result.Err(rejections.documentRefused(document.val));
+  if (document.val.service === change.service) return result.Ok(text);
+  const detail = `${file} is the document of ${document.val.service}, not of ${change.service}.`;
+  return result.Err({ type: 'service-unknown', detail });
+}
+
+/** Works out the swap that makes a change, from the value that it is based on. */
+export function propose(
+  state: AcceptanceState,
+  item: KeyValue | undefined,
+): Result<Proposal, AcceptanceFailure> {
+  const decoded = item ? decodeStored(item.value) : undefined;
+  if (decoded?.err) return decoded;
+  const before = decoded?.val;
+  const wanted = wantedText(state, before);
+  if (wanted.err) return wanted;
+  const text = checked(state, wanted.val, before);
+  if (text.err) return text;
+  const { stored, entry, dropped } = appendEntry(state, before, text.val);
+  const value = JSON.stringify(stored);
+  if (new TextEncoder().encode(value).length > VALUE_LIMIT_BYTES) {
+    const detail = `The document takes more than ${VALUE_LIMIT_BYTES} bytes with its audit entries.`;
+    return result.Err({ type: 'document-too-large', detail });
+  }
+  const { expectedRevision, service } = state.change;
+  const swap = { key: serviceKey(service), expectedRevision, value };
+  return result.Ok({ state: { ...state, swap, entry }, dropped });
+}
--- /dev/null
+++ b/src/core/audit/verifychain.ts
@@ -0,0 +1,47 @@
+import type { Result } from 'ts-results';
+import { result } from '../../base/index.js';
+import type { AuditEntry } from './auditentry.js';
+import type { AuditFailure } from './auditfailure.js';
+import type { Hash } from './hash.js';
+import { sealEntry } from './sealentry.js';
+
+function wrongWith(entry: AuditEntry, before: AuditEntry | undefined, hash: Hash): string {
+  if (sealEntry(entry, hash).hash !== entry.hash) return 'its contents do not match its hash';
+  if (!before) {
+    return entry.index === 1 && entry.previousHash !== ''
+      ? 'it is the first and names another'
+      : '';
+  }
+  if (entry.index !== before.index + 1) return `it follows entry ${before.index}`;
+  if (entry.previousHash !== before.hash) {
+    return `it does not name the hash of entry ${before.index}`;
+  }
+  if (entry.basedOnRevision <= before.basedOnRevision) return 'its revision does not rise';
+  return '';
+}
+
+/**
+ * Checks entries that follow each other, and that the last is of this document. Entries before the first
+ * that is given are out of sight; their hash is still named.
+ */
+export function verifyChain(
+  entries: readonly AuditEntry[],
+  document: string,
+  hash: Hash,
+): Result<void, AuditFailure> {
+  const type = 'audit-broken';
+  let before: AuditEntry | undefined;
+  for (const entry of entries) {
+    const wrong = wrongWith(entry, before, hash);
+    const { index } = entry;
+    if (wrong) return result.Err({ type, index, detail: `Entry ${index}: ${wrong}.` });
+    before = entry;
+  }
+  const index = before?.index ?? 0;
+  if (before?.documentHash === hash(document)) return result.Ok(undefined);
+  return result.Err({
+    type,
+    index,
+    detail: 'The document is not the one that the last entry names.',
+  });
+}
--- a/standin/index.ts
+++ b/standin/index.ts
@@ -15,3 +15,4 @@
 export { FakeWeightStore } from './weights/fakeweightstore.js';
 export { FakeService } from './service/fakeservice.js';
 export { FakeHostList } from './hosts/fakehostlist.js';
+export { StoreModel } from './store/storemodel.js';
--- a/standin/store/memorystore.ts
+++ b/standin/store/memorystore.ts
@@ -134,11 +134,20 @@
     if (delayMs > 0) await this.pause(delayMs);
     if (type === 'refused') return result.Err(UNAVAILABLE);
     if (type === 'request-lost') return result.Err(UNKNOWN);
+    if (type === 'late') {
+      this.clock.after(this.faults.lateMs(), () => this.carryOut(kind, effect));
+      return result.Err(UNKNOWN);
+    }
+    const answer = this.carryOut(kind, effect);
+    return type === 'answer-lost' ? result.Err(UNKNOWN) : answer;
+  }
+
+  private carryOut<Answer>(kind: 'read' | 'write', effect: () => Answer): Answer {
     this.model.expire(this.clock.nowMs());
     const answer = effect();
     this.tellAll();
     if (kind === 'write' && this.faults.compacts()) this.model.compact();
-    return type === 'answer-lost' ? result.Err(UNKNOWN) : answer;
+    return answer;
   }
 
   private pause(delayMs: Ms): Promise<void> {
--- a/standin/store/storefaults.ts
+++ b/standin/store/storefaults.ts
@@ -14,10 +14,15 @@
   }[];
   /** Every call takes up to so long. */
   readonly maxDelayMs?: Ms;
+  /** Reads whose answer is lost. */
+  readonly lostReadShare?: number;
   /** Writes that take effect and whose answer is lost. */
   readonly lostAnswerShare?: number;
   /** Writes that are lost on their way to the store. */
   readonly lostRequestShare?: number;
+  /** Writes whose caller gives up on them and that take effect later. */
+  readonly lateWriteShare?: number;
+  readonly lateWriteMs?: Ms;
   /** Changes that cut the watch which they would have been told to. */
   readonly watchCutShare?: number;
   /** Renewals that find the lease lapsed, as after a pause of its holder. */
@@ -30,7 +35,7 @@
 
 /** What happens to one call. */
 interface Fate {
-  readonly type: 'done' | 'refused' | 'request-lost' | 'answer-lost';
+  readonly type: 'done' | 'refused' | 'request-lost' | 'answer-lost' | 'late';
   readonly delayMs: Ms;
 }
 
@@ -62,7 +67,14 @@
     if (this.down || open.some(({ type }) => type === 'outage')) {
       return { type: 'refused', delayMs };
     }
-    return { type: kind === 'write' ? this.writeFate() : 'done', delayMs };
+    if (kind === 'write') return { type: this.writeFate(), delayMs };
+    return { type: this.draw(this.faults.lostReadShare) ? 'refused' : 'done', delayMs };
+  }
+
+  /** How much later a late write takes effect. */
+  lateMs(): Ms {
+    const { lateWriteMs = 0 } = this.faults;
+    return lateWriteMs > 0 ? uniformInt(this.generator, 1, lateWriteMs) : 0;
   }
 
   cutsWatch(): boolean {
@@ -90,6 +102,7 @@
       return 'request-lost';
     }
     if (this.draw(this.faults.lostAnswerShare)) return 'answer-lost';
+    if (this.draw(this.faults.lateWriteShare)) return 'late';
     return this.draw(this.faults.lostRequestShare) ? 'request-lost' : 'done';
   }
 
