Memory ledger, orders and reconciler, with a model checker

The promise that accelerators are never overcommitted needs one place that counts what is resident, what is reserved and what the KV cache needs, whatever happens to orders, reports, the store and sidecars. The core decides in one pure step; its guards are a table of functions, so that the checker can turn one off.

Found by the checker on the way, each mended and kept as a guard with its mutation: - setting the present role again is no harmless first order: it can undo a role change of an earlier sidecar that is under way; the barrier now unloads a model that does not exist; - a sidecar that woke up resent an order without asking the store, after its successor had settled and dropped it and the engine had restarted; now each attempt is written before it leaves, on a proof that is at most a second old; - a report that was asked for before the incarnation was taken may lack what the sidecar before had loaded and settled in between; orders wait for a report that was asked for afterwards.

Ruled out: freeing on an engine's restart, on time passed, on refused or unanswered calls. Conclusion: only a report that names the order as settled, or on checking engines one that shows a later token, frees a reservation.

--- a/bench/table.ts
+++ b/bench/table.ts
@@ -8,4 +8,5 @@
   'once-mutations': async () => (await import('./oncemutations.js')).onceMutations,
   'config-race': async () => (await import('./configrace.js')).configRace,
   'config-faults': async () => (await import('./configfaults.js')).configFaults,
+  'ledger-check': async () => (await import('./ledgercheck.js')).ledgerCheck,
 };
--- a/src/core/fence/emptyfence.ts
+++ b/src/core/fence/emptyfence.ts
@@ -11,6 +11,7 @@
     recorded: [],
     wanted: [],
     call: 'none',
+    calledAtMs: 0,
     writing: undefined,
     failing: false,
     retryAtMs: 0,
--- a/src/core/fence/fenceevent.ts
+++ b/src/core/fence/fenceevent.ts
@@ -1,9 +1,10 @@
-import type { KeyValue, Order, StoreFailure, SwapOutcome } from '../../port/index.js';
+import type { KeyValue, StoreFailure, SwapOutcome } from '../../port/index.js';
+import type { Intent } from './intent.js';
 
 /** What happens to the hold on an upstream's key. */
 export type FenceEvent =
   | { readonly type: 'tick' }
-  | { readonly type: 'wanted'; readonly intents: readonly Order[] }
+  | { readonly type: 'wanted'; readonly intents: readonly Intent[] }
   | { readonly type: 'read'; readonly item: KeyValue | undefined }
   | { readonly type: 'swapped'; readonly outcome: SwapOutcome }
   | { readonly type: 'store-failed'; readonly failure: StoreFailure };
--- a/src/core/fence/fencestate.ts
+++ b/src/core/fence/fencestate.ts
@@ -1,6 +1,6 @@
 import type { Incarnation, Ms, Revision } from '../../base/index.js';
-import type { Order } from '../../port/index.js';
 import type { FencePhase } from './fencephase.js';
+import type { Intent } from './intent.js';
 import type { UpstreamValue } from './upstreamvalue.js';
 
 /** One sidecar's hold on its upstream's key. */
@@ -13,11 +13,13 @@
   /** Revision of the key at which `recorded` was seen; 0 when the key does not exist. */
   readonly revision: Revision;
   /** Intents that the store is known to hold. */
-  readonly recorded: readonly Order[];
+  readonly recorded: readonly Intent[];
   /** Intents that the store should hold. */
-  readonly wanted: readonly Order[];
+  readonly wanted: readonly Intent[];
   /** The call to the store that is under way: one at a time. */
   readonly call: 'none' | 'read' | 'swap';
+  /** When the last call was sent. */
+  readonly calledAtMs: Ms;
   /** What the last swap writes, or wrote. */
   readonly writing: UpstreamValue | undefined;
   /** True after a failed call: the key is read before anything is written. */
--- a/src/core/fence/index.ts
+++ b/src/core/fence/index.ts
@@ -6,4 +6,5 @@
 export type { FenceRules } from './fencerules.js';
 export { fenceRulesInForce } from './fencerulesinforce.js';
 export type { FenceState } from './fencestate.js';
+export type { Intent } from './intent.js';
 export { stepFence } from './stepfence.js';
--- a/src/core/fence/stepfence.ts
+++ b/src/core/fence/stepfence.ts
@@ -1,5 +1,5 @@
 import type { Change, Failure, Incarnation, Ms, Revision } from '../../base/index.js';
-import type { KeyValue, Order } from '../../port/index.js';
+import type { KeyValue } from '../../port/index.js';
 import { follow } from '../chart/index.js';
 import chart from './fence.chart.json' with { type: 'json' };
 import type { FenceEffect } from './fenceeffect.js';
@@ -8,6 +8,7 @@
 import type { FenceRules } from './fencerules.js';
 import { fenceRulesInForce } from './fencerulesinforce.js';
 import type { FenceState } from './fencestate.js';
+import type { Intent } from './intent.js';
 import { readValue } from './readvalue.js';
 import type { UpstreamValue } from './upstreamvalue.js';
 
@@ -18,16 +19,24 @@
 
 const after = follow<FencePhase, 'taken' | 'overtaken'>(chart);
 
-function sameOrders(one: readonly Order[], other: readonly Order[]): boolean {
-  if (one.length !== other.length) return false;
-  return one.every((order, index) => order.orderId === other[index]?.orderId);
+function isSame(one: Intent, other: Intent | undefined): boolean {
+  return one.order.orderId === other?.order.orderId && one.attempt === other.attempt;
 }
 
-function write(state: FenceState, incarnation: Incarnation, intents: readonly Order[]): Held {
+function areSame(one: readonly Intent[], other: readonly Intent[]): boolean {
+  return one.length === other.length && one.every((intent, at) => isSame(intent, other[at]));
+}
+
+function write(
+  state: FenceState,
+  incarnation: Incarnation,
+  intents: readonly Intent[],
+  nowMs: Ms,
+): Held {
   const writing: UpstreamValue = { incarnation, owner: state.owner, intents };
   const value = JSON.stringify(writing);
   const swap: FenceEffect = { type: 'swap-key', expectedRevision: state.revision, value };
-  return { state: { ...state, call: 'swap', writing }, effects: [swap] };
+  return { state: { ...state, call: 'swap', calledAtMs: nowMs, writing }, effects: [swap] };
 }
 
 /** Sends the next call, if one is due and none is under way. */
@@ -35,15 +44,17 @@
   const waits = state.call !== 'none' || nowMs < state.retryAtMs;
   if (waits || state.phase === 'superseded') return { state, effects: [] };
   if (state.failing || state.phase === 'absent') {
-    return { state: { ...state, call: 'read' }, effects: [{ type: 'read-key' }] };
+    const reading = { ...state, call: 'read' as const, calledAtMs: nowMs };
+    return { state: reading, effects: [{ type: 'read-key' }] };
   }
-  if (sameOrders(state.recorded, state.wanted)) return { state, effects: [] };
-  return write(state, state.incarnation, state.wanted);
+  if (areSame(state.recorded, state.wanted)) return { state, effects: [] };
+  return write(state, state.incarnation, state.wanted, nowMs);
 }
 
 /** The key holds these intents under our name: a taking or a write of intents has taken effect. */
-function own(state: FenceState, intents: readonly Order[]): Held {
-  const effects: FenceEffect[] = [{ type: 'recorded', intents }];
+function own(state: FenceState, intents: readonly Intent[]): Held {
+  const provenAtMs = state.calledAtMs;
+  const effects: FenceEffect[] = [{ type: 'recorded', intents, provenAtMs }];
   return { state: { ...state, recorded: intents }, effects };
 }
 
@@ -75,7 +86,7 @@
     return { state: superseded, effects: [{ type: 'superseded', by: found.incarnation }] };
   }
   if (found.owner === state.owner) return take(seen, found);
-  return write(seen, (found.incarnation + 1) as Incarnation, rules.inherit(found));
+  return write(seen, (found.incarnation + 1) as Incarnation, rules.inherit(found), nowMs);
 }
 
 type Handler<Type extends FenceEvent['type']> = (
--- /dev/null
+++ b/src/core/ledger/holdingsof.ts
@@ -0,0 +1,19 @@
+import type { EngineReport } from '../../port/index.js';
+import type { Holding } from './holding.js';
+import type { HoldingKey } from './holdingkey.js';
+import { nameHolding } from './nameholding.js';
+
+/** What a report shows in memory, by key. */
+export function holdingsOf({ residents }: EngineReport): ReadonlyMap<HoldingKey, Holding> {
+  const holdings = new Map<HoldingKey, Holding>();
+  for (const { model, version, sizeBytes, phase, adapters } of residents) {
+    const key = nameHolding(model, version);
+    holdings.set(key, { key, model, version, sizeBytes, phase });
+    for (const adapter of adapters) {
+      const adapterKey = nameHolding(model, version, adapter.id);
+      const holding = { model, version, adapter: adapter.id, sizeBytes: adapter.sizeBytes, phase };
+      holdings.set(adapterKey, { ...holding, key: adapterKey });
+    }
+  }
+  return holdings;
+}
--- /dev/null
+++ b/src/core/reconcile/catalogue.ts
@@ -0,0 +1,5 @@
+/** What the service's document says of models and adapters, by id. */
+export interface Catalogue {
+  readonly models: ReadonlyMap<string, { readonly version: string; readonly sizeBytes: number }>;
+  readonly adapters: ReadonlyMap<string, { readonly model: string; readonly sizeBytes: number }>;
+}
--- /dev/null
+++ b/src/core/reconcile/nextdraft.ts
@@ -0,0 +1,85 @@
+import type { Holding, HoldingKey, Ledger } from '../ledger/index.js';
+import { fits, nameHolding } from '../ledger/index.js';
+import type { DesiredHolding } from './desiredholding.js';
+import { isEvictable } from './isevictable.js';
+import type { OrderDraft } from './orderdraft.js';
+import { roomOf } from './roomof.js';
+import type { View } from './view.js';
+
+/** Loads under way at one upstream: more would only share the weight store's speed. */
+const PARALLEL_LOADS = 2;
+
+/** Open orders at once; an engine's report names at least the last hundred that it settled. */
+const OPEN_ORDERS = 16;
+
+function hasOrder({ openOrders }: Ledger, key: HoldingKey): boolean {
+  for (const open of openOrders.values()) if (open.key === key) return true;
+  return false;
+}
+
+function countLoads({ openOrders }: Ledger): number {
+  let count = 0;
+  for (const { order } of openOrders.values()) if (order.action.startsWith('load')) count += 1;
+  return count;
+}
+
+function unload({ model, version, adapter }: Holding): OrderDraft {
+  return { action: adapter ? 'unload-adapter' : 'unload-model', model, version, adapter };
+}
+
+function load({ model, version, adapter, sizeBytes }: DesiredHolding): OrderDraft {
+  const action = adapter ? 'load-adapter' : 'load-model';
+  return { action, model, version, adapter, sizeBytes };
+}
+
+function roleDraft({ ledger, plan, rules }: View): OrderDraft | undefined {
+  if (!plan?.role || plan.role === ledger.role) return undefined;
+  for (const { order } of ledger.openOrders.values()) if (order.role) return undefined;
+  const draft: OrderDraft = { action: 'set-role', role: plan.role };
+  const order = { ...draft, orderId: '', fencingToken: ledger.highestFencingToken };
+  return fits(ledger, order, rules) ? draft : undefined;
+}
+
+/** Unloads what the document no longer offers, and a version whose successor is ready here. */
+function outdatedDraft(view: View): OrderDraft | undefined {
+  const { ledger, catalogue } = view;
+  for (const holding of ledger.holdings.values()) {
+    const { model, version, adapter, phase, key } = holding;
+    const isCurrent = catalogue.models.get(model)?.version === version;
+    if (adapter || isCurrent || phase !== 'ready' || hasOrder(ledger, key)) continue;
+    const replaced = view.desired.some((wanted) => wanted.model === model && !wanted.adapter);
+    const isOffered = catalogue.models.has(model);
+    if ((replaced || !isOffered) && isEvictable(view, holding)) return unload(holding);
+  }
+  return undefined;
+}
+
+function isMissing({ ledger }: View, desired: DesiredHolding): boolean {
+  if (ledger.holdings.has(desired.key) || hasOrder(ledger, desired.key)) return false;
+  if (!desired.adapter) return true;
+  const base = nameHolding(desired.model, desired.version);
+  return ledger.holdings.get(base)?.phase === 'ready' && !hasOrder(ledger, base);
+}
+
+function loadDraft(view: View): OrderDraft | undefined {
+  for (const desired of view.desired) {
+    if (!isMissing(view, desired)) continue;
+    if (!view.mayLoad || countLoads(view.ledger) >= PARALLEL_LOADS) return undefined;
+    const draft = load(desired);
+    const order = { ...draft, orderId: '', fencingToken: view.ledger.highestFencingToken };
+    if (fits(view.ledger, order, view.rules)) return draft;
+    const room = roomOf(view, desired);
+    if (room.type === 'unload') return unload(room.victim);
+    // Room on its way is not given to what is less urgent.
+    if (room.type === 'waits') return undefined;
+  }
+  return undefined;
+}
+
+/** The next order towards what is desired; undefined when there is nothing to order now. */
+export function nextDraft(view: View): OrderDraft | undefined {
+  const { ledger } = view;
+  if (ledger.engineId === undefined || ledger.capacityBytes === 0) return undefined;
+  if (ledger.openOrders.size >= OPEN_ORDERS) return undefined;
+  return roleDraft(view) ?? outdatedDraft(view) ?? loadDraft(view);
+}
--- /dev/null
+++ b/src/core/residency/emptyresidency.ts
@@ -0,0 +1,30 @@
+import type { Incarnation } from '../../base/index.js';
+import { emptyLedger } from '../ledger/index.js';
+import type { ResidencyState } from './residencystate.js';
+
+/** Speed that is assumed before the first load has been seen: 2 GB/s. */
+const FIRST_LOAD_BYTES_PER_MS = 2_000_000;
+
+/** A sidecar that has seen nothing of its upstream yet. */
+export function emptyResidency(upstream: string): ResidencyState {
+  return {
+    upstream,
+    ledger: emptyLedger,
+    catalogue: undefined,
+    checksFencing: false,
+    incarnation: 0 as Incarnation,
+    takenAtPoll: 0,
+    isSuperseded: false,
+    isStoreReachable: true,
+    recordedAttempts: new Map(),
+    provenAtMs: -Infinity,
+    wantedIntents: undefined,
+    orderCount: 0,
+    plan: undefined,
+    replicas: new Map(),
+    rescues: new Map(),
+    lastUsedAtMs: new Map(),
+    loadBytesPerMs: FIRST_LOAD_BYTES_PER_MS,
+    isLeaving: false,
+  };
+}
--- /dev/null
+++ b/src/core/residency/index.ts
@@ -0,0 +1,9 @@
+/** The core of an upstream's memory: ledger, orders, reconciler and fence in one step. */
+export { emptyResidency } from './emptyresidency.js';
+export type { ResidencyEffect } from './residencyeffect.js';
+export type { ResidencyEvent } from './residencyevent.js';
+export type { ResidencyFailure } from './residencyfailure.js';
+export type { ResidencyRules } from './residencyrules.js';
+export { residencyRulesInForce } from './residencyrulesinforce.js';
+export type { ResidencyState } from './residencystate.js';
+export { stepResidency } from './stepresidency.js';
--- /dev/null
+++ b/src/core/residency/isdue.ts
@@ -0,0 +1,23 @@
+import type { Ms } from '../../base/index.js';
+import type { OpenOrder } from '../ledger/index.js';
+
+const FIRST_RESEND_MS: Ms = 1000;
+const LAST_RESEND_MS: Ms = 30_000;
+
+/** An engine that took an order should have settled it by then; else it is asked again. */
+const OVERDUE_MS: Ms = 60_000;
+
+/** When an order in each phase goes out (again). */
+const DUE_AT: Readonly<Record<OpenOrder['phase'], (open: OpenOrder) => Ms>> = {
+  intended: () => 0,
+  sent: () => Infinity,
+  confirmed: ({ lastSentAtMs }) => lastSentAtMs + OVERDUE_MS,
+  unknown: ({ lastSentAtMs, sentCount }) =>
+    lastSentAtMs + Math.min(LAST_RESEND_MS, FIRST_RESEND_MS * 2 ** (sentCount - 1)),
+  resolved: () => Infinity,
+};
+
+/** Whether it is time for the next attempt of an order. */
+export function isDue(open: OpenOrder, nowMs: Ms): boolean {
+  return nowMs >= DUE_AT[open.phase](open);
+}
--- /dev/null
+++ b/src/core/residency/onplan.ts
@@ -0,0 +1,72 @@
+import type { Ms } from '../../base/index.js';
+import { desiredOf, roomOf, type Plan } from '../reconcile/index.js';
+import type { Changed } from './changed.js';
+import { fail } from './fail.js';
+import type { ResidencyFailure } from './residencyfailure.js';
+import type { ResidencyRules } from './residencyrules.js';
+import type { ResidencyState } from './residencystate.js';
+import { viewOf } from './viewof.js';
+
+function answer(
+  state: ResidencyState,
+  accepted: boolean,
+  failure: ResidencyFailure | undefined,
+): Changed {
+  const epoch = state.plan?.epoch ?? 0;
+  return { state, effects: [{ type: 'plan-answered', accepted, epoch, failure }] };
+}
+
+function isOlder(plan: Plan, held: Plan | undefined): boolean {
+  if (!held) return false;
+  if (plan.epoch !== held.epoch) return plan.epoch < held.epoch;
+  return plan.sequence < held.sequence;
+}
+
+function whyNot(state: ResidencyState, upstream: string, plan: Plan): ResidencyFailure | undefined {
+  if (upstream !== state.upstream) {
+    return fail('plan-wrong-upstream', `The plan is for ${upstream}.`);
+  }
+  if (isOlder(plan, state.plan)) {
+    return fail('plan-epoch-old', 'A later plan is in force here.');
+  }
+  const { catalogue, ledger } = state;
+  if (!catalogue) return fail('memory-unknown', 'The document is not known here yet.');
+  const desired = desiredOf(plan.models, catalogue);
+  const role = plan.role ?? ledger.role;
+  const bytes = desired.reduce((sum, { sizeBytes }) => sum + sizeBytes, 0);
+  const roomBytes = ledger.capacityBytes - ledger.kvCacheReserveBytes[role];
+  if (bytes <= roomBytes) return undefined;
+  return fail('plan-does-not-fit', `The plan needs ${bytes} bytes of ${roomBytes}.`);
+}
+
+/** A new version that fits neither beside the old one nor in its place. */
+function stuckVersion(
+  state: ResidencyState,
+  nowMs: Ms,
+  rules: ResidencyRules,
+): ResidencyFailure | undefined {
+  const view = viewOf(state, nowMs, rules);
+  for (const desired of view.desired) {
+    const { key, model, adapter } = desired;
+    if (adapter || view.ledger.holdings.has(key)) continue;
+    const holdings = [...view.ledger.holdings.values()];
+    const hasOld = holdings.some((holding) => holding.model === model && !holding.adapter);
+    if (!hasOld || roomOf(view, desired).type !== 'none') continue;
+    const detail = `${key} fits beside no older version; place ${model} elsewhere first.`;
+    return fail('version-needs-room', detail);
+  }
+  return undefined;
+}
+
+/** Takes a plan, unless a later one is in force. */
+export function onPlan(
+  state: ResidencyState,
+  { upstream, plan }: { readonly upstream: string; readonly plan: Plan },
+  nowMs: Ms,
+  rules: ResidencyRules,
+): Changed {
+  const failure = whyNot(state, upstream, plan);
+  if (failure) return answer(state, false, failure);
+  const planned = { ...state, plan };
+  return answer(planned, true, stuckVersion(planned, nowMs, rules));
+}
--- /dev/null
+++ b/src/core/residency/onreport.ts
@@ -0,0 +1,47 @@
+import type { Ms } from '../../base/index.js';
+import type { EngineReport } from '../../port/index.js';
+import { takeReport, type Ledger, type OpenOrder } from '../ledger/index.js';
+import type { Changed } from './changed.js';
+import type { ResidencyEffect } from './residencyeffect.js';
+import type { ResidencyRules } from './residencyrules.js';
+import type { ResidencyState } from './residencystate.js';
+
+/** Weight of the newest load in the learnt speed. */
+const NEWEST_SHARE = 0.3;
+
+/** A load that took less time than this was there already, and teaches nothing. */
+const SHORTEST_LOAD_MS: Ms = 50;
+
+function learn(known: number, { order, lastSentAtMs }: OpenOrder, nowMs: Ms): number {
+  const tookMs = nowMs - lastSentAtMs;
+  if (order.action !== 'load-model' || tookMs < SHORTEST_LOAD_MS) return known;
+  const seen = (order.sizeBytes ?? 0) / tookMs;
+  return known * (1 - NEWEST_SHARE) + seen * NEWEST_SHARE;
+}
+
+function isSame(before: Ledger, after: Ledger): boolean {
+  if (before.engineId !== after.engineId || before.role !== after.role) return false;
+  if (before.holdings.size !== after.holdings.size) return false;
+  for (const [key, { phase }] of after.holdings) {
+    if (before.holdings.get(key)?.phase !== phase) return false;
+  }
+  return true;
+}
+
+/** Adopts an engine's report. */
+export function onReport(
+  state: ResidencyState,
+  { poll, report }: { readonly poll: number; readonly report: EngineReport },
+  nowMs: Ms,
+  rules: ResidencyRules,
+): Changed {
+  const taken = takeReport(state.ledger, report, poll, state.checksFencing, rules.ledger);
+  if (!taken.isNews) return { state, effects: [] };
+  let { loadBytesPerMs } = state;
+  for (const open of taken.resolved) loadBytesPerMs = learn(loadBytesPerMs, open, nowMs);
+  const effects: ResidencyEffect[] = taken.resolved.map((open) => ({ type: 'resolved', open }));
+  if (!isSame(state.ledger, taken.ledger)) effects.push({ type: 'changed' });
+  const isLeaving = state.isLeaving || report.leaving;
+  if (isLeaving !== state.isLeaving) effects.push({ type: 'changed' });
+  return { state: { ...state, ledger: taken.ledger, loadBytesPerMs, isLeaving }, effects };
+}
--- /dev/null
+++ b/src/core/residency/stepresidency.ts
@@ -0,0 +1,102 @@
+import type { Ms } from '../../base/index.js';
+import type { Intent } from '../fence/index.js';
+import { changePins, inheritOrder, type Ledger } from '../ledger/index.js';
+import { nextPhase } from '../order/index.js';
+import type { Changed } from './changed.js';
+import { onPin } from './onpin.js';
+import { onPlan } from './onplan.js';
+import { onReport } from './onreport.js';
+import { onRescue } from './onrescue.js';
+import { pursue } from './pursue.js';
+import type { ResidencyEvent } from './residencyevent.js';
+import type { ResidencyRules } from './residencyrules.js';
+import { residencyRulesInForce } from './residencyrulesinforce.js';
+import type { ResidencyState } from './residencystate.js';
+
+type Handler<Type extends ResidencyEvent['type']> = (
+  state: ResidencyState,
+  event: Extract<ResidencyEvent, { type: Type }>,
+  nowMs: Ms,
+  rules: ResidencyRules,
+) => Changed;
+
+const OUTCOME_EVENTS = {
+  accepted: 'accepted',
+  unanswered: 'unanswered',
+  fenced: 'unanswered',
+} as const;
+
+const attemptsOf = (intents: readonly Intent[]) =>
+  new Map(intents.map(({ order, attempt }) => [order.orderId, attempt]));
+
+const plain = (state: ResidencyState): Changed => ({ state, effects: [] });
+
+function answered(
+  ledger: Ledger,
+  { orderId, outcome }: Extract<ResidencyEvent, { type: 'answered' }>,
+): Ledger {
+  const open = ledger.openOrders.get(orderId);
+  if (!open) return ledger;
+  const openOrders = new Map(ledger.openOrders);
+  openOrders.set(orderId, { ...open, phase: nextPhase(open.phase, OUTCOME_EVENTS[outcome]) });
+  return { ...ledger, openOrders };
+}
+
+const HANDLERS: { readonly [Type in ResidencyEvent['type']]: Handler<Type> } = {
+  document(state, { catalogue, checksFencing, capacityBytes, kvCacheReserveBytes }) {
+    const ledger = { ...state.ledger, capacityBytes, kvCacheReserveBytes };
+    const known = { ...state, catalogue, checksFencing, ledger };
+    return { state: known, effects: [{ type: 'changed' }] };
+  },
+  report: onReport,
+  taken(state, { incarnation, inherited, poll: takenAtPoll }, nowMs, rules) {
+    let { ledger } = state;
+    for (const intent of rules.inherit(inherited)) ledger = inheritOrder(ledger, intent, nowMs);
+    const recordedAttempts = attemptsOf(inherited);
+    const known = { ledger, incarnation, takenAtPoll, recordedAttempts, isStoreReachable: true };
+    return { state: { ...state, ...known }, effects: [{ type: 'changed' }] };
+  },
+  recorded(state, { intents, provenAtMs }) {
+    const recordedAttempts = attemptsOf(intents);
+    return plain({ ...state, recordedAttempts, provenAtMs, isStoreReachable: true });
+  },
+  superseded: (state) => plain({ ...state, isSuperseded: true }),
+  'store-failing': (state) => plain({ ...state, isStoreReachable: false }),
+  answered(state, event) {
+    const isSuperseded = state.isSuperseded || event.outcome === 'fenced';
+    return plain({ ...state, ledger: answered(state.ledger, event), isSuperseded });
+  },
+  pin: onPin,
+  unpin: (state, { keys }) => plain({ ...state, ledger: changePins(state.ledger, keys, -1) }),
+  plan: onPlan,
+  rescue: onRescue,
+  replicas: (state, { replicas }) => plain({ ...state, replicas }),
+  leave: (state) => ({ state: { ...state, isLeaving: true }, effects: [{ type: 'changed' }] }),
+  tick(state, _event, nowMs) {
+    const live = [...state.rescues].filter(([, { untilMs }]) => untilMs > nowMs);
+    return plain(live.length < state.rescues.size ? { ...state, rescues: new Map(live) } : state);
+  },
+};
+
+/** A pin or unpin changes nothing that could be ordered, unless an order waits for it. */
+function isQuiet({ ledger }: ResidencyState, { type }: ResidencyEvent): boolean {
+  if (type === 'pin') return true;
+  return type === 'unpin' && ledger.openOrders.size === 0;
+}
+
+/**
+ * Decides about one upstream's memory: what may be pinned, what is ordered and when it may leave.
+ * `rules` are the guards; only the checker passes others than those in force.
+ */
+export function stepResidency(
+  state: ResidencyState,
+  event: ResidencyEvent,
+  nowMs: Ms,
+  rules: ResidencyRules = residencyRulesInForce,
+): Changed {
+  const handle = HANDLERS[event.type] as Handler<ResidencyEvent['type']>;
+  const handled = handle(state, event, nowMs, rules);
+  if (isQuiet(handled.state, event)) return handled;
+  const pursued = pursue(handled.state, nowMs, rules);
+  return { state: pursued.state, effects: [...handled.effects, ...pursued.effects] };
+}
--- a/src/sidecar/incarnation/upstreamkey.ts
+++ b/src/sidecar/incarnation/upstreamkey.ts
@@ -5,8 +5,9 @@
   stepFence,
   type FenceEffect,
   type FenceEvent,
+  type Intent,
 } from '../../core/fence/index.js';
-import type { KeyValueStore, Log, Order } from '../../port/index.js';
+import type { KeyValueStore, Log } from '../../port/index.js';
 import type { FenceListener, IncarnationHolder, IntentLog } from '../part/index.js';
 
 const PREFIX = '/tarragonstile/upstreams/';
@@ -82,7 +83,7 @@
     this.endTicks?.();
   }
 
-  want(intents: readonly Order[]): void {
+  want(intents: readonly Intent[]): void {
     this.take({ type: 'wanted', intents });
   }
 
--- a/test/fence.test.ts
+++ b/test/fence.test.ts
@@ -15,7 +15,8 @@
   sizeBytes: 60,
 };
 
-function item(incarnation: number, owner: string, revision: number, intents: Order[]): KeyValue {
+function item(incarnation: number, owner: string, revision: number, orders: Order[]): KeyValue {
+  const intents = orders.map((order) => ({ order, attempt: 1 }));
   const value = JSON.stringify({ incarnation, owner, intents });
   return { key: KEY, value, revision: revision as Revision };
 }
@@ -62,7 +63,7 @@
     { atMs: 0, event: tick },
     { atMs: 3, event: { type: 'read', item: undefined } },
     { atMs: 6, event: swapped(1) },
-    { atMs: 50, event: { type: 'wanted', intents: [load] } },
+    { atMs: 50, event: { type: 'wanted', intents: [{ order: load, attempt: 1 }] } },
     { atMs: 60, event: down },
     { atMs: 310, event: tick },
     { atMs: 312, event: { type: 'read', item: item(1, 'us', 1, []) } },
@@ -77,7 +78,7 @@
     { atMs: 0, event: tick },
     { atMs: 3, event: { type: 'read', item: undefined } },
     { atMs: 6, event: swapped(1) },
-    { atMs: 90_000, event: { type: 'wanted', intents: [load] } },
+    { atMs: 90_000, event: { type: 'wanted', intents: [{ order: load, attempt: 1 }] } },
     {
       atMs: 90_003,
       event: { type: 'swapped', outcome: { type: 'conflict', current: item(2, 'them', 5, []) } },
