TLS for callers, mutual TLS between processes, keys reloaded in place

Until now anybody who reached a sidecar's port could give it work. With peerTls set, both ends of the gRPC hop show a certificate of the same authority whose common name is in allowedNames; names, not addresses, because hosts are replaced at any time. Keys are read again when their files change; files that do not fit each other (as while they are being replaced) leave the last good pair in force. grpc-js's own file watcher was ruled out: it takes up a half-replaced pair and then drops connections.

--- a/src/entry/createdesk.ts
+++ b/src/entry/createdesk.ts
@@ -1,29 +1,30 @@
 import xxhash from 'xxhash-wasm';
 import { systemClock, type Revision } from '../base/index.js';
 import { createAudit, createLog } from '../shell/log/index.js';
-import type { MeshBoard } from '../shell/mesh/index.js';
 import { createMetrics } from '../shell/metric/index.js';
 import { createStore } from '../shell/store/index.js';
+import { peerCredentials } from '../shell/tls/index.js';
 import { defaultLimits } from './defaultlimits.js';
 import type { Desk } from './desk.js';
 import type { EntrySettings } from './entrysettings.js';
 import { Gate } from './gate.js';
 import { KeyIndex } from './keyindex.js';
 import { SharedLink } from './link/index.js';
-import type { Context } from './part/index.js';
 import { createBoard } from './wiring/createboard.js';
 import { createDirectory } from './wiring/createdirectory.js';
 import { createRouter } from './wiring/createrouter.js';
 import { createTickets } from './wiring/createtickets.js';
 
-function createContext(settings: EntrySettings): Context & { readonly board: MeshBoard } {
+function createContext(settings: EntrySettings) {
   const log = createLog('entry', settings.logLevel);
   const metrics = createMetrics('entry', settings.statsd ?? undefined);
   const store = createStore(settings.store, systemClock);
-  const drivers = { settings, clock: systemClock, log, metrics, store };
+  const credentials = peerCredentials(settings.peerTls, log);
+  const drivers = { settings, clock: systemClock, log, metrics, store, credentials };
   const board = createBoard(drivers);
   const link = new SharedLink({
     clock: systemClock,
+    credentials: credentials.channel,
     revision: () => board.revision(),
     sawRevision: (revision, from) => board.sawRevision(revision as Revision, from),
   });
--- a/src/entry/desk.ts
+++ b/src/entry/desk.ts
@@ -1,4 +1,5 @@
 import type { MeshBoard } from '../shell/mesh/index.js';
+import type { PeerCredentials } from '../shell/tls/index.js';
 import type { EntryLimits } from './entrylimits.js';
 import type { Gate } from './gate.js';
 import type { KeyIndex } from './keyindex.js';
@@ -8,6 +9,7 @@
 /** What the handlers of callers' requests share. */
 export interface Desk extends Context {
   readonly board: MeshBoard;
+  readonly credentials: PeerCredentials;
   readonly directory: Directory;
   readonly router: Router;
   readonly tickets: Tickets;
--- a/src/entry/entryschema.ts
+++ b/src/entry/entryschema.ts
@@ -1,6 +1,8 @@
 import type { JSONSchemaType } from 'ajv';
 import { hostListSchema } from '../shell/hosts/index.js';
+import { statsdSchema } from '../shell/metric/index.js';
 import { storeSchema } from '../shell/store/index.js';
+import { keySchema, peerSchema } from '../shell/tls/index.js';
 import { defaultLimits } from './defaultlimits.js';
 import type { EntrySettings } from './entrysettings.js';
 
@@ -36,14 +38,9 @@
     drainTimeoutMs: { type: 'integer', minimum: 0, default: 30000 },
     bodyBytes: { type: 'integer', minimum: 1024, default: DEFAULT_BODY_BYTES },
     store: storeSchema as never,
-    statsd: {
-      type: 'object',
-      nullable: true,
-      additionalProperties: false,
-      required: ['host', 'port'],
-      properties: { host: { type: 'string' }, port: { type: 'integer' } },
-      default: null,
-    } as never,
+    tls: keySchema as never,
+    peerTls: peerSchema as never,
+    statsd: statsdSchema as never,
     limits: {
       type: 'object',
       additionalProperties: false,
--- a/src/entry/entrysettings.ts
+++ b/src/entry/entrysettings.ts
@@ -1,5 +1,6 @@
 import type { HostListSettings } from '../shell/hosts/index.js';
 import type { StoreSettings } from '../shell/store/index.js';
+import type { KeySettings, PeerSettings } from '../shell/tls/index.js';
 import type { EntryLimits } from './entrylimits.js';
 
 /** Settings of an entry. Addresses are IP numbers with a port. */
@@ -25,6 +26,10 @@
   readonly bodyBytes: number;
   /** The platform's key-value service; without it, documents come from files and nothing is kept. */
   readonly store?: StoreSettings | null;
+  /** HTTPS for callers; without it, the listener speaks plain HTTP. */
+  readonly tls?: KeySettings | null;
+  /** Mutual TLS towards sidecars and other entries. */
+  readonly peerTls?: PeerSettings | null;
   /** Where metrics go; without it none are sent. */
   readonly statsd?: { readonly host: string; readonly port: number } | null;
   /** Bounds on callers; those not given take their default. */
--- a/src/entry/link/linkoptions.ts
+++ b/src/entry/link/linkoptions.ts
@@ -1,8 +1,11 @@
+import type { ChannelCredentials } from '@grpc/grpc-js';
 import type { Clock } from '../../base/index.js';
 
 /** Options of the hop to the sidecars. */
 export interface LinkOptions {
   readonly clock: Clock;
+  /** How sidecars are met; unauthenticated by default. */
+  readonly credentials?: ChannelCredentials;
   /** Highest configuration revision in force here. */
   readonly revision: () => number;
   /** Told when the revision in force at a sidecar has changed. */
--- a/src/entry/link/sharedlink.ts
+++ b/src/entry/link/sharedlink.ts
@@ -34,7 +34,11 @@
   client(sidecarAddress: string): WorkClient {
     const known = this.clients.get(sidecarAddress);
     if (known) return known;
-    const made = new WorkClient(sidecarAddress, credentials.createInsecure(), channelOptions);
+    const made = new WorkClient(
+      sidecarAddress,
+      this.options.credentials ?? credentials.createInsecure(),
+      channelOptions,
+    );
     this.clients.set(sidecarAddress, made);
     return made;
   }
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -1,9 +1,12 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as SecureServer } from 'node:https';
 import type { Socket } from 'node:net';
 import { toNodeHandler } from 'h3/node';
 import type { H3 } from 'h3';
 import { nanoid } from 'nanoid';
+import type { Log } from '../port/index.js';
 import { refuse } from '../core/refusal/index.js';
+import { callerServer, type KeySettings } from '../shell/tls/index.js';
 import type { EntryLimits } from './entrylimits.js';
 import { problem } from './problem.js';
 import { sendProblem } from './sendproblem.js';
@@ -33,13 +36,15 @@
 function limitConnections(server: Server, limit: number, listen: Listen): Listen {
   const inside = new WeakSet<object>();
   let open = 0;
-  server.on('connection', (socket: Socket) => {
+  const admit = (socket: Socket) => {
     if (open < limit) inside.add(socket);
     open += 1;
     socket.once('close', () => {
       open -= 1;
     });
-  });
+  };
+  // Over TLS, a request's socket is the one that this event brings.
+  server.on(server instanceof SecureServer ? 'secureConnection' : 'connection', admit);
   return (request, response) => {
     if (inside.has(request.socket)) {
       listen(request, response);
@@ -53,8 +58,13 @@
 }
 
 /** The HTTP server of an entry, with its limits. */
-export function createListener(app: H3, limits: EntryLimits): Server {
-  const server = createServer({
+export function createListener(
+  app: H3,
+  limits: EntryLimits,
+  tls: KeySettings | null | undefined,
+  log: Log,
+): Server {
+  const server = callerServer(tls, log, {
     maxHeaderSize: limits.headerBytes,
     requestTimeout: limits.requestTimeoutMs,
     headersTimeout: limits.requestTimeoutMs,
--- a/src/entry/startentry.ts
+++ b/src/entry/startentry.ts
@@ -43,8 +43,8 @@
 /** Starts an entry: callers' HTTP on one side, sidecars on the other. */
 export async function startEntry(settings: EntrySettings): Promise<Entry> {
   const desk = await createDesk(settings);
-  const mesh = await openMesh(desk.board, settings.meshListen);
-  const server = createListener(createApp(desk), desk.limits);
+  const mesh = await openMesh(desk, settings.meshListen);
+  const server = createListener(createApp(desk), desk.limits, settings.tls, desk.log);
   const port = await listen(server, settings.listen);
   const endSweep = sweepOften(desk);
   desk.log.info('listening', { port });
@@ -54,6 +54,7 @@
       await stopEntry.stop(desk, server);
       endSweep();
       mesh.close();
+      desk.credentials.close();
     },
     expire: () => stopEntry.expire(desk),
   };
--- a/src/shell/mesh/meshboard.ts
+++ b/src/shell/mesh/meshboard.ts
@@ -79,7 +79,7 @@
     const hasHostList = options.hostList !== undefined;
     const self = { id: options.hostId, address: '', role, interests, hasHostList, hasStore };
     this.state = createMesh(self, seed, clock.nowMs(), tuning);
-    this.clients = new MeshClients(options.callTimeoutMs ?? CALL_TIMEOUT_MS);
+    this.clients = new MeshClients(options.callTimeoutMs ?? CALL_TIMEOUT_MS, options.credentials);
     this.watch = new StoreWatch(options.store, options.region, (event) => this.dispatch(event));
     this.hosts = new HostPoll(options, options.hostListPollMs ?? HOST_LIST_POLL_MS, (event) =>
       this.dispatch(event),
--- a/src/shell/mesh/meshboardoptions.ts
+++ b/src/shell/mesh/meshboardoptions.ts
@@ -1,3 +1,4 @@
+import type { ChannelCredentials } from '@grpc/grpc-js';
 import type { Clock, HostId, Ms } from '../../base/index.js';
 import type { MeshOptions } from '../../core/mesh/index.js';
 import type { HostList, KeyValueStore, Log, Metrics } from '../../port/index.js';
@@ -23,5 +24,7 @@
   readonly seed: number;
   /** Longest wait for a peer's answer; 300 by default. */
   readonly callTimeoutMs?: Ms;
+  /** How peers are met; unauthenticated by default. */
+  readonly credentials?: ChannelCredentials;
   readonly tuning?: Partial<MeshOptions>;
 }
--- a/src/shell/metric/index.ts
+++ b/src/shell/metric/index.ts
@@ -1,2 +1,3 @@
 /** The metrics driver. */
 export { createMetrics } from './createmetrics.js';
+export { statsdSchema } from './statsdschema.js';
--- /dev/null
+++ b/src/shell/metric/statsdschema.ts
@@ -0,0 +1,14 @@
+const MAX_PORT = 65_535;
+
+/** Schema of `statsd`: where metrics are sent; null or absent means nowhere. */
+export const statsdSchema = {
+  type: 'object',
+  nullable: true,
+  default: null,
+  additionalProperties: false,
+  required: ['host', 'port'],
+  properties: {
+    host: { type: 'string', minLength: 1 },
+    port: { type: 'integer', minimum: 1, maximum: MAX_PORT },
+  },
+} as const;
--- /dev/null
+++ b/src/shell/tls/peercredentials.ts
@@ -0,0 +1,44 @@
+import { ChannelCredentials, ServerCredentials, experimental } from '@grpc/grpc-js';
+import type { PeerCertificate } from 'node:tls';
+import { FailureError } from '../../base/index.js';
+import type { Log } from '../../port/index.js';
+import { checkName } from './checkname.js';
+import { KeyFiles } from './keyfiles.js';
+import { nameOf } from './nameof.js';
+import type { PeerCredentials } from './credentials.js';
+import type { PeerSettings } from './peersettings.js';
+
+const INSECURE: PeerCredentials = {
+  server: ServerCredentials.createInsecure(),
+  channel: ChannelCredentials.createInsecure(),
+  close() {},
+};
+
+/** A server is known by its common name: hosts come and go, so its address proves nothing. */
+function serverCheck(allowedNames: readonly string[]) {
+  return (_host: string, certificate: PeerCertificate): Error | undefined => {
+    const name = nameOf(certificate);
+    if (allowedNames.includes(name)) return undefined;
+    const detail = `The certificate's common name ${name || '(none)'} is not in allowedNames.`;
+    return new FailureError({ type: 'peer-unknown', detail });
+  };
+}
+
+/** Mutual TLS if the settings ask for it, with keys reloaded while the process runs. */
+export function peerCredentials(
+  settings: PeerSettings | null | undefined,
+  log: Log,
+): PeerCredentials {
+  if (!settings) return INSECURE;
+  const opened = KeyFiles.open(settings, log);
+  if (opened.err) throw new FailureError(opened.val);
+  const files = opened.val;
+  const server = experimental.createServerCredentialsWithInterceptors(
+    experimental.createCertificateProviderServerCredentials(files, files, true),
+    [checkName(settings.allowedNames)],
+  );
+  const channel = experimental.createCertificateProviderChannelCredentials(files, files, {
+    checkServerIdentity: serverCheck(settings.allowedNames),
+  });
+  return { server, channel, close: () => files.close() };
+}
--- a/src/sidecar/createcontext.ts
+++ b/src/sidecar/createcontext.ts
@@ -4,6 +4,7 @@
 import { createMetrics } from '../shell/metric/index.js';
 import type { MeshBoard } from '../shell/mesh/index.js';
 import { createStore } from '../shell/store/index.js';
+import { peerCredentials, type PeerCredentials } from '../shell/tls/index.js';
 import { UpstreamKey } from './incarnation/index.js';
 import type { Context } from './part/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
@@ -12,6 +13,7 @@
 /** A context, and the way to end what its parts keep running. */
 interface OpenContext extends Context {
   readonly board: MeshBoard;
+  readonly credentials: PeerCredentials;
   close(): void;
 }
 
@@ -23,7 +25,9 @@
   const ends: (() => void)[] = [() => upstreamKey.stop()];
   upstreamKey.start();
   const metrics = createMetrics('sidecar', settings.statsd ?? undefined);
-  const board = createBoard({ settings, clock: systemClock, log, metrics, store });
+  const credentials = peerCredentials(settings.peerTls, log);
+  ends.push(() => credentials.close());
+  const board = createBoard({ settings, clock: systemClock, log, metrics, store, credentials });
   ends.push(() => board.stop());
   return {
     settings,
@@ -33,6 +37,7 @@
     metrics,
     audit: createAudit(log),
     board,
+    credentials,
     store,
     incarnation: upstreamKey,
     intents: upstreamKey,
--- a/src/sidecar/sidecarschema.ts
+++ b/src/sidecar/sidecarschema.ts
@@ -1,6 +1,8 @@
 import type { JSONSchemaType } from 'ajv';
 import { hostListSchema } from '../shell/hosts/index.js';
+import { statsdSchema } from '../shell/metric/index.js';
 import { storeSchema } from '../shell/store/index.js';
+import { peerSchema } from '../shell/tls/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 
 /** Schema of a sidecar's settings file. */
@@ -28,15 +30,9 @@
     logLevel: { type: 'string', enum: ['error', 'warn', 'info', 'debug'], default: 'info' },
     drainTimeoutMs: { type: 'integer', minimum: 0, default: 30000 },
     slots: { type: 'integer', minimum: 1, default: 16 },
-    statsd: {
-      type: 'object',
-      nullable: true,
-      additionalProperties: false,
-      required: ['host', 'port'],
-      properties: { host: { type: 'string' }, port: { type: 'integer' } },
-      default: null,
-    } as never,
+    statsd: statsdSchema as never,
     hostList: hostListSchema as never,
     store: storeSchema as never,
+    peerTls: peerSchema as never,
   },
 };
--- a/src/sidecar/sidecarsettings.ts
+++ b/src/sidecar/sidecarsettings.ts
@@ -1,5 +1,6 @@
 import type { HostListSettings } from '../shell/hosts/index.js';
 import type { StoreSettings } from '../shell/store/index.js';
+import type { PeerSettings } from '../shell/tls/index.js';
 
 /** Settings of a sidecar. Addresses are IP numbers with a port. */
 export interface SidecarSettings {
@@ -21,4 +22,6 @@
   readonly hostList?: HostListSettings | null;
   /** The platform's key-value service; without it, documents come from files and nothing is kept. */
   readonly store?: StoreSettings | null;
+  /** Mutual TLS: with it, only peers that it allows are given work or taken at their word. */
+  readonly peerTls?: PeerSettings | null;
 }
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -1,4 +1,4 @@
-import { Server, ServerCredentials, status } from '@grpc/grpc-js';
+import { Server, status } from '@grpc/grpc-js';
 import { HttpEngine, HttpService } from '../shell/engine/index.js';
 import { channelOptions } from '../shell/rpc/index.js';
 import { MeshService, WorkService, type WorkServer } from '../wire/index.js';
@@ -48,7 +48,7 @@
   server.addService(WorkService, handlers);
   server.addService(MeshService, context.board.handlers());
   const port = await new Promise<number>((resolve, reject) => {
-    server.bindAsync(settings.listen, ServerCredentials.createInsecure(), (error, bound) =>
+    server.bindAsync(settings.listen, context.credentials.server, (error, bound) =>
       error ? reject(error) : resolve(bound),
     );
   });
