--- a/src/core/text/describeinvalid.ts
+++ b/src/core/text/describeinvalid.ts
@@ -41,9 +41,19 @@
   return { type, pointer, detail };
 }
 
+/** A value that does not have the form that the schema describes in words. */
+function wrongForm(error: ErrorObject): Invalid | undefined {
+  const { description } = (error.parentSchema ?? {}) as { description?: string };
+  if (error.keyword !== 'format' || !description) return undefined;
+  const detail = `expected ${description}, found ${JSON.stringify(error.data)}`;
+  return { type: 'invalid', pointer: error.instancePath, detail };
+}
+
 /** Words an error of a schema check (with `verbose`) for a person. */
 export function describeInvalid(error: ErrorObject): Invalid {
   if (error.keyword === 'additionalProperties') return unknownField(error);
+  const described = wrongForm(error);
+  if (described) return described;
   const pointer = error.instancePath;
   const message = error.message ?? 'is invalid';
   const detail = `${message}${allowedValues(error)}${unitHint(pointer)}`;
--- a/src/entry/entryschema.ts
+++ b/src/entry/entryschema.ts
@@ -1,11 +1,13 @@
 import type { JSONSchemaType } from 'ajv';
 import { hostListSchema } from '../shell/hosts/index.js';
+import { fieldSchemas } from '../shell/settings/index.js';
 import { statsdSchema } from '../shell/metric/index.js';
 import { storeSchema } from '../shell/store/index.js';
 import { keySchema, peerSchema } from '../shell/tls/index.js';
 import { defaultLimits } from './defaultlimits.js';
 import type { EntrySettings } from './entrysettings.js';
 
+const MAX_PORT = 65_535;
 const DEFAULT_BODY_BYTES = 1_048_576;
 
 /** Each limit by its name, with its default. */
@@ -22,20 +24,23 @@
   additionalProperties: false,
   required: ['hostId', 'region', 'availabilityZone', 'listen'],
   properties: {
-    hostId: { type: 'string', minLength: 1 },
-    region: { type: 'string', minLength: 1 },
-    availabilityZone: { type: 'string', minLength: 1 },
+    hostId: fieldSchemas.name,
+    region: fieldSchemas.name,
+    availabilityZone: fieldSchemas.name,
     listen: {
       type: 'object',
       additionalProperties: false,
       required: ['host', 'port'],
-      properties: { host: { type: 'string' }, port: { type: 'integer', minimum: 0 } },
+      properties: {
+        host: fieldSchemas.ip,
+        port: { type: 'integer', minimum: 0, maximum: MAX_PORT },
+      },
     },
-    meshListen: { type: 'string', nullable: true, pattern: '^[0-9a-fA-F.:\\[\\]]+:\\d+$' },
+    meshListen: { ...fieldSchemas.address, nullable: true },
     hostList: hostListSchema as never,
     documents: { type: 'array', items: { type: 'string' }, nullable: true },
-    logLevel: { type: 'string', enum: ['error', 'warn', 'info', 'debug'], default: 'info' },
-    drainTimeoutMs: { type: 'integer', minimum: 0, default: 30000 },
+    logLevel: fieldSchemas.logLevel,
+    drainTimeoutMs: fieldSchemas.drainTimeoutMs,
     bodyBytes: { type: 'integer', minimum: 1024, default: DEFAULT_BODY_BYTES },
     store: storeSchema as never,
     tls: keySchema as never,
--- a/src/shell/hosts/hostlistschema.ts
+++ b/src/shell/hosts/hostlistschema.ts
@@ -5,7 +5,7 @@
   additionalProperties: false,
   required: ['url'],
   properties: {
-    url: { type: 'string', pattern: '^https?://' },
+    url: { type: 'string', format: 'url', description: 'an http or https URL' },
     pollMs: { type: 'integer', minimum: 100, default: 5000 },
     timeoutMs: { type: 'integer', minimum: 1, default: 2000 },
   },
--- a/src/shell/metric/statsdschema.ts
+++ b/src/shell/metric/statsdschema.ts
@@ -8,7 +8,7 @@
   additionalProperties: false,
   required: ['host', 'port'],
   properties: {
-    host: { type: 'string', minLength: 1 },
+    host: { type: 'string', format: 'ip', description: 'an IP number, for example 10.0.0.1' },
     port: { type: 'integer', minimum: 1, maximum: MAX_PORT },
   },
 } as const;
--- a/src/shell/settings/index.ts
+++ b/src/shell/settings/index.ts
@@ -1,3 +1,4 @@
 /** Reading and checking of settings files. */
+export { fieldSchemas } from './fieldschemas.js';
 export { loadSettings } from './loadsettings.js';
 export type { SettingsFailure } from './settingsfailure.js';
--- a/src/shell/settings/loadsettings.ts
+++ b/src/shell/settings/loadsettings.ts
@@ -4,6 +4,7 @@
 import type { Result } from 'ts-results';
 import { result, settle } from '../../base/index.js';
 import { describeInvalid, locate, position } from '../../core/text/index.js';
+import { formats } from './formats.js';
 import type { SettingsFailure } from './settingsfailure.js';
 
 /**
@@ -33,7 +34,7 @@
     const detail = `${file}:${line}:${column}: ${printParseErrorCode(syntax.error)}`;
     return result.Err({ type: 'settings-syntax', detail, file, line, column });
   }
-  const check = new Ajv({ useDefaults: true, allErrors: false, verbose: true }).compile(schema);
+  const check = new Ajv({ useDefaults: true, verbose: true, formats }).compile(schema);
   if (check(value)) return result.Ok(value);
   const [error] = check.errors ?? [];
   const invalid = error ? describeInvalid(error) : { pointer: '', detail: 'is invalid' };
--- a/src/shell/store/storeschema.ts
+++ b/src/shell/store/storeschema.ts
@@ -5,7 +5,11 @@
   additionalProperties: false,
   required: ['urls'],
   properties: {
-    urls: { type: 'array', minItems: 1, items: { type: 'string', pattern: '^https?://' } },
+    urls: {
+      type: 'array',
+      minItems: 1,
+      items: { type: 'string', format: 'url', description: 'an http or https URL' },
+    },
     readsPerSecond: { type: 'integer', minimum: 1, default: 20 },
     writesPerSecond: { type: 'integer', minimum: 1, default: 10 },
     timeoutMs: { type: 'integer', minimum: 1, default: 2000 },
--- a/src/sidecar/sidecarschema.ts
+++ b/src/sidecar/sidecarschema.ts
@@ -1,5 +1,6 @@
 import type { JSONSchemaType } from 'ajv';
 import { hostListSchema } from '../shell/hosts/index.js';
+import { fieldSchemas } from '../shell/settings/index.js';
 import { statsdSchema } from '../shell/metric/index.js';
 import { storeSchema } from '../shell/store/index.js';
 import { peerSchema } from '../shell/tls/index.js';
@@ -19,16 +20,16 @@
     'upstreamUrl',
   ],
   properties: {
-    upstream: { type: 'string', minLength: 1 },
-    service: { type: 'string', minLength: 1 },
-    hostId: { type: 'string', minLength: 1 },
-    region: { type: 'string', minLength: 1 },
-    availabilityZone: { type: 'string', minLength: 1 },
-    listen: { type: 'string', pattern: '^[0-9a-fA-F.:\\[\\]]+:\\d+$' },
-    upstreamUrl: { type: 'string', pattern: '^https?://' },
+    upstream: fieldSchemas.name,
+    service: fieldSchemas.name,
+    hostId: fieldSchemas.name,
+    region: fieldSchemas.name,
+    availabilityZone: fieldSchemas.name,
+    listen: fieldSchemas.address,
+    upstreamUrl: fieldSchemas.url,
     upstreamType: { type: 'string', enum: ['engine', 'plain'], default: 'engine' },
-    logLevel: { type: 'string', enum: ['error', 'warn', 'info', 'debug'], default: 'info' },
-    drainTimeoutMs: { type: 'integer', minimum: 0, default: 30000 },
+    logLevel: fieldSchemas.logLevel,
+    drainTimeoutMs: fieldSchemas.drainTimeoutMs,
     slots: { type: 'integer', minimum: 1, default: 16 },
     statsd: statsdSchema as never,
     hostList: hostListSchema as never,
