Operators' commands: check, apply, get, diff, rollback, audit, status

Cause: documents could be brought into force only by writing the store's value by hand.

Ruled out: an env variable on oclif's repeatable flag (its value arrives as one string, not as a list).

Conclusion: tried as processes against the stand-in store in test/command.test.ts: a race, a lost answer, an outage, a rollback, a wait that ends early.

--- a/bin/tarragonstile.js
+++ b/bin/tarragonstile.js
@@ -1,4 +1,10 @@
 #!/usr/bin/env node
-import { execute } from '@oclif/core';
+import { flush, run } from '@oclif/core';
+import { reportError } from '../dist/src/command/operator/reporterror.js';
 
-await execute({ dir: import.meta.url });
+try {
+  await run(process.argv.slice(2), import.meta.url);
+  await flush();
+} catch (error) {
+  await reportError(error);
+}
--- /dev/null
+++ b/src/command/check.ts
@@ -0,0 +1,42 @@
+import { Args } from '@oclif/core';
+import type { ServiceId } from '../base/index.js';
+import { readDocument, type ServiceDocument } from '../core/document/index.js';
+import { checkFile } from './operator/checkfile.js';
+import { OperatorCommand } from './operator/operatorcommand.js';
+
+/** `tarragonstile check`: all that `apply` checks, without a write. */
+export default class CheckCommand extends OperatorCommand {
+  static override description =
+    'Checks a document; with a store, also against what is in force there.';
+
+  static override args = { file: Args.string({ required: true, description: 'the document' }) };
+
+  async run(): Promise<unknown> {
+    const { args, flags } = await this.parse(CheckCommand);
+    const alone = checkFile(args.file, {});
+    if (alone.err) return this.stop(alone.val);
+    const { document } = alone.val;
+    const settings = this.settingsFrom(flags);
+    const team = settings.team ?? undefined;
+    const previous = settings.store ? await this.inForce(flags, document.service) : undefined;
+    const checked = checkFile(args.file, { previous, team });
+    if (checked.err) return this.stop(checked.val);
+    const { service, models, adapters, groups } = document;
+    const upstreams = groups.flatMap((group) => group.upstreams).length;
+    const told = { service, models: models.length, adapters: adapters.length, upstreams };
+    this.log(
+      `${args.file}: ${service}: ${told.models} models, ${told.adapters} adapters, ` +
+        `${upstreams} upstreams: no fault found`,
+    );
+    return told;
+  }
+
+  private async inForce(
+    flags: Parameters<CheckCommand['storeFrom']>[0],
+    service: ServiceId,
+  ): Promise<ServiceDocument | undefined> {
+    const held = await this.held(this.storeFrom(flags), service);
+    const document = held ? readDocument(held.stored.document) : undefined;
+    return document?.ok ? document.val : undefined;
+  }
+}
--- /dev/null
+++ b/src/command/rollback.ts
@@ -0,0 +1,22 @@
+import { Args, Flags } from '@oclif/core';
+import type { ChangeId, ServiceId } from '../base/index.js';
+import { changeFlags } from './operator/changeflags.js';
+import { ChangeCommand } from './operator/changecommand.js';
+
+/** `tarragonstile rollback`: a new change with the text of an old one. */
+export default class RollbackCommand extends ChangeCommand {
+  static override description = 'Brings the document of an earlier change into force again.';
+
+  static override args = { service: Args.string({ required: true, description: 'the service' }) };
+
+  static override flags = {
+    ...changeFlags,
+    to: Flags.string({ required: true, description: 'change whose document is wanted back' }),
+  };
+
+  async run(): Promise<unknown> {
+    const { args, flags } = await this.parse(RollbackCommand);
+    const source = { type: 'rollback' as const, to: flags.to as ChangeId };
+    return this.change(flags, args.service as ServiceId, source);
+  }
+}
--- a/src/command/table.ts
+++ b/src/command/table.ts
@@ -1,7 +1,24 @@
+import ApplyCommand from './apply.js';
+import AuditCommand from './audit.js';
+import CheckCommand from './check.js';
+import DiffCommand from './diff.js';
 import EntryCommand from './entry.js';
+import GetCommand from './get.js';
+import RollbackCommand from './rollback.js';
 import SidecarCommand from './sidecar.js';
+import StatusCommand from './status.js';
 
 /** Every command, by name. */
-const COMMANDS = { entry: EntryCommand, sidecar: SidecarCommand };
+const COMMANDS = {
+  apply: ApplyCommand,
+  audit: AuditCommand,
+  check: CheckCommand,
+  diff: DiffCommand,
+  entry: EntryCommand,
+  get: GetCommand,
+  rollback: RollbackCommand,
+  sidecar: SidecarCommand,
+  status: StatusCommand,
+};
 
 export default COMMANDS;
--- a/src/core/document/schemafindings.ts
+++ b/src/core/document/schemafindings.ts
@@ -11,14 +11,21 @@
   invalid: 'document-invalid',
 } as const;
 
-/** `if` only repeats what its branch has said. */
-const isTold = ({ keyword }: ErrorObject) => keyword !== 'if';
+/** JSON pointer of the field that an error misses. */
+function missing({ keyword, instancePath, params }: ErrorObject): string | undefined {
+  if (keyword !== 'required') return undefined;
+  return `${instancePath}/${(params as { missingProperty: string }).missingProperty}`;
+}
 
 /** Finds where a value departs from the published schema. */
 export function schemaFindings(value: unknown): readonly Finding[] {
   if (validate(value)) return [];
-  return (validate.errors ?? [])
-    .filter(isTold)
-    .map(describeInvalid)
-    .map((invalid) => ({ ...invalid, type: TYPES[invalid.type] }));
+  // `if` only repeats what its branch has said.
+  const errors = (validate.errors ?? []).filter(({ keyword }) => keyword !== 'if');
+  const told = errors.map((error) => ({ ...describeInvalid(error), missing: missing(error) }));
+  // A misspelt field is told once, not also as a missing one.
+  const meant = new Set(told.map((invalid) => invalid.meant));
+  return told
+    .filter((invalid) => invalid.missing === undefined || !meant.has(invalid.missing))
+    .map(({ type, pointer, detail }) => ({ type: TYPES[type], pointer, detail }));
 }
--- a/src/core/text/describeinvalid.ts
+++ b/src/core/text/describeinvalid.ts
@@ -7,6 +7,8 @@
   /** JSON pointer of the field that is wrong, or of the object that lacks one. */
   readonly pointer: string;
   readonly detail: string;
+  /** JSON pointer of the field that an unknown one is taken to mean. */
+  readonly meant?: string;
 }
 
 /** Units by the ending of a field's name. */
@@ -38,7 +40,7 @@
   if (!meant) return { type: 'unknown-field', pointer, detail: 'unknown field' };
   const type = meant.otherUnit ? 'wrong-unit' : 'unknown-field';
   const detail = `unknown field; did you mean ${meant.field}?${unitHint(meant.field)}`;
-  return { type, pointer, detail };
+  return { type, pointer, detail, meant: `${error.instancePath}/${meant.field}` };
 }
 
 /** A value that does not have the form that the schema describes in words. */
--- /dev/null
+++ b/src/shell/entries/askentries.ts
@@ -0,0 +1,25 @@
+import { request } from 'undici';
+import { settle, type Ms } from '../../base/index.js';
+import type { EntryReport } from './entryreport.js';
+import type { EntryStatus } from './entrystatus.js';
+
+const TIMEOUT_MS: Ms = 2000;
+const OK = 200;
+
+async function ask(url: string): Promise<EntryReport> {
+  try {
+    const answer = await request(`${url}/statusz`, { signal: AbortSignal.timeout(TIMEOUT_MS) });
+    const body = await answer.body.text();
+    if (answer.statusCode === OK) {
+      return { type: 'answered', url, status: JSON.parse(body) as EntryStatus };
+    }
+    return { type: 'unreachable', url, detail: `answered ${answer.statusCode}` };
+  } catch (thrown) {
+    return { type: 'unreachable', url, detail: settle('entry-unreachable', thrown).detail };
+  }
+}
+
+/** Asks each entry for its status, all at once. */
+export function askEntries(urls: readonly string[]): Promise<readonly EntryReport[]> {
+  return Promise.all(urls.map(ask));
+}
--- /dev/null
+++ b/src/shell/entries/index.ts
@@ -0,0 +1,4 @@
+/** Asks entries how far they are, for operators. */
+export { askEntries } from './askentries.js';
+export type { EntryReport } from './entryreport.js';
+export type { EntryStatus } from './entrystatus.js';
--- /dev/null
+++ b/test/command.test.ts
@@ -0,0 +1,131 @@
+import { execFile } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { startEntry } from '../src/index.js';
+import { MemoryStore, StoreServer } from '../standin/index.js';
+
+const ROOT = join(import.meta.dirname, '..', '..');
+const BIN = join(ROOT, 'bin', 'tarragonstile.js');
+const PADRON = join(ROOT, 'examples', 'reenvio-norte', 'padron.jsonc');
+
+interface Ran {
+  readonly exitCode: number;
+  readonly out: string;
+  readonly errors: string;
+}
+
+function run(...args: string[]): Promise<Ran> {
+  return new Promise((resolve) => {
+    const child = execFile(process.execPath, [BIN, ...args], (_error, out, errors) => {
+      resolve({ exitCode: child.exitCode ?? -1, out, errors });
+    });
+  });
+}
+
+/** Runs a reading command and gives what it tells as JSON. */
+async function told<Told>(...args: string[]): Promise<Told> {
+  const { out } = await run(...args, '--json');
+  return JSON.parse(out) as Told;
+}
+
+async function openStore() {
+  const store = new MemoryStore();
+  const server = new StoreServer(store);
+  return { store, server, url: await server.listen() };
+}
+
+/** A file with the example document of the plain service after an edit. */
+function edited(from: string, to: string): string {
+  const file = join(mkdtempSync(join(tmpdir(), 'tarragonstile-')), 'padron.jsonc');
+  writeFileSync(file, readFileSync(PADRON, 'utf8').replace(from, to));
+  return file;
+}
+
+test('a document is checked, applied, read, changed and rolled back', async (t) => {
+  const { server, url } = await openStore();
+  const store = ['--store', url];
+  t.is((await run('check', PADRON)).exitCode, 0);
+  const first = ['--expect', '0', '--cause', 'first', '--change-id', 'c1'];
+  t.is((await run('apply', PADRON, ...first, ...store)).exitCode, 0);
+  const slow = edited('"deadlineMs": 500', '"deadlineMs": 700');
+  const racing = await run('apply', slow, '--expect', '0', ...store);
+  t.is(racing.exitCode, 4);
+  t.regex(racing.errors, /revision-conflict[^]*- +"deadlineMs": 500[^]*\+ +"deadlineMs": 700/);
+  const { revision } = await told<{ revision: number }>('get', 'padron', ...store);
+  const second = ['--expect', String(revision), '--change-id', 'c2'];
+  t.is((await run('apply', slow, ...second, ...store)).exitCode, 0);
+  const back = ['rollback', 'padron', '--to', 'c1', '--expect', String(revision + 1)];
+  t.is((await run(...back, ...store)).exitCode, 0);
+  const same = await told<{ diff: string }>('diff', PADRON, ...store);
+  t.is(same.diff, '');
+  const audit = await told<{ whole: boolean; entries: { act: string; cause: string }[] }>(
+    'audit',
+    'padron',
+    ...store,
+  );
+  t.true(audit.whole);
+  t.deepEqual(
+    audit.entries.map(({ act, cause }) => [act, cause]),
+    [
+      ['apply', 'first'],
+      ['apply', ''],
+      ['rollback', ''],
+    ],
+  );
+  await server.close();
+});
+
+test('failures are told without a stack and by their exit code', async (t) => {
+  const { store, server, url } = await openStore();
+  const bad = edited('"deadlineMs": 500', '"deadlineSeconds": 1');
+  const [refused, missing, settings, unknown] = await Promise.all([
+    run('check', bad),
+    run('check', 'nowhere.jsonc'),
+    run('entry', '--settings', PADRON),
+    run('get', 'nobody', '--store', url),
+  ]);
+  t.is(refused.exitCode, 3);
+  t.regex(refused.errors, /padron\.jsonc:\d+:\d+: kinds\.0\.deadlineSeconds: .*deadlineMs\?/);
+  t.is(missing.exitCode, 3);
+  t.is(settings.exitCode, 3);
+  t.is(unknown.exitCode, 7);
+  store.faults.down = true;
+  const down = await run('apply', PADRON, '--expect', '0', '--store', url);
+  t.is(down.exitCode, 6);
+  await server.close();
+  for (const { errors } of [refused, missing, settings, unknown, down]) {
+    t.notRegex(errors, /^\s+at /m);
+  }
+});
+
+test('a lost answer is read back, and waiting tells where the change is in force', async (t) => {
+  const { store, server, url } = await openStore();
+  const entry = await startEntry({
+    hostId: 'entry-1',
+    region: 'cantabrico',
+    availabilityZone: 'oviedo-a',
+    listen: { host: '127.0.0.1', port: 0 },
+    store: { urls: [url], readsPerSecond: 20, writesPerSecond: 10, timeoutMs: 2000 },
+    logLevel: 'error',
+    drainTimeoutMs: 1000,
+    bodyBytes: 100_000,
+  });
+  const where = ['--store', url, '--entry', `http://127.0.0.1:${entry.port}`];
+  store.faults.loseAnswers = 1;
+  const applied = await run('apply', PADRON, '--expect', '0', '--wait', ...where);
+  t.is(applied.exitCode, 0, applied.errors);
+  t.regex(applied.out, /accepted at revision 2[^]*in force at all 1: entry-1/);
+  const status = await told<{
+    entries: { status: { documents: object[] } }[];
+  }>('status', ...where);
+  t.deepEqual(status.entries[0]?.status.documents, [{ service: 'padron', revision: 2 }]);
+  const slow = edited('"deadlineMs": 500', '"deadlineMs": 700');
+  const partly = ['--wait', '--wait-ms', '0', '--entry', 'http://127.0.0.1:1'];
+  const waited = await run('apply', slow, '--expect', '2', ...partly, ...where);
+  t.is(waited.exitCode, 9);
+  t.regex(waited.errors, /accepted at revision 3/);
+  await entry.stop();
+  await server.close();
+});
