--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -288,7 +288,8 @@
     if (this.closed) return;
     this.closed = true;
     this.forgetDeadline();
-    const { metrics, clock } = this.desk;
+    const { metrics, clock, log } = this.desk;
+    log.info('request', { requestId: this.work.requestId, end });
     metrics.count('request', 1, { end });
     metrics.histogram('request_ms', clock.nowMs() - this.startedMs);
     if (this.firstTokenMs !== undefined) {
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -29,6 +29,8 @@
 
   private started = false;
 
+  private tokenCount = 0;
+
   private dataCount = 0;
 
   private resumeToken: string | undefined;
@@ -156,6 +158,7 @@
       const { payload, tokenCount } = piece.val;
       this.resumeToken = piece.val.resumeToken ?? this.resumeToken;
       this.dataCount += 1;
+      this.tokenCount += tokenCount;
       this.recorder.data(payload);
       this.outlet.send({ $case: 'data', value: { payload, tokenCount } });
       slot.progress(tokenCount);
@@ -178,7 +181,7 @@
   private refuse(refusal: Refusal): void {
     const load = refusal.load ?? this.context.parts.admission.load();
     this.outlet.send({ $case: 'refusal', value: { ...refusal, load } });
-    this.context.metrics.count('request', 1, { end: refusal.type });
+    this.told(refusal.type);
   }
 
   private end(failure: string): void {
@@ -186,6 +189,13 @@
     const load = this.context.parts.admission.load();
     const resumeToken = this.resumeToken ?? '';
     this.outlet.send({ $case: 'end', value: { dataCount, failure, load, resumeToken } });
-    this.context.metrics.count('request', 1, { end: failure || 'answered' });
+    this.told(failure || 'answered');
+  }
+
+  private told(end: string): void {
+    const { requestId, tokenCount } = this;
+    this.context.metrics.count('request', 1, { end });
+    if (tokenCount > 0) this.context.metrics.count('tokens', tokenCount);
+    this.context.log.info('request', { requestId, end, tokenCount });
   }
 }
--- a/src/sidecar/workcontext.ts
+++ b/src/sidecar/workcontext.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../base/index.js';
-import type { Metrics } from '../port/index.js';
+import type { Log, Metrics } from '../port/index.js';
 import type { Parts } from './parts.js';
 import type { UpstreamCall } from './upstreamcall.js';
 
@@ -9,4 +9,5 @@
   readonly parts: Parts;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly log: Log;
 }
