Benchmarks of dissemination: spread, fan-out, cost, calls to the store

64 nodes share a process and speak real gRPC on the loopback; bytes are counted at each node's sockets.

Ruled out: counting bytes of the ports alone, since the calling side has no fixed port.

--- /dev/null
+++ b/bench/mesh/meter.ts
@@ -0,0 +1,46 @@
+import type { Cluster } from './cluster.js';
+import { traffic } from './traffic.js';
+
+const SECOND_MS = 1000;
+const MICROS_PER_MS = 1000;
+const PERCENT = 100;
+
+interface Spent {
+  readonly meanSentBytesPerSecond: number;
+  readonly maxSentBytesPerSecond: number;
+  readonly meanReceivedBytesPerSecond: number;
+  readonly maxReceivedBytesPerSecond: number;
+  /** Of one core, with a share of the stand-in store and of the benchmark itself. */
+  readonly cpuPercentPerNode: number;
+  readonly seconds: number;
+}
+
+/** What the nodes of a cluster spend while something runs. */
+export async function meter(cluster: Cluster, act: () => Promise<void>): Promise<Spent> {
+  const ids = cluster.live().map(({ id }) => id);
+  const before = traffic.read(ids);
+  const cpu = process.cpuUsage();
+  const startMs = performance.now();
+  await act();
+  const elapsedMs = performance.now() - startMs;
+  const used = process.cpuUsage(cpu);
+  const after = traffic.read(ids);
+  const rates = (side: 'sentBytes' | 'receivedBytes') =>
+    ids.map((id) => {
+      const bytes = (after.get(id)?.[side] ?? 0) - (before.get(id)?.[side] ?? 0);
+      return (bytes * SECOND_MS) / elapsedMs;
+    });
+  const sent = rates('sentBytes');
+  const received = rates('receivedBytes');
+  const mean = (values: readonly number[]) =>
+    Math.round(values.reduce((sum, value) => sum + value, 0) / values.length);
+  const cpuMs = (used.user + used.system) / MICROS_PER_MS;
+  return {
+    meanSentBytesPerSecond: mean(sent),
+    maxSentBytesPerSecond: Math.round(Math.max(...sent)),
+    meanReceivedBytesPerSecond: mean(received),
+    maxReceivedBytesPerSecond: Math.round(Math.max(...received)),
+    cpuPercentPerNode: Math.round((cpuMs / elapsedMs / ids.length) * PERCENT * 100) / 100,
+    seconds: Math.round(elapsedMs / SECOND_MS),
+  };
+}
--- /dev/null
+++ b/bench/meshcost.ts
@@ -0,0 +1,98 @@
+import type { BoardRecord } from '../src/shell/board/index.js';
+import { UpstreamRecord } from '../src/wire/index.js';
+import { Cluster } from './mesh/cluster.js';
+import { meter } from './mesh/meter.js';
+
+const PHASE_MS = 10_000;
+/** 54,000 changes a day. */
+const CHANGE_INTERVAL_MS = 1600;
+/** A region at the letter's size, and parts of it for the slopes. */
+const UPSTREAM_COUNTS = [273, 546, 1091];
+const REGION_ENTRIES = 47;
+/** How often the record of one upstream changes. */
+const RECORD_INTERVAL_MS = 60_000;
+const BURST_MS = 100;
+const RESIDENT_COUNT = 5;
+const GIGABYTE = 1_000_000_000;
+
+function recordOf(index: number, sequence: number): BoardRecord {
+  const upstream = `redactor-${index}`;
+  const residents = Array.from({ length: RESIDENT_COUNT }, (_, place) => ({
+    model: `redactor-model-${(index * RESIDENT_COUNT + place) % 1200}`,
+    version: 'v3',
+    adapters: [],
+    phase: 'ready',
+    sizeBytes: (place + 1) * GIGABYTE,
+  }));
+  const demand = residents.map(({ model }) => ({
+    model,
+    askedCount: 1000 + sequence,
+    refusedCount: sequence,
+    serviceTimeMs: 40_000 + sequence,
+  }));
+  const value = UpstreamRecord.encode(
+    UpstreamRecord.fromPartial({
+      upstream,
+      service: 'redactor',
+      incarnation: 7,
+      sequence,
+      phase: 'ready',
+      address: `10.4.${index % 256}.7:7400`,
+      availabilityZone: 'oviedo-a',
+      residents,
+      demand,
+      freeBytes: 3 * GIGABYTE,
+    }),
+  ).finish();
+  const key = `upstream/redactor/${upstream}`;
+  return { key, epoch: 7, sequence, value: Buffer.from(value) };
+}
+
+async function forPhase(act: (elapsedMs: number) => Promise<void>): Promise<void> {
+  const startMs = performance.now();
+  while (performance.now() - startMs < PHASE_MS) await act(performance.now() - startMs);
+}
+
+async function documents(): Promise<object> {
+  const cluster = await Cluster.start({ entryCount: 48, sidecarCount: 16 });
+  await cluster.pause(2000);
+  const idle = await meter(cluster, () => cluster.pause(PHASE_MS));
+  const changing = await meter(cluster, () =>
+    forPhase(async () => {
+      await cluster.write();
+      await cluster.pause(CHANGE_INTERVAL_MS);
+    }),
+  );
+  await cluster.close();
+  return { nodeCount: 64, idle, changing };
+}
+
+/** Every upstream's record changes once a minute; each entry is told of its share of them. */
+async function upstreams(count: number): Promise<object> {
+  const cluster = await Cluster.start({ entryCount: REGION_ENTRIES });
+  const heapBytes = process.memoryUsage().heapUsed;
+  for (let index = 0; index < count; index += 1) cluster.publish(recordOf(index, 1), index);
+  const full = () => cluster.live().every(({ board }) => board.status().recordCount > count);
+  const spreadToAll = await cluster.until(full, 20_000);
+  const grownBytes = process.memoryUsage().heapUsed - heapBytes;
+  let next = 0;
+  const spent = await meter(cluster, () =>
+    forPhase(async (elapsedMs) => {
+      const due = (elapsedMs / RECORD_INTERVAL_MS) * count;
+      for (; next < due; next += 1) cluster.publish(recordOf(next % count, 2 + next), next);
+      await cluster.pause(BURST_MS);
+    }),
+  );
+  await cluster.close();
+  const heapBytesPerRecord = Math.round(grownBytes / count / REGION_ENTRIES);
+  const recordBytes = recordOf(0, 1).value.length;
+  return { upstreamCount: count, spreadToAll, recordBytes, heapBytesPerRecord, ...spent };
+}
+
+/** Bytes, processor time and memory that the dissemination takes from each node. */
+export async function meshCost(): Promise<object> {
+  const ofDocuments = await documents();
+  const ofUpstreams: object[] = [];
+  for (const count of UPSTREAM_COUNTS) ofUpstreams.push(await upstreams(count));
+  return { phaseMs: PHASE_MS, ofDocuments, recordIntervalMs: RECORD_INTERVAL_MS, ofUpstreams };
+}
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -9,4 +9,8 @@
   'config-race': async () => (await import('./configrace.js')).configRace,
   'config-faults': async () => (await import('./configfaults.js')).configFaults,
   'ledger-check': async () => (await import('./ledgercheck.js')).ledgerCheck,
+  'mesh-cost': async () => (await import('./meshcost.js')).meshCost,
+  'mesh-fanout': async () => (await import('./meshfanout.js')).meshFanout,
+  'mesh-spread': async () => (await import('./meshspread.js')).meshSpread,
+  'mesh-store-calls': async () => (await import('./meshstorecalls.js')).meshStoreCalls,
 };
--- a/src/shell/mesh/meshclients.ts
+++ b/src/shell/mesh/meshclients.ts
@@ -18,6 +18,8 @@
   'grpc.max_reconnect_backoff_ms': RECONNECT_MS,
   'grpc.client_idle_timeout_ms': 120_000,
   'grpc.enable_retries': 0,
+  // One process has one client of its own for each peer; processes in one test share none.
+  'grpc.use_local_subchannel_pool': 1,
 };
 
 type Reply<Message> = (error: ServiceError | null, message: Message) => void;
--- a/src/shell/mesh/servemesh.ts
+++ b/src/shell/mesh/servemesh.ts
@@ -15,7 +15,7 @@
 
 /** Opens a gRPC listener for a board and starts the board's exchange. */
 export function serveMesh(
-  board: MeshBoard,
+  board: Pick<MeshBoard, 'handlers' | 'start' | 'stop'>,
   listen: string,
   secrets: ServerCredentials = ServerCredentials.createInsecure(),
 ): Promise<Result<MeshListener, Failure>> {
