The sidecar keeps its engine's memory by ledger, orders and reports

Until now a sidecar let every request through and refused every plan. It now polls its engine's report, takes plans and rescues, orders what is wanted, refuses requests for what is not resident with a typed reason and a time to come back, and tells the region what is resident. A rescue may evict only models that the asking entry knows to be ready at an upstream with a lower id, so two holders never both drop the last two replicas.

Ruled out: all records of the service at each sidecar, for the same knowledge: it grows with the fleet, and the entry that asks has it already. Engines without reports, or without memory in them, serve what they like. Not built: export and import of KV cache between sidecars; broken streams are resumed elsewhere instead.

--- a/bench/ledgercheck/world.ts
+++ b/bench/ledgercheck/world.ts
@@ -59,9 +59,6 @@
 
 const ADAPTERS = new Map([['x', { model: 'c', sizeBytes: 15 }]]);
 
-/** Every model is ready elsewhere, so that all may be evicted. */
-const REPLICAS = new Map(['a', 'b', 'c', 'x'].map((id) => [id, ['t']]));
-
 const ROLES = [undefined, 'mixed', 'prefill', 'decode'] as const;
 
 const LOST: FenceEvent = {
@@ -184,7 +181,6 @@
     const sidecar = new ModelSidecar(`owner-${this.started}`, this.options);
     this.sidecars.push(sidecar);
     this.giveDocument(sidecar, 0);
-    sidecar.take({ type: 'replicas', replicas: REPLICAS }, this.nowMs);
     sidecar.hold({ type: 'tick' }, this.nowMs);
   }
 
@@ -350,7 +346,8 @@
     const adapters = Math.floor(pick / 8) % 2 === 1 ? ['x'] : [];
     const role = ROLES[Math.floor(pick / 16) % ROLES.length];
     const models = names.map((model) => ({ model, version: '', adapters, urgency: 0 }));
-    const plan = { epoch: 1, sequence: 1, models, role };
+    // Every model may go, so that much is moved.
+    const plan = { epoch: 1, sequence: 1, models, role, keepUntilPlaced: [] };
     sidecar.take({ type: 'plan', upstream: 'u', plan }, this.nowMs);
   }
 
--- /dev/null
+++ b/src/core/drain/drainevent.ts
@@ -0,0 +1,8 @@
+import type { DrainState } from './drainstate.js';
+
+/** What happens while an upstream leaves. */
+export type DrainEvent =
+  | { readonly type: 'leave'; readonly reason: NonNullable<DrainState['reason']> }
+  | { readonly type: 'in-flight'; readonly count: number }
+  | { readonly type: 'unplaced'; readonly count: number }
+  | { readonly type: 'tick' };
--- /dev/null
+++ b/src/core/drain/index.ts
@@ -0,0 +1,7 @@
+/** How an upstream leaves: planned stop, host list, or the engine's own word. */
+export type { DrainEffect } from './draineffect.js';
+export type { DrainEvent } from './drainevent.js';
+export type { DrainPhase } from './drainphase.js';
+export type { DrainState } from './drainstate.js';
+export { servingDrain } from './servingdrain.js';
+export { stepDrain } from './stepdrain.js';
--- a/src/core/ledger/emptyledger.ts
+++ b/src/core/ledger/emptyledger.ts
@@ -4,6 +4,7 @@
 /** A ledger before the first report: nothing is known, so nothing fits. */
 export const emptyLedger: Ledger = {
   capacityBytes: 0,
+  reportedBytes: 0,
   kvCacheReserveBytes: { mixed: 0, prefill: 0, decode: 0 },
   role: 'mixed',
   engineId: undefined,
--- a/src/core/ledger/index.ts
+++ b/src/core/ledger/index.ts
@@ -14,4 +14,5 @@
 export { ledgerRulesInForce } from './ledgerrulesinforce.js';
 export { nameHolding } from './nameholding.js';
 export type { OpenOrder } from './openorder.js';
+export { roomBytes } from './roombytes.js';
 export { takeReport } from './takereport.js';
--- a/src/core/ledger/ledger.ts
+++ b/src/core/ledger/ledger.ts
@@ -11,6 +11,8 @@
 export interface Ledger {
   /** Memory of all accelerators together; 0 until the document is known. */
   readonly capacityBytes: number;
+  /** Memory that the engine's last report claims; 0: its memory is not managed by orders. */
+  readonly reportedBytes: number;
   /** Memory kept for the KV cache in each role. */
   readonly kvCacheReserveBytes: Readonly<Record<EngineReport['role'], number>>;
   readonly role: EngineReport['role'];
--- a/src/core/ledger/takereport.ts
+++ b/src/core/ledger/takereport.ts
@@ -27,7 +27,7 @@
   rules: LedgerRules = ledgerRulesInForce,
 ): TakenReport {
   if (!rules.isNews(ledger, report, poll)) return { ledger, resolved: [], isNews: false };
-  const { engineId, sequence, highestFencingToken, role } = report;
+  const { engineId, sequence, highestFencingToken, role, memoryBytes: reportedBytes } = report;
   const restarted = ledger.engineId !== undefined && ledger.engineId !== engineId;
   const openOrders = new Map<string, OpenOrder>();
   const resolved: OpenOrder[] = [];
@@ -37,7 +37,7 @@
     else if (!restarted) openOrders.set(orderId, open);
     else openOrders.set(orderId, { ...open, phase: nextPhase(open.phase, 'restarted') });
   }
-  const seen = { engineId, sequence, poll, highestFencingToken, role };
+  const seen = { engineId, sequence, poll, highestFencingToken, role, reportedBytes };
   const holdings = holdingsOf(report);
   return { ledger: { ...ledger, ...seen, holdings, openOrders }, resolved, isNews: true };
 }
--- a/src/core/reconcile/isevictable.ts
+++ b/src/core/reconcile/isevictable.ts
@@ -2,14 +2,13 @@
 import type { View } from './view.js';
 
 /**
- * Whether other upstreams keep a model or adapter reachable without this one. Under a plan any ready
- * replica counts. Without one, only replicas at upstreams with a lower id do, so that two upstreams which
- * see each other's replica do not both drop theirs.
+ * Whether callers can reach a model without this upstream. A plan knows where each model is: it lists what
+ * has to stay. Without a plan only the entries' word counts, and they name a replica only to the holder with
+ * the higher id, so that two upstreams which see each other's replica do not both drop theirs.
  */
-function isHeldElsewhere(view: View, id: string): boolean {
-  const holders = view.replicas.get(id) ?? [];
-  if (view.plan) return holders.length > 0;
-  return holders.some((holder) => holder < view.upstream);
+function isHeldElsewhere({ plan, replicas }: View, { model }: Holding): boolean {
+  if (replicas.has(model)) return true;
+  return plan !== undefined && !plan.keepUntilPlaced.includes(model);
 }
 
 function isOffered({ catalogue }: View, { model, adapter }: Holding): boolean {
@@ -28,5 +27,5 @@
 export function isEvictable(view: View, holding: Holding): boolean {
   if (view.desired.some(({ key }) => key === holding.key)) return false;
   if (!isOffered(view, holding) || hasOtherVersion(view, holding)) return true;
-  return isHeldElsewhere(view, holding.adapter ?? holding.model);
+  return isHeldElsewhere(view, holding);
 }
--- a/src/core/reconcile/plan.ts
+++ b/src/core/reconcile/plan.ts
@@ -1,9 +1,6 @@
 import type { EngineReport } from '../../port/index.js';
 
-/**
- * What the planner wants of one upstream. It needs no list of models to keep: every model stays until
- * another upstream holds it ready.
- */
+/** What the planner wants of one upstream. */
 export interface Plan {
   readonly epoch: number;
   readonly sequence: number;
@@ -16,4 +13,6 @@
   }[];
   /** Undefined keeps the role. */
   readonly role: EngineReport['role'] | undefined;
+  /** Models that the plan wants elsewhere first: they stay until a later plan leaves them out. */
+  readonly keepUntilPlaced: readonly string[];
 }
--- a/src/core/reconcile/roomof.ts
+++ b/src/core/reconcile/roomof.ts
@@ -1,4 +1,4 @@
-import { committedBytes, type Ledger } from '../ledger/index.js';
+import { committedBytes, roomBytes, type Ledger } from '../ledger/index.js';
 import type { DesiredHolding } from './desiredholding.js';
 import type { View } from './view.js';
 import { victimsOf } from './victimsof.js';
@@ -25,7 +25,7 @@
 /** Looks for room for one load: unloads under way first, then what may be evicted. */
 export function roomOf(view: View, desired: DesiredHolding): Room {
   const { ledger, rules } = view;
-  const missing = committedBytes(ledger, rules) + desired.sizeBytes - ledger.capacityBytes;
+  const missing = committedBytes(ledger, rules) + desired.sizeBytes - roomBytes(ledger);
   const needed = missing - leavingBytes(ledger);
   if (needed <= 0) return { type: 'waits' };
   const victims = victimsOf(view).filter(
--- a/src/core/residency/emptyresidency.ts
+++ b/src/core/residency/emptyresidency.ts
@@ -21,10 +21,11 @@
     wantedIntents: undefined,
     orderCount: 0,
     plan: undefined,
-    replicas: new Map(),
+    replicas: new Set(),
     rescues: new Map(),
     lastUsedAtMs: new Map(),
     loadBytesPerMs: FIRST_LOAD_BYTES_PER_MS,
+    isManaged: true,
     isLeaving: false,
   };
 }
--- a/src/core/residency/index.ts
+++ b/src/core/residency/index.ts
@@ -6,4 +6,6 @@
 export type { ResidencyRules } from './residencyrules.js';
 export { residencyRulesInForce } from './residencyrulesinforce.js';
 export type { ResidencyState } from './residencystate.js';
+export { readyInMs } from './readyinms.js';
 export { stepResidency } from './stepresidency.js';
+export { unplacedOf } from './unplacedof.js';
--- a/src/core/residency/onpin.ts
+++ b/src/core/residency/onpin.ts
@@ -98,7 +98,7 @@
   });
   if (state.isLeaving) return refuse(fail('upstream-leaving', 'This upstream leaves.'));
   // An engine that gives no report judges for itself what it can serve.
-  if (state.ledger.engineId === undefined) {
+  if (!state.isManaged || state.ledger.engineId === undefined) {
     return { state, effects: [{ type: 'pinned', keys: [] }] };
   }
   const keys = keysFor(state, model, adapter, nowMs);
--- a/src/core/residency/onplan.ts
+++ b/src/core/residency/onplan.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import { roomBytes } from '../ledger/index.js';
 import { desiredOf, roomOf, type Plan } from '../reconcile/index.js';
 import type { Changed } from './changed.js';
 import { fail } from './fail.js';
@@ -30,13 +31,14 @@
     return fail('plan-epoch-old', 'A later plan is in force here.');
   }
   const { catalogue, ledger } = state;
+  if (!state.isManaged) return fail('memory-unknown', 'This engine manages its memory itself.');
   if (!catalogue) return fail('memory-unknown', 'The document is not known here yet.');
   const desired = desiredOf(plan.models, catalogue);
   const role = plan.role ?? ledger.role;
   const bytes = desired.reduce((sum, { sizeBytes }) => sum + sizeBytes, 0);
-  const roomBytes = ledger.capacityBytes - ledger.kvCacheReserveBytes[role];
-  if (bytes <= roomBytes) return undefined;
-  return fail('plan-does-not-fit', `The plan needs ${bytes} bytes of ${roomBytes}.`);
+  const forModels = roomBytes(ledger) - ledger.kvCacheReserveBytes[role];
+  if (bytes <= forModels) return undefined;
+  return fail('plan-does-not-fit', `The plan needs ${bytes} bytes of ${forModels}.`);
 }
 
 /** A new version that fits neither beside the old one nor in its place. */
--- a/src/core/residency/onreport.ts
+++ b/src/core/residency/onreport.ts
@@ -43,5 +43,7 @@
   if (!isSame(state.ledger, taken.ledger)) effects.push({ type: 'changed' });
   const isLeaving = state.isLeaving || report.leaving;
   if (isLeaving !== state.isLeaving) effects.push({ type: 'changed' });
-  return { state: { ...state, ledger: taken.ledger, loadBytesPerMs, isLeaving }, effects };
+  const isManaged = report.memoryBytes > 0;
+  const known = { ledger: taken.ledger, loadBytesPerMs, isLeaving, isManaged };
+  return { state: { ...state, ...known }, effects };
 }
--- a/src/core/residency/onrescue.ts
+++ b/src/core/residency/onrescue.ts
@@ -16,6 +16,7 @@
 interface Ask {
   readonly model: string;
   readonly adapter: string;
+  readonly replicas: readonly string[];
 }
 
 function whyNoOrders(state: ResidencyState): ResidencyFailure | undefined {
@@ -30,8 +31,12 @@
     const detail = 'This engine ignores fences: no load while the store is down.';
     return fail('store-unavailable', detail, RETRY_MS);
   }
-  if (state.ledger.engineId === undefined || !state.catalogue) {
-    return fail('memory-unknown', 'No report or no document has come yet.', RETRY_MS);
+  if (state.ledger.engineId === undefined || !state.catalogue || !state.isManaged) {
+    return fail(
+      'memory-unknown',
+      'No report or no document has come yet, or the engine manages itself.',
+      RETRY_MS,
+    );
   }
   return undefined;
 }
@@ -64,11 +69,12 @@
 
 /** Wants a model that entries found nowhere, if room can be made for it. */
 export function onRescue(
-  state: ResidencyState,
-  { model, adapter }: Ask,
+  before: ResidencyState,
+  { model, adapter, replicas }: Ask,
   nowMs: Ms,
   rules: ResidencyRules,
 ): Changed {
+  const state = { ...before, replicas: new Set(replicas) };
   const adapters = adapter ? [adapter] : [];
   const wish = { model, version: '', adapters, urgency: 0 };
   const desired = state.catalogue ? desiredOf([wish], state.catalogue) : [];
--- a/src/core/residency/pursue.ts
+++ b/src/core/residency/pursue.ts
@@ -31,7 +31,8 @@
 }
 
 function enterNew(state: ResidencyState, nowMs: Ms, rules: ResidencyRules): ResidencyState {
-  if (!rules.mayOrder(state) || !rules.isInformed(state) || state.isLeaving) return state;
+  if (!state.isManaged || state.isLeaving) return state;
+  if (!rules.mayOrder(state) || !rules.isInformed(state)) return state;
   if (!rules.hasBarrier(state)) return enterBarrier(state, nowMs);
   let entered = state;
   for (;;) {
--- /dev/null
+++ b/src/core/residency/readyinms.ts
@@ -0,0 +1,12 @@
+import type { Ms } from '../../base/index.js';
+import type { ResidencyState } from './residencystate.js';
+
+/** Time until a model that is being loaded should be ready; undefined when none is. */
+export function readyInMs(state: ResidencyState, model: string, nowMs: Ms): Ms | undefined {
+  for (const { order, lastSentAtMs } of state.ledger.openOrders.values()) {
+    if (order.model !== model || order.action !== 'load-model') continue;
+    const doneAtMs = lastSentAtMs + (order.sizeBytes ?? 0) / state.loadBytesPerMs;
+    return Math.max(0, doneAtMs - nowMs);
+  }
+  return undefined;
+}
--- a/src/core/residency/residencyevent.ts
+++ b/src/core/residency/residencyevent.ts
@@ -42,8 +42,10 @@
       readonly type: 'rescue';
       readonly model: string;
       readonly adapter: string;
-      readonly deadlineMs: Ms;
+      /** Models that this upstream may give up: others keep them reachable. */
+      readonly replicas: readonly string[];
     }
-  | { readonly type: 'replicas'; readonly replicas: ReadonlyMap<string, readonly string[]> }
+  /** The engine offers no reports. */
+  | { readonly type: 'unreported' }
   | { readonly type: 'leave' }
   | { readonly type: 'tick' };
--- a/src/core/residency/residencystate.ts
+++ b/src/core/residency/residencystate.ts
@@ -27,12 +27,14 @@
   readonly wantedIntents: string | undefined;
   readonly orderCount: number;
   readonly plan: Plan | undefined;
-  /** Other upstreams that hold a model or adapter ready, by its id. */
-  readonly replicas: ReadonlyMap<string, readonly string[]>;
+  /** Models that other upstreams keep reachable, as the entries last told. */
+  readonly replicas: ReadonlySet<string>;
   readonly rescues: ReadonlyMap<string, Rescue>;
   readonly lastUsedAtMs: ReadonlyMap<HoldingKey, Ms>;
   /** Learnt from the loads seen here. */
   readonly loadBytesPerMs: number;
+  /** False for an engine that gives no report, or one without memory: it serves what it likes. */
+  readonly isManaged: boolean;
   /** True once the upstream leaves: no new pins, no new loads. */
   readonly isLeaving: boolean;
 }
--- a/src/core/residency/stepresidency.ts
+++ b/src/core/residency/stepresidency.ts
@@ -70,7 +70,10 @@
   unpin: (state, { keys }) => plain({ ...state, ledger: changePins(state.ledger, keys, -1) }),
   plan: onPlan,
   rescue: onRescue,
-  replicas: (state, { replicas }) => plain({ ...state, replicas }),
+  unreported(state) {
+    if (!state.isManaged || state.ledger.engineId !== undefined) return plain(state);
+    return { state: { ...state, isManaged: false }, effects: [{ type: 'changed' }] };
+  },
   leave: (state) => ({ state: { ...state, isLeaving: true }, effects: [{ type: 'changed' }] }),
   tick(state, _event, nowMs) {
     const live = [...state.rescues].filter(([, { untilMs }]) => untilMs > nowMs);
--- a/src/core/residency/viewof.ts
+++ b/src/core/residency/viewof.ts
@@ -16,14 +16,13 @@
 
 /** What the reconciler sees of a state. */
 export function viewOf(state: ResidencyState, nowMs: Ms, rules: ResidencyRules): View {
-  const { upstream, ledger, plan, replicas, lastUsedAtMs, catalogue = NOTHING } = state;
+  const { ledger, plan, replicas, lastUsedAtMs, catalogue = NOTHING } = state;
   const rescued = [...state.rescues.values()]
     .filter(({ untilMs }) => untilMs > nowMs)
     .map(({ model, adapters }) => ({ model, version: '', adapters, urgency: RESCUE_URGENCY }));
   const wishes = [...rescued, ...(plan?.models ?? [])];
   const desired = desiredOf(wishes, catalogue);
   return {
-    upstream,
     ledger,
     catalogue,
     plan,
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -1,5 +1,6 @@
 /** Which upstream a request goes to, and which sidecar loads a model that no upstream holds. */
 export { createRouting } from './createrouting.js';
+export { heldElsewhere } from './heldelsewhere.js';
 export { relativeLoad } from './relativeload.js';
 export type { RouteWant } from './routewant.js';
 export type { RoutingEffect } from './routingeffect.js';
--- a/src/entry/routing/policyrouter.ts
+++ b/src/entry/routing/policyrouter.ts
@@ -1,6 +1,12 @@
 import { Metadata } from '@grpc/grpc-js';
 import type { Result } from 'ts-results';
-import { result, type Revision, type ServiceId, type UpstreamId } from '../../base/index.js';
+import {
+  result,
+  type ModelId,
+  type Revision,
+  type ServiceId,
+  type UpstreamId,
+} from '../../base/index.js';
 import { hash32 } from '../../core/hash/index.js';
 import { refuse } from '../../core/refusal/index.js';
 import type { RoutingEffect } from '../../core/routing/index.js';
@@ -63,7 +69,7 @@
     const { clock, settings, log } = this.context;
     const service = new ServiceRouting(
       clock,
-      (effect) => this.askRescue(effect),
+      (effect, heldElsewhere) => this.askRescue(effect, heldElsewhere),
       (upstream, from, to) => this.tellMember(id, upstream, from, to),
       settings.availabilityZone,
       hash32(settings.hostId),
@@ -89,12 +95,14 @@
 
   private askRescue(
     effect: Extract<RoutingEffect, { type: 'rescue' }>,
+    heldElsewhere: readonly ModelId[],
   ): Promise<RescueReply | undefined> {
     const { upstream, sidecarAddress, target, deadlineMs } = effect;
     const { service, model = '', adapter = '' } = target;
     this.context.log.info('asking for a load', { service, model, adapter, upstream });
     this.context.metrics.count('rescue.asked');
-    const request = { service, model, adapter, deadlineMs: Math.ceil(deadlineMs) };
+    const leftMs = Math.ceil(deadlineMs);
+    const request = { service, model, adapter, deadlineMs: leftMs, heldElsewhere };
     const deadline = this.context.clock.wallMs() + RESCUE_TIMEOUT_MS;
     return new Promise((resolve) => {
       const client = this.context.link.client(sidecarAddress);
--- a/src/entry/routing/servicerouting.ts
+++ b/src/entry/routing/servicerouting.ts
@@ -1,9 +1,16 @@
 import type { Result } from 'ts-results';
-import { result, type Clock, type Incarnation, type UpstreamId } from '../../base/index.js';
+import {
+  result,
+  type Clock,
+  type Incarnation,
+  type ModelId,
+  type UpstreamId,
+} from '../../base/index.js';
 import { stepMember, type MemberEvent, type MemberState } from '../../core/member/index.js';
 import { refuse } from '../../core/refusal/index.js';
 import {
   createRouting,
+  heldElsewhere,
   stepRouting,
   type RoutingEffect,
   type RoutingEvent,
@@ -15,6 +22,7 @@
 /** Asks a sidecar to load a model; undefined if it gave no answer. */
 type AskRescue = (
   effect: Extract<RoutingEffect, { type: 'rescue' }>,
+  heldElsewhere: readonly ModelId[],
 ) => Promise<RescueReply | undefined>;
 
 /** Tells of a member's new phase. */
@@ -128,8 +136,8 @@
   }
 
   private async rescue(effect: Extract<RoutingEffect, { type: 'rescue' }>): Promise<void> {
-    const reply = await this.askRescue(effect);
     const { target, upstream } = effect;
+    const reply = await this.askRescue(effect, heldElsewhere(this.routing, upstream));
     this.step({ type: 'rescued', target, upstream, reply });
   }
 
--- a/src/shell/mesh/hostpoll.ts
+++ b/src/shell/mesh/hostpoll.ts
@@ -34,6 +34,8 @@
         .filter(({ role }) => role === 'entry')
         .map(({ id, address, state }) => ({ id, address, state }));
       this.tell({ type: 'hostList', entries, listedIds: hosts.map(({ id }) => id) });
+      const own = hosts.find(({ id }) => id === this.options.hostId);
+      if (own?.state === 'leaving') this.options.onLeaving?.();
     }
     this.cancel = clock.after(this.pollMs, () => {
       void this.poll();
--- a/src/shell/mesh/meshboardoptions.ts
+++ b/src/shell/mesh/meshboardoptions.ts
@@ -20,6 +20,8 @@
   readonly hostList?: HostList;
   /** Time between two readings of the host list; 5000 by default. */
   readonly hostListPollMs?: Ms;
+  /** Called each time that the host list is read and shows this host as leaving. */
+  readonly onLeaving?: () => void;
   /** Seed of the choice of peers. */
   readonly seed: number;
   /** Longest wait for a peer's answer; 300 by default. */
--- a/src/sidecar/createcontext.ts
+++ b/src/sidecar/createcontext.ts
@@ -27,7 +27,12 @@
   const metrics = createMetrics('sidecar', settings.statsd ?? undefined);
   const credentials = peerCredentials(settings.peerTls, log);
   ends.push(() => credentials.close());
-  const board = createBoard({ settings, clock: systemClock, log, metrics, store, credentials });
+  const leavers: (() => void)[] = [];
+  const whenLeaving = () => {
+    for (const act of leavers) act();
+  };
+  const shared = { settings, clock: systemClock, log, metrics, store, credentials };
+  const board = createBoard({ ...shared, whenLeaving });
   ends.push(() => board.stop());
   return {
     settings,
@@ -41,6 +46,9 @@
     store,
     incarnation: upstreamKey,
     intents: upstreamKey,
+    onLeaving: (act) => {
+      leavers.push(act);
+    },
     onStop: (act) => {
       ends.push(act);
     },
--- a/src/sidecar/openresidency.ts
+++ b/src/sidecar/openresidency.ts
@@ -6,6 +6,8 @@
 
 /** For upstreams whose memory is not managed, such as plain services. */
 export class OpenResidency implements Residency {
+  constructor(private readonly publisher?: { leave(): void }) {}
+
   pin(): Result<() => void, Refusal> {
     return result.Ok(() => {});
   }
@@ -27,4 +29,8 @@
   freeBytes(): number {
     return 0;
   }
+
+  leave(): void {
+    this.publisher?.leave();
+  }
 }
--- a/src/sidecar/part/context.ts
+++ b/src/sidecar/part/context.ts
@@ -19,6 +19,8 @@
   readonly intents: IntentLog;
   /** Calls `act` when the sidecar stops, after the last answer has gone out. */
   readonly onStop: (act: () => void) => void;
+  /** Calls `act`, perhaps more than once, when the host list shows this host as leaving. */
+  readonly onLeaving: (act: () => void) => void;
   /** Absent before a plain service. */
   readonly engine: Engine | undefined;
 }
--- a/src/sidecar/part/residency.ts
+++ b/src/sidecar/part/residency.ts
@@ -18,6 +18,8 @@
   freeBytes(): number;
   /** Time until a model that is being loaded is expected to be ready, in ms, if that can be told. */
   expectedReadyMs?(model: string): number | undefined;
+  /** Called when a planned stop begins: the upstream takes no new work. */
+  leave?(): void;
   /** Called on a planned stop, once nothing is in flight. */
   stop?(): Promise<void>;
 }
--- /dev/null
+++ b/src/sidecar/residency/recordpublisher.ts
@@ -0,0 +1,42 @@
+import { UpstreamRecord, type ModelDemand, type Resident } from '../../wire/index.js';
+import type { Context } from '../part/index.js';
+
+/** What changes in the record of an upstream. */
+interface Told {
+  readonly phase: 'joining' | 'ready' | 'leaving' | 'gone';
+  readonly residents: readonly Resident[];
+  readonly freeBytes: number;
+  readonly role: string;
+  readonly demand: readonly ModelDemand[];
+}
+
+/** Tells the region of this sidecar's upstream, through the board. */
+export class RecordPublisher {
+  private sequence = 0;
+
+  constructor(private readonly context: Context) {}
+
+  publish(told: Told, address: string): void {
+    const { settings, incarnation, board } = this.context;
+    const { upstream, service, availabilityZone } = settings;
+    this.sequence += 1;
+    const record = UpstreamRecord.fromPartial({
+      ...told,
+      residents: [...told.residents],
+      demand: [...told.demand],
+      upstream,
+      service,
+      availabilityZone,
+      address,
+      incarnation: incarnation.current(),
+      sequence: this.sequence,
+      revision: board.revision(),
+    });
+    board.publish({
+      key: `upstream/${service}/${upstream}`,
+      epoch: incarnation.current(),
+      sequence: this.sequence,
+      value: Buffer.from(UpstreamRecord.encode(record).finish()),
+    });
+  }
+}
--- a/src/sidecar/stopsidecar.ts
+++ b/src/sidecar/stopsidecar.ts
@@ -20,6 +20,7 @@
 export async function stopSidecar(stopping: Stopping): Promise<void> {
   const { context, parts, door, exchanges, server } = stopping;
   context.log.info('stopping', { inFlight: door.inFlight() });
+  parts.residency.leave?.();
   const idle = door.drain();
   exchanges.leave();
   const forget = context.clock.after(context.settings.drainTimeoutMs, () => door.expire());
--- a/src/sidecar/wiring/createboard.ts
+++ b/src/sidecar/wiring/createboard.ts
@@ -11,6 +11,8 @@
 export function createBoard(
   context: Pick<Context, 'settings' | 'clock' | 'log' | 'metrics' | 'store'> & {
     readonly credentials: PeerCredentials;
+    /** Called when the host list shows this host as leaving. */
+    readonly whenLeaving?: () => void;
   },
 ): MeshBoard {
   const { settings, clock, log, metrics, store, credentials } = context;
@@ -28,6 +30,7 @@
     hasStore: Boolean(settings.store),
     hostList: hostList ? new HttpHostList(hostList) : undefined,
     hostListPollMs: hostList?.pollMs,
+    onLeaving: context.whenLeaving,
     seed: randomInt(SEED_LIMIT),
   });
 }
--- a/src/sidecar/wiring/createresidency.ts
+++ b/src/sidecar/wiring/createresidency.ts
@@ -1,7 +1,10 @@
 import { OpenResidency } from '../openresidency.js';
 import type { Context, Residency } from '../part/index.js';
+import { EngineResidency, publishPlain } from '../residency/index.js';
 
 /** Memory of this sidecar's upstream. */
-export function createResidency(_context: Context): Residency {
-  return new OpenResidency();
+export function createResidency(context: Context): Residency {
+  const { engine } = context;
+  if (engine) return new EngineResidency({ ...context, engine });
+  return new OpenResidency(publishPlain(context));
 }
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -278,6 +278,8 @@
   readonly model: string;
   readonly adapter: string;
   readonly deadlineMs: number;
+  /** Models of this upstream that it may give up: each is ready at an upstream with a lower id. */
+  readonly heldElsewhere: readonly string[];
 }
 
 export interface RescueReply {
@@ -2848,7 +2850,7 @@
 };
 
 function createBaseRescueRequest(): RescueRequest {
-  return { service: "", model: "", adapter: "", deadlineMs: 0 };
+  return { service: "", model: "", adapter: "", deadlineMs: 0, heldElsewhere: [] };
 }
 
 export const RescueRequest: MessageFns<RescueRequest> = {
@@ -2865,6 +2867,9 @@
     if (message.deadlineMs !== 0) {
       writer.uint32(32).uint32(message.deadlineMs);
     }
+    for (const v of message.heldElsewhere) {
+      writer.uint32(42).string(v!);
+    }
     return writer;
   },
 
@@ -2913,6 +2918,14 @@
             message.deadlineMs = reader.uint32();
             continue;
           }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.heldElsewhere.push(reader.string());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2934,6 +2947,7 @@
     message.model = object.model ?? "";
     message.adapter = object.adapter ?? "";
     message.deadlineMs = object.deadlineMs ?? 0;
+    message.heldElsewhere = object.heldElsewhere?.map((e) => e) || [];
     return message;
   },
 };
--- /dev/null
+++ b/test/support/residencybed.ts
@@ -0,0 +1,137 @@
+import { VirtualClock } from '../../src/base/index.js';
+import type { KeyValueStore } from '../../src/port/index.js';
+import { MemoryBoard } from '../../src/shell/board/index.js';
+import { UpstreamKey } from '../../src/sidecar/incarnation/index.js';
+import { EngineResidency } from '../../src/sidecar/residency/index.js';
+import { UpstreamRecord } from '../../src/wire/index.js';
+import { ModelEnginePort } from './modelengineport.js';
+
+const STEP_MS = 50;
+
+const model = (id: string, sizeBytes: number) => ({
+  id,
+  version: '1',
+  sizeBytes,
+  defaultKind: 'draft',
+});
+
+/** A document with one upstream of 100 bytes, and models that do not all fit. */
+function documentOf(checksFencing: boolean): object {
+  const group = {
+    name: 'engines',
+    availabilityZone: 'oviedo-a',
+    type: 'engine',
+    checksFencing,
+    accelerators: 1,
+    memoryBytes: 100,
+    kvCacheReserveBytes: 10,
+    slots: 4,
+    role: 'mixed',
+    upstreams: [{ id: 'redactor-1', sidecarAddress: '127.0.0.1:7001' }],
+  };
+  return {
+    schemaVersion: 1,
+    service: 'redactor',
+    owner: 'post',
+    region: 'cantabrico',
+    customers: [],
+    kinds: [{ name: 'draft', priority: 'normal', deadlineMs: 5000, weight: 1, repeatable: true }],
+    models: [model('a', 50), model('b', 40), model('c', 30)],
+    adapters: [],
+    groups: [group],
+    weightStore: { loadsPerSecond: 3, parallelLoads: 4 },
+    placement: { movePenalty: 0, spareUpstreams: 0 },
+    limits: {
+      bodyBytes: 100_000,
+      longJobsPerUpstream: 2,
+      queuePerUpstream: 100,
+      ticketValidMs: 60_000,
+    },
+  };
+}
+
+const log = { info() {}, warn() {}, error() {} };
+const metrics = { count() {}, gauge() {}, histogram() {} };
+
+/** The memory part of a sidecar, with a model engine, a store and a clock that is moved by hand. */
+export class ResidencyBed {
+  readonly clock = new VirtualClock();
+
+  readonly engine: ModelEnginePort;
+
+  readonly board = new MemoryBoard();
+
+  readonly acts: string[] = [];
+
+  readonly residency: EngineResidency;
+
+  private readonly key: UpstreamKey;
+
+  private readonly ends: (() => void)[] = [];
+
+  constructor(store: KeyValueStore, checksFencing: boolean, engine?: ModelEnginePort) {
+    this.engine = engine ?? new ModelEnginePort(checksFencing);
+    const { clock, board } = this;
+    this.key = new UpstreamKey('redactor-1', { store, clock, log });
+    const value = Buffer.from(JSON.stringify(documentOf(checksFencing)));
+    board.publish({ key: 'document/redactor', epoch: 0, sequence: 1, value });
+    const settings = { upstream: 'redactor-1', service: 'redactor', hostId: 'h' };
+    this.residency = new EngineResidency({
+      settings: { ...settings, listen: '127.0.0.1:0', availabilityZone: 'oviedo-a' } as never,
+      clock,
+      log,
+      metrics,
+      audit: { write: ({ act, detail }) => this.acts.push(`${act} ${detail.action}`) },
+      board,
+      store,
+      incarnation: this.key,
+      intents: this.key,
+      onLeaving: () => {},
+      onStop: (end) => this.ends.push(end),
+      engine: this.engine,
+    });
+    this.key.start();
+  }
+
+  /** Lets so much time pass, with all that happens in it. */
+  async pass(ms: number): Promise<void> {
+    for (let left = ms; left > 0; left -= STEP_MS) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      this.clock.advanceTo(this.clock.nowMs() + STEP_MS);
+    }
+  }
+
+  plan(models: readonly string[], keepUntilPlaced: string[] = [], epoch = 1) {
+    return this.residency.place({
+      cell: 'redactor/cantabrico',
+      epoch,
+      sequence: 1,
+      upstream: 'redactor-1',
+      models: models.map((id) => ({ model: id, version: '', adapters: [], urgency: 1 })),
+      role: '',
+      keepUntilPlaced,
+    });
+  }
+
+  rescue(id: string, heldElsewhere: string[] = []) {
+    const ask = { service: 'redactor', model: id, adapter: '', deadlineMs: 5000 };
+    return this.residency.rescue({ ...ask, heldElsewhere });
+  }
+
+  record(): UpstreamRecord {
+    const value = this.board.get('upstream/redactor/redactor-1')?.value;
+    return UpstreamRecord.decode(value ?? Buffer.alloc(0));
+  }
+
+  ready(): string[] {
+    const ready = this.residency.residents().filter(({ phase }) => phase === 'ready');
+    return ready.map(({ model: id }) => id).sort();
+  }
+
+  end(): void {
+    this.key.stop();
+    for (const end of this.ends) end();
+  }
+}
