--- a/src/core/acceptance/acceptancefailure.ts
+++ b/src/core/acceptance/acceptancefailure.ts
@@ -1,5 +1,6 @@
 import type { ChangeId, Failure, Revision } from '../../base/index.js';
 import type { StoreFailure } from '../../port/index.js';
+import type { AuditEntry } from '../audit/index.js';
 import type { DocumentFailure } from '../document/index.js';
 
 /**
@@ -17,6 +18,8 @@
       readonly currentRevision: Revision;
       /** What the operator's text changes in the one in force, by lines. */
       readonly diff: string;
+      /** Changes since the expected revision, as far as the audit trail is kept. */
+      readonly since: readonly Pick<AuditEntry, 'changeId' | 'who' | 'cause'>[];
     })
   | (Failure & { readonly type: 'outcome-unknown'; readonly changeId: ChangeId })
   | (Failure & { readonly type: 'change-not-made'; readonly cause: StoreFailure['type'] })
--- a/src/core/acceptance/rejections.ts
+++ b/src/core/acceptance/rejections.ts
@@ -12,7 +12,11 @@
   const theirs = stored?.ok ? normalise(stored.val.document) : '';
   const diff = source.type === 'text' ? formatDiff(theirs, normalise(source.text)) : '';
   const detail = `${service} is at revision ${currentRevision}, not ${expectedRevision}; nothing was changed.`;
-  return { type: 'revision-conflict', detail, expectedRevision, currentRevision, diff };
+  const later = stored?.ok ? stored.val.audit : [];
+  const since = later
+    .filter(({ basedOnRevision }) => basedOnRevision >= expectedRevision)
+    .map(({ changeId, who, cause }) => ({ changeId, who, cause }));
+  return { type: 'revision-conflict', detail, expectedRevision, currentRevision, diff, since };
 }
 
 function documentRefused(failures: readonly DocumentFailure[]): AcceptanceFailure {
--- a/src/core/text/formatdiff.ts
+++ b/src/core/text/formatdiff.ts
@@ -8,7 +8,7 @@
   const out: string[] = [];
   for (const { at, removed, added } of diffLines(before, after)) {
     const end = at + removed.length;
-    out.push(`@@ line ${at + 1} @@`);
+    out.push(`@@ normalised line ${at + 1} @@`);
     for (const line of lines.slice(Math.max(0, at - CONTEXT_LINES), at)) out.push(`  ${line}`);
     for (const line of removed) out.push(`- ${line}`);
     for (const line of added) out.push(`+ ${line}`);
--- a/test/document.test.ts
+++ b/test/document.test.ts
@@ -17,6 +17,7 @@
   'reenvio-norte/padron',
   'agentia/asistent-contabil',
   'agentia/registru-central',
+  'trial/padron',
 ];
 
 for (const name of FILES) {
