Demo: both deployments in miniature, with a kill and a drain on the way

The demo asked one request of one engine. It now starts, for each deployment, the platform's stand-ins, two engines and a plain service, three sidecars and two entries as processes of their own, brings the documents into force with the apply command, and sends a seeded load of streams, lookups and confirmations while one sidecar is killed and an engine is drained.

--- /dev/null
+++ b/demo/children.ts
@@ -0,0 +1,15 @@
+import type { ChildProcess } from 'node:child_process';
+
+const running = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
+/** Child processes, each ended by its id when this process ends, however it does. */
+export const children = {
+  add(child: ChildProcess): void {
+    running.add(child);
+    child.once('exit', () => running.delete(child));
+  },
+};
--- a/demo/daemon.ts
+++ b/demo/daemon.ts
@@ -3,6 +3,7 @@
 import { createInterface } from 'node:readline';
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { children } from './children.js';
 
 const BIN = join(import.meta.dirname, '..', '..', 'bin', 'tarragonstile.js');
 
@@ -14,6 +15,10 @@
     readonly port: number,
   ) {}
 
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
   /** Starts a daemon with these settings and waits until it listens. */
   static async start(
     command: 'entry' | 'sidecar',
@@ -26,15 +31,21 @@
     const child = spawn(process.execPath, [BIN, command, '--settings', file], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
+    children.add(child);
     const [line] = (await once(createInterface({ input: child.stdout }), 'line')) as [string];
     return new Daemon(child, (JSON.parse(line) as { port: number }).port);
   }
 
-  /** Stops it as planned and gives its exit code. */
-  stop(): Promise<number | null> {
+  signal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  /** Sends a signal and gives the exit code; null when the signal itself ended it. */
+  end(signal: 'SIGTERM' | 'SIGKILL'): Promise<number | null> {
+    if (this.child.exitCode !== null) return Promise.resolve(this.child.exitCode);
     return new Promise((resolve) => {
       this.child.once('exit', (code) => resolve(code));
-      this.child.kill('SIGTERM');
+      this.child.kill(signal);
     });
   }
 }
--- /dev/null
+++ b/demo/documentsof.ts
@@ -0,0 +1,118 @@
+import { createHash } from 'node:crypto';
+import type { Deployment } from './deployment.js';
+import { sizes } from './sizes.js';
+
+interface Upstream {
+  readonly id: string;
+  readonly sidecarAddress: string;
+}
+
+const LIMITS = {
+  bodyBytes: 65_536,
+  longJobsPerUpstream: 2,
+  queuePerUpstream: 200,
+  ticketValidMs: 60_000,
+};
+
+function common(deployment: Deployment, service: string, keys: Readonly<Record<string, string>>) {
+  const customers = Object.entries(keys).map(([id, key]) => ({
+    id,
+    keyHashes: [createHash('sha256').update(key).digest('hex')],
+    share: id === 'largest' ? 10 : 1,
+  }));
+  return {
+    schemaVersion: 1,
+    service,
+    owner: deployment.name,
+    region: deployment.region,
+    customers,
+    weightStore: { loadsPerSecond: 3, parallelLoads: deployment.parallelLoads },
+    placement: { movePenalty: deployment.movePenalty, spareUpstreams: 0 },
+    limits: LIMITS,
+  };
+}
+
+function engineDocument(
+  deployment: Deployment,
+  upstreams: readonly Upstream[],
+  keys: Readonly<Record<string, string>>,
+) {
+  return {
+    ...common(deployment, deployment.engineService, keys),
+    kinds: [
+      { name: 'draft', priority: 'urgent', deadlineMs: 3000, weight: 2, repeatable: true },
+      { name: 'archive', priority: 'background', deadlineMs: 20_000, weight: 1, repeatable: true },
+    ],
+    models: deployment.models.map((id) => ({
+      id,
+      version: '1',
+      sizeBytes: sizes.modelBytes,
+      defaultKind: 'draft',
+      kvCacheBytesPerToken: sizes.kvCacheBytesPerToken,
+    })),
+    adapters: deployment.models.map((model) => ({
+      id: `${model}-local`,
+      model,
+      sizeBytes: sizes.adapterBytes,
+    })),
+    groups: upstreams.map((upstream, index) => ({
+      name: `${deployment.engineService}-${deployment.availabilityZones[index]}`,
+      availabilityZone: deployment.availabilityZones[index],
+      type: 'engine',
+      // The two sorts of upstream that the brief names.
+      checksFencing: index === 0,
+      accelerators: 1,
+      memoryBytes: sizes.memoryBytes,
+      kvCacheReserveBytes: sizes.kvCacheReserveBytes,
+      slots: 16,
+      role: 'mixed',
+      upstreams: [upstream],
+    })),
+  };
+}
+
+function plainDocument(
+  deployment: Deployment,
+  upstream: Upstream,
+  keys: Readonly<Record<string, string>>,
+) {
+  return {
+    ...common(deployment, deployment.plainService, keys),
+    kinds: [
+      { name: 'lookup', priority: 'urgent', deadlineMs: 1000, weight: 1, repeatable: true },
+      { name: 'confirm', priority: 'urgent', deadlineMs: 4000, weight: 5, repeatable: false },
+    ],
+    models: [],
+    adapters: [],
+    groups: [
+      {
+        name: `${deployment.plainService}-${deployment.availabilityZones[2]}`,
+        availabilityZone: deployment.availabilityZones[2],
+        type: 'plain',
+        checksFencing: false,
+        accelerators: 0,
+        memoryBytes: 0,
+        kvCacheReserveBytes: 0,
+        slots: 32,
+        role: 'mixed',
+        upstreams: [upstream],
+        routes: [
+          { method: 'GET', pathPrefix: deployment.lookupPath, kind: 'lookup' },
+          { method: 'POST', pathPrefix: deployment.confirmPath, kind: 'confirm' },
+        ],
+      },
+    ],
+  };
+}
+
+/** The documents of a deployment's two services; the last upstream is the plain one. */
+export function documentsOf(
+  deployment: Deployment,
+  upstreams: readonly Upstream[],
+  keys: Readonly<Record<string, string>>,
+): readonly [engines: object, plain: object] {
+  return [
+    engineDocument(deployment, upstreams.slice(0, -1), keys),
+    plainDocument(deployment, upstreams.at(-1)!, keys),
+  ];
+}
--- /dev/null
+++ b/demo/freeports.ts
@@ -0,0 +1,11 @@
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+
+/** Ports of the loopback that were free a moment ago. */
+export async function freePorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
+  await Promise.all(servers.map((server) => once(server, 'listening')));
+  const ports = servers.map((server) => (server.address() as { port: number }).port);
+  for (const server of servers) server.close();
+  return ports;
+}
--- /dev/null
+++ b/demo/load/askstream.ts
@@ -0,0 +1,68 @@
+import { request } from 'undici';
+import { expectedAnswer } from '../../standin/index.js';
+import type { Outcome } from './outcome.js';
+import { problemOf } from './problemof.js';
+
+const DONE = 'data: [DONE]';
+const ERROR = 'event: error';
+
+interface Stream {
+  readonly entry: string;
+  readonly key: string;
+  readonly model: string;
+  readonly kind: string;
+  readonly prompt: string;
+  readonly tokens: number;
+  readonly timeoutMs: number;
+}
+
+function contentOf(body: string): string {
+  const events = body.split('\n').filter((line) => line.startsWith('data: {'));
+  const deltas = events.map((line) => {
+    const { choices } = JSON.parse(line.slice('data: '.length)) as {
+      choices?: { delta?: { content?: string } }[];
+    };
+    return choices?.[0]?.delta?.content ?? '';
+  });
+  return deltas.join('');
+}
+
+function judge(body: string, stream: Stream, firstMs: number, requestId: string): Outcome {
+  const [answer = '', problem] = body.split(ERROR);
+  if (problem !== undefined) {
+    return problemOf(problem.split('data: ')[1] ?? '', firstMs);
+  }
+  const whole = answer.includes(DONE);
+  const right = contentOf(answer) === expectedAnswer(stream.prompt, stream.tokens);
+  return { type: whole && right ? 'answered' : 'cut', tookMs: firstMs, requestId };
+}
+
+/** Asks for a streamed answer and compares it, byte for byte, with what any engine would give. */
+export async function askStream(stream: Stream): Promise<Outcome> {
+  const startMs = performance.now();
+  const since = () => performance.now() - startMs;
+  let body = '';
+  let firstMs = 0;
+  let requestId = '';
+  try {
+    const answer = await request(`${stream.entry}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${stream.key}`, 'tarragonstile-kind': stream.kind },
+      body: JSON.stringify({
+        model: stream.model,
+        stream: true,
+        messages: [{ role: 'user', content: stream.prompt }],
+      }),
+      signal: AbortSignal.timeout(stream.timeoutMs),
+    });
+    if (answer.statusCode !== 200) return problemOf(await answer.body.text(), since());
+    requestId = String(answer.headers['x-request-id'] ?? '');
+    for await (const chunk of answer.body) {
+      if (body === '') firstMs = since();
+      body += String(chunk);
+    }
+  } catch {
+    return { type: body === '' ? 'lost' : 'cut', tookMs: since(), requestId };
+  }
+  return judge(body, stream, firstMs, requestId);
+}
--- /dev/null
+++ b/demo/sizes.ts
@@ -0,0 +1,10 @@
+const GIB = 1_073_741_824;
+
+/** Sizes of the demo's engines and models: three models fit beside the KV cache's reserve. */
+export const sizes = {
+  memoryBytes: 20 * GIB,
+  kvCacheReserveBytes: 4 * GIB,
+  modelBytes: 5 * GIB,
+  adapterBytes: GIB / 16,
+  kvCacheBytesPerToken: 131_072,
+};
--- /dev/null
+++ b/demo/stack.ts
@@ -0,0 +1,200 @@
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as wait } from 'node:timers/promises';
+import { request } from 'undici';
+import { Daemon } from './daemon.js';
+import type { Deployment } from './deployment.js';
+import { documentsOf } from './documentsof.js';
+import { freePorts } from './freeports.js';
+import { operator } from './operator.js';
+import { StandIns } from './standins.js';
+
+const ENTRIES = 2;
+const POLL_MS = 50;
+const HOST_LIST_POLL_MS = 500;
+const DRAIN_MS = 8000;
+
+/** One sidecar of the stack: where it is, and what it stands beside. */
+interface Beside {
+  readonly upstream: string;
+  readonly service: string;
+  readonly availabilityZone: string;
+  readonly upstreamUrl: string;
+  readonly upstreamType: 'engine' | 'plain';
+  readonly port: number;
+}
+
+/** A whole deployment on loopback: stand-ins here, entries and sidecars as processes of their own. */
+export class Stack {
+  readonly keys = { largest: 'demo-key-largest', other: 'demo-key-other' };
+
+  readonly standIns: StandIns;
+
+  /** URLs of the entries. */
+  entries: readonly string[] = [];
+
+  store = '';
+
+  private readonly directory = mkdtempSync(join(tmpdir(), 'tarragonstile-'));
+
+  private entryDaemons: readonly Daemon[] = [];
+
+  private readonly sidecars = new Map<string, Daemon>();
+
+  private besides: readonly Beside[] = [];
+
+  private readonly leaving = new Set<string>();
+
+  private meshPorts: readonly number[] = [];
+
+  private hostsUrl = '';
+
+  constructor(readonly deployment: Deployment) {
+    this.standIns = new StandIns(deployment);
+  }
+
+  /** Names of the upstreams, the plain one last. */
+  get upstreams(): readonly string[] {
+    return this.besides.map(({ upstream }) => upstream);
+  }
+
+  get pids(): Readonly<Record<string, number>> {
+    const named = this.entryDaemons.map(({ pid }, index) => [`entry-${index + 1}`, pid] as const);
+    const beside = [...this.sidecars].map(([name, { pid }]) => [name, pid] as const);
+    return Object.fromEntries([...named, ...beside]);
+  }
+
+  /** Starts everything; resolves when the documents are in force and the entries are ready. */
+  async start(): Promise<void> {
+    const urls = await this.standIns.listen();
+    this.store = urls.store;
+    this.hostsUrl = urls.hosts;
+    const ports = await freePorts(urls.upstreams.length + ENTRIES);
+    this.meshPorts = ports.slice(-ENTRIES);
+    this.besides = urls.upstreams.map((url, index) => this.beside(url, index, ports[index] ?? 0));
+    this.listHosts();
+    await this.applyDocuments();
+    await Promise.all(this.besides.map((beside) => this.startBeside(beside)));
+    const started = this.meshPorts.map((port, index) => this.startEntry(port, index));
+    this.entryDaemons = await Promise.all(started);
+    this.entries = this.entryDaemons.map(({ port }) => `http://127.0.0.1:${port}`);
+    await Promise.all(this.entries.map((url) => this.untilReady(url)));
+  }
+
+  sidecar(upstream: string): Daemon {
+    return this.sidecars.get(upstream)!;
+  }
+
+  /** Kills a sidecar as a crash would, and starts it again, as the platform would. */
+  async crashSidecar(upstream: string, downMs: number): Promise<void> {
+    await this.sidecar(upstream).end('SIGKILL');
+    await wait(downMs);
+    await this.startBeside(this.besides.find((beside) => beside.upstream === upstream)!);
+  }
+
+  /** Takes an upstream out as planned; gives its sidecar's exit code. */
+  drain(upstream: string): Promise<number | null> {
+    this.leaving.add(upstream);
+    this.listHosts();
+    const sidecar = this.sidecar(upstream);
+    this.sidecars.delete(upstream);
+    return sidecar.end('SIGTERM');
+  }
+
+  /** Stops all daemons as planned, and gives their exit codes. */
+  async stop(): Promise<readonly (number | null)[]> {
+    const entryCodes = await Promise.all(this.entryDaemons.map((entry) => entry.end('SIGTERM')));
+    const stopping = [...this.sidecars.values()].map((sidecar) => sidecar.end('SIGTERM'));
+    const codes = [...entryCodes, ...(await Promise.all(stopping))];
+    this.standIns.close();
+    return codes;
+  }
+
+  private beside(upstreamUrl: string, index: number, port: number): Beside {
+    const { engineService, plainService, availabilityZones } = this.deployment;
+    const isPlain = index === this.standIns.engines.length;
+    return {
+      upstream: isPlain ? `${plainService}-1` : `${engineService}-${index + 1}`,
+      service: isPlain ? plainService : engineService,
+      availabilityZone: availabilityZones[index] ?? availabilityZones[0],
+      upstreamUrl,
+      upstreamType: isPlain ? 'plain' : 'engine',
+      port,
+    };
+  }
+
+  private listHosts(): void {
+    const { region } = this.deployment;
+    const entries = this.meshPorts.map((port, index) => ({
+      id: `entry-${index + 1}`,
+      role: 'entry' as const,
+      address: `127.0.0.1:${port}`,
+      availabilityZone: this.deployment.availabilityZones[index] ?? '',
+      region,
+      state: 'live' as const,
+    }));
+    const sidecars = this.besides.map(({ upstream, availabilityZone, port }) => ({
+      id: upstream,
+      role: 'sidecar' as const,
+      address: `127.0.0.1:${port}`,
+      availabilityZone,
+      region,
+      state: this.leaving.has(upstream) ? ('leaving' as const) : ('live' as const),
+    }));
+    this.standIns.hosts.set([...entries, ...sidecars]);
+  }
+
+  private async applyDocuments(): Promise<void> {
+    const upstreams = this.besides.map(({ upstream, port }) => ({
+      id: upstream,
+      sidecarAddress: `127.0.0.1:${port}`,
+    }));
+    const documents = documentsOf(this.deployment, upstreams, this.keys);
+    for (const [index, document] of documents.entries()) {
+      const file = join(this.directory, `document-${index}.jsonc`);
+      writeFileSync(file, JSON.stringify(document, null, 2));
+      const { name } = this.deployment;
+      await operator('apply', file, '--expect', '0', '--team', name, '--store', this.store);
+    }
+  }
+
+  private place(hostId: string, availabilityZone: string): object {
+    return {
+      hostId,
+      availabilityZone,
+      region: this.deployment.region,
+      logLevel: process.env.DEMO_LOG ?? 'error',
+      drainTimeoutMs: DRAIN_MS,
+      store: { urls: [this.store] },
+      hostList: { url: this.hostsUrl, pollMs: HOST_LIST_POLL_MS },
+    };
+  }
+
+  private async startBeside({ port, ...beside }: Beside): Promise<void> {
+    const { availabilityZone, upstream } = beside;
+    const settings = { ...this.place(upstream, availabilityZone), ...beside };
+    const listen = `127.0.0.1:${port}`;
+    const daemon = await Daemon.start('sidecar', this.directory, upstream, { ...settings, listen });
+    this.sidecars.set(upstream, daemon);
+  }
+
+  private startEntry(meshPort: number, index: number): Promise<Daemon> {
+    const name = `entry-${index + 1}`;
+    const zone = this.deployment.availabilityZones[index] ?? '';
+    return Daemon.start('entry', this.directory, name, {
+      ...this.place(name, zone),
+      listen: { host: '127.0.0.1', port: 0 },
+      meshListen: `127.0.0.1:${meshPort}`,
+    });
+  }
+
+  private async untilReady(url: string): Promise<void> {
+    for (;;) {
+      const answer = await request(`${url}/readyz`);
+      await answer.body.dump();
+      if (answer.statusCode === 200) return;
+      await wait(POLL_MS);
+    }
+  }
+}
