Shares between customers hold across priorities; studies of policies under load

Deficit round robin in each priority starved the others when the largest customer offered ten times its share: its urgent flood went before everybody's normal work, and its eight turns before each of theirs. Now a customer's work counts against its share of the upstream over ten seconds: what is within goes first, lane by lane, from whoever has used least of its share; what is beyond uses the rest, each customer alike. A customer may fill its share of the queue and half of what remains. The queue of one upstream needs no turns any more, so the lanes became simpler.

Ruled out, without effect: room kept free of excess, a bound on requests that have not answered yet, room beyond the limit for all work within shares. Also found: an estimate of the first token that exceeds what a kind allows was never corrected, because nothing was tried any more.

The experiment's load on demand now also adds a copy when all holders refuse; a model that is being loaded runs nothing.

--- a/bench/experiment/baseline/leastconnections.ts
+++ b/bench/experiment/baseline/leastconnections.ts
@@ -1,15 +1,17 @@
-import type { MakeRoute } from '../routepolicy.js';
+import type { Candidate, MakeRoute } from '../routepolicy.js';
 
 /** The upstream where this entry has the fewest requests in flight. */
 export const leastConnections: MakeRoute = () => {
   const inFlight = new Map<number, number>();
   const count = (index: number, change: number) =>
     inFlight.set(index, (inFlight.get(index) ?? 0) + change);
+  const countOf = ({ index }: Candidate) => inFlight.get(index) ?? 0;
   return {
     choose(_ask, candidates) {
-      let [best] = candidates;
+      let best: Candidate | undefined;
       for (const candidate of candidates) {
-        const fewer = (inFlight.get(candidate.index) ?? 0) < (inFlight.get(best!.index) ?? 0);
+        if (candidate.phase !== 'ready') continue;
+        const fewer = !best || countOf(candidate) < countOf(best);
         if (fewer) best = candidate;
       }
       if (best) count(best.index, 1);
--- a/bench/experiment/baseline/loadondemand.ts
+++ b/bench/experiment/baseline/loadondemand.ts
@@ -1,4 +1,9 @@
-import type { MakePlacement, PlacementOrder, UpstreamView } from '../placementpolicy.js';
+import type {
+  ClusterView,
+  MakePlacement,
+  PlacementOrder,
+  UpstreamView,
+} from '../placementpolicy.js';
 import { pack } from './pack.js';
 import { popularityOf } from '../popularity.js';
 
@@ -17,33 +22,49 @@
   return freeBytes >= sizeBytes ? evicted : undefined;
 }
 
-/** Loads a model when a request finds it nowhere, where least runs, and evicts the least recently used. */
+/** Loads one more copy where least runs, for which the least recently used models go. */
+function loadWhereIdle(
+  model: string,
+  sizeBytes: number,
+  view: ClusterView,
+): readonly PlacementOrder[] {
+  const usable = view.upstreams.filter(
+    ({ alive, leaving, checksFencing, residents }) =>
+      alive &&
+      !leaving &&
+      (view.storeUp || checksFencing) &&
+      !residents.some((resident) => resident.model === model),
+  );
+  for (const upstream of usable.sort((a, b) => a.running + a.queued - b.running - b.queued)) {
+    const evicted = evictions(upstream, sizeBytes);
+    if (!evicted) continue;
+    const { index } = upstream;
+    const unloads = evicted.map((old): PlacementOrder => ({
+      type: 'unload',
+      index,
+      model: old,
+      urgency: 0,
+    }));
+    return [...unloads, { type: 'load', index, model, urgency: 1 }];
+  }
+  return [];
+}
+
+/**
+ * Loads a model when a request finds it nowhere, or when all that hold it have refused one; evicts the
+ * least recently used.
+ */
 export const loadOnDemand: MakePlacement = (deployment, seed) => {
   const sizes = new Map<string, number>(
     deployment.document.models.map(({ id, sizeBytes }) => [id, sizeBytes]),
   );
+  const load = (model: string, view: ClusterView) =>
+    loadWhereIdle(model, sizes.get(model) ?? 0, view);
   return {
     intervalMs: Infinity,
     start: (view) => pack(deployment, popularityOf(deployment, seed), view),
     plan: () => [],
-    missing(model, view) {
-      const sizeBytes = sizes.get(model) ?? 0;
-      const usable = view.upstreams.filter(
-        ({ alive, leaving, checksFencing }) => alive && !leaving && (view.storeUp || checksFencing),
-      );
-      for (const upstream of usable.sort((a, b) => a.running + a.queued - b.running - b.queued)) {
-        const evicted = evictions(upstream, sizeBytes);
-        if (!evicted) continue;
-        const { index } = upstream;
-        const unloads = evicted.map((old): PlacementOrder => ({
-          type: 'unload',
-          index,
-          model: old,
-          urgency: 0,
-        }));
-        return [...unloads, { type: 'load', index, model, urgency: 1 }];
-      }
-      return [];
-    },
+    missing: load,
+    refused: load,
   };
 };
--- a/bench/experiment/baseline/roundrobin.ts
+++ b/bench/experiment/baseline/roundrobin.ts
@@ -5,9 +5,10 @@
   const turns = new Map<string, number>();
   return {
     choose(ask, candidates) {
+      const ready = candidates.filter(({ phase }) => phase === 'ready');
       const turn = turns.get(ask.model) ?? entry;
       turns.set(ask.model, turn + 1);
-      return candidates[turn % Math.max(1, candidates.length)];
+      return ready[turn % Math.max(1, ready.length)];
     },
     learn() {},
   };
--- a/bench/experiment/flight.ts
+++ b/bench/experiment/flight.ts
@@ -16,4 +16,8 @@
   /** Tokens made when it last started. */
   madeAtStart: number;
   preemptions: number;
+  /** When the last refusal told it to come back; 0 if it did not. */
+  retryAfterMs: number;
+  /** True for a request that was refused before and came back as told. */
+  readonly cameBack: boolean;
 }
--- a/bench/experiment/placementpolicy.ts
+++ b/bench/experiment/placementpolicy.ts
@@ -63,6 +63,8 @@
   plan(view: ClusterView, nowMs: number): readonly PlacementOrder[];
   /** A request found its model nowhere. Also called when no planner lives. */
   missing(model: string, view: ClusterView, nowMs: number): readonly PlacementOrder[];
+  /** Every upstream that holds the model has refused a request for it. At most once a second a model. */
+  refused?(model: string, view: ClusterView, nowMs: number): readonly PlacementOrder[];
 }
 
 /** Builds the planner of one run. */
--- a/bench/experiment/refusallog.ts
+++ b/bench/experiment/refusallog.ts
@@ -18,11 +18,13 @@
   readonly needMs: number;
 }
 
+const BACKGROUND = RANK.background;
 const NOBODY = 9;
 
 /**
  * Judges refusals in hindsight: "the deadline cannot be met" was false if, in time, a place stayed free
- * or went to a request that this one would have preceded.
+ * or went to a request that this one would have preceded: to background work, or to one of the same
+ * customer that is less urgent or is due later. (Between customers, shares decide.)
  */
 export class RefusalLog {
   private readonly given: Given[] = [];
@@ -53,9 +55,10 @@
     for (let at = this.firstAfter(atMs); at < this.given.length; at += 1) {
       const place = this.given[at]!;
       if (place.atMs > deadlineAtMs - needMs) return false;
+      if (place.rank >= BACKGROUND && place.rank > rank) return true;
+      if (place.customer !== ask.customer) continue;
       if (place.rank > rank) return true;
-      const sameLine = place.rank === rank && place.customer === ask.customer;
-      if (sameLine && place.deadlineAtMs > deadlineAtMs) return true;
+      if (place.rank === rank && place.deadlineAtMs > deadlineAtMs) return true;
     }
     return false;
   }
--- a/bench/experiment/runoptions.ts
+++ b/bench/experiment/runoptions.ts
@@ -23,4 +23,6 @@
   readonly listLagMs?: number;
   /** Slots declared in the document are multiplied by this; 1 if left out. */
   readonly slotsFactor?: number;
+  /** Clients who were refused come back once, when they were told to; false if left out. */
+  readonly comeBack?: boolean;
 }
--- a/bench/experiment/tally.ts
+++ b/bench/experiment/tally.ts
@@ -69,6 +69,9 @@
 
   private paced = 0;
 
+  /** Requests that were refused and came back when told to; they count nowhere else. */
+  private readonly cameBack = { asked: 0, answered: 0, inTime: 0 };
+
   preemptions = 0;
 
   loads = 0;
@@ -96,7 +99,7 @@
   }
 
   refused(flight: Flight, reason: string, nowMs: number): void {
-    this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1);
+    if (!flight.cameBack) this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1);
     this.end(flight, 'refused', false, nowMs);
   }
 
@@ -129,6 +132,7 @@
       refusals: Object.fromEntries(this.refusals),
       paceKept: this.paced > 0 ? this.paceKept / this.paced : 1,
       preemptions: this.preemptions,
+      cameBack: this.cameBack,
       moves: this.loads + this.unloads,
       loads: this.loads,
       unloads: this.unloads,
@@ -144,6 +148,12 @@
 
   private end(flight: Flight, ending: Ending, inTime: boolean, nowMs: number): void {
     const { kind, customer } = flight.ask;
+    if (flight.cameBack) {
+      this.cameBack.asked += 1;
+      if (ending === 'answered') this.cameBack.answered += 1;
+      if (inTime) this.cameBack.inTime += 1;
+      return;
+    }
     this.endings[ending] += 1;
     add(this.sums.all, 'all', kind.weight, inTime);
     add(this.sums.kind, kind.name, kind.weight, inTime);
--- a/bench/experiment/world.ts
+++ b/bench/experiment/world.ts
@@ -59,6 +59,8 @@
 
   private readonly parked = new Map<string, Parked>();
 
+  private readonly refusedAt = new Map<string, number>();
+
   private readonly demand = new Map<
     string,
     { asked: number; refused: number; serviceMs: number }
@@ -114,14 +116,24 @@
       (sum, group) => sum + group.accelerators * group.upstreams.length,
       0,
     );
-    const judged = this.logs.map((log) => log.judge());
-    const refused = judged.reduce((sum, one) => sum + one.refused, 0);
-    const untrue = judged.reduce((sum, one) => sum + one.untrue, 0);
     const summary = this.tally.summary(accelerators);
-    const hindsight = { refused, untrue, trueShare: refused > 0 ? 1 - untrue / refused : 1 };
+    const hindsight = { ...this.judge(true), plain: this.judge(false) };
     return { ...summary, hindsight, events: this.events, cpuSeconds };
   }
 
+  /** Whether the refusals of engines, or of plain services, were true. */
+  private judge(engines: boolean) {
+    let refused = 0;
+    let untrue = 0;
+    for (const [index, log] of this.logs.entries()) {
+      if ((this.upstreams[index]!.engine !== undefined) !== engines) continue;
+      const judged = log.judge();
+      refused += judged.refused;
+      untrue += judged.untrue;
+    }
+    return { refused, untrue, trueShare: refused > 0 ? 1 - untrue / refused : 1 };
+  }
+
   private at(atMs: number, act: () => void): void {
     this.due.push(Math.max(atMs, this.nowMs), act);
   }
@@ -133,11 +145,11 @@
     if (!ask) return;
     this.at(ask.atMs, () => {
       this.scheduleAsk(index + 1);
-      this.arrive(ask, index);
+      this.arrive(ask, index, false);
     });
   }
 
-  private arrive(ask: Ask, index: number): void {
+  private arrive(ask: Ask, index: number, cameBack: boolean): void {
     const flight: Flight = {
       ask,
       entry: index % this.entries.length,
@@ -150,6 +162,8 @@
       made: 0,
       madeAtStart: 0,
       preemptions: 0,
+      retryAfterMs: 0,
+      cameBack,
     };
     if (ask.model) this.demandOf(ask.model).asked += 1;
     this.route(flight);
@@ -236,8 +250,24 @@
 
   private refuse(flight: Flight, reason: string): void {
     flight.phase = 'ended';
-    if (flight.ask.model) this.demandOf(flight.ask.model).refused += 1;
+    if (flight.ask.model) this.noteRefusal(flight.ask.model);
     this.tally.refused(flight, reason, this.nowMs);
+    if (this.options.comeBack) this.comeBack(flight);
+  }
+
+  private comeBack({ ask, entry, retryAfterMs, cameBack }: Flight): void {
+    if (cameBack || retryAfterMs === 0) return;
+    const again = { ...ask, requestId: `${ask.requestId} again`, atMs: this.nowMs + retryAfterMs };
+    this.at(again.atMs, () => this.arrive(again, entry, true));
+  }
+
+  private noteRefusal(model: string): void {
+    this.demandOf(model).refused += 1;
+    const askedAtMs = this.refusedAt.get(model) ?? -Infinity;
+    const busy = (this.loading.get(model)?.size ?? 0) > 0;
+    if (!this.placement.refused || busy || this.nowMs - askedAtMs < MISSING_AGAIN_MS) return;
+    this.refusedAt.set(model, this.nowMs);
+    this.order(this.placement.refused(model, this.view(), this.nowMs));
   }
 
   private learn(flight: Flight, type: RouteOutcome['type'], load: SeenLoad | undefined): void {
@@ -302,8 +332,10 @@
     const flight = upstream.flights.get(effect.requestId);
     if (!flight) return;
     if (effect.type === 'start') this.start(upstream, flight);
-    else if (effect.type === 'refuse') this.turnAway(upstream, flight, effect.failure);
-    else this.preempt(upstream, flight);
+    else if (effect.type === 'refuse') {
+      flight.retryAfterMs = effect.retryAfterMs;
+      this.turnAway(upstream, flight, effect.failure);
+    } else this.preempt(upstream, flight);
   }
 
   private wake(upstream: SimUpstream, atMs: number): void {
@@ -318,6 +350,10 @@
 
   private start(upstream: SimUpstream, flight: Flight): void {
     const { ask } = flight;
+    if (upstream.residents.get(ask.model)?.phase === 'loading') {
+      this.turnBack(upstream, flight);
+      return;
+    }
     flight.phase = 'running';
     flight.startedAtMs = this.nowMs;
     flight.madeAtStart = flight.made;
@@ -334,6 +370,16 @@
     else this.serve(upstream, flight);
   }
 
+  /** The queue started a request whose model is not there yet: nothing can run. */
+  private turnBack(upstream: SimUpstream, flight: Flight): void {
+    const { requestId } = flight.ask;
+    upstream.flights.delete(requestId);
+    upstream.queued -= 1;
+    this.tell(upstream, { type: 'released', requestId, outcome: 'cancelled', tokenCount: 0 });
+    this.learn(flight, 'refused', upstream.queue.load(this.nowMs));
+    this.again(flight, 'model-absent');
+  }
+
   private serve(upstream: SimUpstream, flight: Flight): void {
     const { life } = upstream;
     this.at(this.nowMs + flight.ask.serviceMs, () => {
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -13,4 +13,6 @@
   'mesh-fanout': async () => (await import('./meshfanout.js')).meshFanout,
   'mesh-spread': async () => (await import('./meshspread.js')).meshSpread,
   'mesh-store-calls': async () => (await import('./meshstorecalls.js')).meshStoreCalls,
+  policy: async () => (await import('./policy.js')).policy,
+  'admission-cost': async () => (await import('./admissioncost.js')).admissionCost,
 };
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -28,8 +28,7 @@
   }
   state.policy = policy;
   state.kinds = new Map<string, Kind>(policy.kinds.map((kind) => [kind.name, kind]));
-  const shares = new Map<string, number>(policy.customers.map(({ id, share }) => [id, share]));
-  for (const lane of state.lanes) lane.setShares(shares);
+  state.accounts.configure(policy);
   return [];
 }
 
@@ -60,14 +59,14 @@
   const running = state.running.get(event.requestId);
   if (!running) return [];
   const { waiting, startedAtMs, longJob, preempting } = running;
-  const { offer, lane, holdMs } = waiting;
+  const { offer, holdMs } = waiting;
   const heldMs = nowMs - startedAtMs;
   state.running.delete(event.requestId);
   state.releaseRate -= 1 / holdMs;
   if (state.running.size === 0) state.releaseRate = 0;
   if (longJob) state.longRunning -= 1;
   if (preempting) state.preempting -= 1;
-  state.lanes[lane]!.settle(waiting, heldMs);
+  waiting.counted?.add(heldMs - holdMs, nowMs);
   if (event.outcome !== 'answered' || offer.resumed) return [];
   if (state.policy.type === 'plain') state.estimates.learnFirst(offer, heldMs);
   else state.estimates.learnTokens(offer, event.tokenCount);
--- a/src/core/admission/admissionstate.ts
+++ b/src/core/admission/admissionstate.ts
@@ -1,5 +1,6 @@
 import type { Ms } from '../../base/index.js';
 import type { Kind } from '../document/index.js';
+import type { Accounts } from './accounts.js';
 import type { AdmissionPolicy } from './admissionpolicy.js';
 import type { Estimates } from './estimates.js';
 import type { Heap } from './heap.js';
@@ -25,10 +26,11 @@
   kinds: ReadonlyMap<string, Kind>;
   estimates: Estimates;
   pace: PaceLimit;
-  /** Two for each priority: short requests, then long jobs. */
+  /** As many as `LANES`. */
   readonly lanes: readonly Lane[];
   /** Work that was let into each lane lately. */
   readonly inflows: readonly Inflow[];
+  readonly accounts: Accounts;
   readonly waiting: Map<string, Waiting>;
   readonly running: Map<string, Running>;
   /** Requests for models that are being loaded. */
--- a/src/core/admission/dispatch.ts
+++ b/src/core/admission/dispatch.ts
@@ -1,46 +1,98 @@
-/* eslint no-param-reassign: off -- admission changes its own tables in place: see AdmissionState */
 import type { Ms } from '../../base/index.js';
+import type { Account } from './account.js';
 import type { AdmissionEffect } from './admissioneffect.js';
 import type { AdmissionState } from './admissionstate.js';
+import { LANES } from './lanes.js';
 import { limitOf } from './limitof.js';
 import { refuseWaiting } from './refusewaiting.js';
+import { start } from './start.js';
 import type { Waiting } from './waiting.js';
 
-const BACKGROUND_LANE = 4;
+const URGENT = 0;
+const NORMAL = 2;
+const FIRST_BACKGROUND = 4;
 
-/** Whether a long job of this lane may start now. */
-function longAllowed({ longRunning, policy }: AdmissionState): boolean {
-  return longRunning < policy.longJobs;
+/** Takes the next request of a lane; undefined when there is none that may start. */
+type Take = () => Waiting | undefined;
+
+function hasPlace(state: AdmissionState, index: number): boolean {
+  if (state.running.size >= limitOf(state, index)) return false;
+  return !LANES[index]!.longJobs || state.longRunning < state.policy.longJobs;
+}
+
+/** Starts what a lane gives out while there are places. */
+function fill(
+  state: AdmissionState,
+  index: number,
+  use: keyof Account['used'],
+  take: Take,
+  nowMs: Ms,
+): AdmissionEffect[] {
+  const effects: AdmissionEffect[] = [];
+  while (hasPlace(state, index)) {
+    const next = take();
+    if (!next) break;
+    if (next.latestStartAtMs < nowMs) {
+      effects.push(refuseWaiting(state, next, 'deadline-unmeetable', nowMs));
+      continue;
+    }
+    next.counted = state.accounts.of(next.offer.customer).used[use];
+    next.counted.add(next.holdMs, nowMs);
+    effects.push(start(state, next, nowMs));
+  }
+  return effects;
 }
 
-function start(state: AdmissionState, waiting: Waiting, nowMs: Ms): AdmissionEffect {
-  const { offer, lane, holdMs } = waiting;
-  const { requestId } = offer;
-  const kind = state.kinds.get(offer.kind);
-  const longJob = kind?.longJob ?? false;
-  const yields = (longJob || lane >= BACKGROUND_LANE) && (kind?.repeatable ?? false);
-  waiting.place = 'left';
-  state.waiting.delete(requestId);
-  const running = { waiting, longJob, yields, startedAtMs: nowMs };
-  state.running.set(requestId, { ...running, answering: false, preempting: false });
-  state.releaseRate += 1 / holdMs;
-  if (longJob) state.longRunning += 1;
-  return { type: 'start', requestId };
+/** Customers' work within their shares, lane by lane: who has used least of its share goes first. */
+function fillWithin(state: AdmissionState, index: number, nowMs: Ms): AdmissionEffect[] {
+  const { accounts, pace, lanes } = state;
+  const lane = lanes[index]!;
+  const take = () => {
+    const customer = accounts.nextWithin(lane.customers(), pace.limit, nowMs);
+    return customer === undefined ? undefined : lane.takeOf(customer);
+  };
+  return fill(state, index, 'within', take, nowMs);
 }
 
-/** Starts what may start now, lane by lane: no place stays free while somebody may use it. */
+/**
+ * What customers offer beyond their shares uses what the others leave. Each customer counts alike here,
+ * so that the largest does not take it all; its urgent work goes before its own other work.
+ */
+function fillBeyond(state: AdmissionState, nowMs: Ms): AdmissionEffect[] {
+  const { accounts, lanes } = state;
+  const urgent = lanes[URGENT]!;
+  const normal = lanes[NORMAL]!;
+  const take = () => {
+    const customers = new Set([...urgent.customers(), ...normal.customers()]);
+    const customer = accounts.nextBeyond(customers, nowMs);
+    return customer === undefined
+      ? undefined
+      : (urgent.takeOf(customer) ?? normal.takeOf(customer));
+  };
+  return fill(state, NORMAL, 'beyond', take, nowMs);
+}
+
+/** Background work, and long jobs beyond their customers' shares. */
+function fillBackground(state: AdmissionState, index: number, nowMs: Ms): AdmissionEffect[] {
+  const lane = state.lanes[index]!;
+  const take = () => {
+    const customer = state.accounts.nextBackground(lane.customers(), nowMs);
+    return customer === undefined ? undefined : lane.takeOf(customer);
+  };
+  return fill(state, index, 'background', take, nowMs);
+}
+
+/** Starts what may start now: no place stays free while somebody may use it. */
 export function dispatch(state: AdmissionState, nowMs: Ms): AdmissionEffect[] {
   const effects: AdmissionEffect[] = [];
-  for (const [index, lane] of state.lanes.entries()) {
-    const isLong = index % 2 === 1;
-    while (lane.count > 0 && state.running.size < limitOf(state, index)) {
-      if (isLong && !longAllowed(state)) break;
-      const next = lane.take();
-      if (!next) break;
-      const late = next.latestStartAtMs < nowMs;
-      if (late) effects.push(refuseWaiting(state, next, 'deadline-unmeetable', nowMs));
-      else effects.push(start(state, next, nowMs));
-    }
+  for (let index = 0; index < FIRST_BACKGROUND; index += 1) {
+    if (state.lanes[index]!.count > 0) effects.push(...fillWithin(state, index, nowMs));
+  }
+  const beyond = state.lanes[URGENT]!.count + state.lanes[NORMAL]!.count;
+  if (beyond > 0) effects.push(...fillBeyond(state, nowMs));
+  for (let index = 1; index < LANES.length; index += 1) {
+    const last = LANES[index]!.longJobs || LANES[index]!.background;
+    if (last && state.lanes[index]!.count > 0) effects.push(...fillBackground(state, index, nowMs));
   }
   return effects;
 }
--- /dev/null
+++ b/src/core/admission/forget.ts
@@ -0,0 +1,10 @@
+/* eslint no-param-reassign: off -- admission changes its own tables in place: see AdmissionState */
+import type { AdmissionState } from './admissionstate.js';
+import type { Waiting } from './waiting.js';
+
+/** A request that its lane has given out no longer waits. */
+export function forget(state: AdmissionState, waiting: Waiting): void {
+  const { requestId, customer } = waiting.offer;
+  waiting.place = 'left';
+  if (state.waiting.delete(requestId)) state.accounts.of(customer).waiting -= 1;
+}
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -8,6 +8,7 @@
 export type { AdmissionPolicy } from './admissionpolicy.js';
 export type { AdmissionState } from './admissionstate.js';
 export { Heap } from './heap.js';
+export { LANES } from './lanes.js';
 export type { Offer } from './offer.js';
 export { startAdmission } from './startadmission.js';
 export { tellLoad } from './tellload.js';
--- a/src/core/admission/laneof.ts
+++ b/src/core/admission/laneof.ts
@@ -1,8 +1,8 @@
 import type { Kind } from '../document/index.js';
 
-const RANKS: Readonly<Record<Kind['priority'], number>> = { urgent: 0, normal: 1, background: 2 };
+const SHORT: Readonly<Record<Kind['priority'], number>> = { urgent: 0, normal: 2, background: 4 };
 
-/** A kind's lane: lower ones go first; long jobs wait behind the short requests of their priority. */
+/** The lane in which a request waits: its index in `LANES`. Long jobs wait behind the short ones. */
 export function laneOf({ priority, longJob }: Pick<Kind, 'priority' | 'longJob'>): number {
-  return RANKS[priority] * 2 + (longJob ? 1 : 0);
+  return SHORT[priority] + (longJob ? 1 : 0);
 }
--- a/src/core/admission/limitof.ts
+++ b/src/core/admission/limitof.ts
@@ -1,4 +1,5 @@
 import type { AdmissionState } from './admissionstate.js';
+import { LANES } from './lanes.js';
 
 /** Urgent requests may go so far beyond the limit: they are short, and a step grows little by one more. */
 const URGENT_PART = 0.25;
@@ -10,5 +11,5 @@
   const { limit } = pace;
   if (policy.type === 'plain') return limit;
   if (lane === 0) return limit + Math.ceil(limit * URGENT_PART);
-  return lane % 2 === 1 ? Math.max(1, limit - Math.ceil(limit * LONG_PART)) : limit;
+  return LANES[lane]!.longJobs ? Math.max(1, limit - Math.ceil(limit * LONG_PART)) : limit;
 }
--- a/src/core/admission/offered.ts
+++ b/src/core/admission/offered.ts
@@ -3,6 +3,7 @@
 import type { AdmissionEffect } from './admissioneffect.js';
 import type { AdmissionState } from './admissionstate.js';
 import { laneOf } from './laneof.js';
+import { LANES } from './lanes.js';
 import type { Offer } from './offer.js';
 import { refuseWaiting } from './refusewaiting.js';
 import type { Waiting } from './waiting.js';
@@ -11,26 +12,36 @@
 const DEFAULT_KIND = { priority: 'normal', longJob: false } as const;
 /** Part of the queue that long jobs and background work may fill. */
 const BACKGROUND_PART = 0.5;
-const FIRST_BACKGROUND_LANE = 3;
+
+/**
+ * An estimate of more than this part of the time that a kind allows is not believed: who is never tried
+ * can never be found to be quicker.
+ */
+const LARGEST_NEED_PART = 0.5;
 
 function describe(state: AdmissionState, offer: Offer, nowMs: Ms): Waiting {
   const deadlineAtMs = nowMs + offer.remainingMs;
-  const needMs = state.estimates.needMs(offer);
+  const longestMs = state.kinds.get(offer.kind)?.deadlineMs ?? offer.remainingMs;
+  const needMs = Math.min(state.estimates.needMs(offer), LARGEST_NEED_PART * longestMs);
+  const holdMs = state.estimates.holdMs(offer);
   return {
     offer,
     lane: laneOf(state.kinds.get(offer.kind) ?? DEFAULT_KIND),
     offeredAtMs: nowMs,
     deadlineAtMs,
     latestStartAtMs: offer.resumed ? Infinity : deadlineAtMs - needMs,
-    holdMs: state.estimates.holdMs(offer),
-    chargedMs: 0,
+    holdMs,
+    counted: undefined,
     place: 'lane',
   };
 }
 
-function isFull({ waiting, policy }: AdmissionState, { lane }: Waiting): boolean {
-  const part = lane >= FIRST_BACKGROUND_LANE ? BACKGROUND_PART : 1;
-  return waiting.size >= policy.queueLimit * part;
+function isFull({ waiting, policy, accounts }: AdmissionState, { lane, offer }: Waiting): boolean {
+  const { background, longJobs } = LANES[lane]!;
+  const part = background || longJobs ? BACKGROUND_PART : 1;
+  if (waiting.size >= policy.queueLimit * part) return true;
+  const own = accounts.of(offer.customer).waiting;
+  return own >= accounts.queueLimit(offer.customer, policy.queueLimit);
 }
 
 /** Why a request cannot be taken, if it cannot. One that has begun to answer always is. */
@@ -54,6 +65,7 @@
 function enqueue(state: AdmissionState, waiting: Waiting, nowMs: Ms): void {
   const { offer, lane, latestStartAtMs } = waiting;
   state.waiting.set(offer.requestId, waiting);
+  state.accounts.of(offer.customer).waiting += 1;
   if (latestStartAtMs < Infinity) state.reviews.push(nowMs, waiting);
   if (state.models.get(offer.model)?.phase !== 'loading') {
     state.lanes[lane]!.push(waiting);
--- a/src/core/admission/refusewaiting.ts
+++ b/src/core/admission/refusewaiting.ts
@@ -1,7 +1,7 @@
-/* eslint no-param-reassign: off -- admission changes its own tables in place: see AdmissionState */
 import type { Ms } from '../../base/index.js';
 import type { AdmissionEffect } from './admissioneffect.js';
 import type { AdmissionState } from './admissionstate.js';
+import { forget } from './forget.js';
 import { retryAfter } from './retryafter.js';
 import type { Waiting } from './waiting.js';
 
@@ -15,8 +15,7 @@
   nowMs: Ms,
 ): AdmissionEffect {
   const { offer, lane, holdMs } = waiting;
-  waiting.place = 'left';
-  state.waiting.delete(offer.requestId);
+  forget(state, waiting);
   state.inflows[lane]!.add(-holdMs, nowMs);
   const retryAfterMs = retryAfter(state, waiting, nowMs);
   return { type: 'refuse', requestId: offer.requestId, failure, retryAfterMs };
--- a/src/core/admission/retryafter.ts
+++ b/src/core/admission/retryafter.ts
@@ -4,8 +4,11 @@
 import { partLeft } from './partleft.js';
 import type { Waiting } from './waiting.js';
 
-const LEAST_MS = 100;
+/** Demand that bursts outlasts the backlog of the moment: who comes back sooner mostly finds the same. */
+const LEAST_MS = 5000;
 const LONGEST_MS = 60_000;
+/** Estimates are for the mean; to be taken with some certainty, twice the wait has to be gone. */
+const CAUTION = 2;
 /** Part of the upstream that works the backlog off, at least, while more of the same comes in. */
 const LEAST_PART = 0.25;
 
@@ -15,7 +18,7 @@
   const { customer } = offer;
   const candidate = { lane, customer, remainingMs: longestMs, longestMs, yielding: true };
   const affordableMs = longestMs - state.estimates.needMs(offer);
-  return Math.max(0, expectWait(state, candidate, nowMs) - affordableMs);
+  return Math.max(0, CAUTION * expectWait(state, candidate, nowMs) - affordableMs);
 }
 
 /**
@@ -28,5 +31,5 @@
   const readyInMs = model?.phase === 'loading' ? model.readyAtMs - nowMs : 0;
   const part = Math.max(LEAST_PART, partLeft(state, waiting.lane + 1, nowMs));
   const workedOffMs = excessMs(state, waiting, nowMs) / part;
-  return Math.round(Math.min(LONGEST_MS, Math.max(LEAST_MS, readyInMs, workedOffMs)));
+  return Math.round(Math.min(LONGEST_MS, Math.max(readyInMs || LEAST_MS, workedOffMs)));
 }
--- a/src/core/admission/startadmission.ts
+++ b/src/core/admission/startadmission.ts
@@ -1,24 +1,23 @@
 import type { Kind } from '../document/index.js';
+import { Accounts } from './accounts.js';
 import type { AdmissionPolicy } from './admissionpolicy.js';
 import type { AdmissionState } from './admissionstate.js';
 import { Estimates } from './estimates.js';
 import { Heap } from './heap.js';
 import { Inflow } from './inflow.js';
-import { LANE_COUNT } from './lanecount.js';
 import { Lane } from './lane.js';
+import { LANES } from './lanes.js';
 import { PaceLimit } from './pacelimit.js';
 
-function shareOf({ customers }: AdmissionPolicy): ReadonlyMap<string, number> {
-  return new Map<string, number>(customers.map(({ id, share }) => [id, share]));
-}
-
 /** Nothing waits, nothing runs, nothing has been measured. */
 export function startAdmission(policy: AdmissionPolicy): AdmissionState {
-  const lanes = Array.from({ length: LANE_COUNT }, () => new Lane());
-  for (const lane of lanes) lane.setShares(shareOf(policy));
+  const lanes = LANES.map(() => new Lane());
+  const accounts = new Accounts();
+  accounts.configure(policy);
   return {
     policy,
     lanes,
+    accounts,
     kinds: new Map<string, Kind>(policy.kinds.map((kind) => [kind.name, kind])),
     estimates: new Estimates(policy.paceGoalMs),
     pace: new PaceLimit(policy.slots, policy.paceGoalMs),
--- a/src/core/admission/tellload.ts
+++ b/src/core/admission/tellload.ts
@@ -1,7 +1,7 @@
 import type { UpstreamLoad } from '../../wire/index.js';
 import type { AdmissionState } from './admissionstate.js';
 
-const FIRST_BACKGROUND_LANE = 3;
+const FIRST_BACKGROUND_LANE = 4;
 
 /** What is told of the load with each answer. The wait is that of a request of normal priority. */
 export function tellLoad(state: AdmissionState): UpstreamLoad {
--- a/src/core/admission/waiting.ts
+++ b/src/core/admission/waiting.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import type { Inflow } from './inflow.js';
 import type { Offer } from './offer.js';
 
 /** A request that waits. */
@@ -11,8 +12,8 @@
   readonly latestStartAtMs: Ms;
   /** Time that it will hold its place, as estimated. */
   readonly holdMs: Ms;
-  /** What its customer was charged in the division between customers. */
-  chargedMs: Ms;
+  /** Where its work was counted: within its customer's share, or beyond. */
+  counted: Inflow | undefined;
   /** `left` it has started, was refused, or its caller has gone. */
   place: 'lane' | 'parked' | 'left';
 }
--- a/test/admissionproperties.test.ts
+++ b/test/admissionproperties.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
+  LANES,
   admission,
   startAdmission,
   type AdmissionEffect,
@@ -178,7 +179,9 @@
 check(
   'no place stays free while a request that may have it waits',
   ({ state }) => {
-    const shortWaiting = state.lanes.some((lane, index) => index % 2 === 0 && lane.count > 0);
+    const shortWaiting = state.lanes.some(
+      (lane, index) => !LANES[index]!.longJobs && lane.count > 0,
+    );
     return state.running.size >= LIMIT || !shortWaiting;
   },
   false,
