--- a/bench/table.ts
+++ b/bench/table.ts
@@ -8,6 +8,7 @@
   'once-mutations': async () => (await import('./oncemutations.js')).onceMutations,
   'config-race': async () => (await import('./configrace.js')).configRace,
   'config-faults': async () => (await import('./configfaults.js')).configFaults,
+  'ledger-cost': async () => (await import('./ledgercost.js')).ledgerCost,
   'ledger-check': async () => (await import('./ledgercheck.js')).ledgerCheck,
   'mesh-cost': async () => (await import('./meshcost.js')).meshCost,
   'mesh-fanout': async () => (await import('./meshfanout.js')).meshFanout,
--- a/standin/engine/restart.ts
+++ b/standin/engine/restart.ts
@@ -3,13 +3,15 @@
 import type { EngineEffect } from './engineeffect.js';
 import type { EngineState } from './enginestate.js';
 
-/** The engine loses all that it held; every answer that ran or waited is cut. */
+/** The engine loses all that it held but the highest fencing token; every answer that ran is cut. */
 export function restart(state: EngineState): Change<EngineState, EngineEffect> {
   const live = [...state.requests.values()].filter(
     ({ phase }) => phase === 'running' || phase === 'waiting',
   );
+  const { counts, highestFencingToken } = state;
+  const kept = { counts, highestFencingToken, restarts: state.restarts + 1 };
   return {
-    state: { ...emptyEngine, restarts: state.restarts + 1, counts: state.counts },
+    state: { ...emptyEngine, ...kept },
     effects: live.map(({ key }) => ({ type: 'cut', key })),
   };
 }
--- a/test/residency.test.ts
+++ b/test/residency.test.ts
@@ -28,7 +28,7 @@
     await old.pass(1500);
     old.plan(['a', 'c']);
     await old.pass(3000);
-    const next = new ResidencyBed(store, checksFencing, old.engine);
+    const next = new ResidencyBed(store, checksFencing, { model: old.engine });
     await next.pass(1500);
     t.deepEqual(next.ready(), ['a', 'c']);
     // The old one still runs, and tries to load what the new one has no room for.
--- a/test/support/residencybed.ts
+++ b/test/support/residencybed.ts
@@ -1,5 +1,5 @@
-import { VirtualClock } from '../../src/base/index.js';
-import type { KeyValueStore } from '../../src/port/index.js';
+import { VirtualClock, type Clock } from '../../src/base/index.js';
+import type { Engine, KeyValueStore } from '../../src/port/index.js';
 import { MemoryBoard } from '../../src/shell/board/index.js';
 import { UpstreamKey } from '../../src/sidecar/incarnation/index.js';
 import { EngineResidency } from '../../src/sidecar/residency/index.js';
@@ -50,6 +50,15 @@
   };
 }
 
+/** What a test brings along; the rest is made for it. */
+interface Given {
+  readonly model?: ModelEnginePort;
+  /** In place of the model engine. */
+  readonly engine?: Engine;
+  /** In place of the clock that is moved by hand. */
+  readonly clock?: Clock;
+}
+
 const log = { info() {}, warn() {}, error() {} };
 const metrics = { count() {}, gauge() {}, histogram() {} };
 
@@ -69,9 +78,10 @@
 
   private readonly ends: (() => void)[] = [];
 
-  constructor(store: KeyValueStore, checksFencing: boolean, engine?: ModelEnginePort) {
-    this.engine = engine ?? new ModelEnginePort(checksFencing);
-    const { clock, board } = this;
+  constructor(store: KeyValueStore, checksFencing: boolean, given: Given = {}) {
+    this.engine = given.model ?? new ModelEnginePort(checksFencing);
+    const { board } = this;
+    const clock = given.clock ?? this.clock;
     this.key = new UpstreamKey('redactor-1', { store, clock, log });
     const value = Buffer.from(JSON.stringify(documentOf(checksFencing)));
     board.publish({ key: 'document/redactor', epoch: 0, sequence: 1, value });
@@ -88,7 +98,7 @@
       intents: this.key,
       onLeaving: () => {},
       onStop: (end) => this.ends.push(end),
-      engine: this.engine,
+      engine: given.engine ?? this.engine,
     });
     this.key.start();
   }
