Placement judges plans by the answers they would miss

A plan's worth is now one number: the weighted answers that its upstreams will miss over the next minute, with demand spread as routing would and a share of lost requests that rises before the mean is full, since requests bunch. A replica is added only if that number falls by more than its moves cost, plus 0.3% of all answers for each move, which is what the counts' noise makes appear. Demand is smoothed over a minute (over all that was seen until then): bursts are over before a load would be.

--- /dev/null
+++ b/bench/experiment/coreplacement.ts
@@ -0,0 +1,214 @@
+import type { Incarnation, ModelId, UpstreamId } from '../../src/base/index.js';
+import { smooth, type Forecaster } from '../../src/core/forecast/index.js';
+import { rendezvous } from '../../src/core/hash/index.js';
+import type { CellModel, PlanInput } from '../../src/core/placement/index.js';
+import {
+  createPlanner,
+  plannerWith,
+  type Cell,
+  type Counter,
+  type PlannerEffect,
+} from '../../src/core/planner/index.js';
+import { pack } from './baseline/pack.js';
+import type { Deployment } from './deployment.js';
+import type {
+  ClusterView,
+  DemandView,
+  MakePlacement,
+  PlacementOrder,
+  UpstreamView,
+} from './placementpolicy.js';
+import { popularityOf } from './popularity.js';
+
+const INTERVAL_MS = 2_000;
+/** Time for which a rescued model stays before it makes room for another. */
+const REST_MS = 30_000;
+/** Upstreams that an entry asks before it gives up. */
+const RESCUE_ASKS = 4;
+
+/** What a run of the planner varies. */
+export interface CorePlacementOptions {
+  /** The document's if left out. */
+  readonly movePenalty?: number;
+  readonly spares?: PlanInput['spares'];
+  readonly forecaster?: Forecaster<object>;
+}
+
+type Place = Extract<PlannerEffect, { type: 'place' }>;
+
+function modelsOf({ document }: Deployment): readonly CellModel[] {
+  const weights = new Map(document.kinds.map(({ name, weight }) => [name, weight]));
+  return document.models.map(({ id, version, sizeBytes, defaultKind }) => ({
+    id,
+    version,
+    sizeBytes,
+    adapters: [],
+    weight: weights.get(defaultKind) ?? 1,
+  }));
+}
+
+function cellUpstream(upstream: UpstreamView): Cell['upstreams'][number] {
+  return {
+    id: upstream.id as UpstreamId,
+    availabilityZone: upstream.availabilityZone,
+    capacityBytes: upstream.memoryBytes,
+    slots: upstream.slots,
+    role: 'mixed',
+    state: upstream.alive ? 'usable' : 'lost',
+    residents: upstream.residents.map(({ model, phase }) => ({
+      model: model as ModelId,
+      version: '1',
+      phase,
+      adapters: [],
+    })),
+  };
+}
+
+function unload(index: number, model: string): PlacementOrder {
+  return { type: 'unload', index, model, urgency: 0 };
+}
+
+function isElsewhere(view: ClusterView, index: number, model: string): boolean {
+  return view.upstreams.some(
+    (other) =>
+      other.alive &&
+      other.index !== index &&
+      other.residents.some((held) => held.model === model && held.phase === 'ready'),
+  );
+}
+
+function loadOf(index: number, model: string, urgency: number): PlacementOrder {
+  return { type: 'load', index, model, urgency };
+}
+
+/** Carries an upstream's part of the plan out, as its sidecar would: room is made only when needed. */
+function carryOut(
+  place: Place,
+  upstream: UpstreamView,
+  view: ClusterView,
+  sizes: ReadonlyMap<string, number>,
+): PlacementOrder[] {
+  const { index, residents } = upstream;
+  const named = new Set<string>(place.models.map(({ model }) => model));
+  const victims = residents
+    .filter(({ model, phase }) => phase === 'ready' && !named.has(model))
+    .filter(({ model }) => isElsewhere(view, index, model))
+    .sort((a, b) => a.running - b.running || a.lastUsedAtMs - b.lastUsedAtMs);
+  const orders: PlacementOrder[] = [];
+  let { freeBytes } = upstream;
+  for (const { model, urgency } of [...place.models].sort((a, b) => b.urgency - a.urgency)) {
+    if (residents.some((held) => held.model === model)) continue;
+    const sizeBytes = sizes.get(model) ?? 0;
+    while (freeBytes < sizeBytes && victims.length > 0) {
+      const victim = victims.shift()!;
+      orders.push(unload(index, victim.model));
+      if (victim.running === 0) freeBytes += victim.sizeBytes;
+    }
+    if (freeBytes < sizeBytes) continue;
+    freeBytes -= sizeBytes;
+    orders.push(loadOf(index, model, urgency));
+  }
+  return orders;
+}
+
+/** What a sidecar gives up for a rescue: replicas first, then what has been idle long enough. */
+function evictions(
+  upstream: UpstreamView,
+  view: ClusterView,
+  sizeBytes: number,
+  nowMs: number,
+): readonly string[] | undefined {
+  const replica = ({ model }: UpstreamView['residents'][number]) =>
+    isElsewhere(view, upstream.index, model);
+  const idle = upstream.residents
+    .filter(({ phase, running }) => phase === 'ready' && running === 0)
+    .filter((held) => replica(held) || nowMs - held.lastUsedAtMs >= REST_MS)
+    .sort((a, b) => Number(replica(b)) - Number(replica(a)) || a.lastUsedAtMs - b.lastUsedAtMs);
+  const evicted: string[] = [];
+  let { freeBytes } = upstream;
+  for (const held of idle) {
+    if (freeBytes >= sizeBytes) break;
+    evicted.push(held.model);
+    freeBytes += held.sizeBytes;
+  }
+  return freeBytes >= sizeBytes ? evicted : undefined;
+}
+
+/** Asks the first upstream of the model's rendezvous order with room, else the first that makes room. */
+function rescue(
+  model: string,
+  view: ClusterView,
+  sizeBytes: number,
+  nowMs: number,
+): readonly PlacementOrder[] {
+  const usable = view.upstreams.filter(
+    ({ alive, leaving, checksFencing }) => alive && !leaving && (view.storeUp || checksFencing),
+  );
+  const order = rendezvous(
+    model,
+    usable.map(({ id }) => id),
+  );
+  const ranked = order.flatMap((id) => usable.find((upstream) => upstream.id === id) ?? []);
+  const roomy = ranked.find(({ freeBytes }) => freeBytes >= sizeBytes);
+  if (roomy) return [loadOf(roomy.index, model, 9)];
+  for (const upstream of ranked.slice(0, RESCUE_ASKS)) {
+    const evicted = evictions(upstream, view, sizeBytes, nowMs);
+    if (!evicted) continue;
+    const unloads = evicted.map((old) => unload(upstream.index, old));
+    return [...unloads, loadOf(upstream.index, model, 9)];
+  }
+  return [];
+}
+
+/** The planner's core, and the rescue that needs no planner. */
+export function corePlacement(options: CorePlacementOptions = {}): MakePlacement {
+  return (deployment, seed) => {
+    const { forecaster = smooth, spares = 'last' } = options;
+    const step = plannerWith({ forecaster, spares });
+    const models = modelsOf(deployment);
+    const sizes = new Map<string, number>(models.map(({ id, sizeBytes }) => [id, sizeBytes]));
+    const { weightStore, placement } = deployment.document;
+    const movePenalty = options.movePenalty ?? placement.movePenalty;
+    const counted = new Map<string, Counter>();
+    const wanted = new Map<string, Place>();
+    let planner = createPlanner();
+
+    const count = (demand: DemandView) => {
+      const before = counted.get(demand.model);
+      counted.set(demand.model, {
+        upstream: '' as UpstreamId,
+        incarnation: 1 as Incarnation,
+        model: demand.model as ModelId,
+        askedCount: (before?.askedCount ?? 0) + demand.askedCount,
+        refusedCount: (before?.refusedCount ?? 0) + demand.refusedCount,
+        serviceTimeMs: (before?.serviceTimeMs ?? 0) + demand.serviceTimeMs,
+      });
+    };
+
+    return {
+      intervalMs: INTERVAL_MS,
+      start: (view) => pack(deployment, popularityOf(deployment, seed), view),
+      plan(view, nowMs) {
+        view.demand.forEach(count);
+        const cell = {
+          models,
+          movePenalty,
+          ...weightStore,
+          upstreams: view.upstreams.map(cellUpstream),
+          counters: [...counted.values()],
+        };
+        const { state, effects } = step(planner, { type: 'round', cell }, nowMs);
+        planner = state;
+        for (const effect of effects) {
+          if (effect.type === 'place') wanted.set(effect.upstream, effect);
+        }
+        return view.upstreams.flatMap((upstream) => {
+          const place = wanted.get(upstream.id);
+          const usable = upstream.alive && (view.storeUp || upstream.checksFencing);
+          return place && usable ? carryOut(place, upstream, view, sizes) : [];
+        });
+      },
+      missing: (model, view, nowMs) => rescue(model, view, sizes.get(model) ?? 0, nowMs),
+    };
+  };
+}
--- a/bench/experiment/index.ts
+++ b/bench/experiment/index.ts
@@ -9,7 +9,9 @@
 export { loadOnDemand } from './baseline/loadondemand.js';
 export { roundRobin } from './baseline/roundrobin.js';
 export { staticPlacement } from './baseline/staticplacement.js';
+export { corePlacement } from './coreplacement.js';
 export { coreQueue } from './corequeue.js';
+export { coreRoute } from './coreroute.js';
 export type { Deployment } from './deployment.js';
 export type { Fault } from './fault.js';
 export type {
--- a/bench/forecastbench.ts
+++ b/bench/forecastbench.ts
@@ -1,4 +1,4 @@
-import { holtLog, peakHold, type Forecaster } from '../src/core/forecast/index.js';
+import { holtLog, peakHold, smooth, type Forecaster } from '../src/core/forecast/index.js';
 import { Random } from './experiment/index.js';
 
 const STEP_MS = 2_000;
@@ -80,5 +80,6 @@
     lastLevel: compare(lastLevel),
     holtLog: compare(holtLog),
     peakHold: compare(peakHold),
+    smooth: compare(smooth),
   });
 }
--- a/src/core/forecast/index.ts
+++ b/src/core/forecast/index.ts
@@ -2,3 +2,4 @@
 export type { Forecaster } from './forecaster.js';
 export { holtLog } from './holtlog.js';
 export { peakHold } from './peakhold.js';
+export { smooth } from './smooth.js';
--- a/src/core/placement/draft.ts
+++ b/src/core/placement/draft.ts
@@ -10,6 +10,8 @@
   readonly ready: boolean;
 }
 
+const TRIAL = { reason: 'demand', gain: 0, cost: 0 } as const;
+
 /** A plan in the making: bins of memory with models in them. It changes in place within one call. */
 export class Draft {
   private readonly entries = new Map<UpstreamId, Map<ModelId, Entry>>();
@@ -70,22 +72,46 @@
     }
     const ready = bin.residents.some((held) => held.model === model.id && held.phase === 'ready');
     const entry = { ...why, upstream: bin.id, model: model.id, adapters, sizeBytes, ready };
-    this.entries.get(bin.id)?.set(model.id, entry);
-    this.usedBytes.set(bin.id, (this.usedBytes.get(bin.id) ?? 0) + sizeBytes);
-    this.holders.set(model.id, (this.holders.get(model.id) ?? new Set()).add(bin.id));
+    this.put(entry);
     return true;
   }
 
   drop(upstream: UpstreamId, model: ModelId): void {
-    const entry = this.entry(upstream, model);
-    if (!entry) return;
-    this.entries.get(upstream)?.delete(model);
-    this.holders.get(model)?.delete(upstream);
-    this.usedBytes.set(upstream, (this.usedBytes.get(upstream) ?? 0) - entry.sizeBytes);
-    this.dropped.push({ upstream, model });
+    if (this.remove(upstream, model)) this.dropped.push({ upstream, model });
+  }
+
+  /** Makes a change, judges the draft with it, and takes it back. */
+  tryOut<Verdict>(
+    bin: CellUpstream,
+    model: CellModel,
+    evicted: readonly ModelId[],
+    judge: () => Verdict,
+  ): Verdict {
+    const gone = evicted.flatMap((id) => this.remove(bin.id, id) ?? []);
+    const added = this.add(bin, model, TRIAL);
+    const verdict = judge();
+    if (added) this.remove(bin.id, model.id);
+    for (const entry of gone) this.put(entry);
+    return verdict;
   }
 
   placed(): readonly Placed[] {
     return this.bins.flatMap(({ id }) => this.at(id));
   }
+
+  private put(entry: Entry): void {
+    const { upstream, model, sizeBytes } = entry;
+    this.entries.get(upstream)?.set(model, entry);
+    this.usedBytes.set(upstream, (this.usedBytes.get(upstream) ?? 0) + sizeBytes);
+    this.holders.set(model, (this.holders.get(model) ?? new Set()).add(upstream));
+  }
+
+  private remove(upstream: UpstreamId, model: ModelId): Entry | undefined {
+    const entry = this.entry(upstream, model);
+    if (!entry) return undefined;
+    this.entries.get(upstream)?.delete(model);
+    this.holders.get(model)?.delete(upstream);
+    this.usedBytes.set(upstream, (this.usedBytes.get(upstream) ?? 0) - entry.sizeBytes);
+    return entry;
+  }
 }
--- a/src/core/planner/stepplanner.ts
+++ b/src/core/planner/stepplanner.ts
@@ -1,8 +1,8 @@
-import { peakHold } from '../forecast/index.js';
+import { smooth } from '../forecast/index.js';
 import { plannerWith } from './plannerwith.js';
 
 /** The planner that the daemon runs: see docs/POLICY.md for what was compared. */
 export const stepPlanner = plannerWith({
-  forecaster: peakHold,
+  forecaster: smooth,
   spares: 'last',
 });
