Store driver counts its calls; race through the driver; what documents cost

Cause: nobody could see how much of the store's rate a process uses; a watch on a URL that nobody listens at was opened there again and again; the race had only been run against the stand-in directly.

store.calls counts each call by kind and outcome. A test holds the types and the published schema in step.

--- a/bench/configrace.ts
+++ b/bench/configrace.ts
@@ -6,11 +6,13 @@
 
 /**
  * Two operators, 200 racing changes, answers lost at one in five. Of the writes that lose theirs,
- * half take effect, a quarter never do, and a quarter do so later. Argument: the seed, 1 by default.
+ * half take effect, a quarter never do, and a quarter do so later. Arguments: the seed, 1 by default, and
+ * `gateway` to go by the driver over HTTP in real time.
  */
-export const configRace: Bench = ([seed = '1']) =>
+export const configRace: Bench = ([seed = '1', via = 'memory']) =>
   race({
     seed: Number(seed),
+    via: via === 'gateway' ? 'gateway' : 'memory',
     operators: 2,
     changes: 200,
     faults: {
--- a/bench/configrace/operator.ts
+++ b/bench/configrace/operator.ts
@@ -8,7 +8,7 @@
   type Change,
 } from '../../src/core/acceptance/index.js';
 import { acceptChange, sha256 } from '../../src/shell/acceptance/index.js';
-import type { MemoryStore } from '../../standin/index.js';
+import type { KeyValueStore } from '../../src/port/index.js';
 import type { Attempt } from './attempt.js';
 import type { RaceOptions } from './raceoptions.js';
 
@@ -18,7 +18,7 @@
 /** Where an operator works, and where it notes what it was told. */
 interface Desk {
   readonly name: string;
-  readonly store: MemoryStore;
+  readonly store: KeyValueStore;
   readonly clock: Clock;
   readonly attempts: Attempt[];
   /** Text of the document that the race starts from. */
--- a/bench/configrace/raceoptions.ts
+++ b/bench/configrace/raceoptions.ts
@@ -8,6 +8,8 @@
   /** Changes of all operators together. */
   readonly changes: number;
   readonly faults: StoreFaults;
+  /** `memory` (the default): in virtual time; `gateway`: by the driver over HTTP, in real time. */
+  readonly via?: 'memory' | 'gateway';
   /** Entries that the stored value keeps. */
   readonly auditLimit?: number;
   /** Another core, with a guard turned off. */
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -17,4 +17,5 @@
   'mesh-store-calls': async () => (await import('./meshstorecalls.js')).meshStoreCalls,
   policy: async () => (await import('./policy.js')).policy,
   'admission-cost': async () => (await import('./admissioncost.js')).admissionCost,
+  'config-cost': async () => (await import('./configcost.js')).configCost,
 };
--- a/src/entry/createdesk.ts
+++ b/src/entry/createdesk.ts
@@ -18,7 +18,7 @@
 function createContext(settings: EntrySettings) {
   const log = createLog('entry', settings.logLevel);
   const metrics = createMetrics('entry', settings.statsd ?? undefined);
-  const store = createStore(settings.store, systemClock);
+  const store = createStore(settings.store, systemClock, metrics);
   const credentials = peerCredentials(settings.peerTls, log);
   const drivers = { settings, clock: systemClock, log, metrics, store, credentials };
   const board = createBoard(drivers);
--- a/src/shell/store/createstore.ts
+++ b/src/shell/store/createstore.ts
@@ -1,6 +1,6 @@
 import { randomInt } from 'node:crypto';
 import type { Clock } from '../../base/index.js';
-import type { KeyValueStore } from '../../port/index.js';
+import type { KeyValueStore, Metrics } from '../../port/index.js';
 import { absentStore } from './absentstore.js';
 import { EtcdStore } from './etcdstore.js';
 import type { StoreSettings } from './storesettings.js';
@@ -11,7 +11,8 @@
 export function createStore(
   settings: StoreSettings | null | undefined,
   clock: Clock,
+  metrics?: Metrics,
 ): KeyValueStore {
   if (!settings) return absentStore;
-  return new EtcdStore({ ...settings, clock, seed: randomInt(SEED_LIMIT) });
+  return new EtcdStore({ ...settings, clock, metrics, seed: randomInt(SEED_LIMIT) });
 }
--- a/src/shell/store/etcdstore.ts
+++ b/src/shell/store/etcdstore.ts
@@ -5,6 +5,7 @@
 import type {
   KeyValue,
   KeyValueStore,
+  Metrics,
   StoreFailure,
   Swap,
   SwapOutcome,
@@ -25,6 +26,8 @@
   readonly clock: Clock;
   /** Seed of the jitter between repeated reads. */
   readonly seed: number;
+  /** Counts every call by its outcome. */
+  readonly metrics?: Metrics;
 }
 
 const SECOND_MS = 1000;
@@ -104,9 +107,11 @@
       if (!stopped.signal.aborted) tell(event);
     };
     if (!this.budgets.read.take(this.options.clock.nowMs())) {
+      this.count('watch', SPENT.type);
       queueMicrotask(() => tellOn({ type: 'ended', failure: SPENT }));
       return () => stopped.abort();
     }
+    this.count('watch', 'opened');
     void watchGateway(this.gateway, prefix, fromRevision, tellOn, stopped.signal).then((failure) =>
       tellOn({ type: 'ended', failure }),
     );
@@ -120,20 +125,31 @@
 
   private async read<Answer>(path: string, message: object): Promise<Result<Answer, StoreFailure>> {
     for (let attempt = 1; ; attempt += 1) {
-      if (!this.budgets.read.take(this.options.clock.nowMs())) return result.Err(SPENT);
-      const answer = await this.gateway.call<Answer>('read', path, message);
+      const answer = await this.send<Answer>('read', path, message);
       if (answer.ok || answer.val.type !== 'store-unavailable') return answer;
       if (attempt === READ_ATTEMPTS) return answer;
       await this.pause(FIRST_PAUSE_MS * 2 ** attempt);
     }
   }
 
-  private async write<Answer>(
+  private write<Answer>(path: string, message: object): Promise<Result<Answer, StoreFailure>> {
+    return this.send<Answer>('write', path, message);
+  }
+
+  private async send<Answer>(
+    kind: 'read' | 'write',
     path: string,
     message: object,
   ): Promise<Result<Answer, StoreFailure>> {
-    if (!this.budgets.write.take(this.options.clock.nowMs())) return result.Err(SPENT);
-    return this.gateway.call<Answer>('write', path, message);
+    const answer = this.budgets[kind].take(this.options.clock.nowMs())
+      ? await this.gateway.call<Answer>(kind, path, message)
+      : result.Err(SPENT);
+    this.count(kind, answer.err ? answer.val.type : 'answered');
+    return answer;
+  }
+
+  private count(kind: 'read' | 'write' | 'watch', outcome: string): void {
+    this.options.metrics?.count('store.calls', 1, { kind, outcome });
   }
 
   /** Waits between half of `longestMs` and all of it. */
--- a/src/shell/store/gateway.ts
+++ b/src/shell/store/gateway.ts
@@ -45,18 +45,24 @@
 
   /** The messages of a streaming call, until the stream ends or breaks. */
   async *stream(path: string, message: object, signal: AbortSignal): AsyncIterable<unknown> {
-    const response = await request(`${this.url()}${path}`, {
-      method: 'POST',
-      body: JSON.stringify(message),
-      dispatcher: this.streams,
-      signal,
-    });
-    response.body.setEncoding('utf8');
-    let rest = '';
-    for await (const chunk of response.body) {
-      const lines = (rest + String(chunk)).split('\n');
-      rest = lines.pop() ?? '';
-      for (const line of lines) yield JSON.parse(line);
+    try {
+      const response = await request(`${this.url()}${path}`, {
+        method: 'POST',
+        body: JSON.stringify(message),
+        dispatcher: this.streams,
+        signal,
+      });
+      if (response.statusCode !== OK) this.turn += 1;
+      response.body.setEncoding('utf8');
+      let rest = '';
+      for await (const chunk of response.body) {
+        const lines = (rest + String(chunk)).split('\n');
+        rest = lines.pop() ?? '';
+        for (const line of lines) yield JSON.parse(line);
+      }
+    } catch (thrown) {
+      this.turn += 1;
+      throw thrown;
     }
   }
 
--- a/src/sidecar/createcontext.ts
+++ b/src/sidecar/createcontext.ts
@@ -20,11 +20,11 @@
 /** Builds the drivers that a sidecar's parts share, and begins to take the incarnation. */
 export function createContext(settings: SidecarSettings, engine: Engine | undefined): OpenContext {
   const log = createLog('sidecar', settings.logLevel);
-  const store = createStore(settings.store, systemClock);
+  const metrics = createMetrics('sidecar', settings.statsd ?? undefined);
+  const store = createStore(settings.store, systemClock, metrics);
   const upstreamKey = new UpstreamKey(settings.upstream, { store, clock: systemClock, log });
   const ends: (() => void)[] = [() => upstreamKey.stop()];
   upstreamKey.start();
-  const metrics = createMetrics('sidecar', settings.statsd ?? undefined);
   const credentials = peerCredentials(settings.peerTls, log);
   ends.push(() => credentials.close());
   const leavers: (() => void)[] = [];
--- a/test/document.test.ts
+++ b/test/document.test.ts
@@ -4,14 +4,96 @@
 import {
   checkDocument,
   readDocument,
+  type Adapter,
+  type Customer,
   type DocumentFailure,
+  type Group,
+  type Kind,
+  type Model,
+  type Route,
   type ServiceDocument,
+  type Upstream,
 } from '../src/core/document/index.js';
 
 const EXAMPLES = join(import.meta.dirname, '..', '..', 'examples');
 const REDACTOR = readFileSync(join(EXAMPLES, 'reenvio-norte', 'redactor.jsonc'), 'utf8');
 const PADRON = readFileSync(join(EXAMPLES, 'reenvio-norte', 'padron.jsonc'), 'utf8');
 
+type Fields<Item> = Readonly<Record<keyof Item, true>>;
+
+const SCHEMA = JSON.parse(
+  readFileSync(join(EXAMPLES, '..', 'schema', 'service.schema.json'), 'utf8'),
+) as { properties: object; definitions: Record<string, { properties: object }> };
+
+/** Every field of the types: the compiler finds one that is missing here, the test one in the schema. */
+const FIELDS: {
+  readonly document: Fields<Required<ServiceDocument>>;
+  readonly customer: Fields<Required<Customer>>;
+  readonly kind: Fields<Required<Kind>>;
+  readonly model: Fields<Required<Model>>;
+  readonly adapter: Fields<Required<Adapter>>;
+  readonly group: Fields<Required<Group>>;
+  readonly upstream: Fields<Required<Upstream>>;
+  readonly route: Fields<Required<Route>>;
+} = {
+  document: {
+    $schema: true,
+    schemaVersion: true,
+    service: true,
+    owner: true,
+    region: true,
+    customers: true,
+    kinds: true,
+    models: true,
+    adapters: true,
+    groups: true,
+    weightStore: true,
+    placement: true,
+    limits: true,
+  },
+  customer: { id: true, keyHashes: true, share: true, inFlightLimit: true },
+  kind: {
+    name: true,
+    priority: true,
+    deadlineMs: true,
+    weight: true,
+    repeatable: true,
+    longJob: true,
+  },
+  model: {
+    id: true,
+    version: true,
+    sizeBytes: true,
+    defaultKind: true,
+    kvCacheBytesPerToken: true,
+  },
+  adapter: { id: true, model: true, sizeBytes: true },
+  group: {
+    name: true,
+    availabilityZone: true,
+    type: true,
+    checksFencing: true,
+    accelerators: true,
+    memoryBytes: true,
+    kvCacheReserveBytes: true,
+    slots: true,
+    role: true,
+    upstreams: true,
+    routes: true,
+  },
+  upstream: { id: true, sidecarAddress: true },
+  route: { method: true, pathPrefix: true, kind: true },
+};
+
+test('the published schema has the fields of the types, and no others', (t) => {
+  const { document, ...definitions } = FIELDS;
+  t.deepEqual(Object.keys(SCHEMA.properties).sort(), Object.keys(document).sort());
+  for (const [name, fields] of Object.entries(definitions)) {
+    const published = SCHEMA.definitions[name]?.properties ?? {};
+    t.deepEqual(Object.keys(published).sort(), Object.keys(fields).sort(), name);
+  }
+});
+
 const FILES = [
   'reenvio-norte/redactor',
   'reenvio-norte/padron',
--- a/test/store.test.ts
+++ b/test/store.test.ts
@@ -219,3 +219,37 @@
   t.is(refused.err && refused.val.type, 'store-unavailable');
   await store.close();
 });
+
+test('the driver goes on to the next URL, and counts its calls by outcome', async (t) => {
+  const gone = new StoreServer(new MemoryStore());
+  const goneUrl = await gone.listen();
+  await gone.close();
+  const server = new StoreServer(new MemoryStore());
+  const counted: string[] = [];
+  const store = new EtcdStore({
+    urls: [goneUrl, await server.listen()],
+    readsPerSecond: 9,
+    writesPerSecond: 9,
+    timeoutMs: 2000,
+    clock: systemClock,
+    seed: 1,
+    metrics: {
+      count: (name, _value, tags) => counted.push(`${name} ${tags?.kind} ${tags?.outcome}`),
+      gauge() {},
+      histogram() {},
+    },
+  });
+  const [ended] = await collect(store, NONE, 1);
+  t.is(ended?.type, 'ended');
+  const watched = collect(store, NONE, 1);
+  const made = await store.swap({ key: '/a/1', value: 'x', expectedRevision: NONE });
+  t.is(made.unwrap().type, 'swapped');
+  t.is((await watched)[0]?.type, 'put');
+  t.deepEqual(counted, [
+    'store.calls watch opened',
+    'store.calls watch opened',
+    'store.calls write answered',
+  ]);
+  await store.close();
+  await server.close();
+});
