--- a/src/core/admission/lane.ts
+++ b/src/core/admission/lane.ts
@@ -1,10 +1,14 @@
 /* eslint no-param-reassign: off -- admission changes its own tables in place: see AdmissionState */
 import type { Ms } from '../../base/index.js';
+import { Average } from './average.js';
 import { Heap } from './heap.js';
 import type { Waiting } from './waiting.js';
 
 /** Those who left stay in the heap until there are so many more of them than of those who wait. */
 const HEAP_SLACK = 16;
+const LEARN_PART = 0.05;
+/** Part of its time that a request of great worth may have less, at most. */
+const LARGEST_LEAD = 1;
 
 /** What one customer has waiting in one lane. */
 interface Line {
@@ -20,6 +24,8 @@
   /** Of customers with something waiting. */
   private readonly lines = new Map<string, Line>();
 
+  private readonly worth = new Average(LEARN_PART);
+
   /** Time that all of them will hold their places. */
   queuedMs: Ms = 0;
 
@@ -29,7 +35,8 @@
     const { customer } = waiting.offer;
     const line = this.lines.get(customer) ?? { customer, heap: new Heap(), queuedMs: 0, count: 0 };
     this.lines.set(customer, line);
-    line.heap.push(waiting.deadlineAtMs, waiting);
+    this.worth.add(waiting.worth);
+    line.heap.push(this.keyOf(waiting), waiting);
     this.add(line, waiting, 1);
   }
 
@@ -69,6 +76,13 @@
     return this.lines.get(customer)?.queuedMs ?? 0;
   }
 
+  /** Earliest deadline first, but what is worth more than the rest has a part of its time less. */
+  private keyOf({ worth, deadlineAtMs, offeredAtMs }: Waiting): number {
+    const ratio = worth / this.worth.or(worth);
+    const lead = ratio > 1 ? LARGEST_LEAD * (1 - 1 / ratio) : 0;
+    return deadlineAtMs - lead * (deadlineAtMs - offeredAtMs);
+  }
+
   private add(line: Line, { holdMs }: Waiting, count: 1 | -1): void {
     line.queuedMs += count * holdMs;
     line.count += count;
--- a/src/core/admission/offered.ts
+++ b/src/core/admission/offered.ts
@@ -31,6 +31,7 @@
     deadlineAtMs,
     latestStartAtMs: offer.resumed ? Infinity : deadlineAtMs - needMs,
     holdMs,
+    worth: (state.kinds.get(offer.kind)?.weight ?? 1) / holdMs,
     counted: undefined,
     place: 'lane',
   };
--- a/src/core/admission/waiting.ts
+++ b/src/core/admission/waiting.ts
@@ -12,6 +12,8 @@
   readonly latestStartAtMs: Ms;
   /** Time that it will hold its place, as estimated. */
   readonly holdMs: Ms;
+  /** What an answer in time is worth for each ms that it holds its place. */
+  readonly worth: number;
   /** Where its work was counted: within its customer's share, or beyond. */
   counted: Inflow | undefined;
   /** `left` it has started, was refused, or its caller has gone. */
--- a/src/sidecar/creditedoutlet.ts
+++ b/src/sidecar/creditedoutlet.ts
@@ -1,4 +1,4 @@
-import { creditCost, INITIAL_CREDIT, type Batcher } from '../shell/rpc/index.js';
+import { INITIAL_CREDIT, type Batcher } from '../shell/rpc/index.js';
 import type { Frame } from '../wire/index.js';
 import type { Outlet } from './outlet.js';
 
@@ -25,7 +25,7 @@
   send(body: NonNullable<Frame['body']>): void {
     if (this.gone.aborted) return;
     const { requestId, attempt, sequence } = this;
-    if (body.$case === 'data') this.credit -= creditCost(body.value.payload);
+    if (body.$case === 'data') this.credit -= 1;
     this.batcher.push({ requestId, attempt, sequence, body });
     this.sequence += 1;
   }
@@ -37,8 +37,8 @@
     });
   }
 
-  grant(credit: number): void {
-    this.credit += credit;
+  grant(dataCount: number): void {
+    this.credit += dataCount;
     if (this.credit > 0) this.wake();
   }
 
@@ -48,7 +48,7 @@
     this.wake();
   }
 
-  wake(): void {
+  private wake(): void {
     this.resume?.();
     this.resume = undefined;
   }
