--- a/bench/ledgercheck/mutations.ts
+++ b/bench/ledgercheck/mutations.ts
@@ -52,12 +52,9 @@
   },
   {
     name: 'restart-is-no-proof',
-    wrong: 'a report of a new engine process resolves what the old one was sent',
+    wrong: 'a new engine process resolves what the old one was sent',
     checksFencing: BOTH,
-    residency: ledger({
-      proves: (report, open, checks) =>
-        ledgerRulesInForce.proves(report, open, checks) || report.settledOrderIds.length === 0,
-    }),
+    residency: ledger({ outlivesEngine: () => false }),
   },
   {
     name: 'unload-frees-on-report',
@@ -135,9 +132,10 @@
   },
   {
     name: 'own-token',
-    wrong: 'an order carries the highest token that the engine has reported',
+    wrong: 'an order carries the highest token that a report has shown, which stops nobody',
     checksFencing: [true],
     residency: residency({
+      showsSuccessor: () => false,
       tokenOf: ({ incarnation, ledger: { highestFencingToken } }) =>
         Math.max(incarnation, highestFencingToken) as Incarnation,
     }),
--- a/src/core/ledger/ledgerrules.ts
+++ b/src/core/ledger/ledgerrules.ts
@@ -13,6 +13,8 @@
   readonly kvCacheReserve: (ledger: Ledger) => number;
   /** Whether a report is newer than what is known. */
   readonly isNews: (ledger: Ledger, report: EngineReport, poll: number) => boolean;
+  /** Whether an order stays open when the engine has restarted: a copy may reach the new process. */
+  readonly outlivesEngine: (open: OpenOrder) => boolean;
   /** Whether a report proves that an order can no longer change the engine's memory. */
   readonly proves: (report: EngineReport, open: OpenOrder, checksFencing: boolean) => boolean;
 }
--- a/src/core/ledger/ledgerrulesinforce.ts
+++ b/src/core/ledger/ledgerrulesinforce.ts
@@ -15,6 +15,7 @@
     if (poll <= ledger.poll) return false;
     return report.engineId !== ledger.engineId || report.sequence >= ledger.sequence;
   },
+  outlivesEngine: () => true,
   proves(report, { order }, checksFencing) {
     if (report.settledOrderIds.includes(order.orderId)) return true;
     // An engine that has seen a later token takes no copy of an earlier order any more.
--- a/src/core/ledger/takereport.ts
+++ b/src/core/ledger/takereport.ts
@@ -35,7 +35,9 @@
     const isSent = open.phase !== 'intended';
     if (isSent && rules.proves(report, open, checksFencing)) resolved.push(open);
     else if (!restarted) openOrders.set(orderId, open);
-    else openOrders.set(orderId, { ...open, phase: nextPhase(open.phase, 'restarted') });
+    else if (rules.outlivesEngine(open)) {
+      openOrders.set(orderId, { ...open, phase: nextPhase(open.phase, 'restarted') });
+    }
   }
   const seen = { engineId, sequence, poll, highestFencingToken, role, reportedBytes };
   const holdings = holdingsOf(report);
--- a/src/core/residency/onreport.ts
+++ b/src/core/residency/onreport.ts
@@ -44,6 +44,7 @@
   const isLeaving = state.isLeaving || report.leaving;
   if (isLeaving !== state.isLeaving) effects.push({ type: 'changed' });
   const isManaged = report.memoryBytes > 0;
-  const known = { ledger: taken.ledger, loadBytesPerMs, isLeaving, isManaged };
+  const isSuperseded = state.isSuperseded || rules.showsSuccessor(state, report);
+  const known = { ledger: taken.ledger, loadBytesPerMs, isLeaving, isManaged, isSuperseded };
   return { state: { ...state, ...known }, effects };
 }
--- a/src/core/residency/residencyrules.ts
+++ b/src/core/residency/residencyrules.ts
@@ -1,3 +1,4 @@
+import type { EngineReport } from '../../port/index.js';
 import type { Incarnation, Ms } from '../../base/index.js';
 import type { Intent } from '../fence/index.js';
 import type { HoldingKey, Ledger, LedgerRules, OpenOrder } from '../ledger/index.js';
@@ -17,6 +18,8 @@
   readonly isFresh: (state: ResidencyState, nowMs: Ms) => boolean;
   /** Whether the engine is known to refuse the orders of every earlier sidecar. */
   readonly hasBarrier: (state: ResidencyState) => boolean;
+  /** Whether a report shows that another sidecar has ordered after us. */
+  readonly showsSuccessor: (state: ResidencyState, report: EngineReport) => boolean;
   /** The fencing token that an order carries. */
   readonly tokenOf: (state: ResidencyState) => Incarnation;
   /** Whether an order would take something away from requests in flight. */
--- a/src/core/residency/residencyrulesinforce.ts
+++ b/src/core/residency/residencyrulesinforce.ts
@@ -20,6 +20,8 @@
     checksFencing || nowMs - provenAtMs <= FRESH_MS,
   hasBarrier: ({ checksFencing, incarnation, ledger }) =>
     !checksFencing || ledger.highestFencingToken >= incarnation,
+  showsSuccessor: ({ checksFencing, incarnation }, { highestFencingToken }) =>
+    checksFencing && incarnation > 0 && highestFencingToken > incarnation,
   tokenOf: ({ incarnation }) => incarnation,
   isPinned(ledger, open) {
     if (changesRole(ledger, open)) return ledger.pins.size > 0;
