--- /dev/null
+++ b/bench/killrounds.ts
@@ -0,0 +1,79 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import { deployments } from '../demo/deployments.js';
+import { runLoad } from '../demo/load/runload.js';
+import { schedule } from '../demo/load/schedule.js';
+import { tally } from '../demo/load/tally.js';
+import { Stack } from '../demo/stack.js';
+import type { Bench } from './bench.js';
+
+const ROUNDS = 20;
+const ROUND_MS = 2400;
+const REQUESTS_PER_ROUND = 60;
+const BLOW_AT_MS = 600;
+const DOWN_MS = 300;
+const PAUSE_MS = 900;
+const SEED = 41;
+
+/** Kills a sidecar and starts it anew. */
+async function kill(stack: Stack, upstream: string): Promise<void> {
+  await stack.crashSidecar(upstream, DOWN_MS);
+}
+
+/** Freezes a sidecar and lets it go on, as a paused host would. */
+async function pause(stack: Stack, upstream: string): Promise<void> {
+  stack.sidecar(upstream).signal('SIGSTOP');
+  await wait(PAUSE_MS);
+  stack.sidecar(upstream).signal('SIGCONT');
+}
+
+const BLOWS = { kill, pause } as const;
+
+async function playRound(stack: Stack, round: number) {
+  const blow = round % 2 ? 'pause' : 'kill';
+  const upstream = stack.upstreams[round % stack.upstreams.length] ?? '';
+  const planned = schedule(SEED + round, `round-${round}`, ROUND_MS, REQUESTS_PER_ROUND);
+  const confirmations = planned.map((one) => ({ ...one, type: 'confirm' as const }));
+  const blown = wait(BLOW_AT_MS).then(() => BLOWS[blow](stack, upstream));
+  const [records] = await Promise.all([runLoad(stack, confirmations), blown]);
+  return { blow, records };
+}
+
+/**
+ * Real processes, 2 entries and 3 sidecars before plain services: a sidecar is killed or paused in each
+ * of twenty rounds of confirmations that may not be repeated. The services count what ran.
+ */
+export const killRounds: Bench = async () => {
+  const stack = new Stack({ ...deployments[0], engineCount: 0, plainCount: 3 });
+  await stack.start();
+  const rounds: Awaited<ReturnType<typeof playRound>>[] = [];
+  for (let round = 0; round < ROUNDS; round += 1) rounds.push(await playRound(stack, round));
+  const exitCodes = await stack.stop();
+  const all = tally(
+    rounds.flatMap(({ records }) => records),
+    stack.standIns,
+  );
+  const byBlow = (blow: keyof typeof BLOWS) => {
+    const struck = rounds.filter((round) => round.blow === blow);
+    const { asked, answered, refused, unknown, reasons } = tally(
+      struck.flatMap(({ records }) => records),
+      stack.standIns,
+    );
+    return { rounds: struck.length, asked, answered, refused, unknown, reasons };
+  };
+  const { asked, answered, refused, unknown, lost, doubled, cut, falseNotRun } = all;
+  return {
+    rounds: ROUNDS,
+    asked,
+    answered,
+    refused,
+    unknown,
+    unknownShare: unknown / asked,
+    lost,
+    doubled,
+    cut,
+    falseNotRun,
+    kill: byBlow('kill'),
+    pause: byBlow('pause'),
+    exitCodes,
+  };
+};
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -3,6 +3,7 @@
 /** Every benchmark by its name: `npm run bench -- NAME`. */
 export const table: Readonly<Record<string, () => Promise<Bench>>> = {
   'planner-cost': async () => (await import('./plannercost.js')).plannerCost,
+  'kill-rounds': async () => (await import('./killrounds.js')).killRounds,
   forecast: async () => (await import('./forecastbench.js')).forecastBench,
   'once-check': async () => (await import('./oncecheck.js')).onceCheck,
   'once-mutations': async () => (await import('./oncemutations.js')).onceMutations,
--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -1,10 +1,12 @@
-/** A deployment in miniature: one service of two engines, and one plain service. */
+/** A deployment in miniature: a service of engines, and a plain service. */
 export interface Deployment {
   readonly name: string;
   readonly region: string;
   readonly availabilityZones: readonly [string, string, string];
   readonly engineService: string;
+  readonly engineCount: number;
   readonly plainService: string;
+  readonly plainCount: number;
   readonly models: readonly string[];
   readonly lookupPath: string;
   readonly confirmPath: string;
--- a/demo/documentsof.ts
+++ b/demo/documentsof.ts
@@ -73,7 +73,7 @@
 
 function plainDocument(
   deployment: Deployment,
-  upstream: Upstream,
+  upstreams: readonly Upstream[],
   keys: Readonly<Record<string, string>>,
 ) {
   return {
@@ -84,35 +84,35 @@
     ],
     models: [],
     adapters: [],
-    groups: [
-      {
-        name: `${deployment.plainService}-${deployment.availabilityZones[2]}`,
-        availabilityZone: deployment.availabilityZones[2],
-        type: 'plain',
-        checksFencing: false,
-        accelerators: 0,
-        memoryBytes: 0,
-        kvCacheReserveBytes: 0,
-        slots: 32,
-        role: 'mixed',
-        upstreams: [upstream],
-        routes: [
-          { method: 'GET', pathPrefix: deployment.lookupPath, kind: 'lookup' },
-          { method: 'POST', pathPrefix: deployment.confirmPath, kind: 'confirm' },
-        ],
-      },
-    ],
+    groups: upstreams.map((upstream) => ({
+      name: upstream.id,
+      availabilityZone: deployment.availabilityZones[2],
+      type: 'plain',
+      checksFencing: false,
+      accelerators: 0,
+      memoryBytes: 0,
+      kvCacheReserveBytes: 0,
+      slots: 32,
+      role: 'mixed',
+      upstreams: [upstream],
+      routes: [
+        { method: 'GET', pathPrefix: deployment.lookupPath, kind: 'lookup' },
+        { method: 'POST', pathPrefix: deployment.confirmPath, kind: 'confirm' },
+      ],
+    })),
   };
 }
 
-/** The documents of a deployment's two services; the last upstream is the plain one. */
+/** The documents of a deployment's services that have upstreams; engines come first in `upstreams`. */
 export function documentsOf(
   deployment: Deployment,
   upstreams: readonly Upstream[],
   keys: Readonly<Record<string, string>>,
-): readonly [engines: object, plain: object] {
+): readonly object[] {
+  const engines = upstreams.slice(0, deployment.engineCount);
+  const plain = upstreams.slice(deployment.engineCount);
   return [
-    engineDocument(deployment, upstreams.slice(0, -1), keys),
-    plainDocument(deployment, upstreams.at(-1)!, keys),
+    ...(engines.length > 0 ? [engineDocument(deployment, engines, keys)] : []),
+    ...(plain.length > 0 ? [plainDocument(deployment, plain, keys)] : []),
   ];
 }
--- a/demo/load/runload.ts
+++ b/demo/load/runload.ts
@@ -58,7 +58,6 @@
   },
   confirm: async (stack, { id, draws }) => {
     const { plainService, confirmPath, confirmField } = stack.deployment;
-    const { service } = stack.standIns;
     let falseNotRun = false;
     const outcomes = await askConfirm({
       entries: draws[1] % 2 ? stack.entries : stack.entries.toReversed(),
@@ -70,7 +69,7 @@
       guard: pick(GUARDS, draws[0]),
       timeoutMs: TIMEOUT_MS,
       onOutcome: ({ type }) => {
-        if (type === 'refused' && service.runs(id) > 0) falseNotRun = true;
+        if (type === 'refused' && stack.standIns.runs(id) > 0) falseNotRun = true;
       },
     });
     return { kind: 'confirm', outcomes, falseNotRun };
--- a/demo/load/tally.ts
+++ b/demo/load/tally.ts
@@ -53,24 +53,25 @@
 
 /** Counts what became of a load. */
 export function tally(records: readonly Asked[], standIns: StandIns): Tally {
-  const { engines, service } = standIns;
+  const { engines, services } = standIns;
+  const keys = new Set(services.flatMap((service) => [...service.allRuns().keys()]));
   const count = (is: (record: Asked) => boolean) => records.filter(is).length;
   const ended = (type: Outcome['type']) => count((record) => lastOf(record) === type);
   const sum = (of: (engine: StandIns['engines'][number]) => number) =>
     engines.reduce((total, engine) => total + of(engine), 0);
   const neverRan = count(
     (record) =>
-      record.kind === 'confirm' && lastOf(record) === 'answered' && service.runs(record.id) === 0,
+      record.kind === 'confirm' && lastOf(record) === 'answered' && standIns.runs(record.id) === 0,
   );
   const falseAtEnd = (record: Asked) =>
-    record.kind === 'confirm' && lastOf(record) === 'refused' && service.runs(record.id) > 0;
+    record.kind === 'confirm' && lastOf(record) === 'refused' && standIns.runs(record.id) > 0;
   return {
     asked: records.length,
     answered: ended('answered'),
     refused: ended('refused'),
     unknown: ended('unknown'),
     lost: ended('lost') + neverRan,
-    doubled: [...service.allRuns().values()].filter((runs) => runs > 1).length,
+    doubled: [...keys].filter((key) => standIns.runs(key) > 1).length,
     cut: ended('cut'),
     falseNotRun: count((record) => record.falseNotRun || falseAtEnd(record)),
     overcommits: sum(({ overcommits }) => overcommits),
--- a/demo/stack.ts
+++ b/demo/stack.ts
@@ -54,7 +54,7 @@
     this.standIns = new StandIns(deployment);
   }
 
-  /** Names of the upstreams, the plain one last. */
+  /** Names of the upstreams, engines first. */
   get upstreams(): readonly string[] {
     return this.besides.map(({ upstream }) => upstream);
   }
@@ -113,9 +113,12 @@
 
   private beside(upstreamUrl: string, index: number, port: number): Beside {
     const { engineService, plainService, availabilityZones } = this.deployment;
-    const isPlain = index === this.standIns.engines.length;
+    const engineCount = this.standIns.engines.length;
+    const isPlain = index >= engineCount;
     return {
-      upstream: isPlain ? `${plainService}-1` : `${engineService}-${index + 1}`,
+      upstream: isPlain
+        ? `${plainService}-${index - engineCount + 1}`
+        : `${engineService}-${index + 1}`,
       service: isPlain ? plainService : engineService,
       availabilityZone: availabilityZones[index] ?? availabilityZones[0],
       upstreamUrl,
--- a/demo/standins.ts
+++ b/demo/standins.ts
@@ -11,14 +11,14 @@
 
 const HOST_LIST_LAG_MS = 500;
 const REPORT_LAG_MS = 100;
-const ENGINES = 2;
+const SERVICE_MS = 8;
 const TOKENS = 20;
 
-/** What lies outside the system: two engines, a plain service, the platform. */
+/** What lies outside the system: engines, plain services, the platform. */
 export class StandIns {
   readonly engines: readonly FakeEngine[];
 
-  readonly service = new FakeService({ serviceMs: 8 });
+  readonly services: readonly FakeService[];
 
   readonly hosts = new FakeHostList(HOST_LIST_LAG_MS);
 
@@ -26,10 +26,14 @@
 
   private readonly store = new StoreServer(new MemoryStore());
 
-  constructor({ engineService, parallelLoads }: Deployment) {
+  constructor({ engineService, engineCount, plainCount, parallelLoads }: Deployment) {
     this.weightStore = new FakeWeightStore({ loadsPerSecond: 3, parallelLoads });
+    this.services = Array.from(
+      { length: plainCount },
+      () => new FakeService({ serviceMs: SERVICE_MS }),
+    );
     this.engines = Array.from(
-      { length: ENGINES },
+      { length: engineCount },
       (_, index) =>
         new FakeEngine({
           engineId: `${engineService}-${index + 1}`,
@@ -44,9 +48,14 @@
     );
   }
 
-  /** Starts all and gives their URLs; the plain service's is the last of `upstreams`. */
+  /** How often what this business key names was done, at all plain services together. */
+  runs(key: string): number {
+    return this.services.reduce((sum, service) => sum + service.runs(key), 0);
+  }
+
+  /** Starts all and gives their URLs; engines come first in `upstreams`. */
   async listen(): Promise<{ store: string; hosts: string; upstreams: readonly string[] }> {
-    const all = [...this.engines, this.service].map((upstream) => upstream.listen());
+    const all = [...this.engines, ...this.services].map((upstream) => upstream.listen());
     return {
       store: await this.store.listen(),
       hosts: await this.hosts.listen(),
@@ -56,7 +65,7 @@
 
   close(): void {
     for (const engine of this.engines) engine.close();
-    this.service.close();
+    for (const service of this.services) service.close();
     this.hosts.close();
     this.weightStore.close();
     void this.store.close();
--- a/src/entry/handler/serve.ts
+++ b/src/entry/handler/serve.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { Ms } from '../../base/index.js';
 import type { Target } from '../../core/document/index.js';
 import type { RequestHead } from '../../wire/index.js';
@@ -32,12 +33,20 @@
   const run = new Run(desk, work, answer);
   desk.runs.add(run);
   response.once('close', () => run.gone());
-  const end = await run.run();
+  const ended = run.run();
+  if (response.destroyed) run.gone();
+  const end = await ended;
   desk.runs.delete(run);
   const { customer, service, model } = head;
   desk.log.info('request', { requestId, customer, service, model, end });
 }
 
+/** Resolves when the caller has taken its answer or has left. */
+async function taken({ response }: Caller): Promise<void> {
+  if (response.writableFinished || response.destroyed) return;
+  await once(response, 'close');
+}
+
 /** Serves a request, if there is room for it, to its whole answer or a typed end. */
 export async function serve(desk: Desk, caller: Caller, served: Served): Promise<void> {
   const { document, customer } = served.access;
@@ -48,6 +57,7 @@
   }
   try {
     await carry(desk, caller, served);
+    await taken(caller);
   } finally {
     leave.val();
   }
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as SecureServer } from 'node:https';
 import type { Socket } from 'node:net';
 import { toNodeHandler } from 'h3/node';
 import type { H3 } from 'h3';
@@ -7,12 +6,11 @@
 import type { Log } from '../port/index.js';
 import { refuse } from '../core/refusal/index.js';
 import { callerServer, type KeySettings } from '../shell/tls/index.js';
+import { Connections } from './connections.js';
 import type { EntryLimits } from './entrylimits.js';
 import { problem } from './problem.js';
 import { sendProblem } from './sendproblem.js';
 
-/** Connections past the limit are answered with a refusal, but no more than so many at once. */
-const REFUSED_CONNECTIONS = 64;
 const RETRY_AFTER_MS = 1000;
 
 /** What Node reports of a request that it could not read, and what the caller is told. */
@@ -32,46 +30,41 @@
   socket.end(`HTTP/1.1 ${status} \r\n${head}\r\n${body}`);
 }
 
-/** Lets so many connections in; the requests of those past the limit are refused. */
-function limitConnections(server: Server, limit: number, listen: Listen): Listen {
-  const inside = new WeakSet<object>();
-  let open = 0;
-  const admit = (socket: Socket) => {
-    if (open < limit) inside.add(socket);
-    open += 1;
-    socket.once('close', () => {
-      open -= 1;
-    });
-  };
-  // Over TLS, a request's socket is the one that this event brings.
-  server.on(server instanceof SecureServer ? 'secureConnection' : 'connection', admit);
+/** Refuses the requests of connections past the limit. */
+function refusePast(connections: Connections, listen: Listen): Listen {
   return (request, response) => {
-    if (inside.has(request.socket)) {
+    if (connections.isAdmitted(request.socket)) {
       listen(request, response);
       return;
     }
     const options = { retryAfterMs: RETRY_AFTER_MS };
-    const refusal = refuse('connections-full', `This entry has ${limit} connections.`, options);
+    const detail = `This entry has ${connections.limit} connections.`;
     response.setHeader('connection', 'close');
-    sendProblem(response, refusal, nanoid());
+    sendProblem(response, refuse('connections-full', detail, options), nanoid());
   };
 }
 
+/** A server and the connections that it has. */
+interface Listener {
+  readonly server: Server;
+  readonly connections: Connections;
+}
+
 /** The HTTP server of an entry, with its limits. */
 export function createListener(
   app: H3,
   limits: EntryLimits,
   tls: KeySettings | null | undefined,
   log: Log,
-): Server {
+): Listener {
   const server = callerServer(tls, log, {
     maxHeaderSize: limits.headerBytes,
     requestTimeout: limits.requestTimeoutMs,
     headersTimeout: limits.requestTimeoutMs,
   });
-  server.maxConnections = limits.connections + REFUSED_CONNECTIONS;
+  const connections = new Connections(server, limits.connections);
   const listen = toNodeHandler(app) as unknown as Listen;
-  server.on('request', limitConnections(server, limits.connections, listen));
+  server.on('request', refusePast(connections, listen));
   server.on('clientError', refuseUnreadable);
-  return server;
+  return { server, connections };
 }
--- a/src/entry/pace.ts
+++ b/src/entry/pace.ts
@@ -1,8 +1,9 @@
 import type { Clock, Ms } from '../base/index.js';
+import { creditCost } from '../shell/rpc/index.js';
 import type { CallerAnswer } from './answer/index.js';
 import type { Asked } from './link/index.js';
 
-/** Data frames that are taken before their credit is given back. */
+/** Credit that is taken up before it is given back. */
 const GRANT_EVERY = 16;
 
 /** Gives a sidecar credit as fast as the caller takes its answer. */
@@ -26,8 +27,8 @@
   }
 
   /** One data frame was written; `free` tells whether the caller keeps up. */
-  took(free: boolean): void {
-    this.taken += 1;
+  took(payload: Buffer, free: boolean): void {
+    this.taken += creditCost(payload);
     if (!free) this.block();
     else if (this.taken >= GRANT_EVERY && this.blockedSinceMs === undefined) this.grant();
   }
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -221,7 +221,7 @@
     this.held?.add(own);
     const free = this.answer.data(own);
     if (!this.state.passed && this.answer.passed) this.happen({ type: 'passed' });
-    this.pace.took(free);
+    this.pace.took(payload, free);
   }
 
   private end(failure: string, load: UpstreamLoad | undefined): void {
--- a/src/entry/startentry.ts
+++ b/src/entry/startentry.ts
@@ -44,17 +44,22 @@
 export async function startEntry(settings: EntrySettings): Promise<Entry> {
   const desk = await createDesk(settings);
   const mesh = await openMesh(desk, settings.meshListen);
-  const server = createListener(createApp(desk), desk.limits, settings.tls, desk.log);
-  const port = await listen(server, settings.listen);
+  const listener = createListener(createApp(desk), desk.limits, settings.tls, desk.log);
+  const port = await listen(listener.server, settings.listen);
   const endSweep = sweepOften(desk);
   desk.log.info('listening', { port });
+  let stopped: Promise<void> | undefined;
+  const stop = async () => {
+    await stopEntry.stop(desk, listener);
+    endSweep();
+    mesh.close();
+    desk.credentials.close();
+  };
   return {
     port,
-    async stop() {
-      await stopEntry.stop(desk, server);
-      endSweep();
-      mesh.close();
-      desk.credentials.close();
+    stop() {
+      stopped ??= stop();
+      return stopped;
     },
     expire: () => stopEntry.expire(desk),
   };
--- a/src/entry/stopentry.ts
+++ b/src/entry/stopentry.ts
@@ -1,7 +1,12 @@
-import type { Server } from 'node:http';
 import { refuse } from '../core/refusal/index.js';
 import { Executed } from '../wire/index.js';
 import type { Desk } from './desk.js';
+import type { createListener } from './listener.js';
+
+type Listener = ReturnType<typeof createListener>;
+
+const CLOSE_IDLE_EVERY_MS = 20;
+const TYPED_END_WITHIN_MS = 500;
 
 /** Gives everything in flight a typed end now. */
 function expire({ runs }: Desk): void {
@@ -11,18 +16,35 @@
   }
 }
 
+/** Closes the listener. Connections that callers keep open are closed as soon as they are idle. */
+function close({ clock }: Desk, { server, connections }: Listener): Promise<void> {
+  return new Promise((resolve) => {
+    let forget = () => {};
+    const closeIdle = () => {
+      connections.closeUnused();
+      forget = clock.after(CLOSE_IDLE_EVERY_MS, closeIdle);
+    };
+    server.close(() => {
+      forget();
+      resolve();
+    });
+    closeIdle();
+  });
+}
+
 /** Refuses new work, finishes what is in flight within the bound, and closes the listener. */
-async function stop(desk: Desk, server: Server): Promise<void> {
+async function stop(desk: Desk, listener: Listener): Promise<void> {
   const { gate, clock, log, settings } = desk;
   log.info('stopping', { inFlight: gate.inFlight() });
   const idle = gate.close();
-  const forget = clock.after(settings.drainTimeoutMs, () => expire(desk));
+  const forgetBound = clock.after(settings.drainTimeoutMs, () => expire(desk));
+  // A caller that does not take its answer, or its typed end, is given up.
+  const cutMs = settings.drainTimeoutMs + TYPED_END_WITHIN_MS;
+  const forgetCut = clock.after(cutMs, () => listener.server.closeAllConnections());
   await idle;
-  forget();
-  await new Promise<void>((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
+  forgetBound();
+  await close(desk, listener);
+  forgetCut();
   desk.router.close();
   desk.link.close();
   log.info('stopped');
--- a/src/shell/rpc/initialcredit.ts
+++ b/src/shell/rpc/initialcredit.ts
@@ -1,5 +1,5 @@
 /**
- * Data frames of one answer that a sidecar may send before its entry has granted more. It bounds what
- * an entry holds for a slow caller.
+ * Credit of an answer before its entry has granted more: 32 data frames, or 256 KiB of large ones. It
+ * bounds what an entry holds for a slow caller.
  */
 export const INITIAL_CREDIT = 32;
--- a/src/sidecar/creditedoutlet.ts
+++ b/src/sidecar/creditedoutlet.ts
@@ -1,4 +1,4 @@
-import { INITIAL_CREDIT, type Batcher } from '../shell/rpc/index.js';
+import { creditCost, INITIAL_CREDIT, type Batcher } from '../shell/rpc/index.js';
 import type { Frame } from '../wire/index.js';
 import type { Outlet } from './outlet.js';
 
@@ -25,7 +25,7 @@
   send(body: NonNullable<Frame['body']>): void {
     if (this.gone.aborted) return;
     const { requestId, attempt, sequence } = this;
-    if (body.$case === 'data') this.credit -= 1;
+    if (body.$case === 'data') this.credit -= creditCost(body.value.payload);
     this.batcher.push({ requestId, attempt, sequence, body });
     this.sequence += 1;
   }
@@ -37,8 +37,8 @@
     });
   }
 
-  grant(dataCount: number): void {
-    this.credit += dataCount;
+  grant(credit: number): void {
+    this.credit += credit;
     if (this.credit > 0) this.wake();
   }
 
@@ -48,7 +48,7 @@
     this.wake();
   }
 
-  private wake(): void {
+  wake(): void {
     this.resume?.();
     this.resume = undefined;
   }
--- a/src/sidecar/outlet.ts
+++ b/src/sidecar/outlet.ts
@@ -6,6 +6,8 @@
   send(body: NonNullable<Frame['body']>): void;
   /** Undefined when another data frame may be sent at once; else resolves when one may. */
   ready(): Promise<void> | undefined;
+  /** Ends a wait for credit, as there is something else to do. */
+  wake(): void;
   /** Aborted when nobody waits for the answer any more. */
   readonly gone: AbortSignal;
 }
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -54,13 +54,18 @@
   });
   context.board.start(settings.listen.replace(/\d+$/, String(port)));
   context.log.info('listening', { port, upstream: settings.upstream });
+  let stopped: Promise<void> | undefined;
+  const stop = async () => {
+    await stopSidecar({ context, parts, door, exchanges, server });
+    context.close();
+    await engine?.close();
+    await service.close();
+  };
   return {
     port,
-    async stop() {
-      await stopSidecar({ context, parts, door, exchanges, server });
-      context.close();
-      await engine?.close();
-      await service.close();
+    stop() {
+      stopped ??= stop();
+      return stopped;
     },
     expire: () => door.expire(),
   };
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -153,6 +153,7 @@
     if (stream.err) return stream.val;
     const { status, headers, pieces } = stream.val;
     if (!this.started) this.start(status, headers);
+    signal.addEventListener('abort', () => this.outlet.wake(), { once: true });
     for await (const piece of pieces) {
       if (piece.err) return piece.val;
       const { payload, tokenCount } = piece.val;
@@ -162,8 +163,7 @@
       this.recorder.data(payload);
       this.outlet.send({ $case: 'data', value: { payload, tokenCount } });
       slot.progress(tokenCount);
-      const full = this.outlet.ready();
-      if (full) await Promise.race([full, whenAborted(signal)]);
+      await this.outlet.ready();
     }
     return undefined;
   }
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -149,7 +149,7 @@
 
 /**
  * Credit lets the sidecar send more data frames of one request, so that one slow caller does not
- * hold up the others on the same stream.
+ * hold up the others on the same stream. A frame uses up one, and one more for each 8 KiB of payload.
  */
 export interface Credit {
   readonly dataCount: number;
--- /dev/null
+++ b/test/support/heldengine.ts
@@ -0,0 +1,40 @@
+import { createServer, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** An engine without admin paths that sends the first event of each answer, and the rest when it is told to. */
+export class HeldEngine {
+  /** Requests that began to run. */
+  ran = 0;
+
+  private readonly held = new Set<ServerResponse>();
+
+  private readonly server = createServer((request, response) => {
+    if (request.method === 'GET') {
+      response.writeHead(404).end();
+      return;
+    }
+    this.ran += 1;
+    const id = String(request.headers['x-request-id']);
+    response.setHeader('content-type', 'text/event-stream');
+    response.write(`data: ${JSON.stringify({ id, choices: [{ delta: { content: 'a' } }] })}\n\n`);
+    this.held.add(response);
+  });
+
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Ends every answer that has begun. */
+  release(): void {
+    for (const response of this.held) response.end('data: [DONE]\n\n');
+    this.held.clear();
+  }
+
+  close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+}
--- /dev/null
+++ b/test/support/pathrig.ts
@@ -0,0 +1,130 @@
+import { createHash } from 'node:crypto';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request, type Dispatcher } from 'undici';
+import { startEntry, startSidecar } from '../../src/index.js';
+
+const KEY = 'carrier-key';
+const PLACE = { hostId: 'h', region: 'cantabrico', availabilityZone: 'oviedo-a' };
+
+/** One upstream of a rig. */
+interface RigUpstream {
+  readonly url: string;
+  readonly type?: 'engine' | 'plain';
+}
+
+/** Options of a rig. */
+interface RigOptions {
+  readonly upstreams: readonly RigUpstream[];
+  readonly drainTimeoutMs?: number;
+  readonly limits?: Parameters<typeof startEntry>[0]['limits'];
+  readonly slots?: number;
+}
+
+function startRigSidecar({ url, type = 'engine' }: RigUpstream, index: number, rig: RigOptions) {
+  return startSidecar({
+    ...PLACE,
+    hostId: `host-${index}`,
+    upstream: `upstream-${index}`,
+    service: 'redactor',
+    listen: '127.0.0.1:0',
+    upstreamUrl: url,
+    upstreamType: type,
+    logLevel: 'error',
+    drainTimeoutMs: rig.drainTimeoutMs ?? 5000,
+    slots: rig.slots ?? 16,
+    statsd: null,
+  });
+}
+
+function documentFor(rig: RigOptions, ports: readonly number[]): object {
+  const groups = rig.upstreams.map(({ type = 'engine' }, index) => ({
+    name: `group-${index}`,
+    type,
+    availabilityZone: 'oviedo-a',
+    slots: rig.slots ?? 16,
+    routes:
+      type === 'plain'
+        ? [
+            { method: 'GET', pathPrefix: '/', kind: 'lookup' },
+            { method: 'POST', pathPrefix: '/transfers', kind: 'confirmation' },
+          ]
+        : undefined,
+    upstreams: [{ id: `upstream-${index}`, sidecarAddress: `127.0.0.1:${ports[index]}` }],
+  }));
+  return {
+    service: 'redactor',
+    customers: [{ id: 'carriers', keyHashes: [createHash('sha256').update(KEY).digest('hex')] }],
+    kinds: [
+      { name: 'draft', deadlineMs: 5000, repeatable: true },
+      { name: 'lookup', deadlineMs: 5000, repeatable: true },
+      { name: 'confirmation', deadlineMs: 5000, repeatable: false },
+    ],
+    models: [{ id: 'notice-1', defaultKind: 'draft' }],
+    adapters: [{ id: 'notice-1-galicia', model: 'notice-1' }],
+    groups,
+  };
+}
+
+/** A running rig. */
+interface Rig {
+  readonly port: number;
+  ask(
+    path: string,
+    body: string | undefined,
+    headers?: Readonly<Record<string, string>>,
+    method?: Dispatcher.HttpMethod,
+  ): Promise<Dispatcher.ResponseData>;
+  /** A streamed chat request. */
+  chat(content: string, more?: object): Promise<Dispatcher.ResponseData>;
+  stopEntry(): Promise<void>;
+  stopSidecar(index: number): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** Sidecars before the given upstreams, and an entry before them, in this process. */
+export async function openRig(options: RigOptions): Promise<Rig> {
+  const sidecars = await Promise.all(
+    options.upstreams.map((upstream, index) => startRigSidecar(upstream, index, options)),
+  );
+  const ports = sidecars.map(({ port }) => port);
+  const file = join(mkdtempSync(join(tmpdir(), 'tarragonstile-')), 'redactor.jsonc');
+  writeFileSync(file, JSON.stringify(documentFor(options, ports)));
+  const entry = await startEntry({
+    ...PLACE,
+    listen: { host: '127.0.0.1', port: 0 },
+    documents: [file],
+    logLevel: 'error',
+    drainTimeoutMs: options.drainTimeoutMs ?? 5000,
+    bodyBytes: 10_000,
+    limits: options.limits,
+  });
+  const url = `http://127.0.0.1:${entry.port}`;
+  const ask: Rig['ask'] = (
+    path,
+    body,
+    headers = {},
+    method = body === undefined ? 'GET' : 'POST',
+  ) =>
+    request(`${url}${path}`, {
+      method,
+      body,
+      headers: { authorization: `Bearer ${KEY}`, ...headers },
+    });
+  return {
+    port: entry.port,
+    ask,
+    chat: (content, more = {}) =>
+      ask(
+        '/v1/chat/completions',
+        JSON.stringify({ model: 'notice-1', stream: true, messages: [{ content }], ...more }),
+      ),
+    stopEntry: () => entry.stop(),
+    stopSidecar: (index) => sidecars[index]!.stop(),
+    async close() {
+      await entry.stop();
+      await Promise.all(sidecars.map((sidecar) => sidecar.stop()));
+    },
+  };
+}
