--- a/demo/stack.ts
+++ b/demo/stack.ts
@@ -79,7 +79,7 @@
     const started = this.meshPorts.map((port, index) => this.startEntry(port, index));
     this.entryDaemons = await Promise.all(started);
     this.entries = this.entryDaemons.map(({ port }) => `http://127.0.0.1:${port}`);
-    await Promise.all(this.entries.map((url) => this.untilReady(url)));
+    await Promise.all(this.entries.map((url) => this.untilAnswers(url)));
   }
 
   sidecar(upstream: string): Daemon {
@@ -192,9 +192,19 @@
     });
   }
 
-  private async untilReady(url: string): Promise<void> {
+  /** Waits until an entry is ready, and has answered for each service. */
+  private async untilAnswers(url: string): Promise<void> {
+    const { engineCount, plainCount, plainService, lookupPath, models } = this.deployment;
+    await this.untilOk(`${url}/readyz`);
+    if (plainCount > 0) await this.untilOk(`${url}/services/${plainService}${lookupPath}/1`);
+    const body = JSON.stringify({ model: models[0], prompt: 'Hello', max_tokens: 1 });
+    if (engineCount > 0) await this.untilOk(`${url}/v1/completions`, body);
+  }
+
+  private async untilOk(url: string, body?: string): Promise<void> {
+    const headers = { authorization: `Bearer ${this.keys.other}` };
     for (;;) {
-      const answer = await request(`${url}/readyz`);
+      const answer = await request(url, { method: body ? 'POST' : 'GET', headers, body });
       await answer.body.dump();
       if (answer.statusCode === 200) return;
       await wait(POLL_MS);
