The planner runs in the entries: lease, epoch, rounds, audit, explain

Cause: the planner's core had no process to run in, membership did not read the host list, and an operator could not ask why a model is where it is.

A relay entry takes `/tarragonstile/planners/{service}/{region}` by compare-and-swap under a store lease; the revision of that write is the epoch, so it rises with every holder without a counter of our own. A holder cut off from the store goes on; it stops when its lease turns out to have lapsed or a sidecar names a higher epoch. Each round (2 s) plans from the document, the board's records and membership, and sends what has changed by Place; an answer is a sign of life, none a failed call, so a dead upstream is doubted without callers' traffic. What a sidecar must not give up (ready nowhere else) is named in `keepUntilPlaced` of every plan.

Also: `model-absent` and `model-unloading` are the refusals that tell that an upstream lacks what a request needs; the router looked for other names, and marked the whole model where only an adapter was absent.

Ruled out: a counter for the epoch under a key of its own (a second write, and it must outlive the lease).

--- a/src/command/table.ts
+++ b/src/command/table.ts
@@ -3,6 +3,7 @@
 import CheckCommand from './check.js';
 import DiffCommand from './diff.js';
 import EntryCommand from './entry.js';
+import ExplainCommand from './explain.js';
 import GetCommand from './get.js';
 import RollbackCommand from './rollback.js';
 import SidecarCommand from './sidecar.js';
@@ -15,6 +16,7 @@
   check: CheckCommand,
   diff: DiffCommand,
   entry: EntryCommand,
+  explain: ExplainCommand,
   get: GetCommand,
   rollback: RollbackCommand,
   sidecar: SidecarCommand,
--- /dev/null
+++ b/src/core/planlease/createlease.ts
@@ -0,0 +1,17 @@
+import type { Epoch } from '../../base/index.js';
+import type { LeaseState } from './leasestate.js';
+
+const NO_EPOCH = 0 as Epoch;
+
+/** A lease that nobody here holds yet. */
+export function createLease(key: string, nonce: string): LeaseState {
+  return {
+    key,
+    nonce,
+    phase: 'watching',
+    leaseId: '',
+    epoch: NO_EPOCH,
+    metEpoch: NO_EPOCH,
+    dueAtMs: 0,
+  };
+}
--- a/src/core/planner/plansof.ts
+++ b/src/core/planner/plansof.ts
@@ -1,3 +1,4 @@
+import type { ModelId, UpstreamId } from '../../base/index.js';
 import type { CellPlan } from '../placement/index.js';
 import type { Cell } from './cell.js';
 import type { PlannerEffect } from './plannereffect.js';
@@ -14,11 +15,21 @@
   kept: 0,
 };
 
+/** Whether callers reach the model at another upstream that stays. */
+function isReadyElsewhere({ upstreams }: Cell, here: UpstreamId, model: ModelId): boolean {
+  return upstreams.some(
+    ({ id, state, residents }) =>
+      id !== here &&
+      state === 'usable' &&
+      residents.some((held) => held.model === model && held.phase === 'ready'),
+  );
+}
+
 /** Each upstream's part of a plan. Lost upstreams get none. */
 export function plansOf(plan: CellPlan, cell: Cell, sequence: number): readonly Place[] {
   const versions = new Map(cell.models.map(({ id, version }) => [id, version]));
   const live = cell.upstreams.filter(({ state }) => state !== 'lost');
-  return live.map(({ id: upstream, role }) => {
+  return live.map(({ id: upstream, role, residents }) => {
     const here = plan.placed.filter((place) => place.upstream === upstream);
     const wanted = here.filter(({ reason }) => reason !== 'kept');
     const models = wanted.map(({ model, adapters, reason }) => ({
@@ -27,7 +38,11 @@
       adapters,
       urgency: URGENCY[reason],
     }));
-    const kept = here.filter(({ reason }) => reason === 'kept').map(({ model }) => model);
-    return { type: 'place', upstream, sequence, models, role, keepUntilPlaced: kept };
+    const named = new Set(wanted.map(({ model }) => model));
+    const keepUntilPlaced = residents
+      .map(({ model }) => model)
+      .filter((model) => !named.has(model) && versions.has(model))
+      .filter((model) => !isReadyElsewhere(cell, upstream, model));
+    return { type: 'place', upstream, sequence, models, role, keepUntilPlaced };
   });
 }
--- a/src/core/routing/onoutcome.ts
+++ b/src/core/routing/onoutcome.ts
@@ -1,6 +1,7 @@
 import type { KindName, Ms, UpstreamId } from '../../base/index.js';
 import type { Refusal } from '../../wire/index.js';
 import { adoptLoad } from './adoptload.js';
+import { loadKey } from './loadkey.js';
 import { rememberPrefix } from './rememberprefix.js';
 import type { RoutingChange } from './routingchange.js';
 import type { RoutingEvent } from './routingevent.js';
@@ -13,7 +14,7 @@
 type Ended = Extract<RoutingEvent, { type: 'outcome' }>;
 
 /** Refusals that say that the upstream's memory lacks what the request needs. */
-const NOT_RESIDENT: readonly string[] = ['model-not-resident', 'adapter-not-resident'];
+const ABSENT: readonly string[] = ['model-absent', 'model-unloading'];
 
 /** Refusals that say that the request's kind finds no room here for a while. */
 const FULL: readonly string[] = ['upstream-full', 'queue-full', 'deadline-unmeetable'];
@@ -24,8 +25,8 @@
 
 function refusedBy(view: UpstreamView, event: Ended, refusal: Refusal, nowMs: Ms): UpstreamView {
   const { model, kind } = event.target;
-  if (NOT_RESIDENT.includes(refusal.type) && model !== undefined) {
-    return { ...view, missing: new Set(view.missing).add(model) };
+  if (ABSENT.includes(refusal.type) && model !== undefined) {
+    return { ...view, missing: new Set(view.missing).add(loadKey(event.target)) };
   }
   if (!FULL.includes(refusal.type) || refusal.retryAfterMs <= 0) return view;
   const fullUntilMs = new Map<KindName, Ms>(view.fullUntilMs);
--- a/src/core/routing/onrecorded.ts
+++ b/src/core/routing/onrecorded.ts
@@ -42,7 +42,7 @@
     incarnation: record.incarnation as Incarnation,
     recorded: true,
     freeBytes: record.freeBytes,
-    missing: new Set<ModelId>(),
+    missing: new Set<string>(),
     breaker: renewed ? closedBreaker : view.breaker,
     fullUntilMs: renewed ? new Map() : view.fullUntilMs,
   };
--- a/src/core/routing/onwant.ts
+++ b/src/core/routing/onwant.ts
@@ -2,6 +2,7 @@
 import { Executed } from '../../wire/index.js';
 import { rendezvous } from '../hash/index.js';
 import { freeAtMs } from './freeatms.js';
+import { loadKey } from './loadkey.js';
 import { pickUpstream } from './pickupstream.js';
 import type { RouteWant } from './routewant.js';
 import type { RoutingChange } from './routingchange.js';
@@ -84,7 +85,7 @@
   const { model, kind } = want.target;
   if (model === undefined) return undefined;
   const views = [...state.upstreams.values()].filter(
-    (view) => view.type === 'engine' && !view.recorded && !view.missing.has(model),
+    (view) => view.type === 'engine' && !view.recorded && !view.missing.has(loadKey(want.target)),
   );
   const free = views.filter(
     ({ id, ...view }) =>
--- a/src/core/routing/serves.ts
+++ b/src/core/routing/serves.ts
@@ -1,4 +1,5 @@
 import type { Target } from '../document/index.js';
+import { loadKey } from './loadkey.js';
 import type { UpstreamView } from './upstreamview.js';
 
 /** Whether an upstream can answer the request now: a plain route, or model and adapter in memory. */
@@ -8,6 +9,6 @@
     return view.kinds.length === 0 || view.kinds.includes(target.kind.name);
   }
   const resident = view.residents.get(target.model);
-  if (resident?.phase !== 'ready' || view.missing.has(target.model)) return false;
+  if (resident?.phase !== 'ready' || view.missing.has(loadKey(target))) return false;
   return target.adapter === undefined || resident.adapters.has(target.adapter);
 }
--- a/src/core/routing/upstreamview.ts
+++ b/src/core/routing/upstreamview.ts
@@ -33,8 +33,8 @@
       readonly sinceMs: Ms;
     }
   >;
-  /** Models that it has refused as not resident since its last record. */
-  readonly missing: ReadonlySet<ModelId>;
+  /** What it has refused as absent since its last record: see `loadKey`. */
+  readonly missing: ReadonlySet<string>;
   /** Work of others at this upstream when it last told its load. */
   readonly load?: {
     readonly othersCount: number;
--- a/src/entry/createdesk.ts
+++ b/src/entry/createdesk.ts
@@ -12,6 +12,7 @@
 import { SharedLink } from './link/index.js';
 import { createBoard } from './wiring/createboard.js';
 import { createDirectory } from './wiring/createdirectory.js';
+import { createPlanner } from './wiring/createplanner.js';
 import { createRouter } from './wiring/createrouter.js';
 import { createTickets } from './wiring/createtickets.js';
 
@@ -42,6 +43,7 @@
     ...context,
     directory,
     router,
+    planner: createPlanner(context, directory, router),
     tickets: createTickets(context, directory),
     limits,
     gate: new Gate(limits),
--- a/src/entry/desk.ts
+++ b/src/entry/desk.ts
@@ -4,6 +4,7 @@
 import type { Gate } from './gate.js';
 import type { KeyIndex } from './keyindex.js';
 import type { Live } from './live.js';
+import type { Planner } from './planner/index.js';
 import type { Context, Directory, Router, Tickets } from './part/index.js';
 
 /** What the handlers of callers' requests share. */
@@ -12,6 +13,7 @@
   readonly credentials: PeerCredentials;
   readonly directory: Directory;
   readonly router: Router;
+  readonly planner: Planner;
   readonly tickets: Tickets;
   readonly limits: EntryLimits;
   readonly gate: Gate;
--- a/src/entry/handler/routes.ts
+++ b/src/entry/handler/routes.ts
@@ -1,3 +1,4 @@
+import { explainModel } from './explainmodel.js';
 import { generate } from './generate.js';
 import type { Handler } from './handler.js';
 import { health } from './health.js';
@@ -26,5 +27,6 @@
   { method: 'GET', path: '/healthz', handler: health },
   { method: 'GET', path: '/readyz', handler: readiness },
   { method: 'GET', path: '/statusz', handler: status },
+  { method: 'GET', path: '/explainz', handler: explainModel },
   { method: '', path: '/**', handler: notFound },
 ];
--- /dev/null
+++ b/src/entry/planner/cutcell.ts
@@ -0,0 +1,35 @@
+import type { ModelId } from '../../base/index.js';
+import { cellsOfModel, cutCells } from '../../core/placement/index.js';
+import type { Cell, PlannerState } from '../../core/planner/index.js';
+
+const MS_PER_SECOND = 1_000;
+
+function busySlots(states: readonly PlannerState[], model: ModelId): number {
+  let busy = 0;
+  for (const { demand } of states) {
+    const known = demand.models.get(model);
+    const level = (known?.rate as { readonly level?: number } | undefined)?.level ?? 0;
+    busy += (level * (known?.serviceTimeMs ?? 0)) / MS_PER_SECOND;
+  }
+  return busy;
+}
+
+/** Cuts a region that is too large for one plan; each model goes to as many cells as its demand fills. */
+export function cutCell(whole: Cell, states: readonly PlannerState[]): readonly Cell[] {
+  const parts = cutCells(whole.upstreams);
+  if (parts.length === 1) return [whole];
+  return parts.map((upstreams, index) => {
+    const slots = upstreams.reduce((sum, upstream) => sum + upstream.slots, 0);
+    const ids = new Set(upstreams.map(({ id }) => id));
+    const isOurs = ({ id }: { readonly id: ModelId }) =>
+      cellsOfModel(id, parts.length, busySlots(states, id), slots).includes(index);
+    return {
+      ...whole,
+      upstreams,
+      models: whole.models.filter(isOurs),
+      counters: whole.counters.filter(({ upstream }) => ids.has(upstream)),
+      loadsPerSecond: whole.loadsPerSecond / parts.length,
+      parallelLoads: Math.max(1, Math.floor(whole.parallelLoads / parts.length)),
+    };
+  });
+}
--- /dev/null
+++ b/src/entry/planner/leasekeeper.ts
@@ -0,0 +1,104 @@
+import { nanoid } from 'nanoid';
+import type { Epoch, Revision } from '../../base/index.js';
+import {
+  createLease,
+  stepLease,
+  type LeaseEffect,
+  type LeaseEvent,
+  type LeaseState,
+} from '../../core/planlease/index.js';
+import type { Context } from '../part/index.js';
+
+const ABSENT = 0 as Revision;
+
+interface Held {
+  readonly nonce?: string;
+  readonly hostId?: string;
+}
+
+function nonceOf(value: string): string | undefined {
+  try {
+    return (JSON.parse(value) as Held).nonce;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Carries the lease core's wishes to the store and the answers back. */
+export class LeaseKeeper {
+  private state: LeaseState;
+
+  constructor(
+    private readonly context: Pick<Context, 'store' | 'clock' | 'log' | 'settings' | 'metrics'>,
+    key: string,
+  ) {
+    this.state = createLease(key, nanoid());
+  }
+
+  /** The epoch to plan under; undefined while another entry plans, or nobody. */
+  epoch(): Epoch | undefined {
+    return this.state.phase === 'holding' ? this.state.epoch : undefined;
+  }
+
+  step(event: LeaseEvent): void {
+    const { state, effects } = stepLease(this.state, event, this.context.clock.nowMs());
+    this.state = state;
+    for (const effect of effects) void this.carryOut(effect);
+  }
+
+  private async carryOut(effect: LeaseEffect): Promise<void> {
+    const carry = this.handlers[effect.type] as (effect: LeaseEffect) => Promise<void>;
+    await carry(effect);
+  }
+
+  private readonly handlers: {
+    readonly [Type in LeaseEffect['type']]: (
+      effect: Extract<LeaseEffect, { type: Type }>,
+    ) => Promise<void>;
+  } = {
+    read: async ({ key }) => {
+      const read = await this.context.store.get(key);
+      if (read.err) this.step({ type: 'read' });
+      else {
+        const item = read.val;
+        const answer = item ? { nonce: nonceOf(item.value), revision: item.revision } : {};
+        this.step({ type: 'read', answer });
+      }
+    },
+    grant: async ({ ttlMs }) => {
+      const granted = await this.context.store.grantLease(ttlMs);
+      this.step({ type: 'granted', leaseId: granted.ok ? granted.val : undefined });
+    },
+    swap: async ({ key, nonce, leaseId }) => {
+      const value = JSON.stringify({ nonce, hostId: this.context.settings.hostId });
+      const swapped = await this.context.store.swap({
+        key,
+        expectedRevision: ABSENT,
+        value,
+        leaseId,
+      });
+      if (swapped.err) {
+        const isUnknown = swapped.val.type === 'store-outcome-unknown';
+        this.step({ type: 'swapped', outcome: isUnknown ? 'unknown' : 'failed' });
+      } else if (swapped.val.type === 'conflict') {
+        this.step({ type: 'swapped', outcome: 'conflict' });
+      } else this.step({ type: 'swapped', outcome: 'swapped', revision: swapped.val.revision });
+    },
+    renew: async ({ leaseId }) => {
+      const renewed = await this.context.store.renewLease(leaseId);
+      this.step({ type: 'renewed', leftMs: renewed.ok ? renewed.val : undefined });
+    },
+    revoke: async ({ leaseId }) => {
+      await this.context.store.revokeLease(leaseId);
+    },
+    took: ({ epoch }) => {
+      this.context.log.info('planning begins', { key: this.state.key, epoch });
+      this.context.metrics.count('planner.took');
+      return Promise.resolve();
+    },
+    lost: ({ epoch, reason }) => {
+      this.context.log.info('planning ends', { key: this.state.key, epoch, reason });
+      return Promise.resolve();
+    },
+  };
+}
--- a/src/entry/roundrobin.ts
+++ b/src/entry/roundrobin.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'ts-results';
-import { result, type Incarnation } from '../base/index.js';
+import { result, type Incarnation, type UpstreamId } from '../base/index.js';
+import type { MemberPhase } from '../core/member/index.js';
 import { refuse } from '../core/refusal/index.js';
 import type { Refusal } from '../wire/index.js';
 import type { Choice, Directory, Router, Want } from './part/index.js';
@@ -35,5 +36,11 @@
 
   learn(): void {}
 
+  hear(): void {}
+
+  phases(): ReadonlyMap<UpstreamId, MemberPhase> {
+    return new Map();
+  }
+
   close(): void {}
 }
--- a/src/entry/routing/policyrouter.ts
+++ b/src/entry/routing/policyrouter.ts
@@ -8,12 +8,15 @@
   type UpstreamId,
 } from '../../base/index.js';
 import { hash32 } from '../../core/hash/index.js';
+import type { MemberEvent, MemberPhase } from '../../core/member/index.js';
 import { refuse } from '../../core/refusal/index.js';
 import type { RoutingEffect } from '../../core/routing/index.js';
+import { HttpHostList } from '../../shell/hosts/index.js';
 import type { BoardRecord } from '../../shell/board/index.js';
 import { UpstreamRecord, type Refusal, type RescueReply } from '../../wire/index.js';
 import type { Choice, Context, Directory, Outcome, Router, Want } from '../part/index.js';
 import { declaredOf } from './declaredof.js';
+import { HostWatch } from './hostwatch.js';
 import { ServiceRouting } from './servicerouting.js';
 
 const UPSTREAMS = 'upstream/';
@@ -25,6 +28,8 @@
 
   private revision = -1 as Revision;
 
+  private readonly hosts: HostWatch | undefined;
+
   private readonly stopListening: () => void;
 
   constructor(
@@ -33,6 +38,7 @@
   ) {
     this.stopListening = context.board.onChange(UPSTREAMS, (record) => this.adopt(record));
     this.refresh();
+    this.hosts = this.watchHosts();
   }
 
   choose(want: Want): Promise<Result<Choice, Refusal>> {
@@ -47,11 +53,34 @@
     this.services.get(outcome.want.target.service)?.learn(outcome);
   }
 
+  hear(service: ServiceId, event: MemberEvent): void {
+    this.services.get(service)?.hear(event);
+  }
+
+  phases(service: ServiceId): ReadonlyMap<UpstreamId, MemberPhase> {
+    return this.services.get(service)?.phases() ?? new Map();
+  }
+
   close(): void {
     this.stopListening();
+    this.hosts?.stop();
     for (const service of this.services.values()) service.stop();
   }
 
+  private watchHosts(): HostWatch | undefined {
+    const { hostList } = this.context.settings;
+    if (!hostList) return undefined;
+    const watch = new HostWatch(
+      this.context,
+      new HttpHostList(hostList),
+      hostList.pollMs,
+      () => this.directory.documents(),
+      (service, event) => this.hear(service, event),
+    );
+    void watch.poll();
+    return watch;
+  }
+
   /** Adopts documents that have come into force since the last look. */
   private refresh(): void {
     const revision = this.directory.revision();
--- a/src/entry/routing/servicerouting.ts
+++ b/src/entry/routing/servicerouting.ts
@@ -6,7 +6,12 @@
   type ModelId,
   type UpstreamId,
 } from '../../base/index.js';
-import { stepMember, type MemberEvent, type MemberState } from '../../core/member/index.js';
+import {
+  stepMember,
+  type MemberEvent,
+  type MemberPhase,
+  type MemberState,
+} from '../../core/member/index.js';
 import { refuse } from '../../core/refusal/index.js';
 import {
   createRouting,
@@ -99,6 +104,10 @@
     this.step({ type: 'recorded', record });
   }
 
+  phases(): ReadonlyMap<UpstreamId, MemberPhase> {
+    return new Map([...this.members.members].map(([id, { phase }]) => [id, phase]));
+  }
+
   /** Gives news of liveness to membership, and what follows from it to routing. */
   hear(event: MemberEvent): void {
     const { state, effects } = stepMember(this.members, event, this.clock.nowMs());
--- a/src/entry/startentry.ts
+++ b/src/entry/startentry.ts
@@ -47,6 +47,7 @@
   const listener = createListener(createApp(desk), desk.limits, settings.tls, desk.log);
   const port = await listen(listener.server, settings.listen);
   const endSweep = sweepOften(desk);
+  desk.planner.start();
   desk.log.info('listening', { port });
   let stopped: Promise<void> | undefined;
   const stop = async () => {
--- a/src/entry/stopentry.ts
+++ b/src/entry/stopentry.ts
@@ -36,6 +36,7 @@
 async function stop(desk: Desk, listener: Listener): Promise<void> {
   const { gate, clock, log, settings } = desk;
   log.info('stopping', { inFlight: gate.inFlight() });
+  desk.planner.stop();
   const idle = gate.close();
   const forgetBound = clock.after(settings.drainTimeoutMs, () => expire(desk));
   // A caller that does not take its answer, or its typed end, is given up.
--- /dev/null
+++ b/src/shell/entries/explainmodel.ts
@@ -0,0 +1,34 @@
+import { request } from 'undici';
+import { settle, type Failure, type Ms } from '../../base/index.js';
+import type { Explanation } from './explanation.js';
+
+const TIMEOUT_MS: Ms = 2000;
+const OK = 200;
+
+/** One entry's answer, or why there is none. */
+type Explained =
+  | { readonly type: 'explained'; readonly url: string; readonly explanations: Explanation[] }
+  | { readonly type: 'unreachable'; readonly url: string; readonly failure: Failure };
+
+async function ask(url: string, model: string): Promise<Explained> {
+  try {
+    const path = `${url}/explainz?model=${encodeURIComponent(model)}`;
+    const answer = await request(path, { signal: AbortSignal.timeout(TIMEOUT_MS) });
+    const body = await answer.body.text();
+    if (answer.statusCode === OK) {
+      return { type: 'explained', url, explanations: JSON.parse(body) as Explanation[] };
+    }
+    const detail = `answered ${answer.statusCode}`;
+    return { type: 'unreachable', url, failure: { type: 'entry-unreachable', detail } };
+  } catch (thrown) {
+    return { type: 'unreachable', url, failure: settle('entry-unreachable', thrown) };
+  }
+}
+
+/** Asks each entry why a model is where it is. */
+export function explainModel(
+  urls: readonly string[],
+  model: string,
+): Promise<readonly Explained[]> {
+  return Promise.all(urls.map((url) => ask(url, model)));
+}
--- /dev/null
+++ b/test/planlease.test.ts
@@ -0,0 +1,90 @@
+import test from 'ava';
+import type { Epoch, Revision } from '../src/base/index.js';
+import {
+  createLease,
+  stepLease,
+  type LeaseEvent,
+  type LeaseState,
+} from '../src/core/planlease/index.js';
+import { session, type Happening } from './support/session.js';
+
+const KEY = '/tarragonstile/planners/redactor/cantabrico';
+const START = createLease(KEY, 'one');
+const tick: LeaseEvent = { type: 'tick', candidate: true };
+
+function revision(value: number): Revision {
+  return value as Revision;
+}
+
+const taken: readonly Happening<LeaseEvent>[] = [
+  { atMs: 0, event: tick },
+  { atMs: 2, event: { type: 'read', answer: {} } },
+  { atMs: 4, event: { type: 'granted', leaseId: 'L1' } },
+  { atMs: 6, event: { type: 'swapped', outcome: 'swapped', revision: revision(70) } },
+];
+
+function play(happenings: readonly Happening<LeaseEvent>[]): LeaseState {
+  let state = START;
+  for (const { atMs, event } of happenings) state = stepLease(state, event, atMs).state;
+  return state;
+}
+
+test('golden: a planner is paused, another takes over, and the first wakes', (t) => {
+  const end = session(t, 'planner-paused', stepLease, START, [
+    ...taken,
+    { atMs: 5_010, event: tick },
+    { atMs: 5_012, event: { type: 'renewed', leftMs: 15_000 } },
+    // Paused here for a minute; its lease lapses, another takes the key at revision 95.
+    { atMs: 65_000, event: { type: 'met-epoch', epoch: 95 as Epoch } },
+    { atMs: 65_002, event: { type: 'renewed', leftMs: 0 } },
+    { atMs: 70_100, event: tick },
+    { atMs: 70_102, event: { type: 'read', answer: { nonce: 'two', revision: revision(95) } } },
+  ]);
+  t.is(end.phase, 'watching');
+});
+
+test('golden: the store is down, and the holder goes on until its lease has lapsed', (t) => {
+  const end = session(t, 'planner-store-down', stepLease, START, [
+    ...taken,
+    { atMs: 5_010, event: tick },
+    { atMs: 7_010, event: { type: 'renewed' } },
+    { atMs: 10_020, event: tick },
+    { atMs: 12_020, event: { type: 'renewed' } },
+    { atMs: 605_000, event: tick },
+    { atMs: 605_002, event: { type: 'renewed', leftMs: 0 } },
+    { atMs: 610_010, event: tick },
+    { atMs: 610_012, event: { type: 'read', answer: {} } },
+    { atMs: 610_014, event: { type: 'granted', leaseId: 'L2' } },
+    { atMs: 610_016, event: { type: 'swapped', outcome: 'swapped', revision: revision(99) } },
+  ]);
+  t.is(end.epoch, 99 as Epoch);
+});
+
+test('golden: the answer of the write that took the key is lost, and is read back', (t) => {
+  const end = session(t, 'planner-answer-lost', stepLease, START, [
+    ...taken.slice(0, 3),
+    { atMs: 2_000, event: { type: 'swapped', outcome: 'unknown' } },
+    { atMs: 2_010, event: tick },
+    { atMs: 2_012, event: { type: 'read' } },
+    { atMs: 7_020, event: tick },
+    { atMs: 7_022, event: { type: 'read', answer: { nonce: 'one', revision: revision(71) } } },
+  ]);
+  t.is(end.phase, 'holding');
+  t.is(end.epoch, 71 as Epoch);
+});
+
+test('an entry that may not plan asks nothing, and a loser of the race goes back to watching', (t) => {
+  const idle = stepLease(START, { type: 'tick', candidate: false }, 0);
+  t.deepEqual(idle.effects, []);
+  const lost = play([
+    ...taken.slice(0, 3),
+    { atMs: 6, event: { type: 'swapped', outcome: 'conflict' } },
+  ]);
+  t.is(lost.phase, 'watching');
+});
+
+test('a planned stop gives the lease back', (t) => {
+  const { state, effects } = stepLease(play(taken), { type: 'stopped' }, 100);
+  t.is(state.phase, 'watching');
+  t.deepEqual(effects[0], { type: 'revoke', leaseId: 'L1' });
+});
--- /dev/null
+++ b/test/support/fakecontext.ts
@@ -0,0 +1,34 @@
+import type { Clock } from '../../src/base/index.js';
+import type { KeyValueStore } from '../../src/port/index.js';
+import { MemoryBoard } from '../../src/shell/board/index.js';
+import type { PlacementPlan, PlacementReply } from '../../src/wire/index.js';
+
+/** Answers a plan as a sidecar would; undefined for no answer. */
+type Answer = (address: string, plan: PlacementPlan) => PlacementReply | undefined;
+
+/** An entry's context with a board in memory, and sidecars that a function plays. */
+export function fakeContext(hostId: string, clock: Clock, store: KeyValueStore, answer: Answer) {
+  const acts: { readonly act: string; readonly subject: string }[] = [];
+  const client = (address: string) => ({
+    place(
+      plan: PlacementPlan,
+      _metadata: unknown,
+      _options: unknown,
+      tell: (error: Error | null, reply?: PlacementReply) => void,
+    ) {
+      const reply = answer(address, plan);
+      tell(reply ? null : new TypeError('unreachable'), reply);
+    },
+  });
+  return {
+    acts,
+    settings: { hostId, region: 'cantabrico', availabilityZone: 'oviedo-a' },
+    clock,
+    store,
+    link: { client },
+    board: new MemoryBoard(),
+    log: { info: () => {}, warn: () => {}, error: () => {} },
+    metrics: { count: () => {}, gauge: () => {}, histogram: () => {} },
+    audit: { write: (entry: (typeof acts)[number]) => acts.push(entry) },
+  };
+}
