--- a/bench/table.ts
+++ b/bench/table.ts
@@ -18,4 +18,5 @@
   policy: async () => (await import('./policy.js')).policy,
   'admission-cost': async () => (await import('./admissioncost.js')).admissionCost,
   'config-cost': async () => (await import('./configcost.js')).configCost,
+  'config-etcd': async () => (await import('./configetcd.js')).configEtcd,
 };
--- a/standin/store/memorystore.ts
+++ b/standin/store/memorystore.ts
@@ -94,10 +94,7 @@
   }
 
   revokeLease(leaseId: string): Promise<Result<void, StoreFailure>> {
-    return this.call('write', () => {
-      this.model.endLease(leaseId);
-      return result.Ok(undefined);
-    });
+    return this.call('write', () => this.model.revokeLease(leaseId));
   }
 
   watch(prefix: string, fromRevision: Revision, tell: (event: WatchEvent) => void): () => void {
--- a/test/store.test.ts
+++ b/test/store.test.ts
@@ -129,6 +129,8 @@
     t.is((await store.renewLease(leaseId)).unwrap(), 0);
     const late = await store.swap({ key: '/a/2', value: 'x', expectedRevision: NONE, leaseId });
     t.is(late.err && late.val.type, 'store-lease-lapsed');
+    const gone = await store.revokeLease(leaseId);
+    t.is(gone.err && gone.val.type, 'store-lease-lapsed');
     await close();
   });
 
