Demo: engines and the plain service take seeded faults on the way

Beside the kill and the drain, calls are now delayed, lost, crossed and cut, and orders lost, delayed and left without an answer, all from a seed.

--- a/demo/standins.ts
+++ b/demo/standins.ts
@@ -3,6 +3,7 @@
   FakeHostList,
   FakeService,
   FakeWeightStore,
+  seededFaults,
   MemoryStore,
   StoreServer,
 } from '../standin/index.js';
@@ -12,6 +13,12 @@
 const HOST_LIST_LAG_MS = 500;
 const REPORT_LAG_MS = 100;
 const SERVICE_MS = 8;
+const SEED = 7;
+
+/** Shares of calls that go wrong, besides what the scenario does. */
+const ENGINE_FAULTS = { delay: 0.02, loss: 0.01, crossing: 0.01, cut: 0.03 };
+const ORDER_FAULTS = { delay: 0.1, loss: 0.1, cut: 0.1 };
+const SERVICE_FAULTS = { delay: 0.02, loss: 0.005, crossing: 0.005, cut: 0.01 };
 const TOKENS = 20;
 
 /** What lies outside the system: engines, plain services, the platform. */
@@ -30,7 +37,11 @@
     this.weightStore = new FakeWeightStore({ loadsPerSecond: 3, parallelLoads });
     this.services = Array.from(
       { length: plainCount },
-      () => new FakeService({ serviceMs: SERVICE_MS }),
+      (_, index) =>
+        new FakeService({
+          serviceMs: SERVICE_MS,
+          faults: seededFaults(SEED + index, SERVICE_FAULTS),
+        }),
     );
     this.engines = Array.from(
       { length: engineCount },
@@ -44,6 +55,8 @@
           checksFencing: index === 0,
           reportLagMs: REPORT_LAG_MS,
           weightStore: this.weightStore,
+          faults: seededFaults(SEED + index, ENGINE_FAULTS),
+          orderFaults: seededFaults(SEED + index, ORDER_FAULTS),
         }),
     );
   }
