Run at most once in both daemons: tickets, keys and hand-over

Sidecars issued no tickets and entries refused every key; non-repeatable requests had no way to be sent again. The sidecar's table now answers IssueTicket and HandOver, gates each request before and after admission, and on a planned stop cancels what was not used and hands the rest to a peer of the service, which tells entries by a board record (heir/{service}/{upstream}). The entry maps keys through the store under shared leases (one write a key) within its own share of writes.

Ruled out: signed tickets; handing unused tickets on as usable, since both sides could run them.

--- a/bench/once/world.ts
+++ b/bench/once/world.ts
@@ -128,7 +128,7 @@
   }
 
   pass(pick: number): void {
-    this.nowMs += [1, 1, 300, 300, 900, 1200, 4700, 40_500][pick % 8]!;
+    this.nowMs += [1, 1, 300, 300, 900, 1200, 5000, 70_500][pick % 8]!;
     this.note(`now ${this.nowMs}`);
   }
 
--- a/src/core/idempotency/sharedlease.ts
+++ b/src/core/idempotency/sharedlease.ts
@@ -14,8 +14,8 @@
 /** A request has to be bound within this; see `boundUntilMs`. */
 const BINDING_MS = 5000;
 
-/** A mapping outlives the time for which its key may be repeated by this: time to send and to bind. */
-const MARGIN_MS = 2 * BINDING_MS;
+/** A mapping outlives the time for which its key may be repeated by this: time to send, read and bind. */
+const MARGIN_MS = 40_000;
 
 /** Leases that outlive the tickets they are for. A mapping that lapsed first would let a key run twice. */
 export const sharedLease = {
--- a/src/core/mesh/adopt.ts
+++ b/src/core/mesh/adopt.ts
@@ -30,7 +30,8 @@
   const records = new Map<string, HeldRecord>(state.records);
   for (const record of offered) {
     const held = records.get(record.key);
-    if (!isWanted(state.self, record.key) || !isNewer(record, held)) continue;
+    const isOwn = record.origin === state.self.id;
+    if (!(isOwn || isWanted(state.self, record.key)) || !isNewer(record, held)) continue;
     records.set(record.key, { ...record, adoptedAtMs: nowMs });
     adopted.push(record);
     if (!isDocument(record.key)) continue;
--- a/src/core/ticket/adopt.ts
+++ b/src/core/ticket/adopt.ts
@@ -59,7 +59,7 @@
     const fits = state.usedBytes + rowBytes(row) <= state.limits.tableBytes;
     state = addRow(state, ticket, fits ? row : { ...row, answer: undefined });
   }
-  const origins = new Set([...state.origins, `${upstream}.${incarnation}`]);
+  const origins = new Map(state.origins).set(`${upstream}.${incarnation}`, table.hops);
   const effects = [{ type: 'adopted', callId, takenCount: rows.length } as const];
   return { state: { ...state, origins }, effects };
 }
--- a/src/core/ticket/exporttable.ts
+++ b/src/core/ticket/exporttable.ts
@@ -9,6 +9,7 @@
 interface Piece {
   readonly upstream: string;
   readonly incarnation: number;
+  readonly hops: number;
   entries: TicketEntry[];
   sizeBytes: number;
 }
@@ -32,8 +33,8 @@
   };
 }
 
-function tableOf({ upstream, incarnation, entries }: Piece, last: boolean): TicketTable {
-  return { upstream, incarnation, entries, last };
+function tableOf({ upstream, incarnation, hops, entries }: Piece, last: boolean): TicketTable {
+  return { upstream, incarnation, hops, entries, last };
 }
 
 /**
@@ -51,7 +52,8 @@
     if (!name || nowMs >= row.expiresAtMs) continue;
     const { upstream, incarnation } = name;
     const key = `${upstream}.${incarnation}`;
-    const piece = open.get(key) ?? { upstream, incarnation, entries: [], sizeBytes: 0 };
+    const hops = (state.origins.get(key) ?? 0) + 1;
+    const piece = open.get(key) ?? { upstream, incarnation, hops, entries: [], sizeBytes: 0 };
     if (piece.sizeBytes >= pieceBytes) {
       yield tableOf(piece, false);
       piece.entries = [];
--- a/src/core/ticket/opentable.ts
+++ b/src/core/ticket/opentable.ts
@@ -21,6 +21,6 @@
     sweptUntilS: Math.floor(nowMs / MS_PER_S),
     usedBytes: 0,
     leaving: false,
-    origins: new Set(),
+    origins: new Map(),
   };
 }
--- a/src/core/ticket/tableevent.ts
+++ b/src/core/ticket/tableevent.ts
@@ -33,7 +33,8 @@
       readonly type: 'finish';
       readonly ticket: string;
       readonly end:
-        | { readonly type: 'answered'; readonly answer: Answer }
+        /** The answer is left out if it was too large to gather. */
+        | { readonly type: 'answered'; readonly answer: Answer | undefined }
         /** It may have run; nobody can tell. */
         | { readonly type: 'unknown' }
         /** Nothing was sent to the upstream. */
--- a/src/core/ticket/tablestate.ts
+++ b/src/core/ticket/tablestate.ts
@@ -22,6 +22,6 @@
   readonly usedBytes: number;
   /** True once a planned stop has begun: nothing new is issued or run. */
   readonly leaving: boolean;
-  /** Tables taken over, as `{upstream}.{incarnation}`. */
-  readonly origins: ReadonlySet<string>;
+  /** Tables taken over, as `{upstream}.{incarnation}`, with how often each has been handed on. */
+  readonly origins: ReadonlyMap<string, number>;
 }
--- a/src/entry/entryschema.ts
+++ b/src/entry/entryschema.ts
@@ -46,6 +46,7 @@
     tls: keySchema as never,
     peerTls: peerSchema as never,
     statsd: statsdSchema as never,
+    keyWritesPerSecond: { type: 'number', exclusiveMinimum: 0, nullable: true },
     limits: {
       type: 'object',
       additionalProperties: false,
--- a/src/entry/entrysettings.ts
+++ b/src/entry/entrysettings.ts
@@ -30,6 +30,8 @@
   readonly tls?: KeySettings | null;
   /** Mutual TLS towards sidecars and other entries. */
   readonly peerTls?: PeerSettings | null;
+  /** Writes to the store that `Idempotency-Key`s may take in a second at this entry; 40 by default. */
+  readonly keyWritesPerSecond?: number;
   /** Where metrics go; without it none are sent. */
   readonly statsd?: { readonly host: string; readonly port: number } | null;
   /** Bounds on callers; those not given take their default. */
--- a/src/entry/handler/bindrun.ts
+++ b/src/entry/handler/bindrun.ts
@@ -26,7 +26,7 @@
   const ticket = headerOf(request.headers, 'tarragonstile-ticket');
   const idempotencyKey = headerOf(request.headers, 'idempotency-key');
   if (ticket === undefined && idempotencyKey === undefined) return result.Ok(FREE);
-  const want = { requestId, target, prefixHash: head.prefixHash, remainingMs, tried: [] };
+  const want = { requestId, target, prefixHash: head.prefixHash, remainingMs };
   return desk.tickets.bind({
     requestId,
     customer: head.customer as CustomerId,
@@ -37,6 +37,6 @@
     path: head.path,
     body: head.body,
     ticketValidMs: document.limits?.ticketValidMs ?? 0,
-    choose: () => desk.router.choose(want),
+    choose: (tried) => desk.router.choose({ ...want, tried }),
   });
 }
--- a/src/entry/handler/serve.ts
+++ b/src/entry/handler/serve.ts
@@ -9,6 +9,7 @@
 import { bindRun } from './bindrun.js';
 import type { Caller } from './caller.js';
 import { refuseCaller } from './refusecaller.js';
+import { unlessBound } from './unlessbound.js';
 
 /** A request that has passed all checks of its form. */
 interface Served {
@@ -52,7 +53,7 @@
   const { document, customer } = served.access;
   const leave = desk.gate.enter(document.service, customer);
   if (leave.err) {
-    refuseCaller(desk, caller, leave.val);
+    refuseCaller(desk, caller, unlessBound(caller, leave.val));
     return;
   }
   try {
--- a/src/entry/part/bindask.ts
+++ b/src/entry/part/bindask.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'ts-results';
-import type { CustomerId, Ms, RequestId, ServiceId } from '../../base/index.js';
+import type { CustomerId, Ms, RequestId, ServiceId, UpstreamId } from '../../base/index.js';
 import type { Refusal } from '../../wire/index.js';
 import type { Choice } from './choice.js';
 
@@ -18,6 +18,6 @@
   readonly body: Uint8Array;
   /** Longest life of a ticket, from the service document. */
   readonly ticketValidMs: Ms;
-  /** Chooses the upstream that a new ticket is asked of; called only if one is needed. */
-  choose(): Promise<Result<Choice, Refusal>>;
+  /** Chooses an upstream to ask for a new ticket, other than those tried; called only if one is needed. */
+  choose(tried: readonly UpstreamId[]): Promise<Result<Choice, Refusal>>;
 }
--- a/src/entry/part/tickets.ts
+++ b/src/entry/part/tickets.ts
@@ -14,6 +14,8 @@
   issue(choice: Choice, request: TicketRequest): Promise<Result<TicketReply, Refusal>>;
   /** Finds where a request has to go, by its ticket or its key. */
   bind(ask: BindAsk): Promise<Result<Binding, Refusal>>;
+  /** Where a ticket's request has to go now; it moves when a sidecar stops as planned. */
+  locate(ticket: string, service: string): Result<Choice, Refusal>;
   /**
    * The refusal that the caller is told, from those of all attempts in order. An attempt that broke
    * is given as a refusal with `EXECUTED_UNKNOWN`.
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -24,6 +24,14 @@
   'sidecar-lost': 502,
   internal: 500,
   'ticket-expired': 409,
+  'ticket-cancelled': 409,
+  'ticket-forgotten': 410,
+  'ticket-incarnation-gone': 410,
+  'ticket-malformed': 400,
+  'ticket-mismatch': 422,
+  'idempotency-mismatch': 422,
+  'ticket-not-yours': 403,
+  'outcome-unknown': 502,
 };
 
 const EXECUTED: Readonly<Record<number, string>> = {
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -1,4 +1,4 @@
-import type { Ms } from '../base/index.js';
+import { result, type Ms } from '../base/index.js';
 import {
   conclude,
   startAttempt,
@@ -14,7 +14,7 @@
 import type { CallerAnswer } from './answer/index.js';
 import type { Desk } from './desk.js';
 import type { Asked, Receiver } from './link/index.js';
-import type { Choice, Outcome, Want } from './part/index.js';
+import type { Binding, Choice, Outcome, Want } from './part/index.js';
 import type { Live } from './live.js';
 import { Pace } from './pace.js';
 import type { RunAsk } from './runask.js';
@@ -145,7 +145,8 @@
   }
 
   lost(unsent: boolean, detail: string): void {
-    const options = unsent ? {} : UNKNOWN;
+    // An earlier send with the same ticket may have run: only its table can say no.
+    const options = unsent && this.work.binding.type === 'free' ? {} : UNKNOWN;
     const refusal = refuse(unsent ? 'sidecar-unreachable' : 'sidecar-lost', detail, options);
     this.broken(refusal, unsent ? 'unreachable' : 'broken');
   }
@@ -173,7 +174,7 @@
     const { prefixHash } = head;
     this.want = { requestId, target, prefixHash, remainingMs, tried };
     if (binding.type === 'bound') {
-      this.chosen(binding.choice);
+      this.chooseBound(binding);
       return;
     }
     void this.desk.router.choose(this.want).then((choice) => {
@@ -182,6 +183,15 @@
     });
   }
 
+  /** A ticket's table may have been handed on since the last attempt. */
+  private chooseBound({ ticket, choice }: Extract<Binding, { type: 'bound' }>): void {
+    const { desk, work, state } = this;
+    const place =
+      state.attempt === 0 ? result.Ok(choice) : desk.tickets.locate(ticket, work.target.service);
+    if (place.ok) this.chosen(place.val);
+    else this.happen({ type: 'unchosen', refusal: place.val });
+  }
+
   private chosen(choice: Choice): void {
     this.choice = choice;
     this.happen({ type: 'chosen', upstream: choice.upstream });
--- /dev/null
+++ b/src/entry/tickets/boardview.ts
@@ -0,0 +1,22 @@
+import type { Incarnation, UpstreamId } from '../../base/index.js';
+import type { RouteView } from '../../core/idempotency/index.js';
+import type { Board } from '../../shell/board/index.js';
+import { Heir } from '../../wire/index.js';
+
+/** What the board tells of the sidecars of one service. */
+export function boardView(board: Board, service: string): RouteView {
+  return {
+    incarnationOf: (upstream) =>
+      (board.get(`upstream/${service}/${upstream}`)?.epoch ?? 0) as Incarnation,
+
+    heirOf({ upstream, incarnation }) {
+      const record = board.get(`heir/${service}/${upstream}`);
+      if (record?.epoch !== incarnation) return undefined;
+      const heir = Heir.decode(record.value);
+      return {
+        upstream: heir.upstream as UpstreamId,
+        incarnation: heir.incarnation as Incarnation,
+      };
+    },
+  };
+}
--- /dev/null
+++ b/src/entry/tickets/leases.ts
@@ -0,0 +1,42 @@
+import type { Result } from 'ts-results';
+import { result, type Ms } from '../../base/index.js';
+import { sharedLease } from '../../core/idempotency/index.js';
+import type { StoreFailure } from '../../port/index.js';
+import type { Context } from '../part/index.js';
+
+/** A lease under which keys are mapped. */
+interface Held {
+  readonly leaseId: string;
+  readonly askedAtMs: Ms;
+  readonly ttlMs: Ms;
+}
+
+/** Leases of this entry's mappings: one for each length of a ticket's life, renewed by a fresh one. */
+export class Leases {
+  private readonly held = new Map<Ms, Promise<Result<Held, StoreFailure>>>();
+
+  constructor(private readonly ports: Pick<Context, 'store' | 'clock'>) {}
+
+  /** A lease that outlives what a request that arrived then may cause. */
+  async covering(arrivedAtMs: Ms, ticketValidMs: Ms): Promise<Result<string, StoreFailure>> {
+    const known = await this.held.get(ticketValidMs);
+    if (known?.ok && sharedLease.covers(known.val, arrivedAtMs, ticketValidMs)) {
+      return result.Ok(known.val.leaseId);
+    }
+    const asked = this.ask(ticketValidMs);
+    this.held.set(ticketValidMs, asked);
+    return (await asked).map(({ leaseId }) => leaseId);
+  }
+
+  /** Forgets a lease that the store no longer knows. */
+  forget(ticketValidMs: Ms): void {
+    this.held.delete(ticketValidMs);
+  }
+
+  private async ask(ticketValidMs: Ms): Promise<Result<Held, StoreFailure>> {
+    const askedAtMs = this.ports.clock.nowMs();
+    const ttlMs = sharedLease.ttlMs(ticketValidMs);
+    const granted = await this.ports.store.grantLease(ttlMs);
+    return granted.map((leaseId) => ({ leaseId, askedAtMs, ttlMs }));
+  }
+}
--- a/src/sidecar/createcontext.ts
+++ b/src/sidecar/createcontext.ts
@@ -4,7 +4,7 @@
 import { createMetrics } from '../shell/metric/index.js';
 import type { MeshBoard } from '../shell/mesh/index.js';
 import { createStore } from '../shell/store/index.js';
-import { peerCredentials, type PeerCredentials } from '../shell/tls/index.js';
+import { peerCredentials } from '../shell/tls/index.js';
 import { UpstreamKey } from './incarnation/index.js';
 import type { Context } from './part/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
@@ -13,7 +13,6 @@
 /** A context, and the way to end what its parts keep running. */
 interface OpenContext extends Context {
   readonly board: MeshBoard;
-  readonly credentials: PeerCredentials;
   close(): void;
 }
 
--- a/src/sidecar/door.ts
+++ b/src/sidecar/door.ts
@@ -17,7 +17,8 @@
 
   /** Runs one request and sends its whole answer, or a typed end. */
   async run(requestId: string, head: RequestHead, outlet: Outlet): Promise<void> {
-    if (this.leaving) {
+    // A ticket's request may have run already: the table answers, which takes nothing new in either.
+    if (this.leaving && !head.ticket) {
       const value = refuse('upstream-leaving', 'This upstream takes no new work.');
       outlet.send({ $case: 'refusal', value });
       return;
--- a/src/sidecar/part/context.ts
+++ b/src/sidecar/part/context.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../base/index.js';
 import type { Audit, Engine, KeyValueStore, Log, Metrics } from '../../port/index.js';
 import type { Board } from '../../shell/board/index.js';
+import type { PeerCredentials } from '../../shell/tls/index.js';
 import type { SidecarSettings } from '../sidecarsettings.js';
 import type { IncarnationHolder } from './incarnationholder.js';
 import type { IntentLog } from './intentlog.js';
@@ -14,6 +15,8 @@
   readonly audit: Audit;
   readonly board: Board;
   readonly store: KeyValueStore;
+  /** Of both ends of calls between the system's processes. */
+  readonly credentials: PeerCredentials;
   /** Names this life of the sidecar: tickets and orders carry it. */
   readonly incarnation: IncarnationHolder;
   readonly intents: IntentLog;
--- a/src/sidecar/sidecarschema.ts
+++ b/src/sidecar/sidecarschema.ts
@@ -4,6 +4,7 @@
 import { statsdSchema } from '../shell/metric/index.js';
 import { storeSchema } from '../shell/store/index.js';
 import { peerSchema } from '../shell/tls/index.js';
+import { tableSchema } from './runonce/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 
 /** Schema of a sidecar's settings file. */
@@ -35,5 +36,6 @@
     hostList: hostListSchema as never,
     store: storeSchema as never,
     peerTls: peerSchema as never,
+    tickets: tableSchema as never,
   },
 };
--- a/src/sidecar/sidecarsettings.ts
+++ b/src/sidecar/sidecarsettings.ts
@@ -1,6 +1,7 @@
 import type { HostListSettings } from '../shell/hosts/index.js';
 import type { StoreSettings } from '../shell/store/index.js';
 import type { PeerSettings } from '../shell/tls/index.js';
+import type { TableSettings } from './runonce/index.js';
 
 /** Settings of a sidecar. Addresses are IP numbers with a port. */
 export interface SidecarSettings {
@@ -24,4 +25,6 @@
   readonly store?: StoreSettings | null;
   /** Mutual TLS: with it, only peers that it allows are given work or taken at their word. */
   readonly peerTls?: PeerSettings | null;
+  /** Bounds of the run-once table; those not given take their default. */
+  readonly tickets?: Partial<TableSettings>;
 }
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -1,4 +1,4 @@
-import { Server, status } from '@grpc/grpc-js';
+import { Server } from '@grpc/grpc-js';
 import { HttpEngine, HttpService } from '../shell/engine/index.js';
 import { channelOptions } from '../shell/rpc/index.js';
 import { MeshService, WorkService, type WorkServer } from '../wire/index.js';
@@ -40,7 +40,7 @@
   const handlers: WorkServer = {
     exchange: (stream) => exchanges.open(stream),
     issueTicket: (call, reply) => reply(null, parts.runOnce.issue(call.request)),
-    handOver: (_call, reply) => reply({ code: status.UNIMPLEMENTED }),
+    handOver: (call, reply) => reply(null, parts.runOnce.adopt(call.request)),
     place: (call, reply) => reply(null, parts.residency.place(call.request)),
     rescue: (call, reply) => reply(null, parts.residency.rescue(call.request)),
     describe: (_call, reply) => reply(null, describe(context)),
--- a/src/sidecar/stopsidecar.ts
+++ b/src/sidecar/stopsidecar.ts
@@ -21,13 +21,14 @@
   const { context, parts, door, exchanges, server } = stopping;
   context.log.info('stopping', { inFlight: door.inFlight() });
   parts.residency.leave?.();
+  parts.runOnce.leave();
   const idle = door.drain();
   exchanges.leave();
   const forget = context.clock.after(context.settings.drainTimeoutMs, () => door.expire());
   await idle;
   forget();
   await parts.residency.stop?.();
-  await parts.runOnce.stop?.();
+  await parts.runOnce.stop();
   const force = context.clock.after(CLOSE_WITHIN_MS, () => server.forceShutdown());
   await new Promise<void>((resolve) => {
     server.tryShutdown(() => resolve());
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -37,6 +37,9 @@
 
   private resumes = 0;
 
+  /** True once an earlier call to the upstream may have begun to run. */
+  private sent = false;
+
   constructor(
     private readonly context: WorkContext,
     private readonly requestId: string,
@@ -61,7 +64,7 @@
       await replay(permit.val.answer, this.outlet);
       return;
     }
-    const refusal = await this.admit();
+    const refusal = await this.admit(permit.val.start);
     if (!refusal) {
       permit.val.record({ type: 'answered', answer: this.recorder.answer() });
       this.end('');
@@ -79,7 +82,7 @@
     this.halt.abort();
   }
 
-  private async admit(): Promise<Refusal | undefined> {
+  private async admit(start: () => Refusal | undefined): Promise<Refusal | undefined> {
     const slot = await this.offer();
     if (slot.err) return slot.val;
     const { model, adapter } = this.head;
@@ -89,7 +92,9 @@
       return unpin.val;
     }
     try {
-      return await this.runLegs(slot.val);
+      const late = start();
+      if (late) slot.val.release('cancelled');
+      return late ?? (await this.runLegs(slot.val));
     } finally {
       unpin.val();
     }
@@ -127,6 +132,7 @@
       if (slot.preempted.aborted) {
         slot.release('preempted');
         if (this.started && this.resumeToken === undefined) return this.refusalOf(failure);
+        this.sent ||= failure.executed !== 'no';
         const next = await this.offer();
         if (next.err) return { ...next.val, executed: Executed.EXECUTED_UNKNOWN };
         slot = next.val;
@@ -174,8 +180,10 @@
     this.outlet.send({ $case: 'start', value: { status, headers } });
   }
 
+  /** A later call that was never sent says nothing of an earlier one. */
   private refusalOf({ type, detail, executed }: EngineFailure): Refusal {
-    return refuse(type, detail, { executed: EXECUTED[executed] });
+    const known = this.sent ? Executed.EXECUTED_UNKNOWN : EXECUTED[executed];
+    return refuse(type, detail, { executed: known });
   }
 
   private refuse(refusal: Refusal): void {
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -223,6 +223,17 @@
   readonly entries: readonly TicketEntry[];
   /** Set on the last piece: the receiver may now tell that it holds this incarnation's table. */
   readonly last: boolean;
+  /** How often this incarnation's table has been handed on, with this time. */
+  readonly hops: number;
+}
+
+/**
+ * Heir is the board's record `heir/{service}/{upstream}` (epoch = incarnation of the stopped sidecar,
+ * sequence = hops): the sidecar that now answers for its tickets.
+ */
+export interface Heir {
+  readonly upstream: string;
+  readonly incarnation: number;
 }
 
 export interface TicketEntry {
@@ -2190,7 +2201,7 @@
 };
 
 function createBaseTicketTable(): TicketTable {
-  return { upstream: "", incarnation: 0, entries: [], last: false };
+  return { upstream: "", incarnation: 0, entries: [], last: false, hops: 0 };
 }
 
 export const TicketTable: MessageFns<TicketTable> = {
@@ -2207,6 +2218,9 @@
     if (message.last !== false) {
       writer.uint32(32).bool(message.last);
     }
+    if (message.hops !== 0) {
+      writer.uint32(40).uint32(message.hops);
+    }
     return writer;
   },
 
@@ -2255,6 +2269,14 @@
             message.last = reader.bool();
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.hops = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2276,6 +2298,74 @@
     message.incarnation = object.incarnation ?? 0;
     message.entries = object.entries?.map((e) => TicketEntry.fromPartial(e)) || [];
     message.last = object.last ?? false;
+    message.hops = object.hops ?? 0;
+    return message;
+  },
+};
+
+function createBaseHeir(): Heir {
+  return { upstream: "", incarnation: 0 };
+}
+
+export const Heir: MessageFns<Heir> = {
+  encode(message: Heir, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.upstream !== "") {
+      writer.uint32(10).string(message.upstream);
+    }
+    if (message.incarnation !== 0) {
+      writer.uint32(16).uint64(message.incarnation);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): Heir {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseHeir() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.upstream = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.incarnation = longToNumber(reader.uint64());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<Heir>): Heir {
+    return Heir.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<Heir>): Heir {
+    const message = createBaseHeir() as any;
+    message.upstream = object.upstream ?? "";
+    message.incarnation = object.incarnation ?? 0;
     return message;
   },
 };
--- /dev/null
+++ b/test/oncedaemons.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava';
+import { OnceFleet } from './support/oncefleet.js';
+
+test('daemons: a confirmation runs once, whichever entry it is sent through', async (t) => {
+  const fleet = new OnceFleet();
+  await fleet.start();
+  const ticket = { 'tarragonstile-ticket': await fleet.ticket() };
+  const first = await fleet.confirm(0, 'T-1', ticket);
+  const again = await fleet.confirmUntilNot('unauthenticated', 1, 'T-1', ticket);
+  t.deepEqual(first, { status: 200, body: { done: 'T-1' } });
+  t.deepEqual(again, first);
+  const other = await fleet.confirm(1, 'T-2', ticket);
+  t.is(other.body.type, 'urn:tarragonstile:ticket-mismatch');
+  t.is(other.body.executed, 'no');
+
+  const key = { 'idempotency-key': 'transfer-3' };
+  const both = await Promise.all([fleet.confirm(0, 'T-3', key), fleet.confirm(1, 'T-3', key)]);
+  for (const told of both) t.deepEqual(told, { status: 200, body: { done: 'T-3' } });
+  fleet.store.faults.loseAnswers = 2;
+  const lost = await fleet.confirm(0, 'T-4', { 'idempotency-key': 'transfer-4' });
+  t.deepEqual(lost, { status: 200, body: { done: 'T-4' } });
+  fleet.store.faults.down = true;
+  const down = await fleet.confirm(1, 'T-3', key);
+  t.is(down.body.type, 'urn:tarragonstile:idempotency-unknown');
+  t.is(down.body.executed, 'unknown');
+  fleet.store.faults.down = false;
+  t.deepEqual(
+    ['T-1', 'T-2', 'T-3', 'T-4'].map((id) => fleet.service.runs(id)),
+    [1, 0, 1, 1],
+  );
+  await fleet.stop();
+});
+
+test('daemons: a stopped sidecar hands its table on, and the peer answers for it', async (t) => {
+  const fleet = new OnceFleet();
+  await fleet.start();
+  const used = { 'tarragonstile-ticket': await fleet.ticket() };
+  const place = /^register-(\d)/.exec(used['tarragonstile-ticket'])?.[1];
+  t.deepEqual((await fleet.confirm(0, 'T-5', used)).body, { done: 'T-5' });
+  let unused = await fleet.ticket();
+  while (!unused.startsWith(`register-${place}`)) unused = await fleet.ticket();
+  await fleet.stopSidecar(Number(place));
+  const gone = 'sidecar-unreachable';
+  const told = await fleet.confirmUntilNot(gone, 1, 'T-5', used);
+  t.deepEqual(told, { status: 200, body: { done: 'T-5' } });
+  const cancelled = await fleet.confirmUntilNot(gone, 1, 'T-6', { 'tarragonstile-ticket': unused });
+  t.is(cancelled.body.type, 'urn:tarragonstile:ticket-cancelled');
+  t.is(cancelled.body.executed, 'no');
+  t.deepEqual([fleet.service.runs('T-5'), fleet.service.runs('T-6')], [1, 0]);
+  await fleet.stop();
+});
--- /dev/null
+++ b/test/support/oncefleet.ts
@@ -0,0 +1,176 @@
+import { createHash } from 'node:crypto';
+import { createServer } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
+import { request } from 'undici';
+import { systemClock, type Clock } from '../../src/base/index.js';
+import { startEntry, startSidecar } from '../../src/index.js';
+import { FakeHostList, FakeService, MemoryStore, StoreServer } from '../../standin/index.js';
+import { writeDocument } from './meshnode.js';
+
+const KEY = 'clerk-key';
+const POLL_MS = 20;
+const place = { region: 'bucuresti', availabilityZone: 'sala-nord', logLevel: 'error' };
+const plain = { type: 'plain', checksFencing: false, accelerators: 0, memoryBytes: 0 };
+
+/** Leases outlive the test; their timers must not hold up its end. */
+const unheldClock: Clock = {
+  ...systemClock,
+  after(delayMs, act) {
+    const timer = setTimeout(act, delayMs).unref();
+    return () => clearTimeout(timer);
+  },
+};
+
+function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as { port: number };
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+function documentOf(addresses: readonly string[]): object {
+  const keyHashes = [createHash('sha256').update(KEY).digest('hex')];
+  const confirm = { name: 'confirm', priority: 'urgent', deadlineMs: 5000, weight: 1 };
+  return {
+    schemaVersion: 1,
+    service: 'register',
+    owner: 'register',
+    region: place.region,
+    customers: [{ id: 'clerks', keyHashes, share: 1 }],
+    kinds: [{ ...confirm, repeatable: false }],
+    models: [],
+    adapters: [],
+    groups: addresses.map((sidecarAddress, index) => ({
+      ...plain,
+      name: `g${index}`,
+      availabilityZone: place.availabilityZone,
+      kvCacheReserveBytes: 0,
+      slots: 8,
+      role: 'mixed',
+      upstreams: [{ id: `register-${index}`, sidecarAddress }],
+      routes: [{ method: 'POST', pathPrefix: '/transfers', kind: 'confirm' }],
+    })),
+    weightStore: { loadsPerSecond: 1, parallelLoads: 1 },
+    placement: { movePenalty: 1, spareUpstreams: 0 },
+    limits: { bodyBytes: 1e6, longJobsPerUpstream: 1, queuePerUpstream: 9, ticketValidMs: 60_000 },
+  };
+}
+
+/** What a caller got. */
+interface Told {
+  readonly status: number;
+  readonly body: { readonly type?: string; readonly executed?: string; readonly done?: string };
+}
+
+/** Two entries and two sidecars as daemons in this process, before one plain service. */
+export class OnceFleet {
+  readonly service = new FakeService();
+
+  readonly store = new MemoryStore({ clock: unheldClock });
+
+  readonly sidecars: Awaited<ReturnType<typeof startSidecar>>[] = [];
+
+  readonly entries: Awaited<ReturnType<typeof startEntry>>[] = [];
+
+  private readonly storeServer = new StoreServer(this.store);
+
+  private readonly hosts = new FakeHostList();
+
+  async start(): Promise<void> {
+    const upstreamUrl = await this.service.listen();
+    const urls = [await this.storeServer.listen()];
+    const store = { urls, readsPerSecond: 500, writesPerSecond: 500, timeoutMs: 500 };
+    const hostList = { url: await this.hosts.listen(), pollMs: 100, timeoutMs: 500 };
+    const meshes = [`127.0.0.1:${await freePort()}`, `127.0.0.1:${await freePort()}`];
+    for (const index of [0, 1]) {
+      const own = {
+        upstream: `register-${index}`,
+        service: 'register',
+        upstreamUrl,
+        store,
+        hostList,
+      };
+      const settings = { ...place, ...own, hostId: `s${index}`, listen: '127.0.0.1:0', slots: 8 };
+      const more = { upstreamType: 'plain', drainTimeoutMs: 2000, statsd: null } as const;
+      this.sidecars.push(await startSidecar({ ...settings, ...more }));
+    }
+    const addresses = this.sidecars.map(({ port }) => `127.0.0.1:${port}`);
+    this.list(meshes, addresses);
+    await writeDocument(this.store, 'register', documentOf(addresses));
+    for (const [index, meshListen] of meshes.entries()) {
+      const listen = { host: '127.0.0.1', port: 0 };
+      const own = { ...place, hostId: `e${index}`, listen, meshListen, hostList, store };
+      this.entries.push(await startEntry({ ...own, drainTimeoutMs: 2000, bodyBytes: 100_000 }));
+    }
+  }
+
+  /** A ticket from the first entry whose sidecars are ready. */
+  async ticket(): Promise<string> {
+    const path = `${this.urlOf(0)}/v1/tickets`;
+    const headers = { authorization: `Bearer ${KEY}` };
+    for (;;) {
+      const body = JSON.stringify({ service: 'register' });
+      const answer = await request(path, { method: 'POST', headers, body });
+      const { ticket } = (await answer.body.json()) as { ticket?: string };
+      if (ticket) return ticket;
+      await wait(POLL_MS);
+    }
+  }
+
+  /** Confirms a transfer through one of the entries. */
+  async confirm(entry: number, transferId: string, headers: Record<string, string>): Promise<Told> {
+    const answer = await request(`${this.urlOf(entry)}/services/register/transfers`, {
+      method: 'POST',
+      headers: { ...headers, authorization: `Bearer ${KEY}` },
+      body: JSON.stringify({ transferId }),
+    });
+    return { status: answer.statusCode, body: (await answer.body.json()) as Told['body'] };
+  }
+
+  /** Asks again until the caller is told something other than this refusal. */
+  async confirmUntilNot(type: string, ...ask: Parameters<OnceFleet['confirm']>): Promise<Told> {
+    for (;;) {
+      const told = await this.confirm(...ask);
+      if (told.body.type !== `urn:tarragonstile:${type}`) return told;
+      await wait(POLL_MS);
+    }
+  }
+
+  /** Stops one sidecar as planned. */
+  async stopSidecar(index: number): Promise<void> {
+    const [sidecar] = this.sidecars.splice(index, 1);
+    await sidecar?.stop();
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => entry.stop()));
+    await Promise.all(this.sidecars.map((sidecar) => sidecar.stop()));
+    this.service.close();
+    this.hosts.close();
+    await this.storeServer.close();
+  }
+
+  private urlOf(entry: number): string {
+    return `http://127.0.0.1:${this.entries[entry]!.port}`;
+  }
+
+  private list(meshes: readonly string[], sidecars: readonly string[]): void {
+    const listed = {
+      availabilityZone: place.availabilityZone,
+      region: place.region,
+      state: 'live',
+    };
+    this.hosts.set([
+      ...meshes.map((address, index) => ({ ...listed, id: `e${index}`, role: 'entry', address })),
+      ...sidecars.map((address, index) => ({
+        ...listed,
+        id: `s${index}`,
+        role: 'sidecar',
+        address,
+      })),
+    ] as never);
+  }
+}
--- a/test/support/residencybed.ts
+++ b/test/support/residencybed.ts
@@ -3,6 +3,7 @@
 import { MemoryBoard } from '../../src/shell/board/index.js';
 import { UpstreamKey } from '../../src/sidecar/incarnation/index.js';
 import { EngineResidency } from '../../src/sidecar/residency/index.js';
+import { peerCredentials } from '../../src/shell/tls/index.js';
 import { UpstreamRecord } from '../../src/wire/index.js';
 import { ModelEnginePort } from './modelengineport.js';
 
@@ -94,6 +95,7 @@
       audit: { write: ({ act, detail }) => this.acts.push(`${act} ${detail.action}`) },
       board,
       store,
+      credentials: peerCredentials(null, log),
       incarnation: this.key,
       intents: this.key,
       onLeaving: () => {},
