--- a/src/entry/boarddirectory.ts
+++ b/src/entry/boarddirectory.ts
@@ -1,18 +1,11 @@
-import { parse, type ParseError } from 'jsonc-parser';
 import type { Revision } from '../base/index.js';
-import type { ServiceDocument } from '../core/document/index.js';
+import { readDocument, type ServiceDocument } from '../core/document/index.js';
 import type { Log, Metrics } from '../port/index.js';
 import type { Board, BoardRecord } from '../shell/board/index.js';
 import type { Directory } from './part/index.js';
 
 const DOCUMENTS = 'document/';
 
-function read({ value }: BoardRecord): ServiceDocument | undefined {
-  const errors: ParseError[] = [];
-  const document = parse(value.toString(), errors, { allowTrailingComma: true }) as ServiceDocument;
-  return errors.length === 0 ? document : undefined;
-}
-
 /**
  * The documents of the board, each read once for each change. A text that cannot be read leaves the
  * last good one in force, and is logged and counted.
@@ -51,13 +44,19 @@
 
   private replace(record: BoardRecord): void {
     const { key, sequence: revision } = record;
-    const document = read(record);
-    if (document) {
-      this.inForce.set(key, document);
+    const document = readDocument(record.value.toString());
+    if (document.ok) {
+      this.inForce.set(key, document.val);
       this.log.info('document in force', { key, revision });
       return;
     }
+    const { type, detail } = document.val;
     this.metrics.count('directory.unreadable');
-    this.log.error('document cannot be read; the last good one stays', { key, revision });
+    this.log.error('document cannot be read; the last good one stays', {
+      key,
+      revision,
+      type,
+      detail,
+    });
   }
 }
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -1,24 +1,14 @@
 import { mkdtempSync, writeFileSync } from 'node:fs';
-import { createHash } from 'node:crypto';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
 import { request } from 'undici';
 import { startEntry, startSidecar } from '../src/index.js';
 import { FakeEngine } from '../standin/index.js';
+import { serviceDocument } from './support/servicedocument.js';
 
 const KEY = 'carrier-key';
 
-function documentFor(sidecarAddress: string): string {
-  return JSON.stringify({
-    service: 'redactor',
-    customers: [{ id: 'carriers', keyHashes: [createHash('sha256').update(KEY).digest('hex')] }],
-    kinds: [{ name: 'draft', deadlineMs: 5000, repeatable: true }],
-    models: [{ id: 'notice-1', defaultKind: 'draft' }],
-    groups: [{ upstreams: [{ id: 'redactor-1', sidecarAddress }] }],
-  });
-}
-
 test('a streamed request goes through entry and sidecar to the engine and back', async (t) => {
   const engine = new FakeEngine({ tokenMs: 1, tokens: 5 });
   const upstreamUrl = await engine.listen();
@@ -36,7 +26,8 @@
     statsd: null,
   });
   const file = join(mkdtempSync(join(tmpdir(), 'tarragonstile-')), 'redactor.jsonc');
-  writeFileSync(file, documentFor(`127.0.0.1:${sidecar.port}`));
+  const sidecarAddresses = [`127.0.0.1:${sidecar.port}`];
+  writeFileSync(file, JSON.stringify(serviceDocument({ sidecarAddresses, keys: [KEY] })));
   const entry = await startEntry({
     ...place,
     listen: { host: '127.0.0.1', port: 0 },
--- a/test/support/pathrig.ts
+++ b/test/support/pathrig.ts
@@ -6,6 +6,7 @@
 import { startEntry, startSidecar } from '../../src/index.js';
 
 const KEY = 'carrier-key';
+const MEGABYTE = 1_000_000;
 const PLACE = { hostId: 'h', region: 'cantabrico', availabilityZone: 'oviedo-a' };
 
 /** One upstream of a rig. */
@@ -43,7 +44,12 @@
     name: `group-${index}`,
     type,
     availabilityZone: 'oviedo-a',
+    checksFencing: false,
+    accelerators: 1,
+    memoryBytes: 100 * MEGABYTE,
+    kvCacheReserveBytes: MEGABYTE,
     slots: rig.slots ?? 16,
+    role: 'mixed',
     routes:
       type === 'plain'
         ? [
@@ -53,16 +59,30 @@
         : undefined,
     upstreams: [{ id: `upstream-${index}`, sidecarAddress: `127.0.0.1:${ports[index]}` }],
   }));
+  const usual = { priority: 'normal', deadlineMs: 5000, weight: 1, repeatable: true };
+  const model = { version: '1', sizeBytes: MEGABYTE, defaultKind: 'draft' };
+  const keyHashes = [createHash('sha256').update(KEY).digest('hex')];
   return {
+    schemaVersion: 1,
     service: 'redactor',
-    customers: [{ id: 'carriers', keyHashes: [createHash('sha256').update(KEY).digest('hex')] }],
+    owner: 'forwarding',
+    region: 'cantabrico',
+    customers: [{ id: 'carriers', keyHashes, share: 1 }],
     kinds: [
-      { name: 'draft', deadlineMs: 5000, repeatable: true },
-      { name: 'lookup', deadlineMs: 5000, repeatable: true },
-      { name: 'confirmation', deadlineMs: 5000, repeatable: false },
+      { ...usual, name: 'draft' },
+      { ...usual, name: 'lookup' },
+      { ...usual, name: 'confirmation', repeatable: false },
     ],
-    models: [{ id: 'notice-1', defaultKind: 'draft' }],
-    adapters: [{ id: 'notice-1-galicia', model: 'notice-1' }],
+    models: [{ ...model, id: 'notice-1' }],
+    adapters: [{ id: 'notice-1-galicia', model: 'notice-1', sizeBytes: MEGABYTE }],
+    weightStore: { loadsPerSecond: 100, parallelLoads: 4 },
+    placement: { movePenalty: 0, spareUpstreams: 0 },
+    limits: {
+      bodyBytes: 10_000,
+      longJobsPerUpstream: 2,
+      queuePerUpstream: 100,
+      ticketValidMs: 60_000,
+    },
     groups,
   };
 }
--- a/test/tls.test.ts
+++ b/test/tls.test.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import { copyFileSync, mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
 import { once } from 'node:events';
 import { tmpdir } from 'node:os';
@@ -10,6 +9,7 @@
 import { createLog } from '../src/shell/log/index.js';
 import { KeyFiles } from '../src/shell/tls/keyfiles.js';
 import { FakeEngine } from '../standin/index.js';
+import { serviceDocument } from './support/servicedocument.js';
 
 const FIXTURES = join(import.meta.dirname, '..', '..', 'test', 'fixtures', 'tls');
 const RELOAD_MS = 20;
@@ -56,15 +56,8 @@
 
 function entryFor(sidecarPort: number, tls: object) {
   const file = join(mkdtempSync(join(tmpdir(), 'tarragonstile-')), 'redactor.jsonc');
-  const keyHashes = [createHash('sha256').update('key').digest('hex')];
-  const upstreams = [{ id: 'redactor-1', sidecarAddress: `127.0.0.1:${sidecarPort}` }];
-  const document = {
-    service: 'redactor',
-    customers: [{ id: 'carriers', keyHashes }],
-    kinds: [{ name: 'draft', deadlineMs: 2000, repeatable: true }],
-    models: [{ id: 'm', defaultKind: 'draft' }],
-    groups: [{ upstreams }],
-  };
+  const sidecarAddresses = [`127.0.0.1:${sidecarPort}`];
+  const document = serviceDocument({ sidecarAddresses, keys: ['key'], models: ['m'] });
   writeFileSync(file, JSON.stringify(document));
   const listen = { host: '127.0.0.1', port: 0 };
   return startEntry({ ...PLACE, listen, documents: [file], bodyBytes: 100_000, ...tls });
