Rounds of killed and frozen sidecars beside real engines; a follower is informed at once

Seen in it and mended: a follower waited up to a second for its first report after taking the incarnation; it now asks at once. A sidecar that knows that it was followed went on pinning requests and taking plans; its successor does not know those pins and may unload under them, so it now refuses with incarnation-superseded.

--- /dev/null
+++ b/bench/memory/plancall.ts
@@ -0,0 +1,16 @@
+import { credentials, Metadata } from '@grpc/grpc-js';
+import { WorkClient, type PlacementPlan, type PlacementReply } from '../../src/wire/index.js';
+
+const TIMEOUT_MS = 1000;
+
+/** Gives one sidecar a plan; undefined if it did not answer in time. */
+export function planCall(port: number, plan: PlacementPlan): Promise<PlacementReply | undefined> {
+  const client = new WorkClient(`127.0.0.1:${port}`, credentials.createInsecure());
+  const deadline = Date.now() + TIMEOUT_MS;
+  return new Promise((resolve) => {
+    client.place(plan, new Metadata(), { deadline }, (error, reply) => {
+      client.close();
+      resolve(error ? undefined : reply);
+    });
+  });
+}
--- /dev/null
+++ b/bench/memory/platform.ts
@@ -0,0 +1,76 @@
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Daemon } from '../../demo/daemon.js';
+import { freePorts } from '../../demo/freeports.js';
+import { operator } from '../../demo/operator.js';
+import { FakeHostList, MemoryStore, StoreServer } from '../../standin/index.js';
+import { serviceDocument } from './servicedocument.js';
+
+const HOST_LIST_POLL_MS = 200;
+
+/** Store, host list and one entry, through which sidecars get their document. */
+export class Platform {
+  private readonly directory = mkdtempSync(join(tmpdir(), 'tarragonstile-'));
+
+  private readonly store = new StoreServer(new MemoryStore());
+
+  private readonly hosts = new FakeHostList();
+
+  private storeUrl = '';
+
+  private hostsUrl = '';
+
+  private entry: Daemon | undefined;
+
+  private started = 0;
+
+  /** Starts all, and accepts the document. */
+  async start(document: object): Promise<void> {
+    this.storeUrl = await this.store.listen();
+    this.hostsUrl = await this.hosts.listen();
+    const file = join(this.directory, 'document.jsonc');
+    writeFileSync(file, JSON.stringify(document, null, 2));
+    const team = ['--team', serviceDocument.owner, '--store', this.storeUrl];
+    await operator('apply', file, '--expect', '0', ...team);
+    const [meshPort = 0] = await freePorts(1);
+    const address = `127.0.0.1:${meshPort}`;
+    const place = { availabilityZone: 'oviedo-a', region: serviceDocument.region };
+    this.hosts.set([{ id: 'entry-1', role: 'entry', address, ...place, state: 'live' }]);
+    this.entry = await Daemon.start('entry', this.directory, 'entry-1', {
+      ...this.settingsOf('entry-1'),
+      listen: { host: '127.0.0.1', port: 0 },
+      meshListen: address,
+    });
+  }
+
+  /** Starts one more sidecar beside an engine. */
+  startSidecar(upstream: string, upstreamUrl: string): Promise<Daemon> {
+    this.started += 1;
+    const name = `${upstream}-${this.started}`;
+    return Daemon.start('sidecar', this.directory, name, {
+      ...this.settingsOf(name),
+      upstream,
+      service: serviceDocument.name,
+      listen: '127.0.0.1:0',
+      upstreamUrl,
+    });
+  }
+
+  async stop(): Promise<void> {
+    await this.entry?.end('SIGKILL');
+    await this.store.close();
+    this.hosts.close();
+  }
+
+  private settingsOf(hostId: string): object {
+    return {
+      hostId,
+      availabilityZone: 'oviedo-a',
+      region: serviceDocument.region,
+      logLevel: process.env.BENCH_LOG ?? 'error',
+      store: { urls: [this.storeUrl] },
+      hostList: { url: this.hostsUrl, pollMs: HOST_LIST_POLL_MS },
+    };
+  }
+}
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -10,6 +10,7 @@
   'config-race': async () => (await import('./configrace.js')).configRace,
   'config-faults': async () => (await import('./configfaults.js')).configFaults,
   'ledger-cost': async () => (await import('./ledgercost.js')).ledgerCost,
+  'memory-rounds': async () => (await import('./memoryrounds.js')).memoryRounds,
   'ledger-check': async () => (await import('./ledgercheck.js')).ledgerCheck,
   'mesh-cost': async () => (await import('./meshcost.js')).meshCost,
   'mesh-fanout': async () => (await import('./meshfanout.js')).meshFanout,
--- a/src/core/residency/onpin.ts
+++ b/src/core/residency/onpin.ts
@@ -2,6 +2,7 @@
 import { changePins, nameHolding, type Holding, type HoldingKey } from '../ledger/index.js';
 import type { Changed } from './changed.js';
 import { fail } from './fail.js';
+import { superseded } from './superseded.js';
 import type { ResidencyFailure } from './residencyfailure.js';
 import type { ResidencyRules } from './residencyrules.js';
 import type { ResidencyState } from './residencystate.js';
@@ -97,6 +98,8 @@
     effects: [{ type: 'refused', failure }],
   });
   if (state.isLeaving) return refuse(fail('upstream-leaving', 'This upstream leaves.'));
+  // Its successor does not know what this one pins, and may unload it.
+  if (state.isSuperseded) return refuse(superseded());
   // An engine that gives no report judges for itself what it can serve.
   if (!state.isManaged || state.ledger.engineId === undefined) {
     return { state, effects: [{ type: 'pinned', keys: [] }] };
--- a/src/core/residency/onplan.ts
+++ b/src/core/residency/onplan.ts
@@ -6,6 +6,7 @@
 import type { ResidencyFailure } from './residencyfailure.js';
 import type { ResidencyRules } from './residencyrules.js';
 import type { ResidencyState } from './residencystate.js';
+import { superseded } from './superseded.js';
 import { viewOf } from './viewof.js';
 
 function answer(
@@ -27,6 +28,7 @@
   if (upstream !== state.upstream) {
     return fail('plan-wrong-upstream', `The plan is for ${upstream}.`);
   }
+  if (state.isSuperseded) return superseded();
   if (isOlder(plan, state.plan)) {
     return fail('plan-epoch-old', 'A later plan is in force here.');
   }
--- a/src/core/residency/onrescue.ts
+++ b/src/core/residency/onrescue.ts
@@ -6,6 +6,7 @@
 import type { ResidencyFailure } from './residencyfailure.js';
 import type { ResidencyRules } from './residencyrules.js';
 import type { ResidencyState } from './residencystate.js';
+import { superseded } from './superseded.js';
 import { viewOf } from './viewof.js';
 
 /** How long a rescued model stays wanted: long enough to be used, short enough for the planner. */
@@ -22,7 +23,7 @@
 function whyNoOrders(state: ResidencyState): ResidencyFailure | undefined {
   if (state.isLeaving) return fail('upstream-leaving', 'This upstream leaves.');
   if (state.isSuperseded) {
-    return fail('incarnation-superseded', 'Another sidecar has taken this upstream.');
+    return superseded();
   }
   if (state.incarnation === 0) {
     return fail('incarnation-pending', 'The store has given no incarnation yet.', RETRY_MS);
--- a/src/sidecar/residency/engineresidency.ts
+++ b/src/sidecar/residency/engineresidency.ts
@@ -162,8 +162,10 @@
   }
 
   private hearFence(effect: Parameters<FenceListener>[0]): void {
-    if (effect.type === 'taken') this.take({ ...effect, poll: this.poll.asked });
-    else if (effect.type === 'recorded') this.take(effect);
+    if (effect.type === 'taken') {
+      this.take({ ...effect, poll: this.poll.asked });
+      this.poll.hurry();
+    } else if (effect.type === 'recorded') this.take(effect);
     else this.take({ type: effect.type });
   }
 
--- a/src/sidecar/residency/reportpoll.ts
+++ b/src/sidecar/residency/reportpoll.ts
@@ -16,6 +16,10 @@
 
   private cancel: (() => void) | undefined;
 
+  private isAsking = false;
+
+  private isHurried = false;
+
   private isStopped = false;
 
   constructor(
@@ -25,13 +29,23 @@
     private readonly tell: Tell,
   ) {}
 
+  /** Asks now, or as soon as the question under way is answered. */
+  hurry(): void {
+    this.isHurried = true;
+    if (this.isAsking || this.isStopped) return;
+    this.cancel?.();
+    void this.ask();
+  }
+
   async ask(): Promise<void> {
     this.asked += 1;
-    const poll = this.asked;
+    this.isAsking = true;
+    this.isHurried = false;
     const answer = await this.report();
+    this.isAsking = false;
     if (this.isStopped) return;
-    this.tell(poll, answer);
-    this.cancel = this.clock.after(this.isBusy() ? BUSY_MS : QUIET_MS, () => {
+    this.tell(this.asked, answer);
+    this.cancel = this.clock.after(this.pauseMs(), () => {
       void this.ask();
     });
   }
@@ -41,6 +55,11 @@
     this.cancel?.();
   }
 
+  private pauseMs(): Ms {
+    if (this.isHurried) return 0;
+    return this.isBusy() ? BUSY_MS : QUIET_MS;
+  }
+
   private async report(): Promise<Result<EngineReport, EngineFailure>> {
     try {
       return await this.engine.report();
--- a/test/residency.test.ts
+++ b/test/residency.test.ts
@@ -37,6 +37,9 @@
     await old.pass(3000);
     await next.pass(3000);
     t.is(next.record().incarnation, 2);
+    const refused = old.residency.pin('a', '');
+    t.is(refused.err && refused.val.type, 'incarnation-superseded');
+    t.is(old.plan(['c'], [], 9).refusal?.type, 'incarnation-superseded');
     t.deepEqual(next.ready(), ['a', 'c']);
     t.false(old.engine.model.isOvercommitted());
     old.end();
