Models take turns where memory does not hold them all; the placement study

Cause: with a zone of 5 of 13 upstreams lost, the rest cannot hold every model.

When nobody has room the entry asks the model's first four upstreams once more, and names models that have been in memory for 20 s as well. The sidecar gives up the least recently used of those named that no request uses, also against its plan, and does not load them again while the rescue lasts.

Ruled out: counting the 20 s from the last use. Models asked for every 20 s then never make way.

--- a/bench/experiment/coreplacement.ts
+++ b/bench/experiment/coreplacement.ts
@@ -21,8 +21,8 @@
 import { popularityOf } from './popularity.js';
 
 const INTERVAL_MS = 2_000;
-/** Time for which a rescued model stays before it makes room for another. */
-const REST_MS = 30_000;
+/** Time for which a model is in memory before it makes way for one that is nowhere. */
+const SHARE_MS = 20_000;
 /** Upstreams that an entry asks before it gives up. */
 const RESCUE_ASKS = 4;
 
@@ -34,6 +34,9 @@
   readonly forecaster?: Forecaster<object>;
 }
 
+/** Whether a model has been in an upstream's memory long enough to make way. */
+type IsShared = (upstream: UpstreamView, model: string) => boolean;
+
 type Place = Extract<PlannerEffect, { type: 'place' }>;
 
 function modelsOf({ document }: Deployment): readonly CellModel[] {
@@ -85,14 +88,14 @@
 function carryOut(
   place: Place,
   upstream: UpstreamView,
-  view: ClusterView,
   sizes: ReadonlyMap<string, number>,
 ): PlacementOrder[] {
   const { index, residents } = upstream;
   const named = new Set<string>(place.models.map(({ model }) => model));
+  const kept = new Set<string>(place.keepUntilPlaced);
   const victims = residents
     .filter(({ model, phase }) => phase === 'ready' && !named.has(model))
-    .filter(({ model }) => isElsewhere(view, index, model))
+    .filter(({ model }) => !kept.has(model))
     .sort((a, b) => a.running - b.running || a.lastUsedAtMs - b.lastUsedAtMs);
   const orders: PlacementOrder[] = [];
   let { freeBytes } = upstream;
@@ -116,13 +119,14 @@
   upstream: UpstreamView,
   view: ClusterView,
   sizeBytes: number,
-  nowMs: number,
+  sharing: boolean,
+  isShared: IsShared,
 ): readonly string[] | undefined {
   const replica = ({ model }: UpstreamView['residents'][number]) =>
     isElsewhere(view, upstream.index, model);
   const idle = upstream.residents
     .filter(({ phase, running }) => phase === 'ready' && running === 0)
-    .filter((held) => replica(held) || nowMs - held.lastUsedAtMs >= REST_MS)
+    .filter((held) => replica(held) || (sharing && isShared(upstream, held.model)))
     .sort((a, b) => Number(replica(b)) - Number(replica(a)) || a.lastUsedAtMs - b.lastUsedAtMs);
   const evicted: string[] = [];
   let { freeBytes } = upstream;
@@ -139,7 +143,7 @@
   model: string,
   view: ClusterView,
   sizeBytes: number,
-  nowMs: number,
+  isShared: IsShared,
 ): readonly PlacementOrder[] {
   const usable = view.upstreams.filter(
     ({ alive, leaving, checksFencing }) => alive && !leaving && (view.storeUp || checksFencing),
@@ -151,11 +155,13 @@
   const ranked = order.flatMap((id) => usable.find((upstream) => upstream.id === id) ?? []);
   const roomy = ranked.find(({ freeBytes }) => freeBytes >= sizeBytes);
   if (roomy) return [loadOf(roomy.index, model, 9)];
-  for (const upstream of ranked.slice(0, RESCUE_ASKS)) {
-    const evicted = evictions(upstream, view, sizeBytes, nowMs);
-    if (!evicted) continue;
-    const unloads = evicted.map((old) => unload(upstream.index, old));
-    return [...unloads, loadOf(upstream.index, model, 9)];
+  for (const sharing of [false, true]) {
+    for (const upstream of ranked.slice(0, RESCUE_ASKS)) {
+      const evicted = evictions(upstream, view, sizeBytes, sharing, isShared);
+      if (!evicted) continue;
+      const unloads = evicted.map((old) => unload(upstream.index, old));
+      return [...unloads, loadOf(upstream.index, model, 9)];
+    }
   }
   return [];
 }
@@ -171,8 +177,21 @@
     const movePenalty = options.movePenalty ?? placement.movePenalty;
     const counted = new Map<string, Counter>();
     const wanted = new Map<string, Place>();
+    const readyAtMs = new Map<string, number>();
     let planner = createPlanner();
 
+    /** Notes since when each model has been ready where. */
+    const watch = ({ upstreams }: ClusterView, nowMs: number) => {
+      const ready = new Set<string>();
+      for (const { index, residents } of upstreams) {
+        for (const { model, phase } of residents) {
+          if (phase === 'ready') ready.add(`${index} ${model}`);
+        }
+      }
+      for (const key of readyAtMs.keys()) if (!ready.has(key)) readyAtMs.delete(key);
+      for (const key of ready) if (!readyAtMs.has(key)) readyAtMs.set(key, nowMs);
+    };
+
     const count = (demand: DemandView) => {
       const before = counted.get(demand.model);
       counted.set(demand.model, {
@@ -189,6 +208,7 @@
       intervalMs: INTERVAL_MS,
       start: (view) => pack(deployment, popularityOf(deployment, seed), view),
       plan(view, nowMs) {
+        watch(view, nowMs);
         view.demand.forEach(count);
         const cell = {
           models,
@@ -205,10 +225,15 @@
         return view.upstreams.flatMap((upstream) => {
           const place = wanted.get(upstream.id);
           const usable = upstream.alive && (view.storeUp || upstream.checksFencing);
-          return place && usable ? carryOut(place, upstream, view, sizes) : [];
+          return place && usable ? carryOut(place, upstream, sizes) : [];
         });
       },
-      missing: (model, view, nowMs) => rescue(model, view, sizes.get(model) ?? 0, nowMs),
+      missing(model, view, nowMs) {
+        watch(view, nowMs);
+        const isShared: IsShared = ({ index }, held) =>
+          nowMs - (readyAtMs.get(`${index} ${held}`) ?? nowMs) >= SHARE_MS;
+        return rescue(model, view, sizes.get(model) ?? 0, isShared);
+      },
     };
   };
 }
--- /dev/null
+++ b/bench/placement/study.ts
@@ -0,0 +1,106 @@
+import { holtLog, peakHold, smooth } from '../../src/core/forecast/index.js';
+import {
+  agency,
+  corePlacement,
+  coreQueue,
+  coreRoute,
+  leastConnections,
+  loadOnDemand,
+  reenvio,
+  roundRobin,
+  staticPlacement,
+  type Fault,
+  type MakePlacement,
+  type MakeRoute,
+} from '../experiment/index.js';
+import { series, type Policies } from './series.js';
+
+const DEPLOYMENTS = [agency, reenvio];
+const LOADS = [0.6, 0.8, 1.0];
+const PENALTIES = [0, 1, 3, 10, 30, 100, 300];
+const LOST_MS = 120_000;
+const BACK_MS = 360_000;
+
+function placed(placement: MakePlacement): Policies {
+  return { queue: coreQueue, route: coreRoute, placement };
+}
+
+function routed(route: MakeRoute): Policies {
+  return { queue: coreQueue, route, placement: corePlacement() };
+}
+
+const PLACEMENTS = {
+  planner: placed(corePlacement()),
+  loadOnDemand: placed(loadOnDemand),
+  static: placed(staticPlacement),
+};
+
+/** What fails, by name; the store is down for the whole ten minutes of the run. */
+function faultsOf(zone: string): Readonly<Record<string, readonly Fault[]>> {
+  const lost: Fault = { atMs: LOST_MS, type: 'zone-lost', zone };
+  const back: Fault = { atMs: BACK_MS, type: 'zone-back', zone };
+  const planner: Fault = { atMs: 1, type: 'planner-lost' };
+  const store: Fault = { atMs: 1, type: 'store-lost' };
+  return {
+    zone: [lost, back],
+    planner: [planner],
+    store: [store],
+    'zone and planner': [planner, lost, back],
+    'zone and store': [store, lost, back],
+    all: [planner, store, lost, back],
+  };
+}
+
+/** Each part of the study, by name. */
+const PARTS: Readonly<Record<string, () => readonly object[]>> = {
+  moves: () =>
+    DEPLOYMENTS.flatMap((deployment) =>
+      LOADS.map((load) => series({ deployment, load }, PLACEMENTS)),
+    ),
+  penalty: () => {
+    const sets = PENALTIES.map((movePenalty) => [
+      `penalty ${movePenalty}`,
+      placed(corePlacement({ movePenalty })),
+    ]);
+    return [series({ deployment: reenvio, load: 0.8 }, Object.fromEntries(sets))];
+  },
+  reach: () =>
+    DEPLOYMENTS.flatMap((deployment) => {
+      const zone = deployment.document.groups[0]?.availabilityZone ?? '';
+      return Object.entries(faultsOf(zone)).map(([name, faults]) => ({
+        name,
+        ...series({ deployment, load: 0.4, faults }, PLACEMENTS),
+      }));
+    }),
+  routes: () =>
+    DEPLOYMENTS.flatMap((deployment) =>
+      LOADS.map((load) =>
+        series(
+          { deployment, load },
+          {
+            core: routed(coreRoute),
+            leastConnections: routed(leastConnections),
+            roundRobin: routed(roundRobin),
+          },
+        ),
+      ),
+    ),
+  variants: () =>
+    DEPLOYMENTS.map((deployment) =>
+      series(
+        { deployment, load: 0.8 },
+        {
+          smooth: placed(corePlacement({ forecaster: smooth })),
+          peakHold: placed(corePlacement({ forecaster: peakHold })),
+          holtLog: placed(corePlacement({ forecaster: holtLog })),
+          sparesFirst: placed(corePlacement({ spares: 'first' })),
+          noSpares: placed(corePlacement({ spares: 'none' })),
+        },
+      ),
+    ),
+};
+
+/** Placement and routing in virtual time against their baselines; the argument names the part. */
+export function placementStudy([part = 'moves']: readonly string[]): Promise<object> {
+  return Promise.resolve({ part, runs: PARTS[part]?.() ?? Object.keys(PARTS) });
+}
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -24,4 +24,5 @@
   'path-throughput': async () => (await import('./paththroughput.js')).pathThroughput,
   'path-latency': async () => (await import('./pathlatency.js')).pathLatency,
   'path-idle': async () => (await import('./pathidle.js')).pathIdle,
+  'placement-study': async () => (await import('./placement/study.js')).placementStudy,
 };
--- a/src/core/reconcile/isevictable.ts
+++ b/src/core/reconcile/isevictable.ts
@@ -25,7 +25,9 @@
 
 /** Whether a holding may be given up: nothing wants it here, and callers can reach it without it. */
 export function isEvictable(view: View, holding: Holding): boolean {
-  if (view.desired.some(({ key }) => key === holding.key)) return false;
+  const isWanted = view.desired.some(({ key }) => key === holding.key);
+  // What a plan wants here makes room for a model that callers could not reach at all.
+  if (isWanted && !view.yielding.has(holding.model)) return false;
   if (!isOffered(view, holding) || hasOtherVersion(view, holding)) return true;
   return isHeldElsewhere(view, holding);
 }
--- a/src/core/reconcile/view.ts
+++ b/src/core/reconcile/view.ts
@@ -13,6 +13,8 @@
   readonly desired: readonly DesiredHolding[];
   /** Models that other upstreams keep reachable, as the entries see it. */
   readonly replicas: ReadonlySet<string>;
+  /** Models that make room for a rescue, although the plan wants them. */
+  readonly yielding: ReadonlySet<string>;
   readonly lastUsedAtMs: ReadonlyMap<HoldingKey, Ms>;
   /** False while no load may leave: then only room is made. */
   readonly mayLoad: boolean;
--- a/src/core/residency/onrescue.ts
+++ b/src/core/residency/onrescue.ts
@@ -79,14 +79,14 @@
   const adapters = adapter ? [adapter] : [];
   const wish = { model, version: '', adapters, urgency: 0 };
   const desired = state.catalogue ? desiredOf([wish], state.catalogue) : [];
-  const failure = whyNoOrders(state) ?? whyNoRoom(state, desired, nowMs, rules);
+  const rescues = new Map(state.rescues);
+  rescues.set(`${model}+${adapter}`, { model, adapters, untilMs: nowMs + RESCUE_MS });
+  const failure = whyNoOrders(state) ?? whyNoRoom({ ...state, rescues }, desired, nowMs, rules);
   if (failure) return { state, effects: [{ type: 'refused', failure }] };
   if (desired.length === 0) {
     const unknown = fail('model-absent', `The document here does not offer ${model}.`);
     return { state, effects: [{ type: 'refused', failure: unknown }] };
   }
-  const rescues = new Map(state.rescues);
-  rescues.set(`${model}+${adapter}`, { model, adapters, untilMs: nowMs + RESCUE_MS });
   const missing = desired.filter(({ key }) => !state.ledger.holdings.has(key));
   const bytes = missing.reduce((sum, { sizeBytes }) => sum + sizeBytes, 0);
   const estimatedReadyMs = Math.ceil(bytes / state.loadBytesPerMs);
--- a/src/core/routing/askrescue.ts
+++ b/src/core/routing/askrescue.ts
@@ -47,20 +47,27 @@
   nowMs: Ms,
 ): RoutingChange | undefined {
   const key = loadKey(target);
-  const asked = state.rescues.get(key)?.asked ?? [];
-  if (asked.length >= routingLimits.rescueAsks) return undefined;
+  const before = state.rescues.get(key);
+  const { sharing = false, asked = [] } = before ?? {};
+  const isOver = asked.length >= routingLimits.rescueAsks;
   const next = order(state, target, nowMs).find(({ id }) => !asked.includes(id));
-  if (!next) return undefined;
+  if (isOver || !next) {
+    if (sharing || asked.length === 0) return undefined;
+    const again = { ...before!, asked: [], sharing: true };
+    const rescues = new Map(state.rescues).set(key, again);
+    return askRescue({ ...state, rescues }, target, deadlineMs, nowMs);
+  }
   const rescue = {
     target,
     phase: 'asked' as const,
     upstream: next.id,
     asked: [...asked, next.id],
+    sharing,
     untilMs: nowMs + routingLimits.rescueAnswerMs,
   };
   const { id: upstream, sidecarAddress } = next;
   return {
     state: { ...state, rescues: new Map(state.rescues).set(key, rescue) },
-    effects: [{ type: 'rescue', upstream, sidecarAddress, target, deadlineMs }],
+    effects: [{ type: 'rescue', upstream, sidecarAddress, target, deadlineMs, sharing }],
   };
 }
--- a/src/core/routing/onrescued.ts
+++ b/src/core/routing/onrescued.ts
@@ -32,7 +32,7 @@
 function giveUp(state: RoutingState, rescue: Rescue, retryAfterMs: Ms, nowMs: Ms): RoutingChange {
   const key = loadKey(rescue.target);
   const untilMs = nowMs + retryAfterMs;
-  const refused = { ...rescue, phase: 'refused' as const, asked: [], untilMs };
+  const refused = { ...rescue, phase: 'refused' as const, asked: [], sharing: false, untilMs };
   const rescues = new Map(state.rescues).set(key, refused);
   const reason = {
     type: 'model-unplaced',
--- a/src/core/routing/rescue.ts
+++ b/src/core/routing/rescue.ts
@@ -8,6 +8,8 @@
   /** The upstream that was asked last. */
   readonly upstream: UpstreamId;
   readonly asked: readonly UpstreamId[];
+  /** True once nobody had room: then models that have been in memory for a while make way. */
+  readonly sharing: boolean;
   /** Expected end of the load; for `refused`, when it makes sense to ask again. */
   readonly untilMs: Ms;
 }
--- a/src/core/routing/routingeffect.ts
+++ b/src/core/routing/routingeffect.ts
@@ -18,4 +18,6 @@
       readonly sidecarAddress: string;
       readonly target: Target;
       readonly deadlineMs: Ms;
+      /** Whether models that are nowhere else may make way. */
+      readonly sharing: boolean;
     };
--- a/src/core/routing/routinglimits.ts
+++ b/src/core/routing/routinglimits.ts
@@ -27,6 +27,8 @@
   shortestLoadMs: 500,
   /** Upstreams that are asked for one load before the request is refused. */
   rescueAsks: 4,
+  /** Time for which a model is in memory before it makes way for one that is nowhere. */
+  shareMs: 20_000,
   /** Time that a sidecar has to answer a request for a load. */
   rescueAnswerMs: 2_000,
   /** Time past the expected end after which a load is given up. */
--- a/src/entry/routing/servicerouting.ts
+++ b/src/entry/routing/servicerouting.ts
@@ -16,6 +16,7 @@
 import {
   createRouting,
   heldElsewhere,
+  routingLimits,
   stepRouting,
   type RoutingEffect,
   type RoutingEvent,
@@ -146,7 +147,9 @@
 
   private async rescue(effect: Extract<RoutingEffect, { type: 'rescue' }>): Promise<void> {
     const { target, upstream } = effect;
-    const reply = await this.askRescue(effect, heldElsewhere(this.routing, upstream));
+    const sharedBeforeMs = this.clock.nowMs() - routingLimits.shareMs;
+    const before = effect.sharing ? sharedBeforeMs : undefined;
+    const reply = await this.askRescue(effect, heldElsewhere(this.routing, upstream, before));
     this.step({ type: 'rescued', target, upstream, reply });
   }
 
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -289,7 +289,10 @@
   readonly model: string;
   readonly adapter: string;
   readonly deadlineMs: number;
-  /** Models of this upstream that it may give up: each is ready at an upstream with a lower id. */
+  /**
+   * Models of this upstream that it may give up: each is ready at an upstream with a lower id, or has had
+   * its turn where memory does not hold all models.
+   */
   readonly heldElsewhere: readonly string[];
 }
 
--- a/test/residency.test.ts
+++ b/test/residency.test.ts
@@ -47,6 +47,19 @@
   });
 }
 
+test('what a plan wants makes room for a rescue if entries name it, and is not loaded meanwhile', async (t) => {
+  const bed = new ResidencyBed(new MemoryStore(), true);
+  await bed.pass(1500);
+  bed.plan(['a', 'c']);
+  await bed.pass(3000);
+  t.is(bed.rescue('b').refusal?.type, 'memory-full');
+  t.true(bed.rescue('b', ['a']).accepted);
+  await bed.pass(30_000);
+  t.deepEqual(bed.ready(), ['b', 'c']);
+  t.false(bed.engine.model.isOvercommitted());
+  bed.end();
+});
+
 test('a rescue evicts only what others hold, and what nobody uses', async (t) => {
   const bed = new ResidencyBed(new MemoryStore(), true);
   await bed.pass(1500);
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -4,6 +4,7 @@
 import { refuse } from '../src/core/refusal/index.js';
 import {
   createRouting,
+  heldElsewhere,
   stepRouting,
   type RoutingEffect,
   type RoutingEvent,
@@ -186,6 +187,34 @@
   t.is(last?.type === 'refuse' ? last.refusal.retryAfterMs : 0, 299);
 });
 
+test('where nobody has room, models that had their turn make way', (t) => {
+  const refused = (upstream: string): RoutingEvent => ({
+    type: 'rescued',
+    target: cell.target('cold'),
+    upstream: upstream as UpstreamId,
+    reply: {
+      accepted: false,
+      estimatedReadyMs: 0,
+      refusal: refuse('memory-full', 'No room.', { retryAfterMs: 0 }),
+    },
+  });
+  const full = play([
+    ...ready,
+    ...at(30_000, want('r1', 'cold'), refused('c'), refused('b'), refused('a')),
+    ...at(30_010, refused('c'), refused('b'), refused('a')),
+  ]);
+  const asked = full.effects.flatMap((effect) => (effect.type === 'rescue' ? [effect] : []));
+  t.deepEqual(
+    asked.map(({ upstream, sharing }) => `${upstream} ${sharing}`),
+    ['c false', 'b false', 'a false', 'c true', 'b true', 'a true'],
+  );
+  t.is(full.effects.at(-1)?.type, 'refuse');
+  const b = 'b' as UpstreamId;
+  t.deepEqual(heldElsewhere(full.state, b), ['notice']);
+  t.deepEqual(heldElsewhere(full.state, 'a' as UpstreamId), []);
+  t.deepEqual(heldElsewhere(full.state, 'a' as UpstreamId, 10_000), ['notice']);
+});
+
 test('a leaving upstream gets no new work, and a ticket stays with its incarnation', (t) => {
   const left = play([...ready, ...at(5_000, member('a', 'leaving'), member('b', 'leaving'))]);
   const bound = { upstream: 'a' as UpstreamId, incarnation: 1 as Incarnation };
