--- a/bench/path/source.ts
+++ b/bench/path/source.ts
@@ -68,7 +68,7 @@
 } as Partial<WorkServer> as WorkServer;
 
 function listen(): Promise<number> {
-  const server = new Server(channelOptions);
+  const server = new Server(channelOptions.server);
   server.addService(WorkService, handlers);
   return new Promise((resolve) => {
     server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (_error, port) =>
--- a/bench/path/streamlink.ts
+++ b/bench/path/streamlink.ts
@@ -36,7 +36,11 @@
   client(sidecarAddress: string): WorkClient {
     const known = this.clients.get(sidecarAddress);
     if (known) return known;
-    const made = new WorkClient(sidecarAddress, credentials.createInsecure(), channelOptions);
+    const made = new WorkClient(
+      sidecarAddress,
+      credentials.createInsecure(),
+      channelOptions.client,
+    );
     this.clients.set(sidecarAddress, made);
     return made;
   }
--- a/src/entry/link/peer.ts
+++ b/src/entry/link/peer.ts
@@ -5,6 +5,9 @@
 import type { LinkOptions } from './linkoptions.js';
 import type { Receiver } from './receiver.js';
 
+/** A sidecar that has not opened its side within this is taken for lost. */
+const OPEN_WITHIN_MS = 1000;
+
 type Phase = 'opening' | 'open' | 'leaving' | 'closed';
 
 interface Waiting {
@@ -25,6 +28,8 @@
 
   private usedAtMs: number;
 
+  private readonly forgetOpening: () => void;
+
   private revision = 0;
 
   constructor(
@@ -34,6 +39,7 @@
   ) {
     this.usedAtMs = options.clock.nowMs();
     this.batcher = new Batcher(stream, options);
+    this.forgetOpening = options.clock.after(OPEN_WITHIN_MS, () => this.close());
     stream.on('metadata', () => this.open());
     stream.on('data', (batch: FrameBatch) => this.take(batch));
     stream.on('error', (error: Error) => this.lose(error.message));
@@ -76,19 +82,25 @@
     if (this.phase === 'closed') return;
     this.phase = 'leaving';
     if (this.waiting.size > 0) return;
+    this.forgetOpening();
     this.phase = 'closed';
     this.batcher.flush();
     this.stream.end();
   }
 
   close(): void {
-    this.lose('The entry closed the stream.');
+    this.lose(
+      this.phase === 'opening'
+        ? 'The sidecar did not open the stream in time.'
+        : 'The entry closed the stream.',
+    );
     this.stream.cancel();
   }
 
   private open(): void {
     if (this.phase !== 'opening') return;
     this.phase = 'open';
+    this.forgetOpening();
     for (const frame of this.held) this.batcher.push(frame);
     this.held = [];
   }
@@ -114,6 +126,7 @@
   private lose(detail: string): void {
     if (this.phase === 'closed') return;
     const unsent = this.phase === 'opening';
+    this.forgetOpening();
     this.phase = 'closed';
     const lost = [...this.waiting.values()];
     this.waiting.clear();
--- a/src/entry/link/sharedlink.ts
+++ b/src/entry/link/sharedlink.ts
@@ -37,7 +37,7 @@
     const made = new WorkClient(
       sidecarAddress,
       this.options.credentials ?? credentials.createInsecure(),
-      channelOptions,
+      channelOptions.client,
     );
     this.clients.set(sidecarAddress, made);
     return made;
--- a/src/shell/rpc/channeloptions.ts
+++ b/src/shell/rpc/channeloptions.ts
@@ -3,11 +3,7 @@
 const MEBIBYTE = 1_048_576;
 
 /** Options of the gRPC hop, at both of its ends. */
-export const channelOptions: ChannelOptions = {
-  // A peer that is frozen or cut off is noticed within their sum.
-  'grpc.keepalive_time_ms': 5000,
-  'grpc.keepalive_timeout_ms': 2000,
-  'grpc.keepalive_permit_without_calls': 0,
+const common: ChannelOptions = {
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.min_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 1000,
@@ -16,3 +12,22 @@
   'grpc-node.flow_control_window': MEBIBYTE,
   'grpc.enable_retries': 0,
 };
+
+/**
+ * Options of either end. A client notices a server that is frozen or cut off within the sum of its two
+ * times; a server has less to lose by a client, and so asks less often: the pings of an entry that is
+ * connected to a thousand sidecars have to fit its few kilobytes a second.
+ */
+export const channelOptions = {
+  client: {
+    ...common,
+    'grpc.keepalive_time_ms': 6000,
+    'grpc.keepalive_timeout_ms': 2000,
+    'grpc.keepalive_permit_without_calls': 0,
+  },
+  server: {
+    ...common,
+    'grpc.keepalive_time_ms': 60_000,
+    'grpc.keepalive_timeout_ms': 20_000,
+  },
+} as const;
--- a/src/sidecar/runonce/handon.ts
+++ b/src/sidecar/runonce/handon.ts
@@ -27,7 +27,7 @@
   sidecarAddress: string,
   { clock, credentials }: Ports,
 ): Promise<boolean> {
-  const client = new WorkClient(sidecarAddress, credentials.channel, channelOptions);
+  const client = new WorkClient(sidecarAddress, credentials.channel, channelOptions.client);
   try {
     for (const table of exportTable(state, PIECE_BYTES, clock.nowMs())) {
       const deadline = clock.wallMs() + CALL_TIMEOUT_MS;
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -36,7 +36,7 @@
   const upstreamCall = engine ? callEngine(engine) : callService(service);
   const door = new Door({ ...context, call: upstreamCall, parts });
   const exchanges = new Exchanges(door, context.board);
-  const server = new Server(channelOptions);
+  const server = new Server(channelOptions.server);
   const handlers: WorkServer = {
     exchange: (stream) => exchanges.open(stream),
     issueTicket: (call, reply) => reply(null, parts.runOnce.issue(call.request)),
--- /dev/null
+++ b/test/link.test.ts
@@ -0,0 +1,121 @@
+import { createServer, type AddressInfo } from 'node:net';
+import { Server, ServerCredentials, type ServerDuplexStream } from '@grpc/grpc-js';
+import test from 'ava';
+import { systemClock, VirtualClock, type Clock } from '../src/base/index.js';
+import { SharedLink } from '../src/entry/link/index.js';
+import { Exchange } from '../src/sidecar/exchange.js';
+import type { Outlet } from '../src/sidecar/outlet.js';
+import { RequestHead, WorkService, type Frame, type FrameBatch } from '../src/wire/index.js';
+
+const head = RequestHead.fromPartial({ model: 'notice-1' });
+
+function openLink(clock: Clock): SharedLink {
+  return new SharedLink({ clock, revision: () => 0, sawRevision: () => {} });
+}
+
+interface Asking {
+  readonly frames: string[];
+  readonly lost: Promise<boolean>;
+  readonly ended: Promise<void>;
+}
+
+function ask(link: SharedLink, address: string, requestId: string): Asking {
+  const frames: string[] = [];
+  let tellEnd = () => {};
+  const ended = new Promise<void>((resolve) => {
+    tellEnd = resolve;
+  });
+  const lost = new Promise<boolean>((resolve) => {
+    const asked = link.ask(address, requestId, 1, head, {
+      take({ body }: Frame) {
+        frames.push(body?.$case ?? '');
+        if (body?.$case !== 'refusal' && body?.$case !== 'end') return;
+        asked.done();
+        tellEnd();
+      },
+      lost: (unsent) => resolve(unsent),
+    });
+  });
+  return { frames, lost, ended };
+}
+
+/** A gRPC server whose requests are run by the given function. */
+async function serve(run: (requestId: string, outlet: Outlet) => Promise<void>) {
+  const server = new Server();
+  const exchanges: Exchange[] = [];
+  server.addService(WorkService, {
+    exchange: (stream: ServerDuplexStream<FrameBatch, FrameBatch>) => {
+      const options = { revision: () => 0, sawRevision: () => {} };
+      exchanges.push(
+        new Exchange(stream, { ...options, run: (id, _head, outlet) => run(id, outlet) }),
+      );
+    },
+  });
+  const port = await new Promise<number>((resolve) => {
+    server.bindAsync('127.0.0.1:0', ServerCredentials.createInsecure(), (_error, bound) =>
+      resolve(bound),
+    );
+  });
+  return { server, exchanges, address: `127.0.0.1:${port}` };
+}
+
+const end = { dataCount: 0, failure: '', load: undefined, resumeToken: '' };
+
+test('where nobody listens, a request was certainly not sent', async (t) => {
+  const link = openLink(systemClock);
+  t.true(await ask(link, '127.0.0.1:1', 'r1').lost);
+  link.close();
+});
+
+test('a sidecar that never opens its side is lost in time, and nothing was sent', async (t) => {
+  const silent = createServer(() => {});
+  await new Promise<void>((resolve) => {
+    silent.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = silent.address() as AddressInfo;
+  const clock = new VirtualClock();
+  const link = openLink(clock);
+  const asking = ask(link, `127.0.0.1:${port}`, 'r1');
+  clock.advanceTo(1000);
+  t.true(await asking.lost);
+  link.close();
+  silent.close();
+});
+
+test('a sidecar that is lost in mid-answer may have run it', async (t) => {
+  const { server, address } = await serve((_id, outlet) => {
+    outlet.send({ $case: 'start', value: { status: 200, headers: [] } });
+    setImmediate(() => server.forceShutdown());
+    return new Promise(() => {});
+  });
+  const link = openLink(systemClock);
+  t.false(await ask(link, address, 'r1').lost);
+  link.close();
+});
+
+test('a sidecar that leaves finishes what it has; later requests take another stream', async (t) => {
+  const finish: (() => void)[] = [];
+  const { server, exchanges, address } = await serve(
+    (_id, outlet) =>
+      new Promise((resolve) => {
+        outlet.send({ $case: 'start', value: { status: 200, headers: [] } });
+        finish.push(() => {
+          outlet.send({ $case: 'end', value: end });
+          resolve();
+        });
+        if (finish.length === 1) exchanges[0]?.leave();
+      }),
+  );
+  const link = openLink(systemClock);
+  const first = ask(link, address, 'r1');
+  while (first.frames.length === 0) await new Promise(setImmediate);
+  const second = ask(link, address, 'r2');
+  while (second.frames.length === 0) await new Promise(setImmediate);
+  t.is(exchanges.length, 2);
+  for (const act of finish) act();
+  await first.ended;
+  await second.ended;
+  t.deepEqual(first.frames, ['start', 'end']);
+  link.close();
+  server.forceShutdown();
+});
--- a/test/support/heldengine.ts
+++ b/test/support/heldengine.ts
@@ -8,6 +8,8 @@
 
   private readonly held = new Set<ServerResponse>();
 
+  private released = false;
+
   private readonly server = createServer((request, response) => {
     if (request.method === 'GET') {
       response.writeHead(404).end();
@@ -18,6 +20,7 @@
     response.setHeader('content-type', 'text/event-stream');
     response.write(`data: ${JSON.stringify({ id, choices: [{ delta: { content: 'a' } }] })}\n\n`);
     this.held.add(response);
+    if (this.released) this.release();
   });
 
   async listen(): Promise<string> {
@@ -27,8 +30,9 @@
     return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
-  /** Ends every answer that has begun. */
+  /** Ends every answer that has begun, and those that begin from now on. */
   release(): void {
+    this.released = true;
     for (const response of this.held) response.end('data: [DONE]\n\n');
     this.held.clear();
   }
