--- a/bench/table.ts
+++ b/bench/table.ts
@@ -6,6 +6,7 @@
   'kill-rounds': async () => (await import('./killrounds.js')).killRounds,
   forecast: async () => (await import('./forecastbench.js')).forecastBench,
   'once-check': async () => (await import('./oncecheck.js')).onceCheck,
+  'once-cost': async () => (await import('./oncecost.js')).onceCost,
   'once-mutations': async () => (await import('./oncemutations.js')).onceMutations,
   'config-race': async () => (await import('./configrace.js')).configRace,
   'config-faults': async () => (await import('./configfaults.js')).configFaults,
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -4,12 +4,14 @@
 import type { EngineFailure } from '../port/index.js';
 import { Executed, type Refusal, type RequestHead } from '../wire/index.js';
 import type { Outlet } from './outlet.js';
-import type { Slot } from './part/index.js';
+import type { Permit, Slot } from './part/index.js';
 import { Recorder } from './recorder.js';
 import { replay } from './replay.js';
 import { whenAborted } from './whenaborted.js';
 import type { WorkContext } from './workcontext.js';
 
+type RecordEnd = Extract<Permit, { type: 'run' }>['record'];
+
 /** How often one answer is taken up again at the engine that broke it off. */
 const RESUME_LIMIT = 2;
 
@@ -64,24 +66,33 @@
       await replay(permit.val.answer, this.outlet);
       return;
     }
-    const refusal = await this.admit(permit.val.start);
+    const { start, record } = permit.val;
+    const refusal = await this.admit(start).catch((thrown: unknown) => {
+      // A part that throws must not leave its ticket running, with repeats that wait for ever.
+      record({ type: 'unknown' });
+      throw thrown;
+    });
+    this.conclude(refusal, record);
+  }
+
+  /** Ends it now, with this refusal if it has not begun to answer. */
+  expire(refusal: Refusal): void {
+    this.haltRefusal = refusal;
+    this.halt.abort();
+  }
+
+  private conclude(refusal: Refusal | undefined, record: RecordEnd): void {
     if (!refusal) {
-      permit.val.record({ type: 'answered', answer: this.recorder.answer() });
+      record({ type: 'answered', answer: this.recorder.answer() });
       this.end('');
       return;
     }
     const unrun = refusal.executed === Executed.EXECUTED_NO && !this.started;
-    permit.val.record({ type: unrun ? 'none' : 'unknown' });
+    record({ type: unrun ? 'none' : 'unknown' });
     if (this.started) this.end(refusal.type);
     else this.refuse(refusal);
   }
 
-  /** Ends it now, with this refusal if it has not begun to answer. */
-  expire(refusal: Refusal): void {
-    this.haltRefusal = refusal;
-    this.halt.abort();
-  }
-
   private async admit(start: () => Refusal | undefined): Promise<Refusal | undefined> {
     const slot = await this.offer();
     if (slot.err) return slot.val;
