--- a/src/command/operator/awaitinforce.ts
+++ b/src/command/operator/awaitinforce.ts
@@ -1,18 +1,17 @@
 import type { Clock, Ms } from '../../base/index.js';
 import { askEntries } from '../../shell/entries/index.js';
+import type { Place } from './place.js';
 import { progress } from './progress.js';
 
 const POLL_MS = 100;
 
-type Places = ReturnType<typeof progress>;
-
 /** Asks the entries until a revision is in force everywhere, or the time is up. */
 export async function awaitInForce(
   urls: readonly string[],
   awaited: Parameters<typeof progress>[1],
   timeoutMs: Ms,
   clock: Clock,
-): Promise<Places> {
+): Promise<readonly Place[]> {
   const untilMs = clock.nowMs() + timeoutMs;
   for (;;) {
     const places = progress(await askEntries(urls), awaited);
--- a/src/command/operator/changecommand.ts
+++ b/src/command/operator/changecommand.ts
@@ -1,11 +1,25 @@
 import { customAlphabet } from 'nanoid';
-import { systemClock, type ChangeId, type Revision, type ServiceId } from '../../base/index.js';
-import { createAcceptance, type Accepted, type Change } from '../../core/acceptance/index.js';
-import { readDocument } from '../../core/document/index.js';
+import {
+  systemClock,
+  type ChangeId,
+  type Ms,
+  type Revision,
+  type ServiceId,
+} from '../../base/index.js';
+import {
+  createAcceptance,
+  decodeStored,
+  serviceKey,
+  type Accepted,
+  type Change,
+} from '../../core/acceptance/index.js';
+import { readDocument, type ServiceDocument } from '../../core/document/index.js';
+import type { KeyValueStore } from '../../port/index.js';
 import { acceptChange, sha256 } from '../../shell/acceptance/index.js';
 import { createLog } from '../../shell/log/index.js';
 import { createStore } from '../../shell/store/index.js';
 import { awaitInForce } from './awaitinforce.js';
+import type { Place } from './place.js';
 import { OperatorCommand } from './operatorcommand.js';
 
 const CHANGE_ID_LENGTH = 12;
@@ -28,9 +42,20 @@
 
 /** What a changing command tells. */
 interface Told extends Accepted {
-  readonly service: string;
+  readonly service: ServiceId;
   /** Processes that have the change in force, if it was waited for. */
   readonly inForce?: readonly string[];
+  /** Upstreams of the document whose sidecars no entry knows of. */
+  readonly unheard?: readonly string[];
+}
+
+function upstreamsOf({ groups }: ServiceDocument): readonly string[] {
+  return groups.flatMap(({ upstreams }) => upstreams.map(({ id }) => id));
+}
+
+function placeText({ process, region, revision, detail }: Place): string {
+  const where = region === '' ? '' : ` (${region})`;
+  return `${process}${where}: ${detail ?? `at revision ${revision}`}`;
 }
 
 /** What `apply` and `rollback` share. */
@@ -55,8 +80,9 @@
       atMs: systemClock.wallMs(),
     };
     const log = createLog('operator', 'info');
+    const store = createStore(settings.store, systemClock);
     const outcome = await acceptChange(createAcceptance(change, sha256), {
-      store: createStore(settings.store, systemClock),
+      store,
       clock: systemClock,
       log: (entries) => {
         for (const entry of entries) log.info('audit entry leaves the store', { service, entry });
@@ -66,29 +92,46 @@
     const { revision, changeId } = outcome.val;
     this.log(`${service} is accepted at revision ${revision}, change ${changeId}`);
     if (!flags.wait) return { service, ...outcome.val };
-    return this.waited(flags, service, outcome.val);
+    return this.waited(store, settings.entries, flags['wait-ms'], { service, ...outcome.val });
   }
 
-  private async waited(flags: ChangeFlags, service: ServiceId, accepted: Accepted): Promise<Told> {
-    const settings = this.settingsFrom(flags);
-    const held = await this.mustHold(createStore(settings.store, systemClock), service);
-    const document = readDocument(held.stored.document);
-    const region = document.ok ? document.val.region : '';
-    const awaited = { service, region, revision: accepted.revision };
-    const places = await awaitInForce(settings.entries, awaited, flags['wait-ms'], systemClock);
+  /** Waits for an accepted change; whatever fails here, the change stays accepted. */
+  private async waited(
+    store: KeyValueStore,
+    entries: readonly string[],
+    waitMs: Ms,
+    accepted: Told,
+  ): Promise<Told> {
+    const { service, revision } = accepted;
+    const document = await this.documentOf(store, accepted);
+    const awaited = { service, region: document.region, revision };
+    const places = await awaitInForce(entries, awaited, waitMs, systemClock);
     const inForce = places.filter((place) => place.inForce).map(({ process }) => process);
-    const behind = places.filter((place) => !place.inForce);
-    if (behind.length === 0) {
-      this.log(`in force at all ${inForce.length}: ${inForce.join(', ')}`);
-      return { service, ...accepted, inForce };
-    }
-    const missing = behind.map(
-      ({ process, region: where, revision, detail }) =>
-        `${process}${where && ` (${where})`}: ${detail ?? `at revision ${revision}`}`,
+    const unheard = upstreamsOf(document).filter(
+      (upstream) => !places.some(({ process }) => process === upstream),
     );
-    const detail =
-      `${service} is accepted at revision ${accepted.revision} (change ${accepted.changeId}); in force ` +
-      `at ${inForce.join(', ') || 'none'}; not known to be at ${missing.join('; ')}`;
+    if (unheard.length > 0) this.log(`no entry has heard of ${unheard.join(', ')}`);
+    if (inForce.length < places.length) {
+      const behind = places.filter((place) => !place.inForce).map(placeText);
+      const known = `in force at ${inForce.join(', ') || 'none'}`;
+      return this.notEverywhere(accepted, `${known}; not known to be at ${behind.join('; ')}`);
+    }
+    this.log(`in force at ${inForce.join(', ')}`);
+    return { ...accepted, inForce, unheard };
+  }
+
+  private async documentOf(store: KeyValueStore, accepted: Told): Promise<ServiceDocument> {
+    const got = await store.get(serviceKey(accepted.service));
+    if (got.err) return this.notEverywhere(accepted, got.val.detail);
+    const stored = decodeStored(got.val?.value ?? '');
+    if (stored.err) return this.notEverywhere(accepted, stored.val.detail);
+    const document = readDocument(stored.val.document);
+    if (document.err) return this.notEverywhere(accepted, document.val.detail);
+    return document.val;
+  }
+
+  private notEverywhere({ service, revision, changeId }: Told, why: string): never {
+    const detail = `${service} is accepted at revision ${revision} (change ${changeId}); ${why}`;
     return this.stop({ type: 'not-in-force-everywhere', detail });
   }
 }
--- a/src/command/operator/progress.ts
+++ b/src/command/operator/progress.ts
@@ -1,16 +1,6 @@
 import type { Revision } from '../../base/index.js';
 import type { EntryReport } from '../../shell/entries/index.js';
-
-/** One process, and whether a revision is in force there. */
-interface Place {
-  readonly process: string;
-  readonly region: string;
-  /** Revision of the service there; 0 if it has none, or did not answer. */
-  readonly revision: number;
-  readonly inForce: boolean;
-  /** Why nothing is known, if so. */
-  readonly detail?: string;
-}
+import type { Place } from './place.js';
 
 /** A change that is waited for. */
 interface Awaited {
--- a/test/command.test.ts
+++ b/test/command.test.ts
@@ -116,7 +116,10 @@
   store.faults.loseAnswers = 1;
   const applied = await run('apply', PADRON, '--expect', '0', '--wait', ...where);
   t.is(applied.exitCode, 0, applied.errors);
-  t.regex(applied.out, /accepted at revision 2[^]*in force at all 1: entry-1/);
+  t.regex(
+    applied.out,
+    /accepted at revision 2[^]*heard of padron-1, padron-2, padron-3\nin force at entry-1\n/,
+  );
   const status = await told<{
     entries: { status: { documents: object[] } }[];
   }>('status', ...where);
