Who has used little of its share does not wait behind a full upstream

Beside the largest customer at ten times its share, small customers' requests still waited four seconds: the limit had just fallen, and the places below it came free one by one. A customer below half of its share may now take one of the places kept for urgent work.

The places beyond the limit are a quarter of it, rounded: rounding up gave an upstream of one slot a second one, and let the property test of shares fail (24 places where 20 were due).

--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -40,8 +40,8 @@
 }
 
 /**
- * `npm run bench -- policy [--quick] [STUDY...]`: policies under load against the baselines. The whole set
- * writes docs/reports/policy.json and policy.html.
+ * `npm run bench -- policy [--quick] [STUDY...]`: queues, shares and refusals under load, against the
+ * baselines (placement and routes: `placement-study`). The whole set writes docs/reports/policy.json and policy.html.
  */
 export async function policy(args: readonly string[]): Promise<object> {
   const quick = args.includes('--quick');
--- a/src/core/admission/dispatch.ts
+++ b/src/core/admission/dispatch.ts
@@ -11,6 +11,8 @@
 const URGENT = 0;
 const NORMAL = 2;
 const FIRST_BACKGROUND = 4;
+/** Part of its share up to which a customer counts as having used little. */
+const LITTLE = 0.5;
 
 /** Takes the next request of a lane; undefined when there is none that may start. */
 type Take = () => Waiting | undefined;
@@ -54,6 +56,21 @@
   return fill(state, index, 'within', take, nowMs);
 }
 
+/**
+ * Who has used little of its share does not wait for a place below the limit: it takes one of those that
+ * are kept for urgent work, so that nobody waits long behind what others have running.
+ */
+function fillLittleUsed(state: AdmissionState, nowMs: Ms): AdmissionEffect[] {
+  const { accounts, pace, lanes } = state;
+  const lane = lanes[NORMAL]!;
+  const take = () => {
+    const limit = LITTLE * pace.limit;
+    const customer = accounts.nextWithin(lane.customers(), limit, nowMs);
+    return customer === undefined ? undefined : lane.takeOf(customer);
+  };
+  return fill(state, URGENT, 'within', take, nowMs);
+}
+
 /**
  * What customers offer beyond their shares uses what the others leave. Each customer counts alike here,
  * so that the largest does not take it all; its urgent work goes before its own other work.
@@ -88,6 +105,7 @@
   for (let index = 0; index < FIRST_BACKGROUND; index += 1) {
     if (state.lanes[index]!.count > 0) effects.push(...fillWithin(state, index, nowMs));
   }
+  if (state.lanes[NORMAL]!.count > 0) effects.push(...fillLittleUsed(state, nowMs));
   const beyond = state.lanes[URGENT]!.count + state.lanes[NORMAL]!.count;
   if (beyond > 0) effects.push(...fillBeyond(state, nowMs));
   for (let index = 1; index < LANES.length; index += 1) {
--- a/src/core/admission/limitof.ts
+++ b/src/core/admission/limitof.ts
@@ -1,7 +1,10 @@
 import type { AdmissionState } from './admissionstate.js';
 import { LANES } from './lanes.js';
 
-/** Urgent requests may go so far beyond the limit: they are short, and a step grows little by one more. */
+/**
+ * So far beyond the limit may urgent requests go, and those of customers who have used little: they are
+ * few or short, and a step grows little by one more.
+ */
 const URGENT_PART = 0.25;
 /** Long jobs leave so much of the limit free, so that they need not be pre-empted at once. */
 const LONG_PART = 0.35;
@@ -10,6 +13,6 @@
 export function limitOf({ pace, policy }: AdmissionState, lane: number): number {
   const { limit } = pace;
   if (policy.type === 'plain') return limit;
-  if (lane === 0) return limit + Math.ceil(limit * URGENT_PART);
+  if (lane === 0) return limit + Math.round(limit * URGENT_PART);
   return LANES[lane]!.longJobs ? Math.max(1, limit - Math.ceil(limit * LONG_PART)) : limit;
 }
