Cancelled requests leave the router's count; the request's shell in smaller modules

The router counts each choice as work at its upstream until it learns of an end. A caller that left, a stop's bound, and a ticket that was only issued never told it one, so the upstream seemed busier than it was until the count was forgotten after a while. Such ends are told as 'cancelled' now: the count goes down, and neither membership nor the circuit breaker learns anything. Ruled out: to tell them as answered, which would close breakers and earn retries. Run gives its frames to Reader, what a continuation needs to Continuer, and its times to RunMeter; no change of behaviour there.

--- a/src/core/routing/onoutcome.ts
+++ b/src/core/routing/onoutcome.ts
@@ -33,15 +33,17 @@
   return { ...view, fullUntilMs: fullUntilMs.set(kind.name, nowMs + refusal.retryAfterMs) };
 }
 
-const ENDS: Readonly<Record<Ended['end'], 'succeeded' | 'failed'>> = {
+const ENDS: Readonly<Record<Ended['end'], 'succeeded' | 'failed' | undefined>> = {
   answered: 'succeeded',
   refused: 'succeeded',
   broken: 'failed',
   unreachable: 'failed',
+  cancelled: undefined,
 };
 
 function learn(view: UpstreamView, event: Ended, wasCounted: boolean, nowMs: Ms): UpstreamView {
-  const breaker = stepBreaker(view.breaker, ENDS[event.end], nowMs);
+  const end = ENDS[event.end];
+  const breaker = end ? stepBreaker(view.breaker, end, nowMs) : view.breaker;
   const left = counted({ ...view, breaker }, wasCounted);
   const loaded = adoptLoad(left, event.load ?? event.refusal?.load, nowMs);
   if (event.end !== 'refused' || !event.refusal) return loaded;
--- a/src/core/routing/routingevent.ts
+++ b/src/core/routing/routingevent.ts
@@ -40,7 +40,7 @@
       readonly upstream: UpstreamId;
       readonly target: Target;
       readonly prefixHash: string;
-      readonly end: 'answered' | 'refused' | 'broken' | 'unreachable';
+      readonly end: 'answered' | 'refused' | 'broken' | 'unreachable' | 'cancelled';
       readonly load?: UpstreamLoad;
       readonly refusal?: Refusal;
     }
--- a/src/entry/handler/issueticket.ts
+++ b/src/entry/handler/issueticket.ts
@@ -84,6 +84,8 @@
   const customer = access.customer.id;
   const request = { customer, service: target.service, requestId, validMs };
   const reply = await desk.tickets.issue(choice.val, request);
+  // The router counts a choice as work, which a ticket is not yet.
+  desk.router.learn({ upstream: choice.val.upstream, want, type: 'cancelled' });
   if (reply.ok && reply.val.refusal) return result.Err(reply.val.refusal);
   return reply;
 }
--- a/src/entry/pace.ts
+++ b/src/entry/pace.ts
@@ -11,6 +11,9 @@
   /** Since when the caller has not kept up; undefined while it does. */
   blockedSinceMs: Ms | undefined;
 
+  /** Since when it keeps up again. */
+  freeSinceMs: Ms = 0;
+
   private asked: Asked | undefined;
 
   private taken = 0;
@@ -38,6 +41,7 @@
     this.blockedSinceMs = this.clock.nowMs();
     this.answer.whenFree(() => {
       this.blockedSinceMs = undefined;
+      this.freeSinceMs = this.clock.nowMs();
       this.grant();
     });
   }
--- a/src/entry/part/outcome.ts
+++ b/src/entry/part/outcome.ts
@@ -6,7 +6,8 @@
 export interface Outcome {
   readonly upstream: UpstreamId;
   readonly want: Want;
-  readonly type: 'answered' | 'refused' | 'broken' | 'unreachable';
+  /** `cancelled` says nothing of the upstream: its caller left, or it was not asked after all. */
+  readonly type: 'answered' | 'refused' | 'broken' | 'unreachable' | 'cancelled';
   readonly firstTokenMs?: number;
   readonly load?: UpstreamLoad;
   readonly refusal?: Refusal;
--- a/src/entry/routing/servicerouting.ts
+++ b/src/entry/routing/servicerouting.ts
@@ -39,11 +39,12 @@
 const TICK_MS = 100;
 
 /** Which news an attempt's end is for membership. */
-const SIGNS: Readonly<Record<Outcome['type'], 'heard' | 'failed'>> = {
+const SIGNS: Readonly<Record<Outcome['type'], 'heard' | 'failed' | undefined>> = {
   answered: 'heard',
   refused: 'heard',
   broken: 'failed',
   unreachable: 'failed',
+  cancelled: undefined,
 };
 
 /** Routing of one service: its two cores, and the requests that wait for a choice. */
@@ -82,7 +83,7 @@
   learn({ upstream, want, type, load, refusal }: Outcome): void {
     const { requestId, target, prefixHash } = want;
     const sign = refusal?.type === 'upstream-leaving' ? 'refused-leaving' : SIGNS[type];
-    this.hear({ type: sign, upstream });
+    if (sign) this.hear({ type: sign, upstream });
     this.step({
       type: 'outcome',
       requestId,
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -7,29 +7,35 @@
   type AttemptEvent,
   type AttemptState,
 } from '../core/attempt/index.js';
-import { HeldAnswer, continuedEvents } from '../core/continuation/index.js';
-import { startSequence, stepSequence, type FrameEffect } from '../core/frame/index.js';
 import { refuse } from '../core/refusal/index.js';
-import { Executed, type Frame, type Refusal, type UpstreamLoad } from '../wire/index.js';
+import {
+  Executed,
+  type AnswerEnd,
+  type AnswerStart,
+  type Continuation,
+  type Refusal,
+} from '../wire/index.js';
 import type { CallerAnswer } from './answer/index.js';
+import { Continuer } from './continuer.js';
 import type { Desk } from './desk.js';
-import type { Asked, Receiver } from './link/index.js';
+import type { Asked } from './link/index.js';
 import type { Binding, Choice, Outcome, Want } from './part/index.js';
 import type { Live } from './live.js';
 import { Pace } from './pace.js';
+import { Reader } from './reader.js';
 import type { RunAsk } from './runask.js';
+import { RunMeter } from './runmeter.js';
 
-type Body = NonNullable<Frame['body']>;
 type Effect<Type> = Extract<AttemptEffect, { type: Type }>;
 
 const DONE_EVENT = Buffer.from('data: [DONE]\n\n');
 const UNKNOWN = { executed: Executed.EXECUTED_UNKNOWN };
 
 /** Carries one request through its attempts: what the cores decide is done here. */
-export class Run implements Live, Receiver {
+export class Run implements Live {
   private state!: AttemptState;
 
-  private sequence = startSequence('', 0);
+  private reader: Reader | undefined;
 
   private choice: Choice | undefined;
 
@@ -41,19 +47,9 @@
 
   private closed = false;
 
-  private lastFrameMs: Ms;
-
-  private readonly startedMs: Ms;
-
-  private askedMs: Ms;
-
-  private firstTokenMs: Ms | undefined;
+  private readonly meter: RunMeter;
 
-  private attemptTokenMs: Ms | undefined;
-
-  private readonly held: HeldAnswer | undefined;
-
-  private rewrite: ((payload: Buffer) => Buffer) | undefined;
+  private readonly continuer: Continuer;
 
   private forgetDeadline = () => {};
 
@@ -64,42 +60,35 @@
   } = {
     choose: (effect) => this.choose(effect),
     ask: (effect) => this.ask(effect),
-    cancel: () => this.asked?.cancel('The answer is of no more use.'),
+    cancel: () => this.cancel(),
     finish: () => this.finish(),
     fail: ({ refusals }) => this.fail(refusals),
   };
 
-  private readonly bodies: Readonly<Partial<Record<Body['$case'], (body: Body) => void>>> = {
-    start: (body) => body.$case === 'start' && this.start(body.value),
-    data: (body) => body.$case === 'data' && this.data(body.value.payload),
-    end: (body) => body.$case === 'end' && this.end(body.value.failure, body.value.load),
-    refusal: (body) => body.$case === 'refusal' && this.refused(body.value),
-  };
-
   constructor(
     private readonly desk: Desk,
     private readonly work: RunAsk,
     private readonly answer: CallerAnswer,
   ) {
     this.pace = new Pace(answer, desk.clock);
-    this.startedMs = desk.clock.nowMs();
-    this.lastFrameMs = this.startedMs;
-    this.askedMs = this.startedMs;
+    this.meter = new RunMeter(desk.clock.nowMs());
     const { streaming, model } = work.head;
-    if (streaming && model) this.held = new HeldAnswer(desk.limits.continuationBytes);
+    const canHold = streaming && model !== '';
+    this.continuer = new Continuer(canHold ? desk.limits.continuationBytes : undefined);
   }
 
   /** Resolves with how it ended, once the caller has its whole answer or a typed end. */
   run(): Promise<string> {
     const { work, desk } = this;
-    const waitMs = work.deadlineAtMs - this.startedMs;
+    const nowMs = desk.clock.nowMs();
+    const waitMs = work.deadlineAtMs - nowMs;
     this.forgetDeadline = desk.clock.after(waitMs, () => this.deadline());
     return new Promise((resolve) => {
       this.settle = resolve;
       const bound = work.binding.type === 'bound';
       const { repeatable } = work.head;
       const { deadlineAtMs } = work;
-      const change = startAttempt({ repeatable, bound, deadlineAtMs }, this.startedMs);
+      const change = startAttempt({ repeatable, bound, deadlineAtMs }, nowMs);
       this.state = change.state;
       this.perform(change.effects);
     });
@@ -121,13 +110,12 @@
     const { limits } = this.desk;
     const { blockedSinceMs } = this.pace;
     if (blockedSinceMs !== undefined) {
-      this.lastFrameMs = nowMs;
       if (nowMs - blockedSinceMs > limits.callerStallMs) this.answer.disconnect();
       return;
     }
-    if (this.state.phase === 'answering' && nowMs - this.lastFrameMs > limits.stallMs) {
-      this.asked?.cancel('The answer stands still.');
-      this.broken(refuse('answer-stalled', 'The answer stood still.', UNKNOWN), 'broken');
+    const heardMs = Math.max(this.reader?.lastFrameMs ?? nowMs, this.pace.freeSinceMs);
+    if (this.state.phase === 'answering' && nowMs - heardMs > limits.stallMs) {
+      this.abandon(refuse('answer-stalled', 'The answer stood still.', UNKNOWN));
     }
     const lateMs = this.work.deadlineAtMs + limits.lateAnswerMs;
     if (this.state.phase === 'asking' && nowMs > lateMs) {
@@ -135,22 +123,6 @@
     }
   }
 
-  take(frame: Frame): void {
-    this.lastFrameMs = this.desk.clock.nowMs();
-    const { state, effects } = stepSequence(this.sequence, frame, this.lastFrameMs);
-    this.sequence = state;
-    const [effect] = effects;
-    if (effect?.type === 'pass' && frame.body) this.bodies[frame.body.$case]?.(frame.body);
-    else if (effect) this.irregular(effect);
-  }
-
-  lost(unsent: boolean, detail: string): void {
-    // An earlier send with the same ticket may have run: only its table can say no.
-    const options = unsent && this.work.binding.type === 'free' ? {} : UNKNOWN;
-    const refusal = refuse(unsent ? 'sidecar-unreachable' : 'sidecar-lost', detail, options);
-    this.broken(refusal, unsent ? 'unreachable' : 'broken');
-  }
-
   private happen(event: AttemptEvent): void {
     const { state, effects } = stepAttempt(this.state, event, this.desk.clock.nowMs());
     this.state = state;
@@ -194,6 +166,8 @@
 
   private chosen(choice: Choice): void {
     this.choice = choice;
+    // The caller may have left while the router waited; the router counts the choice as work.
+    if (this.state.phase !== 'choosing') this.learn('cancelled', {});
     this.happen({ type: 'chosen', upstream: choice.upstream });
   }
 
@@ -202,39 +176,42 @@
     const { sidecarAddress, incarnation } = this.choice!;
     const ticket = binding.type === 'bound' ? binding.ticket : '';
     const continuation = continued ? this.continuation() : undefined;
-    this.sequence = startSequence(requestId, attempt);
-    this.attemptTokenMs = undefined;
-    this.askedMs = this.desk.clock.nowMs();
-    this.lastFrameMs = this.askedMs;
+    this.reader = this.read(attempt);
+    this.meter.asked(this.reader.lastFrameMs);
     const own = { ...head, deadlineMs: remainingMs, ticket, incarnation, continuation };
-    this.asked = this.desk.link.ask(sidecarAddress, requestId, attempt, own, this);
+    this.asked = this.desk.link.ask(sidecarAddress, requestId, attempt, own, this.reader);
     this.pace.begin(this.asked);
   }
 
-  private continuation(): ReturnType<HeldAnswer['continuation']> {
-    const continuation = this.held?.continuation();
-    const earlierTokens = continuation?.tokenCount ?? 0;
-    this.rewrite = continuedEvents(this.held?.common() ?? {}, earlierTokens);
+  private read(attempt: number): Reader {
+    return new Reader(this.work.requestId, attempt, this.desk, {
+      started: (start) => this.start(start),
+      data: (payload) => this.data(payload),
+      ended: (end) => this.end(end),
+      refused: (refusal) => this.refused(refusal),
+      gap: (refusal) => this.abandon(refusal),
+      lost: (unsent, detail) => this.lost(unsent, detail),
+    });
+  }
+
+  private continuation(): Continuation | undefined {
     this.desk.metrics.count('answer.continued');
-    return continuation;
+    return this.continuer.next();
   }
 
-  private start({ status, headers }: Extract<Body, { $case: 'start' }>['value']): void {
+  private start({ status, headers }: AnswerStart): void {
     this.answer.start(status, headers);
     this.happen({ type: 'started' });
   }
 
   private data(payload: Buffer): void {
-    this.firstTokenMs ??= this.lastFrameMs;
-    this.attemptTokenMs ??= this.lastFrameMs;
-    const own = this.rewrite ? this.rewrite(payload) : payload;
-    this.held?.add(own);
-    const free = this.answer.data(own);
+    this.meter.token(this.desk.clock.nowMs());
+    const free = this.answer.data(this.continuer.pass(payload));
     if (!this.state.passed && this.answer.passed) this.happen({ type: 'passed' });
     this.pace.took(payload, free);
   }
 
-  private end(failure: string, load: UpstreamLoad | undefined): void {
+  private end({ failure, load }: AnswerEnd): void {
     if (failure) {
       this.broken({ ...refuse(failure, 'The answer broke off.', UNKNOWN), load }, 'broken');
       return;
@@ -253,35 +230,41 @@
   private broken(refusal: Refusal, type: 'broken' | 'unreachable'): void {
     this.learn(type, { refusal, load: refusal.load });
     this.asked?.done();
-    if (this.state.passed && this.held?.finished()) {
+    if (this.state.passed && this.continuer.isFinished()) {
       this.answer.data(DONE_EVENT);
       this.happen({ type: 'whole' });
       return;
     }
-    const continuable = this.held?.continuation() !== undefined;
+    const continuable = this.continuer.canContinue();
     this.happen({ type: 'broken', refusal, continuable });
   }
 
-  private irregular(effect: FrameEffect): void {
-    if (effect.type === 'drop') {
-      this.desk.metrics.count('frames.dropped', 1, { reason: effect.reason });
-      return;
-    }
-    if (effect.type !== 'gap') return;
-    this.desk.metrics.count('frames.gap');
-    this.asked?.cancel('Frames are missing.');
-    const detail = `Frame ${effect.expected} was due, ${effect.found} came.`;
-    this.broken(refuse('frames-missing', detail, UNKNOWN), 'broken');
+  /** Gives up the attempt that runs, as its answer cannot become whole. */
+  private abandon(refusal: Refusal): void {
+    this.asked?.cancel(refusal.detail);
+    this.broken(refusal, 'broken');
+  }
+
+  private lost(unsent: boolean, detail: string): void {
+    // An earlier send with the same ticket may have run: only its table can say no.
+    const options = unsent && this.work.binding.type === 'free' ? {} : UNKNOWN;
+    const refusal = refuse(unsent ? 'sidecar-unreachable' : 'sidecar-lost', detail, options);
+    this.broken(refusal, unsent ? 'unreachable' : 'broken');
   }
 
   private learn(type: Outcome['type'], more: Pick<Outcome, 'load' | 'refusal'>): void {
     if (!this.choice || !this.want) return;
     const { upstream } = this.choice;
-    const { attemptTokenMs, askedMs, want } = this;
-    const firstTokenMs = attemptTokenMs === undefined ? undefined : attemptTokenMs - askedMs;
+    const { want } = this;
+    const firstTokenMs = this.meter.attemptFirstTokenMs();
     this.desk.router.learn({ upstream, want, type, firstTokenMs, ...more });
   }
 
+  private cancel(): void {
+    this.asked?.cancel('The answer is of no more use.');
+    this.learn('cancelled', {});
+  }
+
   private finish(): void {
     this.answer.end();
     this.close('answered');
@@ -300,11 +283,7 @@
     this.forgetDeadline();
     const { metrics, clock, log } = this.desk;
     log.info('request', { requestId: this.work.requestId, end });
-    metrics.count('request', 1, { end });
-    metrics.histogram('request_ms', clock.nowMs() - this.startedMs);
-    if (this.firstTokenMs !== undefined) {
-      metrics.histogram('first_token_ms', this.firstTokenMs - this.startedMs);
-    }
+    this.meter.report(metrics, end, clock.nowMs());
     this.settle(end);
   }
 }
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -169,6 +169,14 @@
   t.true(first >= 1 && first <= 3, `${first} of 12 went to the new replica at once`);
 });
 
+test('a cancelled request counts no longer, and says nothing of its upstream', (t) => {
+  const sent = play([...ready, ...at(10_000, want('r1', 'notice'))]);
+  const before = sent.state.upstreams.get('a' as UpstreamId);
+  t.is(before?.inFlight, 1);
+  const { state } = play(at(10_001, outcome('r1', 'a', 'cancelled')), sent.state);
+  t.deepEqual(state.upstreams.get('a' as UpstreamId), { ...before!, inFlight: 0 });
+});
+
 test('all full: refused at once with the time at which the first has room', (t) => {
   const full = (id: string, retryAfterMs: number) => ({
     refusal: refuse('queue-full', 'Full.', { retryAfterMs, candidates: [id] }),
