--- a/src/core/acceptance/judge.ts
+++ b/src/core/acceptance/judge.ts
@@ -15,8 +15,8 @@
   | { readonly type: 'UNCERTAIN' };
 
 /**
- * Looks for our change in a value that was read. `sent` tells that a swap is on its way; the place that
- * it would take in the chain decides between "not accepted" and "cannot be told".
+ * Looks for our change in a value that was read. Where another change stands in the place that ours would
+ * take in the chain, ours was not accepted; where that place is no longer kept, it cannot be told.
  */
 export function judge(state: AcceptanceState, item: KeyValue | undefined): Judgement {
   const { change, entry: ours } = state;
--- a/src/core/acceptance/stepacceptance.ts
+++ b/src/core/acceptance/stepacceptance.ts
@@ -46,9 +46,12 @@
   return { state, effects: [{ type: 'read', key: serviceKey(state.change.service) }] };
 }
 
-function swapAgain(state: AcceptanceState, trigger: string): Next {
+/**
+ * Sends the proposed swap, for the first time or again: it is always the same, under the same revision,
+ * so whichever arrives first makes the others fail.
+ */
+function sendSwap(state: AcceptanceState, trigger: string): Next {
   const { swap } = state;
-  // The same swap under the same revision: whichever arrives first makes the other fail.
   return { state: move(state, trigger), effects: swap ? [{ type: 'swap', swap }] : [] };
 }
 
@@ -62,14 +65,14 @@
   const proposal = propose(state, item);
   if (proposal.err) return reject(state, 'FAILED', proposal.val);
   const { state: proposed, dropped } = proposal.val;
-  const swapping = swapAgain(proposed, 'PROPOSED');
+  const swapping = sendSwap(proposed, 'PROPOSED');
   if (dropped.length === 0) return swapping;
   return { ...swapping, effects: [{ type: 'log', entries: dropped }, ...swapping.effects] };
 }
 
 function whenUnchanged(state: AcceptanceState, item: KeyValue | undefined): Next {
   if (state.phase === 'reading') return proposeFirst(state, item);
-  if (state.phase === 'readingBack') return swapAgain(state, 'UNCHANGED');
+  if (state.phase === 'readingBack') return sendSwap(state, 'UNCHANGED');
   return pause(state, 'LOST');
 }
 
