Run-once shell in three files; mappings ask for their next lease together

When a shared lease became too old, every request in flight asked the store for one of its own: 20 at once took 20 writes where one does.

--- a/src/entry/tickets/leases.ts
+++ b/src/entry/tickets/leases.ts
@@ -19,13 +19,16 @@
 
   /** A lease that outlives what a request that arrived then may cause. */
   async covering(arrivedAtMs: Ms, ticketValidMs: Ms): Promise<Result<string, StoreFailure>> {
-    const known = await this.held.get(ticketValidMs);
+    const last = this.held.get(ticketValidMs);
+    const known = await last;
     if (known?.ok && sharedLease.covers(known.val, arrivedAtMs, ticketValidMs)) {
       return result.Ok(known.val.leaseId);
     }
-    const asked = this.ask(ticketValidMs);
-    this.held.set(ticketValidMs, asked);
-    return (await asked).map(({ leaseId }) => leaseId);
+    // Requests that waited together ask together.
+    const asked = this.held.get(ticketValidMs);
+    const fresh = asked && asked !== last ? asked : this.ask(ticketValidMs);
+    this.held.set(ticketValidMs, fresh);
+    return (await fresh).map(({ leaseId }) => leaseId);
   }
 
   /** Forgets a lease that the store no longer knows. */
--- a/src/sidecar/runonce/table.ts
+++ b/src/sidecar/runonce/table.ts
@@ -8,17 +8,10 @@
   type UpstreamId,
 } from '../../base/index.js';
 import { refuse } from '../../core/refusal/index.js';
-import {
-  openTable,
-  stepTable,
-  type TableEffect,
-  type TableEvent,
-  type TableState,
-} from '../../core/ticket/index.js';
+import type { TableEffect } from '../../core/ticket/index.js';
 import { requestHash } from '../../shell/hash/index.js';
 import {
   Executed,
-  Heir,
   type HandOverReply,
   type Refusal,
   type RequestHead,
@@ -28,14 +21,14 @@
 } from '../../wire/index.js';
 import type { Context, Permit, RunOnce } from '../part/index.js';
 import { handOn } from './handon.js';
+import { LiveTable } from './livetable.js';
+import { publishHeir } from './publishheir.js';
 import type { TableSettings } from './tablesettings.js';
 import { toEntry } from './toentry.js';
 
 /** 22 characters of nanoid's alphabet are 132 random bits. */
 const SECRET_LENGTH = 22;
 
-const SWEEP_MS = 1000;
-
 /** When a sidecar that has no incarnation yet may be asked again. */
 const JOINING_MS = 1000;
 
@@ -44,135 +37,95 @@
 /** For requests without a ticket: they run, and nothing is kept of them. */
 const FREE: Permit = { type: 'run', start: () => undefined, record: () => {} };
 
-type Ports = Pick<
-  Context,
-  | 'settings'
-  | 'clock'
-  | 'log'
-  | 'metrics'
-  | 'audit'
-  | 'board'
-  | 'credentials'
-  | 'incarnation'
-  | 'onStop'
->;
+function refusalOf(effect: TableEffect | undefined): Refusal | undefined {
+  return effect?.type === 'refuse' ? effect.refusal : undefined;
+}
 
-/** Carries calls to the run-once table of this incarnation, and what it decides back to them. */
+/** The run-once table of this incarnation, as the request path and peers call it. */
 export class Table implements RunOnce {
-  private state: TableState | undefined;
-
-  private calls = 0;
-
-  /** Calls that wait for the table's word. */
-  private readonly waiting = new Map<string, (effect: TableEffect) => void>();
-
-  private forgetSweep: () => void = () => {};
+  private readonly live: LiveTable;
 
   constructor(
-    private readonly ports: Ports,
-    private readonly limits: TableSettings,
+    private readonly ports: Context,
+    limits: TableSettings,
   ) {
-    this.sweepLater();
-    ports.onStop(() => this.forgetSweep());
+    this.live = new LiveTable(ports, limits);
   }
 
   issue({ customer, service, validMs }: TicketRequest): TicketReply {
     const refusal = this.unfit(service);
     if (refusal) return this.unissued(refusal);
-    const callId = this.nextCall();
+    const callId = this.live.nextCall();
     const secret = nanoid(SECRET_LENGTH);
     const whose = { customer: customer as CustomerId, service: service as ServiceId };
-    const [effect] = this.step({ type: 'issue', callId, ...whose, validMs, secret });
-    if (effect?.type === 'issued') return effect.reply;
-    return this.unissued(effect?.type === 'refuse' ? effect.refusal : undefined);
+    const [effect] = this.live.step({ type: 'issue', callId, ...whose, validMs, secret });
+    return effect?.type === 'issued' ? effect.reply : this.unissued(refusalOf(effect));
   }
 
   async begin(_requestId: string, head: RequestHead): Promise<Result<Permit, Refusal>> {
     const { ticket } = head;
     if (!ticket) return result.Ok(FREE);
-    if (!this.open()) {
+    if (!this.live.state()) {
       const detail = 'This sidecar has no table of the incarnation that issued the ticket.';
       return result.Err(refuse('ticket-incarnation-gone', detail, UNKNOWN));
     }
-    const callId = this.nextCall();
-    const effect = await new Promise<TableEffect>((resolve) => {
-      this.waiting.set(callId, resolve);
-      this.step({
-        type: 'begin',
-        callId,
-        ticket,
-        customer: head.customer as CustomerId,
-        service: head.service as ServiceId,
-        requestHash: requestHash(head.method, head.path, head.body),
-      });
+    const effect = await this.live.ask({
+      type: 'begin',
+      callId: this.live.nextCall(),
+      ticket,
+      customer: head.customer as CustomerId,
+      service: head.service as ServiceId,
+      requestHash: requestHash(head.method, head.path, head.body),
     });
-    this.ports.metrics.count('ticket.begun', 1, { end: this.endOf(effect) });
+    const end = refusalOf(effect)?.type ?? effect.type;
+    this.ports.metrics.count('ticket.begun', 1, { end });
     if (effect.type === 'refuse') return result.Err(effect.refusal);
-    if (effect.type === 'replay') {
-      return result.Ok({ type: 'replay', answer: toEntry(head, effect.answer) });
-    }
-    return result.Ok(this.permit(ticket));
+    if (effect.type !== 'replay') return result.Ok(this.permit(ticket));
+    return result.Ok({ type: 'replay', answer: toEntry(head, effect.answer) });
   }
 
   leave(): void {
-    if (this.open()) this.step({ type: 'leave' });
+    this.live.step({ type: 'leave' });
   }
 
   async stop(): Promise<void> {
-    const { state } = this;
-    if (!state || state.rows.size === 0) return;
-    await handOn(state, this.ports);
+    const state = this.live.state();
+    if (state && state.rows.size > 0) await handOn(state, this.ports);
   }
 
   adopt(table: TicketTable): HandOverReply {
-    if (!this.open()) {
+    if (!this.live.state()) {
       const refusal = refuse('upstream-joining', 'This sidecar has no incarnation yet.');
       return { takenCount: 0, refusal };
     }
-    const upstream = table.upstream as UpstreamId;
-    const incarnation = table.incarnation as Incarnation;
-    const callId = this.nextCall();
-    const [effect] = this.step({ type: 'adopt', callId, upstream, incarnation, table });
-    if (effect?.type !== 'adopted') {
-      return { takenCount: 0, refusal: effect?.type === 'refuse' ? effect.refusal : undefined };
-    }
-    if (table.last) this.publishHeir(table);
-    return { takenCount: effect.takenCount, refusal: undefined };
-  }
-
-  /** Tells entries that tickets of a stopped sidecar are answered here. */
-  private publishHeir({ upstream, incarnation, hops }: TicketTable): void {
-    const { settings, board, log, audit, clock } = this.ports;
-    const own = { upstream: settings.upstream, incarnation: this.ports.incarnation.current() };
-    board.publish({
-      key: `heir/${settings.service}/${upstream}`,
-      epoch: incarnation,
-      sequence: hops,
-      value: Buffer.from(Heir.encode(own).finish()),
-    });
-    log.info('ticket table taken over', { from: upstream, incarnation, hops });
-    audit.write({
-      wallMs: clock.wallMs(),
-      actor: settings.hostId,
-      act: 'take-over-tickets',
-      subject: upstream,
-      detail: { incarnation, hops },
+    const [effect] = this.live.step({
+      type: 'adopt',
+      callId: this.live.nextCall(),
+      upstream: table.upstream as UpstreamId,
+      incarnation: table.incarnation as Incarnation,
+      table,
     });
+    if (effect?.type !== 'adopted') return { takenCount: 0, refusal: refusalOf(effect) };
+    if (table.last) publishHeir(this.ports, table);
+    return { takenCount: effect.takenCount, refusal: undefined };
   }
 
   private permit(ticket: string): Permit {
     return {
       type: 'run',
       start: () => {
-        const [effect] = this.step({ type: 'start', callId: this.nextCall(), ticket });
-        return effect?.type === 'refuse' ? effect.refusal : undefined;
+        const callId = this.live.nextCall();
+        const [effect] = this.live.step({ type: 'start', callId, ticket });
+        return refusalOf(effect);
       },
       record: (end) => {
-        if (end.type === 'answered') {
-          const { status, headers, body, pieceBytes, bodyDropped } = end.answer;
-          const answer = bodyDropped ? undefined : { status, headers, body, pieceBytes };
-          this.step({ type: 'finish', ticket, end: { type: 'answered', answer } });
-        } else this.step({ type: 'finish', ticket, end });
+        if (end.type !== 'answered') {
+          this.live.step({ type: 'finish', ticket, end });
+          return;
+        }
+        const { status, headers, body, pieceBytes, bodyDropped } = end.answer;
+        const answer = bodyDropped ? undefined : { status, headers, body, pieceBytes };
+        this.live.step({ type: 'finish', ticket, end: { type: 'answered', answer } });
       },
     };
   }
@@ -182,7 +135,7 @@
     if (service !== settings.service) {
       return refuse('service-unknown', `This sidecar does not serve "${service}".`);
     }
-    if (this.open() && incarnation.isHeld()) return undefined;
+    if (this.live.state() && incarnation.isHeld()) return undefined;
     const detail = 'This sidecar holds no incarnation.';
     return refuse('upstream-joining', detail, { retryAfterMs: JOINING_MS });
   }
@@ -191,46 +144,4 @@
     this.ports.metrics.count('ticket.unissued', 1, { type: refusal?.type ?? 'none' });
     return { ticket: '', incarnation: 0, validMs: 0, refusal };
   }
-
-  private endOf(effect: TableEffect): string {
-    return effect.type === 'refuse' ? effect.refusal.type : effect.type;
-  }
-
-  private nextCall(): string {
-    this.calls += 1;
-    return String(this.calls);
-  }
-
-  /** The table exists from the moment that its incarnation has been taken. */
-  private open(): TableState | undefined {
-    if (this.state) return this.state;
-    const { settings, incarnation, clock } = this.ports;
-    const current = incarnation.current();
-    if (current === 0) return undefined;
-    const upstream = settings.upstream as UpstreamId;
-    this.state = openTable(upstream, current, this.limits, clock.nowMs());
-    return this.state;
-  }
-
-  private step(event: TableEvent): readonly TableEffect[] {
-    const before = this.open();
-    if (!before) return [];
-    const { state, effects } = stepTable(before, event, this.ports.clock.nowMs());
-    this.state = state;
-    for (const effect of effects) {
-      const tell = this.waiting.get(effect.callId);
-      this.waiting.delete(effect.callId);
-      tell?.(effect);
-    }
-    return effects;
-  }
-
-  private sweepLater(): void {
-    this.forgetSweep = this.ports.clock.after(SWEEP_MS, () => {
-      this.step({ type: 'sweep' });
-      this.ports.metrics.gauge('ticket.count', this.state?.rows.size ?? 0);
-      this.ports.metrics.gauge('ticket.bytes', this.state?.usedBytes ?? 0);
-      this.sweepLater();
-    });
-  }
 }
