--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -7,6 +7,10 @@
   readonly engineCount: number;
   readonly plainService: string;
   readonly plainCount: number;
+  /** How long a call of the plain service takes. */
+  readonly serviceMs: number;
+  /** Whether calls of engines and plain services go wrong by themselves. */
+  readonly hasFaults: boolean;
   readonly models: readonly string[];
   readonly lookupPath: string;
   readonly confirmPath: string;
--- a/demo/documentsof.ts
+++ b/demo/documentsof.ts
@@ -41,7 +41,7 @@
     ...common(deployment, deployment.engineService, keys),
     kinds: [
       { name: 'draft', priority: 'urgent', deadlineMs: 3000, weight: 2, repeatable: true },
-      { name: 'archive', priority: 'background', deadlineMs: 20_000, weight: 1, repeatable: true },
+      { name: 'archive', priority: 'background', deadlineMs: 8000, weight: 1, repeatable: true },
     ],
     models: deployment.models.map((id) => ({
       id,
--- a/demo/load/runload.ts
+++ b/demo/load/runload.ts
@@ -9,7 +9,7 @@
 
 const TOKENS = 20;
 /** Longer than any deadline and its late answer: a caller that waits longer has lost its answer. */
-const TIMEOUT_MS = 25_000;
+const TIMEOUT_MS = 15_000;
 const ARCHIVE_DRAWS = 150;
 const LARGEST_DRAWS = 700;
 const GUARDS = ['none', 'idempotency-key', 'ticket'] as const;
--- a/demo/load/tally.ts
+++ b/demo/load/tally.ts
@@ -25,7 +25,7 @@
 /** Weight and deadline of each kind, as in the demo's documents. */
 const KINDS: Readonly<Record<Asked['kind'], { weight: number; deadlineMs: number }>> = {
   draft: { weight: 2, deadlineMs: 3000 },
-  archive: { weight: 1, deadlineMs: 20_000 },
+  archive: { weight: 1, deadlineMs: 8000 },
   lookup: { weight: 1, deadlineMs: 1000 },
   confirm: { weight: 5, deadlineMs: 4000 },
 };
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -11,9 +11,10 @@
   process.exit(0);
 }
 const [first, second] = deployments;
-const { exitCodes: firstCodes, ...firstTally } = await playScenario(first);
+const played = await Promise.all([playScenario(first), playScenario(second)]);
+const [{ exitCodes: firstCodes, ...firstTally }, { exitCodes: secondCodes, ...secondTally }] =
+  played;
 console.error(`${first.name}: ${JSON.stringify(firstTally)}`);
-const { exitCodes: secondCodes, ...secondTally } = await playScenario(second);
 console.error(`${second.name}: ${JSON.stringify(secondTally)}`);
 const { attained, accelerators, reasons, ...counts } = addTallies(firstTally, secondTally);
 const exitCodes = [...firstCodes, ...secondCodes];
--- a/demo/stack.ts
+++ b/demo/stack.ts
@@ -13,7 +13,7 @@
 const ENTRIES = 2;
 const POLL_MS = 50;
 const HOST_LIST_POLL_MS = 500;
-const DRAIN_MS = 8000;
+const DRAIN_MS = 4000;
 
 /** One sidecar of the stack: where it is, and what it stands beside. */
 interface Beside {
@@ -74,10 +74,11 @@
     this.meshPorts = ports.slice(-ENTRIES);
     this.besides = urls.upstreams.map((url, index) => this.beside(url, index, ports[index] ?? 0));
     this.listHosts();
-    await this.applyDocuments();
-    await Promise.all(this.besides.map((beside) => this.startBeside(beside)));
+    const applied = this.applyDocuments();
+    const besides = this.besides.map((beside) => this.startBeside(beside));
     const started = this.meshPorts.map((port, index) => this.startEntry(port, index));
     this.entryDaemons = await Promise.all(started);
+    await Promise.all([applied, ...besides]);
     this.entries = this.entryDaemons.map(({ port }) => `http://127.0.0.1:${port}`);
     await Promise.all(this.entries.map((url) => this.untilAnswers(url)));
   }
@@ -154,12 +155,13 @@
       sidecarAddress: `127.0.0.1:${port}`,
     }));
     const documents = documentsOf(this.deployment, upstreams, this.keys);
-    for (const [index, document] of documents.entries()) {
+    const { name } = this.deployment;
+    const applied = documents.map((document, index) => {
       const file = join(this.directory, `document-${index}.jsonc`);
       writeFileSync(file, JSON.stringify(document, null, 2));
-      const { name } = this.deployment;
-      await operator('apply', file, '--expect', '0', '--team', name, '--store', this.store);
-    }
+      return operator('apply', file, '--expect', '0', '--team', name, '--store', this.store);
+    });
+    await Promise.all(applied);
   }
 
   private place(hostId: string, availabilityZone: string): object {
--- a/standin/engine/ask.ts
+++ b/standin/engine/ask.ts
@@ -3,6 +3,7 @@
   readonly model: string;
   readonly stream?: boolean;
   readonly max_tokens?: number;
+  readonly max_completion_tokens?: number;
   readonly messages?: readonly { readonly role?: string; readonly content: string }[];
   readonly prompt?: string;
   /** The last message is an answer that was begun and goes on. */
--- a/standin/engine/requestof.ts
+++ b/standin/engine/requestof.ts
@@ -22,7 +22,7 @@
     blocks: splitBlocks(prompt),
     promptTokens: Math.ceil(prompt.length / CHARS_PER_TOKEN),
     made: 0,
-    tokens: Math.min(ask.max_tokens ?? left, left),
+    tokens: Math.min(ask.max_tokens ?? ask.max_completion_tokens ?? left, left),
     phase: 'waiting',
     imported: false,
   };
