Versions change without a gap: the old one goes when the new one serves

Now a plan speaks of an old version only if it names the new one; the planner lists the model to be kept until the new version is ready elsewhere, or any at an upstream with a lower id; only the document's version replaces another; a version whose size the document does not know is never loaded.

Conclusion: a model is reachable all through a change of version, tested step by step.

--- a/bench/ledgercheck/world.ts
+++ b/bench/ledgercheck/world.ts
@@ -345,7 +345,8 @@
     const names = [...MODELS.keys()].filter((_, bit) => Math.floor(pick / 2 ** bit) % 2 === 1);
     const adapters = Math.floor(pick / 8) % 2 === 1 ? ['x'] : [];
     const role = ROLES[Math.floor(pick / 16) % ROLES.length];
-    const models = names.map((model) => ({ model, version: '', adapters, urgency: 0 }));
+    const version = ['', '1', '2'][Math.floor(pick / 64) % 3] ?? '';
+    const models = names.map((model) => ({ model, version, adapters, urgency: 0 }));
     // Every model may go, so that much is moved.
     const plan = { epoch: 1, sequence: 1, models, role, keepUntilPlaced: [] };
     sidecar.take({ type: 'plan', upstream: 'u', plan }, this.nowMs);
--- a/src/core/planner/plansof.ts
+++ b/src/core/planner/plansof.ts
@@ -25,6 +25,27 @@
   );
 }
 
+/**
+ * Whether callers reach the model while an old version here makes room for its successor: the new one is ready
+ * elsewhere, or any is at an upstream with a lower id. So holders do not all change at once.
+ */
+function mayChangeHere(
+  { upstreams }: Cell,
+  here: UpstreamId,
+  model: ModelId,
+  version: string | undefined,
+): boolean {
+  return upstreams.some(
+    ({ id, state, residents }) =>
+      id !== here &&
+      state === 'usable' &&
+      residents.some((held) => {
+        if (held.model !== model || held.phase !== 'ready') return false;
+        return held.version === version || id < here;
+      }),
+  );
+}
+
 /** Each upstream's part of a plan. Lost upstreams get none. */
 export function plansOf(plan: CellPlan, cell: Cell, sequence: number): readonly Place[] {
   const versions = new Map(cell.models.map(({ id, version }) => [id, version]));
@@ -40,9 +61,14 @@
     }));
     const named = new Set(wanted.map(({ model }) => model));
     const keepUntilPlaced = residents
-      .map(({ model }) => model)
-      .filter((model) => !named.has(model) && versions.has(model))
-      .filter((model) => !isReadyElsewhere(cell, upstream, model));
+      .filter(({ model, version }) => {
+        if (!versions.has(model)) return false;
+        if (!named.has(model)) return !isReadyElsewhere(cell, upstream, model);
+        const wantedVersion = versions.get(model);
+        if (version === wantedVersion) return false;
+        return !mayChangeHere(cell, upstream, model, wantedVersion);
+      })
+      .map(({ model }) => model);
     return { type: 'place', upstream, sequence, models, role, keepUntilPlaced };
   });
 }
--- /dev/null
+++ b/src/core/reconcile/isreplaced.ts
@@ -0,0 +1,15 @@
+import { nameHolding, type Holding } from '../ledger/index.js';
+import type { View } from './view.js';
+
+/** Whether the document's version serves here in place of an older one. */
+export function isReplaced(
+  { ledger, catalogue }: View,
+  { model, version, adapter }: Holding,
+): boolean {
+  const current = catalogue.models.get(model)?.version;
+  if (current === undefined || current === version) return false;
+  const key = nameHolding(model, current, adapter);
+  if (ledger.holdings.get(key)?.phase !== 'ready') return false;
+  for (const open of ledger.openOrders.values()) if (open.key === key) return false;
+  return true;
+}
--- a/src/core/reconcile/nextdraft.ts
+++ b/src/core/reconcile/nextdraft.ts
@@ -1,7 +1,7 @@
 import type { Holding, HoldingKey, Ledger } from '../ledger/index.js';
 import { fits, nameHolding } from '../ledger/index.js';
 import type { DesiredHolding } from './desiredholding.js';
-import { isEvictable } from './isevictable.js';
+import { isReplaced } from './isreplaced.js';
 import type { OrderDraft } from './orderdraft.js';
 import { roomOf } from './roomof.js';
 import type { View } from './view.js';
@@ -42,19 +42,21 @@
 
 /** Unloads what the document no longer offers, and a version whose successor is ready here. */
 function outdatedDraft(view: View): OrderDraft | undefined {
-  const { ledger, catalogue } = view;
+  const { ledger, catalogue, desired } = view;
   for (const holding of ledger.holdings.values()) {
     const { model, version, adapter, phase, key } = holding;
-    const isCurrent = catalogue.models.get(model)?.version === version;
-    if (adapter || isCurrent || phase !== 'ready' || hasOrder(ledger, key)) continue;
-    const replaced = view.desired.some((wanted) => wanted.model === model && !wanted.adapter);
-    const isOffered = catalogue.models.has(model);
-    if ((replaced || !isOffered) && isEvictable(view, holding)) return unload(holding);
+    const offered = catalogue.models.get(model);
+    if (adapter || offered?.version === version) continue;
+    if (phase !== 'ready' || hasOrder(ledger, key)) continue;
+    const isWanted = desired.some((wanted) => wanted.key === key);
+    if (!isWanted && (!offered || isReplaced(view, holding))) return unload(holding);
   }
   return undefined;
 }
 
-function isMissing({ ledger }: View, desired: DesiredHolding): boolean {
+function isMissing({ ledger, catalogue }: View, desired: DesiredHolding): boolean {
+  // The document knows the size of one version only: another one is kept, and never loaded.
+  if (catalogue.models.get(desired.model)?.version !== desired.version) return false;
   if (ledger.holdings.has(desired.key) || hasOrder(ledger, desired.key)) return false;
   if (!desired.adapter) return true;
   const base = nameHolding(desired.model, desired.version);
--- a/test/support/residencybed.ts
+++ b/test/support/residencybed.ts
@@ -4,20 +4,27 @@
 import { UpstreamKey } from '../../src/sidecar/incarnation/index.js';
 import { EngineResidency } from '../../src/sidecar/residency/index.js';
 import { peerCredentials } from '../../src/shell/tls/index.js';
-import { UpstreamRecord } from '../../src/wire/index.js';
+import { UpstreamRecord, type PlacementPlan } from '../../src/wire/index.js';
 import { ModelEnginePort } from './modelengineport.js';
 
 const STEP_MS = 50;
 
-const model = (id: string, sizeBytes: number) => ({
-  id,
-  version: '1',
-  sizeBytes,
-  defaultKind: 'draft',
-});
+/** A model of the document, with its adapters. */
+interface Declared {
+  readonly id: string;
+  readonly version: string;
+  readonly sizeBytes: number;
+  readonly adapters?: readonly { readonly id: string; readonly sizeBytes: number }[];
+}
+
+const MODELS: readonly Declared[] = [
+  { id: 'a', version: '1', sizeBytes: 50 },
+  { id: 'b', version: '1', sizeBytes: 40 },
+  { id: 'c', version: '1', sizeBytes: 30 },
+];
 
 /** A document with one upstream of 100 bytes, and models that do not all fit. */
-function documentOf(checksFencing: boolean): object {
+function documentOf(checksFencing: boolean, models: readonly Declared[]): object {
   const group = {
     name: 'engines',
     availabilityZone: 'oviedo-a',
@@ -37,8 +44,10 @@
     region: 'cantabrico',
     customers: [],
     kinds: [{ name: 'draft', priority: 'normal', deadlineMs: 5000, weight: 1, repeatable: true }],
-    models: [model('a', 50), model('b', 40), model('c', 30)],
-    adapters: [],
+    models: models.map(({ adapters: _, ...model }) => ({ ...model, defaultKind: 'draft' })),
+    adapters: models.flatMap(({ id: model, adapters = [] }) =>
+      adapters.map((adapter) => ({ ...adapter, model })),
+    ),
     groups: [group],
     weightStore: { loadsPerSecond: 3, parallelLoads: 4 },
     placement: { movePenalty: 0, spareUpstreams: 0 },
@@ -79,13 +88,20 @@
 
   private readonly ends: (() => void)[] = [];
 
-  constructor(store: KeyValueStore, checksFencing: boolean, given: Given = {}) {
+  private models = MODELS;
+
+  private revision = 0;
+
+  constructor(
+    store: KeyValueStore,
+    private readonly checksFencing: boolean,
+    given: Given = {},
+  ) {
     this.engine = given.model ?? new ModelEnginePort(checksFencing);
     const { board } = this;
     const clock = given.clock ?? this.clock;
     this.key = new UpstreamKey('redactor-1', { store, clock, log });
-    const value = Buffer.from(JSON.stringify(documentOf(checksFencing)));
-    board.publish({ key: 'document/redactor', epoch: 0, sequence: 1, value });
+    this.publish();
     const settings = { upstream: 'redactor-1', service: 'redactor', hostId: 'h' };
     this.residency = new EngineResidency({
       settings: { ...settings, listen: '127.0.0.1:0', availabilityZone: 'oviedo-a' } as never,
@@ -105,6 +121,12 @@
     this.key.start();
   }
 
+  /** Changes one model in the document. */
+  setModel(changed: Declared): void {
+    this.models = this.models.map((model) => (model.id === changed.id ? changed : model));
+    this.publish();
+  }
+
   /** Lets so much time pass, with all that happens in it. */
   async pass(ms: number): Promise<void> {
     for (let left = ms; left > 0; left -= STEP_MS) {
@@ -121,14 +143,14 @@
       epoch,
       sequence: 1,
       upstream: 'redactor-1',
-      models: models.map((id) => ({ model: id, version: '', adapters: [], urgency: 1 })),
+      models: models.map((id) => this.wish(id)),
       role: '',
       keepUntilPlaced,
     });
   }
 
-  rescue(id: string, heldElsewhere: string[] = []) {
-    const ask = { service: 'redactor', model: id, adapter: '', deadlineMs: 5000 };
+  rescue(id: string, heldElsewhere: string[] = [], adapter = '') {
+    const ask = { service: 'redactor', model: id, adapter, deadlineMs: 5000 };
     return this.residency.rescue({ ...ask, heldElsewhere });
   }
 
@@ -142,6 +164,18 @@
     return ready.map(({ model: id }) => id).sort();
   }
 
+  /** A wish as the planner sends it: with the version of the document. */
+  private wish(id: string): PlacementPlan['models'][number] {
+    const version = this.models.find((declared) => declared.id === id)?.version ?? '';
+    return { model: id, version, adapters: [], urgency: 1 };
+  }
+
+  private publish(): void {
+    this.revision += 1;
+    const value = Buffer.from(JSON.stringify(documentOf(this.checksFencing, this.models)));
+    this.board.publish({ key: 'document/redactor', epoch: 0, sequence: this.revision, value });
+  }
+
   end(): void {
     this.key.stop();
     for (const end of this.ends) end();
