--- a/bench/table.ts
+++ b/bench/table.ts
@@ -13,6 +13,7 @@
   'ledger-cost': async () => (await import('./ledgercost.js')).ledgerCost,
   'memory-rounds': async () => (await import('./memoryrounds.js')).memoryRounds,
   'ledger-check': async () => (await import('./ledgercheck.js')).ledgerCheck,
+  'mesh-check': async () => (await import('./meshcheck.js')).meshCheck,
   'mesh-cost': async () => (await import('./meshcost.js')).meshCost,
   'mesh-fanout': async () => (await import('./meshfanout.js')).meshFanout,
   'mesh-spread': async () => (await import('./meshspread.js')).meshSpread,
--- a/src/core/mesh/createmesh.ts
+++ b/src/core/mesh/createmesh.ts
@@ -36,7 +36,14 @@
       coveredRevision: 0,
     },
     catchUp: { phase: 'joining', readyPeers: [], anyAnswer: false, storeListed: false },
-    store: { phase: 'closed', revision: 0, failureCount: 0, retryAtMs: nowMs, resyncAtMs: nowMs },
+    store: {
+      phase: 'closed',
+      revision: 0,
+      listedRevision: 0,
+      failureCount: 0,
+      retryAtMs: nowMs,
+      resyncAtMs: nowMs,
+    },
     nextExpiryAtMs: nowMs,
   };
 }
--- a/src/core/mesh/onstorelisted.ts
+++ b/src/core/mesh/onstorelisted.ts
@@ -38,6 +38,7 @@
   const store = {
     ...held.store,
     revision: Math.max(held.store.revision, event.revision),
+    listedRevision: Math.max(held.store.listedRevision, event.revision),
     failureCount: 0,
     resyncAtMs: nowMs + resyncMs,
   };
--- a/src/entry/createdesk.ts
+++ b/src/entry/createdesk.ts
@@ -26,7 +26,7 @@
   const link = new SharedLink({
     clock: systemClock,
     credentials: credentials.channel,
-    revision: () => board.revision(),
+    revision: (sidecarAddress) => board.revisionAt(sidecarAddress),
     sawRevision: (revision, from) => board.sawRevision(revision as Revision, from),
   });
   return { ...drivers, link, board, audit: createAudit(log) };
--- a/src/entry/link/linkoptions.ts
+++ b/src/entry/link/linkoptions.ts
@@ -6,8 +6,8 @@
   readonly clock: Clock;
   /** How sidecars are met; unauthenticated by default. */
   readonly credentials?: ChannelCredentials;
-  /** Highest configuration revision in force here. */
-  readonly revision: () => number;
+  /** Configuration revision in force here of what concerns the sidecar at this address. */
+  readonly revision: (sidecarAddress: string) => number;
   /** Told when the revision in force at a sidecar has changed. */
   readonly sawRevision: (revision: number, fromAddress: string) => void;
   /** A sidecar that has nothing to do for so long is let go of. Defaults to a minute. */
--- a/src/entry/link/peer.ts
+++ b/src/entry/link/peer.ts
@@ -38,7 +38,7 @@
     private readonly options: LinkOptions,
   ) {
     this.usedAtMs = options.clock.nowMs();
-    this.batcher = new Batcher(stream, options);
+    this.batcher = new Batcher(stream, { revision: () => options.revision(address) });
     this.forgetOpening = options.clock.after(OPEN_WITHIN_MS, () => this.close());
     stream.on('metadata', () => this.open());
     stream.on('data', (batch: FrameBatch) => this.take(batch));
--- a/src/shell/board/board.ts
+++ b/src/shell/board/board.ts
@@ -12,11 +12,13 @@
   publish(record: BoardRecord): void;
   /** Calls `tell` after a record under the prefix has been adopted; the result ends that. */
   onChange(prefix: string, tell: (record: BoardRecord) => void): () => void;
+  /** Highest configuration revision in force at this process, or that of one service's document. */
+  revision(service?: string): Revision;
   /**
-   * Highest configuration revision that this process has in force, or that of one service's document:
-   * a sidecar holds no other, so calls about a service carry that.
+   * Revision of the document that names a sidecar's address, or 0: the sidecar holds no other, so a call
+   * to it carries this one.
    */
-  revision(service?: string): Revision;
+  revisionAt(sidecarAddress: string): Revision;
   /** Tells the board of a revision seen on a call, so that a laggard asks for what it lacks. */
   sawRevision(revision: Revision, fromAddress: string): void;
   /** False until this process has caught up with its peers, or its bounded wait has passed. */
--- a/src/shell/board/memoryboard.ts
+++ b/src/shell/board/memoryboard.ts
@@ -46,6 +46,10 @@
     return Math.max(0, ...sequences) as Revision;
   }
 
+  revisionAt(): Revision {
+    return this.revision();
+  }
+
   sawRevision(): void {}
 
   caughtUp(): boolean {
--- a/src/shell/mesh/meshboard.ts
+++ b/src/shell/mesh/meshboard.ts
@@ -40,6 +40,9 @@
 
   private readonly listeners = new Set<(record: BoardRecord) => void>();
 
+  /** Key of the document that names a sidecar, by the sidecar's address. */
+  private readonly documentOf = new Map<string, string>();
+
   private readonly answers = new Map<number, Answer>();
 
   private readonly clients: MeshClients;
@@ -146,6 +149,11 @@
     return (this.state.records.get(`${DOCUMENTS}${service}`)?.sequence ?? 0) as Revision;
   }
 
+  revisionAt(sidecarAddress: string): Revision {
+    const key = this.documentOf.get(sidecarAddress) ?? '';
+    return (this.state.records.get(key)?.sequence ?? 0) as Revision;
+  }
+
   sawRevision(revision: Revision, fromAddress: string): void {
     if (revision <= this.state.revision) return;
     this.dispatch({ type: 'revisionSeen', revision, from: fromAddress });
@@ -245,6 +253,7 @@
     this.options.metrics.gauge('mesh.revision', this.state.revision);
     this.options.metrics.gauge('mesh.records', this.state.records.size);
     for (const record of records) {
+      for (const address of record.members ?? []) this.documentOf.set(address, record.key);
       for (const listener of this.listeners) listener(toBoard(record));
     }
   }
--- a/test/mesh.test.ts
+++ b/test/mesh.test.ts
@@ -123,10 +123,10 @@
 test('watch cut and compacted: the new list also tells what was deleted', (t) => {
   const state = session(t, 'mesh-compacted', stepMesh, start(FIRST), [
     ...watching,
-    at(100, push('c', document(4, 'padron'))),
+    at(100, push('c', document(6, 'padron'))),
     at(200, { type: 'watchEnded', compacted: true }),
     at(210, listed(9, document(8))),
-    at(300, push('c', document(4, 'padron'))),
+    at(300, push('c', document(6, 'padron'))),
   ]);
   t.is(state.records.get('document/padron')?.value.length, 0);
 });
@@ -137,8 +137,10 @@
     at(0, tick),
     at(10, listed(5, document(5))),
     at(20, answer('d', [], false)),
+    at(30, push('c', document(4, 'padron'))),
   ]);
   t.is(state.catchUp.phase, 'current');
+  t.is(state.records.get('document/padron')?.value.length, 0);
 });
 
 test('a node never goes lower, whoever tells it and however', (t) => {
--- a/test/support/meshworld.ts
+++ b/test/support/meshworld.ts
@@ -129,9 +129,11 @@
       if (state.catchUp.phase !== 'current') this.faults.push(`${id} never caught up`);
       for (const [key, { sequence, value }] of this.documents) {
         const held = state.records.get(key);
-        const same = held ? held.sequence >= sequence : value.length === 0;
-        const shape = (held?.value.length ?? 0) === value.length;
-        if (!same || !shape) this.faults.push(`${id} did not converge on ${key}`);
+        const heldBytes = held?.value.length ?? 0;
+        const isThere = heldBytes > 0 && held?.sequence === sequence;
+        if (value.length > 0 ? !isThere : heldBytes > 0) {
+          this.faults.push(`${id} did not converge on ${key}`);
+        }
       }
       for (const key of this.incarnations.keys()) {
         const epochs = this.nodes.map((node) => node.state.records.get(key)?.epoch);
@@ -156,7 +158,10 @@
     const ready = this.nodes.filter(
       (other) => other !== node && other.up && other.state.catchUp.phase === 'current',
     );
-    const floor = ready.length > 0 ? Math.min(...ready.map(({ state }) => state.revision)) : 0;
+    const lowest = (key: string) =>
+      Math.min(...ready.map(({ state }) => state.records.get(key)?.sequence ?? 0));
+    const keys = ready.length > 0 ? [...this.documents.keys()] : [];
+    const floor = new Map(keys.map((key) => [key, lowest(key)]));
     node.begin(this.fresh(node.id, node.life + 1), floor);
     this.readHosts(node, node.life);
     this.tick(node, node.life);
@@ -217,10 +222,19 @@
     if (effect.type === 'openWatch') this.watch(node, effect.fromRevision, back);
     if (effect.type === 'closeWatch') this.watches.delete(node);
     if (effect.type === 'caughtUp' && effect.phase === 'current') {
-      const { revision } = node.state;
-      if (revision < node.floor) this.faults.push(`${node.id} served too early`);
-      for (const other of this.nodes) other.floor = Math.min(other.floor, revision);
+      if (this.isEarly(node)) this.faults.push(`${node.id} served too early`);
+      for (const other of this.nodes) other.lowerFloor(node.state);
+    }
+  }
+
+  /** A document that the store no longer has may be missing, but not stand at an older edition. */
+  private isEarly({ state, floor }: Node): boolean {
+    for (const [key, sequence] of floor) {
+      const held = state.records.get(key);
+      const isGone = !held && this.documents.get(key)?.value.length === 0;
+      if (!isGone && (held?.sequence ?? 0) < sequence) return true;
     }
+    return false;
   }
 
   private push(
@@ -304,7 +318,7 @@
   private write(service: number, there: boolean): void {
     if (!this.storeIsUp) return;
     const key = `document/s${service % SERVICES}`;
-    if (!there && !this.documents.has(key)) return;
+    if (!there && !this.documents.get(key)?.value.length) return;
     this.revision += 1;
     const value = there ? byteOf(this.revision) : new Uint8Array(0);
     const record = { key, epoch: 0, sequence: this.revision, value, origin: '' };
--- a/test/support/worldnode.ts
+++ b/test/support/worldnode.ts
@@ -6,15 +6,15 @@
 
   up = false;
 
-  /** Lowest revision that a node that had caught up held when this life began, or since. */
-  floor = 0;
+  /** Of each document, the lowest that any node that had caught up held when this life began, or since. */
+  floor: ReadonlyMap<string, number> = new Map();
 
   constructor(
     readonly id: string,
     public state: MeshState,
   ) {}
 
-  begin(state: MeshState, floor: number): void {
+  begin(state: MeshState, floor: ReadonlyMap<string, number>): void {
     this.life += 1;
     this.up = true;
     this.floor = floor;
@@ -28,4 +28,13 @@
   advance(state: MeshState): void {
     this.state = state;
   }
+
+  /** Another node has caught up: this one may take what that one holds. */
+  lowerFloor(other: MeshState): void {
+    const lowered = [...this.floor].map(
+      ([key, sequence]) =>
+        [key, Math.min(sequence, other.records.get(key)?.sequence ?? 0)] as const,
+    );
+    this.floor = new Map(lowered);
+  }
 }
