Calls between peers apart from the board

Calls and their outcomes are now one class of their own; no behaviour changed (tests meshboard and inforce as before).

--- a/src/shell/mesh/meshboard.ts
+++ b/src/shell/mesh/meshboard.ts
@@ -1,23 +1,23 @@
-import type { ServerUnaryCall, sendUnaryData } from '@grpc/grpc-js';
 import type { Revision } from '../../base/index.js';
 import {
   createMesh,
   isNewer,
   isRelay,
   stepMesh,
+  type MeshBatch,
   type MeshEffect,
   type MeshEvent,
   type MeshRecord,
   type MeshState,
 } from '../../core/mesh/index.js';
-import type { Digest, MeshServer, RecordBatch } from '../../wire/index.js';
+import type { MeshServer, RecordBatch } from '../../wire/index.js';
 import type { Board, BoardRecord, BoardStatus } from '../board/index.js';
 import { fromWire } from './fromwire.js';
 import { HostPoll } from './hostpoll.js';
 import type { MeshBoardOptions } from './meshboardoptions.js';
+import { MeshCalls } from './meshcalls.js';
 import { MeshClients } from './meshclients.js';
 import { StoreWatch } from './storewatch.js';
-import { toWire } from './towire.js';
 
 const TICK_MS = 50;
 const CALL_TIMEOUT_MS = 300;
@@ -28,8 +28,6 @@
   readonly [Type in MeshEffect['type']]: (effect: Extract<MeshEffect, { type: Type }>) => void;
 };
 
-type Answer = (message: never) => void;
-
 function toBoard({ key, epoch, sequence, value, origin }: MeshRecord): BoardRecord {
   return { key, epoch, sequence, value: value as Buffer, origin };
 }
@@ -43,9 +41,7 @@
   /** Key of the document that names a sidecar, by the sidecar's address. */
   private readonly documentOf = new Map<string, string>();
 
-  private readonly answers = new Map<number, Answer>();
-
-  private readonly clients: MeshClients;
+  private readonly calls: MeshCalls;
 
   private readonly watch: StoreWatch;
 
@@ -55,20 +51,18 @@
 
   private busy = false;
 
-  private callId = 0;
-
   private stopTick: () => void = () => {};
 
   private readonly carriers: Carriers = {
     adopted: ({ records }) => this.announce(records),
     push: ({ to, batch }) => {
-      void this.push(to, toWire(batch));
+      void this.calls.push(to, batch);
     },
     pull: ({ to, digest }) => {
-      void this.pull(to, digest);
+      void this.calls.pull(to, digest);
     },
-    answerPush: ({ callId, digest }) => this.answer(callId, digest as never),
-    answerPull: ({ callId, batch }) => this.answer(callId, toWire(batch) as never),
+    answerPush: ({ callId, digest }) => this.calls.answerPush(callId, digest),
+    answerPull: ({ callId, batch }) => this.calls.answerPull(callId, batch),
     listStore: () => {
       void this.watch.list();
     },
@@ -82,7 +76,12 @@
     const hasHostList = options.hostList !== undefined;
     const self = { id: options.hostId, address: '', role, interests, hasHostList, hasStore };
     this.state = createMesh(self, seed, clock.nowMs(), tuning);
-    this.clients = new MeshClients(options.callTimeoutMs ?? CALL_TIMEOUT_MS, options.credentials);
+    this.calls = new MeshCalls({
+      clients: new MeshClients(options.callTimeoutMs ?? CALL_TIMEOUT_MS, options.credentials),
+      metrics: options.metrics,
+      read: (batch) => this.read(batch),
+      tell: (event) => this.dispatch(event),
+    });
     this.watch = new StoreWatch(options.store, options.region, (event) => this.dispatch(event));
     this.hosts = new HostPoll(options, options.hostListPollMs ?? HOST_LIST_POLL_MS, (event) =>
       this.dispatch(event),
@@ -91,16 +90,7 @@
 
   /** Handlers of the gRPC service `Mesh`, to be added to the process's server. */
   handlers(): MeshServer {
-    return {
-      pull: (call: ServerUnaryCall<Digest, RecordBatch>, reply: sendUnaryData<RecordBatch>) => {
-        const callId = this.expect((batch: RecordBatch) => reply(null, batch));
-        this.dispatch({ type: 'pullArrived', callId, digest: call.request });
-      },
-      push: (call: ServerUnaryCall<RecordBatch, Digest>, reply: sendUnaryData<Digest>) => {
-        const callId = this.expect((digest: Digest) => reply(null, digest));
-        this.dispatch({ type: 'pushArrived', callId, batch: this.read(call.request) });
-      },
-    };
+    return this.calls.handlers();
   }
 
   /** Begins to exchange records; `address` is where peers reach this process. */
@@ -115,7 +105,7 @@
     this.stopTick();
     this.hosts.stop();
     this.watch.close();
-    this.clients.close();
+    this.calls.close();
   }
 
   get(key: string): BoardRecord | undefined {
@@ -211,44 +201,10 @@
     this.stopTick = this.options.clock.after(TICK_MS, () => this.tick());
   }
 
-  private async push(to: string, batch: RecordBatch): Promise<void> {
-    const keys = batch.records.map(({ key }) => key);
-    this.options.metrics.count('mesh.pushes');
-    const answer = await this.clients.push(to, batch);
-    if (answer.ok) {
-      this.dispatch({ type: 'pushAnswered', to, revision: answer.val.revision });
-      return;
-    }
-    this.options.metrics.count('mesh.push_failures');
-    this.dispatch({ type: 'pushFailed', to, keys });
-  }
-
-  private async pull(to: string, digest: Digest): Promise<void> {
-    this.options.metrics.count('mesh.pulls');
-    const answer = await this.clients.pull(to, digest);
-    if (answer.ok) {
-      this.dispatch({ type: 'pullAnswered', from: to, batch: this.read(answer.val) });
-      return;
-    }
-    this.options.metrics.count('mesh.pull_failures');
-    this.dispatch({ type: 'pullFailed', from: to });
-  }
-
-  private read(batch: RecordBatch) {
+  private read(batch: RecordBatch): MeshBatch {
     return fromWire(batch, (record) => !isNewer(record, this.state.records.get(record.key)));
   }
 
-  private expect(reply: Answer): number {
-    this.callId += 1;
-    this.answers.set(this.callId, reply);
-    return this.callId;
-  }
-
-  private answer(callId: number, message: never): void {
-    this.answers.get(callId)?.(message);
-    this.answers.delete(callId);
-  }
-
   private announce(records: readonly MeshRecord[]): void {
     this.options.metrics.gauge('mesh.revision', this.state.revision);
     this.options.metrics.gauge('mesh.records', this.state.records.size);
