--- a/bench/configrace/truth.ts
+++ b/bench/configrace/truth.ts
@@ -11,7 +11,7 @@
 }
 
 /** All changes in the order in which the store took them, from its own history. */
-export function truth(model: Pick<StoreModel, 'eventsAfter'>): readonly Taken[] {
+export function truth(model: StoreModel): readonly Taken[] {
   const taken: Taken[] = [];
   for (const { item, revision } of model.eventsAfter('', 0 as Revision) ?? []) {
     const stored = item ? decodeStored(item.value).unwrap() : undefined;
--- a/standin/store/memorystore.ts
+++ b/standin/store/memorystore.ts
@@ -94,7 +94,10 @@
   }
 
   revokeLease(leaseId: string): Promise<Result<void, StoreFailure>> {
-    return this.call('write', () => this.model.revokeLease(leaseId));
+    return this.call('write', () => {
+      this.model.endLease(leaseId);
+      return result.Ok(undefined);
+    });
   }
 
   watch(prefix: string, fromRevision: Revision, tell: (event: WatchEvent) => void): () => void {
