--- a/demo/daemon.ts
+++ b/demo/daemon.ts
@@ -3,6 +3,7 @@
 import { createInterface } from 'node:readline';
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { FailureError } from '../src/base/index.js';
 import { children } from './children.js';
 
 const BIN = join(import.meta.dirname, '..', '..', 'bin', 'tarragonstile.js');
@@ -32,8 +33,13 @@
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     children.add(child);
-    const [line] = (await once(createInterface({ input: child.stdout }), 'line')) as [string];
-    return new Daemon(child, (JSON.parse(line) as { port: number }).port);
+    const lines = createInterface({ input: child.stdout });
+    const line = await Promise.race([
+      once(lines, 'line').then(([first]) => String(first)),
+      once(child, 'exit').then(() => undefined),
+    ]);
+    if (line !== undefined) return new Daemon(child, (JSON.parse(line) as { port: number }).port);
+    throw new FailureError({ type: 'daemon-failed', detail: `${name} ended before it listened.` });
   }
 
   signal(signal: NodeJS.Signals): void {
--- a/demo/load/problemof.ts
+++ b/demo/load/problemof.ts
@@ -12,7 +12,9 @@
     const { type, executed, requestId } = JSON.parse(text) as Problem;
     const reason = type?.replace('urn:tarragonstile:', '');
     if (executed === 'no') return { type: 'refused', tookMs, requestId, reason };
-    if (executed === 'unknown') return { type: 'unknown', tookMs, requestId, reason };
+    // It ran, but its answer is no longer kept: an explicit end without the answer as well.
+    const hasEnd = executed === 'unknown' || executed === 'yes';
+    if (hasEnd) return { type: 'unknown', tookMs, requestId, reason };
   } catch {
     // Not a problem document.
   }
--- a/demo/load/tally.ts
+++ b/demo/load/tally.ts
@@ -52,7 +52,10 @@
 }
 
 /** Counts what became of a load. */
-export function tally(records: readonly Asked[], standIns: StandIns): Tally {
+export function tally(
+  records: readonly Asked[],
+  standIns: Pick<StandIns, 'engines' | 'services' | 'runs'>,
+): Tally {
   const { engines, services } = standIns;
   const keys = new Set(services.flatMap((service) => [...service.allRuns().keys()]));
   const count = (is: (record: Asked) => boolean) => records.filter(is).length;
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -10,6 +10,8 @@
   await keep();
   process.exit(0);
 }
+// An exit ends the children; a signal alone would leave them.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1));
 const [first, second] = deployments;
 const played = await Promise.all([playScenario(first), playScenario(second)]);
 const [{ exitCodes: firstCodes, ...firstTally }, { exitCodes: secondCodes, ...secondTally }] =
--- a/demo/stack.ts
+++ b/demo/stack.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
 import { request } from 'undici';
+import { FailureError } from '../src/base/index.js';
 import { Daemon } from './daemon.js';
 import type { Deployment } from './deployment.js';
 import { documentsOf } from './documentsof.js';
@@ -12,6 +13,7 @@
 
 const ENTRIES = 2;
 const POLL_MS = 50;
+const START_WITHIN_MS = 30_000;
 const HOST_LIST_POLL_MS = 500;
 const DRAIN_MS = 4000;
 
@@ -205,11 +207,13 @@
 
   private async untilOk(url: string, body?: string): Promise<void> {
     const headers = { authorization: `Bearer ${this.keys.other}` };
-    for (;;) {
+    const untilMs = performance.now() + START_WITHIN_MS;
+    while (performance.now() < untilMs) {
       const answer = await request(url, { method: body ? 'POST' : 'GET', headers, body });
       await answer.body.dump();
       if (answer.statusCode === 200) return;
       await wait(POLL_MS);
     }
+    throw new FailureError({ type: 'start-failed', detail: `${url} has no answer.` });
   }
 }
