--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -10,7 +10,10 @@
 type Act =
   | { readonly act: 'send'; readonly entry: number }
   | { readonly act: 'deliver' | 'lose'; readonly message: string }
-  | { readonly act: 'admit' | 'kill-sidecar' | 'kill-entry' | 'cut-store' | 'settle' };
+  | {
+      readonly act:
+        'admit' | 'leave' | 'hand-over' | 'kill-sidecar' | 'kill-entry' | 'cut-store' | 'settle';
+    };
 
 const ACTS: Readonly<Record<Act['act'], (world: World, act: never) => void>> = {
   send: (world, { entry }: { entry: number }) =>
@@ -18,6 +21,8 @@
   deliver: (world, { message }: { message: string }) => world.deliverNamed(message),
   lose: (world, { message }: { message: string }) => world.loseNamed(message),
   admit: (world) => world.admit(64),
+  leave: (world) => world.leave(0),
+  'hand-over': (world) => world.handOver(2),
   'kill-sidecar': (world) => world.kill(0),
   'kill-entry': (world) => world.killEntry(0),
   'cut-store': (world) => world.cutStore(),
@@ -40,6 +45,10 @@
   'sidecar-dead': { at: 'run', acts: [{ act: 'kill-sidecar' }] },
   'entry-dead': { at: 'created', acts: [{ act: 'kill-entry' }] },
   'other-entry': { at: 'retry', acts: [{ act: 'send', entry: 1 }] },
+  'sidecar-stopped': {
+    at: 'retry',
+    acts: [{ act: 'leave' }, { act: 'hand-over' }, { act: 'settle' }, { act: 'send', entry: 1 }],
+  },
   'two-entries': { at: 'first', acts: [{ act: 'send', entry: 1 }] },
 };
 
