--- a/bench/admissioncost.ts
+++ b/bench/admissioncost.ts
@@ -1,24 +1,29 @@
 import { admission, startAdmission, type AdmissionPolicy } from '../src/core/admission/index.js';
+import type { Customer } from '../src/core/document/index.js';
 import { reenvio } from './experiment/index.js';
 
 const QUEUE_LENGTHS = [10, 100, 1000, 10_000];
-const TURNS = 50_000;
+const CUSTOMERS = [10, 1000];
+const TURNS = 30_000;
 const SLOTS = 16;
 
-const { kinds, customers } = reenvio.document;
-const POLICY: AdmissionPolicy = {
+const { kinds } = reenvio.document;
+const POLICY: Omit<AdmissionPolicy, 'customers'> = {
   type: 'engine',
   kinds,
-  customers,
   slots: SLOTS,
   paceGoalMs: 53,
   longJobs: 4,
   queueLimit: 1e9,
 };
 
-/** Keeps so many waiting: each turn offers one request and ends one. */
-function measure(queueLength: number) {
-  const state = startAdmission(POLICY);
+/** Keeps so many waiting, of so many customers: each turn offers one request and ends one. */
+function measure(queueLength: number, customerCount: number) {
+  const customers = Array.from({ length: customerCount }, (_, index) => ({
+    id: `customer-${index}` as Customer['id'],
+    share: 1,
+  }));
+  const state = startAdmission({ ...POLICY, customers });
   let count = 0;
   const offer = (nowMs: number) => {
     count += 1;
@@ -46,6 +51,7 @@
   const perRequestUs = (user + system) / TURNS;
   return {
     queueLength: state.waiting.size,
+    customerCount,
     cpuPerRequestUs: Math.round(perRequestUs * 100) / 100,
     requestsPerCpuSecond: Math.round(1e6 / perRequestUs),
   };
@@ -53,6 +59,9 @@
 
 /** CPU that the admission core takes for one request (offer, first token, end), by length of the queue. */
 export async function admissionCost(): Promise<object> {
-  measure(100);
-  return Promise.resolve({ rows: QUEUE_LENGTHS.map(measure) });
+  measure(100, 10);
+  const rows = CUSTOMERS.flatMap((customers) =>
+    QUEUE_LENGTHS.map((queueLength) => measure(queueLength, customers)),
+  );
+  return Promise.resolve({ rows });
 }
--- /dev/null
+++ b/bench/experiment/createupstreams.ts
@@ -0,0 +1,56 @@
+import type { RunOptions } from './runoptions.js';
+import { SimEngine, type EngineTells } from './simengine.js';
+import type { SimUpstream } from './simupstream.js';
+
+const PACE_GOAL_MS = 53;
+
+/** Builds the upstreams of a run, empty. `tells` is asked for what each engine tells its work to. */
+export function createUpstreams(
+  run: RunOptions,
+  tells: (own: () => SimUpstream) => EngineTells,
+): readonly SimUpstream[] {
+  const { deployment, curve, slotsFactor = 1 } = run;
+  const { document } = deployment;
+  const upstreams: SimUpstream[] = [];
+  for (const group of document.groups) {
+    for (const { id } of group.upstreams) {
+      const index = upstreams.length;
+      const memoryBytes = group.memoryBytes - group.kvCacheReserveBytes;
+      const queue = run.queue({
+        type: group.type,
+        kinds: document.kinds,
+        customers: document.customers,
+        slots: Math.max(1, Math.round(group.slots * (group.type === 'engine' ? slotsFactor : 1))),
+        paceGoalMs: PACE_GOAL_MS,
+        longJobs: document.limits.longJobsPerUpstream,
+        queueLimit: document.limits.queuePerUpstream,
+      });
+      const engine =
+        group.type === 'engine'
+          ? new SimEngine(
+              curve,
+              tells(() => upstreams[index]!),
+            )
+          : undefined;
+      upstreams.push({
+        index,
+        id,
+        group,
+        queue,
+        engine,
+        memoryBytes,
+        freeBytes: memoryBytes,
+        flights: new Map(),
+        residents: new Map(),
+        alive: true,
+        life: 0,
+        wakeAtMs: Infinity,
+        engineDueAtMs: Infinity,
+        running: 0,
+        queued: 0,
+        pacedAtMs: 0,
+      });
+    }
+  }
+  return upstreams;
+}
--- a/bench/experiment/world.ts
+++ b/bench/experiment/world.ts
@@ -1,24 +1,21 @@
 /* eslint no-param-reassign: off -- a simulated world changes its own records in place */
-import { Heap, type AdmissionEffect, type AdmissionEvent } from '../../src/core/admission/index.js';
-import { stepMs } from '../../standin/index.js';
+import { Agenda } from './agenda.js';
 import type { Ask } from './ask.js';
+import { createUpstreams } from './createupstreams.js';
 import type { Fault } from './fault.js';
 import type { Flight } from './flight.js';
-import type { ClusterView, PlacementOrder, PlacementPolicy } from './placementpolicy.js';
+import { Floor } from './floor.js';
+import { Memories } from './memories.js';
+import type { ClusterView, PlacementPolicy } from './placementpolicy.js';
 import { RefusalLog } from './refusallog.js';
 import type { Candidate, RouteOutcome, RoutePolicy } from './routepolicy.js';
 import type { SeenLoad } from './queuepolicy.js';
 import type { RunOptions } from './runoptions.js';
-import { SimEngine } from './simengine.js';
-import type { SimResident, SimUpstream } from './simupstream.js';
+import type { SimUpstream } from './simupstream.js';
 import { Tally } from './tally.js';
-import { WeightQueue, type PendingLoad } from './weightqueue.js';
 
-const PACE_GOAL_MS = 53;
-const PACE_EVERY_MS = 500;
 const MISSING_AGAIN_MS = 1000;
 const DEFAULT_ATTEMPTS = 2;
-const DEFAULT_LAG_MS = 200;
 const NO_RESIDENT = new Set<number>();
 
 interface Entry {
@@ -32,15 +29,16 @@
   askedAtMs: number;
 }
 
-function queuedFirst(a: Flight, b: Flight): number {
-  return Number(a.phase === 'running') - Number(b.phase === 'running');
+/** What was asked of one model since the last plan. */
+interface Demand {
+  asked: number;
+  refused: number;
+  serviceMs: number;
 }
 
 /** Runs policies over a workload in virtual time. */
 export class World {
-  private nowMs = 0;
-
-  private readonly due = new Heap<() => void>();
+  private readonly agenda = new Agenda();
 
   private readonly upstreams: readonly SimUpstream[];
 
@@ -48,23 +46,15 @@
 
   private readonly placement: PlacementPolicy;
 
-  private readonly weights: WeightQueue;
-
-  private readonly sizes: ReadonlyMap<string, number>;
+  private readonly memories: Memories;
 
-  /** What entries believe: which upstreams hold a model. */
-  private readonly ready = new Map<string, Set<number>>();
-
-  private readonly loading = new Map<string, Set<number>>();
+  private readonly floor: Floor;
 
   private readonly parked = new Map<string, Parked>();
 
   private readonly refusedAt = new Map<string, number>();
 
-  private readonly demand = new Map<
-    string,
-    { asked: number; refused: number; serviceMs: number }
-  >();
+  private readonly demand = new Map<string, Demand>();
 
   private readonly logs: readonly RefusalLog[];
 
@@ -72,22 +62,17 @@
 
   private plannerUp = true;
 
-  private storeUp = true;
-
-  private events = 0;
-
   constructor(private readonly options: RunOptions) {
     const { deployment, seed } = options;
-    const { document } = deployment;
     this.tally = new Tally(options.durationMs);
-    this.weights = new WeightQueue(
-      document.weightStore.loadsPerSecond,
-      document.weightStore.parallelLoads,
-    );
-    this.sizes = new Map(document.models.map(({ id, sizeBytes }) => [id, sizeBytes]));
-    this.upstreams = this.createUpstreams();
+    this.upstreams = createUpstreams(options, (own) => ({
+      first: (flight) => this.floor.first(own(), flight),
+      done: (flight) => this.floor.finish(own(), flight),
+    }));
     this.logs = this.upstreams.map(() => new RefusalLog());
-    const zones = [...new Set(document.groups.map((group) => group.availabilityZone))];
+    this.floor = this.createFloor();
+    this.memories = this.createMemories();
+    const zones = [...new Set(deployment.document.groups.map((group) => group.availabilityZone))];
     this.entries = Array.from({ length: deployment.entries }, (_, entry) => ({
       route: options.route({ entry, availabilityZone: zones[entry % zones.length]!, seed }),
       heard: new Map<number, SeenLoad>(),
@@ -97,19 +82,46 @@
 
   run() {
     const begun = process.cpuUsage();
-    for (const order of this.placement.start(this.view())) this.install(order);
+    for (const order of this.placement.start(this.view())) this.memories.install(order);
     this.schedulePlan();
-    for (const fault of this.options.faults ?? []) this.at(fault.atMs, () => this.fail(fault));
-    this.scheduleAsk(0);
-    while (this.due.size > 0) {
-      this.nowMs = this.due.peekKey();
-      this.events += 1;
-      this.due.pop()!();
+    for (const fault of this.options.faults ?? []) {
+      this.agenda.at(fault.atMs, () => this.fail(fault));
     }
+    this.scheduleAsk(0);
+    this.agenda.run();
     const used = process.cpuUsage(begun);
     return this.result((used.user + used.system) / 1e6);
   }
 
+  private createFloor(): Floor {
+    const { options: run, agenda, upstreams, logs, tally } = this;
+    return new Floor({
+      run,
+      agenda,
+      upstreams,
+      logs,
+      tally,
+      memories: () => this.memories,
+      learn: (flight, type, load) => this.learn(flight, type, load),
+      again: (flight, reason) => this.again(flight, reason),
+      served: ({ model }, tookMs) => {
+        if (model) this.demandOf(model).serviceMs += tookMs;
+      },
+    });
+  }
+
+  private createMemories(): Memories {
+    const { options: run, agenda, upstreams, tally } = this;
+    return new Memories({
+      run,
+      agenda,
+      upstreams,
+      tell: (upstream, event) => this.floor.tell(upstream, event),
+      moved: (type, nowMs) => tally.moved(type, nowMs),
+      arrived: (model) => this.unpark(model),
+    });
+  }
+
   private result(cpuSeconds: number) {
     const { groups } = this.options.deployment.document;
     const accelerators = groups.reduce(
@@ -118,7 +130,7 @@
     );
     const summary = this.tally.summary(accelerators);
     const hindsight = { ...this.judge(true), plain: this.judge(false) };
-    return { ...summary, hindsight, events: this.events, cpuSeconds };
+    return { ...summary, hindsight, events: this.agenda.events, cpuSeconds };
   }
 
   /** Whether the refusals of engines, or of plain services, were true. */
@@ -134,16 +146,10 @@
     return { refused, untrue, trueShare: refused > 0 ? 1 - untrue / refused : 1 };
   }
 
-  private at(atMs: number, act: () => void): void {
-    this.due.push(Math.max(atMs, this.nowMs), act);
-  }
-
-  // --- Requests, at the entries ---
-
   private scheduleAsk(index: number): void {
     const ask = this.options.asks[index];
     if (!ask) return;
-    this.at(ask.atMs, () => {
+    this.agenda.at(ask.atMs, () => {
       this.scheduleAsk(index + 1);
       this.arrive(ask, index, false);
     });
@@ -178,9 +184,9 @@
   private route(flight: Flight, reason = 'no-upstream'): void {
     const { heard, route } = this.entries[flight.entry]!;
     const candidates = this.candidates(flight, heard);
-    const choice = route.choose(flight.ask, candidates, this.nowMs);
+    const choice = route.choose(flight.ask, candidates, this.agenda.nowMs);
     if (choice) {
-      this.offer(flight, this.upstreams[choice.index]!);
+      this.floor.offer(flight, this.upstreams[choice.index]!);
       return;
     }
     if (flight.tried.length > 0 || !flight.ask.model) {
@@ -200,8 +206,8 @@
       candidates.push({ index, id, availabilityZone, phase, load: heard.get(index) });
     };
     if (model) {
-      for (const index of this.ready.get(model) ?? NO_RESIDENT) push(index, 'ready');
-      for (const index of this.loading.get(model) ?? NO_RESIDENT) push(index, 'loading');
+      for (const index of this.memories.ready.get(model) ?? NO_RESIDENT) push(index, 'ready');
+      for (const index of this.memories.loading.get(model) ?? NO_RESIDENT) push(index, 'loading');
       return candidates;
     }
     for (const { index, engine } of this.upstreams) if (!engine) push(index, 'ready');
@@ -213,33 +219,25 @@
     const { model } = flight.ask;
     const parked = this.parked.get(model) ?? { flights: new Set<Flight>(), askedAtMs: -Infinity };
     this.parked.set(model, parked);
-    if (this.nowMs - parked.askedAtMs >= MISSING_AGAIN_MS && !this.loading.get(model)?.size) {
-      parked.askedAtMs = this.nowMs;
-      this.order(this.placement.missing(model, this.view(), this.nowMs));
+    if (
+      this.agenda.nowMs - parked.askedAtMs >= MISSING_AGAIN_MS &&
+      !this.memories.loading.get(model)?.size
+    ) {
+      parked.askedAtMs = this.agenda.nowMs;
+      this.memories.order(this.placement.missing(model, this.view(), this.agenda.nowMs));
     }
-    const expected = this.expectedReadyAt(model);
+    const expected = this.memories.expectedReadyAt(model);
     if (expected > flight.deadlineAtMs) {
       this.refuse(flight, 'model-absent');
       return;
     }
     flight.phase = 'parked';
     parked.flights.add(flight);
-    this.at(flight.deadlineAtMs, () => {
+    this.agenda.at(flight.deadlineAtMs, () => {
       if (parked.flights.delete(flight)) this.refuse(flight, 'model-absent');
     });
   }
 
-  private expectedReadyAt(model: string): number {
-    let least = Infinity;
-    for (const upstream of this.upstreams) {
-      const resident = upstream.residents.get(model);
-      if (upstream.alive && resident && resident.phase !== 'unloading') {
-        least = Math.min(least, resident.expectedAtMs);
-      }
-    }
-    return least;
-  }
-
   private unpark(model: string): void {
     const parked = this.parked.get(model);
     if (!parked) return;
@@ -251,350 +249,63 @@
   private refuse(flight: Flight, reason: string): void {
     flight.phase = 'ended';
     if (flight.ask.model) this.noteRefusal(flight.ask.model);
-    this.tally.refused(flight, reason, this.nowMs);
+    this.tally.refused(flight, reason, this.agenda.nowMs);
     if (this.options.comeBack) this.comeBack(flight);
   }
 
   private comeBack({ ask, entry, retryAfterMs, cameBack }: Flight): void {
     if (cameBack || retryAfterMs === 0) return;
-    const again = { ...ask, requestId: `${ask.requestId} again`, atMs: this.nowMs + retryAfterMs };
-    this.at(again.atMs, () => this.arrive(again, entry, true));
+    const again = {
+      ...ask,
+      requestId: `${ask.requestId} again`,
+      atMs: this.agenda.nowMs + retryAfterMs,
+    };
+    this.agenda.at(again.atMs, () => this.arrive(again, entry, true));
   }
 
   private noteRefusal(model: string): void {
     this.demandOf(model).refused += 1;
     const askedAtMs = this.refusedAt.get(model) ?? -Infinity;
-    const busy = (this.loading.get(model)?.size ?? 0) > 0;
-    if (!this.placement.refused || busy || this.nowMs - askedAtMs < MISSING_AGAIN_MS) return;
-    this.refusedAt.set(model, this.nowMs);
-    this.order(this.placement.refused(model, this.view(), this.nowMs));
+    const busy = (this.memories.loading.get(model)?.size ?? 0) > 0;
+    if (!this.placement.refused || busy || this.agenda.nowMs - askedAtMs < MISSING_AGAIN_MS) return;
+    this.refusedAt.set(model, this.agenda.nowMs);
+    this.memories.order(this.placement.refused(model, this.view(), this.agenda.nowMs));
   }
 
   private learn(flight: Flight, type: RouteOutcome['type'], load: SeenLoad | undefined): void {
     const { heard, route } = this.entries[flight.entry]!;
     if (load) heard.set(flight.upstream, load);
-    route.learn({ index: flight.upstream, ask: flight.ask, type, load }, this.nowMs);
+    route.learn({ index: flight.upstream, ask: flight.ask, type, load }, this.agenda.nowMs);
   }
 
   /** An upstream gave the request back unrun. */
   private again(flight: Flight, reason: string): void {
     flight.tried.push(flight.upstream);
     const attempts = this.options.attempts ?? DEFAULT_ATTEMPTS;
-    const late = flight.firstAtMs < 0 && this.nowMs >= flight.deadlineAtMs;
+    const late = flight.firstAtMs < 0 && this.agenda.nowMs >= flight.deadlineAtMs;
     if (late || flight.tried.length >= attempts) this.refuse(flight, reason);
     else this.route(flight, reason);
   }
 
-  // --- Requests, at an upstream ---
-
-  private offer(flight: Flight, upstream: SimUpstream): void {
-    flight.upstream = upstream.index;
-    if (!upstream.alive) {
-      this.learn(flight, 'unreachable', undefined);
-      this.again(flight, 'no-upstream');
-      return;
-    }
-    const { ask } = flight;
-    const resident = upstream.residents.get(ask.model);
-    if (ask.model && (!resident || resident.phase === 'unloading')) {
-      this.learn(flight, 'refused', upstream.queue.load(this.nowMs));
-      this.again(flight, 'model-absent');
-      return;
-    }
-    flight.phase = 'queued';
-    upstream.flights.set(ask.requestId, flight);
-    upstream.queued += 1;
-    this.tell(upstream, {
-      type: 'offered',
-      offer: {
-        requestId: ask.requestId,
-        customer: ask.customer,
-        kind: ask.kind.name,
-        model: ask.model,
-        promptTokens: ask.promptTokens,
-        maxTokens: 0,
-        remainingMs: flight.deadlineAtMs - this.nowMs,
-        resumed: flight.firstAtMs >= 0,
-      },
-    });
-  }
-
-  private tell(upstream: SimUpstream, event: AdmissionEvent): void {
-    for (const effect of upstream.queue.step(event, this.nowMs)) this.act(upstream, effect);
-    this.watchEngine(upstream);
-  }
-
-  private act(upstream: SimUpstream, effect: AdmissionEffect): void {
-    if (effect.type === 'wake') {
-      this.wake(upstream, effect.atMs);
-      return;
-    }
-    const flight = upstream.flights.get(effect.requestId);
-    if (!flight) return;
-    if (effect.type === 'start') this.start(upstream, flight);
-    else if (effect.type === 'refuse') {
-      flight.retryAfterMs = effect.retryAfterMs;
-      this.turnAway(upstream, flight, effect.failure);
-    } else this.preempt(upstream, flight);
-  }
-
-  private wake(upstream: SimUpstream, atMs: number): void {
-    const { life } = upstream;
-    upstream.wakeAtMs = atMs;
-    this.at(atMs, () => {
-      if (upstream.life !== life || upstream.wakeAtMs !== atMs) return;
-      upstream.wakeAtMs = Infinity;
-      this.tell(upstream, { type: 'ticked' });
-    });
-  }
-
-  private start(upstream: SimUpstream, flight: Flight): void {
-    const { ask } = flight;
-    if (upstream.residents.get(ask.model)?.phase === 'loading') {
-      this.turnBack(upstream, flight);
-      return;
-    }
-    flight.phase = 'running';
-    flight.startedAtMs = this.nowMs;
-    flight.madeAtStart = flight.made;
-    upstream.queued -= 1;
-    upstream.running += 1;
-    this.logs[upstream.index]!.started(this.nowMs, ask, flight.deadlineAtMs);
-    if (flight.preemptions === 0) this.tally.waited(flight, this.nowMs - ask.atMs);
-    const resident = upstream.residents.get(ask.model);
-    if (resident) {
-      resident.running += 1;
-      resident.lastUsedAtMs = this.nowMs;
-    }
-    if (upstream.engine) upstream.engine.add(flight, this.nowMs);
-    else this.serve(upstream, flight);
-  }
-
-  /** The queue started a request whose model is not there yet: nothing can run. */
-  private turnBack(upstream: SimUpstream, flight: Flight): void {
-    const { requestId } = flight.ask;
-    upstream.flights.delete(requestId);
-    upstream.queued -= 1;
-    this.tell(upstream, { type: 'released', requestId, outcome: 'cancelled', tokenCount: 0 });
-    this.learn(flight, 'refused', upstream.queue.load(this.nowMs));
-    this.again(flight, 'model-absent');
-  }
-
-  private serve(upstream: SimUpstream, flight: Flight): void {
-    const { life } = upstream;
-    this.at(this.nowMs + flight.ask.serviceMs, () => {
-      if (upstream.life === life) this.finish(upstream, flight);
-    });
-  }
-
-  private turnAway(upstream: SimUpstream, flight: Flight, reason: string): void {
-    upstream.flights.delete(flight.ask.requestId);
-    upstream.queued -= 1;
-    const { ask, deadlineAtMs } = flight;
-    if (reason === 'deadline-unmeetable') {
-      this.logs[upstream.index]!.refuse(this.nowMs, ask, deadlineAtMs, this.leastNeedMs(ask));
-    }
-    this.learn(flight, 'refused', upstream.queue.load(this.nowMs));
-    this.again(flight, reason);
-  }
-
-  private leastNeedMs(ask: Ask): number {
-    if (!ask.model) return ask.serviceMs;
-    const { curve } = this.options;
-    return ask.promptTokens * curve.prefillTokenMs + stepMs(curve, 1);
-  }
-
-  private preempt(upstream: SimUpstream, flight: Flight): void {
-    if (flight.phase !== 'running') return;
-    upstream.engine?.remove(flight, this.nowMs);
-    flight.preemptions += 1;
-    this.tally.preemptions += 1;
-    this.leave(upstream, flight);
-    this.released(upstream, flight, 'preempted');
-    this.offer(flight, upstream);
-  }
-
-  private finish(upstream: SimUpstream, flight: Flight): void {
-    flight.phase = 'ended';
-    this.leave(upstream, flight);
-    this.tally.answered(flight, this.nowMs);
-    if (flight.ask.model) {
-      this.demandOf(flight.ask.model).serviceMs += this.nowMs - flight.startedAtMs;
-    }
-    this.released(upstream, flight, 'answered');
-    this.learn(flight, 'answered', upstream.queue.load(this.nowMs));
-  }
-
-  private leave(upstream: SimUpstream, flight: Flight): void {
-    upstream.flights.delete(flight.ask.requestId);
-    upstream.running -= 1;
-    const resident = upstream.residents.get(flight.ask.model);
-    if (!resident) return;
-    resident.running -= 1;
-    if (resident.phase === 'unloading' && resident.running === 0) {
-      this.removeResident(upstream, resident);
-    }
-  }
-
-  private released(upstream: SimUpstream, flight: Flight, outcome: 'answered' | 'preempted'): void {
-    this.pace(upstream);
-    const tokenCount = flight.made - flight.madeAtStart;
-    this.tell(upstream, { type: 'released', requestId: flight.ask.requestId, outcome, tokenCount });
-    const { running, slots } = upstream.queue.load(this.nowMs);
-    if (upstream.queued === 0 && running < slots) this.logs[upstream.index]!.idle(this.nowMs);
-  }
-
-  private pace(upstream: SimUpstream): void {
-    if (!upstream.engine || this.nowMs - upstream.pacedAtMs < PACE_EVERY_MS) return;
-    upstream.pacedAtMs = this.nowMs;
-    this.tell(upstream, { type: 'paced', ...upstream.engine.takePace() });
-  }
-
-  private watchEngine(upstream: SimUpstream): void {
-    const { engine, life } = upstream;
-    if (!engine || engine.dueAtMs === upstream.engineDueAtMs) return;
-    const atMs = engine.dueAtMs;
-    upstream.engineDueAtMs = atMs;
-    if (atMs === Infinity) return;
-    this.at(atMs, () => {
-      if (upstream.life !== life || upstream.engineDueAtMs !== atMs) return;
-      upstream.engineDueAtMs = -1;
-      engine.turn(this.nowMs);
-      this.watchEngine(upstream);
-    });
-  }
-
-  // --- Models ---
-
-  private order(orders: readonly PlacementOrder[]): void {
-    for (const order of orders) {
-      if (order.type === 'load') this.load(order);
-      else this.unload(order);
-    }
-  }
-
-  private install({ index, model }: PlacementOrder): void {
-    const upstream = this.upstreams[index]!;
-    const sizeBytes = this.sizes.get(model) ?? 0;
-    if (sizeBytes > upstream.freeBytes || upstream.residents.has(model)) return;
-    this.addResident(upstream, model, sizeBytes, 'ready');
-    this.believe(this.ready, model, index, true);
-  }
-
-  private load({ index, model, urgency }: PlacementOrder): void {
-    const upstream = this.upstreams[index]!;
-    const sizeBytes = this.sizes.get(model) ?? 0;
-    const fits = sizeBytes <= upstream.freeBytes && !upstream.residents.has(model);
-    const fenced = this.storeUp || upstream.group.checksFencing;
-    if (!upstream.alive || !upstream.engine || !fits || !fenced) return;
-    const resident = this.addResident(upstream, model, sizeBytes, 'loading');
-    const { loadBytesPerMs } = this.options.curve;
-    const waitMs = this.weights.expectMs(sizeBytes, loadBytesPerMs);
-    resident.expectedAtMs = this.nowMs + waitMs;
-    this.later(() => this.believe(this.loading, model, index, true));
-    this.tell(upstream, { type: 'model', model, phase: 'loading', readyInMs: waitMs });
-    this.weights.add({ index, model, sizeBytes, urgency });
-    this.pullWeights();
-  }
-
-  private addResident(
-    upstream: SimUpstream,
-    model: string,
-    sizeBytes: number,
-    phase: SimResident['phase'],
-  ): SimResident {
-    const resident: SimResident = {
-      model,
-      sizeBytes,
-      phase,
-      lastUsedAtMs: this.nowMs,
-      running: 0,
-      expectedAtMs: this.nowMs,
-    };
-    upstream.residents.set(model, resident);
-    upstream.freeBytes -= sizeBytes;
-    return resident;
-  }
-
-  private pullWeights(): void {
-    for (let load = this.weights.take(this.nowMs); load; load = this.weights.take(this.nowMs)) {
-      const taken = load;
-      const { life } = this.upstreams[load.index]!;
-      const tookMs = load.sizeBytes / this.options.curve.loadBytesPerMs;
-      this.at(this.nowMs + tookMs, () => this.loaded(taken, life));
-    }
-    const retryAtMs = this.weights.retryAtMs(this.nowMs);
-    if (retryAtMs !== Infinity) this.at(retryAtMs, () => this.pullWeights());
-  }
-
-  private loaded({ index, model }: PendingLoad, life: number): void {
-    this.weights.end();
-    const upstream = this.upstreams[index]!;
-    const resident = upstream.residents.get(model);
-    if (upstream.life === life && resident?.phase === 'loading') {
-      resident.phase = 'ready';
-      this.tally.moved('loads', this.nowMs);
-      this.tell(upstream, { type: 'model', model, phase: 'ready', readyInMs: 0 });
-      this.later(() => {
-        this.believe(this.loading, model, index, false);
-        this.believe(this.ready, model, index, upstream.residents.get(model)?.phase === 'ready');
-        this.unpark(model);
-      });
-    }
-    this.pullWeights();
-  }
-
-  private unload({ index, model }: PlacementOrder): void {
-    const upstream = this.upstreams[index]!;
-    const resident = upstream.residents.get(model);
-    if (!upstream.alive || resident?.phase !== 'ready') return;
-    resident.phase = 'unloading';
-    this.later(() => this.believe(this.ready, model, index, false));
-    this.tell(upstream, { type: 'model', model, phase: 'absent', readyInMs: 0 });
-    if (resident.running === 0) this.removeResident(upstream, resident);
-  }
-
-  private removeResident(upstream: SimUpstream, resident: SimResident): void {
-    if (!upstream.residents.delete(resident.model)) return;
-    upstream.freeBytes += resident.sizeBytes;
-    this.tally.moved('unloads', this.nowMs);
-  }
-
-  private later(act: () => void): void {
-    this.at(this.nowMs + (this.options.listLagMs ?? DEFAULT_LAG_MS), act);
-  }
-
-  private believe(
-    where: Map<string, Set<number>>,
-    model: string,
-    index: number,
-    holds: boolean,
-  ): void {
-    const set = where.get(model) ?? new Set<number>();
-    where.set(model, set);
-    if (holds) set.add(index);
-    else set.delete(index);
-  }
-
   private schedulePlan(): void {
-    const atMs = this.nowMs + this.placement.intervalMs;
+    const atMs = this.agenda.nowMs + this.placement.intervalMs;
     if (atMs > this.options.durationMs) return;
-    this.at(atMs, () => {
+    this.agenda.at(atMs, () => {
       this.schedulePlan();
       if (!this.plannerUp) return;
-      const orders = this.placement.plan(this.view(), this.nowMs);
+      const orders = this.placement.plan(this.view(), this.agenda.nowMs);
       for (const demand of this.demand.values()) {
         Object.assign(demand, { asked: 0, refused: 0, serviceMs: 0 });
       }
-      this.order(orders);
+      this.memories.order(orders);
     });
   }
 
   private view(): ClusterView {
     const engines = this.upstreams.filter(({ engine }) => engine);
     return {
-      storeUp: this.storeUp,
-      loadsPending: this.weights.pending,
+      storeUp: this.memories.storeUp,
+      loadsPending: this.memories.pending,
       demand: [...this.demand].map(([model, demand]) => ({
         model,
         askedCount: demand.asked,
@@ -612,14 +323,12 @@
         freeBytes: upstream.freeBytes,
         running: upstream.running,
         queued: upstream.queued,
-        slots: upstream.queue.load(this.nowMs).slots,
+        slots: upstream.queue.load(this.agenda.nowMs).slots,
         residents: [...upstream.residents.values()].map((resident) => ({ ...resident })),
       })),
     };
   }
 
-  // --- Failures ---
-
   private fail(fault: Fault): void {
     const acts: Readonly<Record<Fault['type'], () => void>> = {
       'planner-lost': () => {
@@ -629,12 +338,12 @@
         this.plannerUp = true;
       },
       'store-lost': () => {
-        this.storeUp = false;
+        this.memories.storeUp = false;
       },
       'store-back': () => {
-        this.storeUp = true;
+        this.memories.storeUp = true;
       },
-      'zone-lost': () => this.inZone(fault, (upstream) => this.kill(upstream)),
+      'zone-lost': () => this.inZone(fault, (upstream) => this.lose(upstream)),
       'zone-back': () =>
         this.inZone(fault, (upstream) => {
           Object.assign(upstream, { alive: true });
@@ -654,39 +363,6 @@
     }
   }
 
-  private kill(upstream: SimUpstream): void {
-    const flights = [...upstream.flights.values()].sort(queuedFirst);
-    upstream.engine?.crash();
-    for (const { requestId } of flights.map(({ ask }) => ask)) {
-      const running = upstream.flights.get(requestId)?.phase === 'running';
-      upstream.queue.step(
-        running
-          ? { type: 'released', requestId, outcome: 'broken', tokenCount: 0 }
-          : { type: 'abandoned', requestId },
-        this.nowMs,
-      );
-    }
-    Object.assign(upstream, { alive: false, life: upstream.life + 1, running: 0, queued: 0 });
-    Object.assign(upstream, { wakeAtMs: Infinity, engineDueAtMs: Infinity });
-    upstream.freeBytes = upstream.memoryBytes;
-    this.weights.drop(upstream.index);
-    const models = [...upstream.residents.keys()];
-    upstream.residents.clear();
-    upstream.flights.clear();
-    this.later(() => {
-      for (const model of models) {
-        this.believe(
-          this.ready,
-          model,
-          upstream.index,
-          upstream.residents.get(model)?.phase === 'ready',
-        );
-        this.believe(this.loading, model, upstream.index, false);
-      }
-    });
-    for (const flight of flights) this.orphan(flight);
-  }
-
   /** Its upstream has died: what is repeatable goes on elsewhere. */
   private orphan(flight: Flight): void {
     this.learn(flight, 'broken', undefined);
@@ -695,60 +371,10 @@
       return;
     }
     flight.phase = 'ended';
-    this.tally.lost(flight, this.nowMs);
+    this.tally.lost(flight, this.agenda.nowMs);
   }
 
-  private createUpstreams(): readonly SimUpstream[] {
-    const { deployment, curve, slotsFactor = 1 } = this.options;
-    const { document } = deployment;
-    const tells = (own: () => SimUpstream) => ({
-      first: (flight: Flight) => {
-        flight.firstAtMs = this.nowMs;
-        this.tell(own(), { type: 'answering', requestId: flight.ask.requestId });
-      },
-      done: (flight: Flight) => this.finish(own(), flight),
-    });
-    const upstreams: SimUpstream[] = [];
-    for (const group of document.groups) {
-      for (const { id } of group.upstreams) {
-        const index = upstreams.length;
-        const memoryBytes = group.memoryBytes - group.kvCacheReserveBytes;
-        const queue = this.options.queue({
-          type: group.type,
-          kinds: document.kinds,
-          customers: document.customers,
-          slots: Math.max(1, Math.round(group.slots * (group.type === 'engine' ? slotsFactor : 1))),
-          paceGoalMs: PACE_GOAL_MS,
-          longJobs: document.limits.longJobsPerUpstream,
-          queueLimit: document.limits.queuePerUpstream,
-        });
-        const engine =
-          group.type === 'engine'
-            ? new SimEngine(
-                curve,
-                tells(() => upstreams[index]!),
-              )
-            : undefined;
-        upstreams.push({
-          index,
-          id,
-          group,
-          queue,
-          engine,
-          memoryBytes,
-          freeBytes: memoryBytes,
-          flights: new Map(),
-          residents: new Map(),
-          alive: true,
-          life: 0,
-          wakeAtMs: Infinity,
-          engineDueAtMs: Infinity,
-          running: 0,
-          queued: 0,
-          pacedAtMs: 0,
-        });
-      }
-    }
-    return upstreams;
+  private lose(upstream: SimUpstream): void {
+    for (const flight of this.floor.kill(upstream)) this.orphan(flight);
   }
 }
