--- a/src/core/residency/onrescue.ts
+++ b/src/core/residency/onrescue.ts
@@ -90,5 +90,11 @@
   const missing = desired.filter(({ key }) => !state.ledger.holdings.has(key));
   const bytes = missing.reduce((sum, { sizeBytes }) => sum + sizeBytes, 0);
   const estimatedReadyMs = Math.ceil(bytes / state.loadBytesPerMs);
-  return { state: { ...state, rescues }, effects: [{ type: 'rescue-accepted', estimatedReadyMs }] };
+  // Asked for counts as used: else what nobody has reached yet would be the first to go again.
+  const lastUsedAtMs = new Map(state.lastUsedAtMs);
+  for (const { key } of desired) lastUsedAtMs.set(key, nowMs);
+  return {
+    state: { ...state, rescues, lastUsedAtMs },
+    effects: [{ type: 'rescue-accepted', estimatedReadyMs }],
+  };
 }
--- a/test/residency.test.ts
+++ b/test/residency.test.ts
@@ -60,6 +60,22 @@
   bed.end();
 });
 
+test('what was rescued does not go before what was used earlier', async (t) => {
+  const bed = new ResidencyBed(new MemoryStore(), true);
+  await bed.pass(1500);
+  bed.plan(['c']);
+  await bed.pass(3000);
+  const unpin = bed.residency.pin('c', '');
+  if (unpin.ok) unpin.val();
+  await bed.pass(1000);
+  t.true(bed.rescue('a').accepted);
+  await bed.pass(70_000);
+  t.true(bed.rescue('b', ['a', 'c']).accepted);
+  await bed.pass(5000);
+  t.deepEqual(bed.ready(), ['a', 'b']);
+  bed.end();
+});
+
 test('a rescue evicts only what others hold, and what nobody uses', async (t) => {
   const bed = new ResidencyBed(new MemoryStore(), true);
   await bed.pass(1500);
