An entry that has not caught up refuses with catching-up, not with 401

Cause: only /readyz knew; a caller whom the balancer sent too early was told that no service knows its key, which the entry could not tell. Now callers' paths answer 503 catching-up, executed no, Retry-After 1, until the entry has caught up; and an entry whose wait is over with nothing in hand does not count as caught up. Test inforce: an entry whose store nobody answers; before, the same request got 401.

Ruled out: holding the request until the entry has caught up, since its deadline is not known before its document is.

--- a/src/entry/handler/routes.ts
+++ b/src/entry/handler/routes.ts
@@ -5,6 +5,7 @@
 import { issueTicket } from './issueticket.js';
 import { listModels } from './listmodels.js';
 import { notFound } from './notfound.js';
+import { onceCaughtUp } from './oncecaughtup.js';
 import { passThrough } from './passthrough.js';
 import { readiness } from './readiness.js';
 import { status } from './status.js';
@@ -19,11 +20,11 @@
 
 /** Every path that an entry answers; the first match wins. */
 export const routes: readonly PathRoute[] = [
-  { method: 'POST', path: '/v1/chat/completions', handler: generate },
-  { method: 'POST', path: '/v1/completions', handler: generate },
-  { method: 'GET', path: '/v1/models', handler: listModels },
-  { method: 'POST', path: '/v1/tickets', handler: issueTicket },
-  { method: '', path: '/services/**', handler: passThrough },
+  { method: 'POST', path: '/v1/chat/completions', handler: onceCaughtUp(generate) },
+  { method: 'POST', path: '/v1/completions', handler: onceCaughtUp(generate) },
+  { method: 'GET', path: '/v1/models', handler: onceCaughtUp(listModels) },
+  { method: 'POST', path: '/v1/tickets', handler: onceCaughtUp(issueTicket) },
+  { method: '', path: '/services/**', handler: onceCaughtUp(passThrough) },
   { method: 'GET', path: '/healthz', handler: health },
   { method: 'GET', path: '/readyz', handler: readiness },
   { method: 'GET', path: '/statusz', handler: status },
--- a/src/shell/board/board.ts
+++ b/src/shell/board/board.ts
@@ -21,6 +21,6 @@
   revisionAt(sidecarAddress: string): Revision;
   /** Tells the board of a revision seen on a call, so that a laggard asks for what it lacks. */
   sawRevision(revision: Revision, fromAddress: string): void;
-  /** False until this process has caught up with its peers, or its bounded wait has passed. */
+  /** False until this process has caught up with its peers, or waited long enough and holds something. */
   caughtUp(): boolean;
 }
--- a/src/shell/mesh/meshboard.ts
+++ b/src/shell/mesh/meshboard.ts
@@ -151,7 +151,8 @@
 
   caughtUp(): boolean {
     const { phase } = this.state.catchUp;
-    return phase === 'current' || phase === 'uncertain';
+    // With nothing in hand there is nothing to serve, however long the wait was.
+    return phase === 'current' || (phase === 'uncertain' && this.state.revision > 0);
   }
 
   status(): BoardStatus {
--- a/test/inforce.test.ts
+++ b/test/inforce.test.ts
@@ -9,6 +9,8 @@
 const REST = { drainTimeoutMs: 2000, statsd: null, slots: 4 };
 const POLL_MS = 10;
 const TOKENS = 400;
+/** Nobody listens here. */
+const NOBODY = 'http://127.0.0.1:1';
 
 function generate(url: string, key: string, model: string) {
   return request(`${url}/v1/completions`, {
@@ -103,3 +105,24 @@
   hostList.close();
   await storeServer.close();
 });
+
+test('an entry that has not caught up says so, and runs nothing', async (t) => {
+  const entry = await startEntry({
+    ...PLACE,
+    drainTimeoutMs: 1000,
+    hostId: 'entry-1',
+    listen: { host: '127.0.0.1', port: 0 },
+    bodyBytes: 100_000,
+    store: { urls: [NOBODY], readsPerSecond: 20, writesPerSecond: 10, timeoutMs: 100 },
+  });
+  const url = `http://127.0.0.1:${entry.port}`;
+  const answer = await generate(url, 'any-key', 'notice-1');
+  t.is(answer.statusCode, 503);
+  t.is(answer.headers['retry-after'], '1');
+  const { type, executed } = (await answer.body.json()) as { type: string; executed: string };
+  t.deepEqual({ type, executed }, { type: 'urn:tarragonstile:catching-up', executed: 'no' });
+  const ready = await request(`${url}/readyz`);
+  t.is(ready.statusCode, 503);
+  await ready.body.dump();
+  await entry.stop();
+});
