What an entry named as held elsewhere is forgotten with its rescue

A rescue carries the models that others hold, so that they may make room. The sidecar kept that word until the next rescue came, however long: a plan's load could then evict the last replica on it. The new test failed with b in place of a (a was evicted 70 s after it was named), and passes now that the word ends with the rescue.

--- a/bench/ledgercheck/world.ts
+++ b/bench/ledgercheck/world.ts
@@ -156,6 +156,7 @@
       { weight: 3, name: 'hearReport', act: (choice) => this.hearReport(choice) },
       { weight: 2, name: 'restart', act: () => this.restart() },
       { weight: 5, name: 'plan', act: (choice) => this.plan(choice) },
+      { weight: 2, name: 'rescue', act: (choice) => this.rescue(choice) },
       { weight: 1, name: 'changeDocument', act: (choice) => this.changeDocument(choice) },
       { weight: 2, name: 'pin', act: (choice) => this.pin(choice) },
       { weight: 1, name: 'unpin', act: (choice) => this.unpin(choice) },
@@ -352,6 +353,14 @@
     sidecar.take({ type: 'plan', upstream: 'u', plan }, this.nowMs);
   }
 
+  private rescue(choice: number): void {
+    const names = [...MODELS.keys()];
+    const model = names[Math.floor(choice / SIDECARS) % names.length] ?? '';
+    const adapter = model === 'c' && choice % 2 === 0 ? 'x' : '';
+    const replicas = names.filter((_, bit) => Math.floor(choice / 32 / 2 ** bit) % 2 === 1);
+    this.awake(choice)?.take({ type: 'rescue', model, adapter, replicas }, this.nowMs);
+  }
+
   private pin(choice: number): void {
     const model = [...MODELS.keys()][choice % MODELS.size] ?? '';
     this.awake(Math.floor(choice / 3))?.take({ type: 'pin', model, adapter: '' }, this.nowMs);
--- a/src/core/residency/stepresidency.ts
+++ b/src/core/residency/stepresidency.ts
@@ -29,6 +29,8 @@
 const attemptsOf = (intents: readonly Intent[]) =>
   new Map(intents.map(({ order, attempt }) => [order.orderId, attempt]));
 
+const NOBODY: ReadonlySet<string> = new Set();
+
 const plain = (state: ResidencyState): Changed => ({ state, effects: [] });
 
 function answered(
@@ -77,7 +79,10 @@
   leave: (state) => ({ state: { ...state, isLeaving: true }, effects: [{ type: 'changed' }] }),
   tick(state, _event, nowMs) {
     const live = [...state.rescues].filter(([, { untilMs }]) => untilMs > nowMs);
-    return plain(live.length < state.rescues.size ? { ...state, rescues: new Map(live) } : state);
+    // What entries said of replicas is true for a while only.
+    const replicas = live.length > 0 ? state.replicas : NOBODY;
+    if (live.length === state.rescues.size && replicas === state.replicas) return plain(state);
+    return plain({ ...state, rescues: new Map(live), replicas });
   },
 };
 
--- a/test/residency.test.ts
+++ b/test/residency.test.ts
@@ -94,6 +94,19 @@
   bed.end();
 });
 
+test('what an entry said of replicas is forgotten with the rescue it came with', async (t) => {
+  const bed = new ResidencyBed(new MemoryStore(), true);
+  await bed.pass(1500);
+  bed.rescue('a');
+  await bed.pass(3000);
+  t.true(bed.rescue('c', ['a']).accepted);
+  await bed.pass(70_000);
+  bed.plan(['b'], ['a', 'c']);
+  await bed.pass(3000);
+  t.deepEqual(bed.ready(), ['a', 'c']);
+  bed.end();
+});
+
 test('without an incarnation nothing is ordered, and what is resident is served', async (t) => {
   const bed = new ResidencyBed(absentStore, true);
   await bed.pass(2000);
