--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, readdirSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
@@ -85,3 +85,39 @@
   const { loaded } = load(SIDECAR.replace('127.0.0.1:0', '[::1]:7000'));
   t.like(loaded.unwrap(), { slots: 16, drainTimeoutMs: 30_000, logLevel: 'info', peerTls: null });
 });
+
+/** A schema, as far as its fields and their defaults go. */
+interface Fields {
+  readonly default?: unknown;
+  readonly properties?: Readonly<Record<string, Fields>>;
+}
+
+function fieldsOf({ properties = {} }: Fields, prefix = ''): readonly [string, unknown][] {
+  return Object.entries(properties).flatMap(([name, field]) =>
+    field.properties
+      ? fieldsOf(field, `${prefix}${name}.`)
+      : [[`${prefix}${name}`, field.default] as [string, unknown]],
+  );
+}
+
+test('the page on settings lists every field with its default, and no other', (t) => {
+  const page = join(ROOT, '..', 'docs', 'operators', 'settings.md');
+  const table = readFileSync(page, 'utf8').split('## All fields')[1] ?? '';
+  const rows = table.split('\n').filter((line) => line.startsWith('| `'));
+  const listed = new Map<string, string>();
+  for (const row of rows) {
+    const [, names = '', , values = ''] = row.split(' | ').join('|').split('|');
+    const fields = [...names.matchAll(/`([^`]+)`/g)].map(([, name]) => name!);
+    const defaults = values.split(', ');
+    for (const [index, field] of fields.entries()) {
+      listed.set(field, defaults[index] ?? defaults.at(-1) ?? '');
+    }
+  }
+  const fields = [entrySchema, sidecarSchema].flatMap((schema) => fieldsOf(schema as Fields));
+  t.deepEqual([...listed.keys()].sort(), [...new Set(fields.map(([name]) => name))].sort());
+  for (const [field, value] of fields) {
+    if (value !== undefined && value !== null) {
+      t.is(listed.get(field)?.trim(), String(value), field);
+    }
+  }
+});
