An entry asks upstreams in doubt whether they are back

Cause: routing avoids a suspect and the planner counts it as lost, so neither calls it; a sidecar whose record does not change (no demand, no moves) gave no sign either, and an upstream that had been frozen for a moment stayed out until chance brought a record.

Ruled out: confirming by the host list (it lags, and lists frozen hosts as live).

--- a/src/entry/routing/policyrouter.ts
+++ b/src/entry/routing/policyrouter.ts
@@ -19,6 +19,7 @@
 import { declaredOf } from './declaredof.js';
 import { HostWatch } from './hostwatch.js';
 import { ServiceRouting } from './servicerouting.js';
+import { SuspectProbe } from './suspectprobe.js';
 
 const UPSTREAMS = 'upstream/';
 const RESCUE_TIMEOUT_MS = 2_000;
@@ -31,12 +32,19 @@
 
   private readonly hosts: HostWatch | undefined;
 
+  private readonly probe: SuspectProbe;
+
   private readonly stopListening: () => void;
 
   constructor(
     private readonly context: Context,
     private readonly directory: Directory,
   ) {
+    this.probe = new SuspectProbe(
+      context,
+      ({ service, upstream }) => this.phases(service).get(upstream) === 'suspect',
+      ({ service, upstream }, type) => this.hear(service, { type, upstream }),
+    );
     this.stopListening = context.board.onChange(UPSTREAMS, (record) => this.adopt(record));
     this.refresh();
     this.hosts = this.watchHosts();
@@ -69,6 +77,7 @@
   close(): void {
     this.stopListening();
     this.hosts?.stop();
+    this.probe.stop();
     for (const service of this.services.values()) service.stop();
   }
 
@@ -125,6 +134,15 @@
   private tellMember(service: ServiceId, upstream: UpstreamId, from: string, to: string): void {
     this.context.log.info('upstream changed', { service, upstream, from, to });
     this.context.metrics.count('member.changed', 1, { from, to });
+    if (to !== 'suspect') return;
+    const sidecarAddress = this.addressOf(service, upstream);
+    if (sidecarAddress) this.probe.begin({ service, upstream, sidecarAddress });
+  }
+
+  private addressOf(service: ServiceId, upstream: UpstreamId): string | undefined {
+    const document = this.directory.documents().find((each) => each.service === service);
+    const upstreams = (document?.groups ?? []).flatMap((group) => group.upstreams);
+    return upstreams.find(({ id }) => id === upstream)?.sidecarAddress;
   }
 
   private askRescue(
