The region in a document's key: relays list and watch their own region only

Cause: every relay watched the documents of all 11 regions.

The key is /tarragonstile/services/{region}/{service}, made and read in src/core/acceptance/servicekey.ts. apply takes the region from the document; a changed region is refused (region-changed), as the old key would stay.

The mesh test expected a foreign document's revision at the entries; it now expects that they do not hear of it, after a later own document has come.

Ruled out: dropping foreign documents in the relay (the bytes have come in already); a list of services a region beside the documents (two writes a change); moving by a transaction (the audit chain is one key's).

Left: first documents of one name in two regions at the same moment do not see each other; no command takes a document out of the store.

--- a/bench/configcost.ts
+++ b/bench/configcost.ts
@@ -81,6 +81,7 @@
     const text = JSON.stringify({ ...document, placement }, null, INDENT);
     const wanted: Change = {
       service,
+      region: document.region,
       changeId: `c${movePenalty}` as ChangeId,
       expectedRevision: (movePenalty === 1 ? 0 : movePenalty) as Revision,
       source: { type: 'text', text, file: 'f.jsonc' },
@@ -102,7 +103,7 @@
     adapters: document.adapters.length,
     upstreams: document.groups.flatMap(({ upstreams }) => upstreams).length,
     documentBytes: Buffer.byteLength(text),
-    valueBytes: Buffer.byteLength(store.model.get(serviceKey(service))?.value ?? ''),
+    valueBytes: Buffer.byteLength(store.model.get(serviceKey.of(document))?.value ?? ''),
     checkMs: await medianMs(CHANGES, () => checkDocument(text, { file: 'f.jsonc' }).unwrap()),
     readMs: await medianMs(CHANGES, () => readDocument(text).unwrap()),
     changeMs,
--- a/bench/configrace/operator.ts
+++ b/bench/configrace/operator.ts
@@ -13,6 +13,8 @@
 import type { RaceOptions } from './raceoptions.js';
 
 const SERVICE = 'padron' as ServiceId;
+const REGION = 'cantabrico';
+const KEY = serviceKey.of({ region: REGION, service: SERVICE });
 const LONGEST_THOUGHT_MS = 40;
 
 /** Where an operator works, and where it notes what it was told. */
@@ -41,16 +43,17 @@
       clock.after(uniformInt(generator, 1, longestMs), resolve);
     });
   for (let change = index; change < options.changes; change += options.operators) {
-    let seen = await store.get(serviceKey(SERVICE));
+    let seen = await store.get(KEY);
     while (seen.err) {
       await pause(LONGEST_THOUGHT_MS);
-      seen = await store.get(serviceKey(SERVICE));
+      seen = await store.get(KEY);
     }
     const item = seen.val;
     const stored = item ? decodeStored(item.value).unwrap() : undefined;
     await pause(LONGEST_THOUGHT_MS);
     const wanted: Change = {
       service: SERVICE,
+      region: REGION,
       changeId: `${name}-${change}` as ChangeId,
       expectedRevision: item?.revision ?? (0 as Revision),
       source: { type: 'text', text: edit(stored?.document ?? firstText, change), file: name },
--- a/bench/meshcost.ts
+++ b/bench/meshcost.ts
@@ -1,5 +1,6 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
+import { serviceKey } from '../src/core/acceptance/index.js';
 import type { BoardRecord } from '../src/shell/board/index.js';
 import { UpstreamRecord } from '../src/wire/index.js';
 import { Cluster } from './mesh/cluster.js';
@@ -15,6 +16,8 @@
 const RECORD_INTERVAL_MS = 60_000;
 const BURST_MS = 100;
 const RESIDENT_COUNT = 5;
+const OWN_REGION = 'cantabrico';
+const OTHER_REGIONS = 10;
 const GIGABYTE = 1_000_000_000;
 
 function recordOf(index: number, sequence: number): BoardRecord {
@@ -81,6 +84,26 @@
   return { nodeCount: 64, idle, changing };
 }
 
+/** One relay, while the documents of all regions change in turn at the rate of the whole plan. */
+async function regions(): Promise<object> {
+  const cluster = await Cluster.start({ entryCount: 1 });
+  const names = [OWN_REGION, ...Array.from({ length: OTHER_REGIONS }, (_, at) => `region-${at}`)];
+  for (const name of names) await cluster.write(name);
+  await cluster.pause(2000);
+  const { model } = cluster.store;
+  const valueBytes = Buffer.byteLength(
+    model.list(serviceKey.under(OWN_REGION)).items[0]?.value ?? '',
+  );
+  const spent = await meter(cluster, async () => {
+    for (const name of names) {
+      await cluster.write(name);
+      await cluster.pause(CHANGE_INTERVAL_MS);
+    }
+  });
+  await cluster.close();
+  return { regionCount: names.length, valueBytes, ...spent };
+}
+
 /** Every upstream's record changes once a minute; each entry is told of its share of them. */
 async function upstreams(count: number): Promise<object> {
   const cluster = await Cluster.start({ entryCount: REGION_ENTRIES });
@@ -103,10 +126,21 @@
   return { upstreamCount: count, spreadToAll, recordBytes, heapBytesPerRecord, ...spent };
 }
 
-/** Bytes, processor time and memory that the dissemination takes from each node. */
-export async function meshCost(): Promise<object> {
+/**
+ * Bytes, processor time and memory that the dissemination takes from each node. The argument `regions`
+ * measures only what a relay hears of the store.
+ */
+export async function meshCost([only]: readonly string[] = []): Promise<object> {
+  const ofRegions = await regions();
+  if (only === 'regions') return { changeIntervalMs: CHANGE_INTERVAL_MS, ofRegions };
   const ofDocuments = await documents();
   const ofUpstreams: object[] = [];
   for (const count of UPSTREAM_COUNTS) ofUpstreams.push(await upstreams(count));
-  return { phaseMs: PHASE_MS, ofDocuments, recordIntervalMs: RECORD_INTERVAL_MS, ofUpstreams };
+  return {
+    phaseMs: PHASE_MS,
+    ofRegions,
+    ofDocuments,
+    recordIntervalMs: RECORD_INTERVAL_MS,
+    ofUpstreams,
+  };
 }
--- a/src/command/apply.ts
+++ b/src/command/apply.ts
@@ -16,6 +16,6 @@
     const checked = checkFile(args.file, {});
     if (checked.err) return this.stop(checked.val);
     const { text, document } = checked.val;
-    return this.change(flags, document.service, { type: 'text', text, file: args.file });
+    return this.change(flags, document, { type: 'text', text, file: args.file });
   }
 }
--- a/src/command/check.ts
+++ b/src/command/check.ts
@@ -1,5 +1,4 @@
 import { Args } from '@oclif/core';
-import type { ServiceId } from '../base/index.js';
 import { readDocument, type ServiceDocument } from '../core/document/index.js';
 import { checkFile } from './operator/checkfile.js';
 import { OperatorCommand } from './operator/operatorcommand.js';
@@ -18,7 +17,7 @@
     const { document } = alone.val;
     const settings = this.settingsFrom(flags);
     const team = settings.team ?? undefined;
-    const previous = settings.store ? await this.inForce(flags, document.service) : undefined;
+    const previous = settings.store ? await this.inForce(flags, document) : undefined;
     const checked = checkFile(args.file, { previous, team });
     if (checked.err) return this.stop(checked.val);
     const { service, models, adapters, groups } = document;
@@ -33,9 +32,9 @@
 
   private async inForce(
     flags: Parameters<CheckCommand['storeFrom']>[0],
-    service: ServiceId,
+    { service, region }: ServiceDocument,
   ): Promise<ServiceDocument | undefined> {
-    const held = await this.held(this.storeFrom(flags), service);
+    const held = await this.held(this.storeFrom(flags), service, region);
     const document = held ? readDocument(held.stored.document) : undefined;
     return document?.ok ? document.val : undefined;
   }
--- a/src/command/diff.ts
+++ b/src/command/diff.ts
@@ -14,13 +14,13 @@
     const checked = checkFile(args.file, {});
     if (checked.err) return this.stop(checked.val);
     const { text, document } = checked.val;
-    const { service } = document;
-    const held = await this.held(this.storeFrom(flags), service);
+    const { service, region } = document;
+    const held = await this.held(this.storeFrom(flags), service, region);
     const revision = held?.revision ?? 0;
     const theirs = held ? normalise(held.stored.document) : '';
     const diff = formatDiff(theirs, normalise(text));
-    this.logToStderr(`${service} is at revision ${revision}`);
+    this.logToStderr(`${service} (${region}) is at revision ${revision}`);
     this.log(diff === '' ? 'no difference' : diff);
-    return { service, revision, diff };
+    return { service, region, revision, diff };
   }
 }
--- a/src/command/operator/changecommand.ts
+++ b/src/command/operator/changecommand.ts
@@ -9,7 +9,9 @@
 import {
   createAcceptance,
   decodeStored,
+  rejections,
   serviceKey,
+  type AcceptanceFailure,
   type Accepted,
   type Change,
 } from '../../core/acceptance/index.js';
@@ -43,6 +45,7 @@
 /** What a changing command tells. */
 interface Told extends Accepted {
   readonly service: ServiceId;
+  readonly region: string;
   /** Processes that have the change in force, if it was waited for. */
   readonly inForce?: readonly string[];
   /** Upstreams of the document whose sidecars no entry knows of. */
@@ -62,15 +65,20 @@
 export abstract class ChangeCommand extends OperatorCommand {
   protected async change(
     flags: ChangeFlags,
-    service: ServiceId,
+    { service, region }: Pick<Change, 'service' | 'region'>,
     source: Change['source'],
   ): Promise<Told> {
     const settings = this.settingsFrom(flags);
     if (flags.wait && settings.entries.length === 0) {
       this.error('--wait needs entries: give --entry or a settings file', { exit: 2 });
     }
+    const store = createStore(settings.store, systemClock);
+    const isNew = flags.expect === 0;
+    const ownerElsewhere = isNew ? await this.ownerElsewhere(store, service, region) : undefined;
     const change: Change = {
       service,
+      region,
+      ownerElsewhere,
       source,
       changeId: (flags['change-id'] ?? newChangeId()) as ChangeId,
       expectedRevision: flags.expect as Revision,
@@ -80,7 +88,6 @@
       atMs: systemClock.wallMs(),
     };
     const log = createLog('operator', 'info');
-    const store = createStore(settings.store, systemClock);
     const outcome = await acceptChange(createAcceptance(change, sha256), {
       store,
       clock: systemClock,
@@ -88,11 +95,42 @@
         for (const entry of entries) log.info('audit entry leaves the store', { service, entry });
       },
     });
-    if (outcome.err) return this.stop(outcome.val);
+    if (outcome.err) return this.refused(store, change, outcome.val);
     const { revision, changeId } = outcome.val;
     this.log(`${service} is accepted at revision ${revision}, change ${changeId}`);
-    if (!flags.wait) return { service, ...outcome.val };
-    return this.waited(store, settings.entries, flags['wait-ms'], { service, ...outcome.val });
+    if (!flags.wait) return { service, region, ...outcome.val };
+    return this.waited(store, settings.entries, flags['wait-ms'], {
+      service,
+      region,
+      ...outcome.val,
+    });
+  }
+
+  /** Owner of the service's documents in other regions. */
+  private async ownerElsewhere(
+    store: KeyValueStore,
+    service: ServiceId,
+    region: string,
+  ): Promise<string | undefined> {
+    const others = await this.holders(store, service);
+    const other = others.find((held) => held.region !== region);
+    const document = other ? readDocument(other.stored.document) : undefined;
+    return document?.ok ? document.val.owner : undefined;
+  }
+
+  /** Ends a change that was not accepted; one that would have moved its document says so. */
+  private async refused(
+    store: KeyValueStore,
+    { service, region }: Change,
+    failure: AcceptanceFailure,
+  ): Promise<never> {
+    if (failure.type !== 'revision-conflict' || failure.currentRevision > 0) {
+      return this.stop(failure);
+    }
+    const others = await this.holders(store, service);
+    const other = others.find((held) => held.region !== region);
+    if (!other) return this.stop(failure);
+    return this.stop(rejections.regionChanged({ service, region: other.region }, region));
   }
 
   /** Waits for an accepted change; whatever fails here, the change stays accepted. */
@@ -106,6 +144,9 @@
     const document = await this.documentOf(store, accepted);
     const awaited = { service, region: document.region, revision };
     const places = await awaitInForce(entries, awaited, waitMs, systemClock);
+    if (places.length === 0) {
+      return this.notEverywhere(accepted, `none of the entries given is of ${document.region}`);
+    }
     const inForce = places.filter((place) => place.inForce).map(({ process }) => process);
     const unheard = upstreamsOf(document).filter(
       (upstream) => !places.some(({ process }) => process === upstream),
@@ -121,7 +162,7 @@
   }
 
   private async documentOf(store: KeyValueStore, accepted: Told): Promise<ServiceDocument> {
-    const got = await store.get(serviceKey(accepted.service));
+    const got = await store.get(serviceKey.of(accepted));
     if (got.err) return this.notEverywhere(accepted, got.val.detail);
     const stored = decodeStored(got.val?.value ?? '');
     if (stored.err) return this.notEverywhere(accepted, stored.val.detail);
--- a/src/command/operator/operatorcommand.ts
+++ b/src/command/operator/operatorcommand.ts
@@ -9,7 +9,7 @@
   type ServiceId,
 } from '../../base/index.js';
 import { decodeStored, serviceKey, type StoredService } from '../../core/acceptance/index.js';
-import type { KeyValueStore } from '../../port/index.js';
+import type { KeyValue, KeyValueStore } from '../../port/index.js';
 import { loadSettings } from '../../shell/settings/index.js';
 import { createStore } from '../../shell/store/index.js';
 import { exitCodeOf } from './exitcodes.js';
@@ -20,6 +20,7 @@
 
 /** A service as the store holds it. */
 interface Held {
+  readonly region: string;
   readonly revision: Revision;
   readonly stored: StoredService;
 }
@@ -72,20 +73,54 @@
     return createStore(this.settingsFrom(flags).store, systemClock);
   }
 
-  /** The service's value in the store, or undefined if there is none. */
-  protected async held(store: KeyValueStore, service: ServiceId): Promise<Held | undefined> {
-    const got = await store.get(serviceKey(service));
+  /** The service's value in the store for a region, or undefined if there is none. */
+  protected async held(
+    store: KeyValueStore,
+    service: ServiceId,
+    region: string,
+  ): Promise<Held | undefined> {
+    const got = await store.get(serviceKey.of({ region, service }));
     if (got.err) return this.stop(got.val);
-    if (!got.val) return undefined;
-    const stored = decodeStored(got.val.value);
-    if (stored.err) return this.stop(stored.val);
-    return { revision: got.val.revision, stored: stored.val };
+    return got.val ? this.heldIn(region, got.val) : undefined;
+  }
+
+  /** The service's values in all regions; reads all documents of the store. */
+  protected async holders(store: KeyValueStore, service: ServiceId): Promise<readonly Held[]> {
+    const listed = await store.list(serviceKey.all);
+    if (listed.err) return this.stop(listed.val);
+    return listed.val.items.flatMap((item) => {
+      const place = serviceKey.read(item.key);
+      return place?.service === service ? [this.heldIn(place.region, item)] : [];
+    });
   }
 
-  protected async mustHold(store: KeyValueStore, service: ServiceId): Promise<Held> {
-    const held = await this.held(store, service);
-    if (held) return held;
-    return this.stop({ type: 'service-unknown', detail: `The store holds no service ${service}.` });
+  /** The service's value in the region that is given, or else in the only one that has it. */
+  protected async mustHold(
+    store: KeyValueStore,
+    service: ServiceId,
+    region: string | undefined,
+  ): Promise<Held> {
+    const given = region === undefined ? undefined : await this.held(store, service, region);
+    const found = given ? [given] : await this.holders(store, service);
+    const regions = found.map((held) => held.region).join(', ');
+    const [only] = found;
+    if (!only) {
+      const detail = `The store holds no service ${service}.`;
+      return this.stop({ type: 'service-unknown', detail });
+    }
+    if (region !== undefined && !given) {
+      const detail = `The store holds no service ${service} in ${region}; it is in ${regions}.`;
+      return this.stop({ type: 'service-unknown', detail });
+    }
+    if (found.length === 1) return only;
+    const detail = `${service} is in ${found.length} regions: ${regions}. Name one with --region.`;
+    return this.stop({ type: 'region-ambiguous', detail });
+  }
+
+  private heldIn(region: string, { value, revision }: KeyValue): Held {
+    const stored = decodeStored(value);
+    if (stored.err) return this.stop(stored.val);
+    return { region, revision, stored: stored.val };
   }
 
   protected operatorName(): string {
--- a/src/command/operator/progress.ts
+++ b/src/command/operator/progress.ts
@@ -5,7 +5,7 @@
 /** A change that is waited for. */
 interface Awaited {
   readonly service: string;
-  /** Region of the document; entries of others hold only its revision. */
+  /** Region of the document; entries of others do not hear of it. */
   readonly region: string;
   readonly revision: Revision;
 }
@@ -15,9 +15,8 @@
     const { url, detail } = report;
     return { process: url, region: '', revision: 0, inForce: false, detail };
   }
-  const { hostId, region, documents, revision: highest } = report.status;
-  const own = documents.find(({ service }) => service === awaited.service)?.revision ?? 0;
-  const revision = region === awaited.region ? own : highest;
+  const { hostId, region, documents } = report.status;
+  const revision = documents.find(({ service }) => service === awaited.service)?.revision ?? 0;
   return { process: hostId, region, revision, inForce: revision >= awaited.revision };
 }
 
@@ -36,8 +35,14 @@
   return [...newest.values()];
 }
 
-/** Where a revision is in force: at each entry, and at each sidecar that the entries know of. */
+/**
+ * Where a revision is in force: at each entry of the document's region, or of none that is known, and at
+ * each sidecar that these know of.
+ */
 export function progress(reports: readonly EntryReport[], awaited: Awaited): readonly Place[] {
-  const entries = reports.map((report) => entryPlace(report, awaited));
-  return [...entries, ...sidecarPlaces(reports, awaited)];
+  const concerned = reports.filter(
+    (report) => report.type === 'unreachable' || report.status.region === awaited.region,
+  );
+  const entries = concerned.map((report) => entryPlace(report, awaited));
+  return [...entries, ...sidecarPlaces(concerned, awaited)];
 }
--- a/src/command/rollback.ts
+++ b/src/command/rollback.ts
@@ -2,6 +2,7 @@
 import type { ChangeId, ServiceId } from '../base/index.js';
 import { changeFlags } from './operator/changeflags.js';
 import { ChangeCommand } from './operator/changecommand.js';
+import { regionFlag } from './operator/regionflag.js';
 
 /** `tarragonstile rollback`: a new change with the text of an old one. */
 export default class RollbackCommand extends ChangeCommand {
@@ -11,12 +12,15 @@
 
   static override flags = {
     ...changeFlags,
+    ...regionFlag,
     to: Flags.string({ required: true, description: 'change whose document is wanted back' }),
   };
 
   async run(): Promise<unknown> {
     const { args, flags } = await this.parse(RollbackCommand);
     const source = { type: 'rollback' as const, to: flags.to as ChangeId };
-    return this.change(flags, args.service as ServiceId, source);
+    const service = args.service as ServiceId;
+    const { region } = await this.mustHold(this.storeFrom(flags), service, flags.region);
+    return this.change(flags, { service, region }, source);
   }
 }
--- a/src/command/status.ts
+++ b/src/command/status.ts
@@ -1,11 +1,17 @@
-import type { ServiceId } from '../base/index.js';
 import { serviceKey } from '../core/acceptance/index.js';
 import { askEntries, type EntryReport } from '../shell/entries/index.js';
 import { OperatorCommand } from './operator/operatorcommand.js';
 
+/** A service's document in the store. */
+interface Held {
+  readonly service: string;
+  readonly region: string;
+  readonly revision: number;
+}
+
 /** A service's revision in the store, or why it is not known. */
 type StoreView =
-  | { readonly type: 'read'; readonly services: Readonly<Record<string, number>> }
+  | { readonly type: 'read'; readonly services: readonly Held[] }
   | { readonly type: 'unread'; readonly detail: string };
 
 /** `tarragonstile status`: which process is at which revision. */
@@ -23,14 +29,13 @@
   }
 
   private async readStore(flags: Parameters<StatusCommand['storeFrom']>[0]): Promise<StoreView> {
-    const prefix = serviceKey('' as ServiceId);
-    const listed = await this.storeFrom(flags).list(prefix);
+    const listed = await this.storeFrom(flags).list(serviceKey.all);
     if (listed.err) return { type: 'unread', detail: listed.val.detail };
-    const services = listed.val.items.map(({ key, revision }) => [
-      key.slice(prefix.length),
-      Number(revision),
-    ]);
-    return { type: 'read', services: Object.fromEntries(services) as Record<string, number> };
+    const services = listed.val.items.flatMap(({ key, revision }) => {
+      const place = serviceKey.read(key);
+      return place ? [{ ...place, revision: Number(revision) }] : [];
+    });
+    return { type: 'read', services };
   }
 
   private tellStore(store: StoreView): void {
@@ -38,8 +43,8 @@
       this.log(`store: ${store.detail}`);
       return;
     }
-    for (const [service, revision] of Object.entries(store.services)) {
-      this.log(`store: ${service} at revision ${revision}`);
+    for (const { service, region, revision } of store.services) {
+      this.log(`store: ${service} (${region}) at revision ${revision}`);
     }
   }
 
--- a/src/core/acceptance/acceptancefailure.ts
+++ b/src/core/acceptance/acceptancefailure.ts
@@ -26,6 +26,7 @@
   | (Failure & {
       readonly type:
         | 'service-unknown'
+        | 'region-changed'
         | 'change-not-kept'
         | 'change-id-reused'
         | 'stored-value-unreadable'
--- a/src/core/acceptance/change.ts
+++ b/src/core/acceptance/change.ts
@@ -3,6 +3,10 @@
 /** What an operator asks for. */
 export interface Change {
   readonly service: ServiceId;
+  /** Region that the document is kept for; its text has to name the same. */
+  readonly region: string;
+  /** Owner of the service's documents in other regions, if it has any. */
+  readonly ownerElsewhere?: string;
   readonly changeId: ChangeId;
   /** Revision that the operator has seen; 0 for a service that is not there yet. */
   readonly expectedRevision: Revision;
--- a/src/core/acceptance/index.ts
+++ b/src/core/acceptance/index.ts
@@ -8,6 +8,7 @@
 export { createAcceptance } from './createacceptance.js';
 export { decodeStored } from './decodestored.js';
 export { oldText } from './oldtext.js';
+export { rejections } from './rejections.js';
 export { serviceKey } from './servicekey.js';
 export { stepAcceptance } from './stepacceptance.js';
 export type { StoredService } from './storedservice.js';
--- a/src/core/acceptance/propose.ts
+++ b/src/core/acceptance/propose.ts
@@ -37,12 +37,17 @@
   before: StoredService | undefined,
 ): Result<string, AcceptanceFailure> {
   const previous = before ? readDocument(before.document) : undefined;
-  const context = { file, team: change.team, previous: previous?.ok ? previous.val : undefined };
+  const { team, ownerElsewhere } = change;
+  const context = { file, team, ownerElsewhere, previous: previous?.ok ? previous.val : undefined };
   const document = checkDocument(text, context);
   if (document.err) return result.Err(rejections.documentRefused(document.val));
-  if (document.val.service === change.service) return result.Ok(text);
-  const detail = `${file} is the document of ${document.val.service}, not of ${change.service}.`;
-  return result.Err({ type: 'service-unknown', detail });
+  const { service, region } = document.val;
+  if (service !== change.service) {
+    const detail = `${file} is the document of ${service}, not of ${change.service}.`;
+    return result.Err({ type: 'service-unknown', detail });
+  }
+  if (region === change.region) return result.Ok(text);
+  return result.Err(rejections.regionChanged(change, region));
 }
 
 /** Works out the swap that makes a change, from the value that it is based on. */
@@ -63,7 +68,8 @@
     const detail = `The document takes more than ${VALUE_LIMIT_BYTES} bytes with its audit entries.`;
     return result.Err({ type: 'document-too-large', detail });
   }
-  const { expectedRevision, service } = state.change;
-  const swap = { key: serviceKey(service), expectedRevision, value };
+  const { change } = state;
+  const { expectedRevision } = change;
+  const swap = { key: serviceKey.of(change), expectedRevision, value };
   return result.Ok({ state: { ...state, swap, entry }, dropped });
 }
--- a/src/core/acceptance/rejections.ts
+++ b/src/core/acceptance/rejections.ts
@@ -3,6 +3,7 @@
 import { formatDiff, normalise } from '../text/index.js';
 import type { AcceptanceFailure } from './acceptancefailure.js';
 import type { AcceptanceState } from './acceptancestate.js';
+import type { Change } from './change.js';
 import { decodeStored } from './decodestored.js';
 
 function conflict({ change }: AcceptanceState, item: KeyValue | undefined): AcceptanceFailure {
@@ -42,5 +43,22 @@
   return { type: 'change-id-reused', detail };
 }
 
+function regionChanged(
+  { service, region }: Pick<Change, 'service' | 'region'>,
+  wanted: string,
+): AcceptanceFailure {
+  const detail =
+    `${service} is in force in ${region}, and the document names ${wanted}; nothing was changed. ` +
+    `A document stays in its region; one for ${wanted} is a new one (--expect 0).`;
+  return { type: 'region-changed', detail };
+}
+
 /** The reasons for which a change is not accepted, worded for the operator. */
-export const rejections = { conflict, documentRefused, notMade, unknown, changeIdReused };
+export const rejections = {
+  conflict,
+  documentRefused,
+  notMade,
+  unknown,
+  changeIdReused,
+  regionChanged,
+};
--- a/src/core/acceptance/stepacceptance.ts
+++ b/src/core/acceptance/stepacceptance.ts
@@ -43,7 +43,7 @@
 }
 
 function readNow(state: AcceptanceState): Next {
-  return { state, effects: [{ type: 'read', key: serviceKey(state.change.service) }] };
+  return { state, effects: [{ type: 'read', key: serviceKey.of(state.change) }] };
 }
 
 /**
