--- a/bench/experiment/report/page.ts
+++ b/bench/experiment/report/page.ts
@@ -69,7 +69,7 @@
     '<style>body{font-family:sans-serif;max-width:1200px;margin:2em auto}',
     'main{display:grid;grid-template-columns:1fr 1fr;gap:1em}figure{margin:0}</style>',
     `<h1>Policies under load</h1><p>From <code>${command}</code>. Medians over the seeds; the figures`,
-    'are in policy.json beside this page, their meaning in docs/POLICY.md.</p><main>',
+    'are in policy.json beside this page, their meaning in docs/POLICY-QUEUES.md.</p><main>',
     ...sweeps.map(sweepCharts),
     ...times.map(timeCharts),
     '</main>',
