A request that nobody else can serve goes once more to one that failed it

Where no other is left, those that failed it (not those that refused it) are now let in once more after 100 ms, if the request may run again or has certainly not run. The router counts it as a retry, so its budget bounds it. Ruled out: to forget failed upstreams at once, as others should be tried first.

--- a/src/core/attempt/attempteffect.ts
+++ b/src/core/attempt/attempteffect.ts
@@ -7,6 +7,8 @@
       readonly type: 'choose';
       readonly tried: readonly UpstreamId[];
       readonly remainingMs: Ms;
+      /** Time to wait before. */
+      readonly afterMs: Ms;
     }
   | {
       readonly type: 'ask';
--- a/src/core/attempt/attemptstate.ts
+++ b/src/core/attempt/attemptstate.ts
@@ -10,6 +10,10 @@
   readonly upstream: UpstreamId | undefined;
   /** Upstreams that refused or failed it. */
   readonly tried: readonly UpstreamId[];
+  /** True if the last attempt failed, rather than that the request was turned away. */
+  readonly hasFailed: boolean;
+  /** True once the upstreams that failed it have been let in for a second time. */
+  readonly again: boolean;
   /** How each attempt ended that gave no whole answer, in order. */
   readonly refusals: readonly Refusal[];
   /** True once the caller has been sent a part of the answer. */
--- a/src/core/attempt/startattempt.ts
+++ b/src/core/attempt/startattempt.ts
@@ -16,10 +16,12 @@
     attempt: 0,
     upstream: undefined,
     tried: [],
+    hasFailed: false,
+    again: false,
     refusals: [],
     passed: false,
     attemptLimit: ATTEMPT_LIMIT,
   };
   const remainingMs = remaining(state, nowMs);
-  return { state, effects: [{ type: 'choose', tried: [], remainingMs }] };
+  return { state, effects: [{ type: 'choose', tried: [], remainingMs, afterMs: 0 }] };
 }
--- a/src/core/attempt/stepattempt.ts
+++ b/src/core/attempt/stepattempt.ts
@@ -4,9 +4,13 @@
 import type { AttemptEvent } from './attemptevent.js';
 import type { AttemptState } from './attemptstate.js';
 import { judge } from './judge.js';
+import { mayStartAgain } from './maystartagain.js';
 import { nextPhase } from './nextphase.js';
 import { remaining } from './remaining.js';
 
+/** Wait before a request goes to an upstream that has failed it. */
+const AGAIN_AFTER_MS = 100;
+
 type Changed = Change<AttemptState, AttemptEffect>;
 type Handler<Type extends AttemptEvent['type']> = (
   state: AttemptState,
@@ -30,7 +34,15 @@
   const { upstream, bound, tried } = state;
   const next = upstream === undefined || bound ? tried : [...tried, upstream];
   const remainingMs = remaining(state, nowMs);
-  return take(state, step, [{ type: 'choose', tried: next, remainingMs }], { tried: next });
+  const effect: AttemptEffect = { type: 'choose', tried: next, remainingMs, afterMs: 0 };
+  return take(state, step, [effect], { tried: next });
+}
+
+/** Lets those in again that failed it, a moment later: a sidecar may be back, a cut may not recur. */
+function startAgain(state: AttemptState, nowMs: number): Changed {
+  const remainingMs = Math.max(0, remaining(state, nowMs) - AGAIN_AFTER_MS);
+  const effect: AttemptEffect = { type: 'choose', tried: [], remainingMs, afterMs: AGAIN_AFTER_MS };
+  return take(state, 'again', [effect], { tried: [], again: true });
 }
 
 function ended(
@@ -41,7 +53,8 @@
   const refusals = [...state.refusals, event.refusal];
   const step = judge(state, event, nowMs);
   if (step === 'fail') return take(state, step, [{ type: 'fail', refusals }], { refusals });
-  return chooseAgain({ ...state, refusals }, step, nowMs);
+  const hasFailed = event.type === 'broken' || event.refusal.executed !== Executed.EXECUTED_NO;
+  return chooseAgain({ ...state, refusals, hasFailed }, step, nowMs);
 }
 
 const HANDLERS: { readonly [Type in AttemptEvent['type']]: Handler<Type> } = {
@@ -52,7 +65,8 @@
     const effect: AttemptEffect = { type: 'ask', upstream, attempt, continued, remainingMs };
     return take(state, 'ask', [effect], { attempt, upstream });
   },
-  unchosen: (state, { refusal }) => {
+  unchosen: (state, { refusal }, nowMs) => {
+    if (mayStartAgain(state, nowMs)) return startAgain(state, nowMs);
     // A sidecar's own word tells the caller more than "no upstream is left".
     const refusals = state.refusals.length > 0 ? state.refusals : [refusal];
     return take(state, 'fail', [{ type: 'fail', refusals }], { refusals });
--- a/src/core/routing/onwant.ts
+++ b/src/core/routing/onwant.ts
@@ -32,9 +32,13 @@
   });
 };
 
+function isRetry({ tried, again }: RouteWant): boolean {
+  return tried.length > 0 || again === true;
+}
+
 /** Retries are kept to a share of the answers, so that an outage does not multiply the load. */
 const withinBudget: Attempt = (state, want) => {
-  if (want.tried.length === 0 || state.retryTokens >= 1) return undefined;
+  if (!isRetry(want) || state.retryTokens >= 1) return undefined;
   return turnAway(state, want, {
     type: 'retry-budget-spent',
     detail: 'Too many requests fail at present for this one to be tried again.',
@@ -121,7 +125,7 @@
 ];
 
 function spendRetry(state: RoutingState, want: RouteWant): RoutingState {
-  if (want.tried.length === 0 || state.retryTokens < 1) return state;
+  if (!isRetry(want) || state.retryTokens < 1) return state;
   return { ...state, retryTokens: state.retryTokens - 1 };
 }
 
--- a/src/core/routing/routewant.ts
+++ b/src/core/routing/routewant.ts
@@ -10,6 +10,8 @@
   readonly remainingMs: Ms;
   /** Upstreams that have already refused or failed this request. */
   readonly tried: readonly UpstreamId[];
+  /** True when those that failed this request are let in again: a retry, though `tried` is empty. */
+  readonly again?: boolean;
   /** Set when a ticket binds the request to one upstream. */
   readonly bound?: { readonly upstream: UpstreamId; readonly incarnation: Incarnation };
 }
--- a/src/entry/part/want.ts
+++ b/src/entry/part/want.ts
@@ -9,6 +9,8 @@
   readonly remainingMs: number;
   /** Upstreams that have already refused or failed this request. */
   readonly tried: readonly UpstreamId[];
+  /** True when those that failed this request are let in again: a retry, though `tried` is empty. */
+  readonly again?: boolean;
   /** Set when a ticket binds the request to one upstream. */
   readonly bound?: { readonly upstream: UpstreamId; readonly incarnation: Incarnation };
 }
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -58,7 +58,7 @@
   private readonly effects: {
     readonly [Type in AttemptEffect['type']]: (effect: Effect<Type>) => void;
   } = {
-    choose: (effect) => this.choose(effect),
+    choose: (effect) => this.chooseLater(effect),
     ask: (effect) => this.ask(effect),
     cancel: () => this.cancel(),
     finish: () => this.finish(),
@@ -141,10 +141,18 @@
     this.expire(refuse('deadline-passed', 'The deadline passed before an upstream was free.'));
   }
 
+  private chooseLater(effect: Effect<'choose'>): void {
+    if (effect.afterMs > 0) this.desk.clock.after(effect.afterMs, () => this.choose(effect));
+    else this.choose(effect);
+  }
+
   private choose({ tried, remainingMs }: Effect<'choose'>): void {
+    if (this.state.phase !== 'choosing') return;
+
     const { binding, requestId, target, head } = this.work;
     const { prefixHash } = head;
-    this.want = { requestId, target, prefixHash, remainingMs, tried };
+    const { again } = this.state;
+    this.want = { requestId, target, prefixHash, remainingMs, tried, again };
     if (binding.type === 'bound') {
       this.chooseBound(binding);
       return;
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -77,6 +77,28 @@
   t.is(play(t, 'attempt-bound', events)(start).phase, 'failed');
 });
 
+test('golden: with nobody else left, one that failed it is asked again, once', (t) => {
+  const none = refuse('no-upstream', 'None left.');
+  const events: AttemptEvent[] = [
+    chosen('a'),
+    { type: 'broken', refusal: cut, continuable: false },
+    { type: 'unchosen', refusal: none },
+    chosen('a'),
+    { type: 'broken', refusal: cut, continuable: false },
+    { type: 'unchosen', refusal: none },
+  ];
+  t.is(play(t, 'attempt-again', events)(begin()).phase, 'failed');
+});
+
+test('golden: one that refused it is not asked again', (t) => {
+  const events: AttemptEvent[] = [
+    chosen('a'),
+    { type: 'refused', refusal: full },
+    { type: 'unchosen', refusal: refuse('no-upstream', 'None left.') },
+  ];
+  t.is(play(t, 'attempt-refused-last', events)(begin()).phase, 'failed');
+});
+
 test('golden: a caller that leaves cancels, and what comes later changes nothing', (t) => {
   const events: AttemptEvent[] = [
     chosen('a'),
--- a/test/pathsession.test.ts
+++ b/test/pathsession.test.ts
@@ -264,6 +264,17 @@
   seen.check(t, 'path-plain');
 });
 
+test('a lookup whose only upstream broke off is asked again there', async (t) => {
+  const service = new FakeService({ faults: fixedFaults([{ type: 'cut', afterTokens: 0 }]) });
+  const rig = await openRig({ upstreams: [{ url: await service.listen(), type: 'plain' }] });
+  const answer = await rig.ask('/services/redactor/addresses/7', undefined);
+  t.is(answer.statusCode, 200);
+  t.deepEqual(await answer.body.json(), { found: '/addresses/7' });
+  t.is(service.ran, 2);
+  await rig.close();
+  service.close();
+});
+
 test('limits on what is in flight are refused with a type and a time', async (t) => {
   const seen = new Transcript();
   const limits = { inFlightPerCustomer: 1 };
