A planned stop hands KV caches of unfinished streams to other sidecars

Cause: a stream that outlasted drainTimeoutMs was continued elsewhere from its text, and the next engine had to prefill prompt and answer again, though engines offer export and import of the KV cache.

At the bound, and not earlier, repeatable streams are stopped; their caches are exported, the longest first, and sent to the least loaded sidecar that has the model and adapter ready (new call ImportCache). The typed end names it (AnswerEnd.candidates, field 5) and the entry's routing takes it as the hint that refusals give already. Bounds: cacheHandOverBytes (64 MiB), 2 s. Whatever fails leaves what was before: continued from the text. Describe now tells the present load. A sidecar's board has no records of its peers, so they are asked (up to 32).

The stand-in engine counts prefilled tokens and lets a generation use a cache imported under its id, if the blocks of the prompt are the same.

Ruled out: exporting during the drain (what can finish here finishes), asking every sidecar of a large service.

--- a/bench/path/source.ts
+++ b/bench/path/source.ts
@@ -25,7 +25,7 @@
 function end({ outlet, finish }: Stream): void {
   outlet.send({ $case: 'data', value: { payload: DONE, tokenCount: 0 } });
   const dataCount = options.tokens + 1;
-  const value = { dataCount, failure: '', load: undefined, resumeToken: '' };
+  const value = { dataCount, failure: '', load: undefined, resumeToken: '', candidates: [] };
   outlet.send({ $case: 'end', value });
   finish();
 }
--- /dev/null
+++ b/src/core/handover/handoverphase.ts
@@ -0,0 +1,2 @@
+/** A state of handover.chart.json. */
+export type HandOverPhase = 'waiting' | 'exporting' | 'sending' | 'settled';
--- /dev/null
+++ b/src/core/handover/index.ts
@@ -0,0 +1,9 @@
+/** Hand-over of KV caches on a planned stop: which sessions, to whom, in what order, and when not. */
+export type { HandOverEffect } from './handovereffect.js';
+export type { HandOverEvent } from './handoverevent.js';
+export type { HandOverState } from './handoverstate.js';
+export type { Holder } from './holder.js';
+export { idleHandOver } from './idlehandover.js';
+export type { Limits } from './limits.js';
+export type { Session } from './session.js';
+export { stepHandOver } from './stephandover.js';
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -219,9 +219,10 @@
     this.pace.took(payload, free);
   }
 
-  private end({ failure, load }: AnswerEnd): void {
+  private end({ failure, load, candidates }: AnswerEnd): void {
     if (failure) {
-      this.broken({ ...refuse(failure, 'The answer broke off.', UNKNOWN), load }, 'broken');
+      const refusal = refuse(failure, 'The answer broke off.', { ...UNKNOWN, candidates });
+      this.broken({ ...refusal, load }, 'broken');
       return;
     }
     this.learn('answered', { load });
--- a/src/port/engine.ts
+++ b/src/port/engine.ts
@@ -24,6 +24,7 @@
   order(order: Order): Promise<Result<void, EngineFailure>>;
   report(): Promise<Result<EngineReport, EngineFailure>>;
   cacheEvents(afterSequence: number): Promise<Result<CacheEvents, EngineFailure>>;
-  exportCache(requestId: RequestId): Promise<Result<Uint8Array, EngineFailure>>;
+  /** Gives nothing where the cache is larger than the limit. */
+  exportCache(requestId: RequestId, limitBytes: number): Promise<Result<Uint8Array, EngineFailure>>;
   importCache(requestId: RequestId, cache: Uint8Array): Promise<Result<void, EngineFailure>>;
 }
--- a/src/shell/engine/httpengine.ts
+++ b/src/shell/engine/httpengine.ts
@@ -13,6 +13,7 @@
 import { continuedBody } from './continuedbody.js';
 import { engineAnswer } from './engineanswer.js';
 import { failureOf } from './failureof.js';
+import { readWithin } from './readwithin.js';
 
 const ADMIN_TIMEOUT_MS = 2000;
 
@@ -59,8 +60,11 @@
     return answer.map((body) => JSON.parse(body.toString()) as CacheEvents);
   }
 
-  exportCache(requestId: RequestId): Promise<Result<Uint8Array, EngineFailure>> {
-    return this.admin('GET', `/admin/requests/${requestId}/cache`);
+  exportCache(
+    requestId: RequestId,
+    limitBytes: number,
+  ): Promise<Result<Uint8Array, EngineFailure>> {
+    return this.admin('GET', `/admin/requests/${requestId}/cache`, undefined, limitBytes);
   }
 
   async importCache(requestId: RequestId, cache: Uint8Array): Promise<Result<void, EngineFailure>> {
@@ -108,12 +112,17 @@
     method: Dispatcher.HttpMethod,
     path: string,
     body?: string | Uint8Array,
+    limitBytes = Infinity,
   ): Promise<Result<Buffer, EngineFailure>> {
     const signal = AbortSignal.timeout(ADMIN_TIMEOUT_MS);
     try {
       const headers = { 'content-type': 'application/json' };
       const response = await this.pool.request({ method, path, body, headers, signal });
-      const answer = Buffer.from(await response.body.arrayBuffer());
+      const answer = await readWithin(response.body, limitBytes);
+      if (!answer) {
+        const detail = `The answer is larger than ${limitBytes} bytes.`;
+        return result.Err({ type: 'upstream-unsupported', detail, executed: 'no' });
+      }
       if (response.statusCode < 300) return result.Ok(answer);
       const type = response.statusCode === 412 ? 'upstream-fenced' : 'upstream-refused';
       return result.Err({ type, detail: answer.toString().slice(0, 200), executed: 'no' });
--- a/src/sidecar/door.ts
+++ b/src/sidecar/door.ts
@@ -1,10 +1,16 @@
-import { settle } from '../base/index.js';
+import { settle, type UpstreamId } from '../base/index.js';
+import type { Session } from '../core/handover/index.js';
 import { refuse } from '../core/refusal/index.js';
 import { Executed, type RequestHead } from '../wire/index.js';
 import type { Outlet } from './outlet.js';
 import { Work } from './work.js';
 import type { WorkContext } from './workcontext.js';
 
+/** Where each session is continued best, by request. */
+type HandOver = (
+  sessions: readonly Session[],
+) => ReadonlyMap<string, Promise<readonly UpstreamId[]>>;
+
 /** The only way to the upstream. Knows all that is in flight, and ends it on a planned stop. */
 export class Door {
   private readonly live = new Set<Work>();
@@ -51,10 +57,16 @@
     });
   }
 
-  /** Gives everything in flight a typed end now. */
-  expire(): void {
+  /**
+   * Stops everything in flight now. Each has its typed end at once, but for those that `handOver` takes:
+   * theirs waits for where they are continued.
+   */
+  expire(handOver: HandOver = () => new Map()): void {
+    const sessions = [...this.live].flatMap((work) => work.session() ?? []);
+    const places = handOver(sessions);
     for (const work of this.live) {
-      work.expire(refuse('upstream-leaving', 'This upstream stopped before the answer was whole.'));
+      const detail = 'This upstream stopped before the answer was whole.';
+      work.expire(refuse('upstream-leaving', detail), places.get(work.requestId));
     }
   }
 }
--- a/src/sidecar/replay.ts
+++ b/src/sidecar/replay.ts
@@ -26,6 +26,6 @@
     await outlet.ready();
   }
   const dataCount = answer.pieceBytes.length;
-  const value = { dataCount, failure: '', load: undefined, resumeToken: '' };
+  const value = { dataCount, failure: '', load: undefined, resumeToken: '', candidates: [] };
   outlet.send({ $case: 'end', value });
 }
--- a/src/sidecar/sidecarschema.ts
+++ b/src/sidecar/sidecarschema.ts
@@ -31,6 +31,7 @@
     upstreamType: { type: 'string', enum: ['engine', 'plain'], default: 'engine' },
     logLevel: fieldSchemas.logLevel,
     drainTimeoutMs: fieldSchemas.drainTimeoutMs,
+    cacheHandOverBytes: { type: 'integer', minimum: 0, default: 67_108_864 } as never,
     slots: { type: 'integer', minimum: 1, default: 16 },
     statsd: statsdSchema as never,
     hostList: hostListSchema as never,
--- a/src/sidecar/sidecarsettings.ts
+++ b/src/sidecar/sidecarsettings.ts
@@ -17,6 +17,8 @@
   readonly logLevel: string;
   /** How long a planned stop may wait for what is in flight. */
   readonly drainTimeoutMs: number;
+  /** Most bytes of KV cache that a planned stop hands on; 0 for none. Defaults to 64 MiB. */
+  readonly cacheHandOverBytes?: number;
   readonly slots: number;
   readonly statsd: { readonly host: string; readonly port: number } | null;
   /** The platform's list of hosts; without it this sidecar has no peers and gets no document. */
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -8,6 +8,7 @@
 import { describe } from './describe.js';
 import { Door } from './door.js';
 import { Exchanges } from './exchanges.js';
+import { CacheHandOver, takeCache } from './handover/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 import { stopSidecar } from './stopsidecar.js';
 import { createParts } from './wiring/createparts.js';
@@ -35,15 +36,19 @@
   const parts = createParts(context);
   const upstreamCall = engine ? callEngine(engine) : callService(service);
   const door = new Door({ ...context, call: upstreamCall, parts });
+  const handOver = new CacheHandOver(context);
   const exchanges = new Exchanges(door, context.board);
   const server = new Server(channelOptions.server);
   const handlers: WorkServer = {
     exchange: (stream) => exchanges.open(stream),
     issueTicket: (call, reply) => reply(null, parts.runOnce.issue(call.request)),
     handOver: (call, reply) => reply(null, parts.runOnce.adopt(call.request)),
+    importCache: (call, reply) => {
+      void takeCache(context, parts.residency, call.request).then((taken) => reply(null, taken));
+    },
     place: (call, reply) => reply(null, parts.residency.place(call.request)),
     rescue: (call, reply) => reply(null, parts.residency.rescue(call.request)),
-    describe: (_call, reply) => reply(null, describe(context)),
+    describe: (_call, reply) => reply(null, describe(context, parts.admission.load())),
   };
   server.addService(WorkService, handlers);
   server.addService(MeshService, context.board.handlers());
@@ -56,7 +61,7 @@
   context.log.info('listening', { port, upstream: settings.upstream });
   let stopped: Promise<void> | undefined;
   const stop = async () => {
-    await stopSidecar({ context, parts, door, exchanges, server });
+    await stopSidecar({ context, parts, door, handOver, exchanges, server });
     context.close();
     await engine?.close();
     await service.close();
@@ -67,6 +72,9 @@
       stopped ??= stop();
       return stopped;
     },
-    expire: () => door.expire(),
+    expire() {
+      handOver.giveUp();
+      door.expire();
+    },
   };
 }
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -1,5 +1,12 @@
 import type { Result } from 'ts-results';
-import { result, type Executed as ExecutedWord } from '../base/index.js';
+import {
+  result,
+  type AdapterId,
+  type Executed as ExecutedWord,
+  type ModelId,
+  type RequestId,
+} from '../base/index.js';
+import type { Session } from '../core/handover/index.js';
 import { refuse } from '../core/refusal/index.js';
 import type { EngineFailure } from '../port/index.js';
 import { Executed, type Refusal, type RequestHead } from '../wire/index.js';
@@ -29,6 +36,9 @@
 
   private readonly recorder: Recorder;
 
+  /** Upstreams that are to go on with what a stop has cut off. */
+  private places: Promise<readonly string[]> | undefined;
+
   private started = false;
 
   private tokenCount = 0;
@@ -44,7 +54,7 @@
 
   constructor(
     private readonly context: WorkContext,
-    private readonly requestId: string,
+    readonly requestId: string,
     private readonly head: RequestHead,
     private readonly outlet: Outlet,
   ) {
@@ -72,16 +82,33 @@
       record({ type: 'unknown' });
       throw thrown;
     });
-    this.conclude(refusal, record);
+    await this.conclude(refusal, record);
+  }
+
+  /** What another engine could go on from, if this is a stream that may run there too. */
+  session(): Session | undefined {
+    const { head, requestId, tokenCount } = this;
+    const { model, adapter, repeatable, streaming, ticket, promptTokens } = head;
+    if (!repeatable || !streaming || ticket || !model || tokenCount === 0) return undefined;
+    return {
+      requestId: requestId as RequestId,
+      model: model as ModelId,
+      adapter: adapter ? (adapter as AdapterId) : undefined,
+      tokenCount: promptTokens + (head.continuation?.tokenCount ?? 0) + tokenCount,
+    };
   }
 
-  /** Ends it now, with this refusal if it has not begun to answer. */
-  expire(refusal: Refusal): void {
+  /**
+   * Stops the run now, with this refusal if it has not begun to answer. An answer that has begun ends once
+   * it is known which upstreams can go on from it best.
+   */
+  expire(refusal: Refusal, places?: Promise<readonly string[]>): void {
     this.haltRefusal = refusal;
+    this.places = places;
     this.halt.abort();
   }
 
-  private conclude(refusal: Refusal | undefined, record: RecordEnd): void {
+  private async conclude(refusal: Refusal | undefined, record: RecordEnd): Promise<void> {
     if (!refusal) {
       record({ type: 'answered', answer: this.recorder.answer() });
       this.end('');
@@ -89,7 +116,7 @@
     }
     const unrun = refusal.executed === Executed.EXECUTED_NO && !this.started;
     record({ type: unrun ? 'none' : 'unknown' });
-    if (this.started) this.end(refusal.type);
+    if (this.started) this.end(refusal.type, await this.places);
     else this.refuse(refusal);
   }
 
@@ -203,11 +230,12 @@
     this.told(refusal.type);
   }
 
-  private end(failure: string): void {
+  private end(failure: string, places: readonly string[] = []): void {
     const { dataCount } = this;
     const load = this.context.parts.admission.load();
     const resumeToken = this.resumeToken ?? '';
-    this.outlet.send({ $case: 'end', value: { dataCount, failure, load, resumeToken } });
+    const value = { dataCount, failure, load, resumeToken, candidates: [...places] };
+    this.outlet.send({ $case: 'end', value });
     this.told(failure || 'answered');
   }
 
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -129,6 +129,8 @@
     | undefined;
   /** The upstream's own position, with which the answer may be resumed. */
   readonly resumeToken: string;
+  /** Upstreams that hold what the broken answer goes on from: continue it there first. */
+  readonly candidates: readonly string[];
 }
 
 /** Refusal ends a request that gave no answer. EXECUTED_NO is a promise. */
@@ -258,6 +260,21 @@
   readonly refusal: Refusal | undefined;
 }
 
+export interface CacheImport {
+  readonly service: string;
+  /** The request keeps its id: the engine finds the cache by it. */
+  readonly requestId: string;
+  readonly model: string;
+  readonly adapter: string;
+  /** The engine's own bytes, which no sidecar reads. */
+  readonly cache: Buffer;
+}
+
+export interface CacheImportReply {
+  /** Absent when the engine has taken the cache. */
+  readonly refusal: Refusal | undefined;
+}
+
 export interface DesiredModel {
   readonly model: string;
   readonly version: string;
@@ -1188,7 +1205,7 @@
 };
 
 function createBaseAnswerEnd(): AnswerEnd {
-  return { dataCount: 0, failure: "", load: undefined, resumeToken: "" };
+  return { dataCount: 0, failure: "", load: undefined, resumeToken: "", candidates: [] };
 }
 
 export const AnswerEnd: MessageFns<AnswerEnd> = {
@@ -1205,6 +1222,9 @@
     if (message.resumeToken !== "") {
       writer.uint32(34).string(message.resumeToken);
     }
+    for (const v of message.candidates) {
+      writer.uint32(42).string(v!);
+    }
     return writer;
   },
 
@@ -1253,6 +1273,14 @@
             message.resumeToken = reader.string();
             continue;
           }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.candidates.push(reader.string());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1276,6 +1304,7 @@
       ? UpstreamLoad.fromPartial(object.load)
       : undefined;
     message.resumeToken = object.resumeToken ?? "";
+    message.candidates = object.candidates?.map((e) => e) || [];
     return message;
   },
 };
@@ -2643,6 +2672,166 @@
   },
 };
 
+function createBaseCacheImport(): CacheImport {
+  return { service: "", requestId: "", model: "", adapter: "", cache: Buffer.alloc(0) };
+}
+
+export const CacheImport: MessageFns<CacheImport> = {
+  encode(message: CacheImport, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.service !== "") {
+      writer.uint32(10).string(message.service);
+    }
+    if (message.requestId !== "") {
+      writer.uint32(18).string(message.requestId);
+    }
+    if (message.model !== "") {
+      writer.uint32(26).string(message.model);
+    }
+    if (message.adapter !== "") {
+      writer.uint32(34).string(message.adapter);
+    }
+    if (message.cache.length !== 0) {
+      writer.uint32(42).bytes(message.cache);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): CacheImport {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseCacheImport() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.service = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.requestId = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.model = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.adapter = reader.string();
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.cache = Buffer.from(reader.bytes());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<CacheImport>): CacheImport {
+    return CacheImport.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<CacheImport>): CacheImport {
+    const message = createBaseCacheImport() as any;
+    message.service = object.service ?? "";
+    message.requestId = object.requestId ?? "";
+    message.model = object.model ?? "";
+    message.adapter = object.adapter ?? "";
+    message.cache = object.cache ?? Buffer.alloc(0);
+    return message;
+  },
+};
+
+function createBaseCacheImportReply(): CacheImportReply {
+  return { refusal: undefined };
+}
+
+export const CacheImportReply: MessageFns<CacheImportReply> = {
+  encode(message: CacheImportReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.refusal !== undefined) {
+      Refusal.encode(message.refusal, writer.uint32(10).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): CacheImportReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseCacheImportReply() as any;
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.refusal = Refusal.decode(reader, reader.uint32());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  create(base?: DeepPartial<CacheImportReply>): CacheImportReply {
+    return CacheImportReply.fromPartial(base ?? {});
+  },
+  fromPartial(object: DeepPartial<CacheImportReply>): CacheImportReply {
+    const message = createBaseCacheImportReply() as any;
+    message.refusal = (object.refusal !== undefined && object.refusal !== null)
+      ? Refusal.fromPartial(object.refusal)
+      : undefined;
+    return message;
+  },
+};
+
 function createBaseDesiredModel(): DesiredModel {
   return { model: "", version: "", adapters: [], urgency: 0 };
 }
@@ -3605,6 +3794,16 @@
     responseSerialize: (value: HandOverReply): Buffer => Buffer.from(HandOverReply.encode(value).finish()),
     responseDeserialize: (value: Buffer): HandOverReply => HandOverReply.decode(value),
   },
+  /** Takes over the KV cache of a stream that a stopping sidecar can not finish. */
+  importCache: {
+    path: "/tarragonstile.v1.Work/ImportCache" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: CacheImport): Buffer => Buffer.from(CacheImport.encode(value).finish()),
+    requestDeserialize: (value: Buffer): CacheImport => CacheImport.decode(value),
+    responseSerialize: (value: CacheImportReply): Buffer => Buffer.from(CacheImportReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): CacheImportReply => CacheImportReply.decode(value),
+  },
   /** Gives the sidecar the models that its upstream should hold. Fenced by the planner's epoch. */
   place: {
     path: "/tarragonstile.v1.Work/Place" as const,
@@ -3647,6 +3846,8 @@
   issueTicket: handleUnaryCall<TicketRequest, TicketReply>;
   /** Takes over the run-once table of a sidecar that stops as planned. */
   handOver: handleUnaryCall<TicketTable, HandOverReply>;
+  /** Takes over the KV cache of a stream that a stopping sidecar can not finish. */
+  importCache: handleUnaryCall<CacheImport, CacheImportReply>;
   /** Gives the sidecar the models that its upstream should hold. Fenced by the planner's epoch. */
   place: handleUnaryCall<PlacementPlan, PlacementReply>;
   /** Asks the sidecar to load a model that no upstream holds. */
@@ -3695,6 +3896,22 @@
     options: Partial<CallOptions>,
     callback: (error: ServiceError | null, response: HandOverReply) => void,
   ): ClientUnaryCall;
+  /** Takes over the KV cache of a stream that a stopping sidecar can not finish. */
+  importCache(
+    request: CacheImport,
+    callback: (error: ServiceError | null, response: CacheImportReply) => void,
+  ): ClientUnaryCall;
+  importCache(
+    request: CacheImport,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: CacheImportReply) => void,
+  ): ClientUnaryCall;
+  importCache(
+    request: CacheImport,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: CacheImportReply) => void,
+  ): ClientUnaryCall;
   /** Gives the sidecar the models that its upstream should hold. Fenced by the planner's epoch. */
   place(
     request: PlacementPlan,
--- a/standin/engine/emptyengine.ts
+++ b/standin/engine/emptyengine.ts
@@ -18,6 +18,7 @@
     adapterLoads: 0,
     adapterUnloads: 0,
     busyMs: 0,
+    prefillTokens: 0,
     tokens: 0,
   },
 };
--- a/standin/engine/enginestate.ts
+++ b/standin/engine/enginestate.ts
@@ -19,6 +19,8 @@
   readonly phase: 'waiting' | 'running' | 'kept' | 'finished';
   /** True when its KV cache came from another engine. */
   readonly imported: boolean;
+  /** Leading tokens whose KV cache came from another engine under the same request id. */
+  readonly importedTokens?: number;
 }
 
 /** One model in memory. */
@@ -43,6 +45,8 @@
   readonly adapterLoads: number;
   readonly adapterUnloads: number;
   readonly busyMs: number;
+  /** Prompt tokens that had to be prefilled, as no cache held them. */
+  readonly prefillTokens: number;
   readonly tokens: number;
 }
 
--- a/standin/engine/runsteps.ts
+++ b/standin/engine/runsteps.ts
@@ -44,14 +44,18 @@
     const { hits, cache: used } = useCache(cache, next.blocks, options.cacheBlocks);
     cache = used;
     running += 1;
-    if (!next.imported) prefillTokens += next.promptTokens - hits * TOKENS_PER_BLOCK;
+    const cached = Math.max(hits * TOKENS_PER_BLOCK, next.importedTokens ?? 0);
+    if (!next.imported) prefillTokens += Math.max(0, next.promptTokens - cached);
     if (next.made === 0) effects.push({ type: 'began', requestId: next.requestId });
     requests.set(next.key, { ...next, phase: 'running', imported: false });
   }
   if (running === 0) return { state: { ...state, stepEndsAtMs: undefined }, effects };
-  const tookMs =
-    stepMs(options.curve, running) + Math.max(0, prefillTokens) * options.curve.prefillTokenMs;
-  const counts = { ...state.counts, busyMs: state.counts.busyMs + tookMs };
+  const tookMs = stepMs(options.curve, running) + prefillTokens * options.curve.prefillTokenMs;
+  const counts = {
+    ...state.counts,
+    busyMs: state.counts.busyMs + tookMs,
+    prefillTokens: state.counts.prefillTokens + prefillTokens,
+  };
   return { state: { ...state, requests, cache, counts, stepEndsAtMs: nowMs + tookMs }, effects };
 }
 
--- a/standin/engine/stepengine.ts
+++ b/standin/engine/stepengine.ts
@@ -40,6 +40,20 @@
   return { ...state, requests };
 }
 
+/** A generation that goes on from an imported cache prefills only what that does not hold. */
+function useImported(state: EngineState, request: EngineRequest): EngineState {
+  const imported = [...state.requests.values()].findLast(
+    ({ requestId, model, imported: isImported, blocks }) =>
+      isImported &&
+      requestId === request.requestId &&
+      model === request.model &&
+      blocks.every((block, index) => block === request.blocks[index]),
+  );
+  if (!imported) return withRequest(state, request);
+  const importedTokens = imported.promptTokens + imported.made;
+  return withRequest(state, { ...request, importedTokens });
+}
+
 function setPhase(state: EngineState, key: number, phase: EngineRequest['phase']): Changed {
   const request = state.requests.get(key);
   if (!request || request.phase === 'finished') return { state, effects: [] };
@@ -52,7 +66,7 @@
       const reason = 'model-not-loaded';
       return { state, effects: [{ type: 'refused', key: request.key, reason }] };
     }
-    if (request.tokens > 0) return { state: withRequest(state, request), effects: [] };
+    if (request.tokens > 0) return { state: useImported(state, request), effects: [] };
     const whole = { ...request, phase: 'finished' as const };
     return {
       state: withRequest(state, whole),
--- a/test/fakeengine.test.ts
+++ b/test/fakeengine.test.ts
@@ -97,7 +97,7 @@
   await withEngine(from, (left) =>
     withEngine(to, async (right) => {
       const cut = await read((await left.generate(chat('r1', 'hello'), forever)).unwrap());
-      const cache = (await left.exportCache('r1' as RequestId)).unwrap();
+      const cache = (await left.exportCache('r1' as RequestId, Infinity)).unwrap();
       t.true((await right.importCache('r1' as RequestId, cache)).ok);
       const again = await right.resume(chat('r1', 'hello'), cut.lastId, forever);
       t.is(cut.text + (await read(again.unwrap())).text, expectedAnswer('hello', TOKENS));
--- a/test/frame.test.ts
+++ b/test/frame.test.ts
@@ -9,7 +9,8 @@
 const DATA: Body = { $case: 'data', value: { payload: Buffer.from('a'), tokenCount: 1 } };
 
 function end(dataCount: number): Body {
-  return { $case: 'end', value: { dataCount, failure: '', load: undefined, resumeToken: '' } };
+  const none = { failure: '', load: undefined, resumeToken: '', candidates: [] };
+  return { $case: 'end', value: { dataCount, ...none } };
 }
 
 function frame(sequence: number, body: Body, more: Partial<Frame> = {}) {
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -59,7 +59,7 @@
   return { server, exchanges, address: `127.0.0.1:${port}` };
 }
 
-const end = { dataCount: 0, failure: '', load: undefined, resumeToken: '' };
+const end = { dataCount: 0, failure: '', load: undefined, resumeToken: '', candidates: [] };
 
 test('where nobody listens, a request was certainly not sent', async (t) => {
   const link = openLink(systemClock);
--- a/test/support/oncefleet.ts
+++ b/test/support/oncefleet.ts
@@ -1,36 +1,17 @@
 import { createHash } from 'node:crypto';
-import { createServer } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import { request } from 'undici';
-import { systemClock, type Clock } from '../../src/base/index.js';
 import { startEntry, startSidecar } from '../../src/index.js';
 import { FakeHostList, FakeService, MemoryStore, StoreServer } from '../../standin/index.js';
+import { freePort } from './freeport.js';
 import { writeDocument } from './meshnode.js';
+import { unheldClock } from './unheldclock.js';
 
 const KEY = 'clerk-key';
 const POLL_MS = 20;
 const place = { region: 'bucuresti', availabilityZone: 'sala-nord', logLevel: 'error' };
 const plain = { type: 'plain', checksFencing: false, accelerators: 0, memoryBytes: 0 };
 
-/** Leases outlive the test; their timers must not hold up its end. */
-const unheldClock: Clock = {
-  ...systemClock,
-  after(delayMs, act) {
-    const timer = setTimeout(act, delayMs).unref();
-    return () => clearTimeout(timer);
-  },
-};
-
-function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as { port: number };
-      server.close(() => resolve(port));
-    });
-  });
-}
-
 function documentOf(addresses: readonly string[]): object {
   const keyHashes = [createHash('sha256').update(KEY).digest('hex')];
   const confirm = { name: 'confirm', priority: 'urgent', deadlineMs: 5000, weight: 1 };
--- a/test/work.test.ts
+++ b/test/work.test.ts
@@ -6,7 +6,7 @@
 import type { Permit, Slot } from '../src/sidecar/part/index.js';
 import type { UpstreamCall } from '../src/sidecar/upstreamcall.js';
 import { Work } from '../src/sidecar/work.js';
-import { Executed, RequestHead, type Frame } from '../src/wire/index.js';
+import { Executed, RequestHead, type AnswerEnd, type Frame } from '../src/wire/index.js';
 
 type Body = NonNullable<Frame['body']>;
 
@@ -26,13 +26,17 @@
   send(body: Body): void {
     const show: Partial<Record<Body['$case'], () => string>> = {
       data: () => (body.$case === 'data' ? String(body.value.payload) : ''),
-      end: () => (body.$case === 'end' ? `end ${body.value.dataCount} ${body.value.failure}` : ''),
+      end: () => (body.$case === 'end' ? this.end(body.value) : ''),
       refusal: () =>
         body.$case === 'refusal' ? `${body.value.type} ${Executed[body.value.executed]}` : '',
     };
     this.sent.push(show[body.$case]?.() ?? body.$case);
   }
 
+  private end({ dataCount, failure, candidates }: AnswerEnd): string {
+    return [`end ${dataCount} ${failure}`, ...candidates].join(' ');
+  }
+
   ready(): undefined {
     return undefined;
   }
@@ -143,6 +147,31 @@
   t.deepEqual(records, ['unknown']);
 });
 
+test('an answer that a stop cuts off ends when its next place is known', async (t) => {
+  async function* read(signal: AbortSignal) {
+    yield result.Ok({ payload: Buffer.from('a'), tokenCount: 1, resumeToken: 'a' });
+    await new Promise((resolve) => {
+      signal.addEventListener('abort', resolve);
+    });
+    yield result.Err(cut);
+  }
+  const call: UpstreamCall = (_call, signal) =>
+    Promise.resolve(result.Ok({ status: 200, headers: [], pieces: read(signal) }));
+  const { work, outlet } = workOf({ call });
+  const ended = work.run();
+  await new Promise(setImmediate);
+  let place = (_upstreams: string[]) => {};
+  const places = new Promise<string[]>((resolve) => {
+    place = resolve;
+  });
+  work.expire(refuse('upstream-leaving', 'Leaving.'), places);
+  await new Promise(setImmediate);
+  t.deepEqual(outlet.sent, ['start', 'a']);
+  place(['u2']);
+  await ended;
+  t.deepEqual(outlet.sent, ['start', 'a', 'end 1 upstream-leaving u2']);
+});
+
 test('a run under a ticket goes on when its caller leaves, and is recorded', async (t) => {
   const call: UpstreamCall = () => Promise.resolve(result.Ok(answer(['done'])));
   const { work, outlet, records } = workOf({ call, ticket: 't1' });
