--- a/bench/memory/platform.ts
+++ b/bench/memory/platform.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { Daemon } from '../../demo/daemon.js';
 import { freePorts } from '../../demo/freeports.js';
+import { loopbackHost } from '../../demo/loopbackhost.js';
 import { operator } from '../../demo/operator.js';
 import { FakeHostList, MemoryStore, StoreServer } from '../../standin/index.js';
 import { serviceDocument } from './servicedocument.js';
@@ -33,8 +34,9 @@
     writeFileSync(file, JSON.stringify(document, null, 2));
     const team = ['--team', serviceDocument.owner, '--store', this.storeUrl];
     await operator('apply', file, '--expect', '0', ...team);
-    const [meshPort = 0] = await freePorts(1);
-    const address = `127.0.0.1:${meshPort}`;
+    const host = loopbackHost();
+    const [meshPort = 0] = await freePorts(host, 1);
+    const address = `${host}:${meshPort}`;
     const place = { availabilityZone: 'oviedo-a', region: serviceDocument.region };
     this.hosts.set([{ id: 'entry-1', role: 'entry', address, ...place, state: 'live' }]);
     this.entry = await Daemon.start('entry', this.directory, 'entry-1', {
--- a/demo/freeports.ts
+++ b/demo/freeports.ts
@@ -1,9 +1,9 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
 
-/** Ports of the loopback that were free a moment ago. */
-export async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
+/** Ports of a loopback address that were free a moment ago. */
+export async function freePorts(host: string, count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, host));
   await Promise.all(servers.map((server) => once(server, 'listening')));
   const ports = servers.map((server) => (server.address() as { port: number }).port);
   for (const server of servers) server.close();
--- a/demo/stack.ts
+++ b/demo/stack.ts
@@ -8,6 +8,7 @@
 import type { Deployment } from './deployment.js';
 import { documentsOf } from './documentsof.js';
 import { freePorts } from './freeports.js';
+import { loopbackHost } from './loopbackhost.js';
 import { operator } from './operator.js';
 import { StandIns } from './standins.js';
 
@@ -52,6 +53,8 @@
 
   private hostsUrl = '';
 
+  private readonly host = loopbackHost();
+
   constructor(readonly deployment: Deployment) {
     this.standIns = new StandIns(deployment);
   }
@@ -72,7 +75,7 @@
     const urls = await this.standIns.listen();
     this.store = urls.store;
     this.hostsUrl = urls.hosts;
-    const ports = await freePorts(urls.upstreams.length + ENTRIES);
+    const ports = await freePorts(this.host, urls.upstreams.length + ENTRIES);
     this.meshPorts = ports.slice(-ENTRIES);
     this.besides = urls.upstreams.map((url, index) => this.beside(url, index, ports[index] ?? 0));
     this.listHosts();
@@ -135,7 +138,7 @@
     const entries = this.meshPorts.map((port, index) => ({
       id: `entry-${index + 1}`,
       role: 'entry' as const,
-      address: `127.0.0.1:${port}`,
+      address: `${this.host}:${port}`,
       availabilityZone: this.deployment.availabilityZones[index] ?? '',
       region,
       state: 'live' as const,
@@ -143,7 +146,7 @@
     const sidecars = this.besides.map(({ upstream, availabilityZone, port }) => ({
       id: upstream,
       role: 'sidecar' as const,
-      address: `127.0.0.1:${port}`,
+      address: `${this.host}:${port}`,
       availabilityZone,
       region,
       state: this.leaving.has(upstream) ? ('leaving' as const) : ('live' as const),
@@ -154,7 +157,7 @@
   private async applyDocuments(): Promise<void> {
     const upstreams = this.besides.map(({ upstream, port }) => ({
       id: upstream,
-      sidecarAddress: `127.0.0.1:${port}`,
+      sidecarAddress: `${this.host}:${port}`,
     }));
     const documents = documentsOf(this.deployment, upstreams, this.keys);
     const { name } = this.deployment;
@@ -181,7 +184,7 @@
   private async startBeside({ port, ...beside }: Beside): Promise<void> {
     const { availabilityZone, upstream } = beside;
     const settings = { ...this.place(upstream, availabilityZone), ...beside };
-    const listen = `127.0.0.1:${port}`;
+    const listen = `${this.host}:${port}`;
     const daemon = await Daemon.start('sidecar', this.directory, upstream, { ...settings, listen });
     this.sidecars.set(upstream, daemon);
   }
@@ -192,7 +195,7 @@
     return Daemon.start('entry', this.directory, name, {
       ...this.place(name, zone),
       listen: { host: '127.0.0.1', port: 0 },
-      meshListen: `127.0.0.1:${meshPort}`,
+      meshListen: `${this.host}:${meshPort}`,
     });
   }
 
--- a/src/core/attempt/nextphase.ts
+++ b/src/core/attempt/nextphase.ts
@@ -1,21 +1,10 @@
-import { createMachine, transition } from 'xstate';
+import { follow } from '../chart/index.js';
 import chart from './attempt.chart.json' with { type: 'json' };
 
-const machine = createMachine(chart as Parameters<typeof createMachine>[0]);
+const next = follow<string, string>(chart);
 
-/** The chart's answers, by phase and step: it is asked several times for each request. */
-const answers = new Map<string, string | undefined>();
-
-function ask(phase: string, type: string): string | undefined {
-  const snapshot = machine.resolveState({ value: phase });
-  if (snapshot.status !== 'active' || !snapshot.can({ type })) return undefined;
-  const [next] = transition(machine, snapshot, { type });
-  return String(next.value);
-}
-
-/** The phase that the chart gives, or undefined if it has no such step. */
+/** The phase that the chart gives, or undefined if it has no such step. No step leads back to its own phase. */
 export function nextPhase(phase: string, type: string): string | undefined {
-  const key = `${phase} ${type}`;
-  if (!answers.has(key)) answers.set(key, ask(phase, type));
-  return answers.get(key);
+  const found = next(phase, type);
+  return found === phase ? undefined : found;
 }
--- a/src/core/mesh/adopt.ts
+++ b/src/core/mesh/adopt.ts
@@ -1,5 +1,5 @@
 import type { Ms } from '../../base/index.js';
-import { hash32 } from './hash32.js';
+import { hash32 } from '../hash/index.js';
 import { isDocument } from './isdocument.js';
 import { isNewer } from './isnewer.js';
 import { isWanted } from './iswanted.js';
--- a/src/core/mesh/byrendezvous.ts
+++ b/src/core/mesh/byrendezvous.ts
@@ -1,4 +1,4 @@
-import { hash32 } from './hash32.js';
+import { hash32 } from '../hash/index.js';
 
 /** Sorts addresses by their hash with a key: each key gives another, but everywhere the same, order. */
 export function byRendezvous(addresses: readonly string[], key: string): readonly string[] {
--- a/src/core/mesh/draw.ts
+++ b/src/core/mesh/draw.ts
@@ -1,6 +1,6 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { hash32 } from './hash32.js';
+import { hash32 } from '../hash/index.js';
 import type { MeshState } from './meshstate.js';
 
 /** Draws a whole number from 0 up to but not including `bound`. */
--- a/src/core/mesh/index.ts
+++ b/src/core/mesh/index.ts
@@ -4,7 +4,6 @@
  */
 export { createMesh } from './createmesh.js';
 export { defaultOptions } from './defaultoptions.js';
-export { hash32 } from './hash32.js';
 export { isNewer } from './isnewer.js';
 export { isRelay } from './isrelay.js';
 export type { HeldRecord } from './heldrecord.js';
--- a/src/core/mesh/rankentries.ts
+++ b/src/core/mesh/rankentries.ts
@@ -1,4 +1,4 @@
-import { hash32 } from './hash32.js';
+import { hash32 } from '../hash/index.js';
 import type { MeshHost } from './meshhost.js';
 
 function weigh(host: MeshHost): number {
--- a/src/core/routing/onmember.ts
+++ b/src/core/routing/onmember.ts
@@ -1,3 +1,4 @@
+import { renewed } from './renewed.js';
 import type { RoutingChange } from './routingchange.js';
 import type { RoutingEvent } from './routingevent.js';
 import type { RoutingState } from './routingstate.js';
@@ -9,10 +10,9 @@
 export function onMember(state: RoutingState, event: MemberNews): RoutingChange {
   const changed = withView(state, event.upstream, (view) => {
     const { phase, incarnation } = event;
-    const renewed = incarnation > view.incarnation;
-    if (!renewed && phase !== 'gone') return { ...view, phase };
-    const residents: typeof view.residents = new Map();
-    return { ...view, phase, incarnation, residents, load: undefined };
+    if (incarnation > view.incarnation) return { ...renewed(view, incarnation), phase };
+    if (phase !== 'gone') return { ...view, phase };
+    return { ...view, phase, residents: new Map(), load: undefined };
   });
   return { state: changed, effects: [] };
 }
--- a/src/core/routing/onrecorded.ts
+++ b/src/core/routing/onrecorded.ts
@@ -1,9 +1,9 @@
 import type { AdapterId, Incarnation, ModelId, Ms, UpstreamId } from '../../base/index.js';
 import type { Resident, UpstreamRecord } from '../../wire/index.js';
 import { adoptLoad } from './adoptload.js';
-import { closedBreaker } from './closedbreaker.js';
 import { loadKey } from './loadkey.js';
 import { release } from './release.js';
+import { renewed } from './renewed.js';
 import type { Rescue } from './rescue.js';
 import type { RoutingChange } from './routingchange.js';
 import type { RoutingState } from './routingstate.js';
@@ -34,17 +34,14 @@
 }
 
 function adopt(view: UpstreamView, record: UpstreamRecord, nowMs: Ms): UpstreamView {
-  const renewed = record.incarnation > view.incarnation;
-  const residents = residentsOf(view, record.residents, nowMs);
+  const incarnation = record.incarnation as Incarnation;
+  const current = incarnation > view.incarnation ? renewed(view, incarnation) : view;
   const adopted = {
-    ...view,
-    residents,
-    incarnation: record.incarnation as Incarnation,
+    ...current,
+    residents: residentsOf(current, record.residents, nowMs),
     recorded: true,
     freeBytes: record.freeBytes,
     missing: new Set<string>(),
-    breaker: renewed ? closedBreaker : view.breaker,
-    fullUntilMs: renewed ? new Map() : view.fullUntilMs,
   };
   return adoptLoad(adopted, record.load, nowMs);
 }
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -239,6 +239,23 @@
   t.deepEqual(gone.effects, []);
 });
 
+test('a sidecar back under a new incarnation answers for none of the earlier one', (t) => {
+  const failures = ['r1', 'r2', 'r3'].flatMap((id, index) => [
+    ...at(1_000 + index, want(id, 'letter')),
+    ...at(1_500 + index, outcome(id, 'c', 'unreachable', { target: cell.target('letter') })),
+  ]);
+  const open = play([...ready, ...failures, ...at(1_600, want('r4', 'letter'))]);
+  t.deepEqual(chosen(open.effects), ['c', 'c', 'c']);
+  // Membership hears of the incarnation first, and tells routing before the record itself does.
+  const back = at(
+    1_700,
+    member('c', 'ready', 2),
+    record('c', ['letter'], { incarnation: 2 }),
+    want('r5', 'letter'),
+  );
+  t.deepEqual(chosen(play(back, open.state).effects), ['c']);
+});
+
 test('a leaving upstream gets no new work, and a ticket stays with its incarnation', (t) => {
   const left = play([...ready, ...at(5_000, member('a', 'leaving'), member('b', 'leaving'))]);
   const bound = { upstream: 'a' as UpstreamId, incarnation: 1 as Incarnation };
