A plain upstream on a leaving host takes no new work before its own stop

Cause: only the memory of engines heard that the host list names the host as leaving; a sidecar before a plain service went on taking work, and unused tickets stayed usable, until SIGTERM. Seen in the code, then by the new test: without the change it waits for the sidecar's leaving record without end. Ruled out: the wait for residency pins alone, which a ticketed request of a plain service does not meet. Conclusion: leaving means the same for both sorts of upstream, whoever says it.

--- a/src/sidecar/door.ts
+++ b/src/sidecar/door.ts
@@ -48,9 +48,14 @@
     return this.live.size;
   }
 
+  /** Refuses new work from now on. A ticket is still heard: the table knows what became of it. */
+  leave(): void {
+    this.leaving = true;
+  }
+
   /** Refuses new work from now on; resolves when nothing is in flight. */
   drain(): Promise<void> {
-    this.leaving = true;
+    this.leave();
     if (this.live.size === 0) return Promise.resolve();
     return new Promise((resolve) => {
       this.whenIdle = resolve;
--- a/src/sidecar/residency/publishplain.ts
+++ b/src/sidecar/residency/publishplain.ts
@@ -17,6 +17,8 @@
   });
   return {
     leave() {
+      // The host list says it again with each reading.
+      if (isLeaving) return;
       isLeaving = true;
       tell();
     },
--- a/src/sidecar/startsidecar.ts
+++ b/src/sidecar/startsidecar.ts
@@ -37,6 +37,11 @@
   const upstreamCall = engine ? callEngine(engine) : callService(service);
   const door = new Door({ ...context, call: upstreamCall, parts });
   const handOver = new CacheHandOver(context);
+  // The host list may name this host as leaving long before the stop itself.
+  context.onLeaving(() => {
+    door.leave();
+    parts.runOnce.leave();
+  });
   const exchanges = new Exchanges(door, context.board);
   const server = new Server(channelOptions.server);
   const handlers: WorkServer = {
--- a/src/sidecar/wiring/createresidency.ts
+++ b/src/sidecar/wiring/createresidency.ts
@@ -6,5 +6,7 @@
 export function createResidency(context: Context): Residency {
   const { engine } = context;
   if (engine) return new EngineResidency({ ...context, engine });
-  return new OpenResidency(publishPlain(context));
+  const residency = new OpenResidency(publishPlain(context));
+  context.onLeaving(() => residency.leave());
+  return residency;
 }
--- a/test/oncedaemons.test.ts
+++ b/test/oncedaemons.test.ts
@@ -55,3 +55,23 @@
   t.deepEqual([fleet.service.runs('T-5'), fleet.service.runs('T-6')], [1, 0]);
   await fleet.stop();
 });
+
+test('daemons: a plain upstream that the host list shows as leaving runs nothing new', async (t) => {
+  const fleet = new OnceFleet();
+  await fleet.start();
+  const used = { 'tarragonstile-ticket': await fleet.ticket() };
+  const place = /^register-(\d)/.exec(used['tarragonstile-ticket'])?.[1];
+  t.deepEqual((await fleet.confirm(0, 'T-7', used)).body, { done: 'T-7' });
+  let unused = await fleet.ticket();
+  while (!unused.startsWith(`register-${place}`)) unused = await fleet.ticket();
+  fleet.listLeaving(Number(place));
+  await fleet.untilLeaving(1, Number(place));
+  const told = await fleet.confirm(1, 'T-8', { 'tarragonstile-ticket': unused });
+  t.is(told.body.type, 'urn:tarragonstile:ticket-cancelled');
+  t.is(told.body.executed, 'no');
+  t.deepEqual((await fleet.confirm(1, 'T-7', used)).body, { done: 'T-7' });
+  const next = await fleet.ticket();
+  t.false(next.startsWith(`register-${place}`));
+  t.is(fleet.service.runs('T-8'), 0);
+  await fleet.stop();
+});
--- a/test/support/oncefleet.ts
+++ b/test/support/oncefleet.ts
@@ -46,6 +46,12 @@
   readonly body: { readonly type?: string; readonly executed?: string; readonly done?: string };
 }
 
+/** What an entry has heard of an upstream. */
+interface Heard {
+  readonly upstream: string;
+  readonly phase: string;
+}
+
 /** Two entries and two sidecars as daemons in this process, before one plain service. */
 export class OnceFleet {
   readonly service = new FakeService();
@@ -56,6 +62,9 @@
 
   readonly entries: Awaited<ReturnType<typeof startEntry>>[] = [];
 
+  /** Shows one sidecar's host as leaving in the platform's list; -1 shows none. */
+  listLeaving: (sidecar: number) => void = () => {};
+
   private readonly storeServer = new StoreServer(this.store);
 
   private readonly hosts = new FakeHostList();
@@ -79,7 +88,8 @@
       this.sidecars.push(await startSidecar({ ...settings, ...more }));
     }
     const addresses = this.sidecars.map(({ port }) => `127.0.0.1:${port}`);
-    this.list(meshes, addresses);
+    this.listLeaving = (leaving) => this.list(meshes, addresses, leaving);
+    this.listLeaving(-1);
     await writeDocument(this.store, 'register', documentOf(addresses));
     for (const [index, meshListen] of meshes.entries()) {
       const listen = { host: '127.0.0.1', port: 0 };
@@ -149,11 +159,22 @@
     }
   }
 
+  /** Waits until an entry has heard from a sidecar that it leaves. */
+  async untilLeaving(entry: number, sidecar: number): Promise<void> {
+    for (;;) {
+      const answer = await request(`${this.urlOf(entry)}/statusz`);
+      const { upstreams } = (await answer.body.json()) as { upstreams: readonly Heard[] };
+      const heard = upstreams.find(({ upstream }) => upstream === `register-${sidecar}`);
+      if (heard?.phase === 'leaving') return;
+      await wait(POLL_MS);
+    }
+  }
+
   private urlOf(entry: number): string {
     return `http://127.0.0.1:${this.entries[entry]!.port}`;
   }
 
-  private list(meshes: readonly string[], sidecars: readonly string[]): void {
+  private list(meshes: readonly string[], sidecars: readonly string[], leaving: number): void {
     const listed = {
       availabilityZone: place.availabilityZone,
       region: place.region,
@@ -166,6 +187,7 @@
         id: `s${index}`,
         role: 'sidecar',
         address,
+        state: index === leaving ? 'leaving' : 'live',
       })),
     ] as never);
   }
