Orders: one holder by a record in the store, adapters on demand, models by demand

Cause: what the first path refused was for want of models and adapters. Ruled out: the list's counter as the count of orders (917 of 917 orders refused): it counts list entries.

--- a/src/core/delivery/progress.ts
+++ b/src/core/delivery/progress.ts
@@ -8,7 +8,7 @@
   readonly hasBegun: boolean;
   /** Upstreams that may have run it. */
   readonly ranCount: number;
-  /** Attempts that were refused unrun. */
+  /** Attempts that were refused unrun or never left. */
   readonly refusedCount: number;
   readonly maxAttempts: number;
   readonly remainingMs: number;
--- /dev/null
+++ b/src/core/fleetplan/census.ts
@@ -0,0 +1,50 @@
+import type { ModelId } from '../../base/index.js';
+import type { PlanInput } from './planinput.js';
+import { planRules } from './planrules.js';
+
+/** How many places each model has, and how many it should have. */
+export class Census {
+  private readonly held = new Map<ModelId, number>();
+
+  private readonly ready = new Map<ModelId, number>();
+
+  private readonly slots: number;
+
+  constructor(private readonly input: PlanInput) {
+    for (const { placed } of input.upstreams) {
+      for (const { model, phase } of placed) {
+        if (phase === 'unloading') continue;
+        this.held.set(model, this.heldCount(model) + 1);
+        if (phase === 'ready') this.ready.set(model, this.readyCount(model) + 1);
+      }
+    }
+    this.slots = Math.max(1, input.upstreams[0]?.slots ?? 1);
+  }
+
+  /** Places, with those on their way. */
+  heldCount(model: ModelId): number {
+    return this.held.get(model) ?? 0;
+  }
+
+  readyCount(model: ModelId): number {
+    return this.ready.get(model) ?? 0;
+  }
+
+  concurrency(model: ModelId): number {
+    return this.input.demand.get(model)?.concurrency ?? 0;
+  }
+
+  /** Part of the slots of this many places that the model's requests fill. */
+  fill(model: ModelId, count: number): number {
+    return this.concurrency(model) / (Math.max(1, count) * this.slots);
+  }
+
+  wantedCount(model: ModelId): number {
+    return Math.max(1, Math.ceil(this.fill(model, 1) / planRules.fillShare));
+  }
+
+  isInUse(model: ModelId): boolean {
+    const demand = this.input.demand.get(model);
+    return demand !== undefined && (demand.waiting > 0 || demand.idleMs < planRules.inUseMs);
+  }
+}
--- /dev/null
+++ b/src/core/fleetplan/modeldemand.ts
@@ -0,0 +1,13 @@
+import type { Ms } from '../../base/index.js';
+
+/** What is asked of one model, over all entries. */
+export interface ModelDemand {
+  /** Requests at upstreams and waiting, averaged. */
+  readonly concurrency: number;
+  /** Requests in a second, averaged. */
+  readonly perSecond: number;
+  /** Requests that wait for it now because no upstream holds it. */
+  readonly waiting: number;
+  /** Since the last request. */
+  readonly idleMs: Ms;
+}
--- /dev/null
+++ b/src/core/fleetplan/planinput.ts
@@ -0,0 +1,13 @@
+import type { ModelId } from '../../base/index.js';
+import type { ServiceSpec } from '../routetable/index.js';
+import type { ModelDemand } from './modeldemand.js';
+import type { PlanUpstream } from './planupstream.js';
+
+/** All that a plan is made from. */
+export interface PlanInput {
+  readonly engine: NonNullable<ServiceSpec['engine']>;
+  readonly upstreams: readonly PlanUpstream[];
+  readonly demand: ReadonlyMap<ModelId, ModelDemand>;
+  /** Loads from the weight store that may begin now. */
+  readonly coldLoadsLeft: number;
+}
--- /dev/null
+++ b/src/core/fleetplan/planrules.ts
@@ -0,0 +1,31 @@
+/** Weights of a plan. Gains and costs are in requests that are served or not. */
+export const planRules = {
+  /** Part of an engine's slots that a model's requests may fill before it gets another replica. */
+  fillShare: 0.4,
+  /** A model that was asked for within this time counts as in use. */
+  inUseMs: 15_000,
+  /** A model that has just come stays at least this long while it is in use. */
+  leastStayMs: 3000,
+  /** For a model that nobody holds, while requests wait. */
+  waitingGain: 100,
+  /** For one that is in use and nobody holds. */
+  inUseGain: 60,
+  /** For a further replica, times the part of its slots that is filled. */
+  replicaGain: 5,
+  /** For a model that nobody holds or asks for: so that the first request finds it. */
+  reachableGain: 2.5,
+  /** For taking a replica that is not needed. */
+  surplusCost: 0.05,
+  /** For taking one of several that are needed. */
+  neededCost: 3.5,
+  /** For taking the only place of a model that nobody asks for. */
+  idleLastCost: 3,
+  /** For taking the only place of one in use, and for each request a second to it. */
+  usedLastCost: 50,
+  usedLastCostPerS: 10,
+  /** For each second that a load takes, and for one from the weight store. */
+  costPerLoadS: 0.5,
+  coldCost: 0.5,
+  /** A move has to gain this much more than it costs: moves for less were undone again. */
+  margin: 0.2,
+} as const;
--- a/src/core/upstreams/upstream.ts
+++ b/src/core/upstreams/upstream.ts
@@ -18,8 +18,6 @@
   /** How long it has left, where it leaves at short notice. */
   readonly leavesInMs?: Ms;
   readonly models: ReadonlyMap<ModelId, HeldModel>;
-  /** Orders that it has accepted. */
-  readonly orderCount: number;
   /** Models whose weights its host still has in memory, and on disk. */
   readonly warm: ReadonlySet<ModelId>;
   readonly onDisk: ReadonlySet<ModelId>;
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -1,12 +1,15 @@
 import type { Clock, Ms, ServiceId, UpstreamId } from '../base/index.js';
+import { hash32 } from '../core/hash/index.js';
 import { RetryBudget } from '../core/retrybudget/index.js';
 import type { Route, RouteTable } from '../core/routetable/index.js';
 import type { Upstream } from '../core/upstreams/index.js';
 import type { ChangeFeed, KeyValue, Log, UpstreamLink } from '../port/index.js';
 import type { Caller } from './caller.js';
 import type { DirectSettings } from './directsettings.js';
+import { DemandMeter, OrderDesk, Peers, TurnKeeper, type FoundNeed } from './orders/index.js';
 import { Fleet, type Need } from './route/index.js';
 import { Run } from './run/index.js';
+import { Seeker } from './seeker.js';
 import type { Serving } from './serving.js';
 import type { StateCodec } from './statecodec.js';
 import { Follower } from './sync/index.js';
@@ -27,6 +30,13 @@
  */
 const SHARERS = 8;
 const LEAST_CONNECTIONS = 4;
+/** How often orders are planned and the right to give them is looked after. */
+const TICK_MS = 100;
+/** How often an entry tells the holder of orders what it is asked for. */
+const REPORT_MS = 250;
+/** Entries take over from a lost holder one after the other, so that they do not all try at once. */
+const TAKEOVER_PLACES = 8;
+const TAKEOVER_STEP_MS = 40;
 
 /** An entry that reaches upstreams itself. */
 export class DirectEntry implements Serving {
@@ -46,10 +56,24 @@
 
   private readonly runs = new Set<Run>();
 
+  private readonly meter: DemandMeter;
+
+  private readonly turn: TurnKeeper;
+
+  private readonly desk: OrderDesk;
+
+  private readonly peers: Peers;
+
+  private readonly seeker: Seeker;
+
+  private readonly turnKey: string;
+
   private hasState = false;
 
   private isStopping = false;
 
+  private isClosed = false;
+
   constructor(private readonly context: DirectContext) {
     const { clock, log, link, settings, feed, codec } = context;
     this.clock = clock;
@@ -57,10 +81,33 @@
     this.link = link;
     this.fleet = new Fleet(settings.availabilityZone);
     this.follower = new Follower(feed, codec, this, clock, log);
-  }
-
-  start(): void {
+    const { host, peerListen, orderTurnMs, loadWindowMs, loadOvershoot } = settings;
+    this.meter = new DemandMeter(host);
+    this.turnKey = `${codec.ownPrefix}order-turn`;
+    this.turn = new TurnKeeper({
+      host,
+      address: `${peerListen.host}:${peerListen.port}`,
+      key: this.turnKey,
+      turnMs: orderTurnMs,
+      delayMs: (hash32(host) % TAKEOVER_PLACES) * TAKEOVER_STEP_MS,
+      feed,
+      clock,
+      log,
+      took: (isFirst) => this.desk.took(isFirst),
+    });
+    const shared = { link, clock, log, host, loadWindowMs, loadOvershoot };
+    this.desk = new OrderDesk({ ...shared, turn: this.turn });
+    this.peers = new Peers(this.desk, clock, log);
+    const ask = (need: Need) => this.askHolder(need);
+    this.seeker = new Seeker({ clock, log, fleet: this.fleet, meter: this.meter, ask });
+  }
+
+  async start(): Promise<void> {
+    const { host, port } = this.context.settings.peerListen;
+    await this.peers.listen(host, port);
     void this.follower.run();
+    this.every(TICK_MS, () => this.tick());
+    this.every(REPORT_MS, () => this.report());
   }
 
   isReady(): boolean {
@@ -86,8 +133,15 @@
     this.isStopping = true;
   }
 
+  /** Another entry need not wait for this one's right to give orders to lapse. */
+  async release(): Promise<void> {
+    await this.turn.release();
+  }
+
   close(): void {
+    this.isClosed = true;
     this.follower.stop();
+    this.peers.close();
     this.link.close();
   }
 
@@ -109,9 +163,16 @@
     return Math.max(LEAST_CONNECTIONS, Math.floor(maxConnections / SHARERS));
   }
 
-  seek(need: Need, _route: Route, _remainingMs: Ms): ReturnType<Serving['seek']> {
-    const detail = `No upstream of ${need.service} holds what the request needs.`;
-    return Promise.resolve({ type: 'unavailable' as const, reason: 'not-resident', detail });
+  seek(need: Need, route: Route, remainingMs: Ms): ReturnType<Serving['seek']> {
+    return this.seeker.seek(need, route, remainingMs);
+  }
+
+  arrived(need: Need): void {
+    this.meter.arrived(need);
+  }
+
+  running(need: Need, change: 1 | -1): void {
+    this.meter.running(need, change);
   }
 
   ended(): void {}
@@ -120,23 +181,59 @@
 
   setTable(table: RouteTable): void {
     this.table = table;
+    this.desk.table = table;
   }
 
   upstream(upstream: Upstream): void {
     this.fleet.put(upstream);
+    this.desk.upstream(upstream);
   }
 
   upstreamGone(id: UpstreamId): void {
     this.fleet.remove(id);
+    this.desk.upstreamGone(id);
     this.keepConnections();
   }
 
-  own(_key: string, _item: KeyValue | undefined): void {}
+  own(key: string, item: KeyValue | undefined): void {
+    if (key === this.turnKey) this.turn.heard(item);
+  }
 
   complete(): void {
     this.hasState = true;
   }
 
+  private tick(): void {
+    if (this.hasState && !this.isStopping) this.turn.tick();
+    this.desk.tick();
+  }
+
+  private report(): void {
+    const report = this.meter.report();
+    if (this.turn.isHolder()) {
+      this.desk.demand(report);
+      return;
+    }
+    const address = this.turn.holderAddress();
+    if (address !== undefined) void this.peers.demand(address, report);
+  }
+
+  private async askHolder(need: Need): Promise<FoundNeed | undefined> {
+    if (this.turn.isHolder()) return this.desk.find(need);
+    const address = this.turn.holderAddress();
+    if (address === undefined) return undefined;
+    const found = await this.peers.find(address, need);
+    return found?.type === 'not-holder' ? undefined : found;
+  }
+
+  private every(ms: Ms, act: () => void): void {
+    this.clock.after(ms, () => {
+      if (this.isClosed) return;
+      act();
+      this.every(ms, act);
+    });
+  }
+
   private keepConnections(): void {
     const addresses = new Set<string>();
     for (const { info } of this.fleet.all()) addresses.add(info.address);
--- /dev/null
+++ b/src/direct/orders/demandbook.ts
@@ -0,0 +1,89 @@
+import type { ModelId, Ms, ServiceId } from '../../base/index.js';
+import type { ModelDemand } from '../../core/fleetplan/index.js';
+import type { DemandReport } from './demandreport.js';
+
+interface Line {
+  perSecond: number;
+  concurrency: number;
+  lastMs: Ms;
+  /** Running and waiting requests, by entry, as last told. */
+  readonly byEntry: Map<string, { running: number; waiting: number; atMs: Ms }>;
+}
+
+/** Averages follow demand with this time constant: a shift takes 4 to 6 s. */
+const MEMORY_MS = 2500;
+/** An entry that has told nothing for this long has gone. */
+const SILENT_MS = 1500;
+const MS_PER_S = 1000;
+
+/** What all entries are asked for, as the holder of orders knows it. */
+export class DemandBook {
+  private readonly services = new Map<ServiceId, Map<ModelId, Line>>();
+
+  private readonly adapters = new Map<string, Ms>();
+
+  private updatedAtMs: Ms = 0;
+
+  take({ entry, models }: DemandReport, nowMs: Ms): void {
+    for (const line of this.lines()) line.byEntry.delete(entry);
+    for (const { service, model, arrivals, running, waiting, adapters } of models) {
+      const line = this.line(service, model, nowMs);
+      if (arrivals > 0 || waiting > 0) line.lastMs = nowMs;
+      line.perSecond += (arrivals * MS_PER_S) / MEMORY_MS;
+      line.byEntry.set(entry, { running, waiting, atMs: nowMs });
+      for (const adapter of adapters) this.used(model, adapter, nowMs);
+    }
+  }
+
+  used(model: ModelId, adapter: string, nowMs: Ms): void {
+    this.adapters.set(`${model}/${adapter}`, nowMs);
+  }
+
+  adapterUsedAtMs(model: ModelId, adapter: string): Ms {
+    return this.adapters.get(`${model}/${adapter}`) ?? 0;
+  }
+
+  /** Brings the averages up to now. */
+  advance(nowMs: Ms): void {
+    const kept = Math.exp(-(nowMs - this.updatedAtMs) / MEMORY_MS);
+    this.updatedAtMs = nowMs;
+    for (const line of this.lines()) {
+      let current = 0;
+      for (const [entry, { running, waiting, atMs }] of line.byEntry) {
+        if (nowMs - atMs > SILENT_MS) line.byEntry.delete(entry);
+        else current += running + waiting;
+      }
+      line.perSecond *= kept;
+      line.concurrency = current + (line.concurrency - current) * kept;
+    }
+  }
+
+  of(service: ServiceId, nowMs: Ms): ReadonlyMap<ModelId, ModelDemand> {
+    const demand = new Map<ModelId, ModelDemand>();
+    for (const [model, line] of this.services.get(service) ?? []) {
+      let waiting = 0;
+      for (const told of line.byEntry.values()) waiting += told.waiting;
+      const { concurrency, perSecond, lastMs } = line;
+      demand.set(model, { concurrency, perSecond, waiting, idleMs: nowMs - lastMs });
+    }
+    return demand;
+  }
+
+  private *lines(): Iterable<Line> {
+    for (const models of this.services.values()) yield* models.values();
+  }
+
+  private line(service: ServiceId, model: ModelId, nowMs: Ms): Line {
+    let models = this.services.get(service);
+    if (!models) {
+      models = new Map();
+      this.services.set(service, models);
+    }
+    let line = models.get(model);
+    if (!line) {
+      line = { perSecond: 0, concurrency: 0, lastMs: nowMs, byEntry: new Map() };
+      models.set(model, line);
+    }
+    return line;
+  }
+}
--- /dev/null
+++ b/src/direct/orders/demandmeter.ts
@@ -0,0 +1,63 @@
+import type { ModelId, ServiceId } from '../../base/index.js';
+import type { Need } from '../route/index.js';
+import type { DemandReport } from './demandreport.js';
+
+interface Counts {
+  readonly service: ServiceId;
+  readonly model: ModelId;
+  arrivals: number;
+  running: number;
+  waiting: number;
+  adapters: Set<string>;
+}
+
+/** Counts what this entry is asked for, model by model. */
+export class DemandMeter {
+  private readonly counts = new Map<string, Counts>();
+
+  constructor(private readonly entry: string) {}
+
+  arrived(need: Need): void {
+    const counts = this.of(need);
+    if (!counts) return;
+    counts.arrivals += 1;
+    if (need.adapter !== undefined) counts.adapters.add(need.adapter);
+  }
+
+  running(need: Need, change: 1 | -1): void {
+    const counts = this.of(need);
+    if (counts) counts.running += change;
+  }
+
+  waiting(need: Need, change: 1 | -1): void {
+    const counts = this.of(need);
+    if (counts) counts.waiting += change;
+  }
+
+  /** What came since the last report; models without any of it are left out. */
+  report(): DemandReport {
+    const models: DemandReport['models'][number][] = [];
+    for (const [key, counts] of this.counts) {
+      const { service, model, arrivals, running, waiting, adapters } = counts;
+      if (arrivals === 0 && running === 0 && waiting === 0) {
+        this.counts.delete(key);
+        continue;
+      }
+      models.push({ service, model, arrivals, running, waiting, adapters: [...adapters] });
+      counts.arrivals = 0;
+      counts.adapters = new Set();
+    }
+    return { entry: this.entry, models };
+  }
+
+  private of({ service, model }: Need): Counts | undefined {
+    if (model === undefined) return undefined;
+    const key = `${service}/${model}`;
+    let counts = this.counts.get(key);
+    if (!counts) {
+      counts = { service, model, arrivals: 0, running: 0, waiting: 0, adapters: new Set() };
+      this.counts.set(key, counts);
+    }
+    return counts;
+  }
+}
--- /dev/null
+++ b/src/direct/orders/demandreport.ts
@@ -0,0 +1,20 @@
+import type { ModelId, ServiceId } from '../../base/index.js';
+
+/** What one entry saw of one model since its last report. */
+interface ModelReport {
+  readonly service: ServiceId;
+  readonly model: ModelId;
+  /** Requests that came. */
+  readonly arrivals: number;
+  /** Requests at upstreams now. */
+  readonly running: number;
+  /** Requests that wait because no upstream holds what they need. */
+  readonly waiting: number;
+  readonly adapters: readonly string[];
+}
+
+/** What one entry tells the holder of orders, several times a second. */
+export interface DemandReport {
+  readonly entry: string;
+  readonly models: readonly ModelReport[];
+}
--- /dev/null
+++ b/src/direct/orders/orderdesk.ts
@@ -0,0 +1,304 @@
+import type { Clock, ModelId, Ms, ServiceId, UpstreamId } from '../../base/index.js';
+import { planMoves, type Move, type PlanUpstream } from '../../core/fleetplan/index.js';
+import type { RouteTable, ServiceSpec } from '../../core/routetable/index.js';
+import type { Upstream } from '../../core/upstreams/index.js';
+import type { Log, UpstreamLink } from '../../port/index.js';
+import type { Need } from '../route/index.js';
+import { adoptList } from './adoptlist.js';
+import { DemandBook } from './demandbook.js';
+import type { DemandReport } from './demandreport.js';
+import type { FoundNeed } from './foundneed.js';
+import { LoadBudget } from './loadbudget.js';
+import { sendOrder } from './sendorder.js';
+import type { Track } from './track.js';
+import type { TurnKeeper } from './turnkeeper.js';
+
+/** Options of a desk. */
+interface OrderDeskOptions {
+  readonly turn: TurnKeeper;
+  readonly link: UpstreamLink;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly host: string;
+  readonly loadWindowMs: Ms;
+  readonly loadOvershoot: number;
+}
+
+type Engine = NonNullable<ServiceSpec['engine']>;
+
+/** How long an adapter is on its way after its order was taken; the slowest seen took 9.7. */
+const ADAPTER_MS = 14;
+/** Moves under way at once: more would take too many engines' models at the same time. */
+const MOST_MOVES = 6;
+/** How often a move looks whether its order is done. */
+const LOOK_MS = 25;
+/** An order about a model that is not done this long after it should be is looked into. */
+const OVERDUE_MS = 2500;
+/** An unload waits for the runs of its model; the longest seen took about this. */
+const UNLOAD_MS = 1500;
+/** When nothing is under way for a need yet: the next plan and a load from disk. */
+const UNPLANNED_MS = 900;
+
+/** Gives the orders, while this process has the right to. */
+export class OrderDesk {
+  private readonly tracks = new Map<UpstreamId, Track>();
+
+  private readonly book = new DemandBook();
+
+  private readonly budget: LoadBudget;
+
+  private readonly expected = new Map<string, Ms>();
+
+  private moving = 0;
+
+  table: RouteTable | undefined;
+
+  constructor(private readonly options: OrderDeskOptions) {
+    this.budget = new LoadBudget(options.loadWindowMs, options.loadOvershoot);
+  }
+
+  /** This process has the right to give orders; an earlier one's orders and loads count as well. */
+  took(isFirst: boolean): void {
+    for (const track of this.tracks.values()) track.orderCount = isFirst ? 0 : undefined;
+    if (isFirst) return;
+    for (const { engine } of this.table?.services.values() ?? []) {
+      if (engine) this.budget.tookOver(engine.loadsPerSecond, this.options.clock.nowMs());
+    }
+  }
+
+  upstream(info: Upstream): void {
+    const nowMs = this.options.clock.nowMs();
+    let track = this.tracks.get(info.id);
+    if (!track) {
+      track = {
+        info,
+        // Unless it has just started, an earlier holder may have given it orders.
+        orderCount: undefined,
+        done: new Map(),
+        models: new Map(),
+        isMoving: false,
+        restUntilMs: 0,
+        turn: Promise.resolve(),
+      };
+      this.tracks.set(info.id, track);
+    }
+    track.info = info;
+    adoptList(track, info.models, nowMs);
+  }
+
+  upstreamGone(id: UpstreamId): void {
+    this.tracks.delete(id);
+  }
+
+  demand(report: DemandReport): void {
+    this.book.take(report, this.options.clock.nowMs());
+  }
+
+  /** Plans and begins moves; to be called several times a second. */
+  tick(): void {
+    const { clock, turn } = this.options;
+    const nowMs = clock.nowMs();
+    this.book.advance(nowMs);
+    if (!turn.mayOrder()) return;
+    for (const { id, engine } of this.table?.services.values() ?? []) {
+      if (engine) this.plan(id, engine, nowMs);
+    }
+  }
+
+  /** Makes an upstream ready for a need, if that is a matter of milliseconds; else says when to ask again. */
+  async find(need: Need): Promise<FoundNeed> {
+    const { turn, clock } = this.options;
+    if (!turn.isHolder()) return { type: 'not-holder' };
+    const { service, model, adapter } = need;
+    const engine = this.table?.services.get(service)?.engine;
+    if (model === undefined || !engine) return this.later(need);
+    const holders = this.holders(service, model);
+    if (holders.length === 0) return this.later(need);
+    if (adapter === undefined) return { type: 'ready', upstream: holders[0]!.info.id };
+    this.book.used(model, adapter, clock.nowMs());
+    const having = holders.find((track) => track.models.get(model)!.adapters.has(adapter));
+    if (having) return { type: 'ready', upstream: having.info.id };
+    if (!turn.mayOrder()) return this.later(need);
+    return this.bringAdapter(holders, engine, model, adapter);
+  }
+
+  private holders(service: ServiceId, model: ModelId): Track[] {
+    const found: Track[] = [];
+    for (const track of this.tracks.values()) {
+      const { info, models } = track;
+      if (info.service !== service || info.isLeaving) continue;
+      if (models.get(model)?.phase === 'ready') found.push(track);
+    }
+    return found;
+  }
+
+  private later({ service, model }: Need): FoundNeed {
+    const nowMs = this.options.clock.nowMs();
+    const expectedAtMs = this.expected.get(`${service}/${model}`);
+    const waitMs = this.options.turn.ordersInMs();
+    if (expectedAtMs === undefined) {
+      return { type: 'later', inMs: waitMs + UNPLANNED_MS, isUnderWay: false };
+    }
+    return { type: 'later', inMs: Math.max(LOOK_MS, expectedAtMs - nowMs), isUnderWay: true };
+  }
+
+  private async bringAdapter(
+    holders: readonly Track[],
+    engine: Engine,
+    model: ModelId,
+    adapter: string,
+  ): Promise<FoundNeed> {
+    const { clock } = this.options;
+    const nowMs = clock.nowMs();
+    const used = (track: Track) => {
+      let count = 0;
+      for (const { adapters } of track.models.values()) count += adapters.size;
+      return count;
+    };
+    const able = holders.filter((track) => track.restUntilMs <= nowMs);
+    const [track] = able.sort((a, b) => used(a) - used(b));
+    const asAgain: FoundNeed = { type: 'later', inMs: LOOK_MS * 4, isUnderWay: false };
+    if (!track) return asAgain;
+    const held = track.models.get(model)!;
+    if (used(track) >= engine.adapterSlots && !(await this.makeAdapterRoom(track))) return asAgain;
+    // Counted before the answer: orders that follow must see its place taken.
+    held.adapters.add(adapter);
+    const outcome = await sendOrder(this.options, track, { action: 'load', model, adapter });
+    if (outcome !== 'accepted' && outcome !== 'done') {
+      if (outcome !== 'unknown') track.models.get(model)?.adapters.delete(adapter);
+      return asAgain;
+    }
+    track.models.get(model)?.adapters.add(adapter);
+    track.done.set(`${model}/${adapter}`, { isThere: true, atMs: clock.nowMs() });
+    if (outcome === 'accepted') await this.pause(ADAPTER_MS);
+    return { type: 'ready', upstream: track.info.id };
+  }
+
+  /** Takes the adapter that was asked for longest ago. */
+  private async makeAdapterRoom(track: Track): Promise<boolean> {
+    let oldest: { model: ModelId; adapter: string; usedAtMs: Ms } | undefined;
+    for (const [model, { adapters }] of track.models) {
+      for (const adapter of adapters) {
+        const usedAtMs = this.book.adapterUsedAtMs(model, adapter);
+        if (!oldest || usedAtMs < oldest.usedAtMs) oldest = { model, adapter, usedAtMs };
+      }
+    }
+    if (!oldest) return false;
+    const { model, adapter } = oldest;
+    const outcome = await sendOrder(this.options, track, { action: 'unload', model, adapter });
+    // 200: it is gone; 202: it goes once its runs have ended, and takes its place until then.
+    if (outcome !== 'done') return false;
+    track.models.get(model)?.adapters.delete(adapter);
+    track.done.set(`${model}/${adapter}`, { isThere: false, atMs: this.options.clock.nowMs() });
+    return true;
+  }
+
+  private plan(service: ServiceId, engine: Engine, nowMs: Ms): void {
+    const room = MOST_MOVES - this.moving;
+    if (room <= 0) return;
+    const upstreams: PlanUpstream[] = [];
+    for (const track of this.tracks.values()) {
+      if (track.info.service !== service || track.info.isLeaving) continue;
+      upstreams.push(this.planUpstream(track, nowMs));
+    }
+    const coldLoadsLeft = this.budget.left(engine.loadsPerSecond, nowMs);
+    const demand = this.book.of(service, nowMs);
+    const input = { engine, upstreams, demand, coldLoadsLeft };
+    for (const move of planMoves(input, room)) {
+      const track = this.tracks.get(move.upstream);
+      if (track) void this.move(track, service, move, demand);
+    }
+  }
+
+  private planUpstream(track: Track, nowMs: Ms): PlanUpstream {
+    const { info, models, isMoving, restUntilMs } = track;
+    const placed = [...models].map(([model, { phase, sinceMs, adapters }]) => ({
+      model,
+      phase,
+      ageMs: nowMs - sinceMs,
+      adapters,
+    }));
+    return {
+      id: info.id,
+      slots: info.slots,
+      placed,
+      isBusy: isMoving || restUntilMs > nowMs,
+      warm: info.warm,
+      onDisk: info.onDisk,
+      load: 0,
+    };
+  }
+
+  /** Makes room, then loads. What does not come off is left to the next plan. */
+  private async move(
+    track: Track,
+    service: ServiceId,
+    move: Move,
+    demand: ReadonlyMap<ModelId, object>,
+  ): Promise<void> {
+    const { clock, log } = this.options;
+    const mark = track;
+    const { model, evicted, loadMs, isFromStore, gain, cost } = move;
+    mark.isMoving = true;
+    this.moving += 1;
+    const key = `${service}/${model}`;
+    const startedAtMs = clock.nowMs();
+    if (isFromStore) this.budget.begin(startedAtMs);
+    const unloadMs = evicted.length > 0 ? LOOK_MS * 2 : 0;
+    this.expected.set(key, startedAtMs + unloadMs + loadMs);
+    const why = demand.get(model);
+    log.info('move begun', { upstream: move.upstream, service, model, evicted, isFromStore, gain, cost, demand: why });
+    const end = await this.carryOut(track, move);
+    this.expected.delete(key);
+    this.moving -= 1;
+    mark.isMoving = false;
+    const tookMs = Math.round(clock.nowMs() - startedAtMs);
+    log.info('move ended', { upstream: move.upstream, model, end, tookMs });
+  }
+
+  private async carryOut(track: Track, { model, evicted, loadMs }: Move): Promise<string> {
+    const { clock } = this.options;
+    for (const victim of evicted) {
+      const held = track.models.get(victim);
+      if (held) {
+        held.phase = 'unloading';
+        const outcome = await sendOrder(this.options, track, { action: 'unload', model: victim });
+        if (outcome !== 'accepted' && outcome !== 'done') {
+          const still = track.models.get(victim);
+          if (still) still.phase = 'ready';
+          return `unload-${outcome}`;
+        }
+        const isGone = await this.until(track, () => !track.info.models.has(victim), UNLOAD_MS);
+        if (!isGone) return 'unload-overdue';
+        track.models.delete(victim);
+      }
+    }
+    track.models.set(model, { phase: 'loading', sinceMs: clock.nowMs(), adapters: new Set() });
+    const outcome = await sendOrder(this.options, track, { action: 'load', model });
+    if (outcome !== 'accepted' && outcome !== 'done') {
+      if (track.models.get(model)?.phase === 'loading') track.models.delete(model);
+      return `load-${outcome}`;
+    }
+    const isThere = await this.until(track, () => track.info.models.has(model), loadMs);
+    if (isThere) return 'done';
+    if (track.models.get(model)?.phase === 'loading') track.models.delete(model);
+    return 'load-overdue';
+  }
+
+  /** Waits for the list to tell of something. */
+  private async until(track: Track, isTrue: () => boolean, expectedMs: Ms): Promise<boolean> {
+    const { clock } = this.options;
+    const lastMs = clock.nowMs() + expectedMs + OVERDUE_MS;
+    while (clock.nowMs() < lastMs && this.tracks.get(track.info.id) === track) {
+      if (isTrue()) return true;
+      await this.pause(LOOK_MS);
+    }
+    return isTrue();
+  }
+
+  private pause(ms: Ms): Promise<void> {
+    return new Promise((resolve) => {
+      this.options.clock.after(ms, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/direct/orders/peers.ts
@@ -0,0 +1,111 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Clock, Ms } from '../../base/index.js';
+import type { Log } from '../../port/index.js';
+import { callOnce, Channel } from '../../shell/http1/index.js';
+import type { Need } from '../route/index.js';
+import type { DemandReport } from './demandreport.js';
+import type { FoundNeed } from './foundneed.js';
+
+/** What other entries may ask of this one. */
+interface PeerHandlers {
+  find(need: Need): Promise<FoundNeed>;
+  demand(report: DemandReport): void;
+}
+
+const PATHS = { find: '/orders/find', demand: '/orders/demand' } as const;
+const CONNECT_TIMEOUT_MS = 250;
+const IDLE_MS = 10_000;
+const CONNECTIONS = 16;
+/** An entry that is up answers within milliseconds; bringing an adapter takes up to 30. */
+const FIND_TIMEOUT_MS = 400;
+const DEMAND_TIMEOUT_MS = 400;
+const MOST_BYTES = 262_144;
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MOST_BYTES) return undefined;
+    chunks.push(chunk);
+  }
+  return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+}
+
+/** Calls between entries about orders. */
+export class Peers {
+  private readonly server: Server;
+
+  private channel: { readonly address: string; readonly calls: Channel } | undefined;
+
+  constructor(
+    private readonly handlers: PeerHandlers,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
+    this.server = createServer((request, response) => void this.answer(request, response));
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.channel?.calls.close();
+  }
+
+  /** Undefined without an answer. */
+  async find(address: string, need: Need): Promise<FoundNeed | undefined> {
+    return (await this.ask(address, PATHS.find, need, FIND_TIMEOUT_MS)) as FoundNeed | undefined;
+  }
+
+  async demand(address: string, report: DemandReport): Promise<void> {
+    await this.ask(address, PATHS.demand, report, DEMAND_TIMEOUT_MS);
+  }
+
+  private async ask(address: string, path: string, body: object, timeoutMs: Ms): Promise<unknown> {
+    if (this.channel?.address !== address) {
+      this.channel?.calls.close();
+      const options = { connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS };
+      this.channel = { address, calls: new Channel(address, { ...options, maxConnections: CONNECTIONS }) };
+    }
+    const call = {
+      method: 'POST',
+      path,
+      headers: ['Content-Type', 'application/json'],
+      body: Buffer.from(JSON.stringify(body)),
+    };
+    const answer = await callOnce(this.channel.calls, call, this.clock, timeoutMs);
+    if (answer.err || answer.val.status !== 200) {
+      const detail = answer.err ? answer.val.detail : `status ${answer.val.status}`;
+      this.log.warn('holder of orders not reached', { address, path, detail });
+      return undefined;
+    }
+    return JSON.parse(answer.val.body.toString('utf8'));
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.sendDate = false;
+    try {
+      const body = await readJson(request);
+      const said = await this.handle(request.url ?? '', body);
+      response.writeHead(said === undefined ? 404 : 200, { 'Content-Type': 'application/json' });
+      response.end(JSON.stringify(said ?? {}));
+    } catch (thrown) {
+      this.log.warn('call between entries not readable', { detail: String(thrown) });
+      if (!response.headersSent) response.writeHead(400);
+      response.end();
+    }
+  }
+
+  private async handle(path: string, body: unknown): Promise<object | undefined> {
+    if (path === PATHS.find) return this.handlers.find(body as Need);
+    if (path !== PATHS.demand) return undefined;
+    this.handlers.demand(body as DemandReport);
+    return {};
+  }
+}
--- /dev/null
+++ b/src/direct/orders/track.ts
@@ -0,0 +1,25 @@
+import type { ModelId, Ms } from '../../base/index.js';
+import type { Upstream } from '../../core/upstreams/index.js';
+
+/** A model at an upstream as the holder of orders believes it. */
+interface TrackedModel {
+  phase: 'ready' | 'loading' | 'unloading';
+  sinceMs: Ms;
+  adapters: Set<string>;
+}
+
+/** What the holder of orders believes of one upstream: the list's word and its own orders since. */
+export interface Track {
+  info: Upstream;
+  /** Orders that the upstream has accepted: the next one is void if there were others. */
+  orderCount: number | undefined;
+  /** What own orders did to adapters, `model/adapter`, since the list can have told of it. */
+  readonly done: Map<string, { readonly isThere: boolean; readonly atMs: Ms }>;
+  models: Map<ModelId, TrackedModel>;
+  /** True while a move is under way. */
+  isMoving: boolean;
+  /** No order before then: the last one had no answer that could be understood. */
+  restUntilMs: Ms;
+  /** Orders go one after the other. */
+  turn: Promise<unknown>;
+}
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -17,6 +17,8 @@
 const FAILURE_COST = 2;
 /** An upstream that could not be reached is left alone for this long. */
 const UNREACHABLE_MS = 1500;
+/** An interval between an upstream's entries in the list, and the list's lag. */
+const HINT_MS = 3000;
 /** One that refused as full, in ms: about as long as a plain service needs for a few requests. */
 const FULL_MS = 60;
 
@@ -32,7 +34,6 @@
     const known = this.states.get(info.id);
     if (known) {
       known.info = info;
-      known.hints.clear();
       return;
     }
     const state: UpstreamState = {
@@ -74,7 +75,7 @@
     let best: UpstreamState | undefined;
     let bestCost = Infinity;
     for (const state of this.of(need.service)) {
-      if (state.info.isLeaving || tried.has(state.info.id) || !holds(state, need)) continue;
+      if (state.info.isLeaving || tried.has(state.info.id) || !holds(state, need, nowMs)) continue;
       const cost = this.cost(state, nowMs);
       if (cost >= bestCost) continue;
       best = state;
@@ -90,10 +91,15 @@
     }
     if (lesson === 'unreachable') state.avoidUntilMs = nowMs + UNREACHABLE_MS;
     if (lesson === 'full') state.avoidUntilMs = Math.max(state.avoidUntilMs, nowMs + FULL_MS);
-    if (lesson === 'missing' && need.model !== undefined) {
-      const { model, adapter } = need;
-      state.hints.set(adapter === undefined ? model : `${model}/${adapter}`, false);
-    }
+    if (lesson === 'missing') this.hint(state, need, false, nowMs);
+  }
+
+  /** Notes what was found out about a model or adapter, until the list can have told of it. */
+  hint(state: UpstreamState, { model, adapter }: Need, isThere: boolean, nowMs: Ms): void {
+    if (model === undefined) return;
+    const hint = { isThere, untilMs: nowMs + HINT_MS };
+    if (adapter !== undefined) state.hints.set(`${model}/${adapter}`, hint);
+    if (adapter === undefined || isThere) state.hints.set(model, hint);
   }
 
   learnLoad(state: UpstreamState, load: { running: number; waiting: number }, nowMs: Ms): void {
--- a/src/direct/route/upstreamstate.ts
+++ b/src/direct/route/upstreamstate.ts
@@ -13,6 +13,6 @@
   failureShare: number;
   /** Not chosen before then while another can be. */
   avoidUntilMs: Ms;
-  /** `model` or `model/adapter` that was found missing or made present since the list's last word. */
-  readonly hints: Map<string, boolean>;
+  /** `model` or `model/adapter` that was found missing or made present, before the list told of it. */
+  readonly hints: Map<string, { readonly isThere: boolean; readonly untilMs: Ms }>;
 }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -101,7 +101,9 @@
     const waitMs = Math.max(0, this.untilMs - this.clock.nowMs());
     this.forgetTimer = this.clock.after(waitMs, () => this.timeout());
     caller.onFree(() => this.sent?.resume());
-    serving.budgetOf(pickService(route, request.id)).request(this.clock.nowMs());
+    const service = pickService(route, request.id);
+    serving.budgetOf(service).request(this.clock.nowMs());
+    serving.arrived({ service, model: request.model, adapter: request.adapter });
     this.attempt();
   }
 
@@ -184,6 +186,7 @@
     this.tried.add(state.info.id);
     if (!sent) {
       this.ends.push(`${state.info.id}:no-connection`);
+      this.refusedCount += 1;
       this.decide({ type: 'not-run', wasSent: false });
       return;
     }
@@ -193,6 +196,7 @@
     this.sent = sent;
     // eslint-disable-next-line no-param-reassign -- the fleet's own count of what is there
     state.inFlight += 1;
+    serving.running(this.need!, 1);
   }
 
   private receiver(state: UpstreamState, attempt: number): UpstreamReceiver {
@@ -212,6 +216,7 @@
         const lesson = failure.mayHaveRun ? 'failed' : 'unreachable';
         this.serving.fleet.learn(state, lesson, this.need!, this.clock.nowMs());
         if (failure.mayHaveRun) this.ranCount += 1;
+        else this.refusedCount += 1;
         this.decide(failure.mayHaveRun ? { type: 'broken' } : { type: 'not-run', wasSent: false });
       },
     };
@@ -376,7 +381,10 @@
   }
 
   private leave(): void {
-    if (this.state) this.state.inFlight -= 1;
+    if (this.state) {
+      this.state.inFlight -= 1;
+      this.serving.running(this.need!, -1);
+    }
     this.state = undefined;
     this.sent = undefined;
   }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -26,5 +26,9 @@
   connectionShare(maxConnections: number | undefined): number;
   /** Waits until an upstream holds what is needed, or says why not. */
   seek(need: Need, route: Route, remainingMs: Ms): Promise<Sought>;
+  /** A request with this need has come. */
+  arrived(need: Need): void;
+  /** One more, or one less, is at an upstream. */
+  running(need: Need, change: 1 | -1): void;
   ended(end: string, route: Route | undefined, tookMs: Ms): void;
 }
--- a/src/port/upstreamlink.ts
+++ b/src/port/upstreamlink.ts
@@ -74,7 +74,8 @@
 /** What an upstream said to an order. */
 type OrderOutcome =
   | 'accepted'
-  | 'holds-already'
+  /** Nothing is left to do: it holds already, or was done at once. */
+  | 'done'
   | 'conflict'
   | 'fenced'
   | 'wrong-upstream'
@@ -82,13 +83,27 @@
   | 'unsent'
   | 'unknown';
 
+/** An upstream's own word on what it holds, some hundred ms old. */
+interface UpstreamReport {
+  readonly orderCount: number;
+  readonly isBusy: boolean;
+  readonly models: ReadonlyMap<
+    ModelId,
+    { readonly version: number; readonly adapters: ReadonlySet<string> }
+  >;
+}
+
 /** Reaches upstreams without a sidecar. */
 export interface UpstreamLink {
   /** Undefined if all connections that this process may have there are in use. */
   send(call: UpstreamCall, receiver: UpstreamReceiver): UpstreamSent | undefined;
   order(order: UpstreamOrder, timeoutMs: Ms): Promise<OrderOutcome>;
-  /** The number of orders that the upstream has accepted, by its own report. */
-  orderCount(upstream: UpstreamId, address: string, timeoutMs: Ms): Promise<number | undefined>;
+  /** What the upstream itself says that it holds; undefined without an answer. */
+  report(
+    upstream: UpstreamId,
+    address: string,
+    timeoutMs: Ms,
+  ): Promise<UpstreamReport | undefined>;
   /** Closes connections to addresses other than these. */
   keep(addresses: ReadonlySet<string>): void;
   close(): void;
