The right to give orders is renewed through another entry when the own way to the store is cut

Cause: a holder cut off from the store stood still for 6 s, with the takeover after it. Ruled out: a longer validity (a dead holder would stall longer); letting two give orders.

--- a/src/core/fleetplan/costof.ts
+++ b/src/core/fleetplan/costof.ts
@@ -19,7 +19,9 @@
   if (leftCount >= census.neededCount(model)) {
     return planRules.adapterGain + census.fill(model, leftCount);
   }
-  if (leftCount > 0) return planRules.neededCost + census.fill(model, leftCount);
+  if (leftCount > 0) {
+    return planRules.neededCost + planRules.neededCostPerFill * census.fill(model, leftCount);
+  }
   if (!isInUse) return planRules.idleLastCost;
   const perSecond = input.demand.get(model)?.perSecond ?? 0;
   return planRules.usedLastCost + perSecond * planRules.usedLastCostPerS;
--- a/src/core/fleetplan/planrules.ts
+++ b/src/core/fleetplan/planrules.ts
@@ -1,7 +1,7 @@
 /** Weights of a plan. Gains and costs are in requests that are served or not. */
 export const planRules = {
   /** Part of an engine's slots that a model's requests may fill before it gets another replica. */
-  fillShare: 0.4,
+  fillShare: 0.25,
   /** Part of a model's replicas that is kept while the demand is not known. */
   keptShare: 0.6,
   /** A model that was asked for within this time counts as in use. */
@@ -20,8 +20,9 @@
   reachableGain: 2.5,
   /** For taking a replica that is not needed. */
   surplusCost: 0.05,
-  /** For taking one of several that are needed. */
-  neededCost: 3.5,
+  /** For taking one of several that are needed, and for the part of the slots of the others then filled. */
+  neededCost: 1,
+  neededCostPerFill: 4,
   /** For taking the only place of a model that nobody asks for. */
   idleLastCost: 3,
   /** For taking the only place of one in use, and for each request a second to it. */
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -1,12 +1,19 @@
-import type { Clock, Ms, ServiceId, UpstreamId } from '../base/index.js';
+import { result, type Clock, type Ms, type ServiceId, type UpstreamId } from '../base/index.js';
 import { hash32 } from '../core/hash/index.js';
 import { RetryBudget } from '../core/retrybudget/index.js';
 import type { Route, RouteTable } from '../core/routetable/index.js';
 import type { Upstream } from '../core/upstreams/index.js';
-import type { ChangeFeed, KeyValue, Log, UpstreamLink } from '../port/index.js';
+import type { ChangeFeed, KeyValue, Log, Swap, UpstreamLink } from '../port/index.js';
 import type { Caller } from './caller.js';
 import type { DirectSettings } from './directsettings.js';
-import { DemandMeter, OrderDesk, Peers, TurnKeeper, type FoundNeed } from './orders/index.js';
+import {
+  DemandMeter,
+  OrderDesk,
+  Peers,
+  TurnKeeper,
+  type DemandReport,
+  type FoundNeed,
+} from './orders/index.js';
 import { Fleet, type Need } from './route/index.js';
 import { Run } from './run/index.js';
 import { Seeker } from './seeker.js';
@@ -37,6 +44,7 @@
 /** Entries take over from a lost holder one after the other, so that they do not all try at once. */
 const TAKEOVER_PLACES = 8;
 const TAKEOVER_STEP_MS = 40;
+const TAKE_AFTER_MS = 700;
 
 /** An entry that reaches upstreams itself. */
 export class DirectEntry implements Serving {
@@ -68,6 +76,9 @@
 
   private readonly turnKey: string;
 
+  /** Addresses of other entries, the one that was heard from last at the end. */
+  private readonly others = new Map<string, string>();
+
   private hasState = false;
 
   private isStopping = false;
@@ -82,24 +93,31 @@
     this.fleet = new Fleet(settings.availabilityZone);
     this.follower = new Follower(feed, codec, this, clock, log, () => this.desk.isMoving());
     const { host, peerListen, orderTurnMs, loadWindowMs, loadOvershoot } = settings;
-    this.meter = new DemandMeter(host);
+    const address = `${peerListen.host}:${peerListen.port}`;
+    this.meter = new DemandMeter(host, address);
     this.turnKey = `${codec.ownPrefix}order-turn`;
     this.turn = new TurnKeeper({
       host,
-      address: `${peerListen.host}:${peerListen.port}`,
+      address,
       key: this.turnKey,
       turnMs: orderTurnMs,
       delayMs: (hash32(host) % TAKEOVER_PLACES) * TAKEOVER_STEP_MS,
       feed,
       clock,
       log,
+      relay: (swap) => this.relay(swap),
       took: (isFirst) => this.desk.took(isFirst),
     });
     const shared = { link, clock, log, host, loadWindowMs, loadOvershoot };
     const listSilentMs = () => this.follower.silentMs();
     const loadOf = (id: UpstreamId) => this.fleet.load(id, clock.nowMs());
     this.desk = new OrderDesk({ ...shared, turn: this.turn, listSilentMs, loadOf });
-    this.peers = new Peers(this.desk, clock, log);
+    const handlers = {
+      find: (need: Need) => this.desk.find(need),
+      demand: (report: DemandReport) => this.hearDemand(report),
+      swap: (swap: Swap) => feed.swap(swap),
+    };
+    this.peers = new Peers(handlers, clock, log);
     const ask = (need: Need) => this.askHolder(need);
     this.seeker = new Seeker({ clock, log, fleet: this.fleet, meter: this.meter, ask });
   }
@@ -206,7 +224,10 @@
   }
 
   private tick(): void {
-    if (this.hasState && !this.isStopping) this.turn.tick();
+    // After an outage of the store the holder before goes on, if it still can: a change costs 3 s.
+    const mayTake = this.follower.steadyMs() > TAKE_AFTER_MS;
+    const isDue = this.turn.isHolder() || mayTake;
+    if (this.hasState && !this.isStopping && isDue) this.turn.tick();
     this.desk.tick();
   }
 
@@ -220,6 +241,20 @@
     if (address !== undefined) void this.peers.demand(address, report);
   }
 
+  private hearDemand(report: DemandReport): void {
+    this.others.delete(report.entry);
+    this.others.set(report.entry, report.address);
+    this.desk.demand(report);
+  }
+
+  /** Through the entry that was heard from last. */
+  private relay(swap: Swap): ReturnType<ChangeFeed['swap']> {
+    const address = [...this.others.values()].at(-1);
+    if (address !== undefined) return this.peers.swap(address, swap);
+    const detail = 'No other entry is known.';
+    return Promise.resolve(result.Err({ type: 'store-unavailable' as const, detail }));
+  }
+
   private async askHolder(need: Need): Promise<FoundNeed | undefined> {
     if (this.turn.isHolder()) return this.desk.find(need);
     const address = this.turn.holderAddress();
--- a/src/direct/orders/adoptlist.ts
+++ b/src/direct/orders/adoptlist.ts
@@ -28,7 +28,10 @@
     next.set(model, { phase, sinceMs, adapters: adaptersOf(track, model, adapters, nowMs) });
   }
   for (const [model, known] of before) {
-    if (known.phase === 'loading' && !next.has(model)) next.set(model, known);
+    if (next.has(model)) continue;
+    // A word may be older than the load that the one before told of.
+    const isNew = known.phase === 'ready' && nowMs - known.sinceMs < LIST_LAG_MS;
+    if (known.phase === 'loading' || isNew) next.set(model, known);
   }
   Object.assign(track, { models: next });
 }
--- a/src/direct/orders/demandmeter.ts
+++ b/src/direct/orders/demandmeter.ts
@@ -15,7 +15,10 @@
 export class DemandMeter {
   private readonly counts = new Map<string, Counts>();
 
-  constructor(private readonly entry: string) {}
+  constructor(
+    private readonly entry: string,
+    private readonly address: string,
+  ) {}
 
   arrived(need: Need): void {
     const counts = this.of(need);
@@ -47,7 +50,7 @@
       counts.arrivals = 0;
       counts.adapters = new Set();
     }
-    return { entry: this.entry, models };
+    return { entry: this.entry, address: this.address, models };
   }
 
   private of({ service, model }: Need): Counts | undefined {
--- a/src/direct/orders/demandreport.ts
+++ b/src/direct/orders/demandreport.ts
@@ -16,5 +16,7 @@
 /** What one entry tells the holder of orders, several times a second. */
 export interface DemandReport {
   readonly entry: string;
+  /** Where other entries reach it. */
+  readonly address: string;
   readonly models: readonly ModelReport[];
 }
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -178,7 +178,8 @@
     adapter: string,
   ): Promise<FoundNeed> {
     const nowMs = this.options.clock.nowMs();
-    const able = holders.filter((track) => track.restUntilMs <= nowMs);
+    // An upstream that loads a model takes no other order meanwhile.
+    const able = holders.filter((track) => track.restUntilMs <= nowMs && !track.isMoving);
     const [track] = able.sort((a, b) => adapterCount(a) + a.coming - adapterCount(b) - b.coming);
     if (!track) return ASK_AGAIN;
     track.coming += 1;
@@ -300,7 +301,6 @@
   }
 
   private async carryOut(track: Track, { model, evicted, loadMs }: Move): Promise<string> {
-    const { clock } = this.options;
     for (const victim of evicted) {
       const held = track.models.get(victim);
       if (held) {
@@ -314,7 +314,10 @@
           return `unload-${outcome}`;
         }
         const isGone = await this.until(track, () => !track.models.has(victim), UNLOAD_MS);
-        if (!isGone) return 'unload-overdue';
+        if (!isGone) {
+          held.phase = 'ready';
+          return 'unload-overdue';
+        }
       }
     }
     const outcome = await inTurn(track, () =>
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Clock, Ms } from '../../base/index.js';
-import type { Log } from '../../port/index.js';
+import { result, type Clock, type Ms } from '../../base/index.js';
+import type { ChangeFeed, Log, StoreFailure, Swap, SwapOutcome } from '../../port/index.js';
 import { callOnce, Channel } from '../../shell/http1/index.js';
 import type { Need } from '../route/index.js';
 import type { DemandReport } from './demandreport.js';
@@ -10,15 +10,24 @@
 interface PeerHandlers {
   find(need: Need): Promise<FoundNeed>;
   demand(report: DemandReport): void;
+  /** Makes a write for an entry whose own way to the store is cut. */
+  swap(swap: Swap): ReturnType<ChangeFeed['swap']>;
 }
 
-const PATHS = { find: '/orders/find', demand: '/orders/demand' } as const;
+/** A write's outcome as entries tell it each other. */
+type RelayedSwap =
+  | { readonly ok: true; readonly outcome: SwapOutcome }
+  | { readonly ok: false; readonly failure: StoreFailure };
+
+const PATHS = { find: '/orders/find', demand: '/orders/demand', swap: '/orders/swap' } as const;
 const CONNECT_TIMEOUT_MS = 250;
 const IDLE_MS = 10_000;
 const CONNECTIONS = 16;
 /** An entry that is up answers within milliseconds; bringing an adapter takes up to 30. */
 const FIND_TIMEOUT_MS = 400;
 const DEMAND_TIMEOUT_MS = 400;
+/** The right that is renewed lasts not much longer. */
+const SWAP_TIMEOUT_MS = 500;
 const MOST_BYTES = 262_144;
 
 async function readJson(request: IncomingMessage): Promise<unknown> {
@@ -36,7 +45,7 @@
 export class Peers {
   private readonly server: Server;
 
-  private channel: { readonly address: string; readonly calls: Channel } | undefined;
+  private readonly channels = new Map<string, Channel>();
 
   constructor(
     private readonly handlers: PeerHandlers,
@@ -55,7 +64,7 @@
 
   close(): void {
     this.server.close();
-    this.channel?.calls.close();
+    for (const channel of this.channels.values()) channel.close();
   }
 
   /** Undefined without an answer. */
@@ -67,27 +76,42 @@
     await this.ask(address, PATHS.demand, report, DEMAND_TIMEOUT_MS);
   }
 
+  /** Makes a write through another entry. */
+  async swap(address: string, swap: Swap): ReturnType<ChangeFeed['swap']> {
+    const said = await this.ask(address, PATHS.swap, swap, SWAP_TIMEOUT_MS);
+    const relayed = said as RelayedSwap | undefined;
+    if (relayed?.ok) return result.Ok(relayed.outcome);
+    const detail = `No answer from ${address}.`;
+    return result.Err(relayed?.failure ?? { type: 'store-outcome-unknown', detail });
+  }
+
   private async ask(address: string, path: string, body: object, timeoutMs: Ms): Promise<unknown> {
-    if (this.channel?.address !== address) {
-      this.channel?.calls.close();
-      const options = { connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS };
-      this.channel = { address, calls: new Channel(address, { ...options, maxConnections: CONNECTIONS }) };
-    }
+    const channel = this.channelTo(address);
     const call = {
       method: 'POST',
       path,
       headers: ['Content-Type', 'application/json'],
       body: Buffer.from(JSON.stringify(body)),
     };
-    const answer = await callOnce(this.channel.calls, call, this.clock, timeoutMs);
+    const answer = await callOnce(channel, call, this.clock, timeoutMs);
     if (answer.err || answer.val.status !== 200) {
       const detail = answer.err ? answer.val.detail : `status ${answer.val.status}`;
-      this.log.warn('holder of orders not reached', { address, path, detail });
+      this.log.warn('entry not reached', { address, path, detail });
       return undefined;
     }
     return JSON.parse(answer.val.body.toString('utf8'));
   }
 
+  private channelTo(address: string): Channel {
+    let channel = this.channels.get(address);
+    if (!channel) {
+      const options = { connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS };
+      channel = new Channel(address, { ...options, maxConnections: CONNECTIONS });
+      this.channels.set(address, channel);
+    }
+    return channel;
+  }
+
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.sendDate = false;
     try {
@@ -104,6 +128,10 @@
 
   private async handle(path: string, body: unknown): Promise<object | undefined> {
     if (path === PATHS.find) return this.handlers.find(body as Need);
+    if (path === PATHS.swap) {
+      const said = await this.handlers.swap(body as Swap);
+      return said.ok ? { ok: true, outcome: said.val } : { ok: false, failure: said.val };
+    }
     if (path !== PATHS.demand) return undefined;
     this.handlers.demand(body as DemandReport);
     return {};
--- a/src/direct/orders/turnkeeper.ts
+++ b/src/direct/orders/turnkeeper.ts
@@ -1,5 +1,5 @@
 import { nanoid } from 'nanoid';
-import type { Clock, HostId, Ms, Revision } from '../../base/index.js';
+import { result, type Clock, type HostId, type Ms, type Revision } from '../../base/index.js';
 import {
   mayOrder,
   nextTurn,
@@ -8,7 +8,7 @@
   type TurnRecord,
   type TurnState,
 } from '../../core/orderturn/index.js';
-import type { ChangeFeed, KeyValue, Log } from '../../port/index.js';
+import type { ChangeFeed, KeyValue, Log, Swap } from '../../port/index.js';
 
 /** Options of a keeper. */
 interface TurnKeeperOptions {
@@ -21,6 +21,8 @@
   readonly feed: ChangeFeed;
   readonly clock: Clock;
   readonly log: Log;
+  /** Makes the write through another entry, where this one's own way to the store may be cut. */
+  readonly relay: (swap: Swap) => ReturnType<ChangeFeed['swap']>;
   /** Called when this process takes the right, with whether nobody had it before. */
   readonly took: (isFirst: boolean) => void;
 }
@@ -30,6 +32,8 @@
 const NONCE_LENGTH = 10;
 /** After a write that failed, the next one waits this long, in ms. */
 const PAUSE_MS = 150;
+/** A renewal without an answer for this long is made through another entry as well. */
+const RELAY_AFTER_MS = 350;
 
 function parse(text: string): TurnRecord | undefined {
   try {
@@ -131,7 +135,8 @@
     this.isWriting = true;
     const sentAtMs = clock.nowMs();
     const value = JSON.stringify(write.value);
-    const said = await feed.swap({ key, expectedRevision: write.expectedRevision, value });
+    const swap = { key, expectedRevision: write.expectedRevision, value };
+    const said = write.type === 'renew' ? await this.renew(swap) : await feed.swap(swap);
     if (said.ok && said.val.type === 'swapped') this.written(write, said.val.revision, sentAtMs);
     else if (said.ok && said.val.type === 'conflict') this.heard(said.val.current);
     else if (said.err) await this.failed(write, said.val.type, sentAtMs);
@@ -139,6 +144,23 @@
     this.isWriting = false;
   }
 
+  /** Both ways write the same value under the same condition, so that one of them at most takes effect. */
+  private async renew(swap: Swap): ReturnType<ChangeFeed['swap']> {
+    const { feed, clock, relay, log } = this.options;
+    const direct = feed.swap(swap);
+    const late = new Promise<undefined>((resolve) => {
+      clock.after(RELAY_AFTER_MS, () => resolve(undefined));
+    });
+    const first = await Promise.race([direct, late]);
+    if (first?.ok) return first;
+    const relayed = await relay(swap);
+    log.info('order turn renewed through another entry', { ok: relayed.ok });
+    if (relayed.err) return first ?? direct;
+    const { val } = relayed;
+    const isOwn = val.type === 'conflict' && val.current?.value === swap.value;
+    return isOwn ? result.Ok({ type: 'swapped', revision: val.current!.revision }) : relayed;
+  }
+
   private written(write: TurnWrite, revision: Revision, sentAtMs: Ms): void {
     const { clock, log, took } = this.options;
     const before = this.state.seen?.value.host;
--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -51,6 +51,8 @@
 
   private trustFromMs: Ms = 0;
 
+  private regainedAtMs: Ms = -Infinity;
+
   constructor(
     private readonly feed: ChangeFeed,
     private readonly codec: StateCodec,
@@ -86,6 +88,12 @@
     return this.failingSinceMs === undefined ? 0 : this.clock.nowMs() - this.failingSinceMs;
   }
 
+  /** How long the store has answered without a break, in ms. */
+  steadyMs(): Ms {
+    if (this.failingSinceMs !== undefined) return 0;
+    return this.clock.nowMs() - this.regainedAtMs;
+  }
+
   private async readAll(): Promise<string | undefined> {
     const answer = await this.feed.list(this.codec.watchedPrefix);
     if (answer.err) return answer.val.type;
@@ -198,6 +206,7 @@
     this.log.info('store regained', { afterMs: Math.round(nowMs - this.failingSinceMs) });
     this.failingSinceMs = undefined;
     this.trustFromMs = nowMs + RETURN_MS;
+    this.regainedAtMs = nowMs;
   }
 
   private pause(ms: Ms): Promise<void> {
