--- a/src/core/fleetplan/planrules.ts
+++ b/src/core/fleetplan/planrules.ts
@@ -29,8 +29,8 @@
   usedLastCost: 50,
   usedLastCostPerS: 10,
   /** For each second that a load takes, and for one from the weight store. */
-  costPerLoadS: 0.5,
-  coldCost: 0.5,
+  costPerLoadS: 0.15,
+  coldCost: 0.2,
   /** A move has to gain this much more than it costs: moves for less were undone again. */
   margin: 0.2,
 } as const;
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -50,7 +50,7 @@
 const UNPLANNED_MS = 900;
 
 /** The next try comes after this, in ms: an upstream's orders before it take about as long. */
-const ASK_AGAIN: FoundNeed = { type: 'later', inMs: 60, isUnderWay: false };
+const ASK_AGAIN: FoundNeed = { type: 'later', inMs: 50, isUnderWay: false };
 
 function adapterCount({ models }: Track): number {
   let count = 0;
