--- a/src/core/fleetplan/census.ts
+++ b/src/core/fleetplan/census.ts
@@ -2,6 +2,16 @@
 import type { PlanInput } from './planinput.js';
 import { planRules } from './planrules.js';
 
+/** The part of its slots that a place is meant to have filled: more when all engines are busy. */
+function fillShareOf({ upstreams, demand }: PlanInput): number {
+  let requests = 0;
+  for (const { concurrency } of demand.values()) requests += concurrency;
+  let slots = 0;
+  for (const upstream of upstreams) slots += upstream.slots;
+  const evenShare = slots === 0 ? 0 : (requests / slots) * planRules.busyFactor;
+  return Math.min(planRules.mostFillShare, Math.max(planRules.fillShare, evenShare));
+}
+
 /** How many places each model has, and how many it should have. */
 export class Census {
   private readonly held = new Map<ModelId, number>();
@@ -10,6 +20,8 @@
 
   private readonly slots: number;
 
+  private readonly fillShare: number;
+
   constructor(private readonly input: PlanInput) {
     for (const { placed } of input.upstreams) {
       for (const { model, phase } of placed) {
@@ -19,6 +31,7 @@
       }
     }
     this.slots = Math.max(1, input.upstreams[0]?.slots ?? 1);
+    this.fillShare = fillShareOf(input);
   }
 
   /** Places, with those on their way. */
@@ -41,7 +54,7 @@
 
   /** How many places its requests fill. */
   neededCount(model: ModelId): number {
-    const needed = Math.max(1, Math.ceil(this.fill(model, 1) / planRules.fillShare));
+    const needed = Math.max(1, Math.ceil(this.fill(model, 1) / this.fillShare));
     if (this.input.isDemandKnown) return needed;
     return Math.max(needed, Math.ceil(this.readyCount(model) * planRules.keptShare));
   }
--- a/src/core/fleetplan/planrules.ts
+++ b/src/core/fleetplan/planrules.ts
@@ -2,6 +2,9 @@
 export const planRules = {
   /** Part of an engine's slots that a model's requests may fill before it gets another replica. */
   fillShare: 0.25,
+  /** When all engines are busy, a place is filled by this times the busy part of all slots. */
+  busyFactor: 0.8,
+  mostFillShare: 0.6,
   /** Part of a model's replicas that is kept while the demand is not known. */
   keptShare: 0.6,
   /** A model that was asked for within this time counts as in use. */
--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -23,7 +23,8 @@
 /** A caller that waits for its answer. */
 export interface Caller {
   readonly request: CallerRequest;
-  begin(status: number, headers: readonly string[]): void;
+  /** An answer without a length goes on as it came: it ends with the connection. */
+  begin(status: number, headers: readonly string[], hasLength: boolean): void;
   /** Returns false while the caller takes no more. */
   write(chunk: Buffer): boolean;
   end(): void;
--- a/src/direct/orders/refresh.ts
+++ b/src/direct/orders/refresh.ts
@@ -3,6 +3,8 @@
 import type { Track } from './track.js';
 
 const REPORT_TIMEOUT_MS = 500;
+/** An upstream that carries out an order is asked again after this; a load takes at least 380. */
+const BUSY_REST_MS = 300;
 
 /** Asks the upstream itself what it holds. */
 export async function refresh(tools: OrderTools, track: Track): Promise<void> {
@@ -19,5 +21,7 @@
   });
   if (!report) return;
   adoptList(track, report.models, clock.nowMs());
-  Object.assign(track, { orderCount, restUntilMs: 0 });
+  // A busy one takes no order, and its count may rise when it is done.
+  const restUntilMs = isBusy ? clock.nowMs() + BUSY_REST_MS : 0;
+  Object.assign(track, { orderCount: isBusy ? undefined : orderCount, restUntilMs });
 }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -21,6 +21,9 @@
 const FIRST_NO_SUCCESS = 300;
 /** When a refused request may find a place again; a server's own queue empties within about this. */
 const COME_BACK_MS = 250;
+const MOST_COME_BACK_MS = 1000;
+/** Pause before upstreams that refused are asked once more; a few runs end within it. */
+const ROUND_PAUSE_MS = 50;
 
 /** Carries one caller's request through its attempts. */
 export class Run {
@@ -47,6 +50,9 @@
 
   private hasBegun = false;
 
+  /** True once every upstream that could take it has been asked. */
+  private hasComeRound = false;
+
   private isOver = false;
 
   private ranCount = 0;
@@ -136,17 +142,30 @@
     const service = pickService(route, request.id);
     this.need = { service, model: request.model, adapter: request.adapter };
     const nowMs = clock.nowMs();
-    const state =
-      serving.fleet.choose(this.need, this.tried, nowMs) ??
-      (this.tried.size > 0 ? this.chooseAgain(nowMs) : undefined);
+    const state = serving.fleet.choose(this.need, this.tried, nowMs);
     if (state) this.send(state, route);
+    else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
     else this.seek();
   }
 
-  /** All that hold it refused it or could not be reached: those may be asked once more. */
-  private chooseAgain(nowMs: Ms): UpstreamState | undefined {
-    if (this.ranCount > 0) return undefined;
-    return this.serving.fleet.choose(this.need!, new Set(), nowMs);
+  private isHeldByTried(nowMs: Ms): boolean {
+    return this.serving.fleet.choose(this.need!, new Set(), nowMs) !== undefined;
+  }
+
+  /** All that hold what it needs refused it or could not be reached: they may be asked once more. */
+  private tryAgainLater(): void {
+    if (this.ranCount > 0 || this.hasComeRound) {
+      this.giveUp('upstreams-full', 'No upstream could take the request.', this.comeBackMs());
+      return;
+    }
+    this.hasComeRound = true;
+    this.tried.clear();
+    this.clock.after(ROUND_PAUSE_MS, () => this.attempt());
+  }
+
+  /** A full upstream has room again when some of its requests have ended: longer for long streams. */
+  private comeBackMs(): Ms {
+    return Math.max(COME_BACK_MS, Math.min(MOST_COME_BACK_MS, this.route!.targetLatencyMs));
   }
 
   /** No upstream holds what the request needs: asks for it to be made ready. */
@@ -187,6 +206,7 @@
     if (!sent) {
       this.ends.push(`${state.info.id}:no-connection`);
       this.refusedCount += 1;
+      serving.fleet.learn(state, 'full', this.need!, nowMs);
       this.decide({ type: 'not-run', wasSent: false });
       return;
     }
@@ -250,7 +270,7 @@
   private begin(): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
-    this.caller.begin(this.head!.status, this.head!.headers);
+    this.caller.begin(this.head!.status, this.head!.headers, this.head!.hasLength);
   }
 
   private notRun(state: UpstreamState, head: Head): void {
@@ -282,7 +302,7 @@
     const { held, head } = this;
     this.held = undefined;
     this.hasBegun = true;
-    this.caller.begin(head!.status, head!.headers);
+    this.caller.begin(head!.status, head!.headers, head!.hasLength);
     for (const chunk of held ?? []) this.caller.write(chunk);
   }
 
--- a/src/direct/seeker.ts
+++ b/src/direct/seeker.ts
@@ -63,7 +63,9 @@
       const refusal = this.refusal(need, route, remainingMs, heldMs, inMs);
       if (refusal) return refusal;
       const untilMs = clock.nowMs() + Math.min(inMs, remainingMs * LONGEST_HOLD_SHARE - heldMs);
-      while (clock.nowMs() < untilMs && !this.isHeld(need)) await this.pause(LOOK_MS);
+      // At least one pause, also where no time is left: the loop must not keep the process busy.
+      do await this.pause(LOOK_MS);
+      while (clock.nowMs() < untilMs && !this.isHeld(need));
       if (this.isHeld(need)) return { type: 'ready' };
     }
   }
@@ -76,11 +78,10 @@
     heldMs: Ms,
     inMs: Ms,
   ): Sought | undefined {
+    const isHeldLong = heldMs >= remainingMs * LONGEST_HOLD_SHARE;
     const isSoon = heldMs + inMs <= route.targetLatencyMs * HOLD_SHARE;
-    if (isSoon) return undefined;
     const canComeBack = inMs + COME_BACK_MARGIN_MS <= (remainingMs - heldMs) * COME_BACK_SHARE;
-    const isHeldLong = heldMs >= remainingMs * LONGEST_HOLD_SHARE;
-    if (!canComeBack && !isHeldLong) return undefined;
+    if (!isHeldLong && (isSoon || !canComeBack)) return undefined;
     const detail = `No upstream of ${need.service} holds what the request needs yet.`;
     const retryAfterMs = inMs + COME_BACK_MARGIN_MS;
     return { type: 'unavailable', reason: 'not-resident', detail, retryAfterMs };
--- a/src/port/upstreamlink.ts
+++ b/src/port/upstreamlink.ts
@@ -31,6 +31,8 @@
   readonly isNotRun: boolean;
   /** True if the whole head shows that this is the upstream's answer to this request. */
   readonly isOwn: boolean;
+  /** False if the answer ends with its connection: nothing shows then that it is whole. */
+  readonly hasLength: boolean;
   /** Requests that run and wait there, where it says. */
   readonly load?: { readonly running: number; readonly waiting: number };
   readonly weightsVersion?: string;
--- a/src/shell/http1/channel.ts
+++ b/src/shell/http1/channel.ts
@@ -92,7 +92,7 @@
           resume = resumeFlow;
           const headers = raw.map((part) => part.toString('latin1'));
           framed = isFramed(status, headers);
-          if (!isOver) receiver.head(status, headers);
+          if (!isOver) receiver.head(status, headers, framed);
           return true;
         },
         onData: (chunk: Buffer) => isOver || receiver.data(Buffer.from(chunk)),
--- a/src/shell/http1/http1receiver.ts
+++ b/src/shell/http1/http1receiver.ts
@@ -9,8 +9,11 @@
 
 /** Takes the answer to one call, in this order: `head`, `data` as often as needed, `end`; or `failed`. */
 export interface Http1Receiver {
-  /** `headers` alternates names (as received) and values. */
-  head(status: number, headers: readonly string[]): void;
+  /**
+   * `headers` alternates names (as received) and values. Without a length the answer ends with its
+   * connection: its end does not show that it is whole.
+   */
+  head(status: number, headers: readonly string[], hasLength: boolean): void;
   /** Returns false to stop the flow until `Http1Sent.resume` is called. */
   data(chunk: Buffer): boolean;
   end(): void;
