--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -34,8 +34,8 @@
 
 /** How long an adapter is on its way after its order was taken; the slowest seen took 9.7. */
 const ADAPTER_MS = 14;
-/** Moves under way at once: more would take too many engines' models at the same time. */
-const MOST_MOVES = 6;
+/** Moves under way at once; the weight store's rate bounds those that load from it. */
+const MOST_MOVES = 12;
 /** Upstreams that start come into the list one by one; before all are there, models seem to be missing. */
 const SETTLE_MS = 1500;
 /** How often a move looks whether its order is done. */
--- a/src/direct/orders/refresh.ts
+++ b/src/direct/orders/refresh.ts
@@ -5,6 +5,8 @@
 const REPORT_TIMEOUT_MS = 500;
 /** An upstream that carries out an order is asked again after this; a load takes at least 380. */
 const BUSY_REST_MS = 300;
+/** One that does not answer is left alone for this long: the list tells of its end after about 3 s. */
+const SILENT_REST_MS = 800;
 
 /** Asks the upstream itself what it holds. */
 export async function refresh(tools: OrderTools, track: Track): Promise<void> {
@@ -19,7 +21,10 @@
     isBusy,
     models: report && [...report.models.keys()],
   });
-  if (!report) return;
+  if (!report) {
+    Object.assign(track, { restUntilMs: clock.nowMs() + SILENT_REST_MS });
+    return;
+  }
   adoptList(track, report.models, clock.nowMs());
   // A busy one takes no order, and its count may rise when it is done.
   const restUntilMs = isBusy ? clock.nowMs() + BUSY_REST_MS : 0;
