Absent models weighed by rate; engines are not filled beyond what is answered in time

Cause: a rare model took places of a model with sixty requests a second; planning stood still while upstreams restarted; queues at engines grew until callers had left.

--- a/src/core/fleetplan/costof.ts
+++ b/src/core/fleetplan/costof.ts
@@ -13,14 +13,17 @@
   const isInUse = census.isInUse(model);
   if (isInUse && ageMs < planRules.leastStayMs) return Infinity;
   const leftCount = census.readyCount(model) - 1;
+  const running = census.concurrency(model) / Math.max(1, census.readyCount(model));
+  const runningCost = running * planRules.runningCost;
   if (leftCount >= census.wantedCount(model)) {
-    return planRules.surplusCost + census.fill(model, leftCount);
+    return planRules.surplusCost + census.fill(model, leftCount) + runningCost;
   }
   if (leftCount >= census.neededCount(model)) {
-    return planRules.adapterGain + census.fill(model, leftCount);
+    return planRules.adapterGain + census.fill(model, leftCount) + runningCost;
   }
   if (leftCount > 0) {
-    return planRules.neededCost + planRules.neededCostPerFill * census.fill(model, leftCount);
+    const { neededCost, neededCostPerFill } = planRules;
+    return neededCost + neededCostPerFill * census.fill(model, leftCount) + runningCost;
   }
   if (!isInUse) return planRules.idleLastCost;
   const perSecond = input.demand.get(model)?.perSecond ?? 0;
--- a/src/core/fleetplan/modeldemand.ts
+++ b/src/core/fleetplan/modeldemand.ts
@@ -10,6 +10,8 @@
   readonly waiting: number;
   /** Different adapters of it that were asked for lately. */
   readonly adaptersInUse: number;
+  /** How long it has been asked for while no upstream had it ready. */
+  readonly absentMs: Ms;
   /** Since the last request. */
   readonly idleMs: Ms;
 }
--- a/src/core/fleetplan/planrules.ts
+++ b/src/core/fleetplan/planrules.ts
@@ -11,10 +11,12 @@
   inUseMs: 15_000,
   /** A model that has just come stays at least this long while it is in use. */
   leastStayMs: 3000,
-  /** For a model that nobody holds, while requests wait. */
-  waitingGain: 100,
-  /** For one that is in use and nobody holds. */
-  inUseGain: 60,
+  /** For a model that is in use and nobody holds: at least, and for each request a second and waiting. */
+  absentGain: 6,
+  absentGainPerS: 4,
+  absentGainPerWaiting: 1,
+  /** For each second that it has been asked for in vain, so that none is left out for good. */
+  absentGainPerAbsentS: 0.7,
   /** For a further replica, times the part of its slots that is filled. */
   replicaGain: 5,
   /** For a further replica whose place is wanted for its adapters. */
@@ -29,8 +31,10 @@
   /** For taking the only place of a model that nobody asks for. */
   idleLastCost: 3,
   /** For taking the only place of one in use, and for each request a second to it. */
-  usedLastCost: 50,
-  usedLastCostPerS: 10,
+  usedLastCost: 5,
+  usedLastCostPerS: 4,
+  /** For each request that runs at the place taken: the unload waits for it. */
+  runningCost: 0.05,
   /** For each second that a load takes, and for one from the weight store. */
   costPerLoadS: 0.15,
   coldCost: 0.2,
--- a/src/direct/orders/demandbook.ts
+++ b/src/direct/orders/demandbook.ts
@@ -6,6 +6,8 @@
   perSecond: number;
   concurrency: number;
   lastMs: Ms;
+  /** When an upstream last had it ready, or it was first asked for. */
+  readyAtMs: Ms;
   /** Running and waiting requests, by entry, as last told. */
   readonly byEntry: Map<string, { running: number; waiting: number; atMs: Ms }>;
 }
@@ -88,15 +90,21 @@
     }
   }
 
-  of(service: ServiceId, nowMs: Ms): ReadonlyMap<ModelId, ModelDemand> {
+  of(
+    service: ServiceId,
+    nowMs: Ms,
+    isReady: (model: ModelId) => boolean,
+  ): ReadonlyMap<ModelId, ModelDemand> {
     const demand = new Map<ModelId, ModelDemand>();
     for (const [model, line] of this.services.get(service) ?? []) {
       let waiting = 0;
       for (const told of line.byEntry.values()) waiting += told.waiting;
       const { concurrency, perSecond, lastMs } = line;
+      if (isReady(model)) line.readyAtMs = nowMs;
+      const absentMs = nowMs - line.readyAtMs;
       const adaptersInUse = this.adaptersInUse(model, nowMs);
       const idleMs = nowMs - lastMs;
-      demand.set(model, { concurrency, perSecond, waiting, adaptersInUse, idleMs });
+      demand.set(model, { concurrency, perSecond, waiting, adaptersInUse, absentMs, idleMs });
     }
     return demand;
   }
@@ -113,7 +121,7 @@
     }
     let line = models.get(model);
     if (!line) {
-      line = { perSecond: 0, concurrency: 0, lastMs: nowMs, byEntry: new Map() };
+      line = { perSecond: 0, concurrency: 0, lastMs: nowMs, readyAtMs: nowMs, byEntry: new Map() };
       models.set(model, line);
     }
     return line;
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -235,15 +235,16 @@
 
   private plan(service: ServiceId, engine: Engine, nowMs: Ms): void {
     const room = MOST_MOVES - this.moving;
-    if (room <= 0 || nowMs < this.newestAtMs + SETTLE_MS) return;
+    const isDemandKnown = this.book.isDemandKnown(nowMs);
+    const isSettled = isDemandKnown || nowMs >= this.newestAtMs + SETTLE_MS;
+    if (room <= 0 || !isSettled) return;
     const upstreams: PlanUpstream[] = [];
     for (const track of this.tracks.values()) {
       if (track.info.service !== service || track.info.isLeaving) continue;
       upstreams.push(this.planUpstream(track, nowMs));
     }
     const coldLoadsLeft = this.budget.left(engine.loadsPerSecond, nowMs);
-    const demand = this.book.of(service, nowMs);
-    const isDemandKnown = this.book.isDemandKnown(nowMs);
+    const demand = this.book.of(service, nowMs, (model) => this.holders(service, model).length > 0);
     const input = { engine, upstreams, demand, isDemandKnown, coldLoadsLeft };
     for (const move of planMoves(input, room)) {
       const track = this.tracks.get(move.upstream);
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -107,6 +107,11 @@
     state.othersAtMs = nowMs;
   }
 
+  /** Part of an upstream's slots that is taken; above 1 requests wait there. */
+  fill(state: UpstreamState, nowMs: Ms): number {
+    return (state.inFlight + this.others(state, nowMs)) / state.info.slots;
+  }
+
   /** Requests at an upstream, as far as known here. */
   load(id: UpstreamId, nowMs: Ms): number {
     const state = this.states.get(id);
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -22,6 +22,16 @@
 /** When a refused request may find a place again; a server's own queue empties within about this. */
 const COME_BACK_MS = 250;
 const MOST_COME_BACK_MS = 1000;
+/**
+ * An engine takes this part of its slots, running and waiting: beyond it, answers came after callers had
+ * left (2 s without an event), and those before them came late as well.
+ */
+const MOST_FILL = 1.15;
+/** For the most urgent: engines let them go before the others. */
+const URGENT_FILL = 1.6;
+/** Part of the target latency within which it is worth waiting for room; a refusal after it counts as late. */
+const ROOM_WAIT_SHARE = 0.24;
+const LOOK_FOR_ROOM_MS = 20;
 /** Pause before upstreams that refused are asked once more; a few runs end within it. */
 const ROUND_PAUSE_MS = 50;
 
@@ -143,11 +153,29 @@
     this.need = { service, model: request.model, adapter: request.adapter };
     const nowMs = clock.nowMs();
     const state = serving.fleet.choose(this.need, this.tried, nowMs);
-    if (state) this.send(state, route);
+    if (state && this.isOverfull(state, nowMs)) this.waitForRoom(route);
+    else if (state) this.send(state, route);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
     else this.seek();
   }
 
+  /** An engine with a queue that a request of this urgency should not join: it would be answered too late. */
+  private isOverfull(state: UpstreamState, nowMs: Ms): boolean {
+    if (this.need!.model === undefined || this.ranCount > 0) return false;
+    const limit = this.route!.priority === 0 ? URGENT_FILL : MOST_FILL;
+    return this.serving.fleet.fill(state, nowMs) > limit;
+  }
+
+  /** Waits as long as the target leaves time for; then the caller is told to come back. */
+  private waitForRoom(route: Route): void {
+    const heldMs = this.clock.nowMs() - this.caller.request.arrivedAtMs;
+    if (heldMs < route.targetLatencyMs * ROOM_WAIT_SHARE) {
+      this.clock.after(LOOK_FOR_ROOM_MS, () => this.attempt());
+      return;
+    }
+    this.giveUp('upstreams-full', 'Every upstream that could take the request is full.', this.comeBackMs());
+  }
+
   private isHeldByTried(nowMs: Ms): boolean {
     return this.serving.fleet.choose(this.need!, new Set(), nowMs) !== undefined;
   }
