--- a/src/direct/orders/demandbook.ts
+++ b/src/direct/orders/demandbook.ts
@@ -59,6 +59,11 @@
     return this.adapters.get(model)?.get(adapter) ?? 0;
   }
 
+  /** A model is wanted by someone whose next report has not come yet. */
+  wanted(service: ServiceId, model: ModelId, nowMs: Ms): void {
+    this.line(service, model, nowMs).lastMs = nowMs;
+  }
+
   /** True once requests have been seen for long enough to tell what is asked for. */
   isDemandKnown(nowMs: Ms): boolean {
     return this.firstMs !== undefined && nowMs - this.firstMs > LEARN_MS;
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -49,6 +49,10 @@
 /** When nothing is under way for a need yet: the next plan and a load from disk. */
 const UNPLANNED_MS = 900;
 
+/** Puts upstreams with room before those without, whose cost is a time in ms since the process began. */
+const FULL_COUNT = 1e9;
+/** How long an adapter that goes with its last run is not asked to go again; the list tells within it. */
+const GOING_MS = 2500;
 /** The next try comes after this, in ms: an upstream's orders before it take about as long. */
 const ASK_AGAIN: FoundNeed = { type: 'later', inMs: 50, isUnderWay: false };
 
@@ -97,6 +101,7 @@
         // Unless it has just started, an earlier holder may have given it orders.
         orderCount: undefined,
         done: new Map(),
+        going: new Set(),
         models: new Map(),
         isMoving: false,
         coming: 0,
@@ -161,12 +166,19 @@
     return found;
   }
 
+  /** Plans at once for a model that nobody holds, so that the answer can say when it will be there. */
   private later({ service, model }: Need): FoundNeed {
     const nowMs = this.options.clock.nowMs();
-    const expectedAtMs = this.expected.get(`${service}/${model}`);
+    const key = `${service}/${model}`;
+    const engine = this.table?.services.get(service)?.engine;
+    if (model !== undefined && engine && !this.expected.has(key) && this.options.turn.mayOrder()) {
+      this.book.wanted(service, model, nowMs);
+      this.plan(service, engine, nowMs);
+    }
+    const expectedAtMs = this.expected.get(key);
     const waitMs = this.options.turn.ordersInMs();
     if (expectedAtMs === undefined) {
-      return { type: 'later', inMs: waitMs + UNPLANNED_MS, isUnderWay: false };
+      return { type: 'later', inMs: waitMs + UNPLANNED_MS, isUnderWay: waitMs > 0 };
     }
     return { type: 'later', inMs: Math.max(LOOK_MS, expectedAtMs - nowMs), isUnderWay: true };
   }
@@ -179,8 +191,8 @@
   ): Promise<FoundNeed> {
     const nowMs = this.options.clock.nowMs();
     // An upstream that loads a model takes no other order meanwhile.
-    const able = holders.filter((track) => track.restUntilMs <= nowMs && !track.isMoving);
-    const [track] = able.sort((a, b) => adapterCount(a) + a.coming - adapterCount(b) - b.coming);
+    const able = holders.filter((one) => one.restUntilMs <= nowMs && !one.isMoving);
+    const track = this.leastMissed(able, engine);
     if (!track) return ASK_AGAIN;
     track.coming += 1;
     const found = await inTurn(track, () => this.loadAdapter(track, engine, model, adapter));
@@ -208,19 +220,45 @@
     return ready;
   }
 
-  /** Takes the adapter that was asked for longest ago. */
-  private async makeAdapterRoom(track: Track): Promise<boolean> {
+  /** The upstream with the most room for an adapter, or else the one whose oldest is missed least. */
+  private leastMissed(tracks: readonly Track[], engine: Engine): Track | undefined {
+    let best: Track | undefined;
+    let bestCost = Infinity;
+    for (const track of tracks) {
+      const count = adapterCount(track) + track.coming;
+      const isFull = count >= engine.adapterSlots;
+      const cost = isFull ? (this.oldestAdapter(track)?.usedAtMs ?? Infinity) : count - FULL_COUNT;
+      if (cost >= bestCost) continue;
+      best = track;
+      bestCost = cost;
+    }
+    return best;
+  }
+
+  private oldestAdapter(track: Track): { model: ModelId; adapter: string; usedAtMs: Ms } | undefined {
     let oldest: { model: ModelId; adapter: string; usedAtMs: Ms } | undefined;
     for (const [model, { adapters }] of track.models) {
       for (const adapter of adapters) {
         const usedAtMs = this.book.adapterUsedAtMs(model, adapter);
+        if (track.going.has(`${model}/${adapter}`)) continue;
         if (!oldest || usedAtMs < oldest.usedAtMs) oldest = { model, adapter, usedAtMs };
       }
     }
+    return oldest;
+  }
+
+  /** Takes the adapter that was asked for longest ago. */
+  private async makeAdapterRoom(track: Track): Promise<boolean> {
+    const oldest = this.oldestAdapter(track);
     if (!oldest) return false;
     const { model, adapter } = oldest;
     const outcome = await sendOrder(this.options, track, { action: 'unload', model, adapter });
-    // 200: it is gone; 202: it goes once its runs have ended, and takes its place until then.
+    if (outcome === 'accepted') {
+      // It goes once its runs have ended, and takes its place until then.
+      const key = `${model}/${adapter}`;
+      track.going.add(key);
+      this.options.clock.after(GOING_MS, () => track.going.delete(key));
+    }
     if (outcome !== 'done') return false;
     this.note(track, model, adapter, false);
     return true;
--- a/src/direct/orders/track.ts
+++ b/src/direct/orders/track.ts
@@ -15,6 +15,8 @@
   orderCount: number | undefined;
   /** What own orders did to adapters, `model/adapter`, since the list can have told of it. */
   readonly done: Map<string, { readonly isThere: boolean; readonly atMs: Ms }>;
+  /** Adapters, `model/adapter`, that go when their last run has ended. */
+  readonly going: Set<string>;
   models: Map<ModelId, TrackedModel>;
   /** True while a move is under way. */
   isMoving: boolean;
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -10,7 +10,7 @@
 /** Load that another availability zone's upstream must be below by, as a part of its slots. */
 const ZONE_COST = 0.08;
 /** The load header's word on others' requests is halved after this long without a newer one. */
-const OTHERS_HALF_LIFE_MS = 400;
+const OTHERS_HALF_LIFE_MS = 1000;
 /** Weight of one attempt in the share of failures. */
 const FAILURE_WEIGHT = 0.15;
 /** What a share of failures of 1 costs, as a part of the slots. */
--- a/src/direct/seeker.ts
+++ b/src/direct/seeker.ts
@@ -60,7 +60,9 @@
       if (this.isReady(need, found)) return { type: 'ready' };
       const inMs = found?.type === 'later' ? found.inMs : NO_HOLDER_MS;
       const heldMs = clock.nowMs() - startedAtMs;
-      const refusal = this.refusal(need, route, remainingMs, heldMs, inMs);
+      // While nobody knows when, to come back would be no better than to wait.
+      const isKnown = found?.type === 'later' && found.isUnderWay;
+      const refusal = this.refusal(need, route, remainingMs, heldMs, inMs, isKnown);
       if (refusal) return refusal;
       const untilMs = clock.nowMs() + Math.min(inMs, remainingMs * LONGEST_HOLD_SHARE - heldMs);
       // At least one pause, also where no time is left: the loop must not keep the process busy.
@@ -77,11 +79,12 @@
     remainingMs: Ms,
     heldMs: Ms,
     inMs: Ms,
+    isKnown: boolean,
   ): Sought | undefined {
     const isHeldLong = heldMs >= remainingMs * LONGEST_HOLD_SHARE;
     const isSoon = heldMs + inMs <= route.targetLatencyMs * HOLD_SHARE;
     const canComeBack = inMs + COME_BACK_MARGIN_MS <= (remainingMs - heldMs) * COME_BACK_SHARE;
-    if (!isHeldLong && (isSoon || !canComeBack)) return undefined;
+    if (!isHeldLong && (isSoon || !canComeBack || !isKnown)) return undefined;
     const detail = `No upstream of ${need.service} holds what the request needs yet.`;
     const retryAfterMs = inMs + COME_BACK_MARGIN_MS;
     return { type: 'unavailable', reason: 'not-resident', detail, retryAfterMs };
