--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,7 @@
   'src/port',
   'src/core',
   'src/shell',
+  'src/direct',
   'src/entry',
   'src/sidecar',
   'src/command',
@@ -17,12 +18,19 @@
 /** Daemons do not import each other; everything else follows the order of LAYERS. */
 const EXTRA_ZONES = [
   { target: './src/sidecar', from: './src/entry', message: 'Daemons do not import each other.' },
+  { target: './src/entry', from: './src/direct', message: 'Daemons do not import each other.' },
+  { target: './src/sidecar', from: './src/direct', message: 'Daemons do not import each other.' },
   {
     target: './src',
     from: ['./standin', './bench', './demo', './test'],
     message: 'Shipped code stands alone.',
   },
   { target: './standin', from: ['./bench', './demo', './test'], message: 'Stand-ins stand alone.' },
+  {
+    target: ['./src', './standin', './bench', './demo'],
+    from: './platform',
+    message: 'Only tests know the platform: its names stay in platform/.',
+  },
 ];
 
 const zones = LAYERS.map((layer, index) => ({
@@ -48,7 +56,17 @@
 };
 
 export default tseslint.config(
-  { ignores: ['dist', 'coverage', 'src/wire/gen', 'docs/reports', 'node_modules'] },
+  {
+    ignores: [
+      'dist',
+      'target',
+      'journal',
+      'coverage',
+      'src/wire/gen',
+      'docs/reports',
+      'node_modules',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -91,7 +109,7 @@
     },
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
     ignores: ['src/**/index.ts', 'src/command/**'],
     rules: { 'no-restricted-syntax': ['error', NO_BARE_ERRORS, ...ONE_EXPORT] },
   },
@@ -123,6 +141,8 @@
       'demo/**/*.ts',
       'standin/**/*.ts',
       'src/command/**/*.ts',
+      'platform/**/*.ts',
+      'scripts/**/*.js',
     ],
     rules: { 'no-console': 'off', 'n/no-process-exit': 'off' },
   },
--- a/src/core/fleetplan/bestsite.ts
+++ b/src/core/fleetplan/bestsite.ts
@@ -14,7 +14,10 @@
   readonly cost: number;
 }
 
-function sizeMb({ engine }: PlanInput, { model, adapters }: PlanUpstream['placed'][number]): number {
+function sizeMb(
+  { engine }: PlanInput,
+  { model, adapters }: PlanUpstream['placed'][number],
+): number {
   const spec = engine.models.get(model);
   return spec ? spec.sizeMb + adapters.size * spec.adapterSizeMb : 0;
 }
@@ -67,7 +70,8 @@
     if (isFromStore && coldLoadsLeft <= 0) continue;
     const room = roomFor(input, census, upstream, spec.sizeMb);
     if (!room) continue;
-    const loadCost = (ms / MS_PER_S) * planRules.costPerLoadS + (isFromStore ? planRules.coldCost : 0);
+    const loadCost =
+      (ms / MS_PER_S) * planRules.costPerLoadS + (isFromStore ? planRules.coldCost : 0);
     const cost = room.cost + loadCost + upstream.load / upstream.slots;
     if (gain < cost + planRules.margin || (best && best.cost <= cost)) continue;
     best = {
--- a/src/core/fleetplan/gainof.ts
+++ b/src/core/fleetplan/gainof.ts
@@ -7,7 +7,12 @@
 const MS_PER_S = 1000;
 
 function absentGain({ perSecond, waiting, absentMs }: ModelDemand): number {
-  const { absentGain: least, absentGainPerS, absentGainPerWaiting, absentGainPerAbsentS } = planRules;
+  const {
+    absentGain: least,
+    absentGainPerS,
+    absentGainPerWaiting,
+    absentGainPerAbsentS,
+  } = planRules;
   const asked = perSecond * absentGainPerS + waiting * absentGainPerWaiting;
   return least + asked + (absentMs / MS_PER_S) * absentGainPerAbsentS;
 }
--- a/src/core/orderturn/onwritten.ts
+++ b/src/core/orderturn/onwritten.ts
@@ -18,8 +18,8 @@
   const isOther = state.seen !== undefined && state.seen.revision > revision;
   const next = onRecord(state, write.value, revision, nowMs);
   // Someone took the right between the write and its answer.
-  if (isOther && state.seen!.value.nonce !== state.nonce) return { ...next, own: undefined };
-  const epoch = write.type === 'renew' && state.own ? state.own.epoch : (revision as number as Epoch);
+  if (isOther && state.seen.value.nonce !== state.nonce) return { ...next, own: undefined };
+  const epoch = write.type === 'renew' && state.own ? state.own.epoch : (Number(revision) as Epoch);
   const own = {
     epoch,
     revision,
--- a/src/core/retrybudget/retrybudget.ts
+++ b/src/core/retrybudget/retrybudget.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import { Window } from './window.js';
 
 /** Bounds of repeats. */
 interface BudgetLimits {
@@ -9,28 +10,6 @@
   readonly slack: number;
 }
 
-/** Times in a window, oldest first. */
-class Window {
-  private times: Ms[] = [];
-
-  private from = 0;
-
-  add(nowMs: Ms): void {
-    this.times.push(nowMs);
-  }
-
-  count(nowMs: Ms, windowMs: Ms): number {
-    while (this.from < this.times.length && this.times[this.from]! <= nowMs - windowMs) {
-      this.from += 1;
-    }
-    if (this.from * 2 > this.times.length) {
-      this.times = this.times.slice(this.from);
-      this.from = 0;
-    }
-    return this.times.length - this.from;
-  }
-}
-
 /** One entry's share of a service's retry budget: it holds whatever the others do with theirs. */
 export class RetryBudget {
   private readonly requests = new Window();
--- a/src/direct/orders/adoptlist.ts
+++ b/src/direct/orders/adoptlist.ts
@@ -5,7 +5,12 @@
 /** Own orders about adapters are in the list after this: an interval between its entries, and its lag. */
 const LIST_LAG_MS = 3000;
 
-function adaptersOf(track: Track, model: ModelId, told: ReadonlySet<string>, nowMs: Ms): Set<string> {
+function adaptersOf(
+  track: Track,
+  model: ModelId,
+  told: ReadonlySet<string>,
+  nowMs: Ms,
+): Set<string> {
   const adapters = new Set(told);
   const prefix = `${model}/`;
   for (const [key, { isThere, atMs }] of track.done) {
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -235,7 +235,9 @@
     return best;
   }
 
-  private oldestAdapter(track: Track): { model: ModelId; adapter: string; usedAtMs: Ms } | undefined {
+  private oldestAdapter(
+    track: Track,
+  ): { model: ModelId; adapter: string; usedAtMs: Ms } | undefined {
     let oldest: { model: ModelId; adapter: string; usedAtMs: Ms } | undefined;
     for (const [model, { adapters }] of track.models) {
       for (const adapter of adapters) {
@@ -329,7 +331,16 @@
     const unloadMs = evicted.length > 0 ? LOOK_MS * 2 : 0;
     this.expected.set(key, startedAtMs + unloadMs + loadMs);
     const why = demand.get(model);
-    log.info('move begun', { upstream: move.upstream, service, model, evicted, isFromStore, gain, cost, demand: why });
+    log.info('move begun', {
+      upstream: move.upstream,
+      service,
+      model,
+      evicted,
+      isFromStore,
+      gain,
+      cost,
+      demand: why,
+    });
     const end = await this.carryOut(track, move);
     if (end !== 'done' && track.models.get(model)?.phase === 'loading') track.models.delete(model);
     this.expected.delete(key);
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -52,7 +52,9 @@
     private readonly clock: Clock,
     private readonly log: Log,
   ) {
-    this.server = createServer((request, response) => void this.answer(request, response));
+    this.server = createServer((request, response) => {
+      void this.answer(request, response);
+    });
   }
 
   listen(host: string, port: number): Promise<void> {
@@ -64,6 +66,7 @@
 
   close(): void {
     this.server.close();
+    this.server.closeAllConnections();
     for (const channel of this.channels.values()) channel.close();
   }
 
--- a/src/direct/orders/turnkeeper.ts
+++ b/src/direct/orders/turnkeeper.ts
@@ -127,7 +127,10 @@
     const value = { host, address, nonce, beat: own.beat + 1, isActive: true, isReleased: true };
     const text = JSON.stringify(value);
     const said = await feed.swap({ key, expectedRevision: own.revision, value: text });
-    log.info('order turn released', { epoch: own.epoch, outcome: said.err ? said.val.type : said.val.type });
+    log.info('order turn released', {
+      epoch: own.epoch,
+      outcome: said.err ? said.val.type : said.val.type,
+    });
   }
 
   private async write(write: TurnWrite): Promise<void> {
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -21,6 +21,13 @@
 const HINT_MS = 3000;
 /** One that refused as full, in ms: about as long as a plain service needs for a few requests. */
 const FULL_MS = 60;
+const AVOID_MS: Readonly<Record<Lesson, Ms>> = {
+  answered: 0,
+  failed: 0,
+  missing: 0,
+  full: FULL_MS,
+  unreachable: UNREACHABLE_MS,
+};
 
 /** The upstreams that this entry may choose from. */
 export class Fleet {
@@ -85,12 +92,13 @@
   }
 
   learn(state: UpstreamState, lesson: Lesson, need: Need, nowMs: Ms): void {
+    const mark = state;
     const failed = lesson === 'failed' || lesson === 'unreachable' ? 1 : 0;
     if (lesson !== 'full' && lesson !== 'missing') {
-      state.failureShare += (failed - state.failureShare) * FAILURE_WEIGHT;
+      mark.failureShare += (failed - state.failureShare) * FAILURE_WEIGHT;
     }
-    if (lesson === 'unreachable') state.avoidUntilMs = nowMs + UNREACHABLE_MS;
-    if (lesson === 'full') state.avoidUntilMs = Math.max(state.avoidUntilMs, nowMs + FULL_MS);
+    const avoidMs = AVOID_MS[lesson];
+    mark.avoidUntilMs = Math.max(state.avoidUntilMs, nowMs + avoidMs);
     if (lesson === 'missing') this.hint(state, need, false, nowMs);
   }
 
@@ -103,8 +111,8 @@
   }
 
   learnLoad(state: UpstreamState, load: { running: number; waiting: number }, nowMs: Ms): void {
-    state.othersLoad = Math.max(0, load.running + load.waiting - state.inFlight);
-    state.othersAtMs = nowMs;
+    const othersLoad = Math.max(0, load.running + load.waiting - state.inFlight);
+    Object.assign(state, { othersLoad, othersAtMs: nowMs });
   }
 
   /** Part of an upstream's slots that is taken; above 1 requests wait there. */
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -127,7 +127,8 @@
     const { route } = this;
     const isResumable = route!.isResumable && this.cutter?.lastId !== undefined;
     return {
-      isRepeatable: route!.kind === 'idempotent' || (route!.kind === 'streaming' && route!.isResumable),
+      isRepeatable:
+        route!.kind === 'idempotent' || (route!.kind === 'streaming' && route!.isResumable),
       isResumable,
       hasBegun: this.hasBegun,
       ranCount: this.ranCount,
@@ -173,7 +174,11 @@
       this.clock.after(LOOK_FOR_ROOM_MS, () => this.attempt());
       return;
     }
-    this.giveUp('upstreams-full', 'Every upstream that could take the request is full.', this.comeBackMs());
+    this.giveUp(
+      'upstreams-full',
+      'Every upstream that could take the request is full.',
+      this.comeBackMs(),
+    );
   }
 
   private isHeldByTried(nowMs: Ms): boolean {
--- a/src/direct/seeker.ts
+++ b/src/direct/seeker.ts
@@ -48,12 +48,7 @@
     return sought;
   }
 
-  private async wait(
-    need: Need,
-    route: Route,
-    remainingMs: Ms,
-    startedAtMs: Ms,
-  ): Promise<Sought> {
+  private async wait(need: Need, route: Route, remainingMs: Ms, startedAtMs: Ms): Promise<Sought> {
     const { clock } = this.options;
     for (;;) {
       const found = await this.ask(need);
--- a/src/port/index.ts
+++ b/src/port/index.ts
@@ -19,4 +19,5 @@
 export type { SwapOutcome } from './swapoutcome.js';
 export type { WatchEvent } from './watchevent.js';
 export type { WeightStore } from './weightstore.js';
-export type { UpstreamLink, UpstreamReceiver } from './upstreamlink.js';
+export type { UpstreamLink } from './upstreamlink.js';
+export type { UpstreamReceiver } from './upstreamreceiver.js';
--- a/src/port/upstreamlink.ts
+++ b/src/port/upstreamlink.ts
@@ -1,4 +1,5 @@
-import type { Failure, ModelId, Ms, RequestId, UpstreamId } from '../base/index.js';
+import type { ModelId, Ms, RequestId, UpstreamId } from '../base/index.js';
+import type { UpstreamReceiver } from './upstreamreceiver.js';
 
 /** A caller's request as it goes to an upstream. */
 interface UpstreamCall {
@@ -22,38 +23,6 @@
   readonly weightsVersion?: string;
 }
 
-/** What an upstream's answer says before its body. */
-interface UpstreamHead {
-  readonly status: number;
-  /** Alternates names and values; only what a caller may see. */
-  readonly headers: readonly string[];
-  /** True if the upstream states that it did not run the request. */
-  readonly isNotRun: boolean;
-  /** True if the whole head shows that this is the upstream's answer to this request. */
-  readonly isOwn: boolean;
-  /** False if the answer ends with its connection: nothing shows then that it is whole. */
-  readonly hasLength: boolean;
-  /** Requests that run and wait there, where it says. */
-  readonly load?: { readonly running: number; readonly waiting: number };
-  readonly weightsVersion?: string;
-}
-
-/** Why no whole answer came. */
-interface UpstreamLinkFailure extends Failure {
-  readonly type: 'upstream-unreachable' | 'upstream-lost' | 'upstream-wrong-answer';
-  /** True unless not one byte of the request left this process. */
-  readonly mayHaveRun: boolean;
-}
-
-/** Takes an answer. */
-export interface UpstreamReceiver {
-  head(head: UpstreamHead): void;
-  /** Returns false to stop the flow until `resume`. */
-  data(chunk: Buffer): boolean;
-  end(): void;
-  failed(failure: UpstreamLinkFailure): void;
-}
-
 /** A request on its way. */
 interface UpstreamSent {
   cancel(): void;
@@ -101,12 +70,8 @@
   send(call: UpstreamCall, receiver: UpstreamReceiver): UpstreamSent | undefined;
   order(order: UpstreamOrder, timeoutMs: Ms): Promise<OrderOutcome>;
   /** What the upstream itself says that it holds; undefined without an answer. */
-  report(
-    upstream: UpstreamId,
-    address: string,
-    timeoutMs: Ms,
-  ): Promise<UpstreamReport | undefined>;
-  /** Closes connections to addresses other than these. */
+  report(upstream: UpstreamId, address: string, timeoutMs: Ms): Promise<UpstreamReport | undefined>;
+  /** Closes idle connections to addresses other than these; requests that run there go on. */
   keep(addresses: ReadonlySet<string>): void;
   close(): void;
 }
--- a/src/shell/http1/channel.ts
+++ b/src/shell/http1/channel.ts
@@ -2,7 +2,8 @@
 import type { Http1Call } from './http1call.js';
 import type { Http1Receiver } from './http1receiver.js';
 import type { Http1Sent } from './http1sent.js';
-import { openLink, type Link } from './openlink.js';
+import type { Link } from './link.js';
+import { openLink } from './openlink.js';
 
 /** Options of a channel. */
 interface ChannelOptions {
@@ -28,6 +29,8 @@
 
   private readonly links = new Set<Link>();
 
+  private isRetired = false;
+
   constructor(
     private readonly address: string,
     private readonly options: ChannelOptions,
@@ -39,6 +42,12 @@
     return link && this.dispatch(link, call, receiver);
   }
 
+  /** Takes no more calls; those that run go on, and their connections close after them. */
+  retire(): void {
+    this.isRetired = true;
+    for (const link of [...this.idle]) this.drop(link);
+  }
+
   /** Closes every connection; calls that run fail. */
   close(): void {
     for (const link of [...this.links]) this.drop(link);
@@ -78,9 +87,9 @@
     };
     link.client.dispatch(
       {
-        method: call.method as 'GET',
+        method: call.method,
         path: call.path,
-        headers: call.headers as string[],
+        headers: [...call.headers],
         body: call.body?.length ? call.body : null,
       },
       {
@@ -103,12 +112,12 @@
           }
           if (isOver) return;
           isOver = true;
-          if (framed && !link.isClosed) this.idle.push(link);
+          if (framed && !link.isClosed && !this.isRetired) this.idle.push(link);
           else this.drop(link);
           receiver.end();
         },
         onError: (error: Error) => fail(error.message),
-      } as never,
+      },
     );
     return {
       cancel: () => {
--- a/src/shell/http1/openlink.ts
+++ b/src/shell/http1/openlink.ts
@@ -1,13 +1,7 @@
 import { connect, type Socket } from 'node:net';
 import { Client } from 'undici';
-import type { Ms } from '../../base/index.js';
-
-/** One connection, and whether it broke: the library takes a reset for the end of some answers. */
-export interface Link {
-  readonly client: Client;
-  isBroken: boolean;
-  isClosed: boolean;
-}
+import { FailureError, type Ms } from '../../base/index.js';
+import type { Link } from './link.js';
 
 /** Bounds of a connection's life. */
 interface LinkOptions {
@@ -23,18 +17,27 @@
 
 /** Prepares one connection to an address; it is opened by its first request. */
 export function openLink(address: string, options: LinkOptions, closed: () => void): Link {
+  const state = { isBroken: false, isClosed: false };
   const open = (
     { hostname, port }: { hostname: string; port: string },
     done: (error: Error | null, socket: Socket | null) => void,
   ) => {
     const socket = connect({ host: hostname, port: Number(port), noDelay: true });
-    const timer = setTimeout(() => socket.destroy(new Error('connect timeout')), options.connectTimeoutMs);
+    const timer = setTimeout(() => {
+      const detail = `No connection within ${options.connectTimeoutMs} ms.`;
+      socket.destroy(new FailureError({ type: 'connect-timeout', detail }));
+    }, options.connectTimeoutMs);
     let isOpen = false;
     socket.on('error', (error) => {
-      link.isBroken = true;
+      state.isBroken = true;
       clearTimeout(timer);
       if (!isOpen) done(error, null);
     });
+    // A reset that comes together with data is told as an ordinary end; only a socket that was reset has
+    // no peer any more.
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) state.isBroken = true;
+    });
     socket.once('connect', () => {
       isOpen = true;
       clearTimeout(timer);
@@ -42,6 +45,7 @@
     });
   };
   const client = new Client(`http://${address}`, {
+    // The library's type asks for a TLS socket as well.
     connect: open as never,
     pipelining: 1,
     bodyTimeout: 0,
@@ -51,7 +55,7 @@
     keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
     keepAliveMaxTimeout: LONGEST_IDLE_MS,
   });
-  const link: Link = { client, isBroken: false, isClosed: false };
+  const link: Link = Object.assign(state, { client });
   const close = () => {
     if (link.isClosed) return;
     link.isClosed = true;
--- /dev/null
+++ b/standin/platform/platformserver.ts
@@ -0,0 +1,199 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { LoopbackServer } from '../loopbackserver.js';
+import { sendJson } from '../sendjson.js';
+
+/** What a server does with the next request. */
+export type ServerManner =
+  | 'serve'
+  | 'full'
+  | 'error'
+  | 'reset'
+  | 'silent'
+  | 'other-id'
+  | 'encoded'
+  | 'unsigned'
+  | 'cut'
+  | 'unframed'
+  | 'paused'
+  | 'extra';
+
+interface Order {
+  readonly op: 'load' | 'unload';
+  readonly model: string;
+  readonly adapter?: string;
+  readonly expected?: number;
+  readonly holder: string;
+  readonly fencing_token: number;
+}
+
+const EVENTS = 5;
+const BODY = 'the whole answer';
+
+/** One server of the prepared platform: runs requests, takes orders, and misbehaves as told. */
+export class PlatformServer {
+  /** Manners of the next requests; `serve` once they are used up. */
+  readonly manners: ServerManner[] = [];
+
+  /** Headers of the requests that ran, in order. */
+  readonly ran: IncomingMessage['headers'][] = [];
+
+  readonly orders: Order[] = [];
+
+  /** Adapters of each model that it holds. */
+  readonly models = new Map<string, Set<string>>();
+
+  address = '';
+
+  private readonly server = new LoopbackServer((request, response) =>
+    this.handle(request, response),
+  );
+
+  /** Ends a stream that stands still. */
+  resume: () => void = () => {};
+
+  /** Called after an order, so that a test can write the server's entry anew. */
+  changed: () => void = () => {};
+
+  constructor(
+    readonly id: string,
+    readonly service: string,
+    readonly availabilityZone = 'z1',
+  ) {}
+
+  async listen(): Promise<void> {
+    this.address = (await this.server.listen()).slice('http://'.length);
+  }
+
+  close(): void {
+    this.server.close();
+  }
+
+  /** What it writes about itself in the store. */
+  entry(state = 'ready'): object {
+    const models = [...this.models].map(([name, adapters]) => ({
+      name,
+      version: 1,
+      adapters: [...adapters],
+    }));
+    const { service, address, availabilityZone: zone } = this;
+    return { service, address, zone, version: 'v1', slots: 4, state, seq: 1, models };
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+    if (request.headers['tarragonstile-expect-instance'] !== this.id) {
+      sendJson(response, 421, {});
+      return;
+    }
+    const body = Buffer.concat(chunks).toString('utf8');
+    if (request.url === '/order') {
+      this.order(JSON.parse(body) as Order, response);
+      return;
+    }
+    if (request.url === '/report')
+      sendJson(response, 200, { ...this.entry(), seq: this.orders.length });
+    else this.serve(request, response);
+  }
+
+  private order(order: Order, response: ServerResponse): void {
+    if (order.expected !== undefined && order.expected !== this.orders.length) {
+      sendJson(response, 409, {});
+      return;
+    }
+    this.orders.push(order);
+    const adapters = this.models.get(order.model);
+    const isLoad = order.op === 'load';
+    if (order.adapter !== undefined) adapters?.[isLoad ? 'add' : 'delete'](order.adapter);
+    else if (isLoad) this.models.set(order.model, new Set());
+    else this.models.delete(order.model);
+    this.changed();
+    sendJson(response, order.adapter !== undefined && order.op === 'unload' ? 200 : 202, {});
+  }
+
+  private holds(name: string | undefined): boolean {
+    if (name === undefined) return true;
+    const [model = '', adapter] = name.split('/');
+    const adapters = this.models.get(model);
+    return adapters !== undefined && (adapter === undefined || adapters.has(adapter));
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    const model = request.headers['tarragonstile-model'] as string | undefined;
+    if (!this.holds(model)) {
+      response.writeHead(421, { 'tarragonstile-not-executed': '1' }).end();
+      return;
+    }
+    const manner = this.manners.shift() ?? 'serve';
+    if (manner === 'full') {
+      response.writeHead(503, { 'tarragonstile-not-executed': '1' }).end();
+      return;
+    }
+    this.ran.push(request.headers);
+    if (manner === 'silent') return;
+    if (manner === 'reset') request.socket.resetAndDestroy();
+    else if (model === undefined) this.plain(request, response, manner);
+    else this.stream(request, response, manner);
+  }
+
+  private headersOf(request: IncomingMessage, manner: ServerManner): Record<string, string> {
+    const id =
+      manner === 'other-id' ? 'another' : String(request.headers['tarragonstile-request-id']);
+    const headers: Record<string, string> = {
+      'tarragonstile-request-id': id,
+      'tarragonstile-weight-versions': '1',
+      'tarragonstile-server-load': '1,0,4',
+    };
+    if (manner !== 'unsigned') headers['tarragonstile-response-signature'] = `by-${this.id}`;
+    if (manner === 'encoded') headers['content-encoding'] = 'gzip';
+    return headers;
+  }
+
+  private plain(request: IncomingMessage, response: ServerResponse, manner: ServerManner): void {
+    const headers = this.headersOf(request, manner);
+    const { socket } = request;
+    if (manner === 'error') {
+      response.writeHead(500, headers).end('no');
+      return;
+    }
+    if (manner === 'unframed') {
+      const head = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+      socket.write(
+        `HTTP/1.1 200 OK\r\n${head.join('')}Connection: close\r\n\r\n${BODY.slice(0, 4)}`,
+      );
+      setImmediate(() => socket.resetAndDestroy());
+      return;
+    }
+    response.writeHead(200, { ...headers, 'content-length': BODY.length });
+    if (manner === 'cut') {
+      response.write(BODY.slice(0, 4), () => socket.resetAndDestroy());
+      return;
+    }
+    response.end(BODY, () => {
+      if (manner === 'extra') socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno');
+    });
+  }
+
+  private stream(request: IncomingMessage, response: ServerResponse, manner: ServerManner): void {
+    const from = Number(request.headers['last-event-id'] ?? 0);
+    response.writeHead(200, {
+      ...this.headersOf(request, manner),
+      'content-type': 'text/event-stream',
+    });
+    if (manner === 'paused') {
+      response.write('id: 1\ndata: piece 1\n\n');
+      this.resume = () => response.end('id: 2\ndata: piece 2\n\n');
+      return;
+    }
+    for (let id = from + 1; id <= EVENTS; id += 1) {
+      const event = `id: ${id}\ndata: piece ${id}\n\n`;
+      if (manner === 'cut' && id === from + 3) {
+        // Breaks off in the middle of an event.
+        response.write(event.slice(0, 8), () => request.socket.resetAndDestroy());
+        return;
+      }
+      response.write(event);
+    }
+    response.end();
+  }
+}
