The right to give orders: three faults that a model check found

Causes: a holder that gave the right up before it had used it told its own next process not to wait; a repeated renewal after a lost answer counted from the repeat, though the first had taken effect; an order sent right before a release could arrive within a turn of the next holder's.

--- a/src/core/orderturn/index.ts
+++ b/src/core/orderturn/index.ts
@@ -4,9 +4,10 @@
  */
 export { mayOrder } from './mayorder.js';
 export { nextTurn } from './nextturn.js';
+export { onAnswer } from './onanswer.js';
 export { onRecord } from './onrecord.js';
-export { onWritten } from './onwritten.js';
 export { ordersFrom } from './ordersfrom.js';
+export { releasedTurn } from './releasedturn.js';
 export { turnLimits } from './turnlimits.js';
 export type { TurnRecord } from './turnrecord.js';
 export type { TurnState } from './turnstate.js';
--- a/src/core/orderturn/nextturn.ts
+++ b/src/core/orderturn/nextturn.ts
@@ -24,11 +24,11 @@
 /** What is to be written now, if anything: a renewal of the own right, or a takeover of one that lapsed. */
 export function nextTurn(state: TurnState, nowMs: Ms): TurnWrite | undefined {
   const { own, host, address, nonce } = state;
-  const base = { host, address, nonce, isReleased: false };
+  const base = { host, address, nonce, sentAtMs: nowMs, isReleased: false };
   if (own) {
     if (nowMs < own.renewAtMs) return undefined;
     const isActive = nowMs >= own.ordersFromMs;
-    const value = { ...base, beat: own.beat + 1, isActive };
+    const value = { ...base, isActive };
     const { ordersFromMs } = own;
     return { type: 'renew', expectedRevision: own.revision, value, ordersFromMs };
   }
@@ -36,5 +36,5 @@
   const ordersFromMs = ordersFrom(state, nowMs);
   const isActive = ordersFromMs <= nowMs;
   const expectedRevision = state.seen?.revision ?? (0 as Revision);
-  return { type: 'take', expectedRevision, value: { ...base, beat: 0, isActive }, ordersFromMs };
+  return { type: 'take', expectedRevision, value: { ...base, isActive }, ordersFromMs };
 }
--- a/src/core/orderturn/ordersfrom.ts
+++ b/src/core/orderturn/ordersfrom.ts
@@ -10,6 +10,8 @@
   const isSameHost = value.host === host && value.address === address;
   // A process that starts again on its host is the same holder.
   if (isSameHost && value.isActive) return Math.max(nowMs, notBeforeMs);
-  const lastOrderMs = value.isReleased ? seenAtMs : seenAtMs + turnLimits.ttlMs;
+  const { ttlMs, orderTimeoutMs } = turnLimits;
+  // An order that left right before the release may still be on its way.
+  const lastOrderMs = seenAtMs + (value.isReleased ? orderTimeoutMs : ttlMs);
   return Math.max(nowMs, notBeforeMs, lastOrderMs + turnMs + turnLimits.marginMs);
 }
--- a/src/core/orderturn/turnrecord.ts
+++ b/src/core/orderturn/turnrecord.ts
@@ -1,4 +1,4 @@
-import type { HostId } from '../../base/index.js';
+import type { HostId, Ms } from '../../base/index.js';
 
 /** What the store says of the right to give orders. Only the last process that took it is named. */
 export interface TurnRecord {
@@ -7,8 +7,11 @@
   readonly address: string;
   /** Names one start of a process. */
   readonly nonce: string;
-  /** Counts renewals. */
-  readonly beat: number;
+  /**
+   * When the holder sent this, by its own steady clock: the right counts from then, whichever of its
+   * writes took effect. It means nothing to others.
+   */
+  readonly sentAtMs: Ms;
   /** False while the holder still waits for the one before to be out of the way. */
   readonly isActive: boolean;
   /** True once the holder has given the right up; it gives no order after that. */
--- a/src/core/orderturn/turnstate.ts
+++ b/src/core/orderturn/turnstate.ts
@@ -15,7 +15,6 @@
   readonly epoch: Epoch;
   /** Revision of the last renewal. */
   readonly revision: Revision;
-  readonly beat: number;
   readonly renewAtMs: Ms;
   /** No order leaves after this. */
   readonly validUntilMs: Ms;
--- a/src/direct/orders/turnkeeper.ts
+++ b/src/direct/orders/turnkeeper.ts
@@ -1,10 +1,11 @@
 import { nanoid } from 'nanoid';
-import { result, type Clock, type HostId, type Ms, type Revision } from '../../base/index.js';
+import type { Clock, HostId, Ms, Revision } from '../../base/index.js';
 import {
   mayOrder,
   nextTurn,
+  onAnswer,
   onRecord,
-  onWritten,
+  releasedTurn,
   type TurnRecord,
   type TurnState,
 } from '../../core/orderturn/index.js';
@@ -119,31 +120,25 @@
   /** Gives the right up, so that another need not wait for it to lapse. */
   async release(): Promise<void> {
     this.isStopped = true;
-    const { own } = this.state;
-    const { feed, key, host, address, log } = this.options;
+    const { feed, key, log, clock } = this.options;
+    const { epoch } = this;
+    const release = releasedTurn(this.state, clock.nowMs());
     this.state = { ...this.state, own: undefined };
-    if (!own) return;
-    const { nonce } = this.state;
-    const value = { host, address, nonce, beat: own.beat + 1, isActive: true, isReleased: true };
-    const text = JSON.stringify(value);
-    const said = await feed.swap({ key, expectedRevision: own.revision, value: text });
-    log.info('order turn released', {
-      epoch: own.epoch,
-      outcome: said.err ? said.val.type : said.val.type,
-    });
+    if (!release) return;
+    const { expectedRevision, value } = release;
+    const said = await feed.swap({ key, expectedRevision, value: JSON.stringify(value) });
+    log.info('order turn released', { epoch, outcome: said.val.type });
   }
 
   private async write(write: TurnWrite): Promise<void> {
-    const { feed, key, clock, log } = this.options;
+    const { feed, key } = this.options;
     this.isWriting = true;
-    const sentAtMs = clock.nowMs();
     const value = JSON.stringify(write.value);
     const swap = { key, expectedRevision: write.expectedRevision, value };
     const said = write.type === 'renew' ? await this.renew(swap) : await feed.swap(swap);
-    if (said.ok && said.val.type === 'swapped') this.written(write, said.val.revision, sentAtMs);
-    else if (said.ok && said.val.type === 'conflict') this.heard(said.val.current);
-    else if (said.err) await this.failed(write, said.val.type, sentAtMs);
-    if (said.err) log.warn('order turn not written', { write: write.type, failure: said.val.type });
+    if (said.err) await this.failed(write, said.val.type);
+    else if (said.val.type === 'swapped') this.answered(write, write.value, said.val.revision);
+    else this.conflict(write, said.val.current);
     this.isWriting = false;
   }
 
@@ -158,37 +153,39 @@
     if (first?.ok) return first;
     const relayed = await relay(swap);
     log.info('order turn renewed through another entry', { ok: relayed.ok });
-    if (relayed.err) return first ?? direct;
-    const { val } = relayed;
-    const isOwn = val.type === 'conflict' && val.current?.value === swap.value;
-    return isOwn ? result.Ok({ type: 'swapped', revision: val.current!.revision }) : relayed;
+    return relayed.err ? (first ?? direct) : relayed;
+  }
+
+  private conflict(write: TurnWrite, current: KeyValue | undefined): void {
+    const value = current && parse(current.value);
+    if (current && value) this.answered(write, value, current.revision);
+    else this.heard(current);
   }
 
-  private written(write: TurnWrite, revision: Revision, sentAtMs: Ms): void {
+  private answered(write: TurnWrite, value: TurnRecord, revision: Revision): void {
     const { clock, log, took } = this.options;
     const before = this.state.seen?.value.host;
-    const nowMs = clock.nowMs();
-    this.state = onWritten(this.state, write, revision, sentAtMs, nowMs);
-    if (write.type !== 'take') return;
-    const waitMs = Math.round(write.ordersFromMs - nowMs);
-    log.info('order turn taken', { epoch: this.epoch, before, waitMs });
+    const had = this.state.own;
+    this.state = onAnswer(this.state, write, value, revision, clock.nowMs());
+    const { own } = this.state;
+    if (had && !own) log.warn('order turn lost', { epoch: had.epoch, to: value.host });
+    if (had || !own) return;
+    const waitMs = Math.round(own.ordersFromMs - clock.nowMs());
+    log.info('order turn taken', { epoch: own.epoch, before, waitMs });
     took(before === undefined);
   }
 
   /** A write without an answer may have been done, or may be done later: its word is looked for. */
-  private async failed(write: TurnWrite, type: string, sentAtMs: Ms): Promise<void> {
-    const { feed, key, clock } = this.options;
+  private async failed(write: TurnWrite, failure: string): Promise<void> {
+    const { feed, key, clock, log } = this.options;
+    log.warn('order turn not written', { write: write.type, failure });
     this.pausedUntilMs = clock.nowMs() + PAUSE_MS;
-    if (type !== 'store-outcome-unknown') return;
+    if (failure !== 'store-outcome-unknown') return;
     if (write.type === 'take') {
       const notBeforeMs = Math.max(this.state.notBeforeMs, write.ordersFromMs);
       this.state = { ...this.state, notBeforeMs };
     }
     const read = await feed.get(key);
-    if (read.err || !read.val) return;
-    const value = parse(read.val.value);
-    const isOurs = value?.nonce === write.value.nonce && value.beat === write.value.beat;
-    if (isOurs) this.written(write, read.val.revision, sentAtMs);
-    else this.heard(read.val);
+    if (read.ok && read.val) this.conflict(write, read.val);
   }
 }
