A load in doubt takes its place; an order is decided on what the upstream was found to hold

Ruled out: two orders at once (they go in turn), the list's lag (the place was free in the report as well).

--- a/src/direct/orders/adoptlist.ts
+++ b/src/direct/orders/adoptlist.ts
@@ -5,6 +5,9 @@
 /** Own orders about adapters are in the list after this: an interval between its entries, and its lag. */
 const LIST_LAG_MS = 3000;
 
+/** A model that has not come by then does not come: a load takes 4.2 s, one carried out late 12 s more. */
+const LONGEST_LOAD_MS = 17_000;
+
 function adaptersOf(
   track: Track,
   model: ModelId,
@@ -36,7 +39,8 @@
     if (next.has(model)) continue;
     // A word may be older than the load that the one before told of.
     const isNew = known.phase === 'ready' && nowMs - known.sinceMs < LIST_LAG_MS;
-    if (known.phase === 'loading' || isNew) next.set(model, known);
+    const isComing = known.phase === 'loading' && nowMs - known.sinceMs < LONGEST_LOAD_MS;
+    if (isComing || isNew) next.set(model, known);
   }
   Object.assign(track, { models: next });
 }
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -102,6 +102,7 @@
         orderCount: undefined,
         done: new Map(),
         going: new Set(),
+        doubt: undefined,
         models: new Map(),
         isMoving: false,
         coming: 0,
@@ -206,6 +207,10 @@
     model: ModelId,
     adapter: string,
   ): Promise<FoundNeed> {
+    const isKnown = track.orderCount !== undefined;
+    if (!isKnown && track.restUntilMs <= this.options.clock.nowMs()) {
+      await refresh(this.options, track);
+    }
     const held = track.models.get(model);
     if (held?.phase !== 'ready') return ASK_AGAIN;
     const ready: FoundNeed = { type: 'ready', upstream: track.info.id };
@@ -322,6 +327,11 @@
     const mark = track;
     const { model, evicted, loadMs, isFromStore, gain, cost } = move;
     mark.isMoving = true;
+    if (track.orderCount === undefined) {
+      await inTurn(track, () => refresh(this.options, track));
+      mark.isMoving = false;
+      return;
+    }
     // Known as coming from now on, so that no other place is sought for it while room is made.
     track.models.set(model, { phase: 'loading', sinceMs: clock.nowMs(), adapters: new Set() });
     this.moving += 1;
--- a/src/direct/orders/refresh.ts
+++ b/src/direct/orders/refresh.ts
@@ -1,5 +1,6 @@
 import { adoptList } from './adoptlist.js';
 import type { OrderTools } from './ordertools.js';
+import { settleDoubt } from './settledoubt.js';
 import type { Track } from './track.js';
 
 const REPORT_TIMEOUT_MS = 500;
@@ -26,6 +27,7 @@
     return;
   }
   adoptList(track, report.models, clock.nowMs());
+  settleDoubt(track, report.orderCount, clock.nowMs());
   // A busy one takes no order, and its count may rise when it is done.
   const restUntilMs = isBusy ? clock.nowMs() + BUSY_REST_MS : 0;
   Object.assign(track, { orderCount: isBusy ? undefined : orderCount, restUntilMs });
--- a/src/direct/orders/sendorder.ts
+++ b/src/direct/orders/sendorder.ts
@@ -33,9 +33,12 @@
 export async function sendOrder(tools: OrderTools, track: Track, wanted: Wanted): Promise<Outcome> {
   const { turn, link, clock, log, host } = tools;
   if (clock.nowMs() < track.restUntilMs) return 'resting';
-  if (track.orderCount === undefined) await refresh(tools, track);
   const expectedOrderCount = track.orderCount;
-  if (expectedOrderCount === undefined) return 'resting';
+  if (expectedOrderCount === undefined) {
+    // What it holds may differ from what this order was decided on: whoever sent it decides anew.
+    await refresh(tools, track);
+    return 'resting';
+  }
   const { id: upstream, address } = track.info;
   const fencingToken = turn.epoch;
   const order = { upstream, address, ...wanted, expectedOrderCount, holder: host, fencingToken };
@@ -49,7 +52,10 @@
   if (isTaken) Object.assign(track, { orderCount: expectedOrderCount + 1 });
   if (outcome === 'conflict') await correct(tools, track);
   if (outcome === 'unknown') {
-    Object.assign(track, { restUntilMs: clock.nowMs() + UNKNOWN_REST_MS, orderCount: undefined });
+    const { action, model, adapter } = wanted;
+    const doubt = action === 'load' ? { model, adapter, expectedOrderCount } : undefined;
+    const restUntilMs = clock.nowMs() + UNKNOWN_REST_MS;
+    Object.assign(track, { doubt, restUntilMs, orderCount: undefined });
   }
   return outcome;
 }
--- a/src/direct/orders/track.ts
+++ b/src/direct/orders/track.ts
@@ -8,6 +8,13 @@
   adapters: Set<string>;
 }
 
+/** A load that may have been taken, or may be carried out later. */
+interface LoadInDoubt {
+  readonly model: ModelId;
+  readonly adapter?: string;
+  readonly expectedOrderCount: number;
+}
+
 /** What the holder of orders believes of one upstream: the list's word and its own orders since. */
 export interface Track {
   info: Upstream;
@@ -17,6 +24,8 @@
   readonly done: Map<string, { readonly isThere: boolean; readonly atMs: Ms }>;
   /** Adapters, `model/adapter`, that go when their last run has ended. */
   readonly going: Set<string>;
+  /** A load without an answer, and the count of orders that it asked for. */
+  doubt: LoadInDoubt | undefined;
   models: Map<ModelId, TrackedModel>;
   /** True while a move is under way. */
   isMoving: boolean;
