Bounded log that never waits, metrics as text

Built: src/shell/log/createboundedlog (120 ordinary and 200 other lines a second, what went well left out first, a reader that stands still is written to no more and counted), TextMetrics on the metrics port.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -3,7 +3,7 @@
 import { RetryBudget } from '../core/retrybudget/index.js';
 import type { Route, RouteTable } from '../core/routetable/index.js';
 import type { Upstream } from '../core/upstreams/index.js';
-import type { ChangeFeed, KeyValue, Log, Swap, UpstreamLink } from '../port/index.js';
+import type { ChangeFeed, KeyValue, Log, Metrics, Swap, UpstreamLink } from '../port/index.js';
 import type { Caller } from './caller.js';
 import type { DirectSettings } from './directsettings.js';
 import {
@@ -26,6 +26,7 @@
   readonly settings: DirectSettings;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   readonly feed: ChangeFeed;
   readonly codec: StateCodec;
   readonly link: UpstreamLink;
@@ -108,7 +109,8 @@
       relay: (swap) => this.relay(swap),
       took: (isFirst) => this.desk.took(isFirst),
     });
-    const shared = { link, clock, log, host, loadWindowMs, loadOvershoot };
+    const { metrics } = context;
+    const shared = { link, clock, log, metrics, host, loadWindowMs, loadOvershoot };
     const listSilentMs = () => this.follower.silentMs();
     const loadOf = (id: UpstreamId) => this.fleet.load(id, clock.nowMs());
     this.desk = new OrderDesk({ ...shared, turn: this.turn, listSilentMs, loadOf });
@@ -195,7 +197,16 @@
     this.meter.running(need, change);
   }
 
-  ended(): void {}
+  ended(end: string, route: Route | undefined, tookMs: Ms): void {
+    const { metrics } = this.context;
+    const kind = route?.kind ?? 'none';
+    metrics.count('direct.request', 1, { end, kind });
+    metrics.histogram('direct.request_ms', tookMs, { kind });
+  }
+
+  attempted(outcome: string): void {
+    this.context.metrics.count('direct.attempt', 1, { outcome });
+  }
 
   // What the follower tells.
 
@@ -232,6 +243,11 @@
   }
 
   private report(): void {
+    const { metrics } = this.context;
+    metrics.gauge('direct.in_flight', this.runs.size);
+    metrics.gauge('direct.configuration_version', this.table?.version ?? 0);
+    metrics.gauge('direct.store_silent_ms', this.follower.silentMs());
+    metrics.gauge('direct.gives_orders', this.turn.mayOrder() ? 1 : 0);
     const report = this.meter.report();
     if (this.turn.isHolder()) {
       this.desk.demand(report);
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -2,7 +2,7 @@
 import { planMoves, type Move, type PlanUpstream } from '../../core/fleetplan/index.js';
 import type { RouteTable, ServiceSpec } from '../../core/routetable/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
-import type { Log, UpstreamLink } from '../../port/index.js';
+import type { Log, Metrics, UpstreamLink } from '../../port/index.js';
 import type { Need } from '../route/index.js';
 import { adoptList } from './adoptlist.js';
 import { DemandBook } from './demandbook.js';
@@ -21,6 +21,7 @@
   readonly link: UpstreamLink;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   readonly host: string;
   readonly loadWindowMs: Ms;
   readonly loadOvershoot: number;
@@ -357,6 +358,7 @@
     this.moving -= 1;
     mark.isMoving = false;
     const tookMs = Math.round(clock.nowMs() - startedAtMs);
+    this.options.metrics.count('direct.move', 1, { end });
     log.info('move ended', { upstream: move.upstream, model, end, tookMs });
   }
 
--- a/src/direct/orders/ordertools.ts
+++ b/src/direct/orders/ordertools.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../base/index.js';
-import type { Log, UpstreamLink } from '../../port/index.js';
+import type { Log, Metrics, UpstreamLink } from '../../port/index.js';
 import type { TurnKeeper } from './turnkeeper.js';
 
 /** What an order needs to leave. */
@@ -8,5 +8,6 @@
   readonly link: UpstreamLink;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   readonly host: string;
 }
--- a/src/direct/orders/sendorder.ts
+++ b/src/direct/orders/sendorder.ts
@@ -31,7 +31,7 @@
 
 /** Sends one order, if the right to and the belief of what the upstream holds allow it. */
 export async function sendOrder(tools: OrderTools, track: Track, wanted: Wanted): Promise<Outcome> {
-  const { turn, link, clock, log, host } = tools;
+  const { turn, link, clock, log, metrics, host } = tools;
   if (clock.nowMs() < track.restUntilMs) return 'resting';
   const expectedOrderCount = track.orderCount;
   if (expectedOrderCount === undefined) {
@@ -48,6 +48,7 @@
   const outcome = await link.order(order, turnLimits.orderTimeoutMs);
   const tookMs = Math.round(clock.nowMs() - sentAtMs);
   log.info('order', { ...order, outcome, tookMs });
+  metrics.count('direct.order', 1, { action: wanted.action, outcome });
   const isTaken = outcome === 'accepted' || (outcome === 'done' && wanted.action === 'unload');
   if (isTaken) Object.assign(track, { orderCount: expectedOrderCount + 1 });
   if (outcome === 'conflict') await correct(tools, track);
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -237,7 +237,7 @@
     );
     this.tried.add(state.info.id);
     if (!sent) {
-      this.ends.push(`${state.info.id}:no-connection`);
+      this.note(state, 'no-connection');
       this.refusedCount += 1;
       serving.fleet.learn(state, 'full', this.need!, nowMs);
       this.decide({ type: 'not-run', wasSent: false });
@@ -265,7 +265,7 @@
       failed: (failure) => {
         if (!isOurs()) return;
         this.leave();
-        this.ends.push(`${state.info.id}:${failure.type}`);
+        this.note(state, failure.type);
         const lesson = failure.mayHaveRun ? 'failed' : 'unreachable';
         this.serving.fleet.learn(state, lesson, this.need!, this.clock.nowMs());
         if (failure.mayHaveRun) this.ranCount += 1;
@@ -312,7 +312,7 @@
     sent?.cancel();
     const lesson = head.status === 421 ? 'missing' : 'full';
     this.serving.fleet.learn(state, lesson, this.need!, this.clock.nowMs());
-    this.ends.push(`${state.info.id}:not-run-${head.status}`);
+    this.note(state, `not-run-${head.status}`);
     this.refusedCount += 1;
     this.decide({ type: 'not-run', wasSent: true });
   }
@@ -346,7 +346,7 @@
     const nowMs = this.clock.nowMs();
     const isFailure = status >= FIRST_FAILURE_STATUS;
     this.serving.fleet.learn(state, isFailure ? 'failed' : 'answered', this.need!, nowMs);
-    this.ends.push(`${state.info.id}:${status}`);
+    this.note(state, String(status));
     if (isFailure && this.held) {
       this.decide({ type: 'failed' });
       return;
@@ -433,6 +433,11 @@
     this.close('gone');
   }
 
+  private note(state: UpstreamState, outcome: string): void {
+    this.ends.push(`${state.info.id}:${outcome}`);
+    this.serving.attempted(outcome);
+  }
+
   private leave(): void {
     if (this.state) {
       this.state.inFlight -= 1;
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -30,5 +30,7 @@
   arrived(need: Need): void;
   /** One more, or one less, is at an upstream. */
   running(need: Need, change: 1 | -1): void;
+  /** An attempt at an upstream has ended so. */
+  attempted(outcome: string): void;
   ended(end: string, route: Route | undefined, tookMs: Ms): void;
 }
--- a/src/shell/log/index.ts
+++ b/src/shell/log/index.ts
@@ -1,3 +1,4 @@
 /** The log driver. */
 export { createLog } from './createlog.js';
 export { createAudit } from './createaudit.js';
+export { createBoundedLog } from './createboundedlog.js';
--- a/src/shell/metric/index.ts
+++ b/src/shell/metric/index.ts
@@ -1,3 +1,4 @@
 /** The metrics driver. */
 export { createMetrics } from './createmetrics.js';
 export { statsdSchema } from './statsdschema.js';
+export { TextMetrics } from './textmetrics.js';
--- /dev/null
+++ b/test/boundedlog.test.ts
@@ -0,0 +1,66 @@
+import { PassThrough, Writable } from 'node:stream';
+import test from 'ava';
+import { VirtualClock } from '../src/base/index.js';
+import { createBoundedLog } from '../src/shell/log/index.js';
+
+interface Line {
+  readonly message: string;
+  readonly end?: string;
+  readonly leftOut?: number;
+}
+
+function linesOf(out: PassThrough): Line[] {
+  const text = String(out.read() ?? '');
+  return text.split('\n').flatMap((line) => (line === '' ? [] : [JSON.parse(line) as Line]));
+}
+
+test('what went well is left out before what did not, and counted', async (t) => {
+  const clock = new VirtualClock();
+  const out = new PassThrough({ highWaterMark: 10_000_000 });
+  const log = createBoundedLog({ process: 'entry', out, clock });
+  clock.advanceTo(5000);
+  for (let at = 0; at < 500; at += 1) log.info('request', { end: 'answered' });
+  for (let at = 0; at < 50; at += 1) log.info('request', { end: 'timeout' });
+  clock.advanceTo(6000);
+  log.info('started');
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  const lines = linesOf(out);
+  t.is(lines.filter(({ end }) => end === 'timeout').length, 50);
+  const answered = lines.filter(({ end }) => end === 'answered').length;
+  t.true(answered > 0 && answered < 500);
+  t.is(lines.find(({ message }) => message === 'lines left out')?.leftOut, 500 - answered);
+});
+
+test('a reader that stands still stops nobody; what it missed is counted when it reads on', async (t) => {
+  const clock = new VirtualClock();
+  const written: string[] = [];
+  let readOn = () => {};
+  const out = new Writable({
+    highWaterMark: 10,
+    write(chunk: Buffer, _encoding, done) {
+      written.push(chunk.toString());
+      readOn = done;
+    },
+  });
+  const log = createBoundedLog({ process: 'entry', out, clock });
+  for (let second = 2; second < 100; second += 1) {
+    clock.advanceTo(second * 1000);
+    for (let at = 0; at < 100; at += 1) log.error('failed', { text: 'x'.repeat(100) });
+  }
+  t.true(out.writableLength < 400_000);
+  while (out.writableLength > 0) {
+    readOn();
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+  clock.advanceTo(200_000);
+  log.info('started');
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  readOn();
+  t.regex(written.join(''), /"leftOut":\d{3,}/);
+});
--- a/test/orderdoubt.test.ts
+++ b/test/orderdoubt.test.ts
@@ -56,7 +56,8 @@
   } as unknown as UpstreamLink;
   const turn = { mayOrder: () => true, epoch: 7 } as unknown as TurnKeeper;
   const log = { info() {}, warn() {}, error() {} };
-  const tools = { turn, link, clock, log, host: 'entry-1' };
+  const metrics = { count() {}, gauge() {}, histogram() {} };
+  const tools = { turn, link, clock, log, metrics, host: 'entry-1' };
   const track = trackOf();
   const model = adapter === undefined ? OTHER : MODEL;
   await sendOrder(tools, track, { action: 'load', model, adapter });
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -93,6 +93,7 @@
         callersAddress: '127.0.0.1:0',
         readinessAddress: '127.0.0.1:0',
         peerPorts: [0, 0],
+        metricsPort: 0,
         storeAddress,
         leastLeaseMs: 1000,
         graceS: 2,
