Back to taking only places in turn

Rare models kept their places, and the busy ones got theirs later: drafts lost more than batches gained. Conclusion: reverted; the moves in turn that it was meant for stay an open finding.

--- a/src/core/fleetplan/costof.ts
+++ b/src/core/fleetplan/costof.ts
@@ -26,7 +26,6 @@
     return neededCost + neededCostPerFill * census.fill(model, leftCount) + runningCost;
   }
   if (!isInUse) return planRules.idleLastCost;
-  const { perSecond = 0, idleMs = 0 } = input.demand.get(model) ?? {};
-  const recent = planRules.usedLastCost * 0.5 ** (idleMs / planRules.usedLastHalfLifeMs);
-  return planRules.idleLastCost + recent + perSecond * planRules.usedLastCostPerS;
+  const perSecond = input.demand.get(model)?.perSecond ?? 0;
+  return planRules.usedLastCost + perSecond * planRules.usedLastCostPerS;
 }
--- a/src/core/fleetplan/gainof.ts
+++ b/src/core/fleetplan/gainof.ts
@@ -17,17 +17,13 @@
   return least + asked + (absentMs / MS_PER_S) * absentGainPerAbsentS;
 }
 
-function isAsked({ waiting, idleMs }: ModelDemand): boolean {
-  return waiting > 0 || idleMs < planRules.askedMs;
-}
-
 /** What one more place of a model is worth; 0 if it has all that it should have. */
 export function gainOf(input: PlanInput, census: Census, model: ModelId): number {
   const heldCount = census.heldCount(model);
   const demand = input.demand.get(model);
   if (heldCount === 0) {
-    if (demand && isAsked(demand)) return absentGain(demand);
-    return planRules.reachableGain + (demand?.perSecond ?? 0) * planRules.absentGainPerS;
+    if (demand && census.isInUse(model)) return absentGain(demand);
+    return planRules.reachableGain;
   }
   if (heldCount >= census.wantedCount(model)) return 0;
   if (heldCount >= census.neededCount(model)) return planRules.adapterGain;
--- a/src/core/fleetplan/planrules.ts
+++ b/src/core/fleetplan/planrules.ts
@@ -15,8 +15,6 @@
   absentGain: 6,
   absentGainPerS: 4,
   absentGainPerWaiting: 1,
-  /** One that was asked for within this time counts as asked for now: reports come every 250 ms. */
-  askedMs: 600,
   /** For each second that it has been asked for in vain, so that none is left out for good. */
   absentGainPerAbsentS: 0.7,
   /** For a further replica, times the part of its slots that is filled. */
@@ -32,13 +30,8 @@
   neededCostPerFill: 4,
   /** For taking the only place of a model that nobody asks for. */
   idleLastCost: 3,
-  /**
-   * For taking the only place of one in use: more right after a request, half of that a half-life later,
-   * and for each request a second. Without the decline models took each other's only places in turn: 30
-   * moves in 4 s of a played day, and none of them served a request.
-   */
-  usedLastCost: 3,
-  usedLastHalfLifeMs: 3000,
+  /** For taking the only place of one in use, and for each request a second to it. */
+  usedLastCost: 5,
   usedLastCostPerS: 4,
   /** For each request that runs at the place taken: the unload waits for it. */
   runningCost: 0.05,
