--- a/src/entry/handler/generate.ts
+++ b/src/entry/handler/generate.ts
@@ -5,15 +5,13 @@
 import type { Access } from '../access.js';
 import type { Desk } from '../desk.js';
 import type { Caller } from './caller.js';
+import { checked } from './checked.js';
 import { deadlineOf } from './deadlineof.js';
 import { findOffer } from './findoffer.js';
-import type { Handler } from './handler.js';
 import { kindOf } from './kindof.js';
 import { leadingBlock } from './leadingblock.js';
 import { parseAsked } from './parseasked.js';
-import { readBody } from './readbody.js';
-import { refuseCaller } from './refusecaller.js';
-import { serve } from './serve.js';
+import type { serve } from './serve.js';
 
 /** A token is about so many bytes of JSON; only a guess for queues, never for limits. */
 const BYTES_PER_TOKEN = 4;
@@ -65,16 +63,7 @@
 }
 
 /** `POST /v1/chat/completions` and `/v1/completions`. */
-export const generate: Handler = async (desk, caller) => {
-  const { request } = caller;
-  const documents = desk.directory.documents();
-  const accesses = desk.keys.find(request.headers.authorization, documents);
-  if (accesses.length === 0) {
-    refuseCaller(desk, caller, refuse('unauthenticated', 'No service knows this key.'));
-    return;
-  }
-  const body = await readBody(request, desk.settings.bodyBytes);
-  const served = body.andThen((read) => check(desk, caller, accesses, read));
-  if (served.err) refuseCaller(desk, caller, served.val);
-  else await serve(desk, caller, served.val);
-};
+export const generate = checked<readonly Access[]>({
+  aim: (_caller, accesses) => result.Ok(accesses),
+  check,
+});
--- a/src/entry/handler/passthrough.ts
+++ b/src/entry/handler/passthrough.ts
@@ -6,14 +6,12 @@
 import type { Access } from '../access.js';
 import type { Desk } from '../desk.js';
 import type { Caller } from './caller.js';
+import { checked } from './checked.js';
 import { deadlineOf } from './deadlineof.js';
 import { findRoute } from './findroute.js';
-import type { Handler } from './handler.js';
 import { HOP_HEADERS } from './hopheaders.js';
 import { kindOf } from './kindof.js';
-import { readBody } from './readbody.js';
-import { refuseCaller } from './refusecaller.js';
-import { serve } from './serve.js';
+import type { serve } from './serve.js';
 
 type Served = Parameters<typeof serve>[2];
 
@@ -81,21 +79,7 @@
 }
 
 /** Any method of `/services/{service}/{path}`: goes to a plain service as it is. */
-export const passThrough: Handler = async (desk, caller) => {
-  const { request } = caller;
-  const documents = desk.directory.documents();
-  const accesses = desk.keys.find(request.headers.authorization, documents);
-  if (accesses.length === 0) {
-    refuseCaller(desk, caller, refuse('unauthenticated', 'No service knows this key.'));
-    return;
-  }
-  const aim = aimOf(accesses, request.url ?? '');
-  if (aim.err) {
-    refuseCaller(desk, caller, aim.val);
-    return;
-  }
-  const body = await readBody(request, desk.settings.bodyBytes);
-  const served = body.andThen((read) => check(desk, caller, aim.val, read));
-  if (served.err) refuseCaller(desk, caller, served.val);
-  else await serve(desk, caller, served.val);
-};
+export const passThrough = checked<Aim>({
+  aim: ({ request }, accesses) => aimOf(accesses, request.url ?? ''),
+  check,
+});
