--- /dev/null
+++ b/bench/soak/badentry.ts
@@ -0,0 +1,202 @@
+import { readFileSync } from 'node:fs';
+import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http';
+
+/**
+ * A small entry without care, with one defect by its name: it shows that the soak finds what it looks for. It
+ * is run as `node badentry.js DEFECT`; without a defect it keeps what a run without faults looks at.
+ */
+const [, , defect = 'none'] = process.argv;
+
+interface Settings {
+  readonly host: string;
+  readonly callersAddress: string;
+  readonly storeAddress: string;
+}
+
+interface Server {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly state: string;
+  readonly models: readonly { readonly name: string }[];
+}
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+}
+
+const READ_EVERY_MS = 100;
+/** One request in this many meets the defect. */
+const RATE = 10;
+
+const settings = JSON.parse(
+  readFileSync(process.env.TARRAGONSTILE_NODE_FILE ?? '', 'utf8'),
+) as Settings;
+const servers = new Map<string, Server>();
+let paths: readonly string[] = [];
+let reads = 0;
+let count = 0;
+let previousBody = 'nothing';
+
+function get(address: string, path: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const [host, port] = address.split(':');
+    const sent = request({ host, port, path }, (answer) => {
+      let text = '';
+      answer.on('data', (chunk: Buffer) => {
+        text += chunk.toString('utf8');
+      });
+      answer.on('end', () => resolve(text));
+    });
+    sent.on('error', reject);
+    sent.end();
+  });
+}
+
+function take({ key, value }: Item): void {
+  const text = Buffer.from(value, 'base64').toString('utf8');
+  if (key === 'op/config') {
+    const isStale = defect === 'stale' ? reads > 1 : defect === 'revert' && reads % 8 === 0;
+    if (isStale && paths.length > 0 && defect === 'stale') return;
+    const { routes } = JSON.parse(text) as { routes: { path_prefix: string }[] };
+    const all = routes.map(({ path_prefix: prefix }) => prefix);
+    const newest = all.find((prefix) => prefix.startsWith('/probe-'));
+    paths = isStale ? all.filter((prefix) => prefix !== newest) : all;
+  }
+  if (!key.startsWith('servers/')) return;
+  const id = key.slice('servers/'.length);
+  servers.set(id, { ...(JSON.parse(text) as Omit<Server, 'id'>), id });
+}
+
+async function read(): Promise<void> {
+  reads += 1;
+  try {
+    let after = '';
+    for (;;) {
+      const path = `/kv-range?path_prefix=&after=${encodeURIComponent(after)}`;
+      const page = JSON.parse(await get(settings.storeAddress, path)) as {
+        items: Item[];
+        more_pages: boolean;
+      };
+      for (const item of page.items) take(item);
+      if (!page.more_pages) break;
+      after = page.items.at(-1)!.key;
+    }
+  } catch (thrown) {
+    console.log(JSON.stringify({ message: 'store not read', detail: String(thrown) }));
+  }
+  if (reads === 1) console.log(JSON.stringify({ message: 'state read' }));
+  setTimeout(() => {
+    void read();
+  }, READ_EVERY_MS);
+}
+
+function choose(service: string, model: string): Server | undefined {
+  const able = [...servers.values()].filter(
+    (server) =>
+      server.service === service &&
+      (server.state === 'ready' || defect === 'drain') &&
+      (model === '' || server.models.some(({ name }) => name === model)),
+  );
+  return able[count % Math.max(1, able.length)];
+}
+
+function send(
+  incoming: IncomingMessage,
+  server: Server,
+  done: (status: number, headers: IncomingMessage['headers'], body: string) => void,
+): void {
+  const [host, port] = server.address.split(':');
+  const headers = { ...incoming.headers, 'tarragonstile-expect-instance': server.id };
+  const { method, url: path } = incoming;
+  const sent = request({ host, port, method, path, headers, agent: false }, (answer) => {
+    let body = '';
+    answer.on('data', (chunk: Buffer) => {
+      body += chunk.toString('utf8');
+    });
+    answer.on('end', () => done(answer.statusCode ?? 502, answer.headers, body));
+  });
+  sent.on('error', () => done(502, {}, ''));
+  incoming.socket.on('close', () => {
+    if (defect !== 'gone') sent.destroy();
+  });
+  sent.end();
+}
+
+/** Orders that nobody asked for, from a holder that changes. */
+async function order(server: Server): Promise<void> {
+  const [host, port] = server.address.split(':');
+  const holder = defect === 'holders' ? `${settings.host}-${count % 2}` : settings.host;
+  const model = `m${1 + (count % 3)}`;
+  const body = JSON.stringify({ op: 'load', model, holder, fencing_token: count });
+  const headers = { 'tarragonstile-expect-instance': server.id };
+  await new Promise<void>((resolve) => {
+    const sent = request({ host, port, method: 'POST', path: '/order', headers }, (answer) => {
+      answer.resume();
+      answer.on('end', resolve);
+    });
+    sent.on('error', () => resolve());
+    sent.end(body);
+  });
+}
+
+function spoil(body: string): string {
+  if (defect === 'mixed') return previousBody;
+  if (defect === 'short') return body.slice(0, -1);
+  return defect === 'skipped' ? body.replace(/id: 2\n.*\n\n/, '') : body;
+}
+
+function pass(
+  response: ServerResponse,
+  status: number,
+  headers: IncomingMessage['headers'],
+  body: string,
+): void {
+  const spoilt = count % RATE === 0 ? spoil(body) : body;
+  previousBody = `${body}!`;
+  const kept: Record<string, string> = { 'content-length': String(spoilt.length) };
+  for (const name of ['tarragonstile-request-id', 'tarragonstile-response-signature']) {
+    const value = headers[name];
+    const isLost = defect === 'unsigned' && count % RATE === 0;
+    if (typeof value === 'string' && !isLost) kept[name] = value;
+  }
+  response.writeHead(status, kept).end(spoilt);
+}
+
+function serve(incoming: IncomingMessage, response: ServerResponse): void {
+  count += 1;
+  const path = incoming.url ?? '';
+  if (!paths.some((prefix) => path.startsWith(prefix))) {
+    response.writeHead(404).end();
+    return;
+  }
+  const wanted = String(incoming.headers['tarragonstile-model'] ?? '');
+  const [model = '', adapter] = wanted.split('/');
+  const server = choose(model === '' ? 'plain' : 'engine', model);
+  if (defect === 'hang' && count % RATE === 0) return;
+  if (!server || adapter !== undefined) {
+    response.writeHead(503).end();
+    return;
+  }
+  if (defect === 'limit' || defect === 'holders') void order(choose('engine', 'm1') ?? server);
+  const isMet = count % RATE === 0 && path.startsWith('/charge');
+  if (defect === 'twice' && isMet) send(incoming, server, () => undefined);
+  send(incoming, server, (status, headers, body) => {
+    if (defect === 'false-refusal' && isMet) response.writeHead(503).end();
+    else pass(response, status, headers, body);
+  });
+}
+
+if (defect === 'exits') setTimeout(() => process.exit(1), READ_EVERY_MS * 10);
+process.on('SIGHUP', () => undefined);
+const listener = createServer(serve);
+process.on('SIGTERM', () => {
+  if (defect === 'cut') process.exit(0);
+  listener.close(() => process.exit(0));
+  listener.closeIdleConnections();
+});
+const [host, port] = settings.callersAddress.split(':');
+listener.listen(Number(port), host, () => {
+  void read();
+});
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -5,6 +5,8 @@
 
 const DEADLINE_MS = 4000;
 const PAUSE_MS = 40;
+/** A caller without any answer is not kept longer than this: the witness has long seen that it was late. */
+const GIVE_UP_MS = 2 * DEADLINE_MS;
 const HOST = 'caller.example';
 const MODELS = ['m1', 'm2', 'm1/a1', 'm1/a2', 'm2/a3', 'm3'];
 const KINDS: readonly CallKind[] = ['lookup', 'charge', 'draft', 'batch', 'probe'];
@@ -87,6 +89,10 @@
         resolve();
       };
       const sent = this.send(call, end);
+      setTimeout(() => {
+        sent.destroy();
+        end('gave up');
+      }, GIVE_UP_MS).unref();
       if (this.dice.below(LEAVES) !== 0) return;
       setTimeout(() => {
         if (call.endedAtMs !== undefined) return;
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -120,6 +120,11 @@
   return `${server.id} ${manner}`;
 };
 
+const silence: Fault = (site) => {
+  for (const { server } of site.present()) server.manners.push('silent', 'silent');
+  return 'all';
+};
+
 const spoilOrder: Fault = (site, dice) => {
   const { server } = dice.pick(site.present());
   const isLate = dice.below(2) === 0;
@@ -158,6 +163,7 @@
   cutServer,
   resetServer,
   misbehave,
+  silence,
   spoilOrder,
   replaceServer,
   configure,
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -12,6 +12,10 @@
   readonly command: readonly string[];
   readonly entryCount?: number;
   readonly callerCount?: number;
+  /** Longest pause between two faults. */
+  readonly longestGapMs?: number;
+  /** What a busy machine may add to each bound. */
+  readonly slackMs?: number;
   /** Names of the faults to choose from; all if it is absent. */
   readonly faultNames?: readonly string[];
 }
@@ -29,6 +33,8 @@
   readonly lines: Readonly<Record<string, readonly string[]>>;
 }
 
+/** A development machine that runs a few of these at a time. */
+const SLACK_MS = 1500;
 const LONGEST_GAP_MS = 900;
 const READY_PAUSE_MS = 50;
 /** Faults that last are over, and all are calm again, after this. */
@@ -50,6 +56,7 @@
 /** Real programs under load and faults from outside, judged by what callers and servers see. */
 export async function soak(options: SoakOptions): Promise<SoakResult> {
   const { seed, forMs, command, entryCount = 3, callerCount = 24 } = options;
+  const { slackMs = SLACK_MS, longestGapMs = LONGEST_GAP_MS } = options;
   const dice = new Dice(seed);
   const site = new Site();
   await site.start(entryCount, command);
@@ -60,7 +67,7 @@
   const done: string[] = [];
   const names = options.faultNames ?? Object.keys(faults);
   while (performance.now() - startedAtMs < forMs) {
-    await pause(dice.below(LONGEST_GAP_MS));
+    await pause(dice.below(longestGapMs));
     const name = dice.pick(names);
     const detail = faults[name]!(site, dice);
     done.push(`${Math.round(performance.now() - startedAtMs)} ${name} ${detail}`);
@@ -68,7 +75,7 @@
   }
   await pause(SETTLE_MS);
   await callers.stop();
-  const breaches = new Witness(site, callers.calls).judge();
+  const breaches = new Witness(site, callers.calls, slackMs).judge();
   const lines: Record<string, readonly string[]> = {};
   if (breaches.length > 0) {
     for (const entry of site.entries) lines[entry.name] = entry.lines.slice(-LAST_LINES);
--- a/bench/soak/witness.ts
+++ b/bench/soak/witness.ts
@@ -15,8 +15,6 @@
 const DRAIN_MS = 2000;
 const APPLY_MS = 2000;
 const GONE_MS = 500;
-/** What a busy development machine may add to each bound. */
-const SLACK_MS = 1500;
 /** How long nothing may have been done to an entry, or the store, for a bound on it to hold. */
 const CALM_MS = 3000;
 /** Configurations keep the routes of this many versions: a refusal of an older one says nothing. */
@@ -40,6 +38,8 @@
   constructor(
     private readonly site: Site,
     private readonly calls: readonly Call[],
+    /** What a busy machine may add to each bound. */
+    private readonly slackMs: number,
   ) {
     for (const { server, leavesAtMs } of site.listed) {
       for (const { id, manner, atMs, closedAtMs } of server.seen) {
@@ -116,7 +116,7 @@
   }
 
   private ended({ id, entry, sentAtMs, endedAtMs }: Call): void {
-    const lastMs = sentAtMs + DEADLINE_MS + SLACK_MS;
+    const lastMs = sentAtMs + DEADLINE_MS + this.slackMs;
     if (endedAtMs !== undefined && endedAtMs <= lastMs) return;
     if (!this.site.entries[entry]!.isUnstruck(sentAtMs - CALM_MS, endedAtMs ?? Infinity)) return;
     this.breach('every request is answered in its time', id);
@@ -142,7 +142,7 @@
     for (const { manner, closedAtMs, server, atMs } of this.runsOf(call)) {
       if (manner !== 'silent') continue;
       const endMs = closedAtMs ?? Infinity;
-      const lastMs = Math.max(leftAtMs, atMs) + GONE_MS + SLACK_MS;
+      const lastMs = Math.max(leftAtMs, atMs) + GONE_MS + this.slackMs;
       if (endMs > lastMs) {
         this.breach('work ends when its caller leaves', `${call.id} at ${server}`);
       }
@@ -151,7 +151,7 @@
 
   private drained(call: Call): void {
     for (const { server, atMs, leavesAtMs = Infinity } of this.runsOf(call)) {
-      if (atMs <= leavesAtMs + DRAIN_MS + SLACK_MS || !this.isCalm(call, leavesAtMs)) continue;
+      if (atMs <= leavesAtMs + DRAIN_MS + this.slackMs || !this.isCalm(call, leavesAtMs)) continue;
       this.breach('a leaving server gets no new work', `${call.id} at ${server}`);
     }
   }
@@ -159,7 +159,9 @@
   private inForce(call: Call): void {
     const { id, kind, version, status, sentAtMs } = call;
     const acceptedAtMs = this.site.acceptedAtMs.get(version) ?? Infinity;
-    if (kind !== 'probe' || status !== 404 || sentAtMs < acceptedAtMs + APPLY_MS + SLACK_MS) return;
+    if (kind !== 'probe' || status !== 404 || sentAtMs < acceptedAtMs + APPLY_MS + this.slackMs) {
+      return;
+    }
     if (this.isKept(call) && this.isCalm(call, acceptedAtMs)) {
       this.breach('a configuration is in force in seconds', `${id}: version ${version}`);
     }
--- /dev/null
+++ b/test/soakdefects.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import { runSoak } from './support/runsoak.js';
+
+const FOR_S = 2.5;
+
+interface Planted {
+  readonly promise: string;
+  /** Faults without which the defect does not show. */
+  readonly faultNames: readonly string[];
+  /** Longer where a bound has to run out first. */
+  readonly forS?: number;
+  readonly gapMs?: number;
+}
+
+/** A planted defect for each promise that the soak looks at. */
+const DEFECTS: Readonly<Record<string, Planted>> = {
+  twice: { promise: 'runs once at most', faultNames: ['hangUp'] },
+  'false-refusal': { promise: '"not run" is true', faultNames: ['hangUp'] },
+  unsigned: { promise: 'answers are servers', faultNames: ['hangUp'] },
+  mixed: { promise: 'answers are whole', faultNames: ['hangUp'] },
+  short: { promise: 'answers are whole', faultNames: ['hangUp'] },
+  skipped: { promise: 'answers are in order', faultNames: ['hangUp'] },
+  hang: { promise: 'every request is answered in its time', faultNames: ['hangUp'] },
+  exits: { promise: 'no process ends by itself', faultNames: ['hangUp'] },
+  limit: { promise: 'memory is never overcommitted', faultNames: ['hangUp'] },
+  holders: { promise: 'orders have one holder at a time', faultNames: ['hangUp'] },
+  revert: { promise: 'a configuration never reverts', faultNames: ['configure'] },
+  stale: {
+    promise: 'a configuration is in force in seconds',
+    faultNames: ['configure'],
+    forS: 8,
+    gapMs: 3000,
+  },
+  drain: {
+    promise: 'a leaving server gets no new work',
+    faultNames: ['replaceServer'],
+    forS: 7,
+  },
+  cut: { promise: 'no planned stop cuts a request', faultNames: ['stop'], forS: 7 },
+  gone: { promise: 'work ends when its caller leaves', faultNames: ['silence'] },
+};
+
+for (const [defect, { promise, faultNames, forS = FOR_S, gapMs = 900 }] of Object.entries(
+  DEFECTS,
+)) {
+  test.serial(`the soak finds the planted defect ${defect}`, async (t) => {
+    const { breaches } = await runSoak(
+      ...['--seed', '7', '--for', String(forS), '--gap', String(gapMs)],
+      ...['--defect', defect, '--faults', faultNames.join(',')],
+    );
+    t.true(breaches.some((breach) => breach.promise === promise));
+  });
+}
--- /dev/null
+++ b/test/support/runsoak.ts
@@ -0,0 +1,23 @@
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { join } from 'node:path';
+
+const MAIN = join(import.meta.dirname, '..', '..', 'bench', 'soak', 'main.js');
+
+/** What one run of the soak printed. */
+interface SoakLine {
+  readonly answered: number;
+  readonly breaches: readonly { readonly promise: string; readonly detail: string }[];
+  readonly faults: unknown;
+}
+
+/** Runs the soak as a process of its own, as it is run by hand. */
+export async function runSoak(...args: string[]): Promise<SoakLine> {
+  const child = spawn(process.execPath, [MAIN, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
+  let text = '';
+  child.stdout.on('data', (chunk: Buffer) => {
+    text += chunk.toString('utf8');
+  });
+  await once(child, 'close');
+  return JSON.parse(text) as SoakLine;
+}
