The run-once table's bounds are a package of their own

Cause: sidecar/part needs the settings, the settings needed runonce for its bounds, and runonce needs sidecar/part: an import circle that a newcomer meets at once. Ruled out: settings that import the file past the package's index. Before and after: circle gone (tablesettings imports only base); no behaviour changed, tests of once, tickets, settings and work pass as before.

--- a/src/sidecar/runonce/livetable.ts
+++ b/src/sidecar/runonce/livetable.ts
@@ -7,7 +7,7 @@
   type TableState,
 } from '../../core/ticket/index.js';
 import type { Context } from '../part/index.js';
-import type { TableSettings } from './tablesettings.js';
+import type { TableSettings } from '../tablesettings/index.js';
 
 const SWEEP_MS = 1000;
 
--- a/src/sidecar/runonce/table.ts
+++ b/src/sidecar/runonce/table.ts
@@ -23,7 +23,7 @@
 import { handOn } from './handon.js';
 import { LiveTable } from './livetable.js';
 import { publishHeir } from './publishheir.js';
-import type { TableSettings } from './tablesettings.js';
+import type { TableSettings } from '../tablesettings/index.js';
 import { toEntry } from './toentry.js';
 
 /** 22 characters of nanoid's alphabet are 132 random bits. */
--- a/src/sidecar/sidecarschema.ts
+++ b/src/sidecar/sidecarschema.ts
@@ -4,7 +4,7 @@
 import { statsdSchema } from '../shell/metric/index.js';
 import { storeSchema } from '../shell/store/index.js';
 import { peerSchema } from '../shell/tls/index.js';
-import { tableSchema } from './runonce/index.js';
+import { tableSchema } from './tablesettings/index.js';
 import type { SidecarSettings } from './sidecarsettings.js';
 
 /** Schema of a sidecar's settings file. */
--- a/src/sidecar/sidecarsettings.ts
+++ b/src/sidecar/sidecarsettings.ts
@@ -1,7 +1,7 @@
 import type { HostListSettings } from '../shell/hosts/index.js';
 import type { StoreSettings } from '../shell/store/index.js';
 import type { PeerSettings } from '../shell/tls/index.js';
-import type { TableSettings } from './runonce/index.js';
+import type { TableSettings } from './tablesettings/index.js';
 
 /** Settings of a sidecar. Addresses are IP numbers with a port. */
 export interface SidecarSettings {
--- a/src/sidecar/wiring/createrunonce.ts
+++ b/src/sidecar/wiring/createrunonce.ts
@@ -1,5 +1,6 @@
 import type { Context, RunOnce } from '../part/index.js';
-import { Table, defaultTable } from '../runonce/index.js';
+import { Table } from '../runonce/index.js';
+import { defaultTable } from '../tablesettings/index.js';
 
 /** Run-at-most-once table of this sidecar. */
 export function createRunOnce(context: Context): RunOnce {
