--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { PlatformServer, PlatformStore } from '../../standin/platform/index.js';
+import { configurationOf, PlatformServer, PlatformStore } from '../../standin/platform/index.js';
 import { Program } from './program.js';
 import { Proxy } from './proxy.js';
 
@@ -21,51 +21,21 @@
 const GRACE_S = 4;
 /** How many of the newest probe routes a configuration has. */
 const PROBES = 5;
-const TIMEOUT_MS = 4000;
+const TARGET_MS = 500;
 
-const ROUTES = [
-  { name: 'lookup', kind: 'idempotent', service: 'plain', max_attempts: 2, resumable: false },
-  { name: 'charge', kind: 'non_idempotent', service: 'plain', max_attempts: 1, resumable: false },
-  { name: 'draft', kind: 'streaming', service: 'engine', max_attempts: 1, resumable: false },
-  { name: 'batch', kind: 'streaming', service: 'engine', max_attempts: 2, resumable: true },
+const ROUTES: Parameters<typeof configurationOf>[2] = [
+  { name: 'lookup', kind: 'idempotent', service: 'plain', maxAttempts: 2 },
+  { name: 'charge', kind: 'non_idempotent', service: 'plain' },
+  { name: 'draft', kind: 'streaming', service: 'engine' },
+  { name: 'batch', kind: 'streaming', service: 'engine', maxAttempts: 2, resumable: true },
 ];
 
 function configuration(version: number): object {
   const probes = Array.from({ length: PROBES }, (_, at) => version - at)
     .filter((probe) => probe > 0)
-    .map((probe) => ({ ...ROUTES[0], name: `probe-${probe}` }));
-  const models = ['m1', 'm2', 'm3'].map((name) => ({
-    name,
-    weights_mb: 10,
-    load_s: 0.1,
-    adapters: 3,
-    adapter_mb: 1,
-  }));
-  return {
-    version,
-    routes: [...ROUTES, ...probes].map((route) => ({
-      ...route,
-      host: HOST,
-      path_prefix: `/${route.name}/`,
-      timeout_ms: TIMEOUT_MS,
-      target_latency_ms: 500,
-      priority: 1,
-    })),
-    services: [
-      { name: 'plain', max_conns: 200 },
-      {
-        name: 'engine',
-        max_conns: 200,
-        engine: { models, weights_mb: 25, adapter_slots: 2, loads_per_s: 10 },
-      },
-    ],
-    limits: {
-      max_header_bytes: 4000,
-      max_body_bytes: 4000,
-      header_timeout_ms: 3000,
-      idle_timeout_ms: 15_000,
-    },
-  };
+    .map((probe) => ({ ...ROUTES[0]!, name: `probe-${probe}` }));
+  const routes = [...ROUTES, ...probes].map((route) => ({ ...route, targetLatencyMs: TARGET_MS }));
+  return configurationOf(version, HOST, routes);
 }
 
 function freePorts(count: number): Promise<number[]> {
--- /dev/null
+++ b/standin/platform/configurationof.ts
@@ -0,0 +1,58 @@
+/** A route as a stand-in's operator writes it; the rest is the same for all. */
+interface RouteChoice {
+  readonly name: string;
+  readonly kind: string;
+  readonly service: string;
+  readonly maxAttempts?: number;
+  readonly resumable?: boolean;
+  readonly timeoutMs?: number;
+  readonly targetLatencyMs?: number;
+}
+
+const TIMEOUT_MS = 4000;
+const TARGET_MS = 1000;
+const MODELS = ['m1', 'm2', 'm3'];
+
+/** A configuration of the prepared platform: a plain service and engines of three models, two at a time. */
+export function configurationOf(
+  version: number,
+  host: string,
+  routes: readonly RouteChoice[],
+): object {
+  const models = MODELS.map((name) => ({
+    name,
+    weights_mb: 10,
+    load_s: 0.1,
+    adapters: 3,
+    adapter_mb: 1,
+  }));
+  return {
+    version,
+    routes: routes.map((route) => ({
+      name: route.name,
+      host,
+      path_prefix: `/${route.name}/`,
+      kind: route.kind,
+      timeout_ms: route.timeoutMs ?? TIMEOUT_MS,
+      target_latency_ms: route.targetLatencyMs ?? TARGET_MS,
+      priority: 1,
+      service: route.service,
+      max_attempts: route.maxAttempts ?? 1,
+      resumable: route.resumable ?? false,
+    })),
+    services: [
+      { name: 'plain', max_conns: 100 },
+      {
+        name: 'engine',
+        max_conns: 100,
+        engine: { models, weights_mb: 25, adapter_slots: 2, loads_per_s: 10 },
+      },
+    ],
+    limits: {
+      max_header_bytes: 2000,
+      max_body_bytes: 1000,
+      header_timeout_ms: 3000,
+      idle_timeout_ms: 15_000,
+    },
+  };
+}
--- /dev/null
+++ b/test/followerproperty.test.ts
@@ -0,0 +1,272 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { result, VirtualClock, type Revision, type UpstreamId } from '../src/base/index.js';
+import type { RouteTable } from '../src/core/routetable/index.js';
+import type { StateCodec } from '../src/direct/index.js';
+import { Follower, paceTable } from '../src/direct/sync/index.js';
+import type { ChangeFeed, Log } from '../src/port/index.js';
+import { codec } from '../platform/codec.js';
+
+type Told = Awaited<ReturnType<ChangeFeed['changes']>>;
+type Listed = Awaited<ReturnType<ChangeFeed['list']>>;
+type Change = Extract<Told, { ok: true }>['val']['changes'][number];
+
+/** More by hand: PROPERTY_RUNS=100000 npx ava --timeout 30m dist/test/followerproperty.test.js. */
+const RUNS = Number(process.env.PROPERTY_RUNS ?? 150);
+const LOG: Log = { info() {}, warn() {}, error() {} };
+const IDS = ['u1', 'u2', 'u3'];
+const STEP_MS = 25;
+const RETURN_MS = 2100;
+/** A question's longest wait and the pause before the next. */
+const PACE_MS = paceTable.alone.waitMs + paceTable.alone.gatherMs;
+
+/** What happens at the store, one after the other. */
+type Event =
+  | { readonly type: 'configure' }
+  | { readonly type: 'write'; readonly id: string }
+  | { readonly type: 'leave'; readonly id: string }
+  | { readonly type: 'down'; readonly forMs: number }
+  | { readonly type: 'compact' }
+  /** The next answer tells what was so this many changes ago, as one that was long on its way. */
+  | { readonly type: 'old'; readonly changes: number };
+
+const event: fc.Arbitrary<Event> = fc.oneof(
+  fc.record({ type: fc.constant('configure' as const) }),
+  fc.record({ type: fc.constant('write' as const), id: fc.constantFrom(...IDS) }),
+  fc.record({ type: fc.constant('leave' as const), id: fc.constantFrom(...IDS) }),
+  fc.record({ type: fc.constant('down' as const), forMs: fc.nat(4000) }),
+  fc.record({ type: fc.constant('compact' as const) }),
+  fc.record({ type: fc.constant('old' as const), changes: fc.nat(6) }),
+);
+const day = fc.array(fc.record({ afterMs: fc.nat(900), event }), { maxLength: 30 });
+
+function server(id: string): string {
+  return JSON.stringify({ service: 's', address: `${id}:1`, zone: 'z', state: 'ready' });
+}
+
+function configuration(version: number): string {
+  const limits = {
+    max_header_bytes: 1,
+    max_body_bytes: 1,
+    header_timeout_ms: 1,
+    idle_timeout_ms: 1,
+  };
+  return JSON.stringify({ version, routes: [], services: [], limits });
+}
+
+/** A store with outages, forgotten history and answers that are old, and a follower of it. */
+class World {
+  readonly clock = new VirtualClock();
+
+  /** Versions in the order in which they came into force. */
+  readonly versions: number[] = [];
+
+  readonly known = new Set<string>();
+
+  /** Servers whose entry is gone, by when. */
+  readonly leftAtMs = new Map<string, number>();
+
+  /** When the store was last down, or its history was forgotten. */
+  disturbedAtMs = -Infinity;
+
+  private readonly history: Change[] = [];
+
+  private readonly items = new Map<string, string>();
+
+  private version = 0;
+
+  private forgotten = 0;
+
+  private downUntilMs = -Infinity;
+
+  private oldBy = 0;
+
+  private readonly follower: Follower;
+
+  constructor(guarded: StateCodec) {
+    for (const id of IDS) this.put(`servers/${id}`, server(id));
+    this.put('op/config', configuration(0));
+    const feed = {
+      list: () => this.list(),
+      changes: (_: string, after: number) => this.ask(after),
+    };
+    const listener = {
+      setTable: ({ version }: RouteTable) => {
+        this.versions.push(version);
+      },
+      upstream: ({ id }: { id: UpstreamId }) => {
+        this.known.add(id);
+      },
+      upstreamGone: (id: UpstreamId) => {
+        this.known.delete(id);
+      },
+      own() {},
+      complete() {},
+    };
+    this.follower = new Follower(
+      feed,
+      guarded,
+      listener,
+      this.clock,
+      LOG,
+      () => paceTable.alone,
+    );
+    void this.follower.run();
+  }
+
+  async play(
+    events: readonly { readonly afterMs: number; readonly event: Event }[],
+  ): Promise<void> {
+    for (const { afterMs, event: next } of events) {
+      await this.advance(afterMs);
+      this.happen(next);
+    }
+  }
+
+  async advance(ms: number): Promise<void> {
+    const untilMs = this.clock.nowMs() + ms;
+    while (this.clock.nowMs() < untilMs) {
+      for (let turn = 0; turn < 8; turn += 1) await Promise.resolve();
+      this.clock.advanceTo(this.clock.nowMs() + STEP_MS);
+    }
+  }
+
+  stop(): void {
+    this.follower.stop();
+  }
+
+  private happen(next: Event): void {
+    const nowMs = this.clock.nowMs();
+    if (next.type === 'configure') {
+      this.version += 1;
+      this.put('op/config', configuration(this.version));
+    } else if (next.type === 'write') {
+      this.put(`servers/${next.id}`, server(next.id));
+      this.leftAtMs.delete(next.id);
+    } else if (next.type === 'leave') this.leave(next.id);
+    else if (next.type === 'old') this.oldBy = next.changes;
+    else if (next.type === 'compact') {
+      this.forgotten = this.history.length;
+      this.disturbedAtMs = Math.max(this.disturbedAtMs, nowMs);
+    } else {
+      this.downUntilMs = Math.max(this.downUntilMs, nowMs + next.forMs);
+      this.disturbedAtMs = Math.max(this.disturbedAtMs, this.downUntilMs);
+    }
+  }
+
+  private put(key: string, value: string): void {
+    this.items.set(key, value);
+    const revision = (this.history.length + 1) as Revision;
+    this.history.push({ type: 'put', item: { key, value, revision } });
+  }
+
+  private leave(id: string): void {
+    const key = `servers/${id}`;
+    if (!this.items.delete(key)) return;
+    this.leftAtMs.set(id, this.clock.nowMs());
+    this.history.push({ type: 'deleted', key, revision: (this.history.length + 1) as Revision });
+  }
+
+  private isDown(): boolean {
+    return this.clock.nowMs() < this.downUntilMs;
+  }
+
+  private list(): Promise<Listed> {
+    if (this.isDown()) {
+      return Promise.resolve(result.Err({ type: 'store-unavailable', detail: 'down' }));
+    }
+    const revision = this.history.length as Revision;
+    const items = [...this.items].map(([key, value]) => ({ key, value, revision }));
+    return Promise.resolve(result.Ok({ items, revision }));
+  }
+
+  private ask(after: number): Promise<Told> {
+    if (this.isDown()) {
+      return Promise.resolve(result.Err({ type: 'store-unavailable', detail: 'down' }));
+    }
+    if (after < this.forgotten) {
+      return Promise.resolve(result.Err({ type: 'store-compacted', detail: 'forgotten' }));
+    }
+    // An answer that was long on its way repeats what is known already, with the configuration of then.
+    const from = Math.max(0, after - this.oldBy);
+    this.oldBy = 0;
+    const changes = this.history.slice(from).filter((change) => {
+      const isConfiguration = change.type === 'put' && change.item.key === 'op/config';
+      const revision = change.type === 'put' ? change.item.revision : change.revision;
+      return isConfiguration || revision > after;
+    });
+    return Promise.resolve(result.Ok({ changes, revision: this.history.length as Revision }));
+  }
+}
+
+function rises(versions: readonly number[]): boolean {
+  return versions.every((version, at) => at === 0 || version > versions[at - 1]!);
+}
+
+test('whatever happens at the store, versions in force only rise and the last one comes', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(day, async (events) => {
+      const world = new World(codec);
+      await world.play(events);
+      await world.advance(10_000);
+      world.stop();
+      const written = events.filter(({ event: { type } }) => type === 'configure').length;
+      return rises(world.versions) && world.versions.at(-1) === written;
+    }),
+    { numRuns: RUNS },
+  );
+  t.pass();
+});
+
+test('an upstream that has left is gone in time, also after an outage, and one that is there is kept', async (t) => {
+  await fc.assert(
+    fc.asyncProperty(day, async (events) => {
+      const world = new World(codec);
+      await world.play(events);
+      // Nothing happens any more: after an outage's end and the time to come back, the list is exact.
+      const calmMs =
+        Math.max(0, world.disturbedAtMs - world.clock.nowMs()) + RETURN_MS + 2 * PACE_MS;
+      await world.advance(calmMs);
+      world.stop();
+      const there = IDS.filter((id) => !world.leftAtMs.has(id));
+      return there.length === world.known.size && there.every((id) => world.known.has(id));
+    }),
+    { numRuns: RUNS },
+  );
+  t.pass();
+});
+
+test('without the look at the version the first property fails', async (t) => {
+  let count = 0;
+  const unguarded: StateCodec = {
+    ...codec,
+    decodeTable: (text) => {
+      const table = codec.decodeTable(text);
+      // Each looks newer than the one before; the true version stands in the limits.
+      count += 1;
+      const seen = count;
+      return table.map((one) => ({
+        ...one,
+        version: seen,
+        limits: { ...one.limits, bodyBytes: one.version },
+      }));
+    },
+  };
+  const found = await fc.check(
+    fc.asyncProperty(day, async (events) => {
+      const world = new World(unguarded);
+      const versions: number[] = [];
+      Object.assign(world.versions, {
+        push: (seen: number) => versions.push(seen),
+      });
+      await world.play(events);
+      await world.advance(10_000);
+      world.stop();
+      // The configuration is read again at each list and each old answer, though it is known.
+      const written = events.filter(({ event: { type } }) => type === 'configure').length;
+      return versions.length <= written + 1;
+    }),
+    { numRuns: 300 },
+  );
+  t.true(found.failed);
+});
--- a/test/retrybudget.test.ts
+++ b/test/retrybudget.test.ts
@@ -8,30 +8,46 @@
   return times.filter((atMs) => atMs > fromMs).length;
 }
 
+/** More by hand: PROPERTY_RUNS=100000 npx ava dist/test/retrybudget.test.js. */
+const RUNS = Number(process.env.PROPERTY_RUNS ?? 500);
+
+const steps = fc.array(fc.record({ afterMs: fc.nat(300), isRequest: fc.boolean() }), {
+  maxLength: 200,
+});
+type Steps = typeof steps extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Whether the repeats that a budget allows keep the bound in every window. */
+function holds(budget: RetryBudget, taken: Steps): boolean {
+  const requests: number[] = [];
+  const repeats: number[] = [];
+  let nowMs = 0;
+  for (const { afterMs, isRequest } of taken) {
+    nowMs += afterMs;
+    if (isRequest) {
+      budget.request(nowMs);
+      requests.push(nowMs);
+    } else if (budget.take(nowMs)) repeats.push(nowMs);
+    const before = countAfter(requests, nowMs - 2 * LIMITS.windowMs);
+    const now = countAfter(repeats, nowMs - LIMITS.windowMs);
+    if (now > LIMITS.ratio * before + LIMITS.slack()) return false;
+  }
+  return true;
+}
+
 test('in no window are there more repeats than its requests and those before it allow', (t) => {
-  const step = fc.record({ afterMs: fc.nat(300), isRequest: fc.boolean() });
   fc.assert(
-    fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
-      const budget = new RetryBudget(LIMITS);
-      const requests: number[] = [];
-      const repeats: number[] = [];
-      let nowMs = 0;
-      for (const { afterMs, isRequest } of steps) {
-        nowMs += afterMs;
-        if (isRequest) {
-          budget.request(nowMs);
-          requests.push(nowMs);
-        } else if (budget.take(nowMs)) repeats.push(nowMs);
-        const before = countAfter(requests, nowMs - 2 * LIMITS.windowMs);
-        const now = countAfter(repeats, nowMs - LIMITS.windowMs);
-        t.true(now <= LIMITS.ratio * before + LIMITS.slack());
-      }
-    }),
-    { numRuns: 500 },
+    fc.property(steps, (taken) => holds(new RetryBudget(LIMITS), taken)),
+    { numRuns: RUNS },
   );
   t.pass();
 });
 
+test('the property fails for a budget that several entries believe to be theirs alone', (t) => {
+  const whole = { ...LIMITS, slack: () => LIMITS.slack() * 5 };
+  const found = fc.check(fc.property(steps, (taken) => holds(new RetryBudget(whole), taken)));
+  t.true(found.failed);
+});
+
 test('a spent budget comes back with time', (t) => {
   const budget = new RetryBudget(LIMITS);
   for (let at = 0; at < 3; at += 1) t.true(budget.take(at));
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -1,7 +1,7 @@
 import { systemClock } from '../../src/base/index.js';
 import type { Log } from '../../src/port/index.js';
 import { startEntry } from '../../platform/startentry.js';
-import { PlatformServer, PlatformStore } from '../../standin/platform/index.js';
+import { configurationOf, PlatformServer, PlatformStore } from '../../standin/platform/index.js';
 
 /** One line of the entry's log. */
 interface Line {
@@ -9,16 +9,7 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
-interface RouteChoice {
-  readonly name: string;
-  readonly kind: string;
-  readonly service: string;
-  readonly maxAttempts?: number;
-  readonly resumable?: boolean;
-  readonly timeoutMs?: number;
-}
-
-const ROUTES: readonly RouteChoice[] = [
+const ROUTES: Parameters<typeof configurationOf>[2] = [
   { name: 'lookup', kind: 'idempotent', service: 'plain', maxAttempts: 2 },
   { name: 'charge', kind: 'non_idempotent', service: 'plain' },
   { name: 'short', kind: 'non_idempotent', service: 'plain', timeoutMs: 300 },
@@ -27,45 +18,6 @@
 ];
 const HOST = 'caller.example';
 
-function configuration(version: number, left: readonly string[]): object {
-  const models = ['m1', 'm2', 'm3'].map((name) => ({
-    name,
-    weights_mb: 10,
-    load_s: 0.1,
-    adapters: 3,
-    adapter_mb: 1,
-  }));
-  return {
-    version,
-    routes: ROUTES.filter(({ name }) => !left.includes(name)).map((route) => ({
-      name: route.name,
-      host: HOST,
-      path_prefix: `/${route.name}/`,
-      kind: route.kind,
-      timeout_ms: route.timeoutMs ?? 4000,
-      target_latency_ms: 1000,
-      priority: 1,
-      service: route.service,
-      max_attempts: route.maxAttempts ?? 1,
-      resumable: route.resumable ?? false,
-    })),
-    services: [
-      { name: 'plain', max_conns: 100 },
-      {
-        name: 'engine',
-        max_conns: 100,
-        engine: { models, weights_mb: 25, adapter_slots: 2, loads_per_s: 10 },
-      },
-    ],
-    limits: {
-      max_header_bytes: 2000,
-      max_body_bytes: 1000,
-      header_timeout_ms: 3000,
-      idle_timeout_ms: 15_000,
-    },
-  };
-}
-
 /** An entry on the stand-ins of the prepared platform. */
 export class PlatformRig {
   readonly store = new PlatformStore();
@@ -131,7 +83,8 @@
   }
 
   configure(version: number, left: readonly string[] = []): void {
-    this.store.put('op/config', configuration(version, left));
+    const routes = ROUTES.filter(({ name }) => !left.includes(name));
+    this.store.put('op/config', configurationOf(version, HOST, routes));
   }
 
   /** Waits for something that follows from what was done; ava's own timeout ends a wait in vain. */
