--- a/test/retrybudget.test.ts
+++ b/test/retrybudget.test.ts
@@ -13,6 +13,7 @@
 
 const steps = fc.array(fc.record({ afterMs: fc.nat(300), isRequest: fc.boolean() }), {
   maxLength: 200,
+  size: 'max',
 });
 type Steps = typeof steps extends fc.Arbitrary<infer Value> ? Value : never;
 
