--- a/bench/soak/proxy.ts
+++ b/bench/soak/proxy.ts
@@ -52,8 +52,13 @@
       [near, far],
       [far, near],
     ] as const) {
-      one.on('error', () => undefined);
-      one.on('end', () => other.end());
+      // A reset stays a reset: as an ordinary end it would make an answer without a length look whole.
+      one.on('error', () => other.resetAndDestroy());
+      one.on('end', () => {
+        // Node tells a reset that comes beside data as an end; such a socket has no peer any more.
+        if (one.remoteAddress === undefined) other.resetAndDestroy();
+        else other.end();
+      });
       one.on('close', () => {
         this.pairs.delete(pair);
         other.destroy();
