--- a/test/followerproperty.test.ts
+++ b/test/followerproperty.test.ts
@@ -103,14 +103,7 @@
       own() {},
       complete() {},
     };
-    this.follower = new Follower(
-      feed,
-      guarded,
-      listener,
-      this.clock,
-      LOG,
-      () => paceTable.alone,
-    );
+    this.follower = new Follower(feed, guarded, listener, this.clock, LOG, () => paceTable.alone);
     void this.follower.run();
   }
 
