A load counts until it begins, and for a window from then on

Cause: a move's load from the weight store was counted when it was decided; its order left after the unloads, up to 4 s later, together with loads decided in the next window.

--- a/src/direct/orders/loadbudget.ts
+++ b/src/direct/orders/loadbudget.ts
@@ -10,7 +10,7 @@
 
 /** How many loads from the weight store may begin, over all upstreams, in any window. */
 export class LoadBudget {
-  private readonly begun: Ms[] = [];
+  private begun: { atMs: Ms }[] = [];
 
   private assumed = 0;
 
@@ -28,13 +28,25 @@
   }
 
   left(perSecond: number, nowMs: Ms): number {
-    while (this.begun.length > 0 && this.begun[0]! <= nowMs - this.windowMs) this.begun.shift();
+    this.begun = this.begun.filter(({ atMs }) => atMs > nowMs - this.windowMs);
     const assumed = nowMs - this.assumedAtMs < this.windowMs ? this.assumed : 0;
     return Math.floor(this.most(perSecond) - assumed - this.begun.length);
   }
 
   begin(nowMs: Ms): void {
-    this.begun.push(nowMs);
+    this.begun.push({ atMs: nowMs });
+  }
+
+  /**
+   * Keeps a load that is to begin later: it counts until then, and from then on for a window. Counted from the
+   * decision only, loads that had waited up to 4 s for an unload came together with the next window's.
+   */
+  reserve(): (nowMs: Ms) => void {
+    const kept = { atMs: Infinity };
+    this.begun.push(kept);
+    return (nowMs) => {
+      kept.atMs = nowMs;
+    };
   }
 
   private most(perSecond: number): number {
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -274,7 +274,7 @@
     this.moving += 1;
     const key = `${service}/${model}`;
     const startedAtMs = clock.nowMs();
-    if (isFromStore) this.budget.begin(startedAtMs);
+    const begins = isFromStore ? this.budget.reserve() : () => {};
     const unloadMs = evicted.length > 0 ? LOOK_MS * 2 : 0;
     this.expected.set(key, startedAtMs + unloadMs + loadMs);
     const why = demand.get(model);
@@ -288,7 +288,9 @@
       cost,
       demand: why,
     });
-    const end = await this.carryOut(track, move);
+    const end = await this.carryOut(track, move, () => begins(clock.nowMs()));
+    // One that was not ordered any more counts as if it began now.
+    if (end.startsWith('unload-')) begins(clock.nowMs());
     if (end !== 'done' && track.models.get(model)?.phase === 'loading') track.models.delete(model);
     this.expected.delete(key);
     this.moving -= 1;
@@ -298,7 +300,11 @@
     log.info('move ended', { upstream: move.upstream, model, end, tookMs });
   }
 
-  private async carryOut(track: Track, { model, evicted, loadMs }: Move): Promise<string> {
+  private async carryOut(
+    track: Track,
+    { model, evicted, loadMs }: Move,
+    begins: () => void,
+  ): Promise<string> {
     for (const victim of evicted) {
       const held = track.models.get(victim);
       if (held) {
@@ -319,9 +325,10 @@
         }
       }
     }
-    const outcome = await inTurn(track, () =>
-      sendOrder(this.options, track, { action: 'load', model }),
-    );
+    const outcome = await inTurn(track, () => {
+      begins();
+      return sendOrder(this.options, track, { action: 'load', model });
+    });
     if (outcome !== 'accepted' && outcome !== 'done') {
       return `load-${outcome}`;
     }
