A planned stop ends no request without its answer

Cause: the process exited at 0.97 of the grace over whatever was in flight. The soak had not seen it as its models are there when it stops. Now a core says what a stop still does: from 0.75 of the grace what has not been sent is refused, at 0.94 each request gets its final answer, and the process ends once they are written. The line of a request that ends with an attempt under way names that attempt. Shown by stopwaiting: on the code before, 8 of 36 requests for a model that never comes and the one at a silent server got no answer; now each gets 503 or 504.

--- /dev/null
+++ b/src/core/plannedstop/index.ts
@@ -0,0 +1,2 @@
+/** What a process that was told to stop still does, as its grace runs out. */
+export { stopPhase } from './stopphase.js';
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -59,6 +59,8 @@
 
   table: RouteTable | undefined;
 
+  mayWait = true;
+
   private readonly budgets = new Map<ServiceId, RetryBudget>();
 
   private readonly follower: Follower;
@@ -175,6 +177,17 @@
     this.isStopping = true;
   }
 
+  /** Refuses what waits, now and from now on. */
+  stopWaiting(): void {
+    this.mayWait = false;
+    for (const run of [...this.runs]) run.stopWaiting();
+  }
+
+  /** Gives every request its final answer, whatever an upstream still does. */
+  endAll(): void {
+    for (const run of [...this.runs]) run.endNow();
+  }
+
   /** Another entry need not wait for this one's right to give orders to lapse. */
   async release(): Promise<void> {
     await this.turn.release();
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -22,6 +22,8 @@
 /** When a refused request may find a place again; a server's own queue empties within about this. */
 const COME_BACK_MS = 250;
 const MOST_COME_BACK_MS = 1000;
+/** Another entry takes the request at once. */
+const STOPPING_COME_BACK_MS = 20;
 /**
  * An engine takes this part of its slots, running and waiting: beyond it, answers came after callers had
  * left (2 s without an event), and those before them came late as well.
@@ -140,6 +142,17 @@
     this.attempt();
   }
 
+  /** The process is about to end: what is not at an upstream gets its final answer. */
+  stopWaiting(): void {
+    if (this.sent || this.isOver) return;
+    this.giveUp('stopping', 'This entry is about to end.', STOPPING_COME_BACK_MS);
+  }
+
+  /** The process ends: an answer of which nothing has come is not waited for, and a begun one breaks off. */
+  endNow(): void {
+    this.abandon('stopping', 'This entry ended before an answer came.');
+  }
+
   private progress(): Progress {
     const { route } = this;
     const isResumable = route!.isResumable && this.cutter?.lastId !== undefined;
@@ -169,6 +182,10 @@
     this.route = route;
     const service = pickService(route, request.id);
     this.need = { service, model: request.model, adapter: request.adapter };
+    if (!serving.mayWait) {
+      this.stopWaiting();
+      return;
+    }
     const nowMs = clock.nowMs();
     // A need without a model has nowhere else to go; another may be brought to an upstream that is there.
     const alsoLost = request.model === undefined || this.hasSought;
@@ -441,25 +458,34 @@
   }
 
   private timeout(): void {
+    this.abandon('timeout', 'No answer came in time.');
+  }
+
+  /** Ends the request now, with an attempt that is under way; it may have run. */
+  private abandon(type: string, detail: string): void {
     if (this.isOver) return;
-    const { sent } = this;
-    this.leave();
-    sent?.cancel();
-    if (sent) this.ranCount += 1;
+    if (this.withdraw(type)) this.ranCount += 1;
     if (this.hasBegun) {
       this.caller.cut();
-      this.close('timeout');
+      this.close(type);
       return;
     }
-    if (this.ranCount > 0) this.refuse(504, 'timeout', 'No answer came in time.');
-    else this.refuse(503, 'timeout', 'No upstream was free in time.', COME_BACK_MS);
+    if (this.ranCount > 0) this.refuse(504, type, detail);
+    else this.refuse(503, type, detail, COME_BACK_MS);
   }
 
-  private gone(): void {
-    if (this.isOver) return;
-    const { sent } = this;
+  /** Cancels the attempt under way, if there is one, and names it in the request's log line. */
+  private withdraw(outcome: string): boolean {
+    const { sent, state } = this;
+    if (state) this.note(state, outcome);
     this.leave();
     sent?.cancel();
+    return sent !== undefined;
+  }
+
+  private gone(): void {
+    if (this.isOver) return;
+    this.withdraw('gone');
     this.close('gone');
   }
 
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -21,6 +21,8 @@
   readonly link: UpstreamLink;
   readonly fleet: Fleet;
   readonly table: RouteTable | undefined;
+  /** False late in a planned stop: what has not been sent to an upstream is refused. */
+  readonly mayWait: boolean;
   budgetOf(service: ServiceId): RetryBudget;
   /** How many connections this entry may have to one upstream. */
   connectionShare(maxConnections: number | undefined): number;
