Placement by what engines bear: a plan weighs requests that come too late over engines as models share them

Rare models took each other's places and with them the engines' one order at a time; an unload that waited for 7 runs made a load of 1 s one of 6.7 s. Now the requests of all models are spread over their engines as routing would, and a move gains what comes in time through it; models that come early in vain count little at first; running requests at the place taken, and loads that take an engine's time, cost more; a model that is coming slowly may be brought sooner elsewhere.

--- a/src/core/fleetplan/bestsite.ts
+++ b/src/core/fleetplan/bestsite.ts
@@ -1,7 +1,7 @@
 import type { ModelId, Ms } from '../../base/index.js';
 import type { ModelSpec } from '../routetable/index.js';
 import type { Census } from './census.js';
-import { costOf } from './costof.js';
+import { gainOf } from './gainof.js';
 import type { Move } from './move.js';
 import type { PlanInput } from './planinput.js';
 import { planRules } from './planrules.js';
@@ -34,14 +34,11 @@
   const evicted: ModelId[] = [];
   let cost = 0;
   if (freeMb >= neededMb) return { evicted, cost };
-  const victims = upstream.placed
-    .map((one) => ({ one, cost: costOf(input, census, one) }))
-    .sort((a, b) => a.cost - b.cost);
-  for (const victim of victims) {
+  for (const victim of census.victims(upstream)) {
     if (victim.cost === Infinity) return undefined;
-    evicted.push(victim.one.model);
+    evicted.push(victim.placed.model);
     cost += victim.cost;
-    freeMb += sizeMb(input, victim.one);
+    freeMb += sizeMb(input, victim.placed);
     if (freeMb >= neededMb) return { evicted, cost };
   }
   return undefined;
@@ -53,12 +50,11 @@
   return { ms: spec.loadMs, isFromStore: true };
 }
 
-/** Where a further place of a model costs least, if that is worth it. */
+/** Where a further place of a model is worth most, if it is worth its cost. */
 export function bestSite(
   input: PlanInput,
   census: Census,
   model: ModelId,
-  gain: number,
   coldLoadsLeft: number,
 ): Move | undefined {
   const spec = input.engine.models.get(model);
@@ -72,8 +68,9 @@
     if (!room) continue;
     const loadCost =
       (ms / MS_PER_S) * planRules.costPerLoadS + (isFromStore ? planRules.coldCost : 0);
-    const cost = room.cost + loadCost + upstream.load / upstream.slots;
-    if (gain < cost + planRules.margin || (best && best.cost <= cost)) continue;
+    const cost = room.cost + loadCost;
+    const gain = gainOf(input, census, model, upstream, ms);
+    if (gain < cost + planRules.margin || (best && best.gain - best.cost >= gain - cost)) continue;
     best = {
       upstream: upstream.id,
       model,
--- a/src/core/fleetplan/census.ts
+++ b/src/core/fleetplan/census.ts
@@ -1,37 +1,45 @@
-import type { ModelId } from '../../base/index.js';
+import type { ModelId, Ms, UpstreamId } from '../../base/index.js';
+import { costOf } from './costof.js';
+import { lateness } from './lateness.js';
 import type { PlanInput } from './planinput.js';
 import { planRules } from './planrules.js';
+import type { PlanUpstream } from './planupstream.js';
 
-/** The part of its slots that a place is meant to have filled: more when all engines are busy. */
-function fillShareOf({ upstreams, demand }: PlanInput): number {
-  let requests = 0;
-  for (const { concurrency } of demand.values()) requests += concurrency;
-  let slots = 0;
-  for (const upstream of upstreams) slots += upstream.slots;
-  const evenShare = slots === 0 ? 0 : (requests / slots) * planRules.busyFactor;
-  return Math.min(planRules.mostFillShare, Math.max(planRules.fillShare, evenShare));
+/** A model that may be taken from an upstream, and what that costs. */
+interface Victim {
+  readonly placed: PlanUpstream['placed'][number];
+  readonly cost: number;
 }
 
-/** How many places each model has, and how many it should have. */
+/** How many places each model has, and what is lost with them as they are. */
 export class Census {
   private readonly held = new Map<ModelId, number>();
 
   private readonly ready = new Map<ModelId, number>();
 
-  private readonly slots: number;
+  private readonly coming = new Map<ModelId, Ms>();
 
-  private readonly fillShare: number;
+  private readonly costs = new Map<UpstreamId, readonly Victim[]>();
+
+  /** Requests that come too late with the places as they are. */
+  readonly lateness: number;
 
   constructor(private readonly input: PlanInput) {
     for (const { placed } of input.upstreams) {
-      for (const { model, phase } of placed) {
+      for (const { model, phase, ageMs } of placed) {
         if (phase === 'unloading') continue;
         this.held.set(model, this.heldCount(model) + 1);
+        if (phase === 'loading') this.noteComing(model, ageMs);
         if (phase === 'ready') this.ready.set(model, this.readyCount(model) + 1);
       }
     }
-    this.slots = Math.max(1, input.upstreams[0]?.slots ?? 1);
-    this.fillShare = fillShareOf(input);
+    this.lateness = lateness(input);
+  }
+
+  private noteComing(model: ModelId, ageMs: Ms): void {
+    const loadMs = this.input.engine.models.get(model)?.loadMs ?? 0;
+    const inMs = Math.max(0, loadMs - ageMs);
+    this.coming.set(model, Math.min(inMs, this.coming.get(model) ?? Infinity));
   }
 
   /** Places, with those on their way. */
@@ -43,27 +51,38 @@
     return this.ready.get(model) ?? 0;
   }
 
-  concurrency(model: ModelId): number {
-    return this.input.demand.get(model)?.concurrency ?? 0;
+  /** When the first place of a model that is on its way should be there. */
+  comingInMs(model: ModelId): Ms {
+    return this.coming.get(model) ?? 0;
   }
 
-  /** Part of the slots of this many places that the model's requests fill. */
-  fill(model: ModelId, count: number): number {
-    return this.concurrency(model) / (Math.max(1, count) * this.slots);
+  /** Requests of a model at each of its places. */
+  running(model: ModelId): number {
+    const { concurrency = 0 } = this.input.demand.get(model) ?? {};
+    return concurrency / Math.max(1, this.readyCount(model));
   }
 
-  /** How many places its requests fill. */
-  neededCount(model: ModelId): number {
-    const needed = Math.max(1, Math.ceil(this.fill(model, 1) / this.fillShare));
-    if (this.input.isDemandKnown) return needed;
-    return Math.max(needed, Math.ceil(this.readyCount(model) * planRules.keptShare));
+  /** Places without which its adapters would have to take turns. */
+  adapterCount(model: ModelId): number {
+    const adapters = this.input.demand.get(model)?.adaptersInUse ?? 0;
+    return Math.ceil(adapters / Math.max(1, this.input.engine.adapterSlots));
   }
 
-  /** How many places it should have: so many that its adapters need not take turns. */
-  wantedCount(model: ModelId): number {
-    const adapters = this.input.demand.get(model)?.adaptersInUse ?? 0;
-    const slots = Math.max(1, this.input.engine.adapterSlots);
-    return Math.max(this.neededCount(model), Math.ceil(adapters / slots));
+  /** What a second place saves, as the engine with the first may be lost. */
+  insurance(model: ModelId): number {
+    const { perSecond = 0 } = this.input.demand.get(model) ?? {};
+    return perSecond * planRules.insuredShare;
+  }
+
+  /** The models at an upstream, those first that cost least to take. */
+  victims(upstream: PlanUpstream): readonly Victim[] {
+    const known = this.costs.get(upstream.id);
+    if (known) return known;
+    const victims = upstream.placed
+      .map((placed) => ({ placed, cost: costOf(this.input, this, upstream, placed) }))
+      .sort((a, b) => a.cost - b.cost);
+    this.costs.set(upstream.id, victims);
+    return victims;
   }
 
   isInUse(model: ModelId): boolean {
--- a/src/core/fleetplan/costof.ts
+++ b/src/core/fleetplan/costof.ts
@@ -1,29 +1,45 @@
 import type { Census } from './census.js';
+import { lateness } from './lateness.js';
 import type { PlanInput } from './planinput.js';
 import { planRules } from './planrules.js';
 import type { PlanUpstream } from './planupstream.js';
+import { withChange } from './withchange.js';
+
+type Placed = PlanUpstream['placed'][number];
+
+/** What taking one of several places costs. */
+function replicaCost(
+  input: PlanInput,
+  census: Census,
+  upstream: PlanUpstream,
+  { model }: Placed,
+): number {
+  const { demand } = input;
+  const leftCount = census.readyCount(model) - 1;
+  const upstreams = withChange(input.upstreams, upstream, model, false);
+  const late = demand.has(model) ? lateness({ upstreams, demand }) - census.lateness : 0;
+  const insurance = leftCount === 1 ? census.insurance(model) : 0;
+  const adapters = leftCount < census.adapterCount(model) ? planRules.adapterGain : 0;
+  const isKept =
+    !input.isDemandKnown && leftCount < Math.ceil(census.readyCount(model) * planRules.keptShare);
+  const kept = isKept ? planRules.keptCost : 0;
+  return planRules.surplusCost + Math.max(0, late) + insurance + adapters + kept;
+}
 
 /** What taking a model from an upstream costs; infinite if it must not be taken now. */
 export function costOf(
   input: PlanInput,
   census: Census,
-  { model, phase, ageMs }: PlanUpstream['placed'][number],
+  upstream: PlanUpstream,
+  placed: Placed,
 ): number {
+  const { model, phase, ageMs } = placed;
   if (phase !== 'ready') return Infinity;
   const isInUse = census.isInUse(model);
   if (isInUse && ageMs < planRules.leastStayMs) return Infinity;
-  const leftCount = census.readyCount(model) - 1;
-  const running = census.concurrency(model) / Math.max(1, census.readyCount(model));
-  const runningCost = running * planRules.runningCost;
-  if (leftCount >= census.wantedCount(model)) {
-    return planRules.surplusCost + census.fill(model, leftCount) + runningCost;
-  }
-  if (leftCount >= census.neededCount(model)) {
-    return planRules.adapterGain + census.fill(model, leftCount) + runningCost;
-  }
-  if (leftCount > 0) {
-    const { neededCost, neededCostPerFill } = planRules;
-    return neededCost + neededCostPerFill * census.fill(model, leftCount) + runningCost;
+  if (census.readyCount(model) > 1) {
+    const runningCost = census.running(model) * planRules.runningCost;
+    return replicaCost(input, census, upstream, placed) + runningCost;
   }
   if (!isInUse) return planRules.idleLastCost;
   const perSecond = input.demand.get(model)?.perSecond ?? 0;
--- a/src/core/fleetplan/planmoves.ts
+++ b/src/core/fleetplan/planmoves.ts
@@ -1,9 +1,8 @@
-import type { ModelId } from '../../base/index.js';
 import { bestSite } from './bestsite.js';
 import { Census } from './census.js';
-import { gainOf } from './gainof.js';
 import type { Move } from './move.js';
 import type { PlanInput } from './planinput.js';
+import { planRules } from './planrules.js';
 
 /** The upstreams without those that a move has just been found for. */
 function without(input: PlanInput, move: Move): PlanInput {
@@ -24,26 +23,29 @@
   return { ...input, upstreams, coldLoadsLeft };
 }
 
+/** The move that is worth most now. */
+function bestMove(input: PlanInput): Move | undefined {
+  const census = new Census(input);
+  let best: Move | undefined;
+  for (const model of input.engine.models.keys()) {
+    const demand = input.demand.get(model);
+    const isAbsent = census.heldCount(model) === 0;
+    const isAsked = demand !== undefined && demand.concurrency > planRules.leastConcurrency;
+    if (!isAbsent && !isAsked) continue;
+    const move = bestSite(input, census, model, input.coldLoadsLeft);
+    if (!move) continue;
+    if (!best || move.gain - move.cost > best.gain - best.cost) best = move;
+  }
+  return best;
+}
+
 /** The moves worth making now, the most urgent first; at most one an upstream. */
 export function planMoves(input: PlanInput, mostMoves: number): readonly Move[] {
   const moves: Move[] = [];
-  const hopeless = new Set<ModelId>();
   let current = input;
   while (moves.length < mostMoves) {
-    const census = new Census(current);
-    let wanted: { model: ModelId; gain: number } | undefined;
-    for (const model of current.engine.models.keys()) {
-      if (hopeless.has(model)) continue;
-      const gain = gainOf(current, census, model);
-      if (gain > (wanted?.gain ?? 0)) wanted = { model, gain };
-    }
-    if (!wanted) return moves;
-    const { model, gain } = wanted;
-    const move = bestSite(current, census, model, gain, current.coldLoadsLeft);
-    if (!move) {
-      hopeless.add(model);
-      continue;
-    }
+    const move = bestMove(current);
+    if (!move) return moves;
     moves.push(move);
     current = without(current, move);
   }
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -1,5 +1,10 @@
 import type { Clock, ModelId, Ms, ServiceId, UpstreamId } from '../../base/index.js';
-import { planMoves, type Move, type PlanUpstream } from '../../core/fleetplan/index.js';
+import {
+  planMoves,
+  type ModelDemand,
+  type Move,
+  type PlanUpstream,
+} from '../../core/fleetplan/index.js';
 import type { RouteTable, ServiceSpec } from '../../core/routetable/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { Log, Metrics, UpstreamLink } from '../../port/index.js';
@@ -52,6 +57,8 @@
 const UNLOAD_MS = 1500;
 /** When nothing is under way for a need yet: the next plan and a load from disk. */
 const UNPLANNED_MS = 900;
+/** The next plan, and room made for a load from the weight store. */
+const PLAN_MS = 300;
 
 /**
  * An entry that asks is answered within this, in ms, and may ask again: it waits 400 for an answer, and took
@@ -209,11 +216,22 @@
     const expectedAtMs = this.expected.get(key);
     const waitMs = this.options.turn.ordersInMs();
     if (expectedAtMs === undefined) {
-      return { type: 'later', inMs: waitMs + UNPLANNED_MS, isUnderWay: waitMs > 0 };
+      const inMs = waitMs + this.unplannedMs(engine, model);
+      return { type: 'later', inMs, isUnderWay: waitMs > 0 };
     }
     return { type: 'later', inMs: Math.max(LOOK_MS, expectedAtMs - nowMs), isUnderWay: true };
   }
 
+  /** How long a model takes for which nothing is under way yet. */
+  private unplannedMs(engine: Engine | undefined, model: ModelId | undefined): Ms {
+    const spec = model === undefined ? undefined : engine?.models.get(model);
+    if (!spec) return UNPLANNED_MS;
+    for (const { info } of this.tracks.values()) {
+      if (info.warm.has(spec.id) || info.onDisk.has(spec.id)) return UNPLANNED_MS;
+    }
+    return PLAN_MS + spec.loadMs;
+  }
+
   private plan(service: ServiceId, engine: Engine, nowMs: Ms): void {
     const room = MOST_MOVES - this.moving;
     const isDemandKnown = this.book.isDemandKnown(nowMs);
@@ -258,7 +276,7 @@
     track: Track,
     service: ServiceId,
     move: Move,
-    demand: ReadonlyMap<ModelId, object>,
+    demand: ReadonlyMap<ModelId, ModelDemand>,
   ): Promise<void> {
     const { clock, log } = this.options;
     const mark = track;
@@ -275,8 +293,9 @@
     const key = `${service}/${model}`;
     const startedAtMs = clock.nowMs();
     const begins = isFromStore ? this.budget.reserve() : () => {};
-    const unloadMs = evicted.length > 0 ? LOOK_MS * 2 : 0;
-    this.expected.set(key, startedAtMs + unloadMs + loadMs);
+    const isInUse = evicted.some((victim) => (demand.get(victim)?.concurrency ?? 0) >= 1);
+    const unloadMs = isInUse ? UNLOAD_MS : LOOK_MS * 2;
+    this.expected.set(key, startedAtMs + (evicted.length > 0 ? unloadMs : 0) + loadMs);
     const why = demand.get(model);
     log.info('move begun', {
       upstream: move.upstream,
@@ -288,7 +307,10 @@
       cost,
       demand: why,
     });
-    const end = await this.carryOut(track, move, () => begins(clock.nowMs()));
+    const end = await this.carryOut(track, move, () => {
+      begins(clock.nowMs());
+      this.expected.set(key, clock.nowMs() + loadMs);
+    });
     // One that was not ordered any more counts as if it began now.
     if (end.startsWith('unload-')) begins(clock.nowMs());
     if (end !== 'done' && track.models.get(model)?.phase === 'loading') track.models.delete(model);
--- a/src/direct/orders/turnkeeper.ts
+++ b/src/direct/orders/turnkeeper.ts
@@ -6,6 +6,7 @@
   onAnswer,
   onRecord,
   releasedTurn,
+  turnLimits,
   type TurnRecord,
   type TurnState,
 } from '../../core/orderturn/index.js';
@@ -89,7 +90,20 @@
   /** How long until the own right may be used. */
   ordersInMs(): Ms {
     const { own } = this.state;
-    return own ? Math.max(0, own.ordersFromMs - this.options.clock.nowMs()) : 0;
+    if (!own) return 0;
+    const nowMs = this.options.clock.nowMs();
+    // Without the store nobody knows when: to come back a little later costs less than to wait.
+    if (nowMs >= own.validUntilMs) return turnLimits.ttlMs;
+    return Math.max(0, own.ordersFromMs - nowMs);
+  }
+
+  /** How long until somebody may give orders, if the holder that the record names is lost. */
+  vacantForMs(): Ms {
+    const { state } = this;
+    const nowMs = this.options.clock.nowMs();
+    const { seen } = state;
+    const freeAtMs = seen && !seen.value.isReleased ? seen.seenAtMs + turnLimits.ttlMs : nowMs;
+    return Math.max(0, Math.max(nowMs, freeAtMs) + state.turnMs - nowMs);
   }
 
   heard(item: KeyValue | undefined): void {
