Admission: limits by the gaps of events, prompts paced, waiting only for what is under way, come back when there is room

A prompt waits up to 0.3 of the target while its engine is seen to read others. An engine whose streams all stand still is taken for lost.

--- a/src/core/routetable/route.ts
+++ b/src/core/routetable/route.ts
@@ -14,6 +14,8 @@
   readonly timeoutMs: Ms;
   /** An answer (or a stream's first event) within this time is worth its full credit. */
   readonly targetLatencyMs: Ms;
+  /** A stream with a longer pause between events is late. */
+  readonly gapTargetMs: Ms;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** One service, or several with their weights. */
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -40,6 +40,8 @@
 const LEAST_CONNECTIONS = 4;
 /** How often orders are planned and the right to give them is looked after. */
 const TICK_MS = 100;
+/** A tick that comes this late shows that the process was stopped, or had no processor. */
+const STOOD_STILL_MS = 300;
 /** How often an entry tells the holder of orders what it is asked for. */
 const REPORT_MS = 250;
 /** Entries take over from a lost holder one after the other, so that they do not all try at once. */
@@ -92,6 +94,8 @@
 
   private hasState = false;
 
+  private tickedAtMs: Ms = 0;
+
   private isStopping = false;
 
   private isClosed = false;
@@ -143,7 +147,9 @@
     };
     this.peers = new Peers(handlers, clock, log);
     const ask = (need: Need) => this.askHolder(need);
-    this.seeker = new Seeker({ clock, log, fleet: this.fleet, meter: this.meter, ask });
+    const ordersInMs = () => this.turn.vacantForMs();
+    const seeking = { clock, log, fleet: this.fleet, meter: this.meter };
+    this.seeker = new Seeker({ ...seeking, ask, ordersInMs });
   }
 
   async start(): Promise<void> {
@@ -219,8 +225,8 @@
     return Math.max(LEAST_CONNECTIONS, Math.floor(maxConnections / shares));
   }
 
-  seek(need: Need, route: Route, remainingMs: Ms, isReturn: boolean): ReturnType<Serving['seek']> {
-    return this.seeker.seek(need, route, remainingMs, isReturn);
+  seek(...args: Parameters<Serving['seek']>): ReturnType<Serving['seek']> {
+    return this.seeker.seek(...args);
   }
 
   isReturn(route: Route, deadlineMs: Ms | undefined): boolean {
@@ -279,6 +285,9 @@
   }
 
   private tick(): void {
+    const nowMs = this.clock.nowMs();
+    if (nowMs - this.tickedAtMs > STOOD_STILL_MS) this.fleet.woke(nowMs);
+    this.tickedAtMs = nowMs;
     // After an outage of the store the holder before goes on, if it still can: a change costs 3 s.
     const mayTake = this.follower.steadyMs() > TAKE_AFTER_MS;
     const isDue = this.turn.isHolder() || mayTake;
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -1,4 +1,5 @@
 import type { Ms, ServiceId, UpstreamId } from '../../base/index.js';
+import { freshLimit, limitRules, mostFill, onGap } from '../../core/enginelimit/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import { holds } from './holds.js';
 import type { Need } from './need.js';
@@ -13,6 +14,15 @@
 const OTHERS_HALF_LIFE_MS = 1000;
 /** Weight of one attempt in the share of failures. */
 const FAILURE_WEIGHT = 0.15;
+/** What a prompt of this entry that is being read costs: as much as the slots that four requests take. */
+const READING_COST = 0.06;
+/** Prompts of one entry that an engine reads at a time. */
+const MOST_READING = 2;
+/** Streams that stand still for this part of the longest pause in time, and for at least so long, wait for prompts. */
+const STILL_SHARE = 0.25;
+const LEAST_STILL_MS = 40;
+/** What having all that it bears costs: one that bears more goes first. */
+const FULL_COST = 1;
 /** What a share of failures of 1 costs, as a part of the slots. */
 const FAILURE_COST = 2;
 /**
@@ -32,12 +42,23 @@
   unreachable: UNREACHABLE_MS,
 };
 
+/**
+ * An engine that crashes without a word leaves its connections open: streams there stand still, and what is sent
+ * there until the list tells of it, 3.6 s later, is lost. Twice the longest pause in time is no burst of prompts;
+ * one stream alone may have been preempted.
+ */
+const SILENT_STREAMS = 2;
+const SILENT_TARGETS = 2;
+const LEAST_SILENT_MS = 500;
+
 /** The upstreams that this entry may choose from. */
 export class Fleet {
   private readonly states = new Map<UpstreamId, UpstreamState>();
 
   private readonly byService = new Map<ServiceId, Set<UpstreamState>>();
 
+  private awakeSinceMs: Ms = -Infinity;
+
   constructor(private readonly availabilityZone: string) {}
 
   put(info: Upstream): void {
@@ -56,6 +77,11 @@
       lostAtMs: -Infinity,
       answeredAtMs: -Infinity,
       failedAtMs: -Infinity,
+      readingCount: 0,
+      streamCount: 0,
+      eventAtMs: -Infinity,
+      silentMs: Infinity,
+      limit: freshLimit(),
       hints: new Map(),
     };
     this.states.set(info.id, state);
@@ -123,8 +149,19 @@
     if (lesson === 'missing') this.hint(state, need, false, nowMs);
   }
 
-  isLost({ lostAtMs }: UpstreamState, nowMs: Ms): boolean {
-    return nowMs - lostAtMs < UNREACHABLE_MS;
+  isLost(state: UpstreamState, nowMs: Ms): boolean {
+    return nowMs - state.lostAtMs < UNREACHABLE_MS || this.isSilent(state, nowMs);
+  }
+
+  /** This process stood still until now: that nothing came meanwhile says nothing of upstreams. */
+  woke(nowMs: Ms): void {
+    this.awakeSinceMs = nowMs;
+  }
+
+  /** Whether several streams run there and none has had an event for longer than their pauses may last. */
+  private isSilent({ streamCount, eventAtMs, silentMs }: UpstreamState, nowMs: Ms): boolean {
+    if (streamCount < SILENT_STREAMS) return false;
+    return nowMs - Math.max(eventAtMs, this.awakeSinceMs) > silentMs;
   }
 
   /** Upstreams that this entry finds lost now. */
@@ -149,6 +186,31 @@
     Object.assign(state, { othersLoad, othersAtMs: nowMs });
   }
 
+  /** An event of a stream came this long after the one before. */
+  learnGap(state: UpstreamState, gapMs: Ms, targetMs: Ms, nowMs: Ms): void {
+    const mark = state;
+    mark.eventAtMs = nowMs;
+    mark.silentMs = Math.max(LEAST_SILENT_MS, targetMs * SILENT_TARGETS);
+    mark.limit = onGap(state.limit, { gapMs, targetMs, fill: this.fill(state, nowMs) }, nowMs);
+  }
+
+  /** Whether an engine has all that it bears; the most urgent requests may still go there. */
+  isFull(state: UpstreamState, isUrgent: boolean, nowMs: Ms): boolean {
+    const most = mostFill(state.limit, nowMs) * (isUrgent ? limitRules.urgentShare : 1);
+    return this.fill(state, nowMs) > most;
+  }
+
+  /**
+   * Whether an engine is reading prompts now, so that another one would lengthen the same pause of all streams
+   * there: this entry's own prompts tell, and its streams by standing still, whoever sent the prompts.
+   */
+  isReading(state: UpstreamState, targetMs: Ms, nowMs: Ms): boolean {
+    if (state.readingCount >= MOST_READING) return true;
+    if (state.streamCount === 0) return false;
+    const stillMs = nowMs - Math.max(state.eventAtMs, this.awakeSinceMs);
+    return stillMs > Math.max(LEAST_STILL_MS, targetMs * STILL_SHARE);
+  }
+
   /** Part of an upstream's slots that is taken; above 1 requests wait there. */
   fill(state: UpstreamState, nowMs: Ms): number {
     return (state.inFlight + this.others(state, nowMs)) / state.info.slots;
@@ -166,7 +228,9 @@
     const load = (state.inFlight + this.others(state, nowMs) + 1) / info.slots;
     const zone = info.availabilityZone === this.availabilityZone ? 0 : ZONE_COST;
     const avoided = state.avoidUntilMs > nowMs ? 1 + FAILURE_COST : 0;
-    return load + zone + state.failureShare * FAILURE_COST + avoided;
+    const full = this.isFull(state, false, nowMs) ? FULL_COST : 0;
+    const reading = state.readingCount * READING_COST;
+    return full + reading + load + zone + state.failureShare * FAILURE_COST + avoided;
   }
 
   private others({ othersLoad, othersAtMs }: UpstreamState, nowMs: Ms): number {
--- a/src/direct/route/upstreamstate.ts
+++ b/src/direct/route/upstreamstate.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import type { LimitState } from '../../core/enginelimit/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 
 /** What an entry knows of one upstream, from the list and from its own requests. */
@@ -17,6 +18,16 @@
   lostAtMs: Ms;
   answeredAtMs: Ms;
   failedAtMs: Ms;
+  /** Requests of this entry there whose first event has not come: their prompts are being read, or wait for it. */
+  readingCount: number;
+  /** Streams of this entry that have begun there and have not ended. */
+  streamCount: number;
+  /** When an event of one of them last came. */
+  eventAtMs: Ms;
+  /** After this long without an event it is taken for lost. */
+  silentMs: Ms;
+  /** How much it bears, by the gaps between its events. */
+  limit: LimitState;
   /** `model` or `model/adapter` that was found missing or made present, before the list told of it. */
   readonly hints: Map<string, { readonly isThere: boolean; readonly untilMs: Ms }>;
 }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -1,5 +1,7 @@
 import type { Clock, Ms, UpstreamId } from '../../base/index.js';
+import { comeBackMs } from '../../core/comeback/index.js';
 import { nextStep, type AttemptEnd, type Progress } from '../../core/delivery/index.js';
+import { hash32 } from '../../core/hash/index.js';
 import { findRoute, pickService, type Route } from '../../core/routetable/index.js';
 import type { Log, UpstreamLink, UpstreamReceiver } from '../../port/index.js';
 import type { Caller } from '../caller.js';
@@ -24,16 +26,13 @@
 const MOST_COME_BACK_MS = 1000;
 /** Another entry takes the request at once. */
 const STOPPING_COME_BACK_MS = 20;
-/**
- * An engine takes this part of its slots, running and waiting: beyond it, answers came after callers had
- * left (2 s without an event), and those before them came late as well.
- */
-const MOST_FILL = 1.15;
-/** For the most urgent: engines let them go before the others. */
-const URGENT_FILL = 1.6;
 /** Part of the target latency within which it is worth waiting for room; a refusal after it counts as late. */
 const ROOM_WAIT_SHARE = 0.24;
 const LOOK_FOR_ROOM_MS = 20;
+/** A step of an engine takes about this long while it reads nothing. */
+const PACE_MS = 10;
+/** Part of the target latency for which a prompt may wait while its engine reads others. */
+const PACE_SHARE = 0.3;
 /**
  * A caller that is back after a refusal is lost if it is refused again: it waits longer, but not until it
  * leaves, which callers of streams do after 2 s without an event.
@@ -42,6 +41,8 @@
 const MOST_RETURN_WAIT_MS = 1500;
 /** An upstream that was said to be ready may refuse; to be told of the same one again helps nobody. */
 const MOST_SEEKS = 4;
+/** One more than the largest hash. */
+const HASH_RANGE = 2 ** 32;
 /** Pause before upstreams that refused are asked once more; a few runs end within it. */
 const ROUND_PAUSE_MS = 50;
 
@@ -93,6 +94,14 @@
 
   private firstByteAtMs: Ms | undefined;
 
+  /** Of the attempt under way. */
+  private lastEventAtMs: Ms | undefined;
+
+  private longestGapMs: Ms = 0;
+
+  /** The attempt under way is a stream whose first event has not come. */
+  private isReading = false;
+
   private untilMs: Ms = Infinity;
 
   private weightsVersion: string | undefined;
@@ -191,6 +200,7 @@
     const alsoLost = request.model === undefined || this.hasSought;
     const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost);
     if (state && this.isOverfull(state, nowMs)) this.waitForRoom(route);
+    else if (state && this.isToBePaced(state, nowMs)) clock.after(PACE_MS, () => this.attempt());
     else if (state) this.send(state, route);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
     else if (this.seekCount < MOST_SEEKS) this.seek();
@@ -201,8 +211,16 @@
   private isOverfull(state: UpstreamState, nowMs: Ms): boolean {
     if (this.need!.model === undefined || this.ranCount > 0) return false;
     const isUrgent = this.route!.priority === 0 || this.isReturn;
-    const limit = isUrgent ? URGENT_FILL : MOST_FILL;
-    return this.serving.fleet.fill(state, nowMs) > limit;
+    return this.serving.fleet.isFull(state, isUrgent, nowMs);
+  }
+
+  /** A prompt waits a little, while the engine reads others, if the target leaves time for that. */
+  private isToBePaced(state: UpstreamState, nowMs: Ms): boolean {
+    const { kind, gapTargetMs, targetLatencyMs } = this.route!;
+    if (kind !== 'streaming' || this.hasBegun) return false;
+    const heldMs = nowMs - this.caller.request.arrivedAtMs;
+    if (heldMs >= targetLatencyMs * PACE_SHARE) return false;
+    return this.serving.fleet.isReading(state, gapTargetMs, nowMs);
   }
 
   /** Waits as long as the target leaves time for; then the caller is told to come back. */
@@ -219,6 +237,11 @@
     );
   }
 
+  /** From 0 to 1: parts requests that would otherwise come back together. */
+  private place(): number {
+    return hash32(this.caller.request.id) / HASH_RANGE;
+  }
+
   private roomWaitMs(route: Route): Ms {
     const firstMs = route.targetLatencyMs * ROOM_WAIT_SHARE;
     if (!this.isReturn) return firstMs;
@@ -243,16 +266,25 @@
 
   /** A full upstream has room again when some of its requests have ended: longer for long streams. */
   private comeBackMs(): Ms {
+    if (this.need?.model !== undefined) {
+      return comeBackMs(this.untilMs - this.clock.nowMs(), this.place());
+    }
     return Math.max(COME_BACK_MS, Math.min(MOST_COME_BACK_MS, this.route!.targetLatencyMs));
   }
 
   /** No upstream holds what the request needs: asks for it to be made ready. */
   private seek(): void {
     const need = this.need!;
-    const remainingMs = this.untilMs - this.clock.nowMs();
+    const { request } = this.caller;
+    const nowMs = this.clock.nowMs();
+    const waiter = {
+      heldMs: nowMs - request.arrivedAtMs,
+      remainingMs: this.untilMs - nowMs,
+      place: this.place(),
+    };
     this.hasSought = true;
     this.seekCount += 1;
-    void this.serving.seek(need, this.route!, remainingMs, this.isReturn).then((found) => {
+    void this.serving.seek(need, waiter).then((found) => {
       if (this.isOver) return;
       if (found.type === 'ready') this.attempt();
       else this.giveUp(found.reason, found.detail, found.retryAfterMs);
@@ -294,8 +326,12 @@
     this.firstSentAtMs ??= nowMs;
     this.state = state;
     this.sent = sent;
+    this.lastEventAtMs = undefined;
     // eslint-disable-next-line no-param-reassign -- the fleet's own count of what is there
     state.inFlight += 1;
+    this.isReading = route.kind === 'streaming';
+    // eslint-disable-next-line no-param-reassign -- as above
+    if (this.isReading) state.readingCount += 1;
     serving.running(this.need!, 1);
   }
 
@@ -365,6 +401,7 @@
   }
 
   private data(chunk: Buffer): boolean {
+    if (this.route!.kind === 'streaming') this.learnGap();
     if (this.held) {
       this.held.push(chunk);
       this.heldBytes += chunk.length;
@@ -377,6 +414,21 @@
     return this.caller.write(payload);
   }
 
+  private learnGap(): void {
+    const nowMs = this.clock.nowMs();
+    const { state, lastEventAtMs } = this;
+    this.lastEventAtMs = nowMs;
+    if (!state) return;
+    if (this.isReading) {
+      state.streamCount += 1;
+      state.readingCount -= 1;
+      this.isReading = false;
+    }
+    const gapMs = nowMs - (lastEventAtMs ?? nowMs);
+    this.longestGapMs = Math.max(this.longestGapMs, gapMs);
+    this.serving.fleet.learnGap(state, gapMs, this.route!.gapTargetMs, nowMs);
+  }
+
   /** Lets what was held of an answer go: it has grown too large to be repeated. */
   private release(): void {
     const { held, head } = this;
@@ -497,6 +549,9 @@
   private leave(): void {
     if (this.state) {
       this.state.inFlight -= 1;
+      if (this.isReading) this.state.readingCount -= 1;
+      else if (this.lastEventAtMs !== undefined) this.state.streamCount -= 1;
+      this.isReading = false;
       this.serving.running(this.need!, -1);
     }
     this.state = undefined;
@@ -523,6 +578,7 @@
       attempts: this.ends,
       sentMs: since(this.firstSentAtMs),
       firstByteMs: since(this.firstByteAtMs),
+      longestGapMs: Math.round(this.longestGapMs),
       totalMs: since(nowMs),
       isReturn: this.isReturn,
       retryAfterMs,
--- a/src/direct/seeker.ts
+++ b/src/direct/seeker.ts
@@ -1,5 +1,5 @@
 import type { Clock, Ms } from '../base/index.js';
-import type { Route } from '../core/routetable/index.js';
+import { holdOrRefuse, type ResidencyWait } from '../core/residencywait/index.js';
 import type { Log } from '../port/index.js';
 import type { DemandMeter, FoundNeed } from './orders/index.js';
 import { holds, type Fleet, type Need } from './route/index.js';
@@ -15,20 +15,15 @@
   readonly meter: DemandMeter;
   /** Asks the holder of orders; undefined if it cannot be reached. */
   ask(need: Need): Promise<FoundNeed | undefined>;
+  /** How long until somebody may give orders again, where the holder cannot be reached. */
+  ordersInMs(): Ms;
 }
 
-/** Part of the target latency within which it is worth waiting: the rest is the upstream's. */
-const HOLD_SHARE = 0.6;
-/** A caller that is back after a refusal is lost if it is refused again; streams' callers leave after 2 s. */
-const MOST_RETURN_HOLD_MS = 1500;
-/** Callers come back after a refusal if that is within this part of the time that they have left. */
-const COME_BACK_SHARE = 0.3;
-/** A request is held no longer than this part of its time if there is nothing to offer it. */
-const LONGEST_HOLD_SHARE = 0.45;
-/** Added to the time at which a model should be there, in ms: the list tells of it a little later. */
-const COME_BACK_MARGIN_MS = 60;
-/** Without a holder of orders, in ms: about the time until there is one. */
-const NO_HOLDER_MS = 1500;
+/** A request that waits, as far as that decides how long. */
+type Waiter = Omit<ResidencyWait, 'inMs' | 'isUnderWay'>;
+
+/** A plan and a load from disk, once there is a holder of orders. */
+const UNPLANNED_MS = 900;
 const LOOK_MS = 25;
 
 /** Finds upstreams for requests whose model or adapter this entry knows nowhere. */
@@ -37,40 +32,35 @@
 
   constructor(private readonly options: SeekerOptions) {}
 
-  async seek(need: Need, route: Route, remainingMs: Ms, isReturn = false): Promise<Sought> {
+  async seek(need: Need, waiter: Waiter): Promise<Sought> {
     const { clock, meter } = this.options;
     if (need.model === undefined) {
       const detail = `No upstream of ${need.service} can be chosen.`;
       return { type: 'unavailable', reason: 'no-upstream', detail };
     }
-    const startedAtMs = clock.nowMs();
     meter.waiting(need, 1);
-    const sought = await this.wait(need, route, remainingMs, startedAtMs, isReturn);
+    const sought = await this.wait(need, waiter, clock.nowMs());
     meter.waiting(need, -1);
     return sought;
   }
 
-  private async wait(
-    need: Need,
-    route: Route,
-    remainingMs: Ms,
-    startedAtMs: Ms,
-    isReturn: boolean,
-  ): Promise<Sought> {
+  private async wait(need: Need, waiter: Waiter, startedAtMs: Ms): Promise<Sought> {
     const { clock } = this.options;
-    const patienceMs = isReturn
-      ? Math.min(MOST_RETURN_HOLD_MS, remainingMs * LONGEST_HOLD_SHARE)
-      : route.targetLatencyMs * HOLD_SHARE;
     for (;;) {
       const found = await this.ask(need);
       if (this.isReady(need, found)) return { type: 'ready' };
-      const inMs = found?.type === 'later' ? found.inMs : NO_HOLDER_MS;
-      const heldMs = clock.nowMs() - startedAtMs;
-      // While nobody knows when, to come back would be no better than to wait.
-      const isKnown = found?.type === 'later' && found.isUnderWay;
-      const refusal = this.refusal(need, remainingMs, heldMs, inMs, isKnown, patienceMs);
-      if (refusal) return refusal;
-      const untilMs = clock.nowMs() + Math.min(inMs, remainingMs * LONGEST_HOLD_SHARE - heldMs);
+      const inMs = found?.type === 'later' ? found.inMs : this.options.ordersInMs() + UNPLANNED_MS;
+      const passedMs = clock.nowMs() - startedAtMs;
+      const heldMs = waiter.heldMs + passedMs;
+      const remainingMs = waiter.remainingMs - passedMs;
+      const isUnderWay = found?.type === 'later' && found.isUnderWay;
+      const decision = holdOrRefuse({ ...waiter, inMs, isUnderWay, heldMs, remainingMs });
+      if (decision.type === 'refuse') {
+        const detail = `No upstream of ${need.service} holds what the request needs yet.`;
+        const { retryAfterMs } = decision;
+        return { type: 'unavailable', reason: 'not-resident', detail, retryAfterMs };
+      }
+      const untilMs = clock.nowMs() + inMs;
       // At least one pause, also where no time is left: the loop must not keep the process busy.
       do await this.pause(LOOK_MS);
       while (clock.nowMs() < untilMs && !this.isHeld(need));
@@ -78,24 +68,6 @@
     }
   }
 
-  /** Whether to give up for now: at once, with the time at which to come back, or after a long wait. */
-  private refusal(
-    need: Need,
-    remainingMs: Ms,
-    heldMs: Ms,
-    inMs: Ms,
-    isKnown: boolean,
-    patienceMs: Ms,
-  ): Sought | undefined {
-    const isHeldLong = heldMs >= remainingMs * LONGEST_HOLD_SHARE;
-    const isSoon = heldMs + inMs <= patienceMs;
-    const canComeBack = inMs + COME_BACK_MARGIN_MS <= (remainingMs - heldMs) * COME_BACK_SHARE;
-    if (!isHeldLong && (isSoon || !canComeBack || !isKnown)) return undefined;
-    const detail = `No upstream of ${need.service} holds what the request needs yet.`;
-    const retryAfterMs = inMs + COME_BACK_MARGIN_MS;
-    return { type: 'unavailable', reason: 'not-resident', detail, retryAfterMs };
-  }
-
   private isReady(need: Need, found: FoundNeed | undefined): boolean {
     if (found?.type === 'ready') {
       const state = this.options.fleet.get(found.upstream);
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -1,4 +1,5 @@
 import type { Clock, Ms, ServiceId } from '../base/index.js';
+import type { ResidencyWait } from '../core/residencywait/index.js';
 import type { RetryBudget } from '../core/retrybudget/index.js';
 import type { Route, RouteTable } from '../core/routetable/index.js';
 import type { Log, UpstreamLink } from '../port/index.js';
@@ -27,7 +28,7 @@
   /** How many connections this entry may have to one upstream. */
   connectionShare(maxConnections: number | undefined): number;
   /** Waits until an upstream holds what is needed, or says why not. */
-  seek(need: Need, route: Route, remainingMs: Ms, isReturn: boolean): Promise<Sought>;
+  seek(need: Need, waiter: Omit<ResidencyWait, 'inMs' | 'isUnderWay'>): Promise<Sought>;
   /** Whether the caller was refused before, and would be lost if it were again. */
   isReturn(route: Route, deadlineMs: Ms | undefined): boolean;
   /** A request with this need has come. */
