--- a/src/core/enginelimit/limitrules.ts
+++ b/src/core/enginelimit/limitrules.ts
@@ -15,11 +15,6 @@
   cutEveryMs: 500,
   /** Added in a second without such a gap. */
   raisePerS: 0.1,
-  /**
-   * What each rank may fill of the limit: the most urgent more than it, as engines let them go first, and each
-   * less urgent one less, so that those are refused first.
-   */
-  firstShare: 1.25,
-  rankShare: 0.25,
-  leastShare: 0.75,
+  /** The most urgent may go above the limit by this: engines let them go before the others. */
+  urgentShare: 1.25,
 } as const;
--- a/src/core/fleetplan/costof.ts
+++ b/src/core/fleetplan/costof.ts
@@ -17,7 +17,7 @@
   const { demand } = input;
   const leftCount = census.readyCount(model) - 1;
   const upstreams = withChange(input.upstreams, upstream, model, false);
-  const late = demand.has(model) ? lateness({ upstreams, demand }) - census.lateness : 0;
+  const late = demand.has(model) ? lateness({ ...input, upstreams }) - census.lateness : 0;
   const insurance = leftCount === 1 ? census.insurance(model) : 0;
   const adapters = leftCount < census.adapterCount(model) ? planRules.adapterGain : 0;
   const isKept =
--- a/src/core/fleetplan/gainof.ts
+++ b/src/core/fleetplan/gainof.ts
@@ -30,7 +30,7 @@
   if (heldCount === 0 && !(asked && census.isInUse(model))) return planRules.reachableGain;
   if (!asked) return 0;
   const upstreams = withChange(input.upstreams, upstream, model, true);
-  const late = lateness({ upstreams, demand }) - census.lateness;
+  const late = lateness({ ...input, upstreams }) - census.lateness;
   // Requests that find the model nowhere do not count as late yet.
   if (heldCount === 0) return absentGain(asked) - Math.max(0, late);
   const isComing = census.readyCount(model) === 0;
--- a/src/core/fleetplan/lateness.ts
+++ b/src/core/fleetplan/lateness.ts
@@ -1,5 +1,4 @@
 import type { ModelDemand } from './modeldemand.js';
-import type { PlanInput } from './planinput.js';
 import { planRules } from './planrules.js';
 import { Spread } from './spread.js';
 
@@ -9,9 +8,9 @@
 }
 
 /** Requests that come too late, over all models, within the time that a plan looks ahead. */
-export function lateness({ upstreams, demand }: Pick<PlanInput, 'upstreams' | 'demand'>): number {
-  const spread = new Spread({ upstreams, demand });
+export function lateness(input: ConstructorParameters<typeof Spread>[0]): number {
+  const spread = new Spread(input);
   let late = 0;
-  for (const [model, asked] of demand) late += rateOf(asked) * spread.lateShare(model);
+  for (const [model, asked] of input.demand) late += rateOf(asked) * spread.lateShare(model);
   return late * planRules.horizonS;
 }
--- a/src/core/fleetplan/spread.ts
+++ b/src/core/fleetplan/spread.ts
@@ -9,6 +9,9 @@
   readonly share: number;
 }
 
+/** What a spread is made from. */
+type SpreadInput = Pick<PlanInput, 'upstreams' | 'demand' | 'promptsPerPause'>;
+
 /** Fills the emptiest engines first, until all of `amount` is placed and they are level. */
 function pour(
   amount: number,
@@ -37,11 +40,16 @@
  * time among all that they hold: a place beside a busy model is worth less than one on an idle engine.
  */
 export class Spread {
+  private readonly calmFill: number;
+
   private readonly filled = new Map<UpstreamId, number>();
 
   private readonly portions = new Map<ModelId, readonly Portion[]>();
 
-  constructor({ upstreams, demand }: Pick<PlanInput, 'upstreams' | 'demand'>) {
+  constructor({ upstreams, demand, promptsPerPause }: SpreadInput) {
+    const { calmFill, fewPrompts, mostRaise, unknownPrompts } = planRules;
+    const raise = (promptsPerPause ?? unknownPrompts) / fewPrompts;
+    this.calmFill = calmFill * Math.min(mostRaise, Math.max(1, raise));
     const holders = new Map<ModelId, UpstreamId[]>();
     let slots = 1;
     for (const upstream of upstreams) {
@@ -71,14 +79,13 @@
     let late = 0;
     let all = 0;
     for (const { engine, share } of this.portions.get(model) ?? []) {
-      late += share * Spread.lateAt(this.levelOf(engine));
+      late += share * this.lateAt(this.levelOf(engine));
       all += share;
     }
     return all === 0 ? 0 : late / all;
   }
 
-  private static lateAt(level: number): number {
-    const { calmFill, lateFill } = planRules;
-    return Math.min(1, Math.max(0, (level - calmFill) / (lateFill - calmFill)));
+  private lateAt(level: number): number {
+    return Math.min(1, Math.max(0, (level - this.calmFill) / planRules.lateSpan));
   }
 }
--- a/src/core/promptpace/isreading.ts
+++ b/src/core/promptpace/isreading.ts
@@ -9,6 +9,9 @@
   readonly streamCount: number;
   /** When the last event of one of them came. */
   readonly eventAtMs: Ms;
+  /** Time between two events of a stream, and from a request to its first event, while little is read. */
+  readonly calmGapMs: Ms;
+  readonly calmFirstMs: Ms;
 }
 
 /**
@@ -18,8 +21,8 @@
  * with trouble from a mean of 0.39 to 0.45 in all (six plays each).
  */
 export function isReading(seen: Seen, gapTargetMs: Ms, nowMs: Ms): boolean {
-  if (seen.readingCount >= paceRules.mostReading) return true;
+  const mostReading = Math.max(1, (gapTargetMs * paceRules.readingShare) / seen.calmFirstMs);
+  if (seen.readingCount >= Math.floor(mostReading)) return true;
   if (seen.streamCount === 0) return false;
-  const stillMs = Math.max(paceRules.leastStillMs, gapTargetMs * paceRules.stillShare);
-  return nowMs - seen.eventAtMs > stillMs;
+  return nowMs - seen.eventAtMs > seen.calmGapMs + gapTargetMs * paceRules.stillShare;
 }
--- a/src/core/residencywait/holdorrefuse.ts
+++ b/src/core/residencywait/holdorrefuse.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import { comeBackMs } from '../comeback/index.js';
 import type { ResidencyWait } from './residencywait.js';
 
 type Decision = { readonly type: 'hold' } | { readonly type: 'refuse'; readonly retryAfterMs: Ms };
@@ -27,6 +28,8 @@
     ? Math.min(HOLD_MS, (remainingMs + heldMs) * LONGEST_HOLD_SHARE)
     : 0;
   if (heldMs + inMs <= patienceMs) return { type: 'hold' };
-  const retryAfterMs = Math.max(0, inMs) * (1 + SPREAD_SHARE * place) + COME_BACK_MARGIN_MS;
+  const thereMs = Math.max(0, inMs) * (1 + SPREAD_SHARE * place) + COME_BACK_MARGIN_MS;
+  // Loads come late as well: one that is back too soon is lost, one that is back a little later is as late.
+  const retryAfterMs = Math.max(thereMs, comeBackMs(remainingMs, place));
   return { type: 'refuse', retryAfterMs: Math.round(retryAfterMs) };
 }
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -138,7 +138,9 @@
     const shared = { link, clock, log, metrics, host, loadWindowMs, loadOvershoot };
     const listSilentMs = () => this.follower.silentMs();
     const loadOf = (id: UpstreamId) => this.fleet.load(id, clock.nowMs());
-    this.desk = new OrderDesk({ ...shared, turn: this.turn, listSilentMs, loadOf });
+    const promptsPerPause = (service: ServiceId) => this.fleet.promptsPerPause(service);
+    const reading = { listSilentMs, loadOf, promptsPerPause };
+    this.desk = new OrderDesk({ ...shared, ...reading, turn: this.turn });
     const handlers = {
       find: (need: Need) => this.desk.find(need),
       demand: (report: DemandReport) => this.hearDemand(report),
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -39,6 +39,8 @@
   readonly listSilentMs: () => Ms;
   /** Requests at an upstream, by this entry's knowledge. */
   readonly loadOf: (upstream: UpstreamId) => number;
+  /** Prompts that its engines read in the time of a pause that is in time. */
+  readonly promptsPerPause: (service: ServiceId) => number | undefined;
 }
 
 type Engine = NonNullable<ServiceSpec['engine']>;
@@ -245,7 +247,8 @@
     }
     const coldLoadsLeft = this.budget.left(engine.loadsPerSecond, nowMs);
     const demand = this.book.of(service, nowMs, (model) => this.holders(service, model).length > 0);
-    const input = { engine, upstreams, demand, isDemandKnown, coldLoadsLeft };
+    const promptsPerPause = this.options.promptsPerPause(service);
+    const input = { engine, upstreams, demand, isDemandKnown, coldLoadsLeft, promptsPerPause };
     for (const move of planMoves(input, room)) {
       const track = this.tracks.get(move.upstream);
       if (track) void this.move(track, service, move, demand);
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -1,6 +1,6 @@
 import type { Ms, ServiceId, UpstreamId } from '../../base/index.js';
 import { freshLimit, limitRules, mostFill, onGap } from '../../core/enginelimit/index.js';
-import { isReading, paceRules } from '../../core/promptpace/index.js';
+import { calmTime, isReading, paceRules } from '../../core/promptpace/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import { holds } from './holds.js';
 import type { Need } from './need.js';
@@ -15,8 +15,6 @@
 const OTHERS_HALF_LIFE_MS = 1000;
 /** Weight of one attempt in the share of failures. */
 const FAILURE_WEIGHT = 0.15;
-/** The rank for which the limit is as learned. */
-const MIDDLE_RANK = 1;
 /** What having all that it bears costs: one that bears more goes first. */
 const FULL_COST = 1;
 /** What a share of failures of 1 costs, as a part of the slots. */
@@ -76,6 +74,8 @@
       readingCount: 0,
       streamCount: 0,
       eventAtMs: -Infinity,
+      calmGapMs: Infinity,
+      calmFirstMs: Infinity,
       gapTargetMs: Infinity,
       limit: freshLimit(),
       hints: new Map(),
@@ -183,23 +183,39 @@
     Object.assign(state, { othersLoad, othersAtMs: nowMs });
   }
 
+  /** The first event of a stream came this long after its request had been sent there. */
+  learnFirst(state: UpstreamState, tookMs: Ms, nowMs: Ms): void {
+    const calmFirstMs = calmTime(state.calmFirstMs, tookMs);
+    Object.assign(state, { eventAtMs: nowMs, calmFirstMs });
+  }
+
   /** An event of a stream came this long after the one before. */
   learnGap(state: UpstreamState, gapMs: Ms, targetMs: Ms, nowMs: Ms): void {
     const mark = state;
     mark.eventAtMs = nowMs;
     mark.gapTargetMs = targetMs;
+    mark.calmGapMs = calmTime(state.calmGapMs, gapMs);
     mark.limit = onGap(state.limit, { gapMs, targetMs, fill: this.fill(state, nowMs) }, nowMs);
   }
 
-  /** Whether an engine has all that it bears; requests of a lower rank may still go there, down to 0. */
-  isFull(state: UpstreamState, rank: number, nowMs: Ms): boolean {
-    const share = Math.max(
-      limitRules.leastShare,
-      limitRules.firstShare - rank * limitRules.rankShare,
-    );
+  /** Whether an engine has all that it bears; the most urgent requests may still go there. */
+  isFull(state: UpstreamState, isUrgent: boolean, nowMs: Ms): boolean {
+    const share = isUrgent ? limitRules.urgentShare : 1;
     return this.fill(state, nowMs) > mostFill(state.limit, nowMs) * share;
   }
 
+  /** How many prompts the engines of a service read in the time of a pause that is in time, as far as is known. */
+  promptsPerPause(service: ServiceId): number | undefined {
+    let sum = 0;
+    let count = 0;
+    for (const { calmFirstMs, gapTargetMs } of this.of(service)) {
+      if (!Number.isFinite(calmFirstMs) || !Number.isFinite(gapTargetMs)) continue;
+      sum += gapTargetMs / Math.max(1, calmFirstMs);
+      count += 1;
+    }
+    return count === 0 ? undefined : sum / count;
+  }
+
   /** Whether an engine is reading prompts now, as far as this entry sees. */
   isReading(state: UpstreamState, gapTargetMs: Ms, nowMs: Ms): boolean {
     const eventAtMs = Math.max(state.eventAtMs, this.awakeSinceMs);
@@ -223,7 +239,7 @@
     const load = (state.inFlight + this.others(state, nowMs) + 1) / info.slots;
     const zone = info.availabilityZone === this.availabilityZone ? 0 : ZONE_COST;
     const avoided = state.avoidUntilMs > nowMs ? 1 + FAILURE_COST : 0;
-    const full = this.isFull(state, MIDDLE_RANK, nowMs) ? FULL_COST : 0;
+    const full = this.isFull(state, false, nowMs) ? FULL_COST : 0;
     const isBusy = this.isReading(state, state.gapTargetMs, nowMs);
     return (
       full +
--- a/src/direct/route/upstreamstate.ts
+++ b/src/direct/route/upstreamstate.ts
@@ -24,6 +24,9 @@
   streamCount: number;
   /** When an event of one of them last came. */
   eventAtMs: Ms;
+  /** Time between two events of a stream there while little is read, and to a first event. */
+  calmGapMs: Ms;
+  calmFirstMs: Ms;
   /** The longest pause between events with which its streams are in time, as last seen. */
   gapTargetMs: Ms;
   /** How much it bears, by the gaps between its events. */
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -91,9 +91,11 @@
 
   private firstByteAtMs: Ms | undefined;
 
-  /** Of the attempt under way. */
+  /** Of the attempt under way, as is `sentAtMs`. */
   private lastEventAtMs: Ms | undefined;
 
+  private sentAtMs: Ms = 0;
+
   private longestGapMs: Ms = 0;
 
   /** The attempt under way is a stream whose first event has not come. */
@@ -197,9 +199,9 @@
     const alsoLost = request.model === undefined || this.hasSought;
     const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost);
     if (state && this.isOverfull(state, nowMs)) this.waitForRoom(route);
-    else if (state && this.isToBePaced(state, nowMs))
-      {clock.after(paceRules.lookMs, () => this.attempt());}
-    else if (state) this.send(state, route);
+    else if (state && this.isToBePaced(state, nowMs)) {
+      clock.after(paceRules.lookMs, () => this.attempt());
+    } else if (state) this.send(state, route);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
     else if (this.seekCount < MOST_SEEKS) this.seek();
     else this.tryAgainLater();
@@ -209,8 +211,8 @@
   private isOverfull(state: UpstreamState, nowMs: Ms): boolean {
     if (this.need!.model === undefined || this.ranCount > 0) return false;
     // Another refusal would lose a caller that is back.
-    const rank = this.isReturn ? 0 : this.route!.priority;
-    return this.serving.fleet.isFull(state, rank, nowMs);
+    const isUrgent = this.route!.priority === 0 || this.isReturn;
+    return this.serving.fleet.isFull(state, isUrgent, nowMs);
   }
 
   /** A prompt waits a little, while the engine reads others, if the target leaves time for that. */
@@ -326,6 +328,7 @@
     this.state = state;
     this.sent = sent;
     this.lastEventAtMs = undefined;
+    this.sentAtMs = nowMs;
     // eslint-disable-next-line no-param-reassign -- the fleet's own count of what is there
     state.inFlight += 1;
     this.isReading = route.kind === 'streaming';
@@ -416,16 +419,19 @@
   private learnGap(): void {
     const nowMs = this.clock.nowMs();
     const { state, lastEventAtMs } = this;
+    const { fleet } = this.serving;
     this.lastEventAtMs = nowMs;
     if (!state) return;
     if (this.isReading) {
       state.streamCount += 1;
       state.readingCount -= 1;
       this.isReading = false;
+      fleet.learnFirst(state, nowMs - this.sentAtMs, nowMs);
     }
-    const gapMs = nowMs - (lastEventAtMs ?? nowMs);
+    if (lastEventAtMs === undefined) return;
+    const gapMs = nowMs - lastEventAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, gapMs);
-    this.serving.fleet.learnGap(state, gapMs, this.route!.gapTargetMs, nowMs);
+    fleet.learnGap(state, gapMs, this.route!.gapTargetMs, nowMs);
   }
 
   /** Lets what was held of an answer go: it has grown too large to be repeated. */
--- a/test/support/batchengine.ts
+++ b/test/support/batchengine.ts
@@ -2,6 +2,7 @@
 export interface Stream {
   /** When its caller sent it; it may have waited elsewhere. */
   readonly arrivedAtMs: number;
+  readonly sentAtMs: number;
   /** Who sent it on. */
   readonly entry: number;
   promptLeft: number;
@@ -40,6 +41,7 @@
   take(promptTokens: number, outputTokens: number, arrivedAtMs = this.nowMs, entry = 0): void {
     this.queue.push({
       arrivedAtMs,
+      sentAtMs: this.nowMs,
       entry,
       promptLeft: promptTokens,
       tokensLeft: outputTokens,
