--- a/test/promptpace.test.ts
+++ b/test/promptpace.test.ts
@@ -44,7 +44,7 @@
         const heldMs = engine.nowMs - entry.waiting[0]!;
         const mayWait = isPaced && heldMs < FIRST_MS * paceRules.holdShare;
         if (mayWait && isReading(entry, GAP_TARGET_MS, engine.nowMs)) break;
-        engine.take(PROMPT_TOKENS, OUTPUT_TOKENS, entry.waiting.shift()!, at);
+        engine.take(PROMPT_TOKENS, OUTPUT_TOKENS, entry.waiting.shift(), at);
         entry.readingCount += 1;
       }
     }
