--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -96,6 +96,9 @@
 
   private tickedAtMs: Ms = 0;
 
+  /** Upstreams that this entry found lost when it last told of them. */
+  private lost: readonly UpstreamId[] = [];
+
   private isStopping = false;
 
   private isClosed = false;
@@ -303,7 +306,13 @@
     metrics.gauge('direct.configuration_version', this.table?.version ?? 0);
     metrics.gauge('direct.store_silent_ms', this.follower.silentMs());
     metrics.gauge('direct.gives_orders', this.turn.mayOrder() ? 1 : 0);
-    const report = this.meter.report(this.fleet.lost(this.clock.nowMs()), this.heard);
+    const lost = this.fleet.lost(this.clock.nowMs());
+    metrics.gauge('direct.upstreams_lost', lost.length);
+    if (lost.join() !== this.lost.join()) {
+      this.log.info('upstreams taken for lost', { upstreams: lost, before: this.lost });
+    }
+    this.lost = lost;
+    const report = this.meter.report(lost, this.heard);
     if (this.turn.isHolder()) {
       this.desk.demand(report);
       this.learn(this.desk.news(this.heard));
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -189,13 +189,15 @@
     Object.assign(state, { eventAtMs: nowMs, calmFirstMs });
   }
 
-  /** An event of a stream came this long after the one before. */
-  learnGap(state: UpstreamState, gapMs: Ms, targetMs: Ms, nowMs: Ms): void {
+  /** An event of a stream came this long after the one before. Returns true if that cut the engine's limit. */
+  learnGap(state: UpstreamState, gapMs: Ms, targetMs: Ms, nowMs: Ms): boolean {
     const mark = state;
     mark.eventAtMs = nowMs;
     mark.gapTargetMs = targetMs;
     mark.calmGapMs = calmTime(state.calmGapMs, gapMs);
-    mark.limit = onGap(state.limit, { gapMs, targetMs, fill: this.fill(state, nowMs) }, nowMs);
+    const before = state.limit;
+    mark.limit = onGap(before, { gapMs, targetMs, fill: this.fill(state, nowMs) }, nowMs);
+    return mark.limit !== before;
   }
 
   /** Whether an engine has all that it bears; the most urgent requests may still go there. */
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -98,6 +98,9 @@
 
   private longestGapMs: Ms = 0;
 
+  /** How long it waited while engines read other prompts. */
+  private pacedMs: Ms = 0;
+
   /** The attempt under way is a stream whose first event has not come. */
   private isReading = false;
 
@@ -199,9 +202,8 @@
     const alsoLost = request.model === undefined || this.hasSought;
     const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost);
     if (state && this.isOverfull(state, nowMs)) this.waitForRoom(route);
-    else if (state && this.isToBePaced(state, nowMs)) {
-      clock.after(paceRules.lookMs, () => this.attempt());
-    } else if (state) this.send(state, route);
+    else if (state && this.isToBePaced(state, nowMs)) this.pace();
+    else if (state) this.send(state, route);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
     else if (this.seekCount < MOST_SEEKS) this.seek();
     else this.tryAgainLater();
@@ -224,6 +226,11 @@
     return this.serving.fleet.isReading(state, gapTargetMs, nowMs);
   }
 
+  private pace(): void {
+    this.pacedMs += paceRules.lookMs;
+    this.clock.after(paceRules.lookMs, () => this.attempt());
+  }
+
   /** Waits as long as the target leaves time for; then the caller is told to come back. */
   private waitForRoom(route: Route): void {
     const heldMs = this.clock.nowMs() - this.caller.request.arrivedAtMs;
@@ -431,7 +438,18 @@
     if (lastEventAtMs === undefined) return;
     const gapMs = nowMs - lastEventAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, gapMs);
-    fleet.learnGap(state, gapMs, this.route!.gapTargetMs, nowMs);
+    const { gapTargetMs } = this.route!;
+    if (!fleet.learnGap(state, gapMs, gapTargetMs, nowMs)) return;
+    const limit = Math.round(state.limit.fill * state.info.slots);
+    const load = Math.round(fleet.load(state.info.id, nowMs));
+    this.log.info('engine limit cut', {
+      requestId: this.caller.request.id,
+      upstream: state.info.id,
+      gapMs: Math.round(gapMs),
+      gapTargetMs,
+      load,
+      limit,
+    });
   }
 
   /** Lets what was held of an answer go: it has grown too large to be repeated. */
@@ -583,6 +601,7 @@
       attempts: this.ends,
       sentMs: since(this.firstSentAtMs),
       firstByteMs: since(this.firstByteAtMs),
+      pacedMs: this.pacedMs,
       longestGapMs: Math.round(this.longestGapMs),
       totalMs: since(nowMs),
       isReturn: this.isReturn,
