A plan at most every 90 ms, and only over models that run somewhere

Each request for a model that nobody was bringing asked for a plan of several ms; a plan built its lists over idle models as well.

--- a/src/core/fleetplan/gainof.ts
+++ b/src/core/fleetplan/gainof.ts
@@ -29,6 +29,7 @@
   const asked = demand.get(model);
   if (heldCount === 0 && !(asked && census.isInUse(model))) return planRules.reachableGain;
   if (!asked) return 0;
+  if (heldCount === 0 && asked.concurrency < planRules.leastConcurrency) return absentGain(asked);
   const upstreams = withChange(input.upstreams, upstream, model, true);
   const late = lateness({ ...input, upstreams }) - census.lateness;
   // Requests that find the model nowhere do not count as late yet.
--- a/src/core/fleetplan/spread.ts
+++ b/src/core/fleetplan/spread.ts
@@ -55,7 +55,7 @@
     for (const upstream of upstreams) {
       slots = Math.max(slots, upstream.slots);
       for (const { model, phase } of upstream.placed) {
-        if (phase === 'unloading') continue;
+        if (phase === 'unloading' || !demand.get(model)?.concurrency) continue;
         const known = holders.get(model);
         if (known) known.push(upstream.id);
         else holders.set(model, [upstream.id]);
@@ -64,8 +64,8 @@
     // Those with the least choice first.
     const order = [...holders].sort(([, a], [, b]) => a.length - b.length);
     for (const [model, engines] of order) {
-      const amount = (demand.get(model)?.concurrency ?? 0) / slots;
-      if (amount > 0) this.portions.set(model, pour(amount, engines, this.filled));
+      const amount = demand.get(model)!.concurrency / slots;
+      this.portions.set(model, pour(amount, engines, this.filled));
     }
   }
 
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -49,6 +49,11 @@
 const MOST_MOVES = 12;
 /** Upstreams that start come into the list one by one; before all are there, models seem to be missing. */
 const SETTLE_MS = 1500;
+/**
+ * A plan takes some ms of a processor, and each request for a model that nobody holds asks for one: at 20 to 60 a
+ * second they would take a third of half a core.
+ */
+const PLAN_EVERY_MS = 90;
 /** How often a move looks whether its order is done. */
 const LOOK_MS = 25;
 /** An order about a model that is not done this long after it should be is looked into. */
@@ -91,6 +96,8 @@
   /** When an upstream was last seen for the first time. */
   private newestAtMs: Ms = 0;
 
+  private readonly plannedAtMs = new Map<ServiceId, Ms>();
+
   table: RouteTable | undefined;
 
   constructor(private readonly options: OrderDeskOptions) {
@@ -235,6 +242,8 @@
   }
 
   private plan(service: ServiceId, engine: Engine, nowMs: Ms): void {
+    if (nowMs - (this.plannedAtMs.get(service) ?? -Infinity) < PLAN_EVERY_MS) return;
+    this.plannedAtMs.set(service, nowMs);
     const room = MOST_MOVES - this.moving;
     const isDemandKnown = this.book.isDemandKnown(nowMs);
     const isSettled = isDemandKnown || nowMs >= this.newestAtMs + SETTLE_MS;
