--- a/test/fleetplan.test.ts
+++ b/test/fleetplan.test.ts
@@ -164,6 +164,33 @@
   t.is(planMoves(input(upstreams, demand, names), 9).length, 2);
 });
 
+/** Counts how often a plan looks up what is asked of a model. */
+class CountedDemand extends Map<ModelId, ModelDemand> {
+  count = 0;
+
+  override get(model: ModelId): ModelDemand | undefined {
+    this.count += 1;
+    return super.get(model);
+  }
+}
+
+test('a plan of 28 engines and 85 models is no work that holds requests up', (t) => {
+  const names = Array.from({ length: 85 }, (_, at) => `m${at}`);
+  const upstreams = Array.from({ length: 28 }, (_, at) =>
+    upstream(`u${at}`, [names[(at * 2) % 85]!, names[(at * 2 + 1) % 85]!]),
+  );
+  const demand = new CountedDemand();
+  for (const [at, name] of names.entries()) {
+    const busy = { concurrency: 9, perSecond: 20, idleMs: 0 };
+    const rare = { concurrency: 0.5, perSecond: 0.4, idleMs: 0 };
+    demand.set(name as ModelId, { ...QUIET, ...(at < 10 ? busy : rare) });
+  }
+  t.is(planMoves({ ...input(upstreams, {}, names), demand }, 3).length, 3);
+  t.log({ lookups: demand.count });
+  // With 187,000 of them the holder of orders stood still for seconds, at a quarter of a core.
+  t.true(demand.count < 60_000, `${demand.count} look-ups`);
+});
+
 test('a plan never overfills an upstream, moves a busy one, or loads beyond the bound', (t) => {
   const name = fc.constantFrom('m1', 'm2', 'm3', 'm4', 'm5');
   const held = fc.uniqueArray(name, { maxLength: 2 });
