--- a/src/core/promptpace/pacerules.ts
+++ b/src/core/promptpace/pacerules.ts
@@ -20,6 +20,9 @@
   holdShare: 0.5,
   /** What an engine that reads prompts now costs in the choice among replicas, as a part of its slots. */
   readingCost: 0.3,
-  /** How often a prompt that waits looks again: a step of an engine takes about this long while it reads nothing. */
-  lookMs: 10,
+  /**
+   * How often a prompt that waits looks again: an event takes 20 to 40 ms. Each look weighs the replicas anew, which
+   * tens of waiting prompts would pay for with a good part of a small host's processor.
+   */
+  lookMs: 25,
 } as const;
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -220,8 +220,8 @@
 
   /** Whether an engine is reading prompts now, as far as this entry sees. */
   isReading(state: UpstreamState, gapTargetMs: Ms, nowMs: Ms): boolean {
-    const eventAtMs = Math.max(state.eventAtMs, this.awakeSinceMs);
-    return isReading({ ...state, eventAtMs }, gapTargetMs, nowMs);
+    if (this.awakeSinceMs <= state.eventAtMs) return isReading(state, gapTargetMs, nowMs);
+    return isReading({ ...state, eventAtMs: this.awakeSinceMs }, gapTargetMs, nowMs);
   }
 
   /** Part of an upstream's slots that is taken; above 1 requests wait there. */
