--- a/src/core/plannedstop/stopphase.ts
+++ b/src/core/plannedstop/stopphase.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import { listenMs } from './listenms.js';
 
 /**
  * - `listening`: takes what the balancer still sends.
@@ -9,10 +10,6 @@
  */
 type StopPhase = 'listening' | 'finishing' | 'refusing' | 'ending' | 'over';
 
-/** The balancer asks once a second and takes a host out after two misses; a connection may be on its way. */
-const LISTEN_ON_MS = 3000;
-/** A shorter grace is shared out: half of it is for what runs. */
-const LISTEN_SHARE = 0.5;
 /**
  * From this part of the grace on nothing waits for a place or a model: an answer takes about a sixth of a
  * grace of 8 s (1.4 s for the mean stream).
@@ -28,5 +25,5 @@
   if (tookMs >= graceMs * OVER_SHARE) return 'over';
   if (tookMs >= graceMs * END_SHARE) return 'ending';
   if (tookMs >= graceMs * REFUSE_SHARE) return 'refusing';
-  return tookMs >= Math.min(LISTEN_ON_MS, graceMs * LISTEN_SHARE) ? 'finishing' : 'listening';
+  return tookMs >= listenMs(graceMs) ? 'finishing' : 'listening';
 }
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -42,6 +42,8 @@
 const TICK_MS = 100;
 /** A tick that comes this late shows that the process was stopped, or had no processor. */
 const STOOD_STILL_MS = 300;
+/** What came while the process stood still has been read by then: tens of requests at 3 ms each. */
+const CATCH_UP_MS = 150;
 /** How often an entry tells the holder of orders what it is asked for. */
 const REPORT_MS = 250;
 /** Entries take over from a lost holder one after the other, so that they do not all try at once. */
@@ -96,6 +98,8 @@
 
   private tickedAtMs: Ms = 0;
 
+  private wokeAtMs: Ms = -Infinity;
+
   /** Upstreams that this entry found lost when it last told of them. */
   private lost: readonly UpstreamId[] = [];
 
@@ -177,6 +181,12 @@
     return this.runs.size;
   }
 
+  /** True while requests may be read whose callers have closed their connections unseen. */
+  mayHaveMissedCloses(): boolean {
+    const nowMs = this.clock.nowMs();
+    return nowMs - this.tickedAtMs > STOOD_STILL_MS || nowMs - this.wokeAtMs < CATCH_UP_MS;
+  }
+
   accept(caller: Caller): void {
     const run: Run = new Run(this, caller, () => this.runs.delete(run));
     this.runs.add(run);
@@ -291,13 +301,21 @@
 
   private tick(): void {
     const nowMs = this.clock.nowMs();
-    if (nowMs - this.tickedAtMs > STOOD_STILL_MS) this.fleet.woke(nowMs);
+    if (nowMs - this.tickedAtMs > STOOD_STILL_MS) this.woke(nowMs);
     this.tickedAtMs = nowMs;
     // After an outage of the store the holder before goes on, if it still can: a change costs 3 s.
     const mayTake = this.follower.steadyMs() > TAKE_AFTER_MS;
     const isDue = this.turn.isHolder() || mayTake;
     if (this.hasState && !this.isStopping && isDue) this.turn.tick();
     this.desk.tick();
+    const endedAtMs = this.clock.nowMs();
+    if (endedAtMs - nowMs > STOOD_STILL_MS) this.woke(endedAtMs);
+  }
+
+  private woke(nowMs: Ms): void {
+    this.wokeAtMs = nowMs;
+    this.fleet.woke(nowMs);
+    this.log.warn('process stood still', { sinceTickMs: Math.round(nowMs - this.tickedAtMs) });
   }
 
   private report(): void {
--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -1,12 +1,12 @@
 import type { Clock, Ms } from '../base/index.js';
-import { stopPhase } from '../core/plannedstop/index.js';
+import { stopPhase, takeWorkMs } from '../core/plannedstop/index.js';
 import type { Log } from '../port/index.js';
 import type { DirectEntry } from './directentry.js';
 
 /** The callers' side of an entry, as far as a stop goes. */
 interface Door {
-  /** Answers go with `Connection: close` from now on. */
-  leave(): void;
+  /** Answers go with `Connection: close` from now on; requests that are read later than `untilMs` are refused. */
+  leave(untilMs: Ms): void;
   /** Takes no new connection; idle ones are closed. */
   shut(): void;
   /** Requests that were read and whose answers are not written yet. */
@@ -28,10 +28,10 @@
 const LOOK_MS = 50;
 
 /** What is done when a phase begins. */
-const BEGIN: Readonly<Record<Phase, (options: PlannedStopOptions) => void>> = {
-  listening: ({ entry, door }) => {
+const BEGIN: Readonly<Record<Phase, (options: PlannedStopOptions, startedAtMs: Ms) => void>> = {
+  listening: ({ entry, door, graceMs }, startedAtMs) => {
     entry.retire();
-    door.leave();
+    door.leave(startedAtMs + takeWorkMs(graceMs));
     void entry.release();
   },
   finishing: ({ door }) => door.shut(),
@@ -56,7 +56,7 @@
     const phase = stopPhase(tookMs, graceMs);
     for (; begun <= ORDER.indexOf(phase); begun += 1) {
       log.info('stop phase', { phase: ORDER[begun], inFlight: entry.inFlight });
-      BEGIN[ORDER[begun]!](options);
+      BEGIN[ORDER[begun]!](options, startedAtMs);
     }
     const { inFlight } = entry;
     const { unwritten } = door;
