--- a/src/direct/orders/mover.ts
+++ b/src/direct/orders/mover.ts
@@ -24,6 +24,12 @@
 const OVERDUE_MS = 2500;
 /** How often an upstream is asked whether an order is done, where the list does not tell. */
 const ASK_EVERY_MS = 400;
+/**
+ * While the list is silent an upstream is asked this long after a load should be done, and after an unload was taken:
+ * asked from half of a load's time on, 520 questions were spent in 7 s of a cut.
+ */
+const ASK_LOAD_AFTER_MS = 100;
+const ASK_UNLOAD_AFTER_MS = 150;
 /** An unload waits for the runs of its model; the longest seen took about this. */
 const UNLOAD_MS = 1500;
 /** A model whose requests at a time are fewer is unloaded at once. */
@@ -115,7 +121,8 @@
     });
     if (outcome !== 'accepted' && outcome !== 'done') return `load-${outcome}`;
     const isThere = () => track.models.get(model)?.phase === 'ready';
-    return (await this.until(track, isThere, loadMs)) ? 'done' : 'load-overdue';
+    const askMs = loadMs + ASK_LOAD_AFTER_MS;
+    return (await this.until(track, isThere, loadMs, askMs)) ? 'done' : 'load-overdue';
   }
 
   private async unload(track: Track, victim: ModelId): Promise<string> {
@@ -131,24 +138,32 @@
       if (still) still.phase = 'ready';
       return `unload-${outcome}`;
     }
-    if (await this.until(track, () => !track.models.has(victim), UNLOAD_MS)) return 'done';
+    const isGone = () => !track.models.has(victim);
+    if (await this.until(track, isGone, UNLOAD_MS, ASK_UNLOAD_AFTER_MS)) return 'done';
     held.phase = 'ready';
     return 'unload-overdue';
   }
 
   /** Waits for the list to tell of something; while the list is silent the upstream itself is asked. */
-  private async until(track: Track, isTrue: () => boolean, expectedMs: Ms): Promise<boolean> {
+  private async until(
+    track: Track,
+    isTrue: () => boolean,
+    expectedMs: Ms,
+    askSilentMs: Ms,
+  ): Promise<boolean> {
     const { clock } = this;
     const { listSilentMs, isListed } = this.options;
     const startedAtMs = clock.nowMs();
     const lastMs = startedAtMs + expectedMs + OVERDUE_MS;
     let askAtMs = startedAtMs + expectedMs + OVERDUE_MS / 2;
+    let silentAskAtMs = startedAtMs + askSilentMs;
     while (clock.nowMs() < lastMs && isListed(track)) {
       if (isTrue()) return true;
       await this.pause(LOOK_MS);
       const nowMs = clock.nowMs();
-      const isSilent = listSilentMs() > 0 && nowMs > startedAtMs + expectedMs / 2;
-      if (nowMs < askAtMs && !isSilent) continue;
+      if (listSilentMs() > 0) askAtMs = Math.min(askAtMs, silentAskAtMs);
+      if (nowMs < askAtMs) continue;
+      silentAskAtMs = nowMs + ASK_EVERY_MS;
       askAtMs = nowMs + ASK_EVERY_MS;
       await inTurn(track, () => refresh(this.options, track));
     }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -200,7 +200,8 @@
     const nowMs = clock.nowMs();
     // A need without a model has nowhere else to go; another may be brought to an upstream that is there.
     const alsoLost = request.model === undefined || this.hasSought;
-    const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost);
+    const among = { entries: serving.entryCount, requestId: request.id };
+    const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost, among);
     if (state && this.isOverfull(state, nowMs)) this.waitForRoom(route);
     else if (state && this.isToBePaced(state, nowMs)) this.pace();
     else if (state) this.send(state, route);
@@ -288,7 +289,6 @@
     const waiter = {
       heldMs: nowMs - request.arrivedAtMs,
       remainingMs: this.untilMs - nowMs,
-      targetMs: this.route!.targetLatencyMs,
       place: this.place(),
     };
     this.hasSought = true;
