What a plan of places costs by engines and models; findings and capacity as measured

Ruled out: look-ups of demand (2,700 a plan of 28 engines). Conclusion: open finding; the product is unchanged.

--- a/bench/table.ts
+++ b/bench/table.ts
@@ -5,6 +5,7 @@
   'planner-cost': async () => (await import('./plannercost.js')).plannerCost,
   'kill-rounds': async () => (await import('./killrounds.js')).killRounds,
   forecast: async () => (await import('./forecastbench.js')).forecastBench,
+  'allocation-cost': async () => (await import('./allocationcost.js')).allocationCost,
   'platform-policy': async () => (await import('./platformpolicy.js')).platformPolicy,
   'once-check': async () => (await import('./oncecheck.js')).onceCheck,
   'once-cost': async () => (await import('./oncecost.js')).onceCost,
