--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -9,6 +9,7 @@
 import type { Refusal } from '../refusal.js';
 import type { Need, UpstreamState } from '../route/index.js';
 import type { Serving } from '../serving.js';
+import { contentOf } from './contentof.js';
 import { EventCutter } from './eventcutter.js';
 
 type Head = Parameters<UpstreamReceiver['head']>[0];
@@ -359,6 +360,7 @@
         if (!isOurs()) return;
         this.leave();
         this.note(state, failure.type);
+        if (failure.mayHaveRun) this.brokeOff(state, failure.detail);
         const lesson = failure.mayHaveRun ? 'failed' : 'unreachable';
         this.serving.fleet.learn(state, lesson, this.need!, this.clock.nowMs());
         if (failure.mayHaveRun) this.ranCount += 1;
@@ -368,6 +370,20 @@
     };
   }
 
+  /** Says what was asked: the same content comes again under another id, maybe at another entry. */
+  private brokeOff(state: UpstreamState, detail: string): void {
+    const { request } = this.caller;
+    this.log.warn('run broke off', {
+      requestId: request.id,
+      content: contentOf(request),
+      upstream: state.info.id,
+      runMs: Math.round(this.clock.nowMs() - this.sentAtMs),
+      othersThere: state.inFlight,
+      isLeaving: state.info.isLeaving,
+      detail,
+    });
+  }
+
   private took(state: UpstreamState, head: Head): void {
     const { fleet } = this.serving;
     const nowMs = this.clock.nowMs();
