--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -31,6 +31,7 @@
 /** A request that came, and what became of it here. */
 interface Seen {
   readonly id: string;
+  readonly path: string;
   readonly atMs: number;
   readonly manner: ServerManner;
   /** When its connection closed. */
@@ -96,6 +97,14 @@
   /** Called after an order, so that a test can write the server's entry anew. */
   changed: () => void = () => {};
 
+  /** Paths whose requests end this server, by how many ms after their run began. */
+  crashing: ReadonlyMap<string, number> = new Map();
+
+  /** Called when it has ended under a request. */
+  crashed: () => void = () => {};
+
+  isDown = false;
+
   constructor(
     readonly id: string,
     readonly service: string,
@@ -131,6 +140,14 @@
     return { service, address, zone, version: 'v1', slots: 4, state, seq: 1, born, models };
   }
 
+  /** Ends at once, with every connection; whoever calls this lets another start come. */
+  crash(): void {
+    if (this.isDown) return;
+    this.isDown = true;
+    this.close();
+    this.crashed();
+  }
+
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
@@ -205,11 +222,17 @@
     }
     this.ran.push(request.headers);
     const id = String(request.headers['tarragonstile-request-id']);
-    const seen: Seen = { id, atMs: performance.now(), manner, closedAtMs: undefined };
+    const path = request.url ?? '';
+    const seen: Seen = { id, path, atMs: performance.now(), manner, closedAtMs: undefined };
     this.seen.push(seen);
     response.on('close', () => {
       seen.closedAtMs = performance.now();
     });
+    const crashAfterMs = this.crashing.get(request.url ?? '');
+    if (crashAfterMs !== undefined) {
+      setTimeout(() => this.crash(), crashAfterMs);
+      return;
+    }
     if (manner === 'silent') return;
     if (manner === 'reset') request.socket.resetAndDestroy();
     else if (manner === 'slow') {
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -1,6 +1,7 @@
 import { systemClock } from '../../src/base/index.js';
 import type { Log } from '../../src/port/index.js';
 import { startEntry } from '../../platform/startentry.js';
+import { freePort } from './freeport.js';
 import { configurationOf, PlatformServer, PlatformStore } from '../../standin/platform/index.js';
 
 /** One line of the entry's log. */
@@ -17,6 +18,8 @@
   { name: 'batch', kind: 'streaming', service: 'engine', maxAttempts: 2, resumable: true },
 ];
 const HOST = 'caller.example';
+/** How long the list still names a server that has crashed. */
+const LAPSE_MS = 300;
 
 /** An entry on the stand-ins of the prepared platform. */
 export class PlatformRig {
@@ -26,29 +29,49 @@
 
   readonly lines: Line[] = [];
 
-  private started!: Awaited<ReturnType<typeof startEntry>>;
+  /** Paths whose requests end the server that runs them, by how many ms after their run began. */
+  readonly crashing = new Map<string, number>();
+
+  private readonly started: (Awaited<ReturnType<typeof startEntry>> | undefined)[] = [];
+
+  private storeAddress = '';
+
+  private isClosed = false;
 
   /** Starts the servers, writes the first configuration, and waits until the entry is ready. */
-  async start(servers: readonly PlatformServer[], isConfigured = true): Promise<void> {
-    const storeAddress = await this.store.listen();
+  async start(
+    servers: readonly PlatformServer[],
+    isConfigured = true,
+    entryCount = 1,
+  ): Promise<void> {
+    this.storeAddress = await this.store.listen();
     for (const server of servers) await this.add(server);
     if (isConfigured) this.configure(1);
+    for (let at = 0; at < entryCount; at += 1) await this.startEntry(at);
+    for (const each of isConfigured ? this.started : []) {
+      await this.until(() => each!.entry.isReady());
+    }
+  }
+
+  /** Starts the entry of this number, again after `stopEntry`. */
+  async startEntry(at: number): Promise<void> {
     const write = (message: string, fields = {}) => {
       this.lines.push({ message, fields });
     };
     const log: Log = { info: write, warn: write, error: write };
-    this.started = await startEntry(
+    const peerPort = await freePort();
+    this.started[at] = await startEntry(
       {
-        host: 'entry-1',
+        host: `entry-${at + 1}`,
         ip: '127.0.0.1',
         availabilityZone: 'z1',
         cpuShare: 0.5,
         cores: 1,
         callersAddress: '127.0.0.1:0',
         readinessAddress: '127.0.0.1:0',
-        peerPorts: [0, 0],
+        peerPorts: [peerPort, peerPort],
         metricsPort: 0,
-        storeAddress,
+        storeAddress: this.storeAddress,
         leastLeaseMs: 1000,
         graceS: 2,
         retryRatio: 0.2,
@@ -61,15 +84,28 @@
       systemClock,
       log,
     );
-    if (isConfigured) await this.until(() => this.started.entry.isReady());
+  }
+
+  /** Ends the entry of this number, as a kill does: it tells nobody. */
+  stopEntry(at: number): void {
+    this.started[at]?.close();
+    this.started[at] = undefined;
   }
 
   get port(): number {
-    return this.started.port;
+    return this.portOf(0);
   }
 
-  get entry(): (typeof this.started)['entry'] {
-    return this.started.entry;
+  portOf(at: number): number {
+    return this.started[at]!.port;
+  }
+
+  get entry(): Awaited<ReturnType<typeof startEntry>>['entry'] {
+    return this.entryOf(0);
+  }
+
+  entryOf(at: number): Awaited<ReturnType<typeof startEntry>>['entry'] {
+    return this.started[at]!.entry;
   }
 
   async add(server: PlatformServer): Promise<void> {
@@ -77,9 +113,21 @@
     await server.listen();
     const told = server;
     told.changed = () => this.list(server);
+    told.crashing = this.crashing;
+    told.crashed = () => {
+      this.replace(server).catch(() => undefined);
+    };
     this.list(server);
   }
 
+  /** A server that has ended starts again as another one, with what it held; the list forgets it later. */
+  private async replace({ id, service, availabilityZone, models }: PlatformServer): Promise<void> {
+    const next = new PlatformServer(`${id}+`, service, availabilityZone);
+    for (const [model, adapters] of models) next.models.set(model, new Set(adapters));
+    setTimeout(() => this.store.remove(`servers/${id}`), LAPSE_MS);
+    if (!this.isClosed) await this.add(next);
+  }
+
   list(server: PlatformServer, state = 'ready'): void {
     this.store.put(`servers/${server.id}`, server.entry(state));
   }
@@ -103,7 +151,8 @@
   }
 
   close(): void {
-    this.started.close();
+    this.isClosed = true;
+    for (const each of this.started) each?.close();
     this.store.close();
     for (const server of this.servers) server.close();
   }
