--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -1,8 +1,8 @@
 import { mkdtempSync, rmSync } from 'node:fs';
-import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { configurationOf, PlatformServer, PlatformStore } from '../../standin/platform/index.js';
+import { Ports } from './ports.js';
 import { Program } from './program.js';
 import { Proxy } from './proxy.js';
 
@@ -44,23 +44,6 @@
  */
 const PORTS = { first: 20_000, count: 10_000 };
 
-function isFree(port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.on('error', () => resolve(false));
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
-  });
-}
-
-async function freePorts(count: number): Promise<number[]> {
-  const found = new Set<number>();
-  while (found.size < count) {
-    const port = PORTS.first + Math.floor(Math.random() * PORTS.count);
-    if (await isFree(port)) found.add(port);
-  }
-  return [...found];
-}
-
 /** The platform in miniature with real entries as processes, and a proxy on each way between them. */
 export class Site {
   readonly store = new PlatformStore();
@@ -86,6 +69,8 @@
 
   private readonly directory = mkdtempSync(join(tmpdir(), 'tarragonstile-soak-'));
 
+  private readonly ports = new Ports(PORTS);
+
   private serverCount = 0;
 
   async start(entryCount: number, command: readonly string[]): Promise<void> {
@@ -163,7 +148,7 @@
     storeAddress: string,
     command: readonly string[],
   ): Promise<Program> {
-    const [callers, readiness, peer, metricsPort] = await freePorts(4);
+    const [callers, readiness, peer, metricsPort] = await this.ports.take(4);
     const name = `entry-${at}`;
     const settings = {
       host: name,
--- a/src/command/table.ts
+++ b/src/command/table.ts
@@ -5,6 +5,7 @@
 import EntryCommand from './entry.js';
 import ExplainCommand from './explain.js';
 import GetCommand from './get.js';
+import PoisonCommand from './poison.js';
 import RollbackCommand from './rollback.js';
 import SidecarCommand from './sidecar.js';
 import StatusCommand from './status.js';
@@ -19,6 +20,7 @@
   entry: EntryCommand,
   explain: ExplainCommand,
   get: GetCommand,
+  poison: PoisonCommand,
   rollback: RollbackCommand,
   sidecar: SidecarCommand,
   status: StatusCommand,
--- a/src/command/trace/endtable.ts
+++ b/src/command/trace/endtable.ts
@@ -5,6 +5,10 @@
   'not-resident': 'no upstream held the model or adapter in time; see the orders and moves below',
   'upstreams-full': 'every upstream that holds what it needs was full or could not be reached',
   'upstream-failed': 'the upstream broke off or failed, and the request could not be repeated',
+  'request-ends-upstreams':
+    'upstreams ended each time they ran this request; see the lines of the same content below',
+  'request-suspected':
+    'an upstream ended under this request before, and it may run nowhere else at the same time',
   'no-upstream': 'the list had no upstream of the service',
   'route-unknown': 'no route of the configuration in force takes its host and path',
   'route-withdrawn': 'the route was withdrawn while it waited',
--- a/src/command/trace/tellrequest.ts
+++ b/src/command/trace/tellrequest.ts
@@ -51,10 +51,25 @@
   return told;
 }
 
-/** Whether a line is about an upstream that was tried or the model that was needed, or about all requests. */
-function isAbout(line: LogLine, request: LogLine): boolean {
+/** Names what the request asked, where a line of its tells it: earlier lines of the same content are its past. */
+function contentsOf(lines: readonly LogLine[], requestId: string): ReadonlySet<string> {
+  const contents = new Set<string>();
+  for (const { fields } of lines) {
+    if (fields.requestId === requestId && text(fields.content) !== '') {
+      contents.add(text(fields.content));
+    }
+  }
+  return contents;
+}
+
+/**
+ * Whether a line is about the same content, about an upstream that was tried or the model that was needed, or
+ * about all requests.
+ */
+function isAbout(line: LogLine, request: LogLine, contents: ReadonlySet<string>): boolean {
   const { message, fields, atMs } = line;
   if (message === 'request') return false;
+  if (contents.has(text(fields.content))) return true;
   if (atMs < request.atMs - BEFORE_MS || atMs > request.atMs + AFTER_MS) return false;
   if (GENERAL.has(message)) return true;
   const upstreams = attemptsOf(request).map((attempt) => attempt.split(':')[0]);
@@ -77,9 +92,12 @@
   const requests = lines.filter(
     ({ message, fields }) => message.startsWith('request') && fields.requestId === requestId,
   );
+  const contents = contentsOf(lines, requestId);
   for (const request of requests) {
     told.push(...describe(request));
-    const about = lines.filter((line) => isAbout(line, request)).sort((a, b) => a.atMs - b.atMs);
+    const about = lines
+      .filter((line) => isAbout(line, request, contents))
+      .sort((a, b) => a.atMs - b.atMs);
     if (about.length === 0) continue;
     told.push(`  Around it (${about.length} lines, the last ${MOST_LINES} at most):`);
     for (const line of about.slice(-MOST_LINES)) told.push(short(line));
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -48,9 +48,9 @@
   demand: '/orders/demand',
   swap: '/orders/swap',
   changes: '/state/changes',
-  trial: '/suspects/trial',
-  suspects: '/suspects/list',
-  lift: '/suspects/lift',
+  trial: '/poison/trial',
+  suspects: '/poison/list',
+  lift: '/poison/lift',
 } as const;
 const CONNECT_TIMEOUT_MS = 250;
 const IDLE_MS = 10_000;
--- a/src/direct/poison/poisonbook.ts
+++ b/src/direct/poison/poisonbook.ts
@@ -1,5 +1,6 @@
 import type { ContentId, Ms, UpstreamId } from '../../base/index.js';
 import {
+  countedCrashes,
   judge,
   merge,
   type Crash,
@@ -92,6 +93,20 @@
     return suspect !== undefined && this.mark(suspect, () => 'cleared', nowMs);
   }
 
+  /** One end is no longer held against a request. */
+  absolve(content: ContentId, upstream: UpstreamId, nowMs: Ms): void {
+    const suspect = this.kept.get(content)?.suspect;
+    const turn = (crash: Crash) => (crash.upstream === upstream ? 'cleared' : crash.state);
+    if (suspect) this.mark(suspect, turn, nowMs);
+  }
+
+  /** Requests that ran at an upstream when it ended, and that nothing has cleared of that. */
+  at(upstream: UpstreamId): Suspect[] {
+    return this.all().filter((suspect) =>
+      countedCrashes(suspect).some((crash) => crash.upstream === upstream),
+    );
+  }
+
   /** An upstream answered what was sent to it at that time: whatever broke off there before, it has not ended. */
   answered(upstream: UpstreamId, sentAtMs: Ms, nowMs: Ms): void {
     const open = this.open.get(upstream);
@@ -149,8 +164,10 @@
 
   /** Drops what has been kept long enough. */
   forget(nowMs: Ms): void {
-    for (const [content, { verdict, changedAtMs }] of this.kept) {
-      if (nowMs - changedAtMs > FORGETS[verdict]) this.drop(content);
+    for (const [content, { suspect, verdict, changedAtMs }] of this.kept) {
+      if (nowMs - changedAtMs <= FORGETS[verdict]) continue;
+      this.drop(content);
+      this.changed(suspect, 'sound', verdict);
     }
   }
 
--- a/src/direct/poison/poisondesk.ts
+++ b/src/direct/poison/poisondesk.ts
@@ -49,7 +49,7 @@
 
 /**
  * Keeps requests that end their upstreams from ending more of them. What one entry sees, all know within a second
- * through the holder of orders, and for good once two upstreams have ended, through the store. A request under
+ * through the holder of orders, and entries that start later through the store. A request under
  * which one has ended runs alone in the fleet; one that is found to be the cause is not sent on any more.
  */
 export class PoisonDesk {
@@ -190,7 +190,7 @@
   private changed(suspect: Suspect, verdict: Verdict, before: Verdict): void {
     const { clock, isHolder, log, metrics } = this.tools;
     const { content, service, model, path, crashes } = suspect;
-    this.store.changed(content, clock.nowMs(), isHolder());
+    this.store.changed(suspect, clock.nowMs(), isHolder());
     if (verdict === before || (verdict !== 'poison' && before !== 'poison')) return;
     metrics.count('direct.verdict', 1, { verdict });
     log.warn('request judged', { content, verdict, before, service, model, path, crashes });
--- a/src/direct/poison/poisonstore.ts
+++ b/src/direct/poison/poisonstore.ts
@@ -1,13 +1,19 @@
-import type { ContentId, Ms, Revision } from '../../base/index.js';
-import { countedCrashes, poisonRules, type Suspect } from '../../core/poison/index.js';
+import type { ContentId, Ms, Revision, UpstreamId } from '../../base/index.js';
+import type { Suspect } from '../../core/poison/index.js';
 import type { ChangeFeed, KeyValue, Log, Swap } from '../../port/index.js';
 import type { PoisonBook } from './poisonbook.js';
 
-/** What the store says of one request. */
+/** What the store says of the end of one upstream. */
 interface Stored {
   readonly revision: Revision;
-  /** The upstreams that speak against it there. */
-  readonly against: string;
+  /** Requests that ran there and that nothing has cleared. */
+  readonly contents: ReadonlySet<ContentId>;
+}
+
+/** From when a record that lacks something, or has too much, is written. */
+interface Due {
+  readonly toAddAtMs: Ms;
+  readonly toRemoveAtMs: Ms;
 }
 
 /** Options of a poison store. */
@@ -19,116 +25,130 @@
   swap(swap: Swap): ReturnType<ChangeFeed['swap']>;
 }
 
+/**
+ * All entries have told the holder what they saw by then, and connections that broke at an upstream that goes on
+ * are explained: one write for each end.
+ */
+const GATHER_MS = 300;
+/** Without a holder of orders the entries write themselves what they saw; a new one is there after 2.6 s. */
+const OTHERS_GATHER_MS = 1500;
+/** Requests are cleared one by one as their callers come back: one write for all of them. */
+const REMOVE_AFTER_MS = 10_000;
 /** The store answers in milliseconds, or it is down for seconds. */
 const RETRY_MS = 500;
-/** Without the holder of orders, which writes at once, the entries that know of a request write it after this. */
-const OTHERS_WRITE_AFTER_MS = 1000;
+/** Twice the requests that an upstream runs at once; those that had run longest are left out beyond that. */
+const MOST_RUNS = 64;
 const ABSENT = 0 as Revision;
 
-function against(suspect: Suspect | undefined): string {
-  const counted = suspect ? countedCrashes(suspect) : [];
-  // What one upstream's end says is forgotten with the processes: a dozen innocent requests share each.
-  if (counted.length < poisonRules.leastCrashes) return '';
-  return counted.map(({ upstream }) => upstream).join();
-}
-
-function decode(text: string): Suspect | undefined {
+function decode(text: string): readonly Suspect[] | undefined {
   try {
-    const value = JSON.parse(text) as Partial<Suspect>;
-    const isWhole = typeof value.content === 'string' && Array.isArray(value.crashes);
-    return isWhole ? (value as Suspect) : undefined;
+    const { suspects } = JSON.parse(text) as { suspects?: readonly Suspect[] };
+    return Array.isArray(suspects) ? suspects : undefined;
   } catch {
     return undefined;
   }
 }
 
-/** Requests under which two or more upstreams ended, as they are kept in the store: they outlive all entries. */
+/**
+ * Ends of upstreams with the requests that ran there, one record each, as the store keeps them: what is known of a
+ * request outlives all entries. With records of requests under which two had ended, entries that were all killed
+ * each quarter of a minute sent one on four times too often (one of 190 seeds of the test world).
+ */
 export class PoisonStore {
-  private readonly stored = new Map<ContentId, Stored>();
+  private readonly stored = new Map<UpstreamId, Stored>();
 
-  /** Requests whose record may have to be written, and from when. */
-  private readonly due = new Map<ContentId, Ms>();
+  private readonly due = new Map<UpstreamId, Due>();
 
   private isWriting = false;
 
   constructor(private readonly options: PoisonStoreOptions) {}
 
-  /** What is known of a request has changed. */
-  changed(content: ContentId, nowMs: Ms, isHolder: boolean): void {
-    const dueAtMs = isHolder ? nowMs : nowMs + OTHERS_WRITE_AFTER_MS;
-    if (!this.due.has(content)) this.due.set(content, dueAtMs);
+  /** What is known of a request that ran at these upstreams has changed. */
+  changed({ crashes }: Suspect, nowMs: Ms, isHolder: boolean): void {
+    const toAddAtMs = nowMs + (isHolder ? GATHER_MS : OTHERS_GATHER_MS);
+    for (const { upstream } of crashes) {
+      if (this.due.has(upstream)) continue;
+      this.due.set(upstream, { toAddAtMs, toRemoveAtMs: nowMs + REMOVE_AFTER_MS });
+    }
   }
 
   /** Writes one record that is due, if none is being written. */
   tick(nowMs: Ms): void {
     if (this.isWriting) return;
-    for (const [content, dueAtMs] of this.due) {
-      if (this.isUpToDate(content)) this.due.delete(content);
-      else if (nowMs >= dueAtMs) {
-        void this.write(content, nowMs);
+    for (const [upstream, { toAddAtMs, toRemoveAtMs }] of this.due) {
+      const { isShort, isLong } = this.difference(upstream);
+      if (!isShort && !isLong) this.due.delete(upstream);
+      else if (nowMs >= (isShort ? toAddAtMs : toRemoveAtMs)) {
+        void this.write(upstream, nowMs);
         return;
       }
     }
   }
 
-  /** A record as the store tells it; none once it is deleted, which lifts the verdict. */
+  /** A record as the store tells it. What has gone from it was cleared by whoever wrote it. */
   heard(key: string, item: KeyValue | undefined, nowMs: Ms): void {
     const { book, prefix, log } = this.options;
-    const content = key.slice(prefix.length) as ContentId;
-    const known = this.stored.get(content);
-    if (!item) {
-      if (!known) return;
-      this.stored.delete(content);
-      if (book.clear(content, nowMs)) log.info('poison record deleted', { content });
+    const upstream = key.slice(prefix.length) as UpstreamId;
+    const known = this.stored.get(upstream);
+    if (item && known && item.revision <= known.revision) return;
+    const suspects = item ? decode(item.value) : [];
+    if (!suspects) {
+      log.error('poison record not readable', { key, revision: item?.revision });
       return;
     }
-    if (known && item.revision <= known.revision) return;
-    const suspect = decode(item.value);
-    if (!suspect || suspect.content !== content) {
-      log.error('poison record not readable', { key, revision: item.revision });
-      return;
+    const contents = new Set(suspects.map(({ content }) => content));
+    if (item) this.stored.set(upstream, { revision: item.revision, contents });
+    else this.stored.delete(upstream);
+    for (const content of known?.contents ?? []) {
+      if (!contents.has(content)) book.absolve(content, upstream, nowMs);
     }
-    this.stored.set(content, { revision: item.revision, against: against(suspect) });
-    book.add(suspect, nowMs);
-    if (!this.isUpToDate(content)) this.changed(content, nowMs, false);
+    for (const suspect of suspects) book.add(suspect, nowMs);
+  }
+
+  /** Whether the record of an upstream lacks a request, or has one too many. */
+  private difference(upstream: UpstreamId): {
+    readonly isShort: boolean;
+    readonly isLong: boolean;
+  } {
+    const wanted = this.wanted(upstream);
+    const has = this.stored.get(upstream)?.contents ?? new Set<ContentId>();
+    const isShort = wanted.some(({ content }) => !has.has(content));
+    return { isShort, isLong: !isShort && wanted.length < has.size };
   }
 
-  private isUpToDate(content: ContentId): boolean {
-    return against(this.options.book.get(content)) === (this.stored.get(content)?.against ?? '');
+  /** What the record of an upstream's end should hold: each request with this end alone. */
+  private wanted(upstream: UpstreamId): readonly Suspect[] {
+    const alone = this.options.book.at(upstream).map((suspect) => ({
+      ...suspect,
+      crashes: suspect.crashes.filter((crash) => crash.upstream === upstream),
+    }));
+    alone.sort((a, b) => a.crashes[0]!.runMs - b.crashes[0]!.runMs);
+    return alone.slice(0, MOST_RUNS);
   }
 
-  private async write(content: ContentId, nowMs: Ms): Promise<void> {
-    const { book, prefix, log, swap } = this.options;
+  private async write(upstream: UpstreamId, nowMs: Ms): Promise<void> {
+    const { prefix, log, swap } = this.options;
     this.isWriting = true;
-    const suspect = book.get(content);
-    const now = against(suspect);
-    const key = `${prefix}${content}`;
-    const expectedRevision = this.stored.get(content)?.revision ?? ABSENT;
-    const value = now === '' ? undefined : JSON.stringify(suspect);
-    this.due.set(content, nowMs + RETRY_MS);
+    const suspects = this.wanted(upstream);
+    const key = `${prefix}${upstream}`;
+    const expectedRevision = this.stored.get(upstream)?.revision ?? ABSENT;
+    const value = suspects.length === 0 ? undefined : JSON.stringify({ suspects });
+    this.due.set(upstream, { toAddAtMs: nowMs + RETRY_MS, toRemoveAtMs: nowMs + RETRY_MS });
     const said = await swap({ key, expectedRevision, value });
     this.isWriting = false;
     if (said.err) {
-      log.warn('poison record not written', { content, failure: said.val.type });
+      log.warn('poison record not written', { upstream, failure: said.val.type });
       return;
     }
     if (said.val.type === 'conflict') {
-      this.conflicting(content, key, said.val.current, nowMs);
+      // Another entry has written meanwhile: what both know is written next.
+      this.heard(key, said.val.current, nowMs);
       return;
     }
-    log.info('poison record written', { content, upstreams: now, revision: said.val.revision });
-    if (value === undefined) this.stored.delete(content);
-    else this.stored.set(content, { revision: said.val.revision, against: now });
-  }
-
-  /** Another entry has written meanwhile: what both know is written next. */
-  private conflicting(
-    content: ContentId,
-    key: string,
-    current: KeyValue | undefined,
-    nowMs: Ms,
-  ): void {
-    if (current) this.heard(key, current, nowMs);
-    else this.stored.delete(content);
+    const { revision } = said.val;
+    log.info('poison record written', { upstream, requests: suspects.length, revision });
+    const contents = new Set(suspects.map(({ content }) => content));
+    if (value === undefined) this.stored.delete(upstream);
+    else this.stored.set(upstream, { revision, contents });
   }
 }
--- a/src/entry/createdesk.ts
+++ b/src/entry/createdesk.ts
@@ -1,5 +1,6 @@
 import xxhash from 'xxhash-wasm';
-import { systemClock, type Revision } from '../base/index.js';
+import { type Revision } from '../base/index.js';
+import { createHostClock } from '../shell/clock/index.js';
 import { createAudit, createLog } from '../shell/log/index.js';
 import { createMetrics } from '../shell/metric/index.js';
 import { createStore } from '../shell/store/index.js';
@@ -18,13 +19,14 @@
 
 function createContext(settings: EntrySettings) {
   const log = createLog('entry', settings.logLevel);
+  const clock = createHostClock(log);
   const metrics = createMetrics('entry', settings.statsd ?? undefined);
-  const store = createStore(settings.store, systemClock, metrics);
+  const store = createStore(settings.store, clock, metrics);
   const credentials = peerCredentials(settings.peerTls, log);
-  const drivers = { settings, clock: systemClock, log, metrics, store, credentials };
+  const drivers = { settings, clock, log, metrics, store, credentials };
   const board = createBoard(drivers);
   const link = new SharedLink({
-    clock: systemClock,
+    clock,
     credentials: credentials.channel,
     revision: (sidecarAddress) => board.revisionAt(sidecarAddress),
     sawRevision: (revision, from) => board.sawRevision(revision as Revision, from),
--- a/src/sidecar/createcontext.ts
+++ b/src/sidecar/createcontext.ts
@@ -1,5 +1,5 @@
-import { systemClock } from '../base/index.js';
 import type { Engine } from '../port/index.js';
+import { createHostClock } from '../shell/clock/index.js';
 import { createAudit, createLog } from '../shell/log/index.js';
 import { createMetrics } from '../shell/metric/index.js';
 import type { MeshBoard } from '../shell/mesh/index.js';
@@ -19,9 +19,10 @@
 /** Builds the drivers that a sidecar's parts share, and begins to take the incarnation. */
 export function createContext(settings: SidecarSettings, engine: Engine | undefined): OpenContext {
   const log = createLog('sidecar', settings.logLevel);
+  const clock = createHostClock(log);
   const metrics = createMetrics('sidecar', settings.statsd ?? undefined);
-  const store = createStore(settings.store, systemClock, metrics);
-  const upstreamKey = new UpstreamKey(settings.upstream, { store, clock: systemClock, log });
+  const store = createStore(settings.store, clock, metrics);
+  const upstreamKey = new UpstreamKey(settings.upstream, { store, clock, log });
   const ends: (() => void)[] = [() => upstreamKey.stop()];
   upstreamKey.start();
   const credentials = peerCredentials(settings.peerTls, log);
@@ -30,14 +31,14 @@
   const whenLeaving = () => {
     for (const act of leavers) act();
   };
-  const shared = { settings, clock: systemClock, log, metrics, store, credentials };
+  const shared = { settings, clock, log, metrics, store, credentials };
   const board = createBoard({ ...shared, whenLeaving });
   ends.push(() => board.stop());
   return {
     settings,
     engine,
     log,
-    clock: systemClock,
+    clock,
     metrics,
     audit: createAudit(log),
     board,
--- a/test/poisonrequest.test.ts
+++ b/test/poisonrequest.test.ts
@@ -15,6 +15,9 @@
  * first), while no order, draining or store trouble came before the ends. The same arrivals are played here.
  */
 import test from 'ava';
+import { execFile } from 'node:child_process';
+import { join } from 'node:path';
+import type { ContentId } from '../src/base/index.js';
 import { PlatformServer } from '../standin/platform/index.js';
 import { askEntry } from './support/askentry.js';
 import { PlatformRig } from './support/platformrig.js';
@@ -24,6 +27,8 @@
 const CRASH_AFTER_MS = 60;
 /** The caller comes back after about as long as callers do, at one entry and the other. */
 const COMES_BACK_MS = 1000;
+/** Where the store keeps ends of upstreams. */
+const RECORDS = 'tarragonstile/poison/';
 const ARRIVALS = 9;
 /** Ends of upstreams that may go by until a request is known, and sends until all entries know. */
 const MOST_SENDS = 3 + 3;
@@ -48,6 +53,7 @@
 
 test('a request under which upstreams end is not sent to one after the other, whichever entry it comes to', async (t) => {
   const rig = new PlatformRig();
+  t.teardown(() => rig.close());
   await rig.start(engines(4), true, 2);
   await rig.until(() => rig.said('order turn taken') !== undefined);
   rig.crashing.set(CRASHING, CRASH_AFTER_MS);
@@ -60,7 +66,6 @@
   t.true(crashCount(rig) <= MOST_SENDS, `${crashCount(rig)} ended; ${statuses.join()}`);
   const other = { method: 'POST', path: '/draft/sound', headers: MODEL, body: 'x' };
   t.is((await askEntry(rig.port, other)).status, 200);
-  rig.close();
 });
 
 /** Sends the crashing request until it is known; returns how many upstreams that took. */
@@ -75,10 +80,11 @@
 
 test('a request that is known to end upstreams is refused at every entry, also by one that starts anew', async (t) => {
   const rig = new PlatformRig();
+  t.teardown(() => rig.close());
   await rig.start(engines(4), true, 2);
   await rig.until(() => rig.said('order turn taken') !== undefined);
   t.true((await untilKnown(rig)) <= 3);
-  await rig.until(() => rig.said('poison record written') !== undefined);
+  await rig.until(() => rig.store.model.list(RECORDS).items.length === crashCount(rig));
   const ended = crashCount(rig);
   for (const at of [0, 1]) rig.stopEntry(at);
   for (const at of [0, 1]) await rig.startEntry(at);
@@ -91,24 +97,47 @@
     t.regex(answer.body, /"executed":"no"/);
   }
   t.is(crashCount(rig), ended);
-  rig.close();
 });
 
 test('requests that ran beside it, or came after it, are served', async (t) => {
   const rig = new PlatformRig();
+  t.teardown(() => rig.close());
   const [first, ...rest] = engines(3);
   first!.manners.push('paused', 'paused');
   await rig.start([first!, ...rest]);
   await rig.until(() => rig.said('order turn taken') !== undefined);
-  const beside = (name: string) => {
+  const ask = (name: string) => {
     const asked = { method: 'POST', path: `/draft/${name}`, headers: MODEL, body: 'x' };
     return askEntry(rig.port, asked);
   };
-  const broken = [beside('a')];
+  const beside = ask('a');
   await rig.until(() => first!.ran.length === 1);
-  rig.servers[1]!.manners.push('paused');
   first!.crash();
-  for (const answer of await Promise.all(broken)) t.false(answer.isWhole);
-  for (const name of ['a', 'b', 'c']) t.is((await beside(name)).status, 200, name);
-  rig.close();
+  t.false((await beside).isWhole);
+  for (const name of ['a', 'b', 'c']) t.is((await ask(name)).status, 200, name);
+});
+
+const BIN = join(import.meta.dirname, '..', '..', 'bin', 'tarragonstile.js');
+
+function command(...args: string[]): Promise<string> {
+  return new Promise((resolve) => {
+    execFile(process.execPath, [BIN, 'poison', ...args], (_error, out) => resolve(out));
+  });
+}
+
+test('an operator sees why a request is refused, and lets it run again at all entries', async (t) => {
+  const rig = new PlatformRig();
+  t.teardown(() => rig.close());
+  await rig.start(engines(4), true, 2);
+  await rig.until(() => rig.said('order turn taken') !== undefined);
+  await untilKnown(rig);
+  await rig.until(() => rig.store.model.list(RECORDS).items.length === crashCount(rig));
+  const [, content = ''] =
+    /^poison (\S+) engine m1 /m.exec(await command('--peer', rig.peerOf(0))) ?? [];
+  t.not(content, '');
+  rig.crashing.clear();
+  t.regex(await command('--peer', rig.peerOf(1), '--lift', content), /may run again/);
+  await rig.until(() => rig.entryOf(0).poison.verdict(content as ContentId) === 'sound');
+  const asked = { method: 'POST', path: CRASHING, headers: MODEL, body: 'x' };
+  t.is((await askEntry(rig.portOf(0), asked)).status, 200);
 });
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -34,6 +34,8 @@
 
   private readonly started: (Awaited<ReturnType<typeof startEntry>> | undefined)[] = [];
 
+  private readonly peers: string[] = [];
+
   private storeAddress = '';
 
   private isClosed = false;
@@ -60,6 +62,7 @@
     };
     const log: Log = { info: write, warn: write, error: write };
     const peerPort = await freePort();
+    this.peers[at] = `127.0.0.1:${peerPort}`;
     this.started[at] = await startEntry(
       {
         host: `entry-${at + 1}`,
@@ -97,6 +100,11 @@
     return this.portOf(0);
   }
 
+  /** Where other entries reach the entry of this number. */
+  peerOf(at: number): string {
+    return this.peers[at]!;
+  }
+
   portOf(at: number): number {
     return this.started[at]!.port;
   }
--- a/test/trace.test.ts
+++ b/test/trace.test.ts
@@ -28,6 +28,15 @@
     totalMs: 60,
     retryAfterMs: 360,
   }),
+  line('run broke off', 20, { requestId: 'r8', content: 'c1', upstream: 'u5', runMs: 80 }),
+  line('request judged', 21, { content: 'c1', verdict: 'poison' }),
+  line('request', 58, {
+    requestId: 'r9',
+    end: 'request-ends-upstreams',
+    attempts: [],
+    content: 'c1',
+    totalMs: 1,
+  }),
 ].join('\n');
 
 function trace(id: string): Promise<{ code: number | null; out: string; errors: string }> {
@@ -52,8 +61,15 @@
   t.notRegex(out, /u9/);
 });
 
+test('the story of a request that is not sent on tells under which ids it ended upstreams before', async (t) => {
+  const { out } = await trace('r9');
+  t.regex(out, /upstreams ended each time/);
+  t.regex(out, /run broke off requestId="r8" content="c1" upstream="u5"/);
+  t.regex(out, /request judged content="c1" verdict="poison"/);
+});
+
 test('an id that no line names is said so', async (t) => {
   const { code, errors } = await trace('r2');
   t.is(code, 1);
-  t.regex(errors, /No line of 4 names the request r2/);
+  t.regex(errors, /No line of 7 names the request r2/);
 });
