--- a/src/direct/poison/poisonbook.ts
+++ b/src/direct/poison/poisonbook.ts
@@ -38,7 +38,10 @@
   private readonly kept = new Map<ContentId, Kept>();
 
   /** When this entry learned of an upstream's end that is not explained yet. */
-  private readonly open = new Map<UpstreamId, { atMs: Ms; contents: Set<ContentId> }>();
+  private readonly open = new Map<UpstreamId, Ms>();
+
+  /** Requests that seemed to end an upstream, by it. */
+  private readonly byUpstream = new Map<UpstreamId, Set<ContentId>>();
 
   private index = 0;
 
@@ -81,7 +84,7 @@
     this.poisonCount += Number(verdict === 'poison') - Number(before === 'poison');
     this.kept.delete(suspect.content);
     this.kept.set(suspect.content, { suspect, verdict, index: this.index, changedAtMs: nowMs });
-    this.noteOpen(suspect, nowMs);
+    this.notePlaces(suspect, nowMs);
     this.makeRoom();
     this.changed(suspect, verdict, before);
     return true;
@@ -102,34 +105,33 @@
 
   /** Requests that ran at an upstream when it ended, and that nothing has cleared of that. */
   at(upstream: UpstreamId): Suspect[] {
-    return this.all().filter((suspect) =>
-      countedCrashes(suspect).some((crash) => crash.upstream === upstream),
-    );
+    const suspects: Suspect[] = [];
+    for (const content of this.byUpstream.get(upstream) ?? []) {
+      const suspect = this.kept.get(content)?.suspect;
+      const counted = suspect ? countedCrashes(suspect) : [];
+      if (counted.some((crash) => crash.upstream === upstream)) suspects.push(suspect!);
+    }
+    return suspects;
   }
 
   /** An upstream answered what was sent to it at that time: whatever broke off there before, it has not ended. */
   answered(upstream: UpstreamId, sentAtMs: Ms, nowMs: Ms): void {
-    const open = this.open.get(upstream);
-    if (open && open.atMs < sentAtMs) this.settle(upstream, 'explained', nowMs);
+    const openAtMs = this.open.get(upstream);
+    if (openAtMs !== undefined && openAtMs < sentAtMs) this.settle(upstream, 'explained', nowMs);
   }
 
   /** What has become clear of an upstream that seemed to end. */
   settle(upstream: UpstreamId, state: 'explained' | 'ended', nowMs: Ms): void {
-    const open = this.open.get(upstream);
-    if (!open) return;
-    this.open.delete(upstream);
+    if (!this.open.delete(upstream)) return;
     const turn = (crash: Crash) =>
       crash.upstream === upstream && crash.state === 'open' ? state : crash.state;
-    for (const content of open.contents) {
-      const suspect = this.kept.get(content)?.suspect;
-      if (suspect) this.mark(suspect, turn, nowMs);
-    }
+    for (const suspect of this.at(upstream)) this.mark(suspect, turn, nowMs);
   }
 
   /** Upstreams whose end has been open for so long that the list would have told of it. */
   overdue(nowMs: Ms): UpstreamId[] {
     const ids: UpstreamId[] = [];
-    for (const [id, { atMs }] of this.open) {
+    for (const [id, atMs] of this.open) {
       if (nowMs - atMs > poisonLimits.leavesListMs) ids.push(id);
     }
     return ids;
@@ -176,6 +178,11 @@
     if (!kept) return;
     this.kept.delete(content);
     if (kept.verdict === 'poison') this.poisonCount -= 1;
+    for (const { upstream } of kept.suspect.crashes) {
+      const contents = this.byUpstream.get(upstream);
+      contents?.delete(content);
+      if (contents?.size === 0) this.byUpstream.delete(upstream);
+    }
   }
 
   private mark(suspect: Suspect, turn: (crash: Crash) => CrashState, nowMs: Ms): boolean {
@@ -183,12 +190,11 @@
     return this.add({ ...suspect, crashes }, nowMs);
   }
 
-  private noteOpen({ content, crashes }: Suspect, nowMs: Ms): void {
+  private notePlaces({ content, crashes }: Suspect, nowMs: Ms): void {
     for (const { upstream, state } of crashes) {
-      if (state !== 'open') continue;
-      const open = this.open.get(upstream) ?? { atMs: nowMs, contents: new Set() };
-      open.contents.add(content);
-      this.open.set(upstream, open);
+      const contents = this.byUpstream.get(upstream) ?? new Set();
+      this.byUpstream.set(upstream, contents.add(content));
+      if (state === 'open' && !this.open.has(upstream)) this.open.set(upstream, nowMs);
     }
   }
 
--- a/src/direct/poison/poisonstore.ts
+++ b/src/direct/poison/poisonstore.ts
@@ -10,10 +10,11 @@
   readonly contents: ReadonlySet<ContentId>;
 }
 
-/** From when a record that lacks something, or has too much, is written. */
+/** When a record is looked at next. */
 interface Due {
-  readonly toAddAtMs: Ms;
-  readonly toRemoveAtMs: Ms;
+  readonly atMs: Ms;
+  /** It is written then also if it only has too much. */
+  readonly isRemoval: boolean;
 }
 
 /** Options of a poison store. */
@@ -65,23 +66,25 @@
 
   /** What is known of a request that ran at these upstreams has changed. */
   changed({ crashes }: Suspect, nowMs: Ms, isHolder: boolean): void {
-    const toAddAtMs = nowMs + (isHolder ? GATHER_MS : OTHERS_GATHER_MS);
+    const atMs = nowMs + (isHolder ? GATHER_MS : OTHERS_GATHER_MS);
     for (const { upstream } of crashes) {
-      if (this.due.has(upstream)) continue;
-      this.due.set(upstream, { toAddAtMs, toRemoveAtMs: nowMs + REMOVE_AFTER_MS });
+      const isSooner = atMs < (this.due.get(upstream)?.atMs ?? Infinity);
+      if (isSooner) this.due.set(upstream, { atMs, isRemoval: false });
     }
   }
 
   /** Writes one record that is due, if none is being written. */
   tick(nowMs: Ms): void {
     if (this.isWriting) return;
-    for (const [upstream, { toAddAtMs, toRemoveAtMs }] of this.due) {
+    for (const [upstream, { atMs, isRemoval }] of this.due) {
+      if (nowMs < atMs) continue;
       const { isShort, isLong } = this.difference(upstream);
-      if (!isShort && !isLong) this.due.delete(upstream);
-      else if (nowMs >= (isShort ? toAddAtMs : toRemoveAtMs)) {
+      if (isShort || (isLong && isRemoval)) {
         void this.write(upstream, nowMs);
         return;
       }
+      if (isLong) this.due.set(upstream, { atMs: nowMs + REMOVE_AFTER_MS, isRemoval: true });
+      else this.due.delete(upstream);
     }
   }
 
@@ -133,7 +136,7 @@
     const key = `${prefix}${upstream}`;
     const expectedRevision = this.stored.get(upstream)?.revision ?? ABSENT;
     const value = suspects.length === 0 ? undefined : JSON.stringify({ suspects });
-    this.due.set(upstream, { toAddAtMs: nowMs + RETRY_MS, toRemoveAtMs: nowMs + RETRY_MS });
+    this.due.set(upstream, { atMs: nowMs + RETRY_MS, isRemoval: true });
     const said = await swap({ key, expectedRevision, value });
     this.isWriting = false;
     if (said.err) {
