--- a/src/core/poison/crash.ts
+++ b/src/core/poison/crash.ts
@@ -8,5 +8,10 @@
   readonly runMs: Ms;
   /** How probable it was that the upstream ended within that time without the request's doing: above 0, up to 1. */
   readonly chance: number;
+  /**
+   * The request was suspected already and ran alone. Other ends may have one cause that is not the request, such as
+   * a rack that goes dark while many ask the same.
+   */
+  readonly isTrial: boolean;
   readonly state: CrashState;
 }
--- a/src/core/poison/merge.ts
+++ b/src/core/poison/merge.ts
@@ -9,9 +9,14 @@
   // Two runs of one request ended with one upstream: the shorter one says more.
   const runMs = Math.min(mine.runMs, theirs.runMs);
   const chance = Math.min(mine.chance, theirs.chance);
+  const isTrial = mine.isTrial || theirs.isTrial;
   const state = RANKS[mine.state] >= RANKS[theirs.state] ? mine.state : theirs.state;
-  const isMine = runMs === mine.runMs && chance === mine.chance && state === mine.state;
-  return isMine ? mine : { ...mine, runMs, chance, state };
+  const isMine =
+    runMs === mine.runMs &&
+    chance === mine.chance &&
+    isTrial === mine.isTrial &&
+    state === mine.state;
+  return isMine ? mine : { ...mine, runMs, chance, isTrial, state };
 }
 
 /**
--- a/src/direct/poison/poisondesk.ts
+++ b/src/direct/poison/poisondesk.ts
@@ -3,6 +3,7 @@
   chanceOfEnd,
   countedCrashes,
   poisonRules,
+  type Crash,
   type Suspect,
   type Verdict,
 } from '../../core/poison/index.js';
@@ -42,6 +43,8 @@
   readonly path: string;
   readonly upstream: UpstreamId;
   readonly runMs: Ms;
+  /** It was suspected already, and ran alone. */
+  readonly isTrial: boolean;
 }
 
 /** How often old entries are looked for. */
@@ -87,12 +90,12 @@
     return Math.max(0, suspect.sinceWallMs + this.tools.keepMs - this.tools.clock.wallMs());
   }
 
-  crashed({ content, service, model, path, upstream, runMs }: BrokenRun): void {
+  crashed({ content, service, model, path, upstream, runMs, isTrial }: BrokenRun): void {
     const { clock, metrics, upstreamCount, tellSoon } = this.tools;
     const nowMs = clock.nowMs();
     const recentEnds = this.book.endsSince(nowMs - poisonRules.windowMs, upstream);
     const chance = chanceOfEnd(runMs, { upstreamCount: upstreamCount(service), recentEnds });
-    const crash = { upstream, runMs: Math.round(runMs), chance, state: 'open' as const };
+    const crash: Crash = { upstream, runMs: Math.round(runMs), chance, isTrial, state: 'open' };
     const sinceWallMs = clock.wallMs();
     metrics.count('direct.run_broke_off', 1);
     this.book.add({ content, service, model, path, sinceWallMs, crashes: [crash] }, nowMs);
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -47,6 +47,8 @@
 const ROUND_PAUSE_MS = 50;
 /** A suspected request that runs elsewhere ends its upstream, or has run, within about this. */
 const SUSPECT_COME_BACK_MS = 1000;
+/** A run of the same request that ends well clears it for all; most take longer than this. */
+const LOOK_AT_VERDICT_MS = 50;
 
 /** Carries one caller's request through its attempts. */
 export class Run {
@@ -250,6 +252,11 @@
       this.attempt();
       return;
     }
+    const heldMs = this.clock.nowMs() - this.caller.request.arrivedAtMs;
+    if (!this.hasBegun && heldMs < this.roomWaitMs(this.route!)) {
+      this.clock.after(LOOK_AT_VERDICT_MS, () => this.attempt());
+      return;
+    }
     const detail = 'An upstream ended under this request; it runs elsewhere now, or may.';
     this.giveUp('request-suspected', detail, SUSPECT_COME_BACK_MS);
   }
@@ -436,7 +443,8 @@
     if (isLeaving || serving.fleet.get(upstream) !== state) return;
     const [path = ''] = request.path.split('?');
     const { service, model } = need!;
-    serving.poison.crashed({ content, service, model, path, upstream, runMs });
+    const { isTrial } = this;
+    serving.poison.crashed({ content, service, model, path, upstream, runMs, isTrial });
   }
 
   private took(state: UpstreamState, head: Head): void {
