--- a/test/poisonrequest.test.ts
+++ b/test/poisonrequest.test.ts
@@ -68,6 +68,29 @@
   t.is((await askEntry(rig.port, other)).status, 200);
 });
 
+/*
+ * What users saw after the first mend: 14 upstreams ended under one request, 8 of them by sends that came too late.
+ * Order of events: the request came to entries of several availability zones. Callers of a zone reach the entries of
+ * that zone alone, so that it came from several addresses, and each of them was taken for another caller.
+ * Cause: the address was part of what a request is known by.
+ * Evidence: on a calm day each entry was asked from addresses of its own zone only (2,420 of 2,420 requests), while
+ * on the recorded day 15 of the first 16 ends were one request's, which had come to entries of two zones.
+ */
+test('a request under which upstreams end is known whatever address it comes from', async (t) => {
+  const rig = new PlatformRig();
+  t.teardown(() => rig.close());
+  await rig.start(engines(4), true, 2);
+  await rig.until(() => rig.said('order turn taken') !== undefined);
+  rig.crashing.set(CRASHING, CRASH_AFTER_MS);
+  for (let at = 0; at < ARRIVALS; at += 1) {
+    const from = `127.0.0.${at + 2}`;
+    const asked = { method: 'POST', path: CRASHING, headers: MODEL, body: 'x', from };
+    await askEntry(rig.portOf(at % 2), asked);
+    await pause(COMES_BACK_MS);
+  }
+  t.true(crashCount(rig) <= MOST_SENDS, `${crashCount(rig)} ended`);
+});
+
 /** Sends the crashing request until it is known; returns how many upstreams that took. */
 async function untilKnown(rig: PlatformRig): Promise<number> {
   rig.crashing.set(CRASHING, CRASH_AFTER_MS);
--- a/test/support/askraw.ts
+++ b/test/support/askraw.ts
@@ -22,11 +22,15 @@
   return { status, head, body, isWhole };
 }
 
-/** Sends bytes as they are and reads until the connection ends. */
-export function askRaw(port: number, bytes: string): Promise<RawAnswer> {
+/** Sends bytes as they are, from an address of the loopback, and reads until the connection ends. */
+export function askRaw(
+  port: number,
+  bytes: string,
+  localAddress = '127.0.0.1',
+): Promise<RawAnswer> {
   return new Promise((resolve) => {
     let text = '';
-    const socket = connect(port, '127.0.0.1', () => socket.write(bytes));
+    const socket = connect({ port, host: '127.0.0.1', localAddress }, () => socket.write(bytes));
     socket.on('data', (chunk) => {
       text += chunk.toString('latin1');
     });
