--- a/src/base/contentid.ts
+++ b/src/base/contentid.ts
@@ -1,4 +1,4 @@
 import type { Brand } from './brand.js';
 
-/** Names what a request asks and who asks it; the same whenever it comes again. */
+/** Names what a request asks; the same whenever it comes again, from wherever. */
 export type ContentId = Brand<string, 'ContentId'>;
--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -4,8 +4,6 @@
 /** A caller's whole request. */
 interface CallerRequest {
   readonly id: RequestId;
-  /** Network address of whoever sent it, without its port. */
-  readonly from: string;
   readonly host: string;
   readonly method: string;
   /** Path with its query, as sent. */
