--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -73,6 +73,7 @@
   reads += 1;
   try {
     let after = '';
+    const present = new Set<string>();
     for (;;) {
       const path = `/kv-range?path_prefix=&after=${encodeURIComponent(after)}`;
       const page = JSON.parse(await get(settings.storeAddress, path)) as {
@@ -80,9 +81,11 @@
         more_pages: boolean;
       };
       for (const item of page.items) take(item);
+      for (const { key } of page.items) present.add(key);
       if (!page.more_pages) break;
       after = page.items.at(-1)!.key;
     }
+    for (const id of servers.keys()) if (!present.has(`servers/${id}`)) servers.delete(id);
   } catch (thrown) {
     console.log(JSON.stringify({ message: 'store not read', detail: String(thrown) }));
   }
--- a/bench/soak/call.ts
+++ b/bench/soak/call.ts
@@ -1,5 +1,5 @@
 /** The kinds of request that the soak's callers make. */
-export type CallKind = 'lookup' | 'charge' | 'draft' | 'batch' | 'probe';
+export type CallKind = 'lookup' | 'charge' | 'draft' | 'batch' | 'probe' | 'crash';
 
 /** One request as its caller saw it. */
 export interface Call {
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -23,6 +23,10 @@
     slack: { type: 'string', default: '1500' },
     /** Runs a small entry with this defect in place of the real one. */
     defect: { type: 'string' },
+    /** Requests that end servers come, and hosts are suspended: as all seeds from 20,000 on. */
+    harsh: { type: 'boolean' },
+    /** Entries on hosts that are suspended go by a clock that stands still meanwhile. */
+    steady: { type: 'boolean', default: false },
     /** Prints the last lines of the entries where a promise was broken. */
     lines: { type: 'boolean', default: false },
   },
@@ -43,6 +47,8 @@
     faultNames: values.faults?.split(','),
     longestGapMs: Number(values.gap),
     slackMs: Number(values.slack),
+    isHarsh: values.harsh,
+    isSteady: values.steady,
   });
   const isBroken = result.breaches.length > 0;
   if (isBroken) failed += 1;
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -7,7 +7,7 @@
 import { Proxy } from './proxy.js';
 
 /** A server and what stands before it. */
-interface Listed {
+export interface Listed {
   readonly server: PlatformServer;
   readonly proxy: Proxy;
   readonly address: string;
@@ -67,6 +67,9 @@
 
   version = 0;
 
+  /** Called for each server that comes later. */
+  added: (listed: Listed) => void = () => {};
+
   private readonly directory = mkdtempSync(join(tmpdir(), 'tarragonstile-soak-'));
 
   private readonly ports = new Ports(PORTS);
@@ -107,6 +110,7 @@
       leavesAtMs: undefined,
     };
     this.listed.push(listed);
+    this.added(listed);
     server.changed = () => {
       if (listed.leavesAtMs === undefined) this.list(listed, 'ready');
     };
@@ -120,8 +124,17 @@
     this.list(listed, 'draining');
   }
 
+  /** The list forgets a server that has ended. */
+  drop(listed: Listed): void {
+    const mark = listed;
+    mark.leavesAtMs ??= performance.now();
+    this.store.remove(`servers/${listed.server.id}`);
+  }
+
   present(): Listed[] {
-    return this.listed.filter(({ leavesAtMs }) => leavesAtMs === undefined);
+    return this.listed.filter(
+      ({ leavesAtMs, server }) => leavesAtMs === undefined && !server.isDown,
+    );
   }
 
   get turnMs(): number {
--- /dev/null
+++ b/bench/soak/suspendholder.ts
@@ -0,0 +1,70 @@
+import { Callers } from './callers.js';
+import { Dice } from './dice.js';
+import { Site } from './site.js';
+import { suspendedCommand } from './suspendedcommand.js';
+import { Witness } from './witness.js';
+
+/**
+ * Suspends the host of whoever gives orders, again and again, for long enough that another one takes over, while
+ * callers ask for models that have to be brought; prints the promises that were broken. With the argument `steady`
+ * entries go by a clock that stands still meanwhile.
+ */
+const isSteady = process.argv[2] === 'steady';
+/** A record of the right lives 2.2 s, a successor waits a turn of 1 s, and then has to give an order. */
+const SUSPENDED_MS = 5000;
+const ROUNDS = 3;
+const CALLERS = 24;
+const SLACK_MS = 8000;
+/** Orders of a holder that woke come within one plan of each other. */
+const AFTER_MS = 1000;
+/** An engine loses what it holds this often, so that there is always something to order. */
+const EMPTIED_EVERY_MS = 250;
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+const site = new Site();
+await site.start(2, suspendedCommand(isSteady));
+const { entries } = site;
+const orderCount = () => site.listed.reduce((sum, { server }) => sum + server.seenOrders.length, 0);
+
+/** The entry that gave the newest order. */
+function holder(): (typeof entries)[number] {
+  const orders = site.listed.flatMap(({ server }) => server.seenOrders);
+  orders.sort((a, b) => a.atMs - b.atMs);
+  return entries.find(({ name }) => name === orders.at(-1)!.order.holder)!;
+}
+
+async function untilOrdered(): Promise<void> {
+  const before = orderCount();
+  while (orderCount() === before) await pause(5);
+}
+
+while (!entries.every(({ lines }) => lines.some((line) => line.includes('state read')))) {
+  await pause(5);
+}
+const callers = new Callers(entries, new Dice(1));
+callers.start(CALLERS);
+const engines = site.listed.filter(({ server }) => server.service === 'engine');
+let emptied = 0;
+const emptying = setInterval(() => {
+  emptied += 1;
+  engines[emptied % engines.length]!.server.restart();
+}, EMPTIED_EVERY_MS);
+for (let round = 0; round < ROUNDS; round += 1) {
+  await untilOrdered();
+  const suspended = holder();
+  suspended.freeze();
+  await pause(SUSPENDED_MS);
+  suspended.thaw();
+  await pause(AFTER_MS);
+}
+clearInterval(emptying);
+await callers.stop();
+const breaches = new Witness(site, callers.calls, SLACK_MS).judge();
+console.log(JSON.stringify(breaches.map(({ promise }) => promise)));
+await site.close();
+process.exit(0);
--- a/bench/soak/witness.ts
+++ b/bench/soak/witness.ts
@@ -19,6 +19,9 @@
 const CALM_MS = 3000;
 /** Configurations keep the routes of this many versions: a refusal of an older one says nothing. */
 const KEPT_VERSIONS = 4;
+/** Servers that end under a request until it has to be known, and sends that may come after that. */
+const ENDS_TO_KNOW = 3;
+const MOST_LATE_SENDS = 3;
 
 /** One run of a request at a server. */
 interface Ran {
@@ -62,6 +65,7 @@
       this.inForce(call);
     }
     this.neverBack();
+    this.crashing();
     this.orders();
     for (const { ownEnds } of this.site.entries) {
       for (const detail of ownEnds) this.breach('no process ends by itself', detail);
@@ -198,6 +202,29 @@
     }
   }
 
+  /** Once three servers have ended under a request and all can know, calm entries send it on a few times at most. */
+  private crashing(): void {
+    const entryOf = new Map(this.calls.map(({ id, entry }) => [id, entry]));
+    const runs = this.site.listed.flatMap(({ server }) => server.seen);
+    const paths = new Set(
+      this.calls
+        .filter(({ kind }) => kind === 'crash')
+        .map(({ id }) => runs.find((run) => run.id === id)?.path),
+    );
+    for (const path of paths) {
+      const own = runs.filter((run) => run.path === path).sort((a, b) => a.atMs - b.atMs);
+      const ends = own.map(({ closedAtMs = Infinity }) => closedAtMs).sort((a, b) => a - b);
+      const knownAtMs = (ends[ENDS_TO_KNOW - 1] ?? Infinity) + CALM_MS + this.slackMs;
+      const late = own.filter(({ id, atMs }) => {
+        const entry = this.site.entries[entryOf.get(id) ?? 0]!;
+        return atMs > knownAtMs && entry.isCalmSince(atMs - CALM_MS);
+      });
+      if (path === undefined || late.length <= MOST_LATE_SENDS) continue;
+      const detail = `${path}: ${late.length} late of ${own.length} sends`;
+      this.breach('a request that ends servers is not sent on', detail);
+    }
+  }
+
   private orders(): void {
     for (const { server } of this.site.listed) {
       if (server.overfullCount > 0) this.breach('memory is never overcommitted', server.id);
--- a/src/direct/poison/poisonstore.ts
+++ b/src/direct/poison/poisonstore.ts
@@ -35,8 +35,8 @@
 const OTHERS_GATHER_MS = 1500;
 /** Requests are cleared one by one as their callers come back: one write for all of them. */
 const REMOVE_AFTER_MS = 10_000;
-/** The store answers in milliseconds, or it is down for seconds. */
-const RETRY_MS = 500;
+/** The store answers in milliseconds, or it is down, or turns this entry away, for seconds: each call is paid for. */
+const RETRY_MS = 2000;
 /** Twice the requests that an upstream runs at once; those that had run longest are left out beyond that. */
 const MOST_RUNS = 64;
 const ABSENT = 0 as Revision;
