--- a/test/pathsession.test.ts
+++ b/test/pathsession.test.ts
@@ -100,7 +100,8 @@
 
 test('a stream that nobody can continue ends with a typed error event', async (t) => {
   const seen = new Transcript();
-  await withEngines([{ tokens: 1000 }], async (rig, [engine]) => {
+  // Far more than it can generate before it is closed, also on a busy machine.
+  await withEngines([{ tokens: 1_000_000 }], async (rig, [engine]) => {
     const answer = await rig.chat('hello');
     const reading = await startReading(answer);
     engine?.close();
