--- a/src/direct/poison/poisonlimits.ts
+++ b/src/direct/poison/poisonlimits.ts
@@ -3,7 +3,7 @@
   /** An upstream that crashed leaves the list after three missed entries, 3.6 s, and the list's lag. */
   leavesListMs: 6000,
   /**
-   * Requests that are kept in mind; the one that changed longest ago goes first. Each takes 0.3 kB, and each end of
+   * Requests that are kept in mind; the one that changed longest ago goes first. Each takes 0.5 kB (heap, 4,000 of them), and each end of
    * an upstream adds about a dozen.
    */
   mostSuspects: 4000,
@@ -13,6 +13,6 @@
   clearedKeptMs: 60_000,
   /** Under which one upstream ended: kept as long as a caller may take to come back to it. */
   suspectKeptMs: 3_600_000,
-  /** Requests told of in one message: 60 kB. */
+  /** Requests told of in one message: 51 kB of JSON. */
   mostInBatch: 200,
 } as const;
