--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -1,6 +1,7 @@
 import { Agent, request, type ClientRequest } from 'node:http';
 import type { Call, CallKind } from './call.js';
 import type { Dice } from './dice.js';
+import { pause } from './pause.js';
 import type { Program } from './program.js';
 
 const DEADLINE_MS = 4000;
@@ -42,20 +43,14 @@
   /** Starts no more; resolves when every request has ended. */
   async stop(): Promise<void> {
     this.isOver = true;
-    while (this.inFlight > 0) await this.pause(PAUSE_MS);
+    while (this.inFlight > 0) await pause(PAUSE_MS);
     for (const agent of this.agents) agent.destroy();
   }
 
-  private pause(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      setTimeout(resolve, ms);
-    });
-  }
-
   private async repeat(entry: number): Promise<void> {
     while (!this.isOver) {
       await this.ask(entry);
-      await this.pause(this.dice.below(PAUSE_MS * 2));
+      await pause(this.dice.below(PAUSE_MS * 2));
     }
   }
 
--- a/bench/soak/crashing.ts
+++ b/bench/soak/crashing.ts
@@ -1,4 +1,5 @@
 import type { Dice } from './dice.js';
+import { pause } from './pause.js';
 import type { Listed, Site } from './site.js';
 
 /** What a request that ends servers is sent with. */
@@ -17,12 +18,6 @@
 /** A server that has ended is back, as another one, after this; the list forgets it by then. */
 const BACK_MS = 1200;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Requests that end each server that runs them, come back again and again, at any entry. */
 export class Crashing {
   private readonly afterMs = new Map<string, number>();
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -5,6 +5,7 @@
 import { faults } from './faults.js';
 import { hostFaults } from './hostfaults.js';
 import { listFaults } from './listfaults.js';
+import { pause } from './pause.js';
 import { Site } from './site.js';
 import { suspendedCommand } from './suspendedcommand.js';
 import { Witness, type Breach } from './witness.js';
@@ -53,12 +54,6 @@
 const LIST_FAULTS_FROM = 10_000;
 const HARSH_FROM = 20_000;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 async function untilListening(site: Site): Promise<void> {
   const isListening = () =>
     site.entries.every(({ lines }) => lines.some((line) => line.includes('state read')));
--- a/bench/soak/suspendholder.ts
+++ b/bench/soak/suspendholder.ts
@@ -1,5 +1,6 @@
 import { Callers } from './callers.js';
 import { Dice } from './dice.js';
+import { pause } from './pause.js';
 import { Site } from './site.js';
 import { suspendedCommand } from './suspendedcommand.js';
 import { Witness } from './witness.js';
@@ -20,12 +21,6 @@
 /** An engine loses what it holds this often, so that there is always something to order. */
 const EMPTIED_EVERY_MS = 250;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 const site = new Site();
 await site.start(2, suspendedCommand(isSteady));
 const { entries } = site;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -1,4 +1,4 @@
-import type { Clock, ContentId, Ms, UpstreamId } from '../../base/index.js';
+import type { Clock, Ms, UpstreamId } from '../../base/index.js';
 import { comeBackMs } from '../../core/comeback/index.js';
 import { nextStep, type AttemptEnd, type Progress } from '../../core/delivery/index.js';
 import { hash32 } from '../../core/hash/index.js';
@@ -9,8 +9,9 @@
 import type { Refusal } from '../refusal.js';
 import type { Need, UpstreamState } from '../route/index.js';
 import type { Serving } from '../serving.js';
-import { contentOf } from './contentof.js';
 import { EventCutter } from './eventcutter.js';
+import { roomWaitMs } from './roomwait.js';
+import { Suspicion } from './suspicion.js';
 
 type Head = Parameters<UpstreamReceiver['head']>[0];
 type Sent = NonNullable<ReturnType<UpstreamLink['send']>>;
@@ -30,15 +31,7 @@
 const MOST_COME_BACK_MS = 1000;
 /** Another entry takes the request at once. */
 const STOPPING_COME_BACK_MS = 20;
-/** Part of the target latency within which it is worth waiting for room; a refusal after it counts as late. */
-const ROOM_WAIT_SHARE = 0.24;
 const LOOK_FOR_ROOM_MS = 20;
-/**
- * A caller that is back after a refusal is lost if it is refused again: it waits longer, but not until it
- * leaves, which callers of streams do after 2 s without an event.
- */
-const RETURN_WAIT_SHARE = 0.4;
-const MOST_RETURN_WAIT_MS = 1500;
 /** An upstream that was said to be ready may refuse; to be told of the same one again helps nobody. */
 const MOST_SEEKS = 4;
 /** One more than the largest hash. */
@@ -85,11 +78,7 @@
 
   private seekCount = 0;
 
-  /** Names what is asked; made when it is first needed. */
-  private namedContent: ContentId | undefined;
-
-  /** Upstreams ended under this request before; it runs now, and nowhere else. */
-  private isTrial = false;
+  private readonly suspicion: Suspicion;
 
   /** The caller has been refused before. */
   private isReturn = false;
@@ -129,17 +118,14 @@
     private readonly serving: Serving,
     private readonly caller: Caller,
     private readonly over: () => void,
-  ) {}
+  ) {
+    this.suspicion = new Suspicion(serving.poison, caller.request);
+  }
 
   private get clock(): Clock {
     return this.serving.clock;
   }
 
-  private get content(): ContentId {
-    this.namedContent ??= contentOf(this.caller.request);
-    return this.namedContent;
-  }
-
   private get log(): Log {
     return this.serving.log;
   }
@@ -218,8 +204,9 @@
     const nowMs = clock.nowMs();
     // A need without a model has nowhere else to go; another may be brought to an upstream that is there.
     const alsoLost = request.model === undefined || this.hasSought;
-    const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost, this.isTrial);
-    if (state && this.isOverfull(state, nowMs)) this.waitForRoom(route);
+    const { isTrial } = this.suspicion;
+    const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost, isTrial);
+    if (state && this.isOverfull(state, nowMs)) this.waitForRoom();
     else if (state && this.isToBePaced(state, nowMs)) this.pace();
     else if (state) this.send(state, route);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
@@ -229,31 +216,27 @@
 
   /** A request under which upstreams ended is not sent on, or only while it runs nowhere else. */
   private isHeldBack(): boolean {
-    const { poison } = this.serving;
-    if (poison.isIdle) return false;
-    const verdict = poison.verdict(this.content);
-    if (verdict === 'poison') {
+    const standing = this.suspicion.standing();
+    if (standing === 'free') return false;
+    if (standing === 'ask-first') void this.tryAlone();
+    else {
       const detail = 'Upstreams ended each time they ran this request: it is not sent to one.';
-      this.giveUp('request-ends-upstreams', detail, poison.standsMs(this.content));
-      return true;
+      this.giveUp('request-ends-upstreams', detail, this.suspicion.standsMs());
     }
-    if (verdict === 'sound' || this.isTrial) return false;
-    void this.tryAlone();
     return true;
   }
 
   private async tryAlone(): Promise<void> {
-    const { poison } = this.serving;
-    const mayRun = await poison.begin(this.content);
-    if (mayRun && this.isOver) poison.end(this.content);
-    if (this.isOver) return;
-    this.isTrial = mayRun;
+    const mayRun = await this.suspicion.begin();
+    if (this.isOver) {
+      this.suspicion.end();
+      return;
+    }
     if (mayRun) {
       this.attempt();
       return;
     }
-    const heldMs = this.clock.nowMs() - this.caller.request.arrivedAtMs;
-    if (!this.hasBegun && heldMs < this.roomWaitMs(this.route!)) {
+    if (!this.hasBegun && this.mayWaitForRoom()) {
       this.clock.after(LOOK_AT_VERDICT_MS, () => this.attempt());
       return;
     }
@@ -284,9 +267,8 @@
   }
 
   /** Waits as long as the target leaves time for; then the caller is told to come back. */
-  private waitForRoom(route: Route): void {
-    const heldMs = this.clock.nowMs() - this.caller.request.arrivedAtMs;
-    if (heldMs < this.roomWaitMs(route)) {
+  private waitForRoom(): void {
+    if (this.mayWaitForRoom()) {
       this.clock.after(LOOK_FOR_ROOM_MS, () => this.attempt());
       return;
     }
@@ -302,11 +284,13 @@
     return hash32(this.caller.request.id) / HASH_RANGE;
   }
 
-  private roomWaitMs(route: Route): Ms {
-    const firstMs = route.targetLatencyMs * ROOM_WAIT_SHARE;
-    if (!this.isReturn) return firstMs;
-    const wholeMs = this.untilMs - this.caller.request.arrivedAtMs;
-    return Math.max(firstMs, Math.min(MOST_RETURN_WAIT_MS, wholeMs * RETURN_WAIT_SHARE));
+  /** Whether its time still leaves room for waiting, rather than for another try. */
+  private mayWaitForRoom(): boolean {
+    const { arrivedAtMs } = this.caller.request;
+    const targetMs = this.route!.targetLatencyMs;
+    const wholeMs = this.untilMs - arrivedAtMs;
+    const waitMs = roomWaitMs({ targetMs, wholeMs, isReturn: this.isReturn });
+    return this.clock.nowMs() - arrivedAtMs < waitMs;
   }
 
   private isHeldByTried(nowMs: Ms): boolean {
@@ -426,25 +410,19 @@
    * entry: what it asks is what it is known by.
    */
   private brokeOff(state: UpstreamState, detail: string): void {
-    const { content, need, serving } = this;
     const { request } = this.caller;
     const { id: upstream, isLeaving } = state.info;
     const runMs = this.clock.nowMs() - this.sentAtMs;
     this.log.warn('run broke off', {
       requestId: request.id,
-      content,
+      content: this.suspicion.content,
       upstream,
       runMs: Math.round(runMs),
       othersThere: state.inFlight,
       isLeaving,
       detail,
     });
-    // One that was about to leave, or has left the list, has ended as planned.
-    if (isLeaving || serving.fleet.get(upstream) !== state) return;
-    const [path = ''] = request.path.split('?');
-    const { service, model } = need!;
-    const { isTrial } = this;
-    serving.poison.crashed({ content, service, model, path, upstream, runMs, isTrial });
+    this.suspicion.brokeOff(state, this.need!, runMs, this.serving.fleet);
   }
 
   private took(state: UpstreamState, head: Head): void {
@@ -552,7 +530,7 @@
     const isFailure = status >= FIRST_FAILURE_STATUS;
     this.serving.fleet.learn(state, isFailure ? 'failed' : 'answered', this.need!, nowMs);
     this.note(state, String(status));
-    if (!isFailure && !this.serving.poison.isIdle) this.serving.poison.ranWell(this.content);
+    if (!isFailure) this.suspicion.ranWell();
     if (isFailure && this.held) {
       this.decide({ type: 'failed' });
       return;
@@ -669,7 +647,7 @@
     if (this.isOver) return;
     this.isOver = true;
     this.forgetTimer();
-    if (this.isTrial) this.serving.poison.end(this.content);
+    this.suspicion.end();
     const { request } = this.caller;
     const nowMs = this.clock.nowMs();
     const since = (atMs: Ms | undefined) =>
@@ -690,8 +668,7 @@
       longestGapMs: Math.round(this.longestGapMs),
       totalMs: since(nowMs),
       isReturn: this.isReturn,
-      isTrial: this.isTrial || undefined,
-      content: this.isTrial || end === 'request-ends-upstreams' ? this.content : undefined,
+      ...this.suspicion.told(end === 'request-ends-upstreams'),
       retryAfterMs,
     });
     this.over();
