--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -3,7 +3,8 @@
 
 /**
  * A small entry without care, with one defect by its name: it shows that the soak finds what it looks for. It
- * is run as `node badentry.js DEFECT`; without a defect it keeps what a run without faults looks at.
+ * is run as `node badentry.js DEFECT`; without a defect it keeps what a run without faults looks at. It remembers no
+ * request: where some end their servers, that is its defect `sends-on`.
  */
 const [, , defect = 'none'] = process.argv;
 
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -4,6 +4,8 @@
 /** Seeds that once failed stay here, each with a line on its cause; the first is a short run of everything. */
 const SEEDS: readonly { readonly seed: number; readonly forS: number }[] = [
   { seed: 1, forS: 5 },
+  // From 20,000 on requests that end their servers come, and hosts are suspended.
+  { seed: 20_100, forS: 8 },
   // SIGHUP came while modules were loaded, before a handler stood.
   { seed: 1003, forS: 5 },
   // The soak's own: an outgoing connection had taken the port of an entry that was down.
--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -10,6 +10,8 @@
   /** Longer where a bound has to run out first. */
   readonly forS?: number;
   readonly gapMs?: number;
+  /** With requests that end their servers. */
+  readonly isHarsh?: boolean;
 }
 
 /** A planted defect for each promise that the soak looks at. */
@@ -42,16 +44,23 @@
     forS: 7,
     gapMs: 300,
   },
+  'sends-on': {
+    promise: 'a request that ends servers is not sent on',
+    faultNames: ['hangUp'],
+    forS: 25,
+    gapMs: 3000,
+    isHarsh: true,
+  },
   gone: { promise: 'work ends when its caller leaves', faultNames: ['silence'], gapMs: 200 },
 };
 
-for (const [defect, { promise, faultNames, forS = FOR_S, gapMs = 900 }] of Object.entries(
-  DEFECTS,
-)) {
+for (const [defect, planted] of Object.entries(DEFECTS)) {
+  const { promise, faultNames, forS = FOR_S, gapMs = 900, isHarsh = false } = planted;
   test.serial(`the soak finds the planted defect ${defect}`, async (t) => {
     const { breaches } = await runSoak(
       ...['--seed', '7', '--for', String(forS), '--gap', String(gapMs)],
       ...['--defect', defect, '--faults', faultNames.join(',')],
+      ...(isHarsh ? ['--harsh'] : []),
     );
     t.true(breaches.some((breach) => breach.promise === promise));
   });
