Keys, customers and quotas in tokens on the prepared platform

Cause: the direct entry knew no customers. Now: a key is read once, kept as its hash, looked up in the configuration in force at the start and again at each attempt; the customer's name goes with every send, the key with none. Quotas: the holder of orders keeps one bucket for each customer, entries get tokens ahead with the answer to the report that they send anyway, ask for one request where that is too little, and fill from a fixed part of the rate while no holder answers.

--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -12,6 +12,7 @@
 export { FailureError } from './failureerror.js';
 export type { HostId } from './hostid.js';
 export type { Incarnation } from './incarnation.js';
+export type { KeyHash } from './keyhash.js';
 export type { KindName } from './kindname.js';
 export type { ModelId } from './modelid.js';
 export type { Ms } from './ms.js';
--- a/src/core/orderturn/turnrecord.ts
+++ b/src/core/orderturn/turnrecord.ts
@@ -16,4 +16,6 @@
   readonly isActive: boolean;
   /** True once the holder has given the right up; it gives no order after that. */
   readonly isReleased: boolean;
+  /** How many entries the holder has heard of lately, and into how many parts they cut what they share. */
+  readonly entries?: { readonly count: number; readonly parts: number };
 }
--- a/src/core/routetable/index.ts
+++ b/src/core/routetable/index.ts
@@ -1,5 +1,7 @@
 /** Route tables: which service takes a request, and what the configuration says of services. */
 export { findRoute } from './findroute.js';
+export { judge } from './judge.js';
+export type { Judgement } from './judgement.js';
 export type { ModelSpec } from './modelspec.js';
 export { pickService } from './pickservice.js';
 export type { Route } from './route.js';
--- a/src/core/routetable/route.ts
+++ b/src/core/routetable/route.ts
@@ -22,6 +22,8 @@
   readonly destinations: readonly { readonly service: ServiceId; readonly weight: number }[];
   /** Most upstreams that may run one request. */
   readonly maxAttempts: number;
+  /** True if callers need no key. */
+  readonly isPublic: boolean;
   /** True if a broken stream may be continued at another upstream. */
   readonly isResumable: boolean;
 }
--- a/src/core/routetable/routetable.ts
+++ b/src/core/routetable/routetable.ts
@@ -1,4 +1,5 @@
 import type { Ms, ServiceId } from '../../base/index.js';
+import type { AccessTable } from '../access/index.js';
 import type { Route } from './route.js';
 import type { ServiceSpec } from './servicespec.js';
 
@@ -17,4 +18,6 @@
   readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
   readonly services: ReadonlyMap<ServiceId, ServiceSpec>;
   readonly limits: CallerLimits;
+  /** Absent where the configuration knows no keys: then whoever asks is served. */
+  readonly access?: AccessTable;
 }
--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -1,4 +1,4 @@
-import type { ModelId, Ms, RequestId } from '../base/index.js';
+import type { KeyHash, ModelId, Ms, RequestId } from '../base/index.js';
 import type { Refusal } from './refusal.js';
 
 /** A caller's whole request. */
@@ -8,6 +8,12 @@
   readonly method: string;
   /** Path with its query, as sent. */
   readonly path: string;
+  /** Hash of the key that it came with. */
+  readonly keyHash: KeyHash | undefined;
+  /** What it came with as `Authorization`: goes on only where no keys are configured, and is never logged. */
+  readonly authorization: string | undefined;
+  /** Tokens of the prompt and of the expected answer, where the caller names them. */
+  readonly tokens: number | undefined;
   /** Those that go on to an upstream: alternates names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -1,12 +1,21 @@
-import { result, type Clock, type Ms, type ServiceId, type UpstreamId } from '../base/index.js';
+import {
+  result,
+  type Clock,
+  type HostId,
+  type Ms,
+  type ServiceId,
+  type UpstreamId,
+} from '../base/index.js';
 import { takeoverDelay } from '../core/orderturn/index.js';
+import type { CustomerSpec } from '../core/access/index.js';
 import { RetryBudget } from '../core/retrybudget/index.js';
-import type { Route, RouteTable } from '../core/routetable/index.js';
+import { judge, type Judgement, type Route, type RouteTable } from '../core/routetable/index.js';
 import type { Upstream } from '../core/upstreams/index.js';
 import type { ChangeFeed, KeyValue, Log, Metrics, Swap, UpstreamLink } from '../port/index.js';
 import type { Caller } from './caller.js';
 import type { DirectSettings } from './directsettings.js';
 import { EntryCount } from './entrycount.js';
+import { Intake, type Admitted } from './intake/index.js';
 import {
   DemandMeter,
   OrderDesk,
@@ -19,6 +28,7 @@
   type FoundNeed,
 } from './orders/index.js';
 import { PoisonDesk, poisonLimits } from './poison/index.js';
+import { QuotaBook, QuotaDesk, type DrawAnswer, type DrawQuestion } from './quota/index.js';
 import { Fleet, type Need } from './route/index.js';
 import { Returns } from './returns.js';
 import { Run } from './run/index.js';
@@ -48,6 +58,7 @@
 /** How often an entry tells the holder of orders what it is asked for. */
 const REPORT_MS = 250;
 const TAKE_AFTER_MS = 700;
+const MOST_CUSTOMER_LABELS = 100;
 /** How soon others hear of an upstream that ended: its dozen broken runs are noticed within 5 ms. */
 const TELL_SOON_MS = 20;
 
@@ -63,6 +74,8 @@
 
   readonly poison: PoisonDesk;
 
+  readonly quota: QuotaDesk;
+
   table: RouteTable | undefined;
 
   mayWait = true;
@@ -79,6 +92,10 @@
 
   private readonly runs = new Set<Run>();
 
+  private readonly intakes = new Set<Intake>();
+
+  private readonly quotaBook: QuotaBook;
+
   private readonly meter: DemandMeter;
 
   private readonly turn: TurnKeeper;
@@ -145,8 +162,22 @@
       clock,
       log,
       relay: (swap) => this.relay(swap),
-      took: (isFirst) => this.desk.took(isFirst),
+      entries: () => ({ count: this.knownCount(), parts: this.entryParts() }),
+      took: (isFirst) => {
+        this.desk.took(isFirst);
+        this.quotaBook.took(isFirst);
+      },
+    });
+    const { quotaTerms: terms } = settings;
+    const parts = () => this.entryParts();
+    this.quotaBook = new QuotaBook({
+      clock,
+      terms,
+      parts,
+      entryCount: () => this.knownCount(),
+      mayGrant: () => this.turn.mayAnswer(),
     });
+    this.quota = new QuotaDesk({ entry: host, clock, terms, parts, draw: (q) => this.draw(q) });
     const { metrics } = context;
     const shared = { link, clock, log, metrics, host, loadWindowMs, loadOvershoot };
     const listSilentMs = () => this.follower.silentMs();
@@ -162,6 +193,7 @@
       lift: (...args: Parameters<PoisonDesk['lift']>) => this.poison.lift(...args),
       find: (need: Need) => this.desk.find(need),
       demand: (report: DemandReport) => this.hearDemand(report),
+      draw: (question: DrawQuestion) => this.quotaBook.draw(question),
       swap: (swap: Swap) => feed.swap(swap),
       changes: (question: Parameters<SharedFeed['answer']>[0]) => this.shared.answer(question),
     };
@@ -189,7 +221,7 @@
   }
 
   get inFlight(): number {
-    return this.runs.size;
+    return this.runs.size + this.intakes.size;
   }
 
   /** True while requests may be read whose callers have closed their connections unseen. */
@@ -199,9 +231,27 @@
   }
 
   accept(caller: Caller): void {
-    const run: Run = new Run(this, caller, () => this.runs.delete(run));
-    this.runs.add(run);
-    run.start();
+    const intake: Intake = new Intake(
+      this,
+      caller,
+      (admitted) => this.run(admitted),
+      () => this.intakes.delete(intake),
+    );
+    this.intakes.add(intake);
+    intake.start();
+  }
+
+  judge(request: Caller['request']): Judgement | undefined {
+    if (!this.table) return undefined;
+    const judged = judge(this.table, request);
+    // A key that was added while the store could not be read is unknown here, and right.
+    const isOutdated = judged.type === 'key-unknown' && this.follower.silentMs() > 0;
+    return isOutdated ? undefined : judged;
+  }
+
+  refused(reason: string, customer: CustomerSpec | undefined): void {
+    const labels = { reason, customer: this.customerLabel(customer) };
+    this.context.metrics.count('direct.refused', 1, labels);
   }
 
   /** Takes no new work from the balancer; what runs goes on. */
@@ -217,6 +267,7 @@
 
   /** Gives every request its final answer, whatever an upstream still does. */
   endAll(): void {
+    for (const intake of [...this.intakes]) intake.endNow();
     for (const run of [...this.runs]) run.endNow();
   }
 
@@ -283,6 +334,7 @@
   setTable(table: RouteTable): void {
     this.table = table;
     this.desk.table = table;
+    this.quotaBook.limit(table.access);
   }
 
   upstream(upstream: Upstream): void {
@@ -332,6 +384,7 @@
     if (this.hasState && !this.isStopping && isDue) this.turn.tick();
     this.desk.tick();
     this.poison.tick();
+    this.quotaBook.tick();
     const endedAtMs = this.clock.nowMs();
     if (endedAtMs - nowMs > STOOD_STILL_MS) this.woke(endedAtMs);
   }
@@ -344,6 +397,7 @@
 
   private report(): void {
     const { metrics } = this.context;
+    const { host } = this.context.settings;
     metrics.gauge('direct.in_flight', this.runs.size);
     metrics.gauge('direct.configuration_version', this.table?.version ?? 0);
     metrics.gauge('direct.store_silent_ms', this.follower.silentMs());
@@ -357,10 +411,14 @@
     const report = {
       ...this.meter.report(lost, this.heard),
       poison: this.poison.link.report(),
+      quota: this.table?.access && this.quota.report(),
     };
     if (this.turn.isHolder()) {
+      const sentAtMs = this.clock.nowMs();
       this.desk.demand(report);
       this.learn(this.desk.news(this.heard));
+      const said = report.quota && this.quotaBook.report(host, report.quota);
+      if (said) this.quota.answered(said, sentAtMs);
       return;
     }
     const address = this.turn.holderAddress();
@@ -368,8 +426,10 @@
   }
 
   private async tellDemand(address: string, report: DemandReport): Promise<void> {
+    const sentAtMs = this.clock.nowMs();
     const answer = await this.peers.demand(address, report);
     if (!answer) return;
+    if (answer.quota) this.quota.answered(answer.quota, sentAtMs);
     this.entries.toldOf(answer.entryCount);
     this.learn(answer.news);
     if (report.poison && answer.poison) this.poison.link.answered(report.poison, answer.poison);
@@ -394,7 +454,9 @@
     this.entries.heard(report.entry, nowMs);
     this.desk.demand(report);
     const poison = report.poison && this.poison.link.answer(report.poison);
-    return { entryCount: this.entries.count(nowMs), news: this.desk.news(report.heard), poison };
+    const quota = report.quota && this.quotaBook.report(report.entry as HostId, report.quota);
+    const entryCount = this.entries.count(nowMs);
+    return { entryCount, news: this.desk.news(report.heard), poison, quota };
   }
 
   private poisonDesk(): PoisonDesk {
@@ -452,6 +514,41 @@
     return found?.type === 'not-holder' ? undefined : found;
   }
 
+  private async draw(question: DrawQuestion): Promise<DrawAnswer | undefined> {
+    if (this.turn.isHolder()) return this.quotaBook.draw(question);
+    const address = this.turn.holderAddress();
+    return address === undefined ? undefined : this.peers.draw(address, question);
+  }
+
+  private run(admitted: Admitted): void {
+    const run: Run = new Run(this, admitted, () => this.runs.delete(run));
+    this.runs.add(run);
+    run.start();
+  }
+
+  /** One that has just started goes by what the last holder wrote. */
+  private entryParts(): number {
+    return Math.max(this.entries.shares(this.clock.nowMs()), this.turn.toldEntries?.parts ?? 0);
+  }
+
+  /** A successor does not know at once whom the one before it knew. */
+  private knownCount(): number {
+    const heard = this.entries.count(this.clock.nowMs());
+    return this.quotaBook.knowsAll() ? heard : Math.max(heard, this.turn.toldEntries?.count ?? 0);
+  }
+
+  /** Customers beyond the first hundred of a configuration count together. */
+  private customerLabel(customer: CustomerSpec | undefined): string {
+    if (!customer) return 'none';
+    let place = 0;
+    for (const id of this.table?.access?.customers.keys() ?? []) {
+      if (place >= MOST_CUSTOMER_LABELS) break;
+      if (id === customer.id) return id;
+      place += 1;
+    }
+    return 'other';
+  }
+
   private every(ms: Ms, act: () => void): void {
     this.clock.after(ms, () => {
       if (this.isClosed) return;
--- a/src/direct/directsettings.ts
+++ b/src/direct/directsettings.ts
@@ -1,4 +1,5 @@
 import type { HostId, Ms } from '../base/index.js';
+import type { QuotaTerms } from '../core/quota/index.js';
 
 /** Settings of a direct entry that do not depend on how its platform speaks. */
 export interface DirectSettings {
@@ -19,6 +20,8 @@
   readonly loadOvershoot: number;
   /** How long a request that ends upstreams is refused, from the first that ended under it. */
   readonly poisonKeepMs: Ms;
+  /** How exactly quotas of customers have to hold over all entries. */
+  readonly quotaTerms: QuotaTerms;
   /** How long a stopping process may take. */
   readonly graceMs: Ms;
 }
--- /dev/null
+++ b/src/direct/intake/intake.ts
@@ -0,0 +1,109 @@
+import type { CustomerSpec } from '../../core/access/index.js';
+import type { Caller } from '../caller.js';
+import { Charge, type Taken } from '../quota/index.js';
+import type { Refusal } from '../refusal.js';
+import type { Serving } from '../serving.js';
+import type { Admitted } from './admitted.js';
+import { quotaRefusal } from './quotarefusal.js';
+
+/** The configuration is read within about this, or another entry has read it. */
+const NO_TABLE_COME_BACK_MS = 250;
+
+const REFUSALS = {
+  'no-configuration': {
+    status: 503,
+    detail: 'This entry knows no configuration yet.',
+    retryAfterMs: NO_TABLE_COME_BACK_MS,
+  },
+  'route-unknown': { status: 404, detail: 'No route takes this host and path.' },
+  'key-unknown': { status: 401, detail: 'No customer has this key.' },
+} as const;
+
+/** Decides at once, or after one question to the holder of quotas, whether a request is run. */
+export class Intake {
+  private isOver = false;
+
+  private charge: Charge | undefined;
+
+  constructor(
+    private readonly serving: Serving,
+    private readonly caller: Caller,
+    /** Called at most once, before or after `start` returns. */
+    private readonly admit: (admitted: Admitted) => void,
+    private readonly over: () => void,
+  ) {}
+
+  start(): void {
+    const { serving, caller } = this;
+    const { request } = caller;
+    const judged = serving.judge(request);
+    if (!judged || judged.type !== 'allowed') {
+      this.refuseAs(judged?.type ?? 'no-configuration');
+      return;
+    }
+    const { route, customer } = judged;
+    const charge = new Charge(serving.quota, serving.clock, customer, request.tokens);
+    this.charge = charge;
+    const paid = charge.pay(0);
+    const go = (taken: Taken) => {
+      if (this.isOver) return;
+      if (taken.type === 'paid') {
+        this.isOver = true;
+        this.over();
+        this.admit({ caller, route, customer, charge });
+      } else this.refuse(quotaRefusal(taken), customer, taken);
+    };
+    if (!(paid instanceof Promise)) {
+      go(paid);
+      return;
+    }
+    caller.onGone(() => this.end());
+    void paid.then(go);
+  }
+
+  /** The process is about to end: what is not decided is refused. */
+  endNow(): void {
+    const detail = 'This entry is about to end.';
+    this.refuse({ status: 503, type: 'stopping', detail, executed: 'no', retryAfterMs: 0 });
+  }
+
+  private refuseAs(type: keyof typeof REFUSALS): void {
+    this.refuse({ ...REFUSALS[type], type, executed: 'no' });
+  }
+
+  private refuse(
+    refusal: Refusal,
+    customer?: CustomerSpec,
+    taken?: Extract<Taken, { readonly type: 'refused' }>,
+  ): void {
+    if (this.isOver) return;
+    const { caller, serving, charge } = this;
+    const { request } = caller;
+    const { status, type, retryAfterMs } = refusal;
+    serving.refused(type, customer);
+    serving.log.info('request refused', {
+      requestId: request.id,
+      status,
+      reason: type,
+      customer: customer?.id,
+      version: serving.table?.version,
+      retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
+      ...(taken && {
+        cost: charge?.cost,
+        left: Math.round(taken.left),
+        knownAgeMs: Math.round(taken.ageMs),
+        ratePerS: customer?.quota?.ratePerS,
+        burst: customer?.quota?.burst,
+      }),
+    });
+    caller.refuse(refusal);
+    this.end();
+  }
+
+  private end(): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.charge?.settle(0);
+    this.over();
+  }
+}
--- a/src/direct/orders/demandanswer.ts
+++ b/src/direct/orders/demandanswer.ts
@@ -1,4 +1,5 @@
 import type { SuspectBatch } from '../poison/index.js';
+import type { QuotaAnswer } from '../quota/index.js';
 import type { NewsBatch } from './newsbatch.js';
 
 /** What the holder of orders tells an entry that has told it what it is asked for. */
@@ -9,4 +10,6 @@
   readonly news: NewsBatch;
   /** What the holder knows of requests that may end upstreams, since the entry last heard. */
   readonly poison?: SuspectBatch;
+  /** Absent from one that may not grant, or not yet. */
+  readonly quota?: QuotaAnswer;
 }
--- a/src/direct/orders/demandreport.ts
+++ b/src/direct/orders/demandreport.ts
@@ -1,5 +1,6 @@
 import type { ModelId, ServiceId, UpstreamId } from '../../base/index.js';
 import type { PoisonReport } from '../poison/index.js';
+import type { QuotaReport } from '../quota/index.js';
 import type { NewsMark } from './newsmark.js';
 
 /** What one entry saw of one model since its last report. */
@@ -31,4 +32,6 @@
   readonly heard?: NewsMark;
   /** Absent from an entry that knows nothing of suspected requests. */
   readonly poison?: PoisonReport;
+  /** Absent where no customers are configured. */
+  readonly quota?: QuotaReport;
 }
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -4,6 +4,7 @@
 import { callOnce, Channel } from '../../shell/http1/index.js';
 import type { Suspect } from '../../core/poison/index.js';
 import type { TrialQuestion } from '../poison/index.js';
+import type { DrawAnswer, DrawQuestion } from '../quota/index.js';
 import type { Need } from '../route/index.js';
 import type { DemandAnswer } from './demandanswer.js';
 import type { DemandReport } from './demandreport.js';
@@ -17,6 +18,8 @@
   changes(question: ChangeQuestion): ReturnType<ChangeFeed['changes']>;
   /** Makes a write for an entry whose own way to the store is cut. */
   swap(swap: Swap): ReturnType<ChangeFeed['swap']>;
+  /** Grants tokens of a customer's quota for one request. */
+  draw(question: DrawQuestion): DrawAnswer;
   /** Whether a suspected request may run at another entry now. */
   trial(question: TrialQuestion): boolean;
   /** Requests under which upstreams ended, for an operator. */
@@ -48,6 +51,7 @@
   demand: '/orders/demand',
   swap: '/orders/swap',
   changes: '/state/changes',
+  draw: '/quota/draw',
   trial: '/poison/trial',
   suspects: '/poison/list',
   lift: '/poison/lift',
@@ -60,6 +64,8 @@
 const DEMAND_TIMEOUT_MS = 400;
 /** A suspected request waits for this answer: an entry that is up gives it within milliseconds. */
 const TRIAL_TIMEOUT_MS = 150;
+/** A request waits for this answer, and its target may be 250 ms: an entry that is up gives it within milliseconds. */
+const DRAW_TIMEOUT_MS = 150;
 /** The right that is renewed lasts not much longer. */
 const SWAP_TIMEOUT_MS = 500;
 /** How much later than its wait a question for changes is answered: a round trip on a busy host. */
@@ -126,6 +132,12 @@
     return (said as { mayRun: boolean } | undefined)?.mayRun;
   }
 
+  /** Undefined without an answer. */
+  async draw(address: string, question: DrawQuestion): Promise<DrawAnswer | undefined> {
+    const said = await this.ask(address, PATHS.draw, question, DRAW_TIMEOUT_MS);
+    return said as DrawAnswer | undefined;
+  }
+
   /** The store's changes as another entry has read them; undefined without an answer. */
   async changes(
     address: string,
@@ -200,6 +212,7 @@
       const said = await this.handlers.changes(body as ChangeQuestion);
       return said.ok ? { ok: true, changes: said.val } : { ok: false, failure: said.val };
     }
+    if (path === PATHS.draw) return this.handlers.draw(body as DrawQuestion);
     if (path === PATHS.trial) return { mayRun: this.handlers.trial(body as TrialQuestion) };
     if (path === PATHS.suspects) return { suspects: this.handlers.suspects() };
     if (path === PATHS.lift) {
--- a/src/direct/orders/turnkeeper.ts
+++ b/src/direct/orders/turnkeeper.ts
@@ -25,6 +25,8 @@
   readonly log: Log;
   /** Makes the write through another entry, where this one's own way to the store may be cut. */
   readonly relay: (swap: Swap) => ReturnType<ChangeFeed['swap']>;
+  /** The entries that there are; those that start, and a successor, read it with the record. */
+  readonly entries: () => TurnRecord['entries'];
   /** Called when this process takes the right, with whether nobody had it before. */
   readonly took: (isFirst: boolean) => void;
 }
@@ -76,6 +78,17 @@
     return mayOrder(this.state, this.options.clock.nowMs());
   }
 
+  /** Whether this process alone answers for what all entries share; unlike an order, an answer is over at once. */
+  mayAnswer(): boolean {
+    const { own } = this.state;
+    return own !== undefined && this.options.clock.nowMs() < own.validUntilMs;
+  }
+
+  /** What the last holder wrote of the entries that there are. */
+  get toldEntries(): TurnRecord['entries'] {
+    return this.state.seen?.value.entries;
+  }
+
   get epoch(): number {
     return this.state.own?.epoch ?? 0;
   }
@@ -152,7 +165,7 @@
   private async write(write: TurnWrite): Promise<void> {
     const { feed, key } = this.options;
     this.isWriting = true;
-    const value = JSON.stringify(write.value);
+    const value = JSON.stringify({ ...write.value, entries: this.options.entries() });
     const swap = { key, expectedRevision: write.expectedRevision, value };
     const said = write.type === 'renew' ? await this.renew(swap) : await feed.swap(swap);
     if (said.err) await this.failed(write, said.val.type);
@@ -184,6 +197,8 @@
   private answered(write: TurnWrite, value: TurnRecord, revision: Revision): void {
     const { clock, log, took } = this.options;
     const before = this.state.seen?.value.host;
+    // The list may have told of this write before its own answer came.
+    const isFirst = write.expectedRevision === 0;
     const had = this.state.own;
     this.state = onAnswer(this.state, write, value, revision, clock.nowMs());
     const { own } = this.state;
@@ -191,7 +206,7 @@
     if (had || !own) return;
     const waitMs = Math.round(own.ordersFromMs - clock.nowMs());
     log.info('order turn taken', { epoch: own.epoch, before, waitMs });
-    took(before === undefined);
+    took(isFirst);
   }
 
   /** A write without an answer may have been done, or may be done later: its word is looked for. */
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -3,9 +3,10 @@
 import { nextStep, type AttemptEnd, type Progress } from '../../core/delivery/index.js';
 import { hash32 } from '../../core/hash/index.js';
 import { paceRules } from '../../core/promptpace/index.js';
-import { findRoute, pickService, type Route } from '../../core/routetable/index.js';
+import { pickService, type Route } from '../../core/routetable/index.js';
 import type { Log, UpstreamLink, UpstreamReceiver } from '../../port/index.js';
 import type { Caller } from '../caller.js';
+import { quotaRefusal, type Admitted } from '../intake/index.js';
 import type { Refusal } from '../refusal.js';
 import type { Need, UpstreamState } from '../route/index.js';
 import type { Serving } from '../serving.js';
@@ -47,7 +48,7 @@
 export class Run {
   private readonly tried = new Set<UpstreamId>();
 
-  private route: Route | undefined;
+  private route: Route;
 
   private need: Need | undefined;
 
@@ -116,10 +117,20 @@
 
   constructor(
     private readonly serving: Serving,
-    private readonly caller: Caller,
+    private readonly admitted: Admitted,
     private readonly over: () => void,
   ) {
-    this.suspicion = new Suspicion(serving.poison, caller.request);
+    this.route = admitted.route;
+    this.suspicion = new Suspicion(serving.poison, admitted.caller.request);
+  }
+
+  private get caller(): Caller {
+    return this.admitted.caller;
+  }
+
+  /** 0 is the most urgent. */
+  private get priority(): number {
+    return this.admitted.customer?.priority ?? this.route.priority;
   }
 
   private get clock(): Clock {
@@ -134,17 +145,7 @@
     const { caller, serving } = this;
     const { request } = caller;
     caller.onGone(() => this.gone());
-    const { table } = serving;
-    if (!table) {
-      this.refuse(503, 'no-configuration', 'This entry knows no configuration yet.', COME_BACK_MS);
-      return;
-    }
-    const route = findRoute(table, request.host, request.path);
-    if (!route) {
-      this.refuse(404, 'route-unknown', 'No route takes this host and path.');
-      return;
-    }
-    this.route = route;
+    const { route } = this;
     const deadlineMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     this.untilMs = request.arrivedAtMs + deadlineMs;
     this.isReturn = serving.isReturn(route, request.deadlineMs);
@@ -170,15 +171,15 @@
 
   private progress(): Progress {
     const { route } = this;
-    const isResumable = route!.isResumable && this.cutter?.lastId !== undefined;
+    const isResumable = route.isResumable && this.cutter?.lastId !== undefined;
     return {
       isRepeatable:
-        route!.kind === 'idempotent' || (route!.kind === 'streaming' && route!.isResumable),
+        route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable),
       isResumable,
       hasBegun: this.hasBegun,
       ranCount: this.ranCount,
       refusedCount: this.refusedCount,
-      maxAttempts: route!.maxAttempts,
+      maxAttempts: route.maxAttempts,
       remainingMs: this.untilMs - this.clock.nowMs(),
     };
   }
@@ -189,12 +190,17 @@
     const { caller, serving, clock } = this;
     const { request } = caller;
     // The configuration may have changed while the request waited.
-    const route = serving.table && findRoute(serving.table, request.host, request.path);
-    if (!route) {
-      this.giveUp('route-withdrawn', 'The route was withdrawn.');
+    const judged = serving.judge(request);
+    if (judged?.type !== 'allowed') {
+      this.withdrawn(judged?.type);
       return;
     }
+    const { route } = judged;
     this.route = route;
+    if (!this.admitted.charge.covers(this.ranCount)) {
+      void this.payAgain();
+      return;
+    }
     const service = pickService(route, request.id);
     this.need = { service, model: request.model, adapter: request.adapter };
     if (!serving.mayWait) {
@@ -214,6 +220,28 @@
     else this.tryAgainLater();
   }
 
+  /** The configuration no longer allows what it did when the request came. */
+  private withdrawn(type: 'route-unknown' | 'key-unknown' | undefined): void {
+    const isKey = type === 'key-unknown';
+    const isUntouched = this.ranCount === 0 && !this.hasBegun;
+    if (isKey && isUntouched) this.refuse(401, 'key-withdrawn', 'The key was withdrawn.');
+    else if (isKey) this.giveUp('key-withdrawn', 'The key was withdrawn.');
+    else this.giveUp('route-withdrawn', 'The route was withdrawn.');
+  }
+
+  /** One more run, or one whose payment lies too far back, takes from the quota before it is sent. */
+  private async payAgain(): Promise<void> {
+    const taken = await this.admitted.charge.pay(this.ranCount);
+    if (this.isOver) return;
+    if (taken.type === 'paid') {
+      this.attempt();
+      return;
+    }
+    const { status, type, detail, retryAfterMs } = quotaRefusal(taken);
+    if (this.ranCount > 0 || this.hasBegun) this.giveUp(type, detail);
+    else this.refuse(status, type, detail, retryAfterMs);
+  }
+
   /** A request under which upstreams ended is not sent on, or only while it runs nowhere else. */
   private isHeldBack(): boolean {
     const standing = this.suspicion.standing();
@@ -248,13 +276,13 @@
   private isOverfull(state: UpstreamState, nowMs: Ms): boolean {
     if (this.need!.model === undefined || this.ranCount > 0) return false;
     // Another refusal would lose a caller that is back.
-    const isUrgent = this.route!.priority === 0 || this.isReturn;
+    const isUrgent = this.priority === 0 || this.isReturn;
     return this.serving.fleet.isFull(state, isUrgent, nowMs);
   }
 
   /** A prompt waits a little, while the engine reads others, if the target leaves time for that. */
   private isToBePaced(state: UpstreamState, nowMs: Ms): boolean {
-    const { kind, gapTargetMs, targetLatencyMs } = this.route!;
+    const { kind, gapTargetMs, targetLatencyMs } = this.route;
     if (kind !== 'streaming' || this.hasBegun) return false;
     const heldMs = nowMs - this.caller.request.arrivedAtMs;
     if (heldMs >= targetLatencyMs * paceRules.holdShare) return false;
@@ -287,7 +315,7 @@
   /** Whether its time still leaves room for waiting, rather than for another try. */
   private mayWaitForRoom(): boolean {
     const { arrivedAtMs } = this.caller.request;
-    const targetMs = this.route!.targetLatencyMs;
+    const targetMs = this.route.targetLatencyMs;
     const wholeMs = this.untilMs - arrivedAtMs;
     const waitMs = roomWaitMs({ targetMs, wholeMs, isReturn: this.isReturn });
     return this.clock.nowMs() - arrivedAtMs < waitMs;
@@ -313,7 +341,7 @@
     if (this.need?.model !== undefined) {
       return comeBackMs(this.untilMs - this.clock.nowMs(), this.place());
     }
-    return Math.max(COME_BACK_MS, Math.min(MOST_COME_BACK_MS, this.route!.targetLatencyMs));
+    return Math.max(COME_BACK_MS, Math.min(MOST_COME_BACK_MS, this.route.targetLatencyMs));
   }
 
   /** No upstream holds what the request needs: asks for it to be made ready. */
@@ -324,7 +352,7 @@
     const waiter = {
       heldMs: nowMs - request.arrivedAtMs,
       remainingMs: this.untilMs - nowMs,
-      targetMs: this.route!.targetLatencyMs,
+      targetMs: this.route.targetLatencyMs,
       place: this.place(),
     };
     this.hasSought = true;
@@ -352,8 +380,10 @@
         path: request.path,
         headers: request.headers,
         body: request.body,
+        customer: this.admitted.customer?.id,
+        authorization: serving.table!.access ? undefined : request.authorization,
         deadlineMs: this.untilMs - nowMs,
-        priority: Math.min(LEAST_PRIORITY, route.priority * PRIORITY_STEP + 1),
+        priority: Math.min(LEAST_PRIORITY, this.priority * PRIORITY_STEP + 1),
         resumeAfter: this.cutter?.lastId ?? request.resumeAfter,
         weightsVersion: this.hasBegun ? this.weightsVersion : undefined,
       },
@@ -438,13 +468,13 @@
     }
     this.head = head;
     this.firstByteAtMs ??= nowMs;
-    const isStream = this.route!.kind === 'streaming' && head.status < FIRST_NO_SUCCESS;
+    const isStream = this.route.kind === 'streaming' && head.status < FIRST_NO_SUCCESS;
     if (!isStream) {
       this.held = [];
       return;
     }
     this.weightsVersion ??= head.weightsVersion;
-    if (!this.route!.isResumable) {
+    if (!this.route.isResumable) {
       this.begin();
       return;
     }
@@ -471,7 +501,7 @@
   }
 
   private data(chunk: Buffer): boolean {
-    if (this.route!.kind === 'streaming') this.learnGap();
+    if (this.route.kind === 'streaming') this.learnGap();
     if (this.held) {
       this.held.push(chunk);
       this.heldBytes += chunk.length;
@@ -499,7 +529,7 @@
     if (lastEventAtMs === undefined) return;
     const gapMs = nowMs - lastEventAtMs;
     this.longestGapMs = Math.max(this.longestGapMs, gapMs);
-    const { gapTargetMs } = this.route!;
+    const { gapTargetMs } = this.route;
     if (!fleet.learnGap(state, gapMs, gapTargetMs, nowMs)) return;
     const limit = Math.round(state.limit.fill * state.info.slots);
     const load = Math.round(fleet.load(state.info.id, nowMs));
@@ -549,7 +579,7 @@
     const step = nextStep(this.progress(), end);
     const { serving, route, caller } = this;
     const nowMs = this.clock.nowMs();
-    const service = pickService(route!, caller.request.id);
+    const service = pickService(route, caller.request.id);
     const costs = step.type === 'resume' || (step.type === 'again' && step.costs);
     if (costs && !serving.budgetOf(service).take(nowMs)) {
       this.ends.push('budget-spent');
@@ -622,7 +652,7 @@
 
   private gone(): void {
     if (this.isOver) return;
-    this.withdraw('gone');
+    if (this.withdraw('gone')) this.ranCount += 1;
     this.close('gone');
   }
 
@@ -648,6 +678,7 @@
     this.isOver = true;
     this.forgetTimer();
     this.suspicion.end();
+    this.admitted.charge.settle(this.ranCount);
     const { request } = this.caller;
     const nowMs = this.clock.nowMs();
     const since = (atMs: Ms | undefined) =>
@@ -656,8 +687,10 @@
     this.log.info('request', {
       requestId: request.id,
       end,
-      route: this.route?.name,
+      route: this.route.name,
       version: this.serving.table?.version,
+      customer: this.admitted.customer?.id,
+      cost: this.admitted.charge.cost,
       service: this.need?.service,
       model: request.model,
       adapter: request.adapter,
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -1,9 +1,12 @@
 import type { Clock, Ms, ServiceId } from '../base/index.js';
 import type { ResidencyWait } from '../core/residencywait/index.js';
 import type { RetryBudget } from '../core/retrybudget/index.js';
-import type { Route, RouteTable } from '../core/routetable/index.js';
+import type { CustomerSpec } from '../core/access/index.js';
+import type { Judgement, Route, RouteTable } from '../core/routetable/index.js';
 import type { Log, UpstreamLink } from '../port/index.js';
+import type { Caller } from './caller.js';
 import type { PoisonDesk } from './poison/index.js';
+import type { QuotaDesk } from './quota/index.js';
 import type { Fleet, Need } from './route/index.js';
 
 /** Whether what a request needs was made ready for it. */
@@ -23,9 +26,14 @@
   readonly link: UpstreamLink;
   readonly fleet: Fleet;
   readonly poison: PoisonDesk;
+  readonly quota: QuotaDesk;
   readonly table: RouteTable | undefined;
   /** False late in a planned stop: what has not been sent to an upstream is refused. */
   readonly mayWait: boolean;
+  /** What the configuration in force says of a request; undefined while none is known, or it may be outdated. */
+  judge(request: Caller['request']): Judgement | undefined;
+  /** A request was refused before anything was done for it. */
+  refused(reason: string, customer: CustomerSpec | undefined): void;
   budgetOf(service: ServiceId): RetryBudget;
   /** How many connections this entry may have to one upstream. */
   connectionShare(maxConnections: number | undefined): number;
--- a/src/entry/keyindex.ts
+++ b/src/entry/keyindex.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { bearerHash } from '../shell/hash/index.js';
 import type { ServiceDocument } from '../core/document/index.js';
 import type { Access } from './access.js';
 
@@ -27,12 +27,12 @@
     authorization: string | undefined,
     documents: readonly ServiceDocument[],
   ): readonly Access[] {
-    const key = /^Bearer (.+)$/i.exec(authorization ?? '')?.[1];
-    if (key === undefined) return [];
+    const hash = bearerHash(authorization);
+    if (hash === undefined) return [];
     if (documents !== this.documents) {
       this.documents = documents;
       this.index = indexOf(documents);
     }
-    return this.index.get(createHash('sha256').update(key).digest('hex')) ?? [];
+    return this.index.get(hash) ?? [];
   }
 }
--- a/src/port/upstreamlink.ts
+++ b/src/port/upstreamlink.ts
@@ -1,4 +1,4 @@
-import type { ModelId, Ms, RequestId, UpstreamId } from '../base/index.js';
+import type { CustomerId, ModelId, Ms, RequestId, UpstreamId } from '../base/index.js';
 import type { UpstreamReceiver } from './upstreamreceiver.js';
 
 /** A caller's request as it goes to an upstream. */
@@ -13,6 +13,10 @@
   /** The caller's headers that go on: alternates names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Whom the request's key belongs to. */
+  readonly customer?: CustomerId;
+  /** The caller's own credential, where the configuration knows no keys. */
+  readonly authorization?: string;
   /** How long the upstream may work on it. */
   readonly deadlineMs: Ms;
   /** 0 is the most urgent, 9 the least. */
--- a/src/shell/hash/index.ts
+++ b/src/shell/hash/index.ts
@@ -1,3 +1,5 @@
 /** Hashes that name requests and keys. */
 export { keyHash } from './keyhash.js';
 export { requestHash } from './requesthash.js';
+export { bearerHash } from './bearerhash.js';
+export { hashKey } from './hashkey.js';
--- a/standin/platform/configurationof.ts
+++ b/standin/platform/configurationof.ts
@@ -7,17 +7,35 @@
   readonly resumable?: boolean;
   readonly timeoutMs?: number;
   readonly targetLatencyMs?: number;
+  readonly isPublic?: boolean;
+}
+
+/** A customer as a stand-in's operator writes it. */
+interface CustomerChoice {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority?: number;
+  /** Tokens a second, and at once. */
+  readonly rate?: number;
+  readonly burst?: number;
 }
 
 const TIMEOUT_MS = 4000;
+const PLAIN_TOKENS = 200;
 const TARGET_MS = 1000;
 const MODELS = ['m1', 'm2', 'm3'];
 
+function tenantOf({ name, keys, priority, rate, burst }: CustomerChoice): object {
+  const unit = { unit: 'tokens', plain_tokens: PLAIN_TOKENS };
+  return { name, api_keys: keys, priority, ...unit, rate_per_s: rate ?? 0, burst: burst ?? 0 };
+}
+
 /** A configuration of the prepared platform: a plain service and engines of three models, two at a time. */
 export function configurationOf(
   version: number,
   host: string,
   routes: readonly RouteChoice[],
+  customers?: readonly CustomerChoice[],
 ): object {
   const models = MODELS.map((name) => ({
     name,
@@ -39,6 +57,7 @@
       service: route.service,
       max_attempts: route.maxAttempts ?? 1,
       resumable: route.resumable ?? false,
+      public: route.isPublic ?? false,
     })),
     services: [
       { name: 'plain', max_conns: 100 },
@@ -48,6 +67,7 @@
         engine: { models, weights_mb: 25, adapter_slots: 2, loads_per_s: 10 },
       },
     ],
+    ...(customers && { tenants: customers.map(tenantOf) }),
     limits: {
       max_header_bytes: 2000,
       max_body_bytes: 1000,
--- /dev/null
+++ b/test/access.test.ts
@@ -0,0 +1,94 @@
+import test from 'ava';
+import { decodeTable } from '../platform/decodetable.js';
+import type { CustomerId, KeyHash } from '../src/base/index.js';
+import { judge, type RouteTable } from '../src/core/routetable/index.js';
+import { bearerHash, hashKey } from '../src/shell/hash/index.js';
+import { configurationOf } from '../standin/platform/index.js';
+
+const HOST = 'caller.example';
+const ROUTES: Parameters<typeof configurationOf>[2] = [
+  { name: 'lookup', kind: 'idempotent', service: 'plain' },
+  { name: 'open', kind: 'idempotent', service: 'plain', isPublic: true },
+];
+
+function decoded(customers?: Parameters<typeof configurationOf>[3]): RouteTable {
+  const text = JSON.stringify(configurationOf(1, HOST, ROUTES, customers));
+  return decodeTable(text).unwrap();
+}
+
+function judged(table: RouteTable, path: string, key?: string): string {
+  const keyHash = bearerHash(key && `Bearer ${key}`);
+  const said = judge(table, { host: HOST, path, keyHash });
+  return said.type === 'allowed' ? (said.customer?.id ?? 'anyone') : said.type;
+}
+
+test('the key alone says whose a request is; the route is looked at first', (t) => {
+  const table = decoded([
+    { name: 'large', keys: ['k1', 'k2'] },
+    { name: 'small', keys: ['k3'] },
+  ]);
+  t.is(judged(table, '/lookup/1', 'k1'), 'large');
+  t.is(judged(table, '/lookup/1', 'k2'), 'large');
+  t.is(judged(table, '/lookup/1', 'k3'), 'small');
+  t.is(judged(table, '/lookup/1', 'k4'), 'key-unknown');
+  t.is(judged(table, '/lookup/1'), 'key-unknown');
+  t.is(judged(table, '/nowhere/1', 'k4'), 'route-unknown');
+  t.is(judged(table, '/open/1'), 'anyone');
+  t.is(judged(table, '/open/1', 'k4'), 'anyone');
+  t.is(judged(table, '/open/1', 'k3'), 'small');
+});
+
+test('where no customers are configured whoever asks is served', (t) => {
+  t.is(judged(decoded(), '/lookup/1'), 'anyone');
+  // An empty list is one: nobody has a key.
+  t.is(judged(decoded([]), '/lookup/1', 'k1'), 'key-unknown');
+});
+
+test('a key is kept as its hash only', (t) => {
+  const table = decoded([{ name: 'large', keys: ['a-secret'] }]);
+  const hashes = [...table.access!.customerByKey.keys()];
+  t.deepEqual(hashes, [hashKey('a-secret')]);
+  t.false(JSON.stringify([...table.access!.customers]).includes('a-secret'));
+});
+
+test('a bearer key is read as the header has it, and nothing else is one', (t) => {
+  const hash = hashKey('k1');
+  t.is(bearerHash('Bearer k1'), hash);
+  t.is(bearerHash('bearer  k1 '), hash);
+  for (const other of [undefined, '', 'Bearer', 'Bearer ', 'Basic k1', 'k1']) {
+    t.is(bearerHash(other), undefined as KeyHash | undefined);
+  }
+});
+
+test('a configuration whose customers cannot be told apart is not taken', (t) => {
+  const sound = { name: 'large', api_keys: ['k1'] };
+  const faulty: readonly unknown[] = [
+    [sound, { name: 'small', api_keys: ['k1'] }],
+    [sound, { name: 'large', api_keys: ['k2'] }],
+    [{ api_keys: ['k1'] }],
+    [{ name: 'large', api_keys: [7] }],
+    [{ name: 'large', api_keys: [''] }],
+    [{ name: 'large', api_keys: 7 }],
+    [{ name: 'large', api_keys: ['k1'], rate_per_s: 'much' }],
+    [{ name: 'large', api_keys: ['k1'], rate_per_s: 1, burst: -1 }],
+    { name: 'large' },
+    [null],
+  ];
+  for (const tenants of faulty) {
+    const text = JSON.stringify({ ...configurationOf(1, HOST, ROUTES), tenants });
+    const said = decodeTable(text);
+    t.true(said.err, JSON.stringify(tenants));
+    t.false(JSON.stringify(said.val).includes('k1'));
+  }
+});
+
+test('a quota is read in its unit; a rate of 0 is none', (t) => {
+  const { customers } = decoded([
+    { name: 'large', keys: ['k1'], rate: 900, burst: 300, priority: 0 },
+    { name: 'small', keys: ['k2'] },
+  ]).access!;
+  const large = customers.get('large' as CustomerId)!;
+  t.is(large.priority, 0);
+  t.deepEqual(large.quota, { unit: 'tokens', ratePerS: 900, burst: 300, plainTokens: 200 });
+  t.is(customers.get('small' as CustomerId)!.quota, undefined);
+});
--- a/test/platformsettings.test.ts
+++ b/test/platformsettings.test.ts
@@ -26,9 +26,15 @@
   'bounds.ceiling_overshoot': 1.1,
 };
 
+/** Sections are kept where their field is present, as the platform's page says. */
+const SECTION = /\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g;
+
 function load(fields: Readonly<Record<string, unknown>>) {
   const template = readFileSync('deploy/entry.jsonc', 'utf8');
-  const text = template.replaceAll(/\{\{([\w.]+)\|json\}\}/g, (_all, name: string) =>
+  const present = template.replaceAll(SECTION, (_all, name: string, inner: string) =>
+    fields[name] === undefined ? '' : inner,
+  );
+  const text = present.replaceAll(/\{\{([\w.]+)\|json\}\}/g, (_all, name: string) =>
     JSON.stringify(fields[name] ?? null),
   );
   const folder = mkdtempSync(join(tmpdir(), 'settings-'));
@@ -45,6 +51,25 @@
   if (settings.ok) t.is(settings.val.storeAddress, '10.200.1.7:8142');
 });
 
+test('bounds of quotas are taken where the platform names them', (t) => {
+  t.is(load(FIELDS).unwrap().quotaWindowS, undefined);
+  const bounds = {
+    'bounds.quota_window_s': 8,
+    'bounds.quota_overshoot': 0.1,
+    'bounds.quota_slack': 0,
+  };
+  const settings = load({ ...FIELDS, ...bounds }).unwrap();
+  const { quotaWindowS, quotaOvershoot, quotaSlack } = settings;
+  t.deepEqual(
+    { quotaWindowS, quotaOvershoot, quotaSlack },
+    {
+      quotaWindowS: 8,
+      quotaOvershoot: 0.1,
+      quotaSlack: 0,
+    },
+  );
+});
+
 test('a field that is missing or wrong is named', (t) => {
   const cases: readonly [string, unknown, string][] = [
     ['platform.address', undefined, 'storeAddress'],
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -14,6 +14,7 @@
   { name: 'lookup', kind: 'idempotent', service: 'plain', maxAttempts: 2 },
   { name: 'charge', kind: 'non_idempotent', service: 'plain' },
   { name: 'short', kind: 'non_idempotent', service: 'plain', timeoutMs: 300 },
+  { name: 'open', kind: 'idempotent', service: 'plain', isPublic: true },
   { name: 'draft', kind: 'streaming', service: 'engine' },
   { name: 'batch', kind: 'streaming', service: 'engine', maxAttempts: 2, resumable: true },
 ];
@@ -32,6 +33,9 @@
   /** Paths whose requests end the server that runs them, by how many ms after their run began. */
   readonly crashing = new Map<string, number>();
 
+  /** Customers of the next configurations; none are configured while this is undefined. */
+  customers: Parameters<typeof configurationOf>[3];
+
   private readonly started: (Awaited<ReturnType<typeof startEntry>> | undefined)[] = [];
 
   private readonly peers: string[] = [];
@@ -84,6 +88,9 @@
         loadWindowS: 5,
         loadOvershoot: 1.1,
         poisonKeepS: 3600,
+        quotaWindowS: 8,
+        quotaOvershoot: 0.1,
+        quotaSlack: 500,
       },
       systemClock,
       log,
@@ -143,7 +150,7 @@
 
   configure(version: number, left: readonly string[] = []): void {
     const routes = ROUTES.filter(({ name }) => !left.includes(name));
-    this.store.put('op/config', configurationOf(version, HOST, routes));
+    this.store.put('op/config', configurationOf(version, HOST, routes, this.customers));
   }
 
   /** Waits for something that follows from what was done; ava's own timeout ends a wait in vain. */
