--- a/src/core/quota/quotalimits.ts
+++ b/src/core/quota/quotalimits.ts
@@ -20,12 +20,14 @@
   chargeValidMs: 400,
   /** Parts of the demand between two reports that an entry gets ahead. */
   aheadShare: 2.5,
-  /** An entry keeps tokens ahead only where its part of half a bucket is so many requests. */
+  /** An entry keeps tokens by its demand only where its part of half a bucket is so many requests. */
   leastLumps: 2,
   /** After a refusal an entry does not ask again for this long, in ms. */
   closedMs: 100,
-  /** Reports without demand after which what was got ahead goes back. */
-  idleReports: 2,
+  /** Requests of the usual cost that an entry keeps ahead where a customer's limit is narrow. */
+  keptRequests: 1.5,
+  /** Reports without demand after which what was got ahead goes back: 3 s, as rare callers come again. */
+  idleReports: 12,
   /** However long the line, nobody is told to come back later than this, in ms: most deadlines are over by then. */
   mostRetryAfterMs: 10_000,
 } as const;
--- a/src/core/quota/sharedbucket.ts
+++ b/src/core/quota/sharedbucket.ts
@@ -83,8 +83,13 @@
   /** Grants ahead of demand with the answer to a report, so that most requests need not ask. */
   ahead(entry: HostId, entryCount: number): number {
     const wanted = this.wanted.get(entry) ?? 0;
-    if (wanted === 0 || !this.mayGrantAhead(entryCount)) return 0;
+    if (wanted === 0) return 0;
     const held = this.held.get(entry) ?? 0;
+    if (!this.isWide(entryCount)) {
+      const missing = quotaLimits.keptRequests * this.usualCost - held;
+      const spare = Math.min(missing, this.spare());
+      return spare > 0 ? this.grant(entry, spare) : 0;
+    }
     const missing = quotaLimits.aheadShare * wanted + this.usualCost - held;
     const byDemand = (this.level * wanted) / this.wantedSum;
     const granted = Math.min(missing, Math.max(byDemand, this.level - this.capacity / 2));
@@ -98,10 +103,10 @@
       this.promised += cost;
       return 0;
     }
+    this.grant(entry, missing);
     // While there is plenty, the next one need not ask.
-    const spare = this.level - missing - this.capacity / 2;
-    const extra = Math.max(0, Math.min(this.usualCost, spare / quotaLimits.leastLumps));
-    return this.grant(entry, missing + extra);
+    const extra = Math.max(0, Math.min(this.usualCost, this.spare()));
+    return missing + this.grant(entry, extra);
   }
 
   /** True while a usual request would find too little. */
@@ -121,7 +126,17 @@
     return this.level;
   }
 
-  private mayGrantAhead(entryCount: number): boolean {
+  /**
+   * What may lie at entries that have no use for it yet: as much as the bucket is larger than the burst, so that a
+   * customer that is refused has had its whole limit.
+   */
+  private spare(): number {
+    const excess = this.capacity - this.quota.burst - this.heldSum;
+    return Math.min(excess, this.level - this.capacity / 2);
+  }
+
+  /** Whether half of the bucket is enough for a few requests at each entry. */
+  private isWide(entryCount: number): boolean {
     const perEntry = this.capacity / 2 / Math.max(1, entryCount);
     return perEntry >= quotaLimits.leastLumps * this.usualCost;
   }
