Places by the models' own pace

Now entries tell what ended requests took; a pace that surely differs from 1 (two standard deviations) scales a model's load, and a slot's time counts as the requests that it holds.

--- a/bench/platformpolicy/deployment.ts
+++ b/bench/platformpolicy/deployment.ts
@@ -16,6 +16,8 @@
   readonly promptsPerPause: number;
   /** Mean time of a request at an engine that is not crowded. */
   readonly meanMs: Ms;
+  /** What a model's requests take, as a part of that; 1 where nothing is said. */
+  readonly paces?: ReadonlyMap<ModelId, number>;
 }
 
 const MB_LARGE = 72_700;
@@ -47,6 +49,9 @@
   return [...models.keys()].slice(0, count);
 }
 
+/** Of small, middle and large models in turn. */
+const PACES = [1, 0.35, 1, 0.23, 1, 0.35, 0.23];
+
 const LARGE = (count: number): number[] => Array<number>(count).fill(MB_LARGE);
 const MIDDLE = (count: number): number[] => Array<number>(count).fill(MB_MIDDLE);
 const SMALL = (count: number): number[] => Array<number>(count).fill(MB_SMALL);
@@ -101,10 +106,30 @@
   };
 }
 
+/** Slow loads, six busy models at a time, and models that differ in pace by four times. */
+function paced(): StudyDeployment {
+  const models = specs([...LARGE(30), ...MIDDLE(47)], () => 4200);
+  const paces = new Map<ModelId, number>();
+  for (const [at, id] of [...models.keys()].entries()) paces.set(id, PACES[at % PACES.length]!);
+  return {
+    engines: 32,
+    slots: 32,
+    engine: { weightsMb: 220_000, adapterSlots: 8, loadsPerSecond: 9, models },
+    pool: firstOf(models, 15),
+    busyShares: [0.326, 0.177, 0.145, 0.128, 0.116, 0.108],
+    busyPerSecond: 850,
+    rarePerSecond: 36,
+    promptsPerPause: 9,
+    meanMs: 1200,
+    paces,
+  };
+}
+
 /** The sites of two milestones at the sizes at which they are played. */
 export const deployments = {
   agency,
   reenvio,
   'large twin': () => large(16, 58, 5.7),
   large: () => large(65, 171, 13),
+  paced,
 } as const;
--- a/bench/platformpolicy/world.ts
+++ b/bench/platformpolicy/world.ts
@@ -25,7 +25,7 @@
 interface Place {
   phase: 'ready' | 'loading' | 'unloading';
   sinceMs: Ms;
-  readonly endsMs: Ms[];
+  readonly runs: { readonly endMs: Ms; readonly tookMs: Ms }[];
 }
 
 interface Engine {
@@ -88,7 +88,7 @@
 
   private readonly missed = new Map<ModelId, number>();
 
-  private readonly ended = new Map<ModelId, number>();
+  private readonly ended = new Map<ModelId, { count: number; tookMs: Ms }>();
 
   private again: { readonly atMs: Ms; readonly model: ModelId }[] = [];
 
@@ -147,7 +147,7 @@
     for (const engine of byRoom) {
       if (left === 0) return;
       if (engine.places.has(model) || this.freeMb(engine) < sizeMb) continue;
-      engine.places.set(model, { phase: 'ready', sinceMs: 0, endsMs: [] });
+      engine.places.set(model, { phase: 'ready', sinceMs: 0, runs: [] });
       engine.onDisk.add(model);
       left -= 1;
     }
@@ -238,8 +238,9 @@
       return;
     }
     const crowded = 1 + (CROWDED_SHARE * bestLoad) / slots;
-    const tookMs = -Math.log(1 - this.random()) * meanMs * crowded;
-    best.places.get(model)!.endsMs.push(this.nowMs + tookMs);
+    const paceMs = meanMs * (this.deployment.paces?.get(model) ?? 1);
+    const tookMs = -Math.log(1 - this.random()) * paceMs * crowded;
+    best.places.get(model)!.runs.push({ endMs: this.nowMs + tookMs, tookMs });
     const isLate = bestLoad >= slots;
     if (isLate) this.late += 1;
     const whole = isFirst ? 1 : CAME_BACK_WORTH;
@@ -248,27 +249,32 @@
 
   private load({ places }: Engine): number {
     let load = 0;
-    for (const { endsMs } of places.values()) load += endsMs.length;
+    for (const { runs } of places.values()) load += runs.length;
     return load;
   }
 
   private advance(engine: Engine): void {
     const mark = engine;
     for (const [model, place] of engine.places) {
-      const running = place.endsMs.filter((atMs) => atMs > this.nowMs);
-      const ended = place.endsMs.length - running.length;
-      if (ended > 0) this.ended.set(model, (this.ended.get(model) ?? 0) + ended);
-      place.endsMs.splice(0, place.endsMs.length, ...running);
+      const ended = this.ended.get(model) ?? { count: 0, tookMs: 0 };
+      this.ended.set(model, ended);
+      for (const { endMs, tookMs } of place.runs) {
+        if (endMs > this.nowMs) continue;
+        ended.count += 1;
+        ended.tookMs += tookMs;
+      }
+      const running = place.runs.filter(({ endMs }) => endMs > this.nowMs);
+      place.runs.splice(0, place.runs.length, ...running);
     }
     const current = engine.move;
     if (!current) return;
     const { model, evicted, loadMs } = current.move;
-    const isWaiting = evicted.some((one) => (engine.places.get(one)?.endsMs.length ?? 0) > 0);
+    const isWaiting = evicted.some((one) => (engine.places.get(one)?.runs.length ?? 0) > 0);
     if (isWaiting) return;
     for (const one of evicted) engine.places.delete(one);
     current.loadFromMs ??= this.nowMs;
     if (this.nowMs < current.loadFromMs + loadMs + LIST_LAG_MS) return;
-    engine.places.set(model, { phase: 'ready', sinceMs: this.nowMs, endsMs: [] });
+    engine.places.set(model, { phase: 'ready', sinceMs: this.nowMs, runs: [] });
     engine.onDisk.add(model);
     mark.move = undefined;
   }
@@ -276,12 +282,13 @@
   private report(): void {
     const models = [...this.deployment.engine.models.keys()].map((model) => {
       let running = 0;
-      for (const { places } of this.engines) running += places.get(model)?.endsMs.length ?? 0;
+      for (const { places } of this.engines) running += places.get(model)?.runs.length ?? 0;
       const arrivals = this.arrivals.get(model) ?? 0;
       const waiting = this.missed.get(model) ?? 0;
-      const ended = this.ended.get(model) ?? 0;
-      const counts = { arrivals, ended, running, waiting, adapters: [], busyAdapters: [] };
-      return { service: SERVICE, model, ...counts };
+      const { count: ended, tookMs: endedMs } = this.ended.get(model) ?? { count: 0, tookMs: 0 };
+      const counts = { arrivals, ended, endedMs, running, waiting };
+      const adapters = { adapters: [], busyAdapters: [] };
+      return { service: SERVICE, model, ...counts, ...adapters };
     });
     this.arrivals.clear();
     this.missed.clear();
@@ -316,7 +323,7 @@
       const place = engine.places.get(one);
       if (place) place.phase = 'unloading';
     }
-    engine.places.set(move.model, { phase: 'loading', sinceMs: this.nowMs, endsMs: [] });
+    engine.places.set(move.model, { phase: 'loading', sinceMs: this.nowMs, runs: [] });
   }
 
   private planUpstream(engine: Engine, slots: number): PlanUpstream {
--- a/src/core/allocation/outlook.ts
+++ b/src/core/allocation/outlook.ts
@@ -131,7 +131,9 @@
     const level = pour(held.load, sorted);
     let after = change;
     for (const at of sorted) after += this.lateAt(Math.max(at, level));
-    return -after * this.perEngineS;
+    // A slot's time holds fewer requests of a slow model.
+    const perSlotsS = held.load > 0 ? held.perSecond / held.load : this.perEngineS;
+    return -after * perSlotsS;
   }
 
   /** Requests that are late or refused at an engine, as a part of what it answers with all slots taken. */
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -314,8 +314,12 @@
     this.meter.arrived(need);
   }
 
-  running(need: Need, change: 1 | -1): void {
-    this.meter.running(need, change);
+  began(need: Need): void {
+    this.meter.began(need);
+  }
+
+  left(need: Need, tookMs: Ms): void {
+    this.meter.ended(need, tookMs);
   }
 
   ended(end: string, route: Route | undefined, tookMs: Ms): void {
--- a/src/direct/orders/demandbook.ts
+++ b/src/direct/orders/demandbook.ts
@@ -14,6 +14,9 @@
   /** Requests that found it nowhere, those of long ago forgotten. */
   missed: number;
   concurrency: number;
+  /** Requests that ended, and what they took together, those of long ago forgotten. */
+  endedCount: number;
+  endedS: number;
   lastMs: Ms;
   /** Since when it has been asked for in vain, if it is. */
   missedSinceMs: Ms;
@@ -56,6 +59,10 @@
 const UNKNOWN_MEAN_S = 0.7;
 /** Requests that have ended before their mean time is believed. */
 const LEAST_ENDED = 40;
+/** Standard deviations of the mean time of so many requests, as that of one is about its mean, that prove nothing. */
+const PACE_DOUBT = 2;
+/** How long what a model's requests took counts: its pace does not change. */
+const ENDED_MS = 30_000;
 /** Time within which the mean time of a request follows what is measured. */
 const MEAN_MS = 1000;
 /** One asked for within this time is taken as used now: an entry tells what runs every 250 ms. */
@@ -94,6 +101,10 @@
       line.longPerSecond += (arrivals * MS_PER_S) / LONG_MS;
       line.rarePerSecond += (arrivals * MS_PER_S) / RARE_MS;
       line.endedPerSecond += (ended * MS_PER_S) / MEMORY_MS;
+      if (report.endedMs !== undefined) {
+        line.endedCount += ended;
+        line.endedS += report.endedMs / MS_PER_S;
+      }
       if (running === 0 && arrivals > 0) {
         if (line.missed < FORGOTTEN) line.missedSinceMs = nowMs;
         line.missed += arrivals;
@@ -159,6 +170,9 @@
         if (nowMs - atMs > SILENT_MS) line.byEntry.delete(entry);
         else current += running + waiting;
       }
+      const keptOfEnded = Math.exp(-passedMs / ENDED_MS);
+      line.endedCount *= keptOfEnded;
+      line.endedS *= keptOfEnded;
       line.perSecond *= kept;
       line.endedPerSecond *= kept;
       line.rarePerSecond *= Math.exp(-passedMs / RARE_MS);
@@ -178,6 +192,7 @@
     const demand = new Map<ModelId, ModelDemand>();
     const lines = this.services.get(service) ?? new Map<ModelId, Line>();
     const meanS = this.meanS.get(service) ?? UNKNOWN_MEAN_S;
+    const meanRunS = this.meanRunS(service);
     const seenMs = nowMs - (this.firstMs ?? nowMs);
     for (const [model, line] of lines) {
       let waiting = 0;
@@ -186,7 +201,7 @@
       const idleMs = nowMs - line.lastMs;
       const perSecond = this.rate(line, idleMs, seenMs);
       demand.set(model, {
-        concurrency: perSecond * meanS,
+        concurrency: perSecond * meanS * this.paceOf(line, meanRunS),
         perSecond,
         waiting,
         missed: line.missed,
@@ -234,6 +249,30 @@
     }
   }
 
+  /**
+   * How long a model's requests take, as a part of what all of its service take; 1 unless it surely differs. Models
+   * differ by their size (in pace from 0.23 to 1 where it was measured), and a slow one needs four times the places of
+   * a fast one that is asked for as often. Chance taken for pace costs moves: 0.03 of the worth where all are alike.
+   */
+  private paceOf({ endedCount, endedS }: Line, meanRunS: number): number {
+    if (meanRunS === 0 || endedCount === 0) return 1;
+    const ratio = endedS / endedCount / meanRunS;
+    const doubt = PACE_DOUBT / Math.sqrt(endedCount);
+    if (Math.abs(ratio - 1) <= doubt) return 1;
+    return ratio - Math.sign(ratio - 1) * doubt;
+  }
+
+  /** Mean time of the requests of a service that ended lately, in s. */
+  private meanRunS(service: ServiceId): number {
+    let count = 0;
+    let sumS = 0;
+    for (const { endedCount, endedS } of this.services.get(service)?.values() ?? []) {
+      count += endedCount;
+      sumS += endedS;
+    }
+    return count === 0 ? 0 : sumS / count;
+  }
+
   private *lines(): Iterable<Line> {
     for (const models of this.services.values()) yield* models.values();
   }
@@ -254,6 +293,8 @@
         endedPerSecond: 0,
         missed: 0,
         concurrency: 0,
+        endedCount: 0,
+        endedS: 0,
         lastMs: nowMs,
         missedSinceMs: nowMs,
         byEntry: new Map(),
--- a/src/direct/orders/demandmeter.ts
+++ b/src/direct/orders/demandmeter.ts
@@ -1,4 +1,4 @@
-import type { ModelId, ServiceId, UpstreamId } from '../../base/index.js';
+import type { ModelId, Ms, ServiceId, UpstreamId } from '../../base/index.js';
 import type { Need } from '../route/index.js';
 import type { DemandReport } from './demandreport.js';
 import type { NewsMark } from './newsmark.js';
@@ -8,6 +8,7 @@
   readonly model: ModelId;
   arrivals: number;
   ended: number;
+  endedMs: Ms;
   running: number;
   waiting: number;
   adapters: Set<string>;
@@ -31,12 +32,28 @@
     if (need.adapter !== undefined) counts.adapters.add(need.adapter);
   }
 
-  running(need: Need, change: 1 | -1): void {
-    const counts = this.of(need);
+  /** One more is at an upstream. */
+  began(need: Need): void {
+    this.changed(need, 1);
+  }
+
+  /** One that was at an upstream for so long is there no more. */
+  ended(need: Need, tookMs: Ms): void {
+    const counts = this.changed(need, -1);
     if (!counts) return;
-    counts.running += change;
-    if (change < 0) counts.ended += 1;
-    const { adapter } = need;
+    counts.ended += 1;
+    counts.endedMs += tookMs;
+  }
+
+  private changed(need: Need, change: 1 | -1): Counts | undefined {
+    const counts = this.of(need);
+    if (counts) this.change(counts, need, change);
+    return counts;
+  }
+
+  private change(counts: Counts, { adapter }: Need, change: 1 | -1): void {
+    const mark = counts;
+    mark.running += change;
     if (adapter === undefined) return;
     const running = (counts.runningByAdapter.get(adapter) ?? 0) + change;
     if (running > 0) counts.runningByAdapter.set(adapter, running);
@@ -52,7 +69,7 @@
   report(lost: readonly UpstreamId[] = [], heard?: NewsMark): DemandReport {
     const models: DemandReport['models'][number][] = [];
     for (const [key, counts] of this.counts) {
-      const { service, model, arrivals, ended, running, waiting, adapters } = counts;
+      const { service, model, arrivals, ended, endedMs, running, waiting, adapters } = counts;
       if (arrivals === 0 && ended === 0 && running === 0 && waiting === 0) {
         this.counts.delete(key);
         continue;
@@ -63,6 +80,7 @@
         model,
         arrivals,
         ended,
+        endedMs: Math.round(endedMs),
         running,
         waiting,
         adapters: [...adapters],
@@ -70,6 +88,7 @@
       });
       counts.arrivals = 0;
       counts.ended = 0;
+      counts.endedMs = 0;
       counts.adapters = new Set();
     }
     return { entry: this.entry, address: this.address, models, lost, heard };
@@ -85,6 +104,7 @@
         model,
         arrivals: 0,
         ended: 0,
+        endedMs: 0,
         running: 0,
         waiting: 0,
         adapters: new Set(),
--- a/src/direct/orders/demandreport.ts
+++ b/src/direct/orders/demandreport.ts
@@ -1,4 +1,4 @@
-import type { ModelId, ServiceId, UpstreamId } from '../../base/index.js';
+import type { ModelId, Ms, ServiceId, UpstreamId } from '../../base/index.js';
 import type { PoisonReport } from '../poison/index.js';
 import type { QuotaReport } from '../quota/index.js';
 import type { NewsMark } from './newsmark.js';
@@ -11,6 +11,8 @@
   readonly arrivals: number;
   /** Requests that ended at upstreams. */
   readonly ended: number;
+  /** What those took together, in ms; absent from an entry that does not count it. */
+  readonly endedMs?: Ms;
   /** Requests at upstreams now. */
   readonly running: number;
   /** Requests that wait because no upstream holds what they need. */
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -434,7 +434,7 @@
     this.isReading = route.kind === 'streaming';
     // eslint-disable-next-line no-param-reassign -- as above
     if (this.isReading) state.readingCount += 1;
-    serving.running(this.need!, 1);
+    serving.began(this.need!);
   }
 
   private receiver(state: UpstreamState, attempt: number): UpstreamReceiver {
@@ -696,7 +696,7 @@
       if (this.isReading) this.state.readingCount -= 1;
       else if (this.lastEventAtMs !== undefined) this.state.streamCount -= 1;
       this.isReading = false;
-      this.serving.running(this.need!, -1);
+      this.serving.left(this.need!, this.clock.nowMs() - this.sentAtMs);
     }
     this.state = undefined;
     this.sent = undefined;
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -43,8 +43,10 @@
   isReturn(route: Route, deadlineMs: Ms | undefined): boolean;
   /** A request with this need has come. */
   arrived(need: Need): void;
-  /** One more, or one less, is at an upstream. */
-  running(need: Need, change: 1 | -1): void;
+  /** One more request is at an upstream. */
+  began(need: Need): void;
+  /** One that was at an upstream for so long is there no more. */
+  left(need: Need, tookMs: Ms): void;
   /** An attempt at an upstream has ended so. */
   attempted(outcome: string): void;
   ended(end: string, route: Route | undefined, tookMs: Ms): void;
