--- a/src/command/table.ts
+++ b/src/command/table.ts
@@ -1,6 +1,7 @@
 import ApplyCommand from './apply.js';
 import AuditCommand from './audit.js';
 import CheckCommand from './check.js';
+import CustomersCommand from './customers.js';
 import DiffCommand from './diff.js';
 import EntryCommand from './entry.js';
 import ExplainCommand from './explain.js';
@@ -16,6 +17,7 @@
   apply: ApplyCommand,
   audit: AuditCommand,
   check: CheckCommand,
+  customers: CustomersCommand,
   diff: DiffCommand,
   entry: EntryCommand,
   explain: ExplainCommand,
--- a/src/core/quota/quotalimits.ts
+++ b/src/core/quota/quotalimits.ts
@@ -15,7 +15,7 @@
    * Part of the allowed excess that is used as a larger bucket, against requests that are told too late of each
    * other. The rest covers clocks, lost answers, and requests that are charged some time before they are sent.
    */
-  excessShare: 0.5,
+  excessShare: 0.7,
   /** A request that was charged longer ago is charged anew before it is sent, in ms. */
   chargeValidMs: 400,
   /** Parts of the demand between two reports that an entry gets ahead. */
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -2,12 +2,14 @@
   result,
   type Clock,
   type HostId,
+  type KeyHash,
   type Ms,
   type ServiceId,
   type UpstreamId,
 } from '../base/index.js';
 import { takeoverDelay } from '../core/orderturn/index.js';
 import type { CustomerSpec } from '../core/access/index.js';
+import { quotaParts } from '../core/quota/index.js';
 import { RetryBudget } from '../core/retrybudget/index.js';
 import { judge, type Judgement, type Route, type RouteTable } from '../core/routetable/index.js';
 import type { Upstream } from '../core/upstreams/index.js';
@@ -28,7 +30,13 @@
   type FoundNeed,
 } from './orders/index.js';
 import { PoisonDesk, poisonLimits } from './poison/index.js';
-import { QuotaBook, QuotaDesk, type DrawAnswer, type DrawQuestion } from './quota/index.js';
+import {
+  QuotaBook,
+  QuotaDesk,
+  type CustomerState,
+  type DrawAnswer,
+  type DrawQuestion,
+} from './quota/index.js';
 import { Fleet, type Need } from './route/index.js';
 import { Returns } from './returns.js';
 import { Run } from './run/index.js';
@@ -193,6 +201,7 @@
       lift: (...args: Parameters<PoisonDesk['lift']>) => this.poison.lift(...args),
       find: (need: Need) => this.desk.find(need),
       demand: (report: DemandReport) => this.hearDemand(report),
+      customers: () => this.customers(),
       draw: (question: DrawQuestion) => this.quotaBook.draw(question),
       swap: (swap: Swap) => feed.swap(swap),
       changes: (question: Parameters<SharedFeed['answer']>[0]) => this.shared.answer(question),
@@ -297,6 +306,10 @@
     return budget;
   }
 
+  get entryCount(): number {
+    return this.entries.known(this.clock.nowMs());
+  }
+
   connectionShare(maxConnections = 0): number {
     const shares = this.entries.shares(this.clock.nowMs());
     return Math.max(LEAST_CONNECTIONS, Math.floor(maxConnections / shares));
@@ -413,7 +426,7 @@
     }
     this.lost = lost;
     const report = {
-      ...this.meter.report(lost, this.heard),
+      ...this.meter.report(lost, this.fleet.inFlight(), this.heard),
       poison: this.poison.link.report(),
       quota: this.table?.access && this.quota.report(),
     };
@@ -421,6 +434,7 @@
       const sentAtMs = this.clock.nowMs();
       this.desk.demand(report);
       this.learn(this.desk.news(this.heard));
+      this.fleet.learnTotals(this.desk.loads(), report.inFlight, sentAtMs);
       const said = report.quota && this.quotaBook.report(host, report.quota);
       if (said) this.quota.answered(said, sentAtMs);
       return;
@@ -435,6 +449,7 @@
     if (!answer) return;
     if (answer.quota) this.quota.answered(answer.quota, sentAtMs);
     this.entries.toldOf(answer.entryCount);
+    this.fleet.learnTotals(answer.loads, report.inFlight, this.clock.nowMs());
     this.learn(answer.news);
     if (report.poison && answer.poison) this.poison.link.answered(report.poison, answer.poison);
   }
@@ -460,7 +475,8 @@
     const poison = report.poison && this.poison.link.answer(report.poison);
     const quota = report.quota && this.quotaBook.report(report.entry as HostId, report.quota);
     const entryCount = this.entries.count(nowMs);
-    return { entryCount, news: this.desk.news(report.heard), poison, quota };
+    const loads = this.desk.loads();
+    return { entryCount, loads, news: this.desk.news(report.heard), poison, quota };
   }
 
   private poisonDesk(): PoisonDesk {
@@ -532,7 +548,9 @@
 
   /** One that has just started goes by what the last holder wrote. */
   private entryParts(): number {
-    return Math.max(this.entries.shares(this.clock.nowMs()), this.turn.toldEntries?.parts ?? 0);
+    const known = this.entries.known(this.clock.nowMs());
+    const parts = quotaParts(known > 1 ? known : undefined);
+    return Math.max(parts, this.turn.toldEntries?.parts ?? 0);
   }
 
   /** A successor does not know at once whom the one before it knew. */
@@ -541,6 +559,20 @@
     return this.quotaBook.knowsAll() ? heard : Math.max(heard, this.turn.toldEntries?.count ?? 0);
   }
 
+  private customers(): readonly CustomerState[] {
+    const { access } = this.table ?? {};
+    if (!access) return [];
+    const hashes = new Map<CustomerSpec, KeyHash[]>();
+    for (const [hash, customer] of access.customerByKey) {
+      hashes.set(customer, [...(hashes.get(customer) ?? []), hash]);
+    }
+    return [...access.customers.values()].map((customer) => {
+      const { id, quota } = customer;
+      const keyHashes = hashes.get(customer) ?? [];
+      return { id, keyHashes, quota, ...this.quota.stateOf(id), left: this.quotaBook.leftOf(id) };
+    });
+  }
+
   /** Customers beyond the first hundred of a configuration count together. */
   private customerLabel(customer: CustomerSpec | undefined): string {
     if (!customer) return 'none';
--- a/src/direct/entrycount.ts
+++ b/src/direct/entrycount.ts
@@ -36,9 +36,14 @@
     return this.heardAtMs.size + 1;
   }
 
+  /** Entries as far as this one knows: by what it was told, or has heard itself. */
+  known(nowMs: Ms): number {
+    return Math.max(this.told, this.count(nowMs));
+  }
+
   /** Into how many parts what all entries share is cut. */
   shares(nowMs: Ms): number {
-    const count = Math.max(this.told, this.count(nowMs));
+    const count = this.known(nowMs);
     if (count <= 1) return UNKNOWN_SHARES;
     return Math.max(LEAST_SHARES, Math.ceil(count * SHARES_PER_ENTRY));
   }
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -4,7 +4,7 @@
 import { callOnce, Channel } from '../../shell/http1/index.js';
 import type { Suspect } from '../../core/poison/index.js';
 import type { TrialQuestion } from '../poison/index.js';
-import type { DrawAnswer, DrawQuestion } from '../quota/index.js';
+import type { CustomerState, DrawAnswer, DrawQuestion } from '../quota/index.js';
 import type { Need } from '../route/index.js';
 import type { DemandAnswer } from './demandanswer.js';
 import type { DemandReport } from './demandreport.js';
@@ -22,6 +22,8 @@
   draw(question: DrawQuestion): DrawAnswer;
   /** Whether a suspected request may run at another entry now. */
   trial(question: TrialQuestion): boolean;
+  /** Customers, their limits and their use, for an operator. */
+  customers(): readonly CustomerState[];
   /** Requests under which upstreams ended, for an operator. */
   suspects(): readonly Suspect[];
   /** Lets a request be tried again. False if it was not suspected. */
@@ -52,6 +54,7 @@
   swap: '/orders/swap',
   changes: '/state/changes',
   draw: '/quota/draw',
+  customers: '/quota/list',
   trial: '/poison/trial',
   suspects: '/poison/list',
   lift: '/poison/lift',
@@ -213,6 +216,7 @@
       return said.ok ? { ok: true, changes: said.val } : { ok: false, failure: said.val };
     }
     if (path === PATHS.draw) return this.handlers.draw(body as DrawQuestion);
+    if (path === PATHS.customers) return { customers: this.handlers.customers() };
     if (path === PATHS.trial) return { mayRun: this.handlers.trial(body as TrialQuestion) };
     if (path === PATHS.suspects) return { suspects: this.handlers.suspects() };
     if (path === PATHS.lift) {
--- a/src/direct/quota/index.ts
+++ b/src/direct/quota/index.ts
@@ -1,5 +1,6 @@
 /** Quotas of customers: the entry's side, the holder's, and what they tell each other. */
 export { Charge } from './charge.js';
+export type { CustomerState } from './customerstate.js';
 export type { DrawAnswer } from './drawanswer.js';
 export type { DrawQuestion } from './drawquestion.js';
 export type { QuotaAnswer } from './quotaanswer.js';
--- a/src/direct/quota/quotabook.ts
+++ b/src/direct/quota/quotabook.ts
@@ -107,6 +107,11 @@
     return { type: 'empty', retryAfterMs: Math.round(bucket.retryAfterMs()) };
   }
 
+  /** What is left of a customer's limit for all entries; undefined at another than the holder. */
+  leftOf(customer: CustomerId): number | undefined {
+    return this.options.mayGrant() ? this.buckets.get(customer)?.left : undefined;
+  }
+
   private filled(customer: CustomerId, nowMs: Ms): SharedBucket | undefined {
     const bucket = this.buckets.get(customer);
     bucket?.fill(nowMs, this.inflow(nowMs));
--- a/src/direct/quota/quotadesk.ts
+++ b/src/direct/quota/quotadesk.ts
@@ -29,6 +29,8 @@
 export class QuotaDesk {
   private readonly buckets = new Map<CustomerId, LocalBucket>();
 
+  private readonly refusedCounts = new Map<CustomerId, number>();
+
   /** When the last question was sent that the holder answered; at first, the start of this process. */
   private answeredAtMs: Ms;
 
@@ -47,8 +49,8 @@
     const bucket = this.filled(id, quota!);
     if (bucket.take(cost)) return PAID;
     const nowMs = this.options.clock.nowMs();
-    if (this.isAlone(nowMs)) return this.unknown(bucket);
-    return bucket.isClosed(nowMs) ? this.over(bucket, quota!, cost) : undefined;
+    if (this.isAlone(nowMs)) return this.refuse(id, this.unknown(bucket));
+    return bucket.isClosed(nowMs) ? this.refuse(id, this.over(bucket, quota!, cost)) : undefined;
   }
 
   /** Asks the holder for what is missing. */
@@ -61,9 +63,9 @@
     if (said && said.type !== 'not-holder') this.heardAt(sentAtMs);
     bucket.give(own + (said?.type === 'granted' ? said.granted : 0));
     if (bucket.take(cost)) return PAID;
-    if (said?.type !== 'empty') return this.unknown(bucket);
+    if (said?.type !== 'empty') return this.refuse(id, this.unknown(bucket));
     bucket.refused(said.retryAfterMs, quotaLimits.closedMs, clock.nowMs());
-    return this.over(bucket, quota!, 0);
+    return this.refuse(id, this.over(bucket, quota!, 0));
   }
 
   /** A run that was paid for never began. */
@@ -94,6 +96,12 @@
     }
   }
 
+  /** What this entry may run for a customer without asking, and how many requests it has refused for it. */
+  stateOf(customer: CustomerId): { readonly held: number; readonly refusedCount: number } {
+    const held = this.buckets.get(customer)?.level ?? 0;
+    return { held, refusedCount: this.refusedCounts.get(customer) ?? 0 };
+  }
+
   /** How long ago the holder was last known to know of this entry. */
   ageMs(): Ms {
     return this.options.clock.nowMs() - this.answeredAtMs;
@@ -129,6 +137,11 @@
     return bucket;
   }
 
+  private refuse(customer: CustomerId, taken: Taken): Taken {
+    this.refusedCounts.set(customer, (this.refusedCounts.get(customer) ?? 0) + 1);
+    return taken;
+  }
+
   private over(bucket: LocalBucket, quota: Quota, cost: number): Taken {
     const retryAfterMs = bucket.retryAfterMs(cost, quota, this.options.clock.nowMs());
     const { level: left } = bucket;
--- a/test/support/quotaworld.ts
+++ b/test/support/quotaworld.ts
@@ -2,7 +2,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { VirtualClock, type CustomerId, type HostId, type Ms } from '../../src/base/index.js';
 import type { AccessTable, CustomerSpec, Quota } from '../../src/core/access/index.js';
-import type { QuotaTerms } from '../../src/core/quota/index.js';
+import { quotaParts, type QuotaTerms } from '../../src/core/quota/index.js';
 import {
   Charge,
   QuotaBook,
@@ -147,7 +147,7 @@
 
   private parts(at: number, entry: HostId): { desk: QuotaDesk; book: QuotaBook } {
     const { entryCount } = this.options;
-    const parts = () => Math.max(8, Math.ceil(entryCount * 1.25));
+    const parts = () => quotaParts(entryCount);
     const { clock } = this;
     const mayGrant = () =>
       at === this.holder && clock.nowMs() < this.renewedAtMs + RIGHT_MS && this.isUp(at);
