A run's answer to its caller comes apart from its attempts; customers' labels and states out of the entry

Trial in the tree, not decided: the sharer of the store's changes gathers 300 ms (200), 150 while moves are under way (60).

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -2,7 +2,6 @@
   result,
   type Clock,
   type HostId,
-  type KeyHash,
   type Ms,
   type ServiceId,
   type UpstreamId,
@@ -31,9 +30,10 @@
 } from './orders/index.js';
 import { PoisonDesk, poisonLimits } from './poison/index.js';
 import {
+  customerLabel,
   QuotaBook,
   QuotaDesk,
-  type CustomerState,
+  tellCustomers,
   type DrawAnswer,
   type DrawQuestion,
 } from './quota/index.js';
@@ -66,7 +66,6 @@
 /** How often an entry tells the holder of orders what it is asked for. */
 const REPORT_MS = 250;
 const TAKE_AFTER_MS = 700;
-const MOST_CUSTOMER_LABELS = 100;
 /** How soon others hear of an upstream that ended: its dozen broken runs are noticed within 5 ms. */
 const TELL_SOON_MS = 20;
 
@@ -201,7 +200,8 @@
       lift: (...args: Parameters<PoisonDesk['lift']>) => this.poison.lift(...args),
       find: (need: Need) => this.desk.find(need),
       demand: (report: DemandReport) => this.hearDemand(report),
-      customers: () => this.customers(),
+      customers: () =>
+        this.table?.access && tellCustomers(this.table.access, this.quota, this.quotaBook),
       draw: (question: DrawQuestion) => this.quotaBook.draw(question),
       swap: (swap: Swap) => feed.swap(swap),
       changes: (question: Parameters<SharedFeed['answer']>[0]) => this.shared.answer(question),
@@ -259,7 +259,7 @@
   }
 
   refused(reason: string, customer: CustomerSpec | undefined): void {
-    const labels = { reason, customer: this.customerLabel(customer) };
+    const labels = { reason, customer: customerLabel(this.table?.access, customer) };
     this.context.metrics.count('direct.refused', 1, labels);
   }
 
@@ -559,32 +559,6 @@
     return this.quotaBook.knowsAll() ? heard : Math.max(heard, this.turn.toldEntries?.count ?? 0);
   }
 
-  private customers(): readonly CustomerState[] {
-    const { access } = this.table ?? {};
-    if (!access) return [];
-    const hashes = new Map<CustomerSpec, KeyHash[]>();
-    for (const [hash, customer] of access.customerByKey) {
-      hashes.set(customer, [...(hashes.get(customer) ?? []), hash]);
-    }
-    return [...access.customers.values()].map((customer) => {
-      const { id, quota } = customer;
-      const keyHashes = hashes.get(customer) ?? [];
-      return { id, keyHashes, quota, ...this.quota.stateOf(id), left: this.quotaBook.leftOf(id) };
-    });
-  }
-
-  /** Customers beyond the first hundred of a configuration count together. */
-  private customerLabel(customer: CustomerSpec | undefined): string {
-    if (!customer) return 'none';
-    let place = 0;
-    for (const id of this.table?.access?.customers.keys() ?? []) {
-      if (place >= MOST_CUSTOMER_LABELS) break;
-      if (id === customer.id) return id;
-      place += 1;
-    }
-    return 'other';
-  }
-
   private every(ms: Ms, act: () => void): void {
     this.clock.after(ms, () => {
       if (this.isClosed) return;
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -23,7 +23,7 @@
   /** Whether a suspected request may run at another entry now. */
   trial(question: TrialQuestion): boolean;
   /** Customers, their limits and their use, for an operator. */
-  customers(): readonly CustomerState[];
+  customers(): readonly CustomerState[] | undefined;
   /** Requests under which upstreams ended, for an operator. */
   suspects(): readonly Suspect[];
   /** Lets a request be tried again. False if it was not suspected. */
@@ -216,7 +216,7 @@
       return said.ok ? { ok: true, changes: said.val } : { ok: false, failure: said.val };
     }
     if (path === PATHS.draw) return this.handlers.draw(body as DrawQuestion);
-    if (path === PATHS.customers) return { customers: this.handlers.customers() };
+    if (path === PATHS.customers) return { customers: this.handlers.customers() ?? [] };
     if (path === PATHS.trial) return { mayRun: this.handlers.trial(body as TrialQuestion) };
     if (path === PATHS.suspects) return { suspects: this.handlers.suspects() };
     if (path === PATHS.lift) {
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -11,15 +11,13 @@
 import type { Refusal } from '../refusal.js';
 import type { Need, UpstreamState } from '../route/index.js';
 import type { Serving } from '../serving.js';
-import { EventCutter } from './eventcutter.js';
+import { Reply } from './reply.js';
 import { roomWaitMs } from './roomwait.js';
 import { Suspicion } from './suspicion.js';
 
 type Head = Parameters<UpstreamReceiver['head']>[0];
 type Sent = NonNullable<ReturnType<UpstreamLink['send']>>;
 
-/** A plain answer up to this size is held until it is whole, so that one that breaks can be repeated. */
-const HELD_BYTES = 262_144;
 /** Priorities at upstreams go from 0 to 9; the route's ranks are spread over the urgent half. */
 const PRIORITY_STEP = 2;
 const LEAST_PRIORITY = 9;
@@ -57,18 +55,7 @@
 
   private sent: Sent | undefined;
 
-  private cutter: EventCutter | undefined;
-
-  private held: Buffer[] | undefined;
-
-  private heldBytes = 0;
-
-  private head: Head | undefined;
-
-  /** A failure that an upstream answered, to be given to the caller if a repeat gets no answer. */
-  private fallback: { head: Head; held: Buffer[] } | undefined;
-
-  private hasBegun = false;
+  private readonly reply: Reply;
 
   /** True once every upstream that could take it has been asked. */
   private hasComeRound = false;
@@ -113,8 +100,6 @@
 
   private untilMs: Ms = Infinity;
 
-  private weightsVersion: string | undefined;
-
   private forgetTimer = () => {};
 
   private readonly ends: string[] = [];
@@ -125,6 +110,7 @@
     private readonly over: () => void,
   ) {
     this.route = admitted.route;
+    this.reply = new Reply(admitted.caller);
     this.suspicion = new Suspicion(serving.poison, admitted.caller.request);
   }
 
@@ -175,12 +161,12 @@
 
   private progress(): Progress {
     const { route } = this;
-    const isResumable = route.isResumable && this.cutter?.lastId !== undefined;
+    const isResumable = route.isResumable && this.reply.lastEventId !== undefined;
     return {
       isRepeatable:
         route.kind === 'idempotent' || (route.kind === 'streaming' && route.isResumable),
       isResumable,
-      hasBegun: this.hasBegun,
+      hasBegun: this.reply.hasBegun,
       ranCount: this.ranCount,
       refusedCount: this.refusedCount,
       maxAttempts: route.maxAttempts,
@@ -229,7 +215,7 @@
   /** The configuration no longer allows what it did when the request came. */
   private withdrawn(type: 'route-unknown' | 'key-unknown' | undefined): void {
     const isKey = type === 'key-unknown';
-    const isUntouched = this.ranCount === 0 && !this.hasBegun;
+    const isUntouched = this.ranCount === 0 && !this.reply.hasBegun;
     if (isKey && isUntouched) this.refuse(401, 'key-withdrawn', 'The key was withdrawn.');
     else if (isKey) this.giveUp('key-withdrawn', 'The key was withdrawn.');
     else this.giveUp('route-withdrawn', 'The route was withdrawn.');
@@ -244,7 +230,7 @@
       return;
     }
     const { status, type, detail, retryAfterMs } = quotaRefusal(taken);
-    if (this.ranCount > 0 || this.hasBegun) this.giveUp(type, detail);
+    if (this.ranCount > 0 || this.reply.hasBegun) this.giveUp(type, detail);
     else this.refuse(status, type, detail, retryAfterMs);
   }
 
@@ -270,7 +256,7 @@
       this.attempt();
       return;
     }
-    if (!this.hasBegun && this.mayWaitForRoom()) {
+    if (!this.reply.hasBegun && this.mayWaitForRoom()) {
       this.clock.after(LOOK_AT_VERDICT_MS, () => this.attempt());
       return;
     }
@@ -309,7 +295,7 @@
   /** A prompt waits a little, while the engine reads others, if the target leaves time for that. */
   private isToBePaced(state: UpstreamState, nowMs: Ms): boolean {
     const { kind, gapTargetMs, targetLatencyMs } = this.route;
-    if (kind !== 'streaming' || this.hasBegun) return false;
+    if (kind !== 'streaming' || this.reply.hasBegun) return false;
     const heldMs = nowMs - this.caller.request.arrivedAtMs;
     if (heldMs >= targetLatencyMs * paceRules.holdShare) return false;
     return this.serving.fleet.isReading(state, gapTargetMs, nowMs);
@@ -410,8 +396,8 @@
         authorization: serving.table!.access ? undefined : request.authorization,
         deadlineMs: this.untilMs - nowMs,
         priority: Math.min(LEAST_PRIORITY, this.priority * PRIORITY_STEP + 1),
-        resumeAfter: this.cutter?.lastId ?? request.resumeAfter,
-        weightsVersion: this.hasBegun ? this.weightsVersion : undefined,
+        resumeAfter: this.reply.lastEventId ?? request.resumeAfter,
+        weightsVersion: this.reply.hasBegun ? this.reply.weightsVersion : undefined,
       },
       this.receiver(state, attempt),
     );
@@ -493,30 +479,12 @@
       this.notRun(state, head);
       return;
     }
-    this.head = head;
     this.firstByteAtMs ??= nowMs;
     if (this.need!.model === undefined && head.status < FIRST_FAILURE_STATUS) {
       fleet.learnService(state, nowMs - this.sentAtMs, this.sentLoad);
     }
     const isStream = this.route.kind === 'streaming' && head.status < FIRST_NO_SUCCESS;
-    if (!isStream) {
-      this.held = [];
-      return;
-    }
-    this.weightsVersion ??= head.weightsVersion;
-    if (!this.route.isResumable) {
-      this.begin();
-      return;
-    }
-    if (this.cutter) this.cutter.restart();
-    else this.cutter = new EventCutter();
-  }
-
-  /** A stream that can be repeated begins with its first event: until then another may answer. */
-  private begin(): void {
-    if (this.hasBegun) return;
-    this.hasBegun = true;
-    this.caller.begin(this.head!.status, this.head!.headers, this.head!.hasLength);
+    this.reply.take(head, { isStream, isResumable: this.route.isResumable });
   }
 
   private notRun(state: UpstreamState, head: Head): void {
@@ -532,16 +500,7 @@
 
   private data(chunk: Buffer): boolean {
     if (this.route.kind === 'streaming') this.learnGap();
-    if (this.held) {
-      this.held.push(chunk);
-      this.heldBytes += chunk.length;
-      if (this.heldBytes > HELD_BYTES) this.release();
-      return true;
-    }
-    const payload = this.cutter ? this.cutter.take(chunk) : chunk;
-    if (!payload) return true;
-    this.begin();
-    return this.caller.write(payload);
+    return this.reply.data(chunk);
   }
 
   private learnGap(): void {
@@ -573,17 +532,8 @@
     });
   }
 
-  /** Lets what was held of an answer go: it has grown too large to be repeated. */
-  private release(): void {
-    const { held, head } = this;
-    this.held = undefined;
-    this.hasBegun = true;
-    this.caller.begin(head!.status, head!.headers, head!.hasLength);
-    for (const chunk of held ?? []) this.caller.write(chunk);
-  }
-
   private ended(state: UpstreamState): void {
-    const { status } = this.head!;
+    const { status } = this.reply;
     this.leave();
     this.ranCount += 1;
     const nowMs = this.clock.nowMs();
@@ -591,7 +541,7 @@
     this.serving.fleet.learn(state, isFailure ? 'failed' : 'answered', this.need!, nowMs);
     this.note(state, String(status));
     if (!isFailure) this.suspicion.ranWell();
-    if (isFailure && this.held) {
+    if (isFailure && this.reply.isHeld) {
       this.decide({ type: 'failed' });
       return;
     }
@@ -599,9 +549,7 @@
   }
 
   private finish(): void {
-    if (this.held) this.release();
-    else this.begin();
-    this.caller.end();
+    this.reply.end();
     this.close('answered');
   }
 
@@ -617,9 +565,7 @@
       return;
     }
     if (step.type === 'again' || step.type === 'resume') {
-      if (end.type === 'failed') this.fallback = { head: this.head!, held: this.held! };
-      this.held = undefined;
-      this.heldBytes = 0;
+      this.reply.putAside(end.type === 'failed');
       this.attempt();
       return;
     }
@@ -632,13 +578,11 @@
   }
 
   private giveUp(type: string, detail: string, retryAfterMs?: Ms): void {
-    if (this.fallback && !this.hasBegun) {
-      this.head = this.fallback.head;
-      this.held = this.fallback.held;
+    if (this.reply.takeBack()) {
       this.finish();
       return;
     }
-    if (this.hasBegun) {
+    if (this.reply.hasBegun) {
       this.caller.cut();
       this.close('cut');
       return;
@@ -662,7 +606,7 @@
   private abandon(type: string, detail: string): void {
     if (this.isOver) return;
     if (this.withdraw(type)) this.ranCount += 1;
-    if (this.hasBegun) {
+    if (this.reply.hasBegun) {
       this.caller.cut();
       this.close(type);
       return;
--- a/src/direct/sync/pacetable.ts
+++ b/src/direct/sync/pacetable.ts
@@ -12,9 +12,9 @@
   /** For itself only. */
   alone: { waitMs: 1000, gatherMs: 400 },
   /** For all entries: two waits and a pause are the oldest that its knowledge gets (see `SharedFeed`). */
-  sharer: { waitMs: 300, gatherMs: 200 },
+  sharer: { waitMs: 300, gatherMs: 300 },
   /** For all, while an order's effect is waited for. */
-  moving: { waitMs: 300, gatherMs: 60 },
+  moving: { waitMs: 300, gatherMs: 150 },
   /** From another entry, which costs no call to the store. */
   shared: { waitMs: 1000, gatherMs: 60 },
 };
