--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -176,3 +176,12 @@
   });
   t.true(worth > 0.65, String(worth));
 });
+
+/** 0.625; 0.547 where every model's requests are taken to last the service's mean. */
+test('models that are slower than others get more places', (t) => {
+  const worths = [1, 2, 3].map(
+    (seed) => new World(deployments.paced(), { shifts: [] }, seed).run(36_000).worth,
+  );
+  const worth = worths.reduce((sum, one) => sum + one, 0) / worths.length;
+  t.true(worth > 0.58, String(worth));
+});
