Keys: strict revocation, refusals that say that the own configuration may be outdated, trace tells of refusals

An entry that cannot tell whether a key was removed within revoke_ms refuses it where strict_revoke is set; its knowledge is as old as the sending of its last answered question, 0.95 s more where another entry answered. An unknown key while the store does not answer is refused as outdated (no-configuration before). Tests fail on the code before: 200 for 503 with strict revocation, no story for a refused request.

--- a/src/command/trace/endtable.ts
+++ b/src/command/trace/endtable.ts
@@ -13,6 +13,12 @@
   'route-unknown': 'no route of the configuration in force takes its host and path',
   'route-withdrawn': 'the route was withdrawn while it waited',
   'no-configuration': 'the entry knew no configuration yet',
+  outdated:
+    'the store did not answer the entry, so that it could not tell whether the key is in force',
+  'key-unknown': 'no customer of the configuration in force has its key',
+  'key-withdrawn': 'its key was removed while it waited',
+  'over-quota': 'its customer had reached its limit, over all entries',
+  'quota-unknown': 'no holder of quotas answered, and the own part of the limit was used up',
   timeout: "the route's time was over",
   cut: 'the answer had begun and could not go on elsewhere',
 };
--- a/src/command/trace/tellrequest.ts
+++ b/src/command/trace/tellrequest.ts
@@ -27,7 +27,28 @@
   return Array.isArray(fields.attempts) ? fields.attempts.map(String) : [];
 }
 
+/** One that was refused before it was a matter of upstreams: for its route, its key or its customer's limit. */
+function describeRefusal({ fields, atMs, from }: LogLine): string[] {
+  const reason = text(fields.reason);
+  const told = [
+    `${new Date(atMs).toISOString()} ${from}: refused as "${reason}" (${text(fields.status)}): ` +
+      `${endTable[reason] ?? 'see docs/ERRORS.md'}.`,
+  ];
+  if (fields.cost !== undefined) {
+    told.push(
+      `  Customer ${text(fields.customer)}: it takes ${text(fields.cost)}, ${text(fields.left)} lay here, ` +
+        `the holder was heard ${text(fields.knownAgeMs)} ms before; limit ${text(fields.ratePerS)}/s, ` +
+        `burst ${text(fields.burst)}, configuration ${text(fields.version)}.`,
+    );
+  }
+  if (text(fields.retryAfterMs) !== '') {
+    told.push(`  The caller was told to come back in ${text(fields.retryAfterMs)} ms.`);
+  }
+  return told;
+}
+
 function describe(line: LogLine): string[] {
+  if (line.message === 'request refused') return describeRefusal(line);
   const { fields, from } = line;
   const end = text(fields.end);
   const need = [fields.service, fields.model, fields.adapter].map(text).filter((one) => one !== '');
@@ -38,6 +59,9 @@
       `${text(fields.version) || '-'}.`,
   ];
   const attempts = attemptsOf(line);
+  if (text(fields.customer) !== '') {
+    told.push(`  Customer ${text(fields.customer)} was charged ${text(fields.cost)} for each run.`);
+  }
   if (attempts.length === 0) told.push('  It was offered to no upstream.');
   for (const attempt of attempts) told.push(`  Attempt: ${attempt}.`);
   if (text(fields.sentMs) !== '') told.push(`  First sent after ${text(fields.sentMs)} ms.`);
--- a/src/core/routetable/judgement.ts
+++ b/src/core/routetable/judgement.ts
@@ -10,4 +10,6 @@
       readonly customer?: CustomerSpec;
     }
   | { readonly type: 'route-unknown' }
-  | { readonly type: 'key-unknown' };
+  | { readonly type: 'key-unknown' }
+  /** The configuration that is known here may be too old to say. */
+  | { readonly type: 'outdated' };
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -253,9 +253,15 @@
   judge(request: Caller['request']): Judgement | undefined {
     if (!this.table) return undefined;
     const judged = judge(this.table, request);
+    return this.isOutdated(judged) ? { type: 'outdated' } : judged;
+  }
+
+  private isOutdated(judged: Judgement): boolean {
     // A key that was added while the store could not be read is unknown here, and right.
-    const isOutdated = judged.type === 'key-unknown' && this.follower.silentMs() > 0;
-    return isOutdated ? undefined : judged;
+    if (judged.type === 'key-unknown') return this.follower.silentMs() > 0;
+    const { strictRevokeMs } = this.context.settings;
+    if (strictRevokeMs === undefined || !this.table?.access) return false;
+    return this.follower.knownAgeMs() > strictRevokeMs;
   }
 
   refused(reason: string, customer: CustomerSpec | undefined): void {
--- a/src/direct/directsettings.ts
+++ b/src/direct/directsettings.ts
@@ -22,6 +22,8 @@
   readonly poisonKeepMs: Ms;
   /** How exactly quotas of customers have to hold over all entries. */
   readonly quotaTerms: QuotaTerms;
+  /** An entry that may not know of keys that were removed so long ago serves no keys; absent where it goes on. */
+  readonly strictRevokeMs?: Ms;
   /** How long a stopping process may take. */
   readonly graceMs: Ms;
 }
--- a/src/direct/intake/intake.ts
+++ b/src/direct/intake/intake.ts
@@ -15,6 +15,11 @@
     detail: 'This entry knows no configuration yet.',
     retryAfterMs: NO_TABLE_COME_BACK_MS,
   },
+  outdated: {
+    status: 503,
+    detail: 'The configuration that this entry knows may be outdated.',
+    retryAfterMs: NO_TABLE_COME_BACK_MS,
+  },
   'route-unknown': { status: 404, detail: 'No route takes this host and path.' },
   'key-unknown': { status: 401, detail: 'No customer has this key.' },
 } as const;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -43,6 +43,13 @@
 /** A run of the same request that ends well clears it for all; most take longer than this. */
 const LOOK_AT_VERDICT_MS = 50;
 
+/** What a request is told that the configuration stopped allowing while it waited. */
+const WITHDRAWN = {
+  'route-unknown': { end: 'route-withdrawn', detail: 'The route was withdrawn.' },
+  'key-unknown': { end: 'key-withdrawn', detail: 'The key was withdrawn.' },
+  outdated: { end: 'outdated', detail: 'The configuration that this entry knows may be outdated.' },
+} as const;
+
 /** Carries one caller's request through its attempts. */
 export class Run {
   private readonly tried = new Set<UpstreamId>();
@@ -182,7 +189,7 @@
     // The configuration may have changed while the request waited.
     const judged = serving.judge(request);
     if (judged?.type !== 'allowed') {
-      this.withdrawn(judged?.type);
+      this.withdrawn(judged?.type ?? 'outdated');
       return;
     }
     const { route } = judged;
@@ -213,12 +220,11 @@
   }
 
   /** The configuration no longer allows what it did when the request came. */
-  private withdrawn(type: 'route-unknown' | 'key-unknown' | undefined): void {
-    const isKey = type === 'key-unknown';
+  private withdrawn(type: keyof typeof WITHDRAWN): void {
+    const { end, detail } = WITHDRAWN[type];
     const isUntouched = this.ranCount === 0 && !this.reply.hasBegun;
-    if (isKey && isUntouched) this.refuse(401, 'key-withdrawn', 'The key was withdrawn.');
-    else if (isKey) this.giveUp('key-withdrawn', 'The key was withdrawn.');
-    else this.giveUp('route-withdrawn', 'The route was withdrawn.');
+    if (type === 'key-unknown' && isUntouched) this.refuse(401, end, detail);
+    else this.giveUp(end, detail);
   }
 
   /** One more run, or one whose payment lies too far back, takes from the quota before it is sent. */
--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -4,6 +4,7 @@
 import type { KeyValue, Log } from '../../port/index.js';
 import type { StateCodec } from '../statecodec.js';
 import type { FollowPace } from './followpace.js';
+import { OLDEST_SHARED_MS } from './oldestshared.js';
 import type { StateFeed } from './statefeed.js';
 
 /** Takes what is followed. */
@@ -52,6 +53,9 @@
 
   private trustFromMs: Ms = 0;
 
+  /** All changes until then are known. */
+  private knownAtMs: Ms = -Infinity;
+
   private regainedAtMs: Ms = -Infinity;
 
   constructor(
@@ -95,10 +99,17 @@
     return this.clock.nowMs() - this.regainedAtMs;
   }
 
+  /** How old this entry's knowledge may be. */
+  knownAgeMs(): Ms {
+    return this.clock.nowMs() - this.knownAtMs;
+  }
+
   private async readAll(): Promise<string | undefined> {
+    const askedAtMs = this.clock.nowMs();
     const answer = await this.feed.list(this.codec.watchedPrefix);
     if (answer.err) return answer.val.type;
     this.regained();
+    this.knownAtMs = askedAtMs;
     const { items, revision } = answer.val;
     const present = new Set<UpstreamId>();
     for (const item of items) {
@@ -122,6 +133,7 @@
 
   private async follow(): Promise<string | undefined> {
     const { waitMs } = this.pace();
+    const askedAtMs = this.clock.nowMs();
     const answer = await this.feed.changes(this.codec.watchedPrefix, this.revision, waitMs);
     if (answer.err) {
       if (answer.val.type === 'store-compacted') this.isComplete = false;
@@ -133,6 +145,8 @@
       else this.deleted(change.key);
     }
     this.revision = answer.val.revision;
+    // Another entry may have read it for this one, as long ago as it vouches for.
+    this.knownAtMs = Math.max(this.knownAtMs, askedAtMs - OLDEST_SHARED_MS);
     return undefined;
   }
 
--- a/src/direct/sync/sharedfeed.ts
+++ b/src/direct/sync/sharedfeed.ts
@@ -2,6 +2,7 @@
 import type { ChangeFeed, Log } from '../../port/index.js';
 import type { StateCodec } from '../statecodec.js';
 import { ChangeLog } from './changelog.js';
+import { OLDEST_SHARED_MS } from './oldestshared.js';
 import type { StateFeed } from './statefeed.js';
 
 type Told = Awaited<ReturnType<ChangeFeed['changes']>>;
@@ -24,12 +25,6 @@
   readonly ask: (address: string, question: ChangeQuestion) => Promise<Told | undefined>;
 }
 
-/**
- * A change has to be in force 2 s after it was acknowledged. One who shares knows the store as it was this
- * long ago at most, or says that it does not; whoever asks it learns of its silence after the wait and the
- * margin of the call (0.2 s). Both together leave 0.25 s to ask the store itself.
- */
-const OLDEST_MS = 950;
 const SHARED_WAIT_MS = 600;
 /** An entry that did not answer, or was behind, is not asked again for this long. */
 const DISTRUST_MS = 3000;
@@ -89,7 +84,7 @@
       };
       const lookAtAge = () => {
         if (isOver) return;
-        const leftMs = OLDEST_MS - this.changeLog.ageMs(clock.nowMs());
+        const leftMs = OLDEST_SHARED_MS - this.changeLog.ageMs(clock.nowMs());
         if (leftMs < 0) look(true);
         else forgetAge = clock.after(leftMs + 1, lookAtAge);
       };
@@ -103,7 +98,7 @@
 
   private tell(after: Revision): Told {
     const ageMs = this.changeLog.ageMs(this.options.clock.nowMs());
-    if (ageMs > OLDEST_MS) {
+    if (ageMs > OLDEST_SHARED_MS) {
       const detail = `This entry last heard of the store ${Math.round(ageMs)} ms ago.`;
       return result.Err({ type: 'store-unavailable', detail });
     }
--- a/test/platformaccess.test.ts
+++ b/test/platformaccess.test.ts
@@ -130,6 +130,30 @@
   });
 });
 
+test('an entry that cannot tell whether a key was removed refuses it, where that is asked for', async (t) => {
+  for (const strictRevokeMs of [undefined, 1800]) {
+    const rig = new PlatformRig();
+    rig.customers = CUSTOMERS;
+    rig.strictRevokeMs = strictRevokeMs;
+    await rig.start([new PlatformServer('p1', 'plain')]);
+    const ask = () => askEntry(rig.port, { path: '/lookup/1', headers: withKey(LARGE) });
+    t.is((await ask()).status, 200);
+    rig.store.close();
+    await rig.until(() => rig.said('store lost') !== undefined);
+    // A key that nobody knows here may have been added meanwhile.
+    const unknown = { path: '/lookup/1', headers: withKey('nobody-has-this') };
+    t.is((await askEntry(rig.port, unknown)).status, 503);
+    if (strictRevokeMs === undefined) t.is((await ask()).status, 200);
+    else {
+      let answer = await ask();
+      while (answer.status === 200) answer = await ask();
+      t.is(answer.status, 503);
+      t.regex(answer.body, /outdated/);
+    }
+    rig.close();
+  }
+});
+
 test('what is over the limit is refused with 429 and the time at which there is room; other customers are served', async (t) => {
   const limited = [
     { name: 'large', keys: [LARGE], rate: 400, burst: 1000 },
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -36,6 +36,9 @@
   /** Customers of the next configurations; none are configured while this is undefined. */
   customers: Parameters<typeof configurationOf>[3];
 
+  /** Of entries that start from now on. */
+  strictRevokeMs: number | undefined;
+
   private readonly started: (Awaited<ReturnType<typeof startEntry>> | undefined)[] = [];
 
   private readonly peers: string[] = [];
@@ -91,6 +94,7 @@
         quotaWindowS: 8,
         quotaOvershoot: 0.1,
         quotaSlack: 500,
+        strictRevokeMs: this.strictRevokeMs,
       },
       systemClock,
       log,
--- a/test/trace.test.ts
+++ b/test/trace.test.ts
@@ -28,6 +28,19 @@
     totalMs: 60,
     retryAfterMs: 360,
   }),
+  line('request refused', 50, {
+    requestId: 'r5',
+    reason: 'over-quota',
+    status: 429,
+    customer: 'large',
+    cost: 994,
+    left: 212,
+    knownAgeMs: 120,
+    ratePerS: 10_810,
+    burst: 10_810,
+    version: 9,
+    retryAfterMs: 1840,
+  }),
   line('run broke off', 20, { requestId: 'r8', content: 'c1', upstream: 'u5', runMs: 80 }),
   line('request judged', 21, { content: 'c1', verdict: 'poison' }),
   line('request', 58, {
@@ -68,8 +81,15 @@
   t.regex(out, /request judged content="c1" verdict="poison"/);
 });
 
+test('the story of a request over its limit tells whose it was, and what was counted', async (t) => {
+  const { out } = await trace('r5');
+  t.regex(out, /refused as "over-quota" \(429\): its customer had reached its limit/);
+  t.regex(out, /Customer large: it takes 994, 212 lay here, the holder was heard 120 ms before/);
+  t.regex(out, /come back in 1840 ms/);
+});
+
 test('an id that no line names is said so', async (t) => {
   const { code, errors } = await trace('r2');
   t.is(code, 1);
-  t.regex(errors, /No line of 7 names the request r2/);
+  t.regex(errors, /No line of 8 names the request r2/);
 });
