--- a/bench/platformpolicy/world.ts
+++ b/bench/platformpolicy/world.ts
@@ -293,7 +293,7 @@
     this.arrivals.clear();
     this.missed.clear();
     this.ended.clear();
-    this.book.take({ entry: 'e', address: 'a', models, lost: [], inFlight: [] }, this.nowMs);
+    this.book.take({ entry: 'e', address: 'a', models, lost: [] }, this.nowMs);
   }
 
   private plan(): void {
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -312,10 +312,6 @@
     return budget;
   }
 
-  get entryCount(): number {
-    return this.entries.known(this.clock.nowMs());
-  }
-
   connectionShare(maxConnections = 0): number {
     const shares = this.entries.shares(this.clock.nowMs());
     return Math.max(LEAST_CONNECTIONS, Math.floor(maxConnections / shares));
@@ -432,7 +428,7 @@
     }
     this.lost = lost;
     const report = {
-      ...this.meter.report(lost, this.fleet.inFlight(), this.heard),
+      ...this.meter.report(lost, this.heard),
       poison: this.poison.link.report(),
       quota: this.table?.access && this.quota.report(),
     };
@@ -440,7 +436,6 @@
       const sentAtMs = this.clock.nowMs();
       this.desk.demand(report);
       this.learn(this.desk.news(this.heard));
-      this.fleet.learnTotals(this.desk.loads(), report.inFlight, sentAtMs);
       const said = report.quota && this.quotaBook.report(host, report.quota);
       if (said) this.quota.answered(said, sentAtMs);
       return;
@@ -455,7 +450,6 @@
     if (!answer) return;
     if (answer.quota) this.quota.answered(answer.quota, sentAtMs);
     this.entries.toldOf(answer.entryCount);
-    this.fleet.learnTotals(answer.loads, report.inFlight, this.clock.nowMs());
     this.learn(answer.news);
     if (report.poison && answer.poison) this.poison.link.answered(report.poison, answer.poison);
   }
@@ -481,8 +475,7 @@
     const poison = report.poison && this.poison.link.answer(report.poison);
     const quota = report.quota && this.quotaBook.report(report.entry as HostId, report.quota);
     const entryCount = this.entries.count(nowMs);
-    const loads = this.desk.loads();
-    return { entryCount, loads, news: this.desk.news(report.heard), poison, quota };
+    return { entryCount, news: this.desk.news(report.heard), poison, quota };
   }
 
   private poisonDesk(): PoisonDesk {
--- a/src/direct/orders/demandanswer.ts
+++ b/src/direct/orders/demandanswer.ts
@@ -1,14 +1,11 @@
 import type { SuspectBatch } from '../poison/index.js';
 import type { QuotaAnswer } from '../quota/index.js';
-import type { DemandReport } from './demandreport.js';
 import type { NewsBatch } from './newsbatch.js';
 
 /** What the holder of orders tells an entry that has told it what it is asked for. */
 export interface DemandAnswer {
   /** Entries that tell the holder, with itself. */
   readonly entryCount: number;
-  /** Requests at each upstream over all entries. */
-  readonly loads: DemandReport['inFlight'];
   /** What orders changed since the entry last heard. */
   readonly news: NewsBatch;
   /** What the holder knows of requests that may end upstreams, since the entry last heard. */
--- a/src/direct/orders/demandmeter.ts
+++ b/src/direct/orders/demandmeter.ts
@@ -66,11 +66,7 @@
   }
 
   /** What came since the last report; models without any of it are left out. */
-  report(
-    lost: readonly UpstreamId[] = [],
-    inFlight: DemandReport['inFlight'] = [],
-    heard?: NewsMark,
-  ): DemandReport {
+  report(lost: readonly UpstreamId[] = [], heard?: NewsMark): DemandReport {
     const models: DemandReport['models'][number][] = [];
     for (const [key, counts] of this.counts) {
       const { service, model, arrivals, ended, endedMs, running, waiting, adapters } = counts;
@@ -95,7 +91,7 @@
       counts.endedMs = 0;
       counts.adapters = new Set();
     }
-    return { entry: this.entry, address: this.address, models, lost, inFlight, heard };
+    return { entry: this.entry, address: this.address, models, lost, heard };
   }
 
   private of({ service, model }: Need): Counts | undefined {
--- a/src/direct/orders/demandreport.ts
+++ b/src/direct/orders/demandreport.ts
@@ -30,8 +30,6 @@
   readonly models: readonly ModelReport[];
   /** Upstreams that the entry finds lost: connections to them do not open. */
   readonly lost: readonly UpstreamId[];
-  /** Requests of the entry at each upstream that has any. */
-  readonly inFlight: readonly (readonly [UpstreamId, number])[];
   /** How far the entry has heard of what orders changed. */
   readonly heard?: NewsMark;
   /** Absent from an entry that knows nothing of suspected requests. */
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -10,7 +10,6 @@
 import type { DemandReport } from './demandreport.js';
 import type { FoundNeed } from './foundneed.js';
 import { inTurn } from './inturn.js';
-import { LoadBook } from './loadbook.js';
 import { LoadBudget } from './loadbudget.js';
 import { Mover } from './mover.js';
 import type { NewsBatch } from './newsbatch.js';
@@ -74,8 +73,6 @@
 
   private readonly lostBook = new LostBook();
 
-  private readonly loadBook = new LoadBook();
-
   private readonly adapters: AdapterDesk;
 
   private readonly budget: LoadBudget;
@@ -156,12 +153,6 @@
     const nowMs = this.options.clock.nowMs();
     this.book.take(report, nowMs);
     this.lostBook.take(report, nowMs);
-    this.loadBook.take(report, nowMs);
-  }
-
-  /** Requests at each upstream over all entries that tell this one. */
-  loads(): DemandReport['inFlight'] {
-    return this.loadBook.totals(this.options.clock.nowMs());
   }
 
   /** What own orders have changed since an entry last heard of it. */
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -2,7 +2,6 @@
 import { freshLimit, limitRules, mostFill, onGap } from '../../core/enginelimit/index.js';
 import { expectedMs, learnService, mayJoin } from '../../core/plainwait/index.js';
 import { calmTime, isReading, paceRules } from '../../core/promptpace/index.js';
-import { pickReplica, type ReplicaCost } from '../../core/replicachoice/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import { holds } from './holds.js';
 import type { Need } from './need.js';
@@ -49,14 +48,6 @@
 const SILENT_TARGETS = 2;
 const LEAST_SILENT_MS = 500;
 
-/** Who chooses at the same time, and for which request. */
-interface Choosers {
-  readonly entries: number;
-  readonly requestId: string;
-}
-
-const ALONE: Choosers = { entries: 1, requestId: '' };
-
 /** The upstreams that this entry may choose from. */
 export class Fleet {
   private readonly states = new Map<UpstreamId, UpstreamState>();
@@ -121,7 +112,6 @@
   /**
    * The best upstream for a need, other than those tried; undefined if none holds it. Those that are lost, as
    * far as this entry knows, are chosen only if it is told to. A trial may end the upstream that it runs on.
-   * `among` entries choose at the same time.
    */
   choose(
     need: Need,
@@ -129,45 +119,19 @@
     nowMs: Ms,
     alsoLost = true,
     isTrial = false,
-    among: Choosers = ALONE,
   ): UpstreamState | undefined {
-    const replicas: (ReplicaCost & { readonly state: UpstreamState })[] = [];
+    let best: UpstreamState | undefined;
+    let bestCost = Infinity;
     for (const state of this.of(need.service)) {
       if (state.info.isLeaving || tried.has(state.info.id) || !holds(state, need, nowMs)) continue;
       if (!alsoLost && this.isLost(state, nowMs)) continue;
       const risk = isTrial && this.isOnlyPlace(state, nowMs) ? ONLY_PLACE_COST : 0;
       const cost = this.cost(state, nowMs) + risk;
-      const isGood = risk === 0 && state.avoidUntilMs <= nowMs && !this.isFull(state, false, nowMs);
-      replicas.push({ id: state.info.id, state, cost, isGood });
-    }
-    // Plain upstreams tell their load with each answer, some hundred a second: all of them are weighed.
-    const { entries, requestId } = need.model === undefined ? ALONE : among;
-    return pickReplica(replicas, entries, requestId)?.state;
-  }
-
-  /** Requests of this entry at each engine that has any. */
-  inFlight(): (readonly [UpstreamId, number])[] {
-    const counts: (readonly [UpstreamId, number])[] = [];
-    for (const { info, inFlight } of this.states.values()) {
-      if (inFlight > 0 && info.models.size > 0) counts.push([info.id, inFlight]);
-    }
-    return counts;
-  }
-
-  /** Requests at each engine over all entries, of which these were this entry's own. */
-  learnTotals(
-    totals: readonly (readonly [UpstreamId, number])[],
-    own: readonly (readonly [UpstreamId, number])[],
-    nowMs: Ms,
-  ): void {
-    const ownCounts = new Map(own);
-    const told = new Map(totals);
-    for (const state of this.states.values()) {
-      const { id, models } = state.info;
-      if (models.size === 0) continue;
-      const others = Math.max(0, (told.get(id) ?? 0) - (ownCounts.get(id) ?? 0));
-      Object.assign(state, { othersLoad: others, othersAtMs: nowMs });
+      if (cost >= bestCost) continue;
+      best = state;
+      bestCost = cost;
     }
+    return best;
   }
 
   /** Whether it holds a model that no other upstream does: its end would leave that model nowhere. */
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -208,8 +208,7 @@
     // A need without a model has nowhere else to go; another may be brought to an upstream that is there.
     const alsoLost = request.model === undefined || this.hasSought;
     const { isTrial } = this.suspicion;
-    const among = { entries: serving.entryCount, requestId: request.id };
-    const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost, isTrial, among);
+    const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost, isTrial);
     if (state && this.isOverfull(state, nowMs)) this.waitForRoom();
     else if (state && this.isLineTooLong(state, nowMs)) this.waitInLine();
     else if (state && this.isToBePaced(state, nowMs)) this.pace();
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -35,8 +35,6 @@
   /** A request was refused before anything was done for it. */
   refused(reason: string, customer: CustomerSpec | undefined): void;
   budgetOf(service: ServiceId): RetryBudget;
-  /** How many entries there are, as far as this one knows. */
-  readonly entryCount: number;
   /** How many connections this entry may have to one upstream. */
   connectionShare(maxConnections: number | undefined): number;
   /** Waits until an upstream holds what is needed, or says why not. */
--- a/test/adapterdesk.test.ts
+++ b/test/adapterdesk.test.ts
@@ -89,10 +89,7 @@
       adapters: [],
     };
     const models = [{ service: SERVICE, model: MODEL, ...counts, busyAdapters }];
-    this.book.take(
-      { entry: 'e', address: 'a', models, lost: [], inFlight: [] },
-      this.clock.nowMs(),
-    );
+    this.book.take({ entry: 'e', address: 'a', models, lost: [] }, this.clock.nowMs());
   }
 
   async tick(): Promise<void> {
--- a/test/lostupstream.test.ts
+++ b/test/lostupstream.test.ts
@@ -51,7 +51,7 @@
 test('the holder of orders takes an upstream as lost by the word of two entries, and not for long', (t) => {
   const book = new LostBook();
   const id = 'u1' as UpstreamId;
-  const report = (entry: string) => ({ entry, address: 'a', models: [], lost: [id], inFlight: [] });
+  const report = (entry: string) => ({ entry, address: 'a', models: [], lost: [id] });
   book.take(report('e1'), 0);
   t.false(book.isLost(id, 0));
   book.take(report('e2'), 100);
