--- a/src/core/routetable/index.ts
+++ b/src/core/routetable/index.ts
@@ -6,4 +6,5 @@
 export { pickService } from './pickservice.js';
 export type { Route } from './route.js';
 export type { RouteTable } from './routetable.js';
+export { urgencyOf } from './urgency.js';
 export type { ServiceSpec } from './servicespec.js';
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -4,7 +4,7 @@
 import { hash32 } from '../../core/hash/index.js';
 import { plainRules } from '../../core/plainwait/index.js';
 import { paceRules } from '../../core/promptpace/index.js';
-import { pickService, type Route } from '../../core/routetable/index.js';
+import { pickService, urgencyOf, type Route } from '../../core/routetable/index.js';
 import type { Log, UpstreamLink, UpstreamReceiver } from '../../port/index.js';
 import type { Caller } from '../caller.js';
 import { quotaRefusal, type Admitted } from '../intake/index.js';
@@ -18,9 +18,6 @@
 type Head = Parameters<UpstreamReceiver['head']>[0];
 type Sent = NonNullable<ReturnType<UpstreamLink['send']>>;
 
-/** Priorities at upstreams go from 0 to 9; the route's ranks are spread over the urgent half. */
-const PRIORITY_STEP = 2;
-const LEAST_PRIORITY = 9;
 /** An upstream's own failures: all others are the caller's matter. */
 const FIRST_FAILURE_STATUS = 500;
 const FIRST_NO_SUCCESS = 300;
@@ -125,9 +122,8 @@
     return this.admitted.caller;
   }
 
-  /** 0 is the most urgent. */
-  private get priority(): number {
-    return this.admitted.customer?.priority ?? this.route.priority;
+  private get urgency(): ReturnType<typeof urgencyOf> {
+    return urgencyOf(this.route, this.admitted.customer, this.serving.table?.access);
   }
 
   private get clock(): Clock {
@@ -273,7 +269,7 @@
   private isOverfull(state: UpstreamState, nowMs: Ms): boolean {
     if (this.need!.model === undefined || this.ranCount > 0) return false;
     // Another refusal would lose a caller that is back.
-    const isUrgent = this.priority === 0 || this.isReturn;
+    const isUrgent = this.urgency.isFirst || this.isReturn;
     return this.serving.fleet.isFull(state, isUrgent, nowMs);
   }
 
@@ -400,7 +396,7 @@
         customer: this.admitted.customer?.id,
         authorization: serving.table!.access ? undefined : request.authorization,
         deadlineMs: this.untilMs - nowMs,
-        priority: Math.min(LEAST_PRIORITY, this.priority * PRIORITY_STEP + 1),
+        priority: this.urgency.rank,
         resumeAfter: this.reply.lastEventId ?? request.resumeAfter,
         weightsVersion: this.reply.hasBegun ? this.reply.weightsVersion : undefined,
       },
--- a/test/access.test.ts
+++ b/test/access.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { decodeTable } from '../platform/decodetable.js';
 import type { CustomerId, KeyHash } from '../src/base/index.js';
-import { judge, type RouteTable } from '../src/core/routetable/index.js';
+import { judge, urgencyOf, type RouteTable } from '../src/core/routetable/index.js';
 import { bearerHash, hashKey } from '../src/shell/hash/index.js';
 import { configurationOf } from '../standin/platform/index.js';
 
@@ -92,3 +92,29 @@
   t.deepEqual(large.quota, { unit: 'tokens', ratePerS: 900, burst: 300, plainTokens: 200 });
   t.is(customers.get('small' as CustomerId)!.quota, undefined);
 });
+
+test("a customer's priority goes before the route's, which decides among customers of one priority", (t) => {
+  const table = decoded([
+    { name: 'first', keys: ['k1'], priority: 1 },
+    { name: 'same', keys: ['k2'], priority: 1 },
+    { name: 'last', keys: ['k3'], priority: 2 },
+  ]);
+  const { access } = table;
+  const [lookup] = table.routesByHost.get(HOST)!;
+  const urgent = { ...lookup!, priority: 0 };
+  const usual = { ...lookup!, priority: 1 };
+  const of = (name: string) => access!.customers.get(name as CustomerId);
+  const ranks = [
+    urgencyOf(urgent, of('first'), access),
+    urgencyOf(usual, of('same'), access),
+    urgencyOf(urgent, of('last'), access),
+    urgencyOf(usual, of('last'), access),
+  ].map(({ rank }) => rank);
+  t.deepEqual(ranks, [2, 3, 4, 5]);
+  t.true(urgencyOf(urgent, of('same'), access).isFirst);
+  t.false(urgencyOf(usual, of('same'), access).isFirst);
+  t.false(urgencyOf(urgent, of('last'), access).isFirst);
+  // Without customers it is the route's alone.
+  t.deepEqual(urgencyOf(urgent, undefined, undefined), { rank: 1, isFirst: true });
+  t.deepEqual(urgencyOf(usual, undefined, undefined), { rank: 3, isFirst: false });
+});
--- a/test/platformaccess.test.ts
+++ b/test/platformaccess.test.ts
@@ -38,7 +38,7 @@
     const [ran] = server.ran;
     t.is(ran!['tarragonstile-tenant'], 'large');
     t.is(ran!.authorization, undefined);
-    // The customer's priority goes before that of the route, which is 1.
+    // The customer's priority, 0, goes before that of the route, which is 1 as well.
     t.is(ran!['tarragonstile-request-priority'], '1');
     await askEntry(rig.port, { path: '/lookup/1', headers: withKey(SMALL) });
     t.is(server.ran[1]!['tarragonstile-tenant'], 'small');
