--- a/src/direct/intake/intake.ts
+++ b/src/direct/intake/intake.ts
@@ -49,21 +49,12 @@
     const { route, customer } = judged;
     const charge = new Charge(serving.quota, serving.clock, customer, request.tokens);
     this.charge = charge;
+    const admitted = { caller, route, customer, charge };
     const paid = charge.pay(0);
-    const go = (taken: Taken) => {
-      if (this.isOver) return;
-      if (taken.type === 'paid') {
-        this.isOver = true;
-        this.over();
-        this.admit({ caller, route, customer, charge });
-      } else this.refuse(quotaRefusal(taken), customer, taken);
-    };
-    if (!(paid instanceof Promise)) {
-      go(paid);
-      return;
-    }
-    caller.onGone(() => this.end());
-    void paid.then(go);
+    if (paid instanceof Promise) {
+      caller.onGone(() => this.end());
+      void paid.then((taken) => this.decide(taken, admitted));
+    } else this.decide(paid, admitted);
   }
 
   /** The process is about to end: what is not decided is refused. */
@@ -72,6 +63,17 @@
     this.refuse({ status: 503, type: 'stopping', detail, executed: 'no', retryAfterMs: 0 });
   }
 
+  private decide(taken: Taken, admitted: Admitted): void {
+    if (this.isOver) return;
+    if (taken.type === 'refused') {
+      this.refuse(quotaRefusal(taken), admitted.customer, taken);
+      return;
+    }
+    this.isOver = true;
+    this.over();
+    this.admit(admitted);
+  }
+
   private refuseAs(type: keyof typeof REFUSALS): void {
     this.refuse({ ...REFUSALS[type], type, executed: 'no' });
   }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -30,7 +30,7 @@
   readonly table: RouteTable | undefined;
   /** False late in a planned stop: what has not been sent to an upstream is refused. */
   readonly mayWait: boolean;
-  /** What the configuration in force says of a request; undefined while none is known, or it may be outdated. */
+  /** What the configuration in force says of a request; undefined while none is known. */
   judge(request: Caller['request']): Judgement | undefined;
   /** A request was refused before anything was done for it. */
   refused(reason: string, customer: CustomerSpec | undefined): void;
