--- a/bench/table.ts
+++ b/bench/table.ts
@@ -21,6 +21,7 @@
   'mesh-spread': async () => (await import('./meshspread.js')).meshSpread,
   'mesh-store-calls': async () => (await import('./meshstorecalls.js')).meshStoreCalls,
   policy: async () => (await import('./policy.js')).policy,
+  'access-cost': async () => (await import('./accesscost.js')).accessCost,
   'admission-cost': async () => (await import('./admissioncost.js')).admissionCost,
   'config-cost': async () => (await import('./configcost.js')).configCost,
   'path-link': async () => (await import('./pathlink.js')).pathLink,
--- a/src/shell/hash/hashkey.ts
+++ b/src/shell/hash/hashkey.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { hash } from 'node:crypto';
 import type { KeyHash } from '../../base/index.js';
 
 /**
@@ -6,5 +6,6 @@
  * right as for any other, so that its time tells nothing of the keys that there are.
  */
 export function hashKey(key: string): KeyHash {
-  return createHash('sha256').update(key).digest('hex') as KeyHash;
+  // In one call: 10,000 keys of a configuration take 16 to 28 ms in place of 36 to 78 (access-cost's loop, crowded machine).
+  return hash('sha256', key, 'hex') as KeyHash;
 }
