The one who shares the store's changes gathers 200 ms again where nothing moves

Cause, supposed: two waits and a pause of 300 ms make its knowledge 900 ms old, 50 ms under what it may vouch for; at 299 entries that asks for a holder without any lag. The 150 ms while moves are under way stay.

--- a/src/direct/sync/pacetable.ts
+++ b/src/direct/sync/pacetable.ts
@@ -12,7 +12,7 @@
   /** For itself only. */
   alone: { waitMs: 1000, gatherMs: 400 },
   /** For all entries: two waits and a pause are the oldest that its knowledge gets (see `SharedFeed`). */
-  sharer: { waitMs: 300, gatherMs: 300 },
+  sharer: { waitMs: 300, gatherMs: 200 },
   /** For all, while an order's effect is waited for. */
   moving: { waitMs: 300, gatherMs: 150 },
   /** From another entry, which costs no call to the store. */
