Sight: what upstreams say of themselves in answers is decoded and logged

No log or metric had a word of a limit, a leaving server or a wanted pause, so that 'nobody reads it' and 'it is read and lost' could not be told apart. The heads of answers are decoded in one place, kept by the upstream's start, and each change is a line. No decision asks for it yet. The stand-in servers name a limit, say that they leave, and turn away with a time to come back.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -39,6 +39,7 @@
 } from './quota/index.js';
 import { Fleet, type Need } from './route/index.js';
 import { Returns } from './returns.js';
+import { Standings } from './selfreport/index.js';
 import { Run } from './run/index.js';
 import { Seeker } from './seeker.js';
 import type { Serving } from './serving.js';
@@ -83,6 +84,8 @@
 
   readonly quota: QuotaDesk;
 
+  readonly standings: Standings;
+
   table: RouteTable | undefined;
 
   mayWait = true;
@@ -142,6 +145,7 @@
     this.clock = clock;
     this.log = log;
     this.link = link;
+    this.standings = new Standings(clock, log);
     this.fleet = new Fleet(settings.availabilityZone);
     const { host, peerListen, orderTurnMs, loadWindowMs, loadOvershoot } = settings;
     const address = `${peerListen.host}:${peerListen.port}`;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -473,6 +473,7 @@
     const { fleet } = this.serving;
     const nowMs = this.clock.nowMs();
     if (head.load) fleet.learnLoad(state, head.load, nowMs);
+    if (head.said) this.serving.standings.hear(state.info, head.said);
     if (head.status !== WRONG_UPSTREAM_STATUS) {
       this.serving.poison.answered(state.info.id, this.sentAtMs);
     }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -8,6 +8,7 @@
 import type { PoisonDesk } from './poison/index.js';
 import type { QuotaDesk } from './quota/index.js';
 import type { Fleet, Need } from './route/index.js';
+import type { Standings } from './selfreport/index.js';
 
 /** Whether what a request needs was made ready for it. */
 type Sought =
@@ -27,6 +28,7 @@
   readonly fleet: Fleet;
   readonly poison: PoisonDesk;
   readonly quota: QuotaDesk;
+  readonly standings: Standings;
   readonly table: RouteTable | undefined;
   /** False late in a planned stop: what has not been sent to an upstream is refused. */
   readonly mayWait: boolean;
--- a/src/port/index.ts
+++ b/src/port/index.ts
@@ -14,6 +14,7 @@
 export type { Metrics } from './metrics.js';
 export type { Order } from './order.js';
 export type { PlainService } from './plainservice.js';
+export type { SelfReport } from './selfreport.js';
 export type { StoreFailure } from './storefailure.js';
 export type { Swap } from './swap.js';
 export type { SwapOutcome } from './swapoutcome.js';
--- a/src/port/upstreamreceiver.ts
+++ b/src/port/upstreamreceiver.ts
@@ -1,4 +1,5 @@
 import type { Failure } from '../base/index.js';
+import type { SelfReport } from './selfreport.js';
 
 /** What an upstream's answer says before its body. */
 interface UpstreamHead {
@@ -14,6 +15,8 @@
   /** Requests that run and wait there, where it says. */
   readonly load?: { readonly running: number; readonly waiting: number };
   readonly weightsVersion?: string;
+  /** What the upstream says of itself; absent where another start than the one that was asked answers. */
+  readonly said?: SelfReport;
 }
 
 /** Why no whole answer came. */
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -8,6 +8,8 @@
   /** As `serve`, but only after a while. */
   | 'slow'
   | 'full'
+  /** Turns the request away and wants nothing from the entry for a while. */
+  | 'pause'
   | 'error'
   | 'reset'
   | 'silent'
@@ -70,6 +72,9 @@
   /** Every request that was run, in order. */
   readonly seen: Seen[] = [];
 
+  /** Every request that it turned away, in order. */
+  readonly turnedAway: { readonly path: string; readonly atMs: number }[] = [];
+
   /** Every order that came, in order. */
   readonly seenOrders: SeenOrder[] = [];
 
@@ -108,6 +113,15 @@
 
   isDown = false;
 
+  /** Requests a second that it takes from all entries together, as all its answers say; undefined without a limit. */
+  limitPerS: number | string | undefined;
+
+  /** Says in all its answers that it leaves. */
+  isLeaving = false;
+
+  /** What it says to those that it turns away with `pause`. */
+  pauseText = '30';
+
   constructor(
     readonly id: string,
     readonly service: string,
@@ -128,6 +142,8 @@
     this.ordersBefore = this.orders.length;
     this.models.clear();
     this.manners.length = 0;
+    this.limitPerS = undefined;
+    this.isLeaving = false;
     this.changed();
   }
 
@@ -219,8 +235,8 @@
       return;
     }
     const manner = this.manners.shift() ?? 'serve';
-    if (manner === 'full') {
-      response.writeHead(503, { 'tarragonstile-not-executed': '1' }).end();
+    if (manner === 'full' || manner === 'pause') {
+      this.turnAway(request, response, manner === 'pause');
       return;
     }
     this.ran.push(request.headers);
@@ -252,6 +268,21 @@
     } else this.answer(model, request, response, manner);
   }
 
+  private turnAway(request: IncomingMessage, response: ServerResponse, isPause: boolean): void {
+    this.turnedAway.push({ path: request.url ?? '', atMs: performance.now() });
+    const headers: Record<string, string> = { 'tarragonstile-not-executed': '1', ...this.said() };
+    if (isPause) headers['retry-after'] = this.pauseText;
+    response.writeHead(503, headers).end();
+  }
+
+  /** What it says of itself in all its answers. */
+  private said(): Record<string, string> {
+    const said: Record<string, string> = {};
+    if (this.limitPerS !== undefined) said['server-limit'] = String(this.limitPerS);
+    if (this.isLeaving) said['server-leaving'] = '1';
+    return said;
+  }
+
   private answer(
     model: string | undefined,
     request: IncomingMessage,
@@ -269,6 +300,7 @@
       'tarragonstile-request-id': id,
       'tarragonstile-weight-versions': '1',
       'tarragonstile-server-load': '1,0,4',
+      ...this.said(),
     };
     if (manner !== 'unsigned') headers['tarragonstile-response-signature'] = `by-${this.id}`;
     if (manner === 'encoded') headers['content-encoding'] = 'gzip';
