A server that says in an answer that it leaves gets nothing more, whatever the list says

What callers saw: requests went on for 13 s to an engine that had said that it leaves, while the store was away; one that goes at short notice would have taken them with it. Cause: only the list was asked whether an upstream leaves, and what the answers said was not read. Why this holds: the word is kept by the upstream's start, apart from the list, and laid over each reading of it before anything else sees it; other entries hear of it with the reports that exist. Ruled out: a mark in the list's entry (the next reading of an older list wipes it out).

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -368,7 +368,8 @@
     this.quotaBook.limit(table.access);
   }
 
-  upstream(upstream: Upstream): void {
+  upstream(listed: Upstream): void {
+    const upstream = this.gate.told(listed);
     this.fleet.put(upstream);
     if (upstream.isLeaving) this.poison.upstreamLeaves(upstream.id);
     this.desk.upstream(upstream);
@@ -506,6 +507,10 @@
       draw: (question) => this.drawSlot(question),
       sentLately: (id) => this.fleet.sentLately(id, clock.nowMs()),
       heard: () => this.tellSoon(),
+      leaves: (id) => {
+        const state = this.fleet.get(id);
+        if (state) this.upstream(state.info);
+      },
     });
   }
 
--- a/src/direct/selfreport/standingnews.ts
+++ b/src/direct/selfreport/standingnews.ts
@@ -9,6 +9,8 @@
   readonly ratePerS?: number;
   /** How long ago the newest answer came that told of the rate; absent if none has. */
   readonly rateAgeMs?: Ms;
+  /** It ends soon and takes no new work. */
+  readonly isLeaving?: boolean;
   /** Requests that this entry had sent there in the window before it heard of the limit. */
   readonly sentBefore?: number;
 }
--- a/src/direct/selfreport/standings.ts
+++ b/src/direct/selfreport/standings.ts
@@ -11,12 +11,16 @@
   readonly standing: Standing;
   /** Requests that this entry had sent there in the window before it heard of a limit. */
   readonly sentBefore: number;
+  /** When this entry first heard that it leaves. */
+  readonly leavesAtMs: Ms;
 }
 
 /** Beyond so many starts those that said something of note longest ago are forgotten. */
 const MOST_KEPT = 4096;
 /** Other entries are told that a limit is over for this long; older news of it that is under way has come by then. */
 const TELL_OVER_MS = 30_000;
+/** Other entries are told that an upstream leaves for this long: it has gone by then, or the list says so too. */
+const TELL_LEAVING_MS = 180_000;
 
 function isOlder(startedAtMs: Ms | undefined, other: Ms | undefined): boolean {
   return startedAtMs !== undefined && other !== undefined && startedAtMs < other;
@@ -66,9 +70,11 @@
     const before = this.ofStart(upstream, startedAtMs);
     const rateAtMs = nowMs - (rateAgeMs ?? Infinity);
     const isNewer = rateAtMs > before.rateAtMs;
+    const isFirstOfLeaving = news.isLeaving === true && !before.isLeaving;
     const isOfOldStart = isOlder(startedAtMs, this.starts.get(upstream)?.startedAtMs);
-    if (!isNewer || isOfOldStart) return [before, before];
-    const after = { ...before, ratePerS, rateAtMs };
+    if (isOfOldStart || !(isNewer || isFirstOfLeaving)) return [before, before];
+    const isLeaving = before.isLeaving || isFirstOfLeaving;
+    const after = { ...before, isLeaving, ...(isNewer && { ratePerS, rateAtMs }) };
     this.keep(upstream, startedAtMs, after);
     tellStanding(this.log, { upstream, before, after, source: 'entry', nowMs });
     return [before, after];
@@ -99,9 +105,10 @@
     return start && this.newsFrom(id, start);
   }
 
-  private isOfNote({ standing }: Start): boolean {
-    if (standing.ratePerS !== undefined) return true;
-    return this.clock.nowMs() - standing.rateAtMs < TELL_OVER_MS;
+  private isOfNote({ standing, leavesAtMs }: Start): boolean {
+    const nowMs = this.clock.nowMs();
+    if (standing.ratePerS !== undefined || nowMs - leavesAtMs < TELL_LEAVING_MS) return true;
+    return nowMs - standing.rateAtMs < TELL_OVER_MS;
   }
 
   private newsFrom(
@@ -109,15 +116,22 @@
     { startedAtMs, standing, sentBefore }: Start,
   ): StandingNews {
     const { ratePerS, rateAtMs } = standing;
-    const rateAgeMs = Math.round(this.clock.nowMs() - rateAtMs);
-    return { upstream, startedAtMs, ratePerS, rateAgeMs, sentBefore };
+    const isLeaving = standing.isLeaving || undefined;
+    // Nothing was said of a rate: infinity has no place in a message.
+    const rateAgeMs = Number.isFinite(rateAtMs)
+      ? Math.round(this.clock.nowMs() - rateAtMs)
+      : undefined;
+    return { upstream, startedAtMs, ratePerS, rateAgeMs, isLeaving, sentBefore };
   }
 
   private keep(id: UpstreamId, startedAtMs: Ms | undefined, standing: Standing): void {
-    const before = this.starts.get(id);
-    const sentBefore = before?.startedAtMs === startedAtMs ? before?.sentBefore : 0;
+    const known = this.starts.get(id);
+    const before = known?.startedAtMs === startedAtMs ? known : undefined;
+    const sentBefore = before?.sentBefore ?? 0;
+    const sinceMs = standing.isLeaving ? this.clock.nowMs() : -Infinity;
+    const leavesAtMs = before?.standing.isLeaving ? before.leavesAtMs : sinceMs;
     this.starts.delete(id);
-    this.starts.set(id, { startedAtMs, standing, sentBefore: sentBefore ?? 0 });
+    this.starts.set(id, { startedAtMs, standing, sentBefore, leavesAtMs });
     if (this.starts.size <= MOST_KEPT) return;
     const [oldest] = this.starts.keys();
     this.starts.delete(oldest!);
--- a/src/direct/selfreport/upstreamgate.ts
+++ b/src/direct/selfreport/upstreamgate.ts
@@ -1,5 +1,6 @@
 import type { Clock, Ms, UpstreamId } from '../../base/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
+import type { Standing } from '../../core/selfreport/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { Log, Metrics, SelfReport } from '../../port/index.js';
 import type { Block, Gate, SlotAsk } from '../route/index.js';
@@ -24,6 +25,8 @@
   readonly sentLately: (upstream: UpstreamId) => number;
   /** Other entries are to hear soon of what an answer has just told. */
   readonly heard: () => void;
+  /** An upstream has said that it leaves. */
+  readonly leaves: (upstream: UpstreamId) => void;
 }
 
 /**
@@ -49,8 +52,18 @@
     const before = this.standings.of(upstream);
     const after = this.standings.hear(upstream, said);
     if (after === before) return;
-    this.limitChanged(upstream.id, before.ratePerS, after.ratePerS);
-    if (after.ratePerS !== before.ratePerS) this.options.heard();
+    this.changed(upstream.id, before, after);
+    const isNews = after.ratePerS !== before.ratePerS || after.isLeaving !== before.isLeaving;
+    if (isNews) this.options.heard();
+  }
+
+  /**
+   * An entry of the list with what its upstream has said since. A start that leaves stays so, however the list has it: the
+   * list may be seconds older than an answer, and minutes while the store is away.
+   */
+  told(upstream: Upstream): Upstream {
+    if (upstream.isLeaving || !this.standings.of(upstream).isLeaving) return upstream;
+    return { ...upstream, isLeaving: true };
   }
 
   // What a choice asks.
@@ -94,7 +107,7 @@
   take(entry: string, news: readonly StandingNews[]): void {
     for (const one of news) {
       const [before, after] = this.standings.take(one);
-      this.limitChanged(one.upstream, before.ratePerS, after.ratePerS);
+      this.changed(one.upstream, before, after);
       if (after.ratePerS !== undefined) this.book.hear(entry, one, after.ratePerS);
     }
   }
@@ -125,6 +138,11 @@
     return said;
   }
 
+  private changed(upstream: UpstreamId, before: Standing, after: Standing): void {
+    this.limitChanged(upstream, before.ratePerS, after.ratePerS);
+    if (after.isLeaving && !before.isLeaving) this.options.leaves(upstream);
+  }
+
   private limitChanged(
     upstream: UpstreamId,
     before: number | undefined,
--- a/test/selfreport.test.ts
+++ b/test/selfreport.test.ts
@@ -21,6 +21,7 @@
     draw: () => Promise.resolve(undefined),
     sentLately: () => 0,
     heard() {},
+    leaves() {},
   });
 }
 
@@ -118,7 +119,7 @@
   const gate = gateWith(clock);
   gate.hear(upstream(7), said(LIMITED));
   clock.advanceTo(500);
-  const told = { upstream: UPSTREAM, startedAtMs: 7, sentBefore: 0 };
+  const told = { upstream: UPSTREAM, startedAtMs: 7, isLeaving: undefined, sentBefore: 0 };
   t.deepEqual(gate.report(), [{ ...told, ratePerS: 2, rateAgeMs: 500 }]);
   gate.hear(upstream(7), said(UNLIMITED));
   t.deepEqual(gate.report(), [{ ...told, ratePerS: undefined, rateAgeMs: 0 }]);
@@ -135,3 +136,29 @@
   t.is(gate.limitOf(upstream()), undefined);
   t.is(gate.blockOf(upstream(), clock.nowMs())?.reason, 'limited');
 });
+
+test('a start that says it leaves stays so, whatever the list or an older entry says; another start does not leave', (t) => {
+  const clock = new VirtualClock();
+  const gate = gateWith(clock);
+  gate.hear(upstream(100), said(UNLIMITED, { isLeaving: true }));
+  t.true(gate.told(upstream(100)).isLeaving);
+  gate.hear(upstream(100), said(UNLIMITED));
+  gate.take('e2', [{ upstream: UPSTREAM, startedAtMs: 100, rateAgeMs: 0 }]);
+  t.true(gate.told(upstream(100)).isLeaving);
+  t.false(gate.told(upstream(200)).isLeaving);
+  clock.advanceTo(3_600_000);
+  t.true(gate.told(upstream(100)).isLeaving);
+});
+
+test('an entry hears from others that an upstream leaves, and not of an older start', (t) => {
+  const clock = new VirtualClock();
+  const [first, second] = [gateWith(clock), gateWith(clock)];
+  first.hear(upstream(100), said(UNSAID, { isLeaving: true }));
+  second.take('e1', JSON.parse(JSON.stringify(first.report())) as ReturnType<typeof first.report>);
+  t.true(second.told(upstream(100)).isLeaving);
+  t.is(second.blockOf(upstream(100), 0), undefined);
+  second.hear(upstream(200), said(LIMITED));
+  second.take('e1', first.report());
+  t.is(second.blockOf(upstream(200), 0)?.reason, 'limited');
+  t.false(second.told(upstream(200)).isLeaving);
+});
--- a/test/serverleaves.test.ts
+++ b/test/serverleaves.test.ts
@@ -6,6 +6,13 @@
  * Order of events: the store falls silent; half a second later the engine says that it leaves, which the store takes in
  * only 12 s after that. The engine's answers say so at once, and two entries pass such answers on. The list, which is
  * all that entries go by, still has the engine as ready.
+ *
+ * Cause: an entry knew that an upstream leaves from the list alone. What the upstream itself said in its answers was not read;
+ * and a mark beside the list's entry would have been wiped out by the next reading of a list that knows nothing of it.
+ *
+ * Evidence: in the play of the recorded day all five entries sent to the engine from the first answer that said so to its end, and
+ * the list of all five was older than that, as `store lost` says 0.9 s before and after. On stand-ins an entry that was told
+ * sent the server all of its next 30 requests.
  */
 import test from 'ava';
 import { PlatformServer } from '../standin/platform/index.js';
@@ -77,3 +84,17 @@
     t.true(first.seen.length + first.turnedAway.length - 1 <= MOST_IN_PAUSE);
   });
 }
+
+test('where all servers of a service leave, a request is refused at once and has not run', async (t) => {
+  const rig = new PlatformRig();
+  t.teardown(() => rig.close());
+  const [first, second] = pair('plain');
+  await rig.start([first, second]);
+  for (const server of [first, second]) server.isLeaving = true;
+  for (const at of [1, 2]) t.is((await askEntry(rig.port, { path: `/lookup/${at}` })).status, 200);
+  const ranCount = first.seen.length + second.seen.length;
+  const { status, body } = await askEntry(rig.port, { path: '/lookup/3' });
+  t.is(status, 503);
+  t.regex(body, /"executed":"no"/);
+  t.is(first.seen.length + second.seen.length, ranCount);
+});
