A server that wants a pause gets nothing from the entry that it told until then

What callers saw: requests went to a server that had just said for how long it wants none, came back unrun, and cost a part of the budget for repeats. Cause: an answer 503 was one lesson, 'full', with 60 ms in which the server is chosen last; its time to come back was read nowhere. Why this holds: the time is kept by the upstream's start and asked before each send like a limit, so that no way leads there; where nothing else could run a request it is refused at once with the least time left. No cap, a fraction counts, a date is a line in the log.

--- a/src/command/trace/endtable.ts
+++ b/src/command/trace/endtable.ts
@@ -5,6 +5,8 @@
   'not-resident': 'no upstream held the model or adapter in time; see the orders and moves below',
   'upstreams-limited':
     'every upstream that holds what it needs has named a limit of requests, and none of its slots came free in time',
+  'upstreams-paused':
+    'every upstream that holds what it needs had turned this entry away for a time',
   'upstreams-full': 'every upstream that holds what it needs was full or could not be reached',
   'upstream-failed': 'the upstream broke off or failed, and the request could not be repeated',
   'request-ends-upstreams':
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -54,6 +54,10 @@
     end: 'upstreams-limited',
     detail: 'Every upstream that could take the request has asked for fewer requests.',
   },
+  paused: {
+    end: 'upstreams-paused',
+    detail: 'Every upstream that could take the request wants nothing from this entry for a time.',
+  },
 } as const;
 
 /** Carries one caller's request through its attempts. */
@@ -350,7 +354,8 @@
     if (waitMs <= 0 || (isKnown && opensInMs > waitMs)) {
       const afterMs = Math.max(COME_BACK_MS, isKnown ? opensInMs : 0);
       const { end, detail } = BLOCKED[reason];
-      this.giveUp(end, detail, Math.round(afterMs * (1 + this.place())));
+      const spreadMs = this.place() * Math.min(afterMs, MOST_COME_BACK_MS);
+      this.giveUp(end, detail, Math.round(afterMs + spreadMs));
       return;
     }
     const ask = {
--- a/src/direct/selfreport/upstreamgate.ts
+++ b/src/direct/selfreport/upstreamgate.ts
@@ -69,13 +69,19 @@
   // What a choice asks.
 
   blockOf(upstream: Upstream, nowMs: Ms): Block | undefined {
-    if (this.standings.of(upstream).ratePerS === undefined) return undefined;
+    const { pausedUntilMs, ratePerS } = this.standings.of(upstream);
+    // One that is merely asked last gets its requests back whenever the others are busy.
+    if (pausedUntilMs > nowMs) return { reason: 'paused', opensInMs: pausedUntilMs - nowMs };
+    if (ratePerS === undefined) return undefined;
     const opensInMs = this.desk.opensInMs(upstream.id, nowMs);
     return opensInMs > 0 ? { reason: 'limited', opensInMs } : undefined;
   }
 
   wanted(upstreams: readonly Upstream[], ask: SlotAsk, nowMs: Ms): void {
-    const limited = upstreams.filter((one) => this.standings.of(one).ratePerS !== undefined);
+    const limited = upstreams.filter((one) => {
+      const { ratePerS, pausedUntilMs } = this.standings.of(one);
+      return ratePerS !== undefined && pausedUntilMs <= nowMs;
+    });
     this.desk.want(
       limited.map(({ id }) => id),
       ask,
--- a/test/selfreport.test.ts
+++ b/test/selfreport.test.ts
@@ -162,3 +162,31 @@
   t.is(second.blockOf(upstream(200), 0)?.reason, 'limited');
   t.false(second.told(upstream(200)).isLeaving);
 });
+
+test('a pause is a decimal number of seconds beside 503; anything else is said and asks for none', (t) => {
+  t.is(decode(['Retry-After', '1.5'], 503, false).pauseMs, 1500);
+  t.is(decode(['Retry-After', '0'], 503, false).pauseMs, 0);
+  t.is(decode(['Retry-After', '3600'], 503, false).pauseMs, 3_600_000);
+  t.is(decode(['Retry-After', '9'], 429, false).pauseMs, undefined);
+  for (const text of ['Thu, 03 Dec 2026 07:00:00 GMT', '-1', 'soon']) {
+    const report = decode(['Retry-After', text], 503, false);
+    t.is(report.pauseMs, undefined, text);
+    t.true(report.unreadable.length > 0, text);
+  }
+});
+
+test('a pause holds until its time is over, the longest one if there are several, and not for another start', (t) => {
+  const clock = new VirtualClock();
+  const gate = gateWith(clock);
+  gate.hear(upstream(100), said(UNSAID, { pauseMs: 2000 }));
+  gate.hear(upstream(100), said(UNSAID, { pauseMs: 500 }));
+  t.deepEqual(gate.blockOf(upstream(100), 600), { reason: 'paused', opensInMs: 1400 });
+  t.is(gate.blockOf(upstream(200), 600), undefined);
+  t.is(gate.blockOf(upstream(100), 2000), undefined);
+});
+
+test('a pause is between an upstream and one entry: others are not told', (t) => {
+  const gate = gateWith(new VirtualClock());
+  gate.hear(upstream(), said(UNSAID, { pauseMs: 2000 }));
+  t.deepEqual(gate.report(), []);
+});
--- a/test/serverleaves.test.ts
+++ b/test/serverleaves.test.ts
@@ -13,6 +13,9 @@
  * Evidence: in the play of the recorded day all five entries sent to the engine from the first answer that said so to its end, and
  * the list of all five was older than that, as `store lost` says 0.9 s before and after. On stand-ins an entry that was told
  * sent the server all of its next 30 requests.
+ *
+ * Of the same kind: a server that turns an entry away with a time to come back wants nothing from it until then. That time
+ * was not read either: the server was chosen last for 60 ms, so that it got each request that its others had no room for.
  */
 import test from 'ava';
 import { PlatformServer } from '../standin/platform/index.js';
@@ -85,6 +88,22 @@
   });
 }
 
+test('where all servers want a pause, a request is refused at once, with the least time that is left', async (t) => {
+  const rig = new PlatformRig();
+  t.teardown(() => rig.close());
+  const [first, second] = pair('plain');
+  [first.pauseText, second.pauseText] = ['40', '60.5'];
+  await rig.start([first, second]);
+  first.manners.push('pause');
+  second.manners.push('pause');
+  const { status, head, body } = await askEntry(rig.port, { path: '/lookup/1' });
+  t.is(status, 503);
+  t.regex(body, /upstreams-paused/);
+  const toldS = Number(/retry-after: ([\d.]+)/i.exec(head)?.[1]);
+  t.true(toldS > 30 && toldS <= 41.5, String(toldS));
+  t.is(first.turnedAway.length + second.turnedAway.length, 2);
+});
+
 test('where all servers of a service leave, a request is refused at once and has not run', async (t) => {
   const rig = new PlatformRig();
   t.teardown(() => rig.close());
