--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -1,3 +1,4 @@
+import type { RequestId } from '../../base/index.js';
 import type { UpstreamReceiver } from '../../port/index.js';
 import type { Caller } from '../caller.js';
 import { EventCutter } from './eventcutter.js';
@@ -35,6 +36,10 @@
 
   constructor(private readonly caller: Caller) {}
 
+  get requestId(): RequestId {
+    return this.caller.request.id;
+  }
+
   /** Status of the answer that came last. */
   get status(): number {
     return this.head!.status;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -6,24 +6,18 @@
 import { paceRules } from '../../core/promptpace/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
 import { pickService, urgencyOf, type Route } from '../../core/routetable/index.js';
-import type { Log, UpstreamLink, UpstreamReceiver } from '../../port/index.js';
+import type { Log, UpstreamLink } from '../../port/index.js';
 import type { Caller } from '../caller.js';
 import { quotaRefusal, type Admitted } from '../intake/index.js';
 import type { Refusal } from '../refusal.js';
 import type { Block, Need, UpstreamState } from '../route/index.js';
 import type { Serving } from '../serving.js';
+import { Attempt } from './attempt.js';
 import { Reply } from './reply.js';
 import { roomWaitMs } from './roomwait.js';
+import type { RunRecord } from './runrecord.js';
 import { Suspicion } from './suspicion.js';
 
-type Head = Parameters<UpstreamReceiver['head']>[0];
-type Sent = NonNullable<ReturnType<UpstreamLink['send']>>;
-
-/** An upstream's own failures: all others are the caller's matter. */
-const FIRST_FAILURE_STATUS = 500;
-const FIRST_NO_SUCCESS = 300;
-/** Another start than the one asked for answers so, or one that lacks the model. */
-const WRONG_UPSTREAM_STATUS = 421;
 /** When a refused request may find a place again; a server's own queue empties within about this. */
 const COME_BACK_MS = 250;
 const MOST_COME_BACK_MS = 1000;
@@ -68,9 +62,8 @@
 
   private need: Need | undefined;
 
-  private state: UpstreamState | undefined;
-
-  private sent: Sent | undefined;
+  /** The attempt under way. */
+  private current: Attempt | undefined;
 
   private readonly reply: Reply;
 
@@ -93,36 +86,18 @@
 
   private refusedCount = 0;
 
-  private sendCount = 0;
-
-  private firstSentAtMs: Ms | undefined;
-
-  private firstByteAtMs: Ms | undefined;
-
-  /** Of the attempt under way, as is `sentAtMs`. */
-  private lastEventAtMs: Ms | undefined;
-
-  private sentAtMs: Ms = 0;
-
-  /** Requests that were there when the attempt under way was sent. */
-  private sentLoad = 0;
-
-  private longestGapMs: Ms = 0;
-
-  /** How long it waited while engines read other prompts. */
-  private pacedMs: Ms = 0;
-
-  /** How long it waited for its turn at upstreams that take nothing now. */
-  private blockedMs: Ms = 0;
-
-  /** The attempt under way is a stream whose first event has not come. */
-  private isReading = false;
-
   private untilMs: Ms = Infinity;
 
   private forgetTimer = () => {};
 
-  private readonly ends: string[] = [];
+  private readonly record: RunRecord = {
+    attempts: [],
+    firstSentAtMs: undefined,
+    firstByteAtMs: undefined,
+    longestGapMs: 0,
+    pacedMs: 0,
+    blockedMs: 0,
+  };
 
   constructor(
     private readonly serving: Serving,
@@ -160,7 +135,7 @@
     this.isReturn = serving.isReturn(route, request.deadlineMs);
     const waitMs = Math.max(0, this.untilMs - this.clock.nowMs());
     this.forgetTimer = this.clock.after(waitMs, () => this.timeout());
-    caller.onFree(() => this.sent?.resume());
+    caller.onFree(() => this.current?.resume());
     const service = pickService(route, request.id);
     serving.budgetOf(service).request(this.clock.nowMs());
     serving.arrived({ service, model: request.model, adapter: request.adapter });
@@ -169,7 +144,7 @@
 
   /** The process is about to end: what is not at an upstream gets its final answer. */
   stopWaiting(): void {
-    if (this.sent || this.isOver) return;
+    if (this.current || this.isOver) return;
     this.giveUp('stopping', 'This entry is about to end.', STOPPING_COME_BACK_MS);
   }
 
@@ -321,7 +296,7 @@
   }
 
   private pace(): void {
-    this.pacedMs += paceRules.lookMs;
+    this.record.pacedMs += paceRules.lookMs;
     this.clock.after(paceRules.lookMs, () => this.attempt());
   }
 
@@ -364,7 +339,7 @@
       waitMs: Math.max(0, waitMs - rateRules.useMs),
     };
     serving.fleet.waitFor(need, ask, nowMs);
-    this.blockedMs += LOOK_FOR_ROOM_MS;
+    this.record.blockedMs += LOOK_FOR_ROOM_MS;
     serving.waiting(need, 1);
     clock.after(LOOK_FOR_ROOM_MS, () => {
       serving.waiting(need, -1);
@@ -434,177 +409,43 @@
   }
 
   private send(state: UpstreamState, route: Route): void {
-    const { caller, serving, clock } = this;
-    const { request } = caller;
-    const spec = serving.table!.services.get(state.info.service);
-    const nowMs = clock.nowMs();
-    const attempt = this.sendCount + 1;
-    serving.fleet.enter(state, nowMs);
-    const sent = serving.link.send(
-      {
-        upstream: state.info.id,
-        address: state.info.address,
-        maxConnections: serving.connectionShare(spec?.maxConnections),
-        requestId: request.id,
-        method: request.method,
-        path: request.path,
-        headers: request.headers,
-        body: request.body,
-        customer: this.admitted.customer?.id,
-        authorization: serving.table!.access ? undefined : request.authorization,
-        deadlineMs: this.untilMs - nowMs,
-        priority: this.urgency.rank,
-        resumeAfter: this.reply.lastEventId ?? request.resumeAfter,
-        weightsVersion: this.reply.hasBegun ? this.reply.weightsVersion : undefined,
-      },
-      this.receiver(state, attempt),
-    );
+    const { serving, reply, suspicion, record } = this;
+    const need = this.need!;
+    const over = (end: AttemptEnd | { readonly type: 'answered' }) => this.attemptOver(end);
+    const options = { serving, suspicion, reply, record, route, need, state, over };
     this.tried.add(state.info.id);
-    if (!sent) {
-      this.note(state, 'no-connection');
-      this.refusedCount += 1;
-      serving.fleet.learn(state, 'full', this.need!, nowMs);
-      this.decide({ type: 'not-run', wasSent: false });
-      return;
-    }
-    this.sendCount = attempt;
-    this.firstSentAtMs ??= nowMs;
-    this.state = state;
-    this.sent = sent;
-    this.lastEventAtMs = undefined;
-    this.sentAtMs = nowMs;
-    this.sentLoad = serving.fleet.load(state.info.id, nowMs);
-    // eslint-disable-next-line no-param-reassign -- the fleet's own count of what is there
-    state.inFlight += 1;
-    this.isReading = route.kind === 'streaming';
-    // eslint-disable-next-line no-param-reassign -- as above
-    if (this.isReading) state.readingCount += 1;
-    serving.began(this.need!);
-  }
-
-  private receiver(state: UpstreamState, attempt: number): UpstreamReceiver {
-    const isOurs = () => !this.isOver && this.sendCount === attempt && this.state === state;
-    return {
-      head: (head) => {
-        if (isOurs()) this.took(state, head);
-      },
-      data: (chunk) => (isOurs() ? this.data(chunk) : true),
-      end: () => {
-        if (isOurs()) this.ended(state);
-      },
-      failed: (failure) => {
-        if (!isOurs()) return;
-        this.leave();
-        this.note(state, failure.type);
-        if (failure.type === 'upstream-lost') this.brokeOff(state, failure.detail);
-        const lesson = failure.mayHaveRun ? 'failed' : 'unreachable';
-        this.serving.fleet.learn(state, lesson, this.need!, this.clock.nowMs());
-        if (failure.mayHaveRun) this.ranCount += 1;
-        else this.refusedCount += 1;
-        this.decide(failure.mayHaveRun ? { type: 'broken' } : { type: 'not-run', wasSent: false });
-      },
-    };
+    this.current = new Attempt(options);
+    this.current.begin(this.callTo(state));
   }
 
-  /**
-   * The upstream may have ended, and this request may be why. It comes again under another id, maybe at another
-   * entry: what it asks is what it is known by.
-   */
-  private brokeOff(state: UpstreamState, detail: string): void {
-    const { request } = this.caller;
-    const { id: upstream, isLeaving } = state.info;
-    const runMs = this.clock.nowMs() - this.sentAtMs;
-    this.log.warn('run broke off', {
-      requestId: request.id,
-      content: this.suspicion.content,
-      upstream,
-      runMs: Math.round(runMs),
-      othersThere: state.inFlight,
-      isLeaving,
-      detail,
-    });
-    this.suspicion.brokeOff(state, this.need!, runMs, this.serving.fleet);
-  }
-
-  private took(state: UpstreamState, head: Head): void {
-    const { fleet } = this.serving;
-    const nowMs = this.clock.nowMs();
-    if (head.load) fleet.learnLoad(state, head.load, nowMs);
-    if (head.said) this.serving.gate.hear(state.info, head.said);
-    if (head.status !== WRONG_UPSTREAM_STATUS) {
-      this.serving.poison.answered(state.info.id, this.sentAtMs);
-    }
-    if (head.isNotRun) {
-      this.notRun(state, head);
-      return;
-    }
-    this.firstByteAtMs ??= nowMs;
-    if (this.need!.model === undefined && head.status < FIRST_FAILURE_STATUS) {
-      fleet.learnService(state, nowMs - this.sentAtMs, this.sentLoad);
-    }
-    const isStream = this.route.kind === 'streaming' && head.status < FIRST_NO_SUCCESS;
-    this.reply.take(head, { isStream, isResumable: this.route.isResumable });
-  }
-
-  private notRun(state: UpstreamState, head: Head): void {
-    const { sent } = this;
-    this.leave();
-    sent?.cancel();
-    const lesson = head.status === WRONG_UPSTREAM_STATUS ? 'missing' : 'full';
-    this.serving.fleet.learn(state, lesson, this.need!, this.clock.nowMs());
-    this.note(state, `not-run-${head.status}`);
-    this.refusedCount += 1;
-    this.decide({ type: 'not-run', wasSent: true });
-  }
-
-  private data(chunk: Buffer): boolean {
-    if (this.route.kind === 'streaming') this.learnGap();
-    return this.reply.data(chunk);
-  }
-
-  private learnGap(): void {
-    const nowMs = this.clock.nowMs();
-    const { state, lastEventAtMs } = this;
-    const { fleet } = this.serving;
-    this.lastEventAtMs = nowMs;
-    if (!state) return;
-    if (this.isReading) {
-      state.streamCount += 1;
-      state.readingCount -= 1;
-      this.isReading = false;
-      fleet.learnFirst(state, nowMs - this.sentAtMs, nowMs);
-    }
-    if (lastEventAtMs === undefined) return;
-    const gapMs = nowMs - lastEventAtMs;
-    this.longestGapMs = Math.max(this.longestGapMs, gapMs);
-    const { gapTargetMs } = this.route;
-    if (!fleet.learnGap(state, gapMs, gapTargetMs, nowMs)) return;
-    const limit = Math.round(state.limit.fill * state.info.slots);
-    const load = Math.round(fleet.load(state.info.id, nowMs));
-    this.log.info('engine limit cut', {
-      requestId: this.caller.request.id,
+  private callTo(state: UpstreamState): Parameters<UpstreamLink['send']>[0] {
+    const { caller, serving, reply } = this;
+    const { request } = caller;
+    const spec = serving.table!.services.get(state.info.service);
+    return {
       upstream: state.info.id,
-      gapMs: Math.round(gapMs),
-      gapTargetMs,
-      load,
-      limit,
-    });
+      address: state.info.address,
+      maxConnections: serving.connectionShare(spec?.maxConnections),
+      requestId: request.id,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+      customer: this.admitted.customer?.id,
+      authorization: serving.table!.access ? undefined : request.authorization,
+      deadlineMs: this.untilMs - this.clock.nowMs(),
+      priority: this.urgency.rank,
+      resumeAfter: reply.lastEventId ?? request.resumeAfter,
+      weightsVersion: reply.hasBegun ? reply.weightsVersion : undefined,
+    };
   }
 
-  private ended(state: UpstreamState): void {
-    const { status } = this.reply;
-    this.leave();
-    this.ranCount += 1;
-    const nowMs = this.clock.nowMs();
-    const isFailure = status >= FIRST_FAILURE_STATUS;
-    this.serving.fleet.learn(state, isFailure ? 'failed' : 'answered', this.need!, nowMs);
-    this.note(state, String(status));
-    if (!isFailure) this.suspicion.ranWell();
-    if (isFailure && this.reply.isHeld) {
-      this.decide({ type: 'failed' });
-      return;
-    }
-    this.finish();
+  private attemptOver(end: AttemptEnd | { readonly type: 'answered' }): void {
+    this.current = undefined;
+    if (end.type === 'not-run') this.refusedCount += 1;
+    else this.ranCount += 1;
+    if (end.type === 'answered') this.finish();
+    else this.decide(end);
   }
 
   private finish(): void {
@@ -619,7 +460,7 @@
     const service = pickService(route, caller.request.id);
     const costs = step.type === 'resume' || (step.type === 'again' && step.costs);
     if (costs && !serving.budgetOf(service).take(nowMs)) {
-      this.ends.push('budget-spent');
+      this.record.attempts.push('budget-spent');
       this.stopTrying(end);
       return;
     }
@@ -676,11 +517,10 @@
 
   /** Cancels the attempt under way, if there is one, and names it in the request's log line. */
   private withdraw(outcome: string): boolean {
-    const { sent, state } = this;
-    if (state) this.note(state, outcome);
-    this.leave();
-    sent?.cancel();
-    return sent !== undefined;
+    const { current } = this;
+    this.current = undefined;
+    current?.withdraw(outcome);
+    return current !== undefined;
   }
 
   private gone(): void {
@@ -689,29 +529,13 @@
     this.close('gone');
   }
 
-  private note(state: UpstreamState, outcome: string): void {
-    this.ends.push(`${state.info.id}:${outcome}`);
-    this.serving.attempted(outcome);
-  }
-
-  private leave(): void {
-    if (this.state) {
-      this.state.inFlight -= 1;
-      if (this.isReading) this.state.readingCount -= 1;
-      else if (this.lastEventAtMs !== undefined) this.state.streamCount -= 1;
-      this.isReading = false;
-      this.serving.left(this.need!, this.clock.nowMs() - this.sentAtMs);
-    }
-    this.state = undefined;
-    this.sent = undefined;
-  }
-
   private close(end: string, retryAfterMs?: Ms): void {
     if (this.isOver) return;
     this.isOver = true;
     this.forgetTimer();
     this.suspicion.end();
     this.admitted.charge.settle(this.ranCount);
+    const { record } = this;
     const { request } = this.caller;
     const nowMs = this.clock.nowMs();
     const since = (atMs: Ms | undefined) =>
@@ -727,12 +551,12 @@
       service: this.need?.service,
       model: request.model,
       adapter: request.adapter,
-      attempts: this.ends,
-      sentMs: since(this.firstSentAtMs),
-      firstByteMs: since(this.firstByteAtMs),
-      pacedMs: this.pacedMs,
-      blockedMs: this.blockedMs,
-      longestGapMs: Math.round(this.longestGapMs),
+      attempts: record.attempts,
+      sentMs: since(record.firstSentAtMs),
+      firstByteMs: since(record.firstByteAtMs),
+      pacedMs: record.pacedMs,
+      blockedMs: record.blockedMs,
+      longestGapMs: Math.round(record.longestGapMs),
       totalMs: since(nowMs),
       isReturn: this.isReturn,
       ...this.suspicion.told(end === 'request-ends-upstreams'),
