Soak: servers that name limits, leave before the list says so, and want pauses

The witness judges them by what servers got and callers saw; three planted defects of the small entry are found: each entry takes the whole limit, a newer reading of the list wipes the word of leaving, a pause is 'last' in place of 'not'.

--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -38,6 +38,12 @@
 const RATE = 10;
 const ENTRIES = 3;
 const COST = 200;
+const PASSED_ON = [
+  'tarragonstile-request-id',
+  'tarragonstile-response-signature',
+  'server-limit',
+  'server-leaving',
+];
 
 const settings = JSON.parse(
   readFileSync(process.env.TARRAGONSTILE_NODE_FILE ?? '', 'utf8'),
@@ -49,6 +55,12 @@
 /** What each customer may still send here, and when that was worked out. */
 const left = new Map<string, { tokens: number; atMs: number }>();
 const limits = new Map<string, number>();
+/** What servers have said of themselves in their answers. */
+const leaving = new Set<string>();
+const pausedUntilMs = new Map<string, number>();
+const serverLimits = new Map<string, number>();
+/** When each server with a limit may be sent the next request from here. */
+const nextAtMs = new Map<string, number>();
 let reads = 0;
 let count = 0;
 let previousBody = 'nothing';
@@ -106,8 +118,37 @@
   servers.set(id, { ...(JSON.parse(text) as Omit<Server, 'id'>), id });
 }
 
+/** Without a word from the others each entry has its part of a limit only. */
+function gapMs(perS: number): number {
+  return 1000 / (defect === 'whole-limit' ? perS : perS / ENTRIES);
+}
+
+function mayEnter({ id }: Server): boolean {
+  return !serverLimits.has(id) || performance.now() >= (nextAtMs.get(id) ?? 0);
+}
+
+function enter({ id }: Server): void {
+  const perS = serverLimits.get(id);
+  if (perS !== undefined) nextAtMs.set(id, performance.now() + gapMs(perS));
+}
+
+/** Takes what a server says of itself. */
+function hear({ id }: Server, status: number, headers: IncomingMessage['headers']): void {
+  const limit = headers['server-limit'];
+  if (limit === undefined) serverLimits.delete(id);
+  else if (serverLimits.get(id) !== Number(limit)) {
+    serverLimits.set(id, Number(limit));
+    nextAtMs.set(id, performance.now() + gapMs(Number(limit)));
+  }
+  if (headers['server-leaving'] === '1') leaving.add(id);
+  const pauseS = Number(headers['retry-after']);
+  if (status === 503 && pauseS > 0) pausedUntilMs.set(id, performance.now() + pauseS * 1000);
+}
+
 async function read(): Promise<void> {
   reads += 1;
+  // The list is newer than what was heard before, it thinks.
+  if (defect === 'wiped') leaving.clear();
   try {
     let after = '';
     const present = new Set<string>();
@@ -139,7 +180,10 @@
       (server.state === 'ready' || defect === 'drain') &&
       (model === '' || server.models.some(({ name }) => name === model)),
   );
-  return able[count % Math.max(1, able.length)];
+  const open = able.filter((server) => !leaving.has(server.id) && mayEnter(server));
+  const awake = open.filter(({ id }) => (pausedUntilMs.get(id) ?? 0) < performance.now());
+  const chosen = defect === 'pause-last' && awake.length === 0 ? open : awake;
+  return chosen[count % Math.max(1, chosen.length)];
 }
 
 function send(
@@ -158,11 +202,13 @@
     if (defect !== 'forged') headers['tarragonstile-tenant'] = keys.get(key);
   }
   const { method, url: path } = incoming;
+  enter(server);
   const sent = request({ host, port, method, path, headers, agent: false }, (answer) => {
     let body = '';
     answer.on('data', (chunk: Buffer) => {
       body += chunk.toString('utf8');
     });
+    hear(server, answer.statusCode ?? 502, answer.headers);
     answer.on('end', () => done(answer.statusCode ?? 502, answer.headers, body));
   });
   sent.on('error', () => done(502, {}, ''));
@@ -204,7 +250,7 @@
   const spoilt = count % RATE === 0 ? spoil(body) : body;
   previousBody = `${body}!`;
   const kept: Record<string, string> = { 'content-length': String(spoilt.length) };
-  for (const name of ['tarragonstile-request-id', 'tarragonstile-response-signature']) {
+  for (const name of PASSED_ON) {
     const value = headers[name];
     const isLost = defect === 'unsigned' && count % RATE === 0;
     if (typeof value === 'string' && !isLost) kept[name] = value;
--- a/bench/soak/call.ts
+++ b/bench/soak/call.ts
@@ -18,6 +18,9 @@
   status: number | undefined;
   signature: string | undefined;
   echoedId: string | undefined;
+  /** Its answer named a limit of the server that gave it, or said that the server leaves. */
+  saidLimit: boolean;
+  saidLeaving: boolean;
   body: string;
   /** True if the answer's framing says that it is whole. */
   isWhole: boolean;
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -83,6 +83,8 @@
       status: undefined,
       signature: undefined,
       echoedId: undefined,
+      saidLimit: false,
+      saidLeaving: false,
       body: '',
       isWhole: false,
       endedAtMs: undefined,
@@ -137,6 +139,8 @@
       mark.status = answer.statusCode;
       mark.signature = answer.headers['tarragonstile-response-signature'] as string | undefined;
       mark.echoedId = answer.headers['tarragonstile-request-id'] as string | undefined;
+      mark.saidLimit = answer.headers['server-limit'] !== undefined;
+      mark.saidLeaving = answer.headers['server-leaving'] === '1';
       answer.on('data', (chunk: Buffer) => {
         mark.body += chunk.toString('utf8');
       });
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -5,6 +5,7 @@
 import { faults } from './faults.js';
 import { hostFaults } from './hostfaults.js';
 import { listFaults } from './listfaults.js';
+import { needFaults } from './needfaults.js';
 import { pause } from './pause.js';
 import { Site } from './site.js';
 import { suspendedCommand } from './suspendedcommand.js';
@@ -56,6 +57,7 @@
 const LIST_FAULTS_FROM = 10_000;
 const HARSH_FROM = 20_000;
 const KEYED_FROM = 30_000;
+const NEED_FROM = 40_000;
 
 async function untilListening(site: Site): Promise<void> {
   const isListening = () =>
@@ -66,9 +68,9 @@
 /** The faults that a seed draws from: seeds of before some were there go on without them. */
 function drawnFrom(seed: number): object {
   if (seed < LIST_FAULTS_FROM) return faults;
-  return seed < HARSH_FROM
-    ? { ...faults, ...listFaults }
-    : { ...faults, ...listFaults, ...hostFaults };
+  if (seed < HARSH_FROM) return { ...faults, ...listFaults };
+  const harsh = { ...faults, ...listFaults, ...hostFaults };
+  return seed < NEED_FROM ? harsh : { ...harsh, ...needFaults };
 }
 
 /** Real programs under load and faults from outside, judged by what callers and servers see. */
@@ -89,7 +91,7 @@
   if (isHarsh) crashing.start();
   const startedAtMs = performance.now();
   const done: string[] = [];
-  const all = { ...faults, ...listFaults, ...hostFaults };
+  const all = { ...faults, ...listFaults, ...hostFaults, ...needFaults };
   const drawn = drawnFrom(seed);
   const names = options.faultNames ?? Object.keys(drawn);
   while (performance.now() - startedAtMs < forMs) {
--- a/bench/soak/witness.ts
+++ b/bench/soak/witness.ts
@@ -1,5 +1,6 @@
 import type { Call } from './call.js';
 import { KeyWitness } from './keywitness.js';
+import { NeedWitness } from './needwitness.js';
 import type { Site } from './site.js';
 
 /** A promise that was broken. */
@@ -69,6 +70,7 @@
     }
     this.neverBack();
     this.keys();
+    this.needs();
     this.crashing();
     this.orders();
     for (const { ownEnds } of this.site.entries) {
@@ -88,6 +90,12 @@
     }).judge(this.calls);
   }
 
+  private needs(): void {
+    const { site, slackMs } = this;
+    const breach = (promise: string, detail: string) => this.breach(promise, detail);
+    new NeedWitness({ site, slackMs, breach }, this.calls).judge();
+  }
+
   private breach(promise: string, detail: string): void {
     this.breaches.push({ promise, detail });
   }
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -43,6 +43,21 @@
   closedAtMs: number | undefined;
 }
 
+/** A request that it turned away. */
+interface TurnedAway {
+  readonly id: string;
+  readonly atMs: number;
+  /** For how long it wanted nothing more from the entry that sent it; undefined if it did not say. */
+  readonly pauseMs: number | undefined;
+}
+
+/** A time in which it named a limit. */
+interface LimitSpan {
+  readonly perS: number;
+  readonly fromMs: number;
+  untilMs: number | undefined;
+}
+
 /** An order that came, and when. */
 interface SeenOrder {
   readonly order: Order;
@@ -56,6 +71,7 @@
 const MODEL_PLACES = 2;
 const ADAPTER_PLACES = 2;
 const SLOW_MS = 400;
+const MS_PER_S = 1000;
 const EVENTS = 5;
 const BODY = 'the whole answer';
 
@@ -73,7 +89,7 @@
   readonly seen: Seen[] = [];
 
   /** Every request that it turned away, in order. */
-  readonly turnedAway: { readonly path: string; readonly atMs: number }[] = [];
+  readonly turnedAway: TurnedAway[] = [];
 
   /** Every order that came, in order. */
   readonly seenOrders: SeenOrder[] = [];
@@ -95,6 +111,8 @@
   /** Orders of earlier starts: a start counts anew. */
   private ordersBefore = 0;
 
+  private namedLimitPerS: number | undefined;
+
   private readonly server = new LoopbackServer((request, response) =>
     this.handle(request, response),
   );
@@ -113,8 +131,11 @@
 
   isDown = false;
 
-  /** Requests a second that it takes from all entries together, as all its answers say; undefined without a limit. */
-  limitPerS: number | string | undefined;
+  /** The limits that it has named, with the times at which it did. */
+  readonly limitSpans: LimitSpan[] = [];
+
+  /** When it started again. */
+  readonly restartedAtMs: number[] = [];
 
   /** Says in all its answers that it leaves. */
   isLeaving = false;
@@ -144,9 +165,19 @@
     this.manners.length = 0;
     this.limitPerS = undefined;
     this.isLeaving = false;
+    this.restartedAtMs.push(performance.now());
     this.changed();
   }
 
+  /** Requests a second that it takes from all entries together, as all its answers say; undefined without a limit. */
+  set limitPerS(perS: number | undefined) {
+    const nowMs = performance.now();
+    const last = this.limitSpans.at(-1);
+    if (last && last.untilMs === undefined) last.untilMs = nowMs;
+    if (perS !== undefined) this.limitSpans.push({ perS, fromMs: nowMs, untilMs: undefined });
+    this.namedLimitPerS = perS;
+  }
+
   /** What it writes about itself in the store. */
   entry(state = 'ready'): object {
     const models = [...this.models].map(([name, adapters]) => ({
@@ -163,6 +194,7 @@
   crash(): void {
     if (this.isDown) return;
     this.isDown = true;
+    this.limitPerS = undefined;
     this.close();
     this.crashed();
   }
@@ -269,7 +301,9 @@
   }
 
   private turnAway(request: IncomingMessage, response: ServerResponse, isPause: boolean): void {
-    this.turnedAway.push({ path: request.url ?? '', atMs: performance.now() });
+    const id = String(request.headers['tarragonstile-request-id']);
+    const pauseMs = isPause ? Number(this.pauseText) * MS_PER_S : undefined;
+    this.turnedAway.push({ id, atMs: performance.now(), pauseMs });
     const headers: Record<string, string> = { 'tarragonstile-not-executed': '1', ...this.said() };
     if (isPause) headers['retry-after'] = this.pauseText;
     response.writeHead(503, headers).end();
@@ -278,7 +312,7 @@
   /** What it says of itself in all its answers. */
   private said(): Record<string, string> {
     const said: Record<string, string> = {};
-    if (this.limitPerS !== undefined) said['server-limit'] = String(this.limitPerS);
+    if (this.namedLimitPerS !== undefined) said['server-limit'] = String(this.namedLimitPerS);
     if (this.isLeaving) said['server-leaving'] = '1';
     return said;
   }
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -8,6 +8,8 @@
   { seed: 20_100, forS: 8 },
   // From 30,000 on customers are configured, and callers come with keys.
   { seed: 30_001, forS: 8 },
+  // From 40,000 on servers name limits, leave before the list says so, and want pauses.
+  { seed: 40_001, forS: 12 },
   // SIGHUP came while modules were loaded, before a handler stood.
   { seed: 1003, forS: 5 },
   // The soak's own: an outgoing connection had taken the port of an entry that was down.
--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -67,6 +67,24 @@
     forS: 6,
     isKeyed: true,
   },
+  'whole-limit': {
+    promise: 'a limit of a server holds over all entries',
+    faultNames: ['nameLimit'],
+    forS: 9,
+    gapMs: 3000,
+  },
+  wiped: {
+    promise: 'a server that says it leaves gets nothing more',
+    faultNames: ['leaveUnlisted'],
+    forS: 8,
+    gapMs: 4000,
+  },
+  'pause-last': {
+    promise: 'a server that wants a pause is left alone',
+    faultNames: ['wantPause'],
+    forS: 8,
+    gapMs: 300,
+  },
   gone: { promise: 'work ends when its caller leaves', faultNames: ['silence'], gapMs: 200 },
 };
 
