--- a/src/core/sharedrate/raterules.ts
+++ b/src/core/sharedrate/raterules.ts
@@ -4,7 +4,7 @@
   validMs: 300,
   /** How late a slot may be given out without the next one being later for it, in ms. */
   lateMs: 100,
-  /** A slot that comes with less time left than this is of no use to its request, in ms. */
+  /** A slot that comes with less time left than this is of no use to its request, for which it is kept so long, in ms. */
   useMs: 40,
   /** However little an upstream takes, it is asked this often a second whether that still holds. */
   leastPerS: 0.1,
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -1,11 +1,4 @@
-import {
-  result,
-  type Clock,
-  type HostId,
-  type Ms,
-  type ServiceId,
-  type UpstreamId,
-} from '../base/index.js';
+import { result, type Clock, type Ms, type ServiceId, type UpstreamId } from '../base/index.js';
 import { takeoverDelay } from '../core/orderturn/index.js';
 import type { CustomerSpec } from '../core/access/index.js';
 import { quotaParts } from '../core/quota/index.js';
@@ -23,10 +16,7 @@
   OrderDesk,
   Peers,
   TurnKeeper,
-  type DemandAnswer,
   type DemandReport,
-  type NewsBatch,
-  type NewsMark,
   type FoundNeed,
 } from './orders/index.js';
 import { PoisonDesk, poisonLimits } from './poison/index.js';
@@ -39,6 +29,7 @@
   type DrawQuestion,
 } from './quota/index.js';
 import { Fleet, type Need } from './route/index.js';
+import { Reporter } from './reporter.js';
 import { Returns } from './returns.js';
 import { UpstreamGate, type SlotAnswer, type SlotQuestion } from './selfreport/index.js';
 import { Run } from './run/index.js';
@@ -68,8 +59,6 @@
 /** How often an entry tells the holder of orders what it is asked for. */
 const REPORT_MS = 250;
 const TAKE_AFTER_MS = 700;
-/** How soon others hear of an upstream that ended: its dozen broken runs are noticed within 5 ms. */
-const TELL_SOON_MS = 20;
 
 /** An entry that reaches upstreams itself. */
 export class DirectEntry implements Serving {
@@ -121,12 +110,7 @@
 
   private readonly poisonPrefix: string;
 
-  private isTellingSoon = false;
-
-  /** Addresses of other entries, the one that was heard from last at the end. */
-  private readonly others = new Map<string, string>();
-
-  private heard: NewsMark | undefined;
+  private readonly reporter: Reporter;
 
   private hasState = false;
 
@@ -134,9 +118,6 @@
 
   private wokeAtMs: Ms = -Infinity;
 
-  /** Upstreams that this entry found lost when it last told of them. */
-  private lost: readonly UpstreamId[] = [];
-
   private isStopping = false;
 
   private isClosed = false;
@@ -201,12 +182,28 @@
     this.desk = new OrderDesk({ ...shared, ...reading, turn: this.turn });
     this.poisonPrefix = `${codec.ownPrefix}poison/`;
     this.poison = this.poisonDesk();
+    this.reporter = new Reporter({
+      host,
+      clock,
+      log,
+      fleet: this.fleet,
+      meter: this.meter,
+      entries: this.entries,
+      turn: this.turn,
+      desk: this.desk,
+      poison: this.poison,
+      quota: this.quota,
+      quotaBook: this.quotaBook,
+      gate: this.gate,
+      peers: () => this.peers,
+      hasCustomers: () => this.table?.access !== undefined,
+    });
     const handlers = {
       trial: (...args: Parameters<PoisonDesk['hearTrial']>) => this.poison.hearTrial(...args),
       suspects: () => this.poison.list(),
       lift: (...args: Parameters<PoisonDesk['lift']>) => this.poison.lift(...args),
       find: (need: Need) => this.desk.find(need),
-      demand: (report: DemandReport) => this.hearDemand(report),
+      demand: (report: DemandReport) => this.reporter.hear(report),
       customers: () =>
         this.table?.access && tellCustomers(this.table.access, this.quota, this.quotaBook),
       draw: (question: DrawQuestion) => this.quotaBook.draw(question),
@@ -226,7 +223,10 @@
     await this.peers.listen(host, port);
     void this.follower.run();
     this.every(TICK_MS, () => this.tick());
-    this.every(REPORT_MS, () => this.report());
+    this.every(REPORT_MS, () => {
+      this.measure();
+      this.reporter.report();
+    });
   }
 
   isReady(): boolean {
@@ -301,6 +301,7 @@
 
   close(): void {
     this.isClosed = true;
+    this.reporter.close();
     this.follower.stop();
     this.peers.close();
     this.link.close();
@@ -427,73 +428,14 @@
     this.log.warn('process stood still', { sinceTickMs: Math.round(nowMs - this.tickedAtMs) });
   }
 
-  private report(): void {
+  private measure(): void {
     const { metrics } = this.context;
-    const { host } = this.context.settings;
     metrics.gauge('direct.in_flight', this.runs.size);
     metrics.gauge('direct.configuration_version', this.table?.version ?? 0);
     metrics.gauge('direct.store_silent_ms', this.follower.silentMs());
     metrics.gauge('direct.gives_orders', this.turn.mayOrder() ? 1 : 0);
-    const lost = this.fleet.lost(this.clock.nowMs());
-    metrics.gauge('direct.upstreams_lost', lost.length);
+    metrics.gauge('direct.upstreams_lost', this.fleet.lost(this.clock.nowMs()).length);
     metrics.gauge('direct.upstreams_limited', this.gate.limitedCount());
-    if (lost.join() !== this.lost.join()) {
-      this.log.info('upstreams taken for lost', { upstreams: lost, before: this.lost });
-    }
-    this.lost = lost;
-    const report = {
-      ...this.meter.report(lost, this.heard),
-      poison: this.poison.link.report(),
-      quota: this.table?.access && this.quota.report(),
-      standings: this.gate.report(),
-    };
-    if (this.turn.isHolder()) {
-      const sentAtMs = this.clock.nowMs();
-      this.desk.demand(report);
-      this.learn(this.desk.news(this.heard));
-      const said = report.quota && this.quotaBook.report(host, report.quota);
-      if (said) this.quota.answered(said, sentAtMs);
-      return;
-    }
-    const address = this.turn.holderAddress();
-    if (address !== undefined) void this.tellDemand(address, report);
-  }
-
-  private async tellDemand(address: string, report: DemandReport): Promise<void> {
-    const sentAtMs = this.clock.nowMs();
-    const answer = await this.peers.demand(address, report);
-    if (!answer) return;
-    if (answer.quota) this.quota.answered(answer.quota, sentAtMs);
-    this.entries.toldOf(answer.entryCount);
-    this.learn(answer.news);
-    if (answer.standings) this.gate.take(address, answer.standings);
-    if (report.poison && answer.poison) this.poison.link.answered(report.poison, answer.poison);
-  }
-
-  /** Takes over what orders have changed, before the list tells of it. */
-  private learn({ epoch, index, changes }: NewsBatch): void {
-    this.heard = { epoch, index };
-    const nowMs = this.clock.nowMs();
-    for (const { upstream, model, adapter, isThere } of changes) {
-      const state = this.fleet.get(upstream);
-      if (!state) continue;
-      const need = { service: state.info.service, model, adapter };
-      this.fleet.hint(state, need, isThere, nowMs);
-    }
-  }
-
-  private hearDemand(report: DemandReport): DemandAnswer {
-    const nowMs = this.clock.nowMs();
-    this.others.delete(report.entry);
-    this.others.set(report.entry, report.address);
-    this.entries.heard(report.entry, nowMs);
-    this.desk.demand(report);
-    const poison = report.poison && this.poison.link.answer(report.poison);
-    const quota = report.quota && this.quotaBook.report(report.entry as HostId, report.quota);
-    const entryCount = this.entries.count(nowMs);
-    if (report.standings) this.gate.take(report.entry, report.standings);
-    const standings = this.gate.report();
-    return { entryCount, news: this.desk.news(report.heard), poison, quota, standings };
   }
 
   private upstreamGate(): UpstreamGate {
@@ -506,7 +448,7 @@
       share: () => this.slotShare(),
       draw: (question) => this.drawSlot(question),
       sentLately: (id) => this.fleet.sentLately(id, clock.nowMs()),
-      heard: () => this.tellSoon(),
+      heard: () => this.reporter.reportSoon(),
       leaves: (id) => {
         const state = this.fleet.get(id);
         if (state) this.upstream(state.info);
@@ -546,7 +488,7 @@
         const address = this.turn.holderAddress();
         return address === undefined ? undefined : this.peers.trial(address, question);
       },
-      tellSoon: () => this.tellSoon(),
+      tellSoon: () => this.reporter.reportSoon(),
       upstreamCount: (service) => [...this.fleet.of(service)].length,
       isListed: (id) => {
         const isFresh = this.follower.steadyMs() > poisonLimits.leavesListMs;
@@ -555,19 +497,9 @@
     });
   }
 
-  /** Tells the holder of orders at once, together with what else comes in the same moment. */
-  private tellSoon(): void {
-    if (this.isTellingSoon) return;
-    this.isTellingSoon = true;
-    this.clock.after(TELL_SOON_MS, () => {
-      this.isTellingSoon = false;
-      if (!this.isClosed) this.report();
-    });
-  }
-
   /** Through the entry that was heard from last. */
   private relay(swap: Swap): ReturnType<ChangeFeed['swap']> {
-    const address = [...this.others.values()].at(-1);
+    const address = this.reporter.lastOther();
     if (address !== undefined) return this.peers.swap(address, swap);
     const detail = 'No other entry is known.';
     return Promise.resolve(result.Err({ type: 'store-unavailable' as const, detail }));
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -5,6 +5,7 @@
 import { rateRules } from '../../core/sharedrate/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { Block } from './block.js';
+import type { Choosing } from './choosing.js';
 import type { Gate } from './gate.js';
 import { holds } from './holds.js';
 import type { Need } from './need.js';
@@ -124,28 +125,22 @@
   }
 
   /**
-   * The best upstream for a need, other than those tried; undefined if none holds it. Those that are lost, as
-   * far as this entry knows, are chosen only if it is told to. A trial may end the upstream that it runs on. Nothing
-   * may lie between a choice and its send: the gate has let in that one request at that moment.
+   * The best upstream for a need; undefined if none can be chosen. Nothing may lie between a choice and its send: the
+   * gate has let in that one request at that moment.
    */
-  choose(
-    need: Need,
-    tried: ReadonlySet<UpstreamId>,
-    nowMs: Ms,
-    alsoLost = true,
-    isTrial = false,
-  ): UpstreamState | undefined {
+  choose(need: Need, nowMs: Ms, choosing: Choosing = {}): UpstreamState | undefined {
+    const { tried, alsoLost = true, isTrial = false, asker } = choosing;
     let best: UpstreamState | undefined;
     let bestCost = Infinity;
     let blocked: UpstreamState | undefined;
     let blockedCost = Infinity;
     for (const state of this.of(need.service)) {
-      if (state.info.isLeaving || tried.has(state.info.id) || !holds(state, need, nowMs)) continue;
+      if (state.info.isLeaving || tried?.has(state.info.id) || !holds(state, need, nowMs)) continue;
       if (!alsoLost && this.isLost(state, nowMs)) continue;
       const risk = isTrial && this.isOnlyPlace(state, nowMs) ? ONLY_PLACE_COST : 0;
       const cost = this.cost(state, nowMs) + risk;
       if (cost >= bestCost) continue;
-      if (this.gate.blockOf(state.info, nowMs)) {
+      if (this.gate.blockOf(state.info, nowMs, asker)) {
         if (cost < blockedCost) [blocked, blockedCost] = [state, cost];
         continue;
       }
@@ -157,10 +152,10 @@
   }
 
   /** Why no upstream that holds what is needed gets a request now: of several, the one that opens first. */
-  blocked(need: Need, nowMs: Ms): Block | undefined {
+  blocked(need: Need, nowMs: Ms, asker: string): Block | undefined {
     let first: Block | undefined;
     for (const { info } of this.holding(need, nowMs)) {
-      const block = this.gate.blockOf(info, nowMs);
+      const block = this.gate.blockOf(info, nowMs, asker);
       if (!block) return undefined;
       if (!first || block.opensInMs < first.opensInMs) first = block;
     }
@@ -174,8 +169,8 @@
   }
 
   /** A request is sent there. */
-  enter(state: UpstreamState, nowMs: Ms): void {
-    this.gate.enter(state.info, nowMs);
+  enter(state: UpstreamState, nowMs: Ms, asker: string): void {
+    this.gate.enter(state.info, nowMs, asker);
     state.sent.add(nowMs);
   }
 
@@ -186,7 +181,7 @@
 
   /** One that would have been the best: the next request may go there, if nobody waits for it. */
   private wantNext({ info }: UpstreamState, nowMs: Ms): void {
-    this.gate.wanted([info], { asker: info.id, rank: LEAST_URGENT, waitMs: 0 }, nowMs);
+    this.gate.wanted([info], { rank: LEAST_URGENT, waitMs: 0 }, nowMs);
   }
 
   /** Upstreams that could run it and do not leave. */
--- a/src/direct/route/gate.ts
+++ b/src/direct/route/gate.ts
@@ -5,10 +5,10 @@
 
 /** Says whether an upstream wants a request now. */
 export interface Gate {
-  /** Undefined if a request may be sent there now. */
-  blockOf(upstream: Upstream, nowMs: Ms): Block | undefined;
+  /** Undefined if a request may be sent there now; `asker` names it. */
+  blockOf(upstream: Upstream, nowMs: Ms, asker?: string): Block | undefined;
   /** One of them would have been chosen, were it not blocked. */
   wanted(upstreams: readonly Upstream[], ask: SlotAsk, nowMs: Ms): void;
   /** A request is sent there. */
-  enter(upstream: Upstream, nowMs: Ms): void;
+  enter(upstream: Upstream, nowMs: Ms, asker: string): void;
 }
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -56,7 +56,7 @@
     const { serving, state, need, record, route } = this.options;
     const { fleet, clock, link } = serving;
     const nowMs = clock.nowMs();
-    fleet.enter(state, nowMs);
+    fleet.enter(state, nowMs, call.requestId);
     this.sent = link.send(call, this.receiver());
     if (!this.sent) {
       this.note('no-connection');
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -195,8 +195,10 @@
     // A need without a model has nowhere else to go; another may be brought to an upstream that is there.
     const alsoLost = request.model === undefined || this.hasSought;
     const { isTrial } = this.suspicion;
-    const state = serving.fleet.choose(this.need, this.tried, nowMs, alsoLost, isTrial);
-    const block = state ? undefined : serving.fleet.blocked(this.need, nowMs);
+    const asker = request.id;
+    const choosing = { tried: this.tried, alsoLost, isTrial, asker };
+    const state = serving.fleet.choose(this.need, nowMs, choosing);
+    const block = state ? undefined : serving.fleet.blocked(this.need, nowMs, asker);
     if (state && this.isOverfull(state, nowMs)) this.waitForRoom();
     else if (state && this.isLineTooLong(state, nowMs)) this.waitInLine();
     else if (state && this.isToBePaced(state, nowMs)) this.pace();
@@ -366,7 +368,7 @@
   }
 
   private isHeldByTried(nowMs: Ms): boolean {
-    return this.serving.fleet.choose(this.need!, new Set(), nowMs, false) !== undefined;
+    return this.serving.fleet.choose(this.need!, nowMs, { alsoLost: false }) !== undefined;
   }
 
   /** All that hold what it needs refused it or could not be reached: they may be asked once more. */
--- a/src/direct/selfreport/standings.ts
+++ b/src/direct/selfreport/standings.ts
@@ -1,5 +1,6 @@
 import type { Clock, Ms, UpstreamId } from '../../base/index.js';
 import { freshStanding, onSelfReport, type Standing } from '../../core/selfreport/index.js';
+import { rateRules } from '../../core/sharedrate/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { Log, SelfReport } from '../../port/index.js';
 import type { StandingNews } from './standingnews.js';
@@ -11,12 +12,16 @@
   readonly standing: Standing;
   /** Requests that this entry had sent there in the window before it heard of a limit. */
   readonly sentBefore: number;
+  /** When that was. */
+  readonly limitedAtMs: Ms;
   /** When this entry first heard that it leaves. */
   readonly leavesAtMs: Ms;
 }
 
 /** Beyond so many starts those that said something of note longest ago are forgotten. */
 const MOST_KEPT = 4096;
+/** Other entries are told of a limit for this long after the last answer that named it: its upstream may be gone. */
+const TELL_LIMIT_MS = 600_000;
 /** Other entries are told that a limit is over for this long; older news of it that is under way has come by then. */
 const TELL_OVER_MS = 30_000;
 /** Other entries are told that an upstream leaves for this long: it has gone by then, or the list says so too. */
@@ -83,7 +88,8 @@
   /** This entry has just heard of a limit. */
   noteSent(id: UpstreamId, sentBefore: number): void {
     const start = this.starts.get(id);
-    if (start) this.starts.set(id, { ...start, sentBefore });
+    if (!start) return;
+    this.starts.set(id, { ...start, sentBefore, limitedAtMs: this.clock.nowMs() });
   }
 
   /** What other entries should know. */
@@ -96,8 +102,10 @@
   }
 
   limitedCount(): number {
-    const standings = [...this.starts.values()].map(({ standing }) => standing);
-    return standings.filter(({ ratePerS }) => ratePerS !== undefined).length;
+    const limited = [...this.starts.values()].filter(
+      ({ standing }) => standing.ratePerS !== undefined,
+    );
+    return limited.filter((start) => this.isOfNote(start)).length;
   }
 
   newsOf(id: UpstreamId): StandingNews | undefined {
@@ -107,15 +115,17 @@
 
   private isOfNote({ standing, leavesAtMs }: Start): boolean {
     const nowMs = this.clock.nowMs();
-    if (standing.ratePerS !== undefined || nowMs - leavesAtMs < TELL_LEAVING_MS) return true;
-    return nowMs - standing.rateAtMs < TELL_OVER_MS;
+    if (nowMs - leavesAtMs < TELL_LEAVING_MS) return true;
+    const tellMs = standing.ratePerS === undefined ? TELL_OVER_MS : TELL_LIMIT_MS;
+    return nowMs - standing.rateAtMs < tellMs;
   }
 
-  private newsFrom(
-    upstream: UpstreamId,
-    { startedAtMs, standing, sentBefore }: Start,
-  ): StandingNews {
+  private newsFrom(upstream: UpstreamId, start: Start): StandingNews {
+    const { startedAtMs, standing, limitedAtMs } = start;
     const { ratePerS, rateAtMs } = standing;
+    // What lies before the window says nothing to a holder that has just taken over.
+    const isInWindow = this.clock.nowMs() - limitedAtMs < rateRules.windowMs;
+    const sentBefore = isInWindow ? start.sentBefore : 0;
     const isLeaving = standing.isLeaving || undefined;
     // Nothing was said of a rate: infinity has no place in a message.
     const rateAgeMs = Number.isFinite(rateAtMs)
@@ -127,11 +137,11 @@
   private keep(id: UpstreamId, startedAtMs: Ms | undefined, standing: Standing): void {
     const known = this.starts.get(id);
     const before = known?.startedAtMs === startedAtMs ? known : undefined;
-    const sentBefore = before?.sentBefore ?? 0;
+    const { sentBefore = 0, limitedAtMs = -Infinity } = before ?? {};
     const sinceMs = standing.isLeaving ? this.clock.nowMs() : -Infinity;
     const leavesAtMs = before?.standing.isLeaving ? before.leavesAtMs : sinceMs;
     this.starts.delete(id);
-    this.starts.set(id, { startedAtMs, standing, sentBefore, leavesAtMs });
+    this.starts.set(id, { startedAtMs, standing, sentBefore, limitedAtMs, leavesAtMs });
     if (this.starts.size <= MOST_KEPT) return;
     const [oldest] = this.starts.keys();
     this.starts.delete(oldest!);
--- a/src/direct/selfreport/upstreamgate.ts
+++ b/src/direct/selfreport/upstreamgate.ts
@@ -29,6 +29,9 @@
   readonly leaves: (upstream: UpstreamId) => void;
 }
 
+/** A limit that falls below this part of what it was is kept as a new one. */
+const LOWER_SHARE = 0.8;
+
 /**
  * Whether a request may be sent to an upstream now, by what that has said of itself. It is asked before each send,
  * whichever way the upstream was chosen.
@@ -68,12 +71,12 @@
 
   // What a choice asks.
 
-  blockOf(upstream: Upstream, nowMs: Ms): Block | undefined {
+  blockOf(upstream: Upstream, nowMs: Ms, asker?: string): Block | undefined {
     const { pausedUntilMs, ratePerS } = this.standings.of(upstream);
     // One that is merely asked last gets its requests back whenever the others are busy.
     if (pausedUntilMs > nowMs) return { reason: 'paused', opensInMs: pausedUntilMs - nowMs };
     if (ratePerS === undefined) return undefined;
-    const opensInMs = this.desk.opensInMs(upstream.id, nowMs);
+    const opensInMs = this.desk.opensInMs(upstream.id, nowMs, asker);
     return opensInMs > 0 ? { reason: 'limited', opensInMs } : undefined;
   }
 
@@ -89,8 +92,9 @@
     );
   }
 
-  enter(upstream: Upstream, nowMs: Ms): void {
-    if (this.standings.of(upstream).ratePerS !== undefined) this.desk.take(upstream.id, nowMs);
+  enter(upstream: Upstream, nowMs: Ms, asker: string): void {
+    if (this.standings.of(upstream).ratePerS === undefined) return;
+    this.desk.take(upstream.id, nowMs, asker);
   }
 
   /** The limit of an upstream, as far as a plan should go by it: one long unheard of may be over. */
@@ -154,7 +158,7 @@
     before: number | undefined,
     after: number | undefined,
   ): void {
-    const isLower = after !== undefined && after < (before ?? Infinity);
+    const isLower = after !== undefined && after < (before ?? Infinity) * LOWER_SHARE;
     const isOver = before !== undefined && after === undefined;
     if (!isLower && !isOver) return;
     // Slots of the rate before are too many for a lower one.
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -35,7 +35,7 @@
   t.false(fleet.isLost(state, 1400));
   t.true(fleet.isLost(state, 1700));
   t.deepEqual(fleet.lost(1700), ['first' as UpstreamId]);
-  t.is(fleet.choose(NEED, new Set(), 1700, false)!.info.id, 'second' as UpstreamId);
+  t.is(fleet.choose(NEED, 1700, { alsoLost: false })!.info.id, 'second' as UpstreamId);
 });
 
 test('it is not lost any more when an event comes', (t) => {
@@ -59,5 +59,5 @@
 test('a replica that reads no prompt takes the next one', (t) => {
   const { fleet, state } = fleetWith(1);
   Object.assign(state, { readingCount: 1, calmFirstMs: 80 });
-  t.is(fleet.choose(NEED, new Set(), 1010)!.info.id, 'second' as UpstreamId);
+  t.is(fleet.choose(NEED, 1010)!.info.id, 'second' as UpstreamId);
 });
--- a/test/lostupstream.test.ts
+++ b/test/lostupstream.test.ts
@@ -6,7 +6,6 @@
 const SERVICE = 's' as ServiceId;
 const MODEL = 'm1' as ModelId;
 const NEED = { service: SERVICE, model: MODEL };
-const NONE: ReadonlySet<UpstreamId> = new Set();
 
 function fleetOf(...ids: string[]): Fleet {
   const fleet = new Fleet('z');
@@ -30,9 +29,9 @@
   const fleet = fleetOf('u1');
   const state = fleet.get('u1' as UpstreamId)!;
   fleet.learn(state, 'unreachable', NEED, 1000);
-  t.is(fleet.choose(NEED, NONE, 1100, false), undefined);
+  t.is(fleet.choose(NEED, 1100, { alsoLost: false }), undefined);
   t.deepEqual(fleet.lost(1100), ['u1' as UpstreamId]);
-  t.is(fleet.choose(NEED, NONE, 2600, false), state);
+  t.is(fleet.choose(NEED, 2600, { alsoLost: false }), state);
   fleet.learn(state, 'answered', NEED, 2700);
   t.deepEqual(fleet.lost(2700), []);
 });
--- a/test/selfreport.test.ts
+++ b/test/selfreport.test.ts
@@ -10,7 +10,7 @@
   readonly fields?: Readonly<Record<string, unknown>>;
 }
 
-function gateWith(clock: VirtualClock, lines: Line[] = []): UpstreamGate {
+function gateWith(clock: VirtualClock, lines: Line[] = [], sentCount = 0): UpstreamGate {
   const write = (message: string, fields = {}) => lines.push({ message, fields });
   return new UpstreamGate({
     entry: 'e1',
@@ -19,7 +19,7 @@
     metrics: { count() {}, gauge() {}, histogram() {} },
     share: () => 1,
     draw: () => Promise.resolve(undefined),
-    sentLately: () => 0,
+    sentLately: () => sentCount,
     heard() {},
     leaves() {},
   });
@@ -127,6 +127,15 @@
   t.deepEqual(gate.report(), []);
 });
 
+test('a holder that takes over hears nothing of what was sent long before', (t) => {
+  const clock = new VirtualClock();
+  const gate = gateWith(clock, [], 40);
+  gate.hear(upstream(), said(LIMITED));
+  t.is(gate.report()[0]!.sentBefore, 40);
+  clock.advanceTo(10_000);
+  t.is(gate.report()[0]!.sentBefore, 0);
+});
+
 test('a plan does not go by a limit that nobody has heard of for long; a send does', (t) => {
   const clock = new VirtualClock();
   const gate = gateWith(clock);
--- a/test/sharedrate.test.ts
+++ b/test/sharedrate.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { VirtualClock, type UpstreamId } from '../src/base/index.js';
 import { settledAtMs } from '../src/core/sharedrate/index.js';
-import { SlotBook, type SlotAnswer } from '../src/direct/selfreport/index.js';
+import { SlotBook, SlotDesk, type SlotAnswer } from '../src/direct/selfreport/index.js';
 import { RateWorld, type RateTrouble } from './support/rateworld.js';
 
 const ENTRY_COUNTS = [5, 25, 68];
@@ -129,6 +129,19 @@
   ]);
 });
 
+test('a slot is kept a little for the request that waited for it, then for whichever comes', async (t) => {
+  const clock = new VirtualClock();
+  const draw = () => Promise.resolve({ type: 'granted' as const });
+  const desk = new SlotDesk({ clock, draw });
+  const upstream = 'u' as UpstreamId;
+  desk.want([upstream], { asker: 'waiting', rank: 1, waitMs: 500 }, 0);
+  await settle();
+  t.is(desk.opensInMs(upstream, 0, 'new'), Infinity);
+  t.is(desk.opensInMs(upstream, 0, 'waiting'), 0);
+  t.is(desk.opensInMs(upstream, 100, 'new'), 0);
+  t.is(desk.opensInMs(upstream, 1000, 'waiting'), Infinity);
+});
+
 test('whoever waits is told at once when another process gives the slots out', async (t) => {
   const clock = new VirtualClock();
   let share = 1;
--- a/test/support/plainworld.ts
+++ b/test/support/plainworld.ts
@@ -91,11 +91,8 @@
     const { options, clock } = this;
     const nowMs = clock.nowMs();
     const fleet = this.fleets[entry]!;
-    const state = fleet.choose(
-      { service: SERVICE, model: undefined, adapter: undefined },
-      tried,
-      nowMs,
-    );
+    const need = { service: SERVICE, model: undefined, adapter: undefined };
+    const state = fleet.choose(need, nowMs, { tried });
     if (!state) {
       this.refused += 1;
       return;
--- a/test/support/rateworld.ts
+++ b/test/support/rateworld.ts
@@ -193,14 +193,15 @@
 
   /** Sends a request to the first upstream that takes it. */
   private send(entry: Entry, sinceMs: Ms, leftMs: Ms, nowMs: Ms): boolean {
+    const asker = `${entry.number}-${sinceMs}`;
     for (const at of this.options.limits.keys()) {
-      if (!this.mayEnter(entry, at, nowMs)) continue;
+      if (!this.mayEnter(entry, at, asker, nowMs)) continue;
       this.arrivals[at]!.push(nowMs);
       return true;
     }
     const ids = this.options.limits.map((_one, at) => String(at) as UpstreamId);
     const ask = {
-      asker: `${entry.number}-${sinceMs}`,
+      asker,
       rank: 1,
       waitMs: Math.max(0, leftMs - rateRules.useMs),
     };
@@ -208,11 +209,11 @@
     return false;
   }
 
-  private mayEnter({ desk, parts }: Entry, at: number, nowMs: Ms): boolean {
+  private mayEnter({ desk, parts }: Entry, at: number, asker: string, nowMs: Ms): boolean {
     if (this.options.way === 'parts') return this.hasPart(parts[at]!, at, nowMs);
     const id = String(at) as UpstreamId;
-    if (desk.opensInMs(id, nowMs) > 0) return false;
-    desk.take(id, nowMs);
+    if (desk.opensInMs(id, nowMs, asker) > 0) return false;
+    desk.take(id, nowMs, asker);
     return true;
   }
 
