--- a/test/support/runsoak.ts
+++ b/test/support/runsoak.ts
@@ -6,6 +6,7 @@
 
 /** What one run of the soak printed. */
 interface SoakLine {
+  readonly asked: number;
   readonly answered: number;
   readonly breaches: readonly { readonly promise: string; readonly detail: string }[];
   readonly faults: unknown;
