A planned stop resets no connection that waits to be accepted or read

What callers saw: a request to a stopping entry ended without any answer (ECONNRESET).

Cause: Front.shut() closed the listener in the turn in which the phase changed. The kernel resets what waits in the accept queue of a listener that closes, and a connection that is closed with unread bytes; server.close() also closes kept connections whose next request lies unread.

What is left: a connection that comes within the microseconds between the last accept and the close.

The same fault elsewhere: the product's own entry (stopentry.ts) closed its listener the same way and destroyed connections on which it had read nothing yet; its test failed with ECONNRESET before.

--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -7,8 +7,10 @@
 interface Door {
   /** Answers go with `Connection: close` from now on; requests that are read later than `untilMs` are refused. */
   leave(untilMs: Ms): void;
-  /** Takes no new connection; idle ones are closed. */
+  /** Refuses requests from now on; closes the listener and idle connections once nothing arrives on them any more. */
   shut(): void;
+  /** Whether new connections are still accepted. */
+  readonly isListening: boolean;
   /** Requests that were read and whose answers are not written yet. */
   readonly unwritten: number;
   connections(): Promise<number>;
@@ -62,7 +64,8 @@
     const { unwritten } = door;
     const connections = await door.connections();
     const isQuiet = inFlight === 0 && unwritten === 0;
-    const isDone = isQuiet && (phase === 'ending' || (phase !== 'listening' && connections === 0));
+    const isShut = !door.isListening;
+    const isDone = isQuiet && isShut && (phase === 'ending' || connections === 0);
     if (isDone || phase === 'over') {
       log.info('stopped', { phase, inFlight, unwritten, connections, tookMs: Math.round(tookMs) });
       return;
--- a/src/entry/stopentry.ts
+++ b/src/entry/stopentry.ts
@@ -1,4 +1,5 @@
 import { refuse } from '../core/refusal/index.js';
+import { afterReads } from '../shell/loop/index.js';
 import { Executed } from '../wire/index.js';
 import type { Desk } from './desk.js';
 import type { createListener } from './listener.js';
@@ -16,19 +17,31 @@
   }
 }
 
-/** Closes the listener. Connections that callers keep open are closed as soon as they are idle. */
+/**
+ * Closes the listener. Connections that callers keep open are closed as soon as they are idle. Both wait for what has
+ * arrived to be read: a connection that is not accepted yet, or is closed with unread bytes, would be reset.
+ */
 function close({ clock }: Desk, { server, connections }: Listener): Promise<void> {
   return new Promise((resolve) => {
+    let isClosed = false;
     let forget = () => {};
-    const closeIdle = () => {
-      connections.closeUnused();
-      forget = clock.after(CLOSE_IDLE_EVERY_MS, closeIdle);
+    const closeUnusedSoon = () => {
+      if (isClosed) return;
+      forget = clock.after(CLOSE_IDLE_EVERY_MS, () => {
+        afterReads(clock, () => {
+          connections.closeUnused();
+          closeUnusedSoon();
+        });
+      });
     };
-    server.close(() => {
-      forget();
-      resolve();
+    afterReads(clock, () => {
+      server.close(() => {
+        isClosed = true;
+        forget();
+        resolve();
+      });
+      closeUnusedSoon();
     });
-    closeIdle();
   });
 }
 
--- /dev/null
+++ b/src/shell/loop/index.ts
@@ -0,0 +1,2 @@
+/** The order in which the event loop reads what has arrived. */
+export { afterReads } from './afterreads.js';
--- a/test/front.test.ts
+++ b/test/front.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 import { execFile } from 'node:child_process';
 import { existsSync, mkdtempSync, rmSync } from 'node:fs';
-import { connect } from 'node:net';
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { promisify } from 'node:util';
@@ -111,3 +112,55 @@
   front.close();
   rmSync(folder, { recursive: true });
 });
+
+/** Opens a connection; an answer's status, or the error that ended it without one. */
+function ending(socket: Socket): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += chunk.toString();
+    });
+    socket.on('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
+    socket.on('close', () => resolve(text.split(' ')[1] ?? 'no answer'));
+  });
+}
+
+const WHOLE_REQUEST = `${REQUEST}\r\nxy`;
+
+test('a connection that is open but not accepted when a stop shuts the listener gets an answer', async (t) => {
+  const { front, port } = await open(systemClock);
+  const socket = connect(port, '127.0.0.1');
+  const ended = ending(socket);
+  socket.write(WHOLE_REQUEST);
+  // The kernel completes the connection as soon as it is asked for; accepting it takes a turn of the event loop.
+  await new Promise<void>((resolve) => {
+    process.nextTick(resolve);
+  });
+  front.shut();
+  t.is(await ended, '503');
+  front.close();
+});
+
+test('a request that waits unread on a new connection when a stop shuts the listener gets an answer', async (t) => {
+  const { front, port } = await open(systemClock);
+  const socket = connect(port, '127.0.0.1');
+  const ended = ending(socket);
+  await once(socket, 'connect');
+  await new Promise(setImmediate);
+  socket.write(WHOLE_REQUEST);
+  front.shut();
+  t.is(await ended, '503');
+  front.close();
+});
+
+test('a request that waits unread on a kept connection when a stop shuts the listener gets an answer', async (t) => {
+  const { front, port } = await open(systemClock);
+  const socket = connect(port, '127.0.0.1');
+  socket.write(WHOLE_REQUEST);
+  await once(socket, 'data');
+  const ended = ending(socket);
+  socket.write(WHOLE_REQUEST);
+  front.shut();
+  t.is(await ended, '503');
+  front.close();
+});
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -1,10 +1,12 @@
 import { mkdtempSync, writeFileSync } from 'node:fs';
+import { connect } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
 import { request } from 'undici';
 import { startEntry, startSidecar } from '../src/index.js';
 import { FakeEngine } from '../standin/index.js';
+import { openRig } from './support/pathrig.js';
 import { serviceDocument } from './support/servicedocument.js';
 
 const KEY = 'carrier-key';
@@ -49,3 +51,25 @@
   await sidecar.stop();
   engine.close();
 });
+
+test('a connection that an entry has not accepted when its stop closes the listener gets an answer', async (t) => {
+  const engine = new FakeEngine({ tokenMs: 1, tokens: 5 });
+  const rig = await openRig({ upstreams: [{ url: await engine.listen() }] });
+  const socket = connect(rig.port, '127.0.0.1');
+  const ended = new Promise<string>((resolve) => {
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += chunk.toString();
+    });
+    socket.on('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
+    socket.on('close', () => resolve(text));
+  });
+  socket.write('GET /v1/models HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n');
+  // The kernel completes the connection as soon as it is asked for; accepting it takes a turn of the event loop.
+  await new Promise<void>((resolve) => {
+    process.nextTick(resolve);
+  });
+  await rig.close();
+  t.regex(await ended, /^HTTP\/1\.1 503 /);
+  engine.close();
+});
--- a/test/plannedstop.test.ts
+++ b/test/plannedstop.test.ts
@@ -34,6 +34,9 @@
   const door = {
     leave: act('leave'),
     shut: act('shut'),
+    get isListening() {
+      return !did.includes('shut');
+    },
     get unwritten() {
       return left(clock.nowMs(), did);
     },
