A request is sent on only after its caller's close would have been read, and within its time

A caller that was still there got 504 "unknown" for a request that should never have left, where 503 "not run" is true.

Cause: the event loop runs late timers before it reads what has arrived on sockets. After a turn of a second or two, a request that waits by a timer (for room, in line, for a pace, for a pause to end, for another round) was sent by that timer, before the close of its caller and before its own time-out, which was due as well but came later in the queue. Front.whenPresent guarded the first reading alone, and only where a tick came more than 300 ms late.

A standstill in the timers' own phase does not bring the fault about, as sockets are read next; that is why it needs a busy entry and luck.

Mend: Run asks its caller's connection right before each send, whichever way the request came there: what has arrived is read in a round of its own (again, if that took over 200 ms), then the upstream is chosen and the request sent in the same moment. A request whose time has passed is not chosen for. The end of a caller's connection is heard when it is read, no longer some turns later when it is closed.

--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -42,4 +42,8 @@
   onFree(act: () => void): void;
   /** Calls back once if the caller leaves before its answer is complete. */
   onGone(act: () => void): void;
+  /** True while `act` of `whenPresent` runs: the caller was there a moment ago. */
+  readonly isPresent: boolean;
+  /** Calls back once every close that has arrived by now was read, unless the caller has left. */
+  whenPresent(act: () => void): void;
 }
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -54,8 +54,6 @@
 const TICK_MS = 100;
 /** A tick that comes this late shows that the process was stopped, or had no processor. */
 const STOOD_STILL_MS = 300;
-/** What came while the process stood still has been read by then: tens of requests at 3 ms each. */
-const CATCH_UP_MS = 150;
 /** How often an entry tells the holder of orders what it is asked for. */
 const REPORT_MS = 250;
 const TAKE_AFTER_MS = 700;
@@ -116,8 +114,6 @@
 
   private tickedAtMs: Ms = 0;
 
-  private wokeAtMs: Ms = -Infinity;
-
   private isStopping = false;
 
   private isClosed = false;
@@ -241,12 +237,6 @@
     return this.runs.size + this.intakes.size;
   }
 
-  /** True while requests may be read whose callers have closed their connections unseen. */
-  mayHaveMissedCloses(): boolean {
-    const nowMs = this.clock.nowMs();
-    return nowMs - this.tickedAtMs > STOOD_STILL_MS || nowMs - this.wokeAtMs < CATCH_UP_MS;
-  }
-
   accept(caller: Caller): void {
     const intake: Intake = new Intake(
       this,
@@ -423,7 +413,6 @@
   }
 
   private woke(nowMs: Ms): void {
-    this.wokeAtMs = nowMs;
     this.fleet.woke(nowMs);
     this.log.warn('process stood still', { sinceTickMs: Math.round(nowMs - this.tickedAtMs) });
   }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -173,6 +173,11 @@
     if (this.isOver || this.isHeldBack()) return;
     const { caller, serving, clock } = this;
     const { request } = caller;
+    // After a standstill this may be called by a timer that came before the one that ends the request's time.
+    if (clock.nowMs() >= this.untilMs) {
+      this.timeout();
+      return;
+    }
     // The configuration may have changed while the request waited.
     const judged = serving.judge(request);
     if (judged?.type !== 'allowed') {
@@ -202,6 +207,7 @@
     if (state && this.isOverfull(state, nowMs)) this.waitForRoom();
     else if (state && this.isLineTooLong(state, nowMs)) this.waitInLine();
     else if (state && this.isToBePaced(state, nowMs)) this.pace();
+    else if (state && !caller.isPresent) caller.whenPresent(() => this.attempt());
     else if (state) this.send(state, route);
     else if (block && !this.mayBeBrought()) this.waitForTurn(block);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
--- a/test/front.test.ts
+++ b/test/front.test.ts
@@ -33,11 +33,10 @@
 }
 
 /** A front whose entry answers each request that it accepts. */
-async function open(clock: Clock, mayHaveMissedCloses = false): Promise<Door> {
+async function open(clock: Clock): Promise<Door> {
   const accepted: Caller[] = [];
   const entry = {
     limits: undefined,
-    mayHaveMissedCloses: () => mayHaveMissedCloses,
     accept(caller: Caller) {
       accepted.push(caller);
       caller.begin(200, ['Content-Length', '0'], true);
@@ -100,7 +99,7 @@
 test('a request whose caller left while the process stood still is not accepted', async (t) => {
   const folder = mkdtempSync(join(tmpdir(), 'front-'));
   const mark = join(folder, 'left');
-  const { front, port, accepted } = await open(systemClock, true);
+  const { front, port, accepted } = await open(systemClock);
   const args = ['-e', CALLER_THAT_LEAVES, String(port), `${REQUEST}\r\nxy`, mark];
   const caller = promisify(execFile)(process.execPath, args);
   // Nothing is read here until the caller has left.
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -36,6 +36,9 @@
   /** Customers of the next configurations; none are configured while this is undefined. */
   customers: Parameters<typeof configurationOf>[3];
 
+  /** Of all routes of the next configurations; the stand-in's own without it. */
+  targetLatencyMs: number | undefined;
+
   /** Of entries that start from now on. */
   strictRevokeMs: number | undefined;
 
@@ -153,7 +156,9 @@
   }
 
   configure(version: number, left: readonly string[] = []): void {
-    const routes = ROUTES.filter(({ name }) => !left.includes(name));
+    const { targetLatencyMs } = this;
+    const kept = ROUTES.filter(({ name }) => !left.includes(name));
+    const routes = kept.map((route) => ({ ...route, targetLatencyMs }));
     this.store.put('op/config', configurationOf(version, HOST, routes, this.customers));
   }
 
