What waits for its connection is asked again right before its first byte leaves

Callers got 504 "unknown" for requests that never left, and 503 for upstreams that were taken for lost though they were well.

Cause: the right to order was asked when an order was handed to its connection. Where none was idle, the order waited in the client until a new one had opened, and left whenever that was: a host that is suspended meanwhile sends it on waking, before a time-out is looked at.

Evidence: six tests of latesend.test.ts need no luck and failed before: an order whose right goes while its connection opens was 'accepted', and one whose right was taken anew went out with the old token; a request went to an upstream that had said that it leaves, to one whose route was withdrawn, and after its time; a connection that opened within a standstill of 500 ms was thrown away by its own time-out of 400 ms, and its upstream taken for lost.

Mend: a call carries a question that the connection asks when it is open, right before it writes; if the answer is no, not one byte leaves, and the outcome is 'unsent' (orders) or not run (requests, which are judged anew and teach nothing of the upstream). A new connection is handed over after a round of reads, so that closes and news that came meanwhile are known; its time-out looks for the connection first. A request or order that is given up before it left says so: not run, in place of unknown.

What is left: bytes that have left the process and wait in the system's buffers are bounded by the time of an order (600 ms), which the right's end counts in.

--- a/src/command/operator/askentry.ts
+++ b/src/command/operator/askentry.ts
@@ -6,6 +6,7 @@
 /** Asks an entry as another entry would. Throws a typed failure without an answer. */
 export async function askEntry(peer: string, path: string, body: object): Promise<unknown> {
   const channel = new Channel(peer, {
+    clock: systemClock,
     connectTimeoutMs: TIMEOUT_MS,
     idleMs: TIMEOUT_MS,
     maxConnections: 1,
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -194,7 +194,8 @@
   private channelTo(address: string): Channel {
     let channel = this.channels.get(address);
     if (!channel) {
-      const options = { connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS };
+      const { clock } = this;
+      const options = { clock, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS };
       channel = new Channel(address, { ...options, maxConnections: CONNECTIONS });
       this.channels.set(address, channel);
     }
--- a/src/direct/orders/sendorder.ts
+++ b/src/direct/orders/sendorder.ts
@@ -44,10 +44,11 @@
   const { id: upstream, address } = track.info;
   const fencingToken = turn.epoch;
   const order = { upstream, address, ...wanted, expectedOrderCount, holder: host, fencingToken };
-  // Asked last: this process may have been stopped since it decided on the order.
-  if (!turn.mayOrder()) return 'not-holder';
+  // Asked once more when its connection is open: this process may be stopped until then.
+  const mayLeave = () => turn.mayOrder() && turn.epoch === fencingToken;
+  if (!mayLeave()) return 'not-holder';
   const sentAtMs = clock.nowMs();
-  const outcome = await link.order(order, turnLimits.orderTimeoutMs);
+  const outcome = await link.order(order, turnLimits.orderTimeoutMs, mayLeave);
   const tookMs = Math.round(clock.nowMs() - sentAtMs);
   log.info('order', { ...order, outcome, tookMs });
   metrics.count('direct.order', 1, { action: wanted.action, outcome });
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -57,7 +57,7 @@
 /** Rank of a request that does not wait. */
 const LEAST_URGENT = 9;
 
-const OPEN: Gate = { blockOf: () => undefined, wanted() {}, enter() {} };
+const OPEN: Gate = { blockOf: () => undefined, isLetIn: () => true, wanted() {}, enter() {} };
 
 /** The upstreams that this entry may choose from. */
 export class Fleet {
@@ -125,8 +125,8 @@
   }
 
   /**
-   * The best upstream for a need; undefined if none can be chosen. Nothing may lie between a choice and its send: the
-   * gate has let in that one request at that moment.
+   * The best upstream for a need; undefined if none can be chosen. The gate has let in that one request at that moment:
+   * where a connection has to be opened, `mayEnter` is asked once more right before the send.
    */
   choose(need: Need, nowMs: Ms, choosing: Choosing = {}): UpstreamState | undefined {
     const { tried, alsoLost = true, isTrial = false, asker } = choosing;
@@ -168,6 +168,12 @@
     this.gate.wanted(upstreams, ask, nowMs);
   }
 
+  /** Whether a request for which it was chosen at `chosenAtMs` may still be sent there. */
+  mayEnter({ info }: UpstreamState, chosenAtMs: Ms, nowMs: Ms): boolean {
+    const known = this.states.get(info.id)?.info;
+    return known !== undefined && !known.isLeaving && this.gate.isLetIn(known, chosenAtMs, nowMs);
+  }
+
   /** A request is sent there. */
   enter(state: UpstreamState, nowMs: Ms, asker: string): void {
     this.gate.enter(state.info, nowMs, asker);
--- a/src/direct/route/gate.ts
+++ b/src/direct/route/gate.ts
@@ -9,6 +9,8 @@
   blockOf(upstream: Upstream, nowMs: Ms, asker?: string): Block | undefined;
   /** One of them would have been chosen, were it not blocked. */
   wanted(upstreams: readonly Upstream[], ask: SlotAsk, nowMs: Ms): void;
+  /** Whether a request that was let in at `enteredAtMs` may still be sent there. */
+  isLetIn(upstream: Upstream, enteredAtMs: Ms, nowMs: Ms): boolean;
   /** A request is sent there. */
   enter(upstream: Upstream, nowMs: Ms, asker: string): void;
 }
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -9,7 +9,7 @@
 import type { Suspicion } from './suspicion.js';
 
 type Head = Parameters<UpstreamReceiver['head']>[0];
-type Call = Parameters<UpstreamLink['send']>[0];
+type Call = Omit<Parameters<UpstreamLink['send']>[0], 'mayLeave'>;
 type Sent = NonNullable<ReturnType<UpstreamLink['send']>>;
 type Failure = Parameters<UpstreamReceiver['failed']>[0];
 
@@ -22,6 +22,8 @@
   readonly route: Route;
   readonly need: Need;
   readonly state: UpstreamState;
+  /** Whether its request, chosen for then, may still be sent there. */
+  readonly mayLeave: (chosenAtMs: Ms) => boolean;
   /** It is over, and nothing more comes of it. */
   readonly over: (end: AttemptEnd | { readonly type: 'answered' }) => void;
 }
@@ -57,7 +59,10 @@
     const { fleet, clock, link } = serving;
     const nowMs = clock.nowMs();
     fleet.enter(state, nowMs, call.requestId);
-    this.sent = link.send(call, this.receiver());
+    let isChosenNow = true;
+    const mayLeave = () => isChosenNow || this.options.mayLeave(nowMs);
+    this.sent = link.send({ ...call, mayLeave }, this.receiver());
+    isChosenNow = false;
     if (!this.sent) {
       this.note('no-connection');
       fleet.learn(state, 'full', need, nowMs);
@@ -74,11 +79,13 @@
     serving.began(need);
   }
 
-  /** Ends it now, whatever the upstream does; it may have run. */
-  withdraw(outcome: string): void {
+  /** Ends it now, whatever the upstream does; true if it may have run. */
+  withdraw(outcome: string): boolean {
+    const mayHaveRun = this.sent?.hasLeft ?? false;
     this.note(outcome);
     this.leave();
     this.sent?.cancel();
+    return mayHaveRun;
   }
 
   /** Its caller takes more. */
@@ -179,6 +186,10 @@
   private failed({ type, detail, mayHaveRun }: Failure): void {
     this.leave();
     this.note(type);
+    if (type === 'request-withheld') {
+      this.options.over({ type: 'not-run', wasSent: false });
+      return;
+    }
     if (type === 'upstream-lost') this.brokeOff(detail);
     this.learn(mayHaveRun ? 'failed' : 'unreachable');
     this.options.over(mayHaveRun ? { type: 'broken' } : { type: 'not-run', wasSent: false });
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -420,13 +420,33 @@
     const { serving, reply, suspicion, record } = this;
     const need = this.need!;
     const over = (end: AttemptEnd | { readonly type: 'answered' }) => this.attemptOver(end);
-    const options = { serving, suspicion, reply, record, route, need, state, over };
+    const mayLeave = (chosenAtMs: Ms) => this.mayLeave(state, chosenAtMs);
+    const options = { serving, suspicion, reply, record, route, need, state, mayLeave, over };
     this.tried.add(state.info.id);
     this.current = new Attempt(options);
     this.current.begin(this.callTo(state));
   }
 
-  private callTo(state: UpstreamState): Parameters<UpstreamLink['send']>[0] {
+  /** Whether what was asked when the upstream was chosen still holds: a connection may have opened since then. */
+  private mayLeave(state: UpstreamState, chosenAtMs: Ms): boolean {
+    const { serving, admitted, clock } = this;
+    const nowMs = clock.nowMs();
+    const mayRun =
+      nowMs < this.untilMs &&
+      serving.judge(admitted.caller.request)?.type === 'allowed' &&
+      admitted.charge.covers(this.ranCount);
+    if (mayRun && serving.fleet.mayEnter(state, chosenAtMs, nowMs)) return true;
+    this.log.info('request withheld', {
+      requestId: admitted.caller.request.id,
+      upstream: state.info.id,
+      heldMs: Math.round(nowMs - chosenAtMs),
+      remainingMs: Math.round(this.untilMs - nowMs),
+      mayRun,
+    });
+    return false;
+  }
+
+  private callTo(state: UpstreamState): Omit<Parameters<UpstreamLink['send']>[0], 'mayLeave'> {
     const { caller, serving, reply } = this;
     const { request } = caller;
     const spec = serving.table!.services.get(state.info.service);
@@ -523,12 +543,11 @@
     else this.refuse(503, type, detail, COME_BACK_MS);
   }
 
-  /** Cancels the attempt under way, if there is one, and names it in the request's log line. */
+  /** Cancels the attempt under way, if there is one, and names it in the request's log line; true if it may have run. */
   private withdraw(outcome: string): boolean {
     const { current } = this;
     this.current = undefined;
-    current?.withdraw(outcome);
-    return current !== undefined;
+    return current?.withdraw(outcome) ?? false;
   }
 
   private gone(): void {
--- a/src/direct/selfreport/standings.ts
+++ b/src/direct/selfreport/standings.ts
@@ -92,6 +92,11 @@
     this.starts.set(id, { ...start, sentBefore, limitedAtMs: this.clock.nowMs() });
   }
 
+  /** When this entry heard of the limit that holds now. */
+  limitedAtMs(id: UpstreamId): Ms {
+    return this.starts.get(id)?.limitedAtMs ?? -Infinity;
+  }
+
   /** What other entries should know. */
   report(): readonly StandingNews[] {
     const news: StandingNews[] = [];
--- a/src/direct/selfreport/upstreamgate.ts
+++ b/src/direct/selfreport/upstreamgate.ts
@@ -80,6 +80,15 @@
     return opensInMs > 0 ? { reason: 'limited', opensInMs } : undefined;
   }
 
+  isLetIn(upstream: Upstream, enteredAtMs: Ms, nowMs: Ms): boolean {
+    const { pausedUntilMs, ratePerS } = this.standings.of(upstream);
+    if (pausedUntilMs > nowMs) return false;
+    if (ratePerS === undefined) return true;
+    // A slot is for about now, and one of a limit that has fallen since then is void.
+    const isOfThisLimit = enteredAtMs >= this.standings.limitedAtMs(upstream.id);
+    return isOfThisLimit && nowMs - enteredAtMs <= rateRules.validMs;
+  }
+
   wanted(upstreams: readonly Upstream[], ask: SlotAsk, nowMs: Ms): void {
     const limited = upstreams.filter((one) => {
       const { ratePerS, pausedUntilMs } = this.standings.of(one);
--- a/src/port/upstreamlink.ts
+++ b/src/port/upstreamlink.ts
@@ -25,10 +25,14 @@
   readonly resumeAfter?: string;
   /** Version of the weights that a continued stream needs. */
   readonly weightsVersion?: string;
+  /** Asked right before the first byte leaves, maybe after a connection has opened; if it says no, none does. */
+  readonly mayLeave: () => boolean;
 }
 
 /** A request on its way. */
 interface UpstreamSent {
+  /** False as long as not one byte of it has left this process. */
+  readonly hasLeft: boolean;
   cancel(): void;
   resume(): void;
 }
@@ -75,7 +79,8 @@
 export interface UpstreamLink {
   /** Undefined if all connections that this process may have there are in use. */
   send(call: UpstreamCall, receiver: UpstreamReceiver): UpstreamSent | undefined;
-  order(order: UpstreamOrder, timeoutMs: Ms): Promise<OrderOutcome>;
+  /** `mayLeave` is asked right before the first byte leaves; if it says no, the order is unsent. */
+  order(order: UpstreamOrder, timeoutMs: Ms, mayLeave: () => boolean): Promise<OrderOutcome>;
   /** What the upstream itself says that it holds; undefined without an answer. */
   report(upstream: UpstreamId, address: string, timeoutMs: Ms): Promise<UpstreamReport | undefined>;
   /** Closes all connections to an address whose process has ended; requests that run there fail. */
--- a/src/port/upstreamreceiver.ts
+++ b/src/port/upstreamreceiver.ts
@@ -21,7 +21,12 @@
 
 /** Why no whole answer came. */
 interface UpstreamLinkFailure extends Failure {
-  readonly type: 'upstream-unreachable' | 'upstream-lost' | 'upstream-wrong-answer';
+  readonly type:
+    | 'upstream-unreachable'
+    | 'upstream-lost'
+    | 'upstream-wrong-answer'
+    /** Its sender no longer wanted it to leave: this says nothing of the upstream. */
+    | 'request-withheld';
   /** True unless not one byte of the request left this process. */
   readonly mayHaveRun: boolean;
 }
--- a/src/shell/http1/callonce.ts
+++ b/src/shell/http1/callonce.ts
@@ -54,8 +54,9 @@
       return;
     }
     forget = clock.after(timeoutMs, () => {
+      const { hasLeft } = sent;
       sent.cancel();
-      fail(`No answer within ${timeoutMs} ms.`, true);
+      fail(`No answer within ${timeoutMs} ms.`, hasLeft);
     });
   });
 }
--- a/src/shell/http1/channel.ts
+++ b/src/shell/http1/channel.ts
@@ -1,4 +1,4 @@
-import type { Ms } from '../../base/index.js';
+import { FailureError, type Clock, type Ms } from '../../base/index.js';
 import type { Http1Call } from './http1call.js';
 import type { Http1Receiver } from './http1receiver.js';
 import type { Http1Sent } from './http1sent.js';
@@ -7,11 +7,14 @@
 
 /** Options of a channel. */
 interface ChannelOptions {
+  readonly clock: Clock;
   readonly connectTimeoutMs: Ms;
   readonly idleMs: Ms;
   readonly maxConnections: number;
 }
 
+const WITHHELD = 'Its sender no longer wants it to leave.';
+
 /** Names of headers that say how a body ends; an answer with neither ends with its connection. */
 const FRAMING = new Set(['content-length', 'transfer-encoding']);
 
@@ -80,6 +83,7 @@
 
   private dispatch(link: Link, call: Http1Call, receiver: Http1Receiver): Http1Sent {
     let isSent = false;
+    let isWithheld = false;
     let isOver = false;
     let framed = true;
     let resume = () => {};
@@ -87,8 +91,8 @@
       if (isOver) return;
       isOver = true;
       this.drop(link);
-      const type = isSent ? 'connection-lost' : 'connection-failed';
-      receiver.failed({ type, detail, sent: isSent });
+      const unsent = isWithheld ? 'withheld' : 'connection-failed';
+      receiver.failed({ type: isSent ? 'connection-lost' : unsent, detail, sent: isSent });
     };
     link.client.dispatch(
       {
@@ -98,7 +102,13 @@
         body: call.body?.length ? call.body : null,
       },
       {
-        onConnect: () => {
+        onConnect: (abort: (error: Error) => void) => {
+          // A new connection takes its time to open, and a process may be suspended meanwhile.
+          if (call.mayLeave && !call.mayLeave()) {
+            isWithheld = true;
+            abort(new FailureError({ type: 'withheld', detail: WITHHELD }));
+            return;
+          }
           isSent = true;
         },
         onHeaders: (status: number, raw: Buffer[], resumeFlow: () => void) => {
@@ -125,6 +135,9 @@
       },
     );
     return {
+      get hasLeft() {
+        return isSent;
+      },
       cancel: () => {
         if (isOver) return;
         isOver = true;
--- a/src/shell/http1/http1call.ts
+++ b/src/shell/http1/http1call.ts
@@ -5,4 +5,6 @@
   /** Alternates names and values, without `Content-Length` and `Connection`. */
   readonly headers: readonly string[];
   readonly body?: Buffer;
+  /** Asked right before the first byte leaves; if it says no, none does. */
+  readonly mayLeave?: () => boolean;
 }
--- a/src/shell/http1/http1receiver.ts
+++ b/src/shell/http1/http1receiver.ts
@@ -2,7 +2,7 @@
 
 /** Why a call got no whole answer. */
 interface Http1Failure extends Failure {
-  readonly type: 'connection-failed' | 'connection-lost' | 'cancelled';
+  readonly type: 'connection-failed' | 'connection-lost' | 'withheld';
   /** False only if not one byte of the request can have left this process. */
   readonly sent: boolean;
 }
--- a/src/shell/http1/openlink.ts
+++ b/src/shell/http1/openlink.ts
@@ -1,10 +1,12 @@
 import { connect, type Socket } from 'node:net';
 import { Client } from 'undici';
-import { FailureError, type Ms } from '../../base/index.js';
+import { FailureError, type Clock, type Ms } from '../../base/index.js';
+import { afterReads } from '../loop/index.js';
 import type { Link } from './link.js';
 
 /** Bounds of a connection's life. */
 interface LinkOptions {
+  readonly clock: Clock;
   readonly connectTimeoutMs: Ms;
   /** How long an idle connection is kept where the peer does not say. */
   readonly idleMs: Ms;
@@ -23,11 +25,14 @@
     done: (error: Error | null, socket: Socket | null) => void,
   ) => {
     const socket = connect({ host: hostname, port: Number(port), noDelay: true });
-    const timer = setTimeout(() => {
+    let isOpen = false;
+    const giveUp = () => {
+      if (isOpen) return;
       const detail = `No connection within ${options.connectTimeoutMs} ms.`;
       socket.destroy(new FailureError({ type: 'connect-timeout', detail }));
-    }, options.connectTimeoutMs);
-    let isOpen = false;
+    };
+    // After a standstill this timer comes before the news that the connection is open.
+    const timer = setTimeout(() => afterReads(options.clock, giveUp), options.connectTimeoutMs);
     socket.on('error', (error) => {
       state.isBroken = true;
       clearTimeout(timer);
@@ -41,7 +46,8 @@
     socket.once('connect', () => {
       isOpen = true;
       clearTimeout(timer);
-      done(null, socket);
+      // The request that waits is written at once: news that came while this process stood still are read before.
+      afterReads(options.clock, () => done(null, socket));
     });
   };
   const client = new Client(`http://${address}`, {
--- /dev/null
+++ b/test/latesend.test.ts
@@ -0,0 +1,177 @@
+import test from 'ava';
+import { systemClock, type ModelId, type ServiceId, type UpstreamId } from '../src/base/index.js';
+import { sendOrder } from '../src/direct/orders/sendorder.js';
+import type { Track } from '../src/direct/orders/track.js';
+import type { TurnKeeper } from '../src/direct/orders/turnkeeper.js';
+import type { UpstreamLink } from '../src/port/index.js';
+import { Upstreams } from '../platform/upstreams.js';
+import { PlatformServer } from '../standin/platform/index.js';
+import { askEntry } from './support/askentry.js';
+import { PlatformRig } from './support/platformrig.js';
+
+const LOG = { info() {}, warn() {}, error() {} };
+const METRICS = { count() {}, gauge() {}, histogram() {} };
+const MODEL = 'm1' as ModelId;
+const TIMEOUT_MS = 10;
+
+function trackOf({ id, service, address }: PlatformServer): Track {
+  return {
+    info: {
+      id: id as UpstreamId,
+      service: service as ServiceId,
+      address,
+      availabilityZone: 'z1',
+      slots: 4,
+      isLeaving: false,
+      models: new Map(),
+      warm: new Set(),
+      onDisk: new Set(),
+    },
+    orderCount: 0,
+    done: new Map(),
+    going: new Set(),
+    doubt: undefined,
+    models: new Map(),
+    isMoving: false,
+    coming: 0,
+    arriving: 0,
+    restUntilMs: 0,
+    turn: Promise.resolve(),
+  };
+}
+
+/** Blocks the event loop, as a host without a free processor does. */
+function stand(ms: number): void {
+  const untilMs = performance.now() + ms;
+  while (performance.now() < untilMs);
+}
+
+test.serial(
+  'an order whose right has gone while its connection was being opened is not sent',
+  async (t) => {
+    const server = new PlatformServer('e1', 'engine');
+    await server.listen();
+    const link = new Upstreams(systemClock);
+    let hasRight = true;
+    const turn = { mayOrder: () => hasRight, epoch: 7 } as unknown as TurnKeeper;
+    const tools = { turn, link, clock: systemClock, log: LOG, metrics: METRICS, host: 'entry-1' };
+    const sent = sendOrder(tools, trackOf(server), { action: 'load', model: MODEL });
+    hasRight = false;
+    t.is(await sent, 'unsent');
+    t.deepEqual(server.seenOrders, []);
+    link.close();
+    server.close();
+  },
+);
+
+test.serial('an order whose right was taken anew meanwhile is not sent either', async (t) => {
+  const server = new PlatformServer('e1', 'engine');
+  await server.listen();
+  const link = new Upstreams(systemClock);
+  const turn = { mayOrder: () => true, epoch: 7 };
+  const tools = {
+    turn: turn as unknown as TurnKeeper,
+    link,
+    clock: systemClock,
+    log: LOG,
+    metrics: METRICS,
+    host: 'entry-1',
+  };
+  const sent = sendOrder(tools, trackOf(server), { action: 'load', model: MODEL });
+  turn.epoch = 8;
+  t.is(await sent, 'unsent');
+  t.deepEqual(server.seenOrders, []);
+  link.close();
+  server.close();
+});
+
+test.serial('an order that was given up before its connection was open is unsent', async (t) => {
+  const server = new PlatformServer('e1', 'engine');
+  await server.listen();
+  const link = new Upstreams(systemClock);
+  const order = {
+    upstream: 'e1' as UpstreamId,
+    address: server.address,
+    action: 'load' as const,
+    model: MODEL,
+    expectedOrderCount: 0,
+    holder: 'entry-1',
+    fencingToken: 7,
+  };
+  const sent = link.order(order, TIMEOUT_MS, () => true);
+  stand(2 * TIMEOUT_MS);
+  t.is(await sent, 'unsent');
+  t.deepEqual(server.seenOrders, []);
+  link.close();
+  server.close();
+});
+
+/** Starts an entry before one upstream, and does something each time that a request waits for its connection to open. */
+async function startOpening(server: PlatformServer, meanwhile: () => void): Promise<PlatformRig> {
+  const rig = new PlatformRig();
+  await rig.start([server]);
+  const link = rig.entry.link as { send: UpstreamLink['send'] };
+  const send = link.send.bind(link);
+  link.send = (...args) => {
+    const sent = send(...args);
+    meanwhile();
+    return sent;
+  };
+  return rig;
+}
+
+test.serial(
+  'a request whose upstream leaves while its connection is being opened is not sent there',
+  async (t) => {
+    const server = new PlatformServer('p1', 'plain');
+    const rig: PlatformRig = await startOpening(server, () => {
+      const { info } = rig.entry.fleet.get('p1' as UpstreamId)!;
+      const rate = { type: 'unsaid' } as const;
+      rig.entry.gate.hear(info, { rate, isLeaving: true, unreadable: [] });
+    });
+    const { status } = await askEntry(rig.port, { path: '/lookup/1' });
+    t.is(status, 503);
+    t.deepEqual(server.seen, []);
+    rig.close();
+  },
+);
+
+test.serial(
+  'a request whose route is withdrawn while its connection is being opened is not sent',
+  async (t) => {
+    const server = new PlatformServer('p1', 'plain');
+    const rig: PlatformRig = await startOpening(server, () => {
+      const { table } = rig.entry;
+      rig.entry.setTable({ ...table!, routesByHost: new Map() });
+    });
+    const { status } = await askEntry(rig.port, { path: '/lookup/1' });
+    t.is(status, 503);
+    t.deepEqual(server.seen, []);
+    rig.close();
+  },
+);
+
+test.serial(
+  'a request whose time passes while its connection is being opened is not sent',
+  async (t) => {
+    const server = new PlatformServer('p1', 'plain');
+    const rig = await startOpening(server, () => stand(300));
+    const headers = { 'Tarragonstile-Deadline-Ms': '200' };
+    const { status } = await askEntry(rig.port, { path: '/lookup/1', headers });
+    t.is(status, 503);
+    t.deepEqual(server.seen, []);
+    rig.close();
+  },
+);
+
+test.serial(
+  'a connection that opened while the process stood still is used, though its time-out comes first',
+  async (t) => {
+    const server = new PlatformServer('p1', 'plain');
+    const rig = await startOpening(server, () => stand(500));
+    const { status } = await askEntry(rig.port, { path: '/lookup/1' });
+    t.is(status, 200);
+    t.is(rig.said('upstreams taken for lost'), undefined);
+    rig.close();
+  },
+);
