--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -1,6 +1,7 @@
 import { parseArgs } from 'node:util';
 import { join } from 'node:path';
 import { entryCommand } from './entrycommand.js';
+import { knownFaults } from './knownfaults.js';
 import { soak } from './soak.js';
 
 const MS_PER_S = 1000;
@@ -36,6 +37,13 @@
 
 const BAD_ENTRY = join(import.meta.dirname, 'badentry.js');
 const { defect } = values;
+const faultNames = values.faults?.split(',');
+const unknown = faultNames?.filter((name) => !Object.hasOwn(knownFaults, name)) ?? [];
+if (unknown.length > 0) {
+  const known = Object.keys(knownFaults).join(', ');
+  console.error(`Unknown faults: ${unknown.join(', ')}. Known are: ${known}.`);
+  process.exit(2);
+}
 const command = defect === undefined ? entryCommand : [process.execPath, BAD_ENTRY, defect];
 
 let failed = 0;
@@ -46,7 +54,7 @@
     command,
     entryCount: Number(values.entries),
     callerCount: Number(values.callers),
-    faultNames: values.faults?.split(','),
+    faultNames,
     longestGapMs: Number(values.gap),
     slackMs: Number(values.slack),
     isHarsh: values.harsh,
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -4,6 +4,7 @@
 import { entryCommand } from './entrycommand.js';
 import { faults } from './faults.js';
 import { hostFaults } from './hostfaults.js';
+import { knownFaults } from './knownfaults.js';
 import { listFaults } from './listfaults.js';
 import { needFaults } from './needfaults.js';
 import { pause } from './pause.js';
@@ -92,13 +93,12 @@
   if (isHarsh) crashing.start();
   const startedAtMs = performance.now();
   const done: string[] = [];
-  const all = { ...faults, ...listFaults, ...hostFaults, ...needFaults };
   const drawn = drawnFrom(seed);
   const names = options.faultNames ?? Object.keys(drawn);
   while (performance.now() - startedAtMs < forMs) {
     await pause(dice.below(longestGapMs));
     const name = dice.pick(names);
-    const detail = all[name]!(site, dice);
+    const detail = knownFaults[name]!(site, dice);
     done.push(`${Math.round(performance.now() - startedAtMs)} ${name} ${detail}`);
     callers.version = site.version;
   }
