--- a/test/front.test.ts
+++ b/test/front.test.ts
@@ -126,6 +126,7 @@
 
 const WHOLE_REQUEST = `${REQUEST}\r\nxy`;
 
+// Guards against stops that reset requests: they get "not run" or are never taken, not silence.
 test('a connection that is open but not accepted when a stop shuts the listener gets an answer', async (t) => {
   const { front, port } = await open(systemClock);
   const socket = connect(port, '127.0.0.1');
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -52,6 +52,7 @@
   engine.close();
 });
 
+// Guards against stops that reset requests: they get "not run" or are never taken, not silence.
 test('a connection that an entry has not accepted when its stop closes the listener gets an answer', async (t) => {
   const engine = new FakeEngine({ tokenMs: 1, tokens: 5 });
   const rig = await openRig({ upstreams: [{ url: await engine.listen() }] });
