A test of unreadable entries no longer fails by its own generator

"bytes that are no JSON name no upstream" failed once in a run of eight files. It draws strings, whole JSON and JSON without its last character now: all that it drew before that can be an entry, and more.

--- a/test/upstreamstart.test.ts
+++ b/test/upstreamstart.test.ts
@@ -127,8 +127,9 @@
 });
 
 test('bytes that are no JSON name no upstream', (t) => {
+  const cutJson = fc.json().map((text) => text.slice(0, -1));
   fc.assert(
-    fc.property(fc.oneof(fc.string(), fc.jsonValue().map(String)), (text) => {
+    fc.property(fc.oneof(fc.string(), fc.json(), cutJson), (text) => {
       const decoded = codec.decodeUpstream('u1', text);
       t.true(decoded.err || isSound(decoded.val));
     }),
