What is known of upstreams is not overwritten by a list that has just come back

Cause: the store was away from 18 to 26 s. At 18.67 the holder of orders loaded a third model, and at 19.69 the engine itself said that it holds all three. At 26.06 the list came back, with the entry that the engine had written before 18 s. adoptList takes a word of the list for at most 3 s old, so it dropped the model, known for 6.5 s, as gone; at 26.22 the plan saw a free place, and ordered a fourth into three.

Mend: for as long after a silence as the list may be behind (3 s), the holder of orders keeps what it knows from its own orders and from upstreams' reports, and moves look at reports; then it asks every upstream once before the next order, as a successor does. Others than the holder go by the list as before.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -171,10 +171,11 @@
     const { metrics } = context;
     const shared = { link, clock, log, metrics, host, loadWindowMs, loadOvershoot };
     const listSilentMs = () => this.follower.silentMs();
+    const listSteadyMs = () => this.follower.steadyMs();
     const loadOf = (id: UpstreamId) => this.fleet.load(id, clock.nowMs());
     const promptsPerPause = (service: ServiceId) => this.fleet.promptsPerPause(service);
     const limitOf = (upstream: Upstream) => this.gate.limitOf(upstream);
-    const reading = { listSilentMs, loadOf, limitOf, promptsPerPause };
+    const reading = { listSilentMs, listSteadyMs, loadOf, limitOf, promptsPerPause };
     this.desk = new OrderDesk({ ...shared, ...reading, turn: this.turn });
     this.poisonPrefix = `${codec.ownPrefix}poison/`;
     this.poison = this.poisonDesk();
--- a/src/direct/orders/adoptlist.ts
+++ b/src/direct/orders/adoptlist.ts
@@ -1,10 +1,8 @@
 import type { ModelId, Ms } from '../../base/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
+import { listLagMs } from './listlag.js';
 import type { Track } from './track.js';
 
-/** Own orders about adapters are in the list after this: an interval between its entries, and its lag. */
-const LIST_LAG_MS = 3000;
-
 /** A model that has not come by then does not come: a load takes 4.2 s, one carried out late 12 s more. */
 const LONGEST_LOAD_MS = 17_000;
 
@@ -17,7 +15,7 @@
   const adapters = new Set(told);
   const prefix = `${model}/`;
   for (const [key, { isThere, atMs }] of track.done) {
-    if (nowMs - atMs > LIST_LAG_MS) track.done.delete(key);
+    if (nowMs - atMs > listLagMs) track.done.delete(key);
     else if (!key.startsWith(prefix)) continue;
     else if (isThere) adapters.add(key.slice(prefix.length));
     else adapters.delete(key.slice(prefix.length));
@@ -38,7 +36,7 @@
   for (const [model, known] of before) {
     if (next.has(model)) continue;
     // A word may be older than the load that the one before told of.
-    const isNew = known.phase === 'ready' && nowMs - known.sinceMs < LIST_LAG_MS;
+    const isNew = known.phase === 'ready' && nowMs - known.sinceMs < listLagMs;
     const isComing = known.phase === 'loading' && nowMs - known.sinceMs < LONGEST_LOAD_MS;
     if (isComing || isNew) next.set(model, known);
   }
--- a/src/direct/orders/orderdesk.ts
+++ b/src/direct/orders/orderdesk.ts
@@ -10,6 +10,7 @@
 import type { DemandReport } from './demandreport.js';
 import type { FoundNeed } from './foundneed.js';
 import { inTurn } from './inturn.js';
+import { listLagMs } from './listlag.js';
 import { LoadBudget } from './loadbudget.js';
 import { Mover } from './mover.js';
 import type { NewsBatch } from './newsbatch.js';
@@ -33,6 +34,8 @@
   readonly loadOvershoot: number;
   /** How long the list of upstreams has not been heard of; 0 while it is. */
   readonly listSilentMs: () => Ms;
+  /** How long the list has been heard of without a break; 0 while it is not. */
+  readonly listSteadyMs: () => Ms;
   /** Requests at an upstream, by this entry's knowledge. */
   readonly loadOf: (upstream: UpstreamId) => number;
   /** Requests a second that an upstream takes from all entries; undefined where it has named no limit. */
@@ -89,6 +92,9 @@
   /** True until the upstreams' counts have been asked for since the right to give orders was taken. */
   private isToLearn = false;
 
+  /** Whether the list may tell of a time before its last silence. */
+  private isListBehind = false;
+
   table: RouteTable | undefined;
 
   constructor(private readonly options: OrderDeskOptions) {
@@ -96,6 +102,7 @@
     this.adapters = new AdapterDesk(options, this.book, this.placeNews);
     this.mover = new Mover({
       ...options,
+      listSilentMs: () => this.listBehindMs(),
       budget: this.budget,
       news: this.placeNews,
       isListed: (track) => this.tracks.get(track.info.id) === track,
@@ -120,6 +127,7 @@
   upstream(info: Upstream): void {
     const nowMs = this.options.clock.nowMs();
     let track = this.tracks.get(info.id);
+    const isNew = track === undefined;
     if (!track) {
       track = {
         info,
@@ -139,7 +147,9 @@
       this.newestAtMs = nowMs;
     }
     track.info = info;
-    adoptList(track, info.models, nowMs);
+    // What was ordered, or asked of the upstream, before the list fell silent is newer than its first words after that.
+    const isKnownBetter = !isNew && this.options.turn.isHolder() && this.listBehindMs() > 0;
+    if (!isKnownBetter) adoptList(track, info.models, nowMs);
   }
 
   upstreamGone(id: UpstreamId): void {
@@ -167,6 +177,7 @@
     const { clock, turn } = this.options;
     const nowMs = clock.nowMs();
     this.book.advance(nowMs);
+    this.catchUp();
     if (this.isToLearn && turn.isHolder() && turn.ordersInMs() <= LEARN_BEFORE_MS) {
       this.learnCounts();
     }
@@ -177,6 +188,20 @@
     }
   }
 
+  /** For how long yet the list may tell of a time before its last silence; it may last longer. */
+  private listBehindMs(): Ms {
+    return Math.max(0, listLagMs - this.options.listSteadyMs());
+  }
+
+  /** The list tells of now again: what it told meanwhile was passed over, so that upstreams are asked themselves. */
+  private catchUp(): void {
+    const wasBehind = this.isListBehind;
+    this.isListBehind = this.listBehindMs() > 0;
+    if (!wasBehind || this.isListBehind || !this.options.turn.isHolder()) return;
+    for (const track of this.tracks.values()) track.orderCount = undefined;
+    this.isToLearn = true;
+  }
+
   /** Asks all upstreams of models at once how many orders they have taken. */
   private learnCounts(): void {
     this.isToLearn = false;
