--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -65,7 +65,11 @@
     socket.on('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
     socket.on('close', () => resolve(text));
   });
-  socket.write('GET /v1/models HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n');
+  const body = JSON.stringify({ model: 'notice-1', messages: [{ content: 'a' }] });
+  socket.write(
+    `POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer ${KEY}\r\n` +
+      `Connection: close\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+  );
   // The kernel completes the connection as soon as it is asked for; accepting it takes a turn of the event loop.
   await new Promise<void>((resolve) => {
     process.nextTick(resolve);
