--- a/test/latesend.test.ts
+++ b/test/latesend.test.ts
@@ -1,9 +1,12 @@
 import test from 'ava';
+import { once } from 'node:events';
+import { createServer } from 'node:net';
 import { systemClock, type ModelId, type ServiceId, type UpstreamId } from '../src/base/index.js';
 import { sendOrder } from '../src/direct/orders/sendorder.js';
 import type { Track } from '../src/direct/orders/track.js';
 import type { TurnKeeper } from '../src/direct/orders/turnkeeper.js';
 import type { UpstreamLink } from '../src/port/index.js';
+import { callOnce, Channel } from '../src/shell/http1/index.js';
 import { Upstreams } from '../platform/upstreams.js';
 import { PlatformServer } from '../standin/platform/index.js';
 import { askEntry } from './support/askentry.js';
@@ -14,6 +17,7 @@
 const METRICS = { count() {}, gauge() {}, histogram() {} };
 const MODEL = 'm1' as ModelId;
 const TIMEOUT_MS = 10;
+const LONG_MS = 2000;
 
 function trackOf({ id, service, address }: PlatformServer): Track {
   return {
@@ -177,3 +181,26 @@
     rig.close();
   },
 );
+
+// Guards against requests that wait for a connection which is gone until their time is over.
+test.serial(
+  'a connection that is reset as soon as it is open fails its request at once',
+  async (t) => {
+    const server = createServer((socket) => setImmediate(() => socket.resetAndDestroy())).listen(
+      0,
+      '127.0.0.1',
+    );
+    await once(server, 'listening');
+    const { port } = server.address() as { port: number };
+    const options = { clock: systemClock, connectTimeoutMs: 400, idleMs: 4000, maxConnections: 1 };
+    for (let at = 0; at < 20; at += 1) {
+      const channel = new Channel(`127.0.0.1:${port}`, options);
+      const call = { method: 'GET', path: '/', headers: [] };
+      const answer = await callOnce(channel, call, systemClock, LONG_MS);
+      t.true(answer.err);
+      t.notRegex(answer.err ? answer.val.detail : '', /No answer within/);
+      channel.close();
+    }
+    server.close();
+  },
+);
