Logs that tell what an order and a retry were decided on

order: held, adapterCount, heldFrom, heldAgeMs. move begun: planAgeMs. New line retry: waitedMs since the charge, with the budget's window. No decision changes. The tests' upstream views come from the one function that the dispatcher uses.

--- a/src/core/retrybudget/retrybudget.ts
+++ b/src/core/retrybudget/retrybudget.ts
@@ -25,10 +25,17 @@
 
   /** Takes one retry; returns false if none is left. */
   take(nowMs: Ms): boolean {
-    const { windowMs, ratio, slack } = this.limits;
-    const allowed = ratio * this.requests.count(nowMs, windowMs) + slack();
-    if (this.retries.count(nowMs, windowMs) + 1 > allowed) return false;
+    const { retries, allowed } = this.usage(nowMs);
+    if (retries + 1 > allowed) return false;
     this.retries.add(nowMs);
     return true;
   }
+
+  /** Returns the requests and retries in the current window, and how many retries it allows. */
+  usage(nowMs: Ms): { requests: number; retries: number; allowed: number } {
+    const { windowMs, ratio, slack } = this.limits;
+    const requests = this.requests.count(nowMs, windowMs);
+    const retries = this.retries.count(nowMs, windowMs);
+    return { requests, retries, allowed: ratio * requests + slack() };
+  }
 }
--- a/src/direct/orders/adoptmodels.ts
+++ b/src/direct/orders/adoptmodels.ts
@@ -27,7 +27,12 @@
  * Adopts the models that an upstream reports; loads in progress stay recorded as loading until the report contains
  * them.
  */
-export function adoptModels(view: UpstreamView, models: Upstream['models'], nowMs: Ms): void {
+export function adoptModels(
+  view: UpstreamView,
+  models: Upstream['models'],
+  from: 'list' | 'report',
+  nowMs: Ms,
+): void {
   const before = view.models;
   const next: UpstreamView['models'] = new Map();
   for (const [model, { adapters }] of models) {
@@ -43,5 +48,5 @@
     const isLoading = known.phase === 'loading' && nowMs - known.sinceMs < MAX_LOAD_MS;
     if (isLoading || isRecent) next.set(model, known);
   }
-  Object.assign(view, { models: next });
+  Object.assign(view, { models: next, learned: { from, atMs: nowMs } });
 }
--- a/src/direct/orders/mover.ts
+++ b/src/direct/orders/mover.ts
@@ -18,6 +18,13 @@
   readonly isListed: (view: UpstreamView) => boolean;
 }
 
+/** What a move was decided on. */
+interface Decision {
+  readonly demand: ReadonlyMap<ModelId, ModelDemand>;
+  /** Age of the plan's input, in ms. */
+  readonly planAgeMs: Ms;
+}
+
 /** Interval between checks whether an order is done. */
 const POLL_MS = 25;
 /** A model order that is not done this long after its expected end has failed. */
@@ -62,7 +69,7 @@
     view: UpstreamView,
     service: ServiceId,
     move: Move,
-    demand: ReadonlyMap<ModelId, ModelDemand>,
+    { demand, planAgeMs }: Decision,
   ): Promise<void> {
     const { clock } = this;
     const { log, metrics, budget } = this.options;
@@ -83,7 +90,8 @@
     this.expected.set(key, startedAtMs + this.evictionMs(evicted, demand) + loadMs);
     const modelDemand = demand.get(model);
     const subject = { upstream: move.upstream, service, model };
-    log.info('move begun', { ...subject, evicted, isFromStore, gain, cost, demand: modelDemand });
+    const decided = { gain, cost, demand: modelDemand, planAgeMs: Math.round(planAgeMs) };
+    log.info('move begun', { ...subject, evicted, isFromStore, ...decided });
     const end = await this.carryOut(view, move, () => {
       startLoad(clock.nowMs());
       this.expected.set(key, clock.nowMs() + loadMs);
--- a/src/direct/orders/orderdispatcher.ts
+++ b/src/direct/orders/orderdispatcher.ts
@@ -6,6 +6,7 @@
 import type { Target } from '../route/index.js';
 import { AdapterLoader } from './adapterloader.js';
 import { adoptModels } from './adoptmodels.js';
+import { createView } from './createview.js';
 import { DemandEstimator } from './demandestimator.js';
 import type { DemandReport } from './demandreport.js';
 import type { FindAnswer } from './findanswer.js';
@@ -110,7 +111,7 @@
     this.planRunner = new PlanRunner({
       ...options,
       input: (service) => this.planInput(service),
-      startMove: (service, move, input) => this.startMove(service, move, input),
+      startMove: (service, move, input, ageMs) => this.startMove(service, move, input, ageMs),
     });
   }
 
@@ -129,27 +130,14 @@
     let view = this.views.get(info.id);
     const isNew = view === undefined;
     if (!view) {
-      view = {
-        info,
-        // Unless the upstream has just started, it may have accepted orders from a previous holder.
-        orderCount: undefined,
-        done: new Map(),
-        unloadingAdapters: new Set(),
-        unconfirmed: undefined,
-        models: new Map(),
-        isMoving: false,
-        coming: 0,
-        arrivingAdapters: 0,
-        restUntilMs: 0,
-        lastTask: Promise.resolve(),
-      };
+      view = createView(info);
       this.views.set(info.id, view);
       this.newestAtMs = nowMs;
     }
     view.info = info;
     // Orders sent and reports received during an outage of the list are newer than the list's first state after it.
     const isViewNewer = !isNew && this.options.lease.isHolder() && this.listBehindMs() > 0;
-    if (!isViewNewer) adoptModels(view, info.models, nowMs);
+    if (!isViewNewer) adoptModels(view, info.models, 'list', nowMs);
   }
 
   removeUpstream(id: UpstreamId): void {
@@ -315,14 +303,14 @@
   }
 
   /** Starts a move of a plan, unless the state that it is based on has changed. */
-  private startMove(service: ServiceId, move: Move, { demand }: PlanInput): void {
+  private startMove(service: ServiceId, move: Move, { demand }: PlanInput, planAgeMs: Ms): void {
     const { clock, lease } = this.options;
     const view = this.views.get(move.upstream);
     if (!view || view.isMoving || view.info.isLeaving || !lease.mayOrder()) return;
     const isResting = view.restUntilMs > clock.nowMs();
     const isReady = (model: ModelId) => view.models.get(model)?.phase === 'ready';
     if (isResting || view.models.has(move.model) || !move.evicted.every(isReady)) return;
-    void this.mover.move(view, service, move, demand);
+    void this.mover.move(view, service, move, { demand, planAgeMs });
   }
 
   private planUpstream(view: UpstreamView, nowMs: Ms): PlanUpstream {
--- a/src/direct/orders/planrunner.ts
+++ b/src/direct/orders/planrunner.ts
@@ -9,8 +9,8 @@
   readonly metrics: Metrics;
   /** Returns the input of a plan; undefined if none can be made now. */
   readonly input: (service: ServiceId) => PlanInput | undefined;
-  /** Starts a move as soon as it is found. */
-  readonly startMove: (service: ServiceId, move: Move, input: PlanInput) => void;
+  /** Starts a move as soon as it is found, `ageMs` after the plan's input was taken. */
+  readonly startMove: (service: ServiceId, move: Move, input: PlanInput, ageMs: Ms) => void;
 }
 
 /**
@@ -54,7 +54,9 @@
     while (!isDone && clock.nowMs() - fromMs < SLICE_MS) {
       const found = plan.moves.length;
       isDone = plan.step();
-      for (const move of plan.moves.slice(found)) begin(service, move, input);
+      for (const move of plan.moves.slice(found)) {
+        begin(service, move, input, clock.nowMs() - begunAtMs);
+      }
     }
     const spent = { begunAtMs, workMs: workMs + clock.nowMs() - fromMs };
     if (!isDone) {
--- a/src/direct/orders/refresh.ts
+++ b/src/direct/orders/refresh.ts
@@ -52,7 +52,7 @@
     return;
   }
   if (!isCurrentStart(context, view, report.startedAtMs)) return;
-  adoptModels(view, report.models, clock.nowMs());
+  adoptModels(view, report.models, 'report', clock.nowMs());
   settleUnconfirmed(view, report.orderCount, clock.nowMs());
   // A busy upstream accepts no order, and its count may rise once it is done.
   const restUntilMs = isBusy ? clock.nowMs() + BUSY_REST_MS : 0;
--- a/src/direct/orders/sendorder.ts
+++ b/src/direct/orders/sendorder.ts
@@ -1,4 +1,4 @@
-import type { ModelId } from '../../base/index.js';
+import type { ModelId, Ms } from '../../base/index.js';
 import { orderLeaseLimits } from '../../core/orderlease/index.js';
 import type { UpstreamLink } from '../../port/index.js';
 import type { OrderContext } from './ordercontext.js';
@@ -34,6 +34,18 @@
   await refresh(context, view);
 }
 
+/** Returns what an order is based on, for the log. */
+function basisOf({ models, learned }: UpstreamView, nowMs: Ms): Readonly<Record<string, unknown>> {
+  let adapterCount = 0;
+  for (const { adapters } of models.values()) adapterCount += adapters.size;
+  return {
+    held: [...models].map(([model, { phase }]) => `${model}:${phase}`),
+    adapterCount,
+    heldFrom: learned?.from,
+    heldAgeMs: learned && Math.round(nowMs - learned.atMs),
+  };
+}
+
 /** Sends an order if this process holds the order lease and the upstream's count of orders is known. */
 export async function sendOrder(
   context: OrderContext,
@@ -55,9 +67,10 @@
   const maySend = () => lease.mayOrder() && lease.epoch === fencingToken;
   if (!maySend()) return 'not-holder';
   const sentAtMs = clock.nowMs();
+  const basis = basisOf(view, sentAtMs);
   const outcome = await link.order(order, orderLeaseLimits.orderTimeoutMs, maySend);
   const tookMs = Math.round(clock.nowMs() - sentAtMs);
-  log.info('order', { ...order, outcome, tookMs });
+  log.info('order', { ...order, ...basis, outcome, tookMs });
   metrics.count('direct.order', 1, { action: wanted.action, outcome });
   const isTaken = outcome === 'accepted' || (outcome === 'done' && wanted.action === 'unload');
   if (isTaken) Object.assign(view, { orderCount: expectedOrderCount + 1 });
--- a/src/direct/orders/upstreamview.ts
+++ b/src/direct/orders/upstreamview.ts
@@ -27,6 +27,8 @@
   /** A load order without an answer, and the count of orders that it expected. */
   unconfirmed: UnconfirmedLoad | undefined;
   models: Map<ModelId, ModelView>;
+  /** Where `models` were last adopted from, and when; for the log. */
+  learned: { readonly from: 'list' | 'report'; readonly atMs: Ms } | undefined;
   /** True while a move is in progress. */
   isMoving: boolean;
   /** Adapter loads that are queued for this upstream. */
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -89,6 +89,9 @@
 
   private untilMs: Ms = Infinity;
 
+  /** When the retry that has not been sent yet was charged to the budget. */
+  private chargedAtMs: Ms | undefined;
+
   private forgetTimer = () => {};
 
   private readonly record: RunRecord = {
@@ -430,10 +433,25 @@
     const maySend = (chosenAtMs: Ms) => this.maySend(state, chosenAtMs);
     const options = { serving, suspicion, reply, record, route, target, state, maySend, over };
     this.tried.add(state.info.id);
+    this.logRetry(state);
     this.current = new Attempt(options);
     this.current.begin(this.callTo(state));
   }
 
+  private logRetry({ info }: UpstreamState): void {
+    const { chargedAtMs, serving } = this;
+    this.chargedAtMs = undefined;
+    if (chargedAtMs === undefined) return;
+    const nowMs = this.clock.nowMs();
+    this.log.info('retry', {
+      requestId: this.caller.request.id,
+      service: info.service,
+      upstream: info.id,
+      waitedMs: Math.round(nowMs - chargedAtMs),
+      ...serving.budgetOf(info.service).usage(nowMs),
+    });
+  }
+
   /** Checks again, once a connection is open, what was checked when the upstream was chosen. */
   private maySend(state: UpstreamState, chosenAtMs: Ms): boolean {
     const { serving, admitted, clock } = this;
@@ -499,6 +517,7 @@
       this.stopTrying(end);
       return;
     }
+    if (costs) this.chargedAtMs = nowMs;
     if (step.type === 'again' || step.type === 'resume') {
       this.reply.setAside(end.type === 'failed');
       this.attempt();
--- a/test/adapterloader.test.ts
+++ b/test/adapterloader.test.ts
@@ -5,6 +5,7 @@
 import { DemandEstimator } from '../src/direct/orders/demandestimator.js';
 import type { FindAnswer } from '../src/direct/orders/index.js';
 import { ResidencyChanges } from '../src/direct/orders/residencychanges.js';
+import { createView } from '../src/direct/orders/createview.js';
 import type { UpstreamView } from '../src/direct/orders/upstreamview.js';
 import type { OrderLeaseKeeper } from '../src/direct/orders/orderleasekeeper.js';
 import type { UpstreamLink } from '../src/port/index.js';
@@ -43,7 +44,7 @@
   constructor() {
     const adapters = new Set(['a1', 'a2']);
     this.view = {
-      info: {
+      ...createView({
         id: 'u1' as UpstreamId,
         service: SERVICE,
         address: '10.0.0.1:1',
@@ -53,17 +54,9 @@
         models: new Map([[MODEL, { version: 1, adapters }]]),
         warm: new Set(),
         onDisk: new Set(),
-      },
+      }),
       orderCount: 0,
-      done: new Map(),
-      unloadingAdapters: new Set(),
-      unconfirmed: undefined,
       models: new Map([[MODEL, { phase: 'ready', sinceMs: 0, adapters: new Set(adapters) }]]),
-      isMoving: false,
-      coming: 0,
-      arrivingAdapters: 0,
-      restUntilMs: 0,
-      lastTask: Promise.resolve(),
     };
     const link = {
       order: ({ action, adapter }: SentOrder) => {
--- a/test/latesend.test.ts
+++ b/test/latesend.test.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:net';
 import { systemClock, type ModelId, type ServiceId, type UpstreamId } from '../src/base/index.js';
 import { sendOrder } from '../src/direct/orders/sendorder.js';
+import { createView as createUpstreamView } from '../src/direct/orders/createview.js';
 import type { UpstreamView } from '../src/direct/orders/upstreamview.js';
 import type { OrderLeaseKeeper } from '../src/direct/orders/orderleasekeeper.js';
 import type { UpstreamLink } from '../src/port/index.js';
@@ -21,7 +22,7 @@
 
 function createView({ id, service, address }: PlatformServer): UpstreamView {
   return {
-    info: {
+    ...createUpstreamView({
       id: id as UpstreamId,
       service: service as ServiceId,
       address,
@@ -31,17 +32,8 @@
       models: new Map(),
       warm: new Set(),
       onDisk: new Set(),
-    },
+    }),
     orderCount: 0,
-    done: new Map(),
-    unloadingAdapters: new Set(),
-    unconfirmed: undefined,
-    models: new Map(),
-    isMoving: false,
-    coming: 0,
-    arrivingAdapters: 0,
-    restUntilMs: 0,
-    lastTask: Promise.resolve(),
   };
 }
 
--- a/test/orderdoubt.test.ts
+++ b/test/orderdoubt.test.ts
@@ -2,6 +2,7 @@
 import { VirtualClock, type ModelId, type ServiceId, type UpstreamId } from '../src/base/index.js';
 import type { UpstreamLink } from '../src/port/index.js';
 import { sendOrder } from '../src/direct/orders/sendorder.js';
+import { createView as createUpstreamView } from '../src/direct/orders/createview.js';
 import type { UpstreamView } from '../src/direct/orders/upstreamview.js';
 import type { OrderLeaseKeeper } from '../src/direct/orders/orderleasekeeper.js';
 
@@ -19,7 +20,7 @@
 function createView(): UpstreamView {
   const models = new Map([[MODEL, { version: 1, adapters: new Set<string>() }]]);
   return {
-    info: {
+    ...createUpstreamView({
       id: 'u1' as UpstreamId,
       service: 's' as ServiceId,
       address: '10.0.0.1:1',
@@ -29,17 +30,9 @@
       models,
       warm: new Set(),
       onDisk: new Set(),
-    },
+    }),
     orderCount: 4,
-    done: new Map(),
-    unloadingAdapters: new Set(),
-    unconfirmed: undefined,
     models: new Map([[MODEL, { phase: 'ready', sinceMs: 0, adapters: new Set() }]]),
-    isMoving: false,
-    coming: 0,
-    arrivingAdapters: 0,
-    restUntilMs: 0,
-    lastTask: Promise.resolve(),
   };
 }
 
--- a/test/upstreamstart.test.ts
+++ b/test/upstreamstart.test.ts
@@ -11,6 +11,7 @@
 import type { ChangeFeed, UpstreamLink } from '../src/port/index.js';
 import { refresh } from '../src/direct/orders/refresh.js';
 import type { OrderContext } from '../src/direct/orders/ordercontext.js';
+import { createView as createUpstreamView } from '../src/direct/orders/createview.js';
 import type { UpstreamView } from '../src/direct/orders/upstreamview.js';
 import { Follower, paceTable } from '../src/direct/sync/index.js';
 import { codec } from '../platform/codec.js';
@@ -142,17 +143,12 @@
   const held = { phase: 'ready' as const, sinceMs: 0, adapters: new Set<string>() };
   const unconfirmed = { model: 'm9' as ModelId, expectedOrderCount: 1 };
   return {
-    info,
+    ...createUpstreamView(info),
     orderCount: 7,
     done: new Map([['m1/a7', { isThere: true, atMs: 0 }]]),
     unloadingAdapters: new Set(['m1/a8']),
     unconfirmed,
     models: new Map([['m1' as ModelId, held]]),
-    isMoving: false,
-    coming: 0,
-    arrivingAdapters: 0,
-    restUntilMs: 0,
-    lastTask: Promise.resolve(),
   };
 }
 
