A load is checked against the room at its send, not only when it was decided

What callers saw: upstreams crashed under a load that they had no room for, with every request that ran there, and their models had to be loaded elsewhere.

Cause: a load was decided on one state of the upstream and sent with the count of orders of another. An upstream checks the count, so it accepts an order whose count is fresh although its decision is stale. Three ways: a plan runs in slices, and reports that a new holder asked for arrive between them (startMove checked only that the new model was absent and the evicted ones ready); a move waits seconds for its unloads; an adapter load checked its slot before an eviction and never the memory, nor again after it. Models that had left the configuration counted as taking no memory at all.

Fix: hasRoom is the one answer to 'does it fit', from the view's models and adapters, whether held, loading or being unloaded. sendOrder asks it for every load with the count that the order carries, startMove before anything is evicted, the adapter loader when it selects an upstream. A withheld order is logged and decided again by the next plan or request.

Ruled out: waiting with the first plan until all reports have arrived would delay a new holder's orders; the check does not.

--- a/src/core/allocation/bestmove.ts
+++ b/src/core/allocation/bestmove.ts
@@ -1,5 +1,6 @@
 import type { ModelId, Ms } from '../../base/index.js';
 import type { ModelSpec } from '../routetable/index.js';
+import { heldMb } from './heldmb.js';
 import type { HeldModel } from './heldmodel.js';
 import type { Move } from './move.js';
 import type { LoadProjection } from './loadprojection.js';
@@ -75,11 +76,10 @@
   for (const victim of victimsAt(projection, site, loadMs)) {
     if (victim.loss === Infinity) return undefined;
     const { model, adapters } = victim.placed;
-    const spec = engine.models.get(model);
     evicted.push(model);
     loss += victim.loss;
     if (site.portions.has(model)) waitMs = UNLOAD_MS;
-    freeMb += spec ? spec.sizeMb + adapters.size * spec.adapterSizeMb : 0;
+    freeMb += heldMb(engine, model, adapters.size);
     if (freeMb >= neededMb) return { evicted, loss, waitMs };
   }
   return undefined;
--- a/src/core/allocation/index.ts
+++ b/src/core/allocation/index.ts
@@ -3,6 +3,7 @@
  * Input: the models of each engine and the demand for each model. A plan never exceeds an engine's memory, evicts
  * nothing from an engine with an order under way, and starts at most `coldLoadsLeft` loads from the weight store.
  */
+export { heldMb } from './heldmb.js';
 export type { ModelDemand } from './modeldemand.js';
 export type { Move } from './move.js';
 export { Plan } from './plan.js';
--- a/src/core/allocation/loadprojection.ts
+++ b/src/core/allocation/loadprojection.ts
@@ -1,6 +1,7 @@
 import type { ModelId, Ms } from '../../base/index.js';
 import { allocationRules } from './allocationrules.js';
 import { onTimeFill } from './ontimefill.js';
+import { heldMb } from './heldmb.js';
 import type { HeldModel } from './heldmodel.js';
 import { goodput } from './goodput.js';
 import type { PlanInput } from './planinput.js';
@@ -157,8 +158,7 @@
     const { engine } = this.input;
     let freeMb = engine.weightsMb;
     for (const { model, adapters } of upstream.placed) {
-      const spec = engine.models.get(model);
-      if (spec) freeMb -= spec.sizeMb + adapters.size * spec.adapterSizeMb;
+      freeMb -= heldMb(engine, model, adapters.size);
     }
     const { placed, isBusy } = upstream;
     return {
--- a/src/direct/orders/adapterloader.ts
+++ b/src/direct/orders/adapterloader.ts
@@ -3,6 +3,7 @@
 import type { DemandEstimator } from './demandestimator.js';
 import type { FindAnswer } from './findanswer.js';
 import { enqueue } from './enqueue.js';
+import { hasRoom } from './hasroom.js';
 import type { OrderContext } from './ordercontext.js';
 import type { ResidencyChanges } from './residencychanges.js';
 import { refresh } from './refresh.js';
@@ -124,7 +125,7 @@
     const eligible = request
       .replicas()
       .filter((candidate) => candidate.restUntilMs <= nowMs && !candidate.isMoving);
-    const view = this.cheapest(eligible, request.engine, isStarved);
+    const view = this.cheapest(eligible, request, isStarved);
     if (!view) return NO_FREE_SLOT;
     view.coming += 1;
     const found = await enqueue(view, () => this.load(view, request, isStarved));
@@ -148,7 +149,7 @@
     if (held?.phase !== 'ready') return NO_FREE_SLOT;
     const ready: FindAnswer = { type: 'ready', upstream: view.info.id };
     if (held.adapters.has(adapter)) return ready;
-    const isFull = adapterCount(view) >= engine.adapterSlots;
+    const isFull = !hasRoom(view, engine, request);
     if (isFull && !(await this.makeRoom(view, isStarved))) return NO_FREE_SLOT;
     if (view.arrivingAdapters >= MAX_ARRIVING) await this.delay(ADAPTER_LOAD_MS);
     const outcome = await sendOrder(this.context, view, { action: 'load', model, adapter });
@@ -172,14 +173,14 @@
   /** Returns the upstream with the most free adapter slots, or else the one with the least recently used victim. */
   private cheapest(
     candidates: readonly UpstreamView[],
-    engine: Engine,
+    { engine, model, adapter }: AdapterRequest,
     isStarved: boolean,
   ): UpstreamView | undefined {
     let best: UpstreamView | undefined;
     let bestCost = Infinity;
     for (const view of candidates) {
       const count = adapterCount(view) + view.coming;
-      const isFull = count >= engine.adapterSlots;
+      const isFull = count >= engine.adapterSlots || !hasRoom(view, engine, { model, adapter });
       const victim = isFull ? this.victim(view, isStarved) : undefined;
       const cost = isFull ? (victim?.usedAtMs ?? Infinity) : count - FREE_SLOT_BONUS;
       if (cost >= bestCost) continue;
--- a/src/direct/orders/ordercontext.ts
+++ b/src/direct/orders/ordercontext.ts
@@ -1,4 +1,5 @@
-import type { Clock } from '../../base/index.js';
+import type { Clock, ServiceId } from '../../base/index.js';
+import type { ServiceSpec } from '../../core/routetable/index.js';
 import type { Log, Metrics, UpstreamLink } from '../../port/index.js';
 import type { OrderLeaseKeeper } from './orderleasekeeper.js';
 
@@ -10,4 +11,6 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly host: string;
+  /** Returns the engine settings in force for a service; undefined if it has none. */
+  readonly engineOf: (service: ServiceId) => ServiceSpec['engine'];
 }
--- a/src/direct/orders/orderdispatcher.ts
+++ b/src/direct/orders/orderdispatcher.ts
@@ -11,9 +11,11 @@
 import type { DemandReport } from './demandreport.js';
 import type { FindAnswer } from './findanswer.js';
 import { enqueue } from './enqueue.js';
+import { hasRoom } from './hasroom.js';
 import { listLagMs } from './listlag.js';
 import { LoadBudget } from './loadbudget.js';
 import { Mover } from './mover.js';
+import type { OrderContext } from './ordercontext.js';
 import type { ResidencyUpdate } from './residencyupdate.js';
 import type { ResidencyCursor } from './residencycursor.js';
 import { LostUpstreams } from './lostupstreams.js';
@@ -79,6 +81,8 @@
 
   private readonly lostUpstreams = new LostUpstreams();
 
+  private readonly orders: OrderContext;
+
   private readonly adapters: AdapterLoader;
 
   private readonly budget: LoadBudget;
@@ -100,9 +104,10 @@
 
   constructor(private readonly options: OrderDispatcherOptions) {
     this.budget = new LoadBudget(options.loadWindowMs, options.loadOvershoot);
-    this.adapters = new AdapterLoader(options, this.book, this.residencyChanges);
+    this.orders = { ...options, engineOf: (service) => this.engineOf(service) };
+    this.adapters = new AdapterLoader(this.orders, this.book, this.residencyChanges);
     this.mover = new Mover({
-      ...options,
+      ...this.orders,
       listSilentMs: () => this.listBehindMs(),
       budget: this.budget,
       news: this.residencyChanges,
@@ -194,9 +199,9 @@
   private requestCounts(): void {
     this.needsCounts = false;
     for (const view of this.views.values()) {
-      const isEngine = this.table?.services.get(view.info.service)?.engine !== undefined;
+      const isEngine = this.engineOf(view.info.service) !== undefined;
       if (!isEngine || view.orderCount !== undefined) continue;
-      void enqueue(view, () => refresh(this.options, view));
+      void enqueue(view, () => refresh(this.orders, view));
     }
   }
 
@@ -205,7 +210,7 @@
     const { lease, clock } = this.options;
     if (!lease.isHolder()) return { type: 'not-holder' };
     const { service, model, adapter } = target;
-    const engine = this.table?.services.get(service)?.engine;
+    const engine = this.engineOf(service);
     if (model === undefined || !engine) return this.later(target);
     const replicas = this.withoutLimit(this.replicas(service, model));
     if (replicas.length === 0) return this.later(target);
@@ -223,6 +228,10 @@
     );
   }
 
+  private engineOf(service: ServiceId): Engine | undefined {
+    return this.table?.services.get(service)?.engine;
+  }
+
   private isLost(view: UpstreamView): boolean {
     return this.lostUpstreams.isLost(view.info.id, this.options.clock.nowMs());
   }
@@ -256,7 +265,7 @@
   /** Plans at once for a model without a replica, so that the answer can contain when it will be loaded. */
   private later({ service, model }: Target): FindAnswer {
     const nowMs = this.options.clock.nowMs();
-    const engine = this.table?.services.get(service)?.engine;
+    const engine = this.engineOf(service);
     const isBeingMoved = this.mover.expectedAtMs(service, model) !== undefined;
     if (model !== undefined && engine && !isBeingMoved && this.options.lease.mayOrder()) {
       this.book.wanted(service, model, nowMs);
@@ -283,7 +292,7 @@
 
   /** Returns the input of a plan; undefined while too little is known of demand or upstreams. */
   private planInput(service: ServiceId): PlanInput | undefined {
-    const engine = this.table?.services.get(service)?.engine;
+    const engine = this.engineOf(service);
     const nowMs = this.options.clock.nowMs();
     const isDemandKnown = this.book.isDemandKnown(nowMs);
     const isSettled = isDemandKnown || nowMs >= this.newestAtMs + SETTLE_MS;
@@ -303,13 +312,19 @@
   }
 
   /** Starts a move of a plan, unless the state that it is based on has changed. */
-  private startMove(service: ServiceId, move: Move, { demand }: PlanInput, planAgeMs: Ms): void {
+  private startMove(
+    service: ServiceId,
+    move: Move,
+    { engine, demand }: PlanInput,
+    planAgeMs: Ms,
+  ): void {
     const { clock, lease } = this.options;
     const view = this.views.get(move.upstream);
     if (!view || view.isMoving || view.info.isLeaving || !lease.mayOrder()) return;
     const isResting = view.restUntilMs > clock.nowMs();
     const isReady = (model: ModelId) => view.models.get(model)?.phase === 'ready';
     if (isResting || view.models.has(move.model) || !move.evicted.every(isReady)) return;
+    if (!hasRoom(view, engine, move)) return;
     void this.mover.move(view, service, move, { demand, planAgeMs });
   }
 
--- a/src/direct/orders/sendorder.ts
+++ b/src/direct/orders/sendorder.ts
@@ -2,6 +2,7 @@
 import { orderLeaseLimits } from '../../core/orderlease/index.js';
 import type { UpstreamLink } from '../../port/index.js';
 import type { OrderContext } from './ordercontext.js';
+import { hasRoom } from './hasroom.js';
 import { refresh } from './refresh.js';
 import type { UpstreamView } from './upstreamview.js';
 
@@ -11,7 +12,7 @@
   readonly adapter?: string;
 }
 
-type Outcome = Awaited<ReturnType<UpstreamLink['order']>> | 'not-holder' | 'resting';
+type Outcome = Awaited<ReturnType<UpstreamLink['order']>> | 'not-holder' | 'resting' | 'no-room';
 
 /** Age of a report's content, in ms: a report requested sooner may not contain the order that caused the conflict. */
 const REPORT_LAG_MS = 350;
@@ -46,7 +47,22 @@
   };
 }
 
-/** Sends an order if this process holds the order lease and the upstream's count of orders is known. */
+/**
+ * Checks a load against the state that the expected count of orders belongs to: the decision may be older. A load without
+ * room would crash the upstream.
+ */
+function mayLoad({ engineOf, log }: OrderContext, view: UpstreamView, load: OrderRequest): boolean {
+  const engine = engineOf(view.info.service);
+  if (engine && hasRoom(view, engine, load)) return true;
+  const { id: upstream } = view.info;
+  log.info('order withheld', { upstream, ...load, expectedOrderCount: view.orderCount });
+  return false;
+}
+
+/**
+ * Sends an order if this process holds the order lease and the upstream's count of orders is known, and a load only if
+ * there is room for it.
+ */
 export async function sendOrder(
   context: OrderContext,
   view: UpstreamView,
@@ -60,6 +76,7 @@
     await refresh(context, view);
     return 'resting';
   }
+  if (wanted.action === 'load' && !mayLoad(context, view, wanted)) return 'no-room';
   const { id: upstream, address } = view.info;
   const fencingToken = lease.epoch;
   const order = { upstream, address, ...wanted, expectedOrderCount, holder: host, fencingToken };
--- a/test/adapterloader.test.ts
+++ b/test/adapterloader.test.ts
@@ -17,7 +17,7 @@
   weightsMb: 100,
   adapterSlots: ADAPTER_SLOTS,
   loadsPerSecond: 3,
-  models: new Map<ModelId, ModelSpec>(),
+  models: new Map([[MODEL, { sizeMb: 50, adapterSizeMb: 1 } as ModelSpec]]),
 };
 /** Enough time for an adapter to load. */
 const LOADED_MS = 40;
@@ -67,7 +67,15 @@
     const lease = { mayOrder: () => true, epoch: 7 } as unknown as OrderLeaseKeeper;
     const log = { info() {}, warn() {}, error() {} };
     const metrics = { count() {}, gauge() {}, histogram() {} };
-    const context = { lease, link, clock: this.clock, log, metrics, host: 'entry-1' };
+    const context = {
+      lease,
+      link,
+      clock: this.clock,
+      log,
+      metrics,
+      host: 'entry-1',
+      engineOf: () => ENGINE,
+    };
     this.loader = new AdapterLoader(context, this.book, this.news);
     this.clock.advanceTo(10_000);
   }
--- a/test/latesend.test.ts
+++ b/test/latesend.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
 import { systemClock, type ModelId, type ServiceId, type UpstreamId } from '../src/base/index.js';
+import type { ModelSpec, ServiceSpec } from '../src/core/routetable/index.js';
 import { sendOrder } from '../src/direct/orders/sendorder.js';
 import { createView as createUpstreamView } from '../src/direct/orders/createview.js';
 import type { UpstreamView } from '../src/direct/orders/upstreamview.js';
@@ -17,6 +18,12 @@
 const LOG = { info() {}, warn() {}, error() {} };
 const METRICS = { count() {}, gauge() {}, histogram() {} };
 const MODEL = 'm1' as ModelId;
+const ENGINE: NonNullable<ServiceSpec['engine']> = {
+  weightsMb: 100,
+  adapterSlots: 4,
+  loadsPerSecond: 1,
+  models: new Map([[MODEL, { sizeMb: 10, adapterSizeMb: 1 } as ModelSpec]]),
+};
 const TIMEOUT_MS = 10;
 const LONG_MS = 2000;
 
@@ -53,6 +60,7 @@
       log: LOG,
       metrics: METRICS,
       host: 'entry-1',
+      engineOf: () => ENGINE,
     };
     const sent = sendOrder(context, createView(server), { action: 'load', model: MODEL });
     hasLease = false;
@@ -76,6 +84,7 @@
     log: LOG,
     metrics: METRICS,
     host: 'entry-1',
+    engineOf: () => ENGINE,
   };
   const sent = sendOrder(context, createView(server), { action: 'load', model: MODEL });
   lease.epoch = 8;
--- a/test/listbehind.test.ts
+++ b/test/listbehind.test.ts
@@ -63,7 +63,8 @@
       limitOf: () => undefined,
       promptsPerGap: () => undefined,
     });
-    const engine = { models: new Map(), adapterSlots: ADAPTER_SLOTS, loadsPerSecond: 1 };
+    const models = new Map([[MODEL, { sizeMb: 10, adapterSizeMb: 1 }]]);
+    const engine = { models, weightsMb: 100, adapterSlots: ADAPTER_SLOTS, loadsPerSecond: 1 };
     const services = new Map([[SERVICE, { id: SERVICE, engine }]]);
     this.dispatcher.table = { services } as unknown as RouteTable;
     this.setList();
--- a/test/orderdoubt.test.ts
+++ b/test/orderdoubt.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { VirtualClock, type ModelId, type ServiceId, type UpstreamId } from '../src/base/index.js';
+import type { ModelSpec, ServiceSpec } from '../src/core/routetable/index.js';
 import type { UpstreamLink } from '../src/port/index.js';
 import { sendOrder } from '../src/direct/orders/sendorder.js';
 import { createView as createUpstreamView } from '../src/direct/orders/createview.js';
@@ -9,6 +10,14 @@
 const MODEL = 'm1' as ModelId;
 const OTHER = 'm2' as ModelId;
 
+const SPEC = { sizeMb: 10, adapterSizeMb: 1 } as ModelSpec;
+const ENGINE: NonNullable<ServiceSpec['engine']> = {
+  weightsMb: 100,
+  adapterSlots: 4,
+  loadsPerSecond: 1,
+  models: new Map([MODEL, OTHER].map((model) => [model, SPEC])),
+};
+
 type Report = Awaited<ReturnType<UpstreamLink['report']>>;
 
 /** Report of an upstream that has one model without adapters and has accepted `orderCount` orders. */
@@ -54,7 +63,7 @@
   const lease = { mayOrder: () => true, epoch: 7 } as unknown as OrderLeaseKeeper;
   const log = { info() {}, warn() {}, error() {} };
   const metrics = { count() {}, gauge() {}, histogram() {} };
-  const context = { lease, link, clock, log, metrics, host: 'entry-1' };
+  const context = { lease, link, clock, log, metrics, host: 'entry-1', engineOf: () => ENGINE };
   const view = createView();
   const model = adapter === undefined ? OTHER : MODEL;
   await sendOrder(context, view, { action: 'load', model, adapter });
