A list record that lacks what the view holds makes the count of orders unknown

Cause: the holder's view is a pair, what an upstream holds and how many orders it has accepted, and an upstream accepts a load on the strength of the count. A list record replaced one half of the pair and left the other. A record that was written before the last loads and reached the list later than the 3 s for which own orders are remembered took loaded models and adapters out of the view. Second half of the same fault: an order that was under way while the count became unknown (a new lease, the end of an outage, now also a list record) made it known again when it was accepted.

Fix: what a list record lacks counts as gone only once the upstream's own report says so, with its count. An accepted order raises the count only if that is still the one that it was sent with. The cost is one report for each contradiction.

The stand-in upstream noted no new state after an unload that had nothing to do, so its reports stayed behind for good; mended.

--- a/src/direct/orders/adoptmodels.ts
+++ b/src/direct/orders/adoptmodels.ts
@@ -23,9 +23,21 @@
   return adapters;
 }
 
+/** True if a model or adapter of the view before is missing from the view after, other than by an own unload. */
+function hasLost(before: UpstreamView['models'], after: UpstreamView['models']): boolean {
+  for (const [model, { phase, adapters }] of before) {
+    const kept = after.get(model);
+    if (!kept && phase === 'unloading') continue;
+    if (!kept) return true;
+    for (const adapter of adapters) if (!kept.adapters.has(adapter)) return true;
+  }
+  return false;
+}
+
 /**
  * Adopts the models that an upstream reports; loads in progress stay recorded as loading until the report contains
- * them.
+ * them. A list record may be older than the count of orders, so what it lacks counts as gone only once the upstream's
+ * own report says so together with its count.
  */
 export function adoptModels(
   view: UpstreamView,
@@ -48,5 +60,7 @@
     const isLoading = known.phase === 'loading' && nowMs - known.sinceMs < MAX_LOAD_MS;
     if (isLoading || isRecent) next.set(model, known);
   }
-  Object.assign(view, { models: next, learned: { from, atMs: nowMs } });
+  const isCountVoid = from === 'list' && hasLost(before, next);
+  const orderCount = isCountVoid ? undefined : view.orderCount;
+  Object.assign(view, { models: next, orderCount, learned: { from, atMs: nowMs } });
 }
--- a/src/direct/orders/sendorder.ts
+++ b/src/direct/orders/sendorder.ts
@@ -90,7 +90,9 @@
   log.info('order', { ...order, ...basis, outcome, tookMs });
   metrics.count('direct.order', 1, { action: wanted.action, outcome });
   const isTaken = outcome === 'accepted' || (outcome === 'done' && wanted.action === 'unload');
-  if (isTaken) Object.assign(view, { orderCount: expectedOrderCount + 1 });
+  // The count may have become unknown while the order was under way.
+  const isCounted = isTaken && view.orderCount === expectedOrderCount;
+  if (isCounted) Object.assign(view, { orderCount: expectedOrderCount + 1 });
   if (outcome === 'conflict') await resync(context, view);
   if (outcome === 'wrong-upstream') {
     Object.assign(view, { restUntilMs: clock.nowMs() + RESTARTED_REST_MS });
--- a/test/support/orderedupstream.ts
+++ b/test/support/orderedupstream.ts
@@ -127,6 +127,7 @@
       return 'accepted';
     }
     this.orderCount += 1;
+    this.note();
     if (!isThere || adapter === undefined) return 'done';
     const remove = () => {
       adapters!.delete(adapter);
