--- a/test/support/orderworld.ts
+++ b/test/support/orderworld.ts
@@ -20,6 +20,8 @@
   readonly lateRecordOneIn?: number;
   /** One in this many reports gets no answer. */
   readonly lostReportOneIn?: number;
+  /** Mean time between upstreams' losses of their network. */
+  readonly cutEveryMs?: Ms;
   /** Mean time between restarts of upstreams. */
   readonly restartEveryMs?: Ms;
   /** Mean time between outages of the list. */
@@ -52,6 +54,8 @@
 const OUTAGE_MS = 5000;
 const REPORT_LAG_MS = 200;
 const NETWORK_MS = 3;
+const MAX_CUT_MS = 6000;
+const CONNECT_TIMEOUT_MS = 400;
 const DEMAND_EVERY_MS = 250;
 /** Each demand shift selects this many models in use. */
 const IN_USE = 7;
@@ -92,6 +96,8 @@
   /** Start of each upstream as last delivered to a dispatcher. */
   private readonly listed = new Map<OrderDispatcher, Map<UpstreamId, Ms>>();
 
+  private readonly cutUntilMs = new Map<UpstreamId, Ms>();
+
   /** Records written to the list but not yet delivered, because the list is silent. */
   private withheld: (() => void)[] = [];
 
@@ -177,7 +183,8 @@
   }
 
   private startFaults(): void {
-    const { restartEveryMs, outageEveryMs, takeoverEveryMs } = this.scenario;
+    const { cutEveryMs, restartEveryMs, outageEveryMs, takeoverEveryMs } = this.scenario;
+    if (cutEveryMs !== undefined) this.atRandom(cutEveryMs, () => this.cutOff());
     if (restartEveryMs !== undefined) {
       this.atRandom(restartEveryMs, () => this.upstreams[this.random(UPSTREAM_COUNT)]!.restart());
     }
@@ -185,6 +192,15 @@
     if (takeoverEveryMs !== undefined) this.atRandom(takeoverEveryMs, () => this.changeHolder());
   }
 
+  private cutOff(): void {
+    const { id } = this.upstreams[this.random(UPSTREAM_COUNT)]!;
+    this.cutUntilMs.set(id, this.clock.peekMs() + this.random(MAX_CUT_MS));
+  }
+
+  private isReachable({ id, isDown }: OrderedUpstream): boolean {
+    return !isDown && this.clock.peekMs() >= (this.cutUntilMs.get(id) ?? -Infinity);
+  }
+
   private tick(): void {
     for (const { dispatcher } of this.holders) dispatcher.tick();
   }
@@ -223,7 +239,7 @@
   }
 
   private publish(upstream: OrderedUpstream): void {
-    if (upstream.isDown) return;
+    if (!this.isReachable(upstream)) return;
     const record = this.recordOf(upstream);
     const deliver = () => {
       for (const { dispatcher } of this.holders) {
@@ -270,7 +286,10 @@
     const upstream = this.upstreams.find(({ id }) => id === order.upstream)!;
     const { startedAtMs } = upstream;
     await this.pause(1 + this.random(NETWORK_MS));
-    if (upstream.isDown) return 'unknown';
+    if (!this.isReachable(upstream)) {
+      await this.pause(CONNECT_TIMEOUT_MS);
+      return 'unsent';
+    }
     if (lateOrderOneIn > 0 && this.oneIn(lateOrderOneIn)) {
       this.clock.after(2000 + this.random(10_000), () => {
         if (!upstream.isDown && upstream.startedAtMs === startedAtMs) upstream.take(order);
@@ -288,7 +307,7 @@
     const upstream = this.upstreams.find((one) => one.id === id)!;
     await this.pause(1 + this.random(NETWORK_MS));
     const isLost = lostReportOneIn > 0 && this.oneIn(lostReportOneIn);
-    if (!isLost && !upstream.isDown) return upstream.report();
+    if (!isLost && this.isReachable(upstream)) return upstream.report();
     await this.pause(500);
     return undefined;
   }
