A load that was accepted and not seen in time makes the count of orders unknown

What callers saw: the crash of an upstream that had just lost its network for some seconds, under a load without room.

Cause: a move whose load was accepted, and neither listed nor reported within its time, ended as overdue and took the model out of the view. The count of orders stayed, and includes the load. As soon as the upstream could be reached again it accepted the next load.

Fix: the end of an overdue load voids the count, so that the next order has to be preceded by the upstream's own report. The other ends of a move leave a matching pair: not sent, refused, or unknown, which voids the count already.

--- a/src/direct/orders/mover.ts
+++ b/src/direct/orders/mover.ts
@@ -98,7 +98,11 @@
     });
     // A reserved load that was never ordered counts as if it started now.
     if (end.startsWith('unload-')) startLoad(clock.nowMs());
-    if (end !== 'done' && view.models.get(model)?.phase === 'loading') view.models.delete(model);
+    if (end !== 'done' && view.models.get(model)?.phase === 'loading') {
+      view.models.delete(model);
+      // The upstream has accepted the load, so the view without it does not match the count of orders.
+      if (end === 'load-overdue') target.orderCount = undefined;
+    }
     this.expected.delete(key);
     this.moving -= 1;
     target.isMoving = false;
