--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -2,7 +2,7 @@
 import { takeoverDelay } from '../core/orderlease/index.js';
 import type { CustomerSpec } from '../core/access/index.js';
 import { quotaParts } from '../core/quota/index.js';
-import { RetryBudget } from '../core/retrybudget/index.js';
+import type { RetryBudget } from '../core/retrybudget/index.js';
 import { rateRules } from '../core/sharedrate/index.js';
 import {
   decideAccess,
@@ -35,6 +35,7 @@
 } from './quota/index.js';
 import { Fleet, type Target } from './route/index.js';
 import { Reporter } from './reporter.js';
+import { RetryBudgets } from './retrybudgets.js';
 import { ReturnDetector } from './returndetector.js';
 import { UpstreamGate, type SlotAnswer, type SlotRequest } from './selfreport/index.js';
 import { Run } from './run/index.js';
@@ -84,7 +85,7 @@
 
   mayWait = true;
 
-  private readonly budgets = new Map<ServiceId, RetryBudget>();
+  private readonly budgets: RetryBudgets;
 
   private readonly follower: Follower;
 
@@ -132,6 +133,13 @@
     this.gate = this.createUpstreamGate();
     this.fleet = new Fleet(settings.availabilityZone, this.gate);
     const { host, peerListen, orderTurnMs, loadWindowMs, loadOvershoot } = settings;
+    this.budgets = new RetryBudgets({
+      clock,
+      ratio: settings.retryRatio,
+      slack: settings.retrySlack,
+      windowMs: settings.retryWindowMs,
+      parts: () => this.entries.shares(clock.nowMs()),
+    });
     const address = `${peerListen.host}:${peerListen.port}`;
     this.shared = new SharedFeed({
       feed,
@@ -305,17 +313,7 @@
   }
 
   budgetOf(service: ServiceId): RetryBudget {
-    let budget = this.budgets.get(service);
-    if (!budget) {
-      const { retryRatio, retrySlack, retryWindowMs } = this.context.settings;
-      budget = new RetryBudget({
-        windowMs: retryWindowMs,
-        ratio: retryRatio,
-        slack: () => retrySlack / this.entries.shares(this.clock.nowMs()),
-      });
-      this.budgets.set(service, budget);
-    }
-    return budget;
+    return this.budgets.of(service);
   }
 
   connectionShare(maxConnections = 0): number {
