--- /dev/null
+++ b/test/support/runrig.ts
@@ -0,0 +1,198 @@
+import { VirtualClock } from '../../src/base/index.js';
+import type { ServiceId, UpstreamId, ModelId, Ms, RequestId } from '../../src/base/index.js';
+import type { Route } from '../../src/core/routetable/index.js';
+import type { Upstream } from '../../src/core/upstreams/index.js';
+import { RetryBudgets } from '../../src/direct/retrybudgets.js';
+import { Fleet } from '../../src/direct/route/index.js';
+import { Run } from '../../src/direct/run/index.js';
+import type { Serving } from '../../src/direct/serving.js';
+import type { UpstreamLink } from '../../src/port/index.js';
+
+type Call = Parameters<UpstreamLink['send']>[0];
+type Receiver = Parameters<UpstreamLink['send']>[1];
+type Admitted = ConstructorParameters<typeof Run>[1];
+
+/** A request that reached an upstream. */
+interface Arrival {
+  readonly requestId: RequestId;
+  readonly upstream: UpstreamId;
+  readonly atMs: Ms;
+}
+
+const SERVICE = 's' as ServiceId;
+const MODEL = 'm1' as ModelId;
+const WAIT_MS = 30_000;
+const ANSWER_MS = 1;
+const ROUTE: Route = {
+  name: 'lookup',
+  host: 'h',
+  pathPrefix: '/',
+  kind: 'idempotent',
+  timeoutMs: WAIT_MS,
+  targetLatencyMs: WAIT_MS,
+  gapTargetMs: WAIT_MS,
+  priority: 0,
+  destinations: [{ service: SERVICE, weight: 1 }],
+  maxAttempts: 3,
+  isPublic: true,
+  isResumable: false,
+};
+
+/** Runs requests for one model in virtual time, at upstreams that answer or refuse. */
+export class RunRig {
+  readonly clock = new VirtualClock();
+
+  readonly arrivals: Arrival[] = [];
+
+  readonly requestTimes: Ms[] = [];
+
+  /** Status of each request that has ended. */
+  readonly statuses: number[] = [];
+
+  /** Upstreams that refuse each request without running it. */
+  readonly refusing = new Set<string>();
+
+  /** Time that a new connection to an upstream takes; 0: there is an open one. */
+  openMs: Ms = 0;
+
+  private readonly fleet = new Fleet('z');
+
+  private readonly serving: Serving;
+
+  private loaded: (() => void)[] = [];
+
+  private requestCount = 0;
+
+  constructor(readonly bound: { ratio: number; slack: number; windowMs: Ms }) {
+    const { clock, fleet } = this;
+    const budgets = new RetryBudgets({ clock, ...bound, parts: () => 1 });
+    const ignore = () => {};
+    const partial: Partial<Serving> = {
+      clock,
+      fleet,
+      log: { info: ignore, warn: ignore, error: ignore },
+      link: { send: this.send.bind(this) } as unknown as UpstreamLink,
+      poison: { isIdle: true, answered: ignore } as unknown as Serving['poison'],
+      gate: { onAnswer: ignore } as unknown as Serving['gate'],
+      table: { services: new Map() } as unknown as Serving['table'],
+      mayWait: true,
+      decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
+      budgetOf: (service) => budgets.of(service),
+      connectionShare: () => 100,
+      waitForTarget: () =>
+        new Promise((resolve) => {
+          this.loaded.push(() => resolve({ type: 'ready' }));
+        }),
+      isReturn: () => false,
+    };
+    const counters = ['arrived', 'waiting', 'began', 'left', 'attempted', 'ended', 'refused'];
+    const ignored = Object.fromEntries(counters.map((name) => [name, ignore]));
+    this.serving = { ...ignored, ...partial } as Serving;
+  }
+
+  /** Arrivals beyond the first of each request. */
+  get retryTimes(): Ms[] {
+    const seen = new Set<RequestId>();
+    const times: Ms[] = [];
+    for (const { requestId, atMs } of this.arrivals) {
+      if (seen.has(requestId)) times.push(atMs);
+      seen.add(requestId);
+    }
+    return times;
+  }
+
+  /** Adds an upstream that has the model. */
+  add(id: string): void {
+    const models = new Map([[MODEL, { version: 1, adapters: new Set<string>() }]]);
+    const info = { id, service: SERVICE, address: id, availabilityZone: 'z', slots: 1000 };
+    this.fleet.put({ ...info, isLeaving: false, models } as unknown as Upstream);
+  }
+
+  remove(id: string): void {
+    this.fleet.remove(id as UpstreamId);
+  }
+
+  /** Ends the wait of all requests that wait for an upstream with the model. */
+  async setLoaded(): Promise<void> {
+    const { loaded } = this;
+    this.loaded = [];
+    for (const resolve of loaded) resolve();
+    await this.settle();
+  }
+
+  /** Starts requests and runs until those that do not wait have ended. */
+  async ask(count: number): Promise<void> {
+    for (let at = 0; at < count; at += 1) this.start();
+    await this.pass(10 * ANSWER_MS + 2 * this.openMs);
+  }
+
+  async pass(ms: Ms): Promise<void> {
+    this.clock.advanceTo(this.clock.nowMs() + ms);
+    await this.settle();
+  }
+
+  private async settle(): Promise<void> {
+    await new Promise(setImmediate);
+  }
+
+  private start(): void {
+    this.requestCount += 1;
+    const arrivedAtMs = this.clock.nowMs();
+    this.requestTimes.push(arrivedAtMs);
+    const ignore = () => {};
+    const request = {
+      id: `r${this.requestCount}`,
+      path: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+      model: MODEL,
+      arrivedAtMs,
+    };
+    const caller = {
+      request,
+      isPresent: true,
+      begin: (status: number) => this.statuses.push(status),
+      refuse: ({ status }: { status: number }) => this.statuses.push(status),
+      write: () => true,
+      end: ignore,
+      cut: ignore,
+      onFree: ignore,
+      onGone: ignore,
+      whenPresent: (act: () => void) => act(),
+    };
+    const charge = { cost: 0, covers: () => true, settle: ignore };
+    const admitted = { caller, route: ROUTE, charge } as unknown as Admitted;
+    new Run(this.serving, admitted, ignore).start();
+  }
+
+  private send(call: Call, receiver: Receiver): ReturnType<UpstreamLink['send']> {
+    const sent = { isSent: false, cancel() {}, resume() {} };
+    const write = () => {
+      if (!call.maySend()) {
+        receiver.failed({ type: 'request-withheld', detail: '', mayHaveRun: false });
+        return;
+      }
+      sent.isSent = true;
+      this.arrive(call, receiver);
+    };
+    if (this.openMs > 0) this.clock.after(this.openMs, write);
+    else write();
+    return sent;
+  }
+
+  private arrive({ requestId, upstream }: Call, receiver: Receiver): void {
+    this.arrivals.push({ requestId, upstream, atMs: this.clock.nowMs() });
+    this.clock.after(ANSWER_MS, () => {
+      const isNotRun = this.refusing.has(upstream);
+      const status = isNotRun ? 503 : 200;
+      receiver.head({
+        status,
+        headers: [],
+        isNotRun,
+        isForRequest: true,
+        hasLength: true,
+      });
+      if (!isNotRun) receiver.end();
+    });
+  }
+}
