A retry is charged to the window in which it is sent

What callers saw: upstreams that had just come back, or models just loaded, got retries in bursts beyond the retry budget, at the expense of first attempts.

Cause: a retry was charged when it was decided. It may then wait for its model (a load from the store takes 4.2 s), an adapter, a slot, a permission or a connection, up to its deadline of 8 to 20 s. Retries that wait for the same thing arrive together, in a window in which others are charged as well: up to twice the budget.

Fix: a retry is reserved when it is decided and counts in every window until it is sent; at the send, and again once a connection has opened, it is counted anew, if the present window has room; if not, the request ends at once. A withheld retry keeps its reservation, an unused one is returned. RetryCharge is the one place that charges, by what reached an upstream before and to the service that the attempt goes to; the step 'again' no longer says whether it costs.

--- a/src/core/delivery/nextstep.ts
+++ b/src/core/delivery/nextstep.ts
@@ -3,8 +3,8 @@
 
 /** Next step after an attempt. */
 type Step =
-  /** Try another upstream; `costs` is true if this takes from the retry budget. */
-  | { readonly type: 'again'; readonly costs: boolean }
+  /** Try another upstream. */
+  | { readonly type: 'again' }
   /** Continue the stream at another upstream. */
   | { readonly type: 'resume' }
   /** Pass the upstream's failure on to the caller. */
@@ -21,15 +21,14 @@
 /** Minimum time for an attempt: connecting and the shortest processing time. */
 const MIN_ATTEMPT_MS = 30;
 
-const AGAIN: Step = { type: 'again', costs: true };
+const AGAIN: Step = { type: 'again' };
 
-function afterNotRun(progress: Progress, wasSent: boolean): Step {
+function afterNotRun(progress: Progress): Step {
   const giveUp: Step = progress.hasBegun
     ? { type: 'cut' }
     : { type: progress.ranCount > 0 ? 'unknown' : 'refuse' };
   if (progress.remainingMs < MIN_ATTEMPT_MS || progress.refusedCount > MAX_REFUSED) return giveUp;
-  if (progress.hasBegun) return { type: 'resume' };
-  return wasSent ? AGAIN : { type: 'again', costs: false };
+  return progress.hasBegun ? { type: 'resume' } : AGAIN;
 }
 
 function mayRunAgain({ isRepeatable, ranCount, maxAttempts, remainingMs }: Progress): boolean {
@@ -44,7 +43,7 @@
 
 /** Decides what follows an attempt without a usable answer. A request that may have run is never refused. */
 export function nextStep(progress: Progress, end: AttemptEnd): Step {
-  if (end.type === 'not-run') return afterNotRun(progress, end.wasSent);
+  if (end.type === 'not-run') return afterNotRun(progress);
   if (end.type === 'failed') return mayRunAgain(progress) ? AGAIN : { type: 'pass' };
   return afterBroken(progress);
 }
--- a/src/core/retrybudget/retrybudget.ts
+++ b/src/core/retrybudget/retrybudget.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import type { Retry } from './retry.js';
 import { SlidingWindow } from './slidingwindow.js';
 
 /** Limits on retries. */
@@ -10,11 +11,17 @@
   readonly slack: () => number;
 }
 
+interface Entry {
+  /** Infinite until it is sent, so that it counts in every window. */
+  sentAtMs: Ms;
+}
+
 /** One entry's share of a service's retry budget, enforced independently of the other entries. */
 export class RetryBudget {
   private readonly requests = new SlidingWindow();
 
-  private readonly retries = new SlidingWindow();
+  /** Retries that are reserved or were sent in the current window. */
+  private readonly retries = new Set<Entry>();
 
   constructor(private readonly limits: BudgetLimits) {}
 
@@ -23,19 +30,47 @@
     this.requests.add(nowMs);
   }
 
-  /** Takes one retry; returns false if none is left. */
-  take(nowMs: Ms): boolean {
+  /**
+   * Reserves one retry; undefined if none is left. A retry may wait for seconds before it is sent, and arrives in the
+   * window of its send.
+   */
+  reserve(nowMs: Ms): Retry | undefined {
     const { retries, allowed } = this.usage(nowMs);
-    if (retries + 1 > allowed) return false;
-    this.retries.add(nowMs);
-    return true;
+    if (retries + 1 > allowed) return undefined;
+    const entry: Entry = { sentAtMs: Infinity };
+    this.retries.add(entry);
+    return {
+      reservedAtMs: nowMs,
+      send: (sentAtMs) => this.send(entry, sentAtMs),
+      withhold: () => {
+        entry.sentAtMs = Infinity;
+        this.retries.add(entry);
+      },
+      cancel: () => {
+        if (entry.sentAtMs === Infinity) this.retries.delete(entry);
+      },
+    };
   }
 
   /** Returns the requests and retries in the current window, and how many retries it allows. */
   usage(nowMs: Ms): { requests: number; retries: number; allowed: number } {
     const { windowMs, ratio, slack } = this.limits;
+    for (const entry of this.retries) {
+      if (entry.sentAtMs <= nowMs - windowMs) this.retries.delete(entry);
+    }
     const requests = this.requests.count(nowMs, windowMs);
-    const retries = this.retries.count(nowMs, windowMs);
-    return { requests, retries, allowed: ratio * requests + slack() };
+    return { requests, retries: this.retries.size, allowed: ratio * requests + slack() };
+  }
+
+  private send(entry: Entry, nowMs: Ms): boolean {
+    const { allowed } = this.usage(nowMs);
+    let sentCount = 0;
+    for (const other of this.retries) {
+      if (other !== entry && other.sentAtMs !== Infinity) sentCount += 1;
+    }
+    if (sentCount + 1 > allowed) return false;
+    Object.assign(entry, { sentAtMs: nowMs });
+    this.retries.add(entry);
+    return true;
   }
 }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -15,6 +15,7 @@
 import { Attempt } from './attempt.js';
 import { Reply } from './reply.js';
 import { capacityWaitMs } from './capacitywait.js';
+import { RetryCharge } from './retrycharge.js';
 import type { RunRecord } from './runrecord.js';
 import { Suspicion } from './suspicion.js';
 
@@ -89,8 +90,7 @@
 
   private untilMs: Ms = Infinity;
 
-  /** When the retry that has not been sent yet was charged to the budget. */
-  private chargedAtMs: Ms | undefined;
+  private readonly retryCharge = new RetryCharge();
 
   private forgetTimer = () => {};
 
@@ -427,28 +427,31 @@
   }
 
   private send(state: UpstreamState, route: Route): void {
-    const { serving, reply, suspicion, record } = this;
+    const { serving, reply, suspicion, record, retryCharge } = this;
     const target = this.target!;
+    const nowMs = this.clock.nowMs();
+    if (!retryCharge.send(serving.budgetOf(target.service), nowMs)) {
+      this.budgetSpent();
+      return;
+    }
     const over = (end: AttemptEnd | { readonly type: 'answered' }) => this.attemptOver(end);
     const maySend = (chosenAtMs: Ms) => this.maySend(state, chosenAtMs);
     const options = { serving, suspicion, reply, record, route, target, state, maySend, over };
     this.tried.add(state.info.id);
-    this.logRetry(state);
+    this.logRetry(state, nowMs);
     this.current = new Attempt(options);
     this.current.begin(this.callTo(state));
   }
 
-  private logRetry({ info }: UpstreamState): void {
-    const { chargedAtMs, serving } = this;
-    this.chargedAtMs = undefined;
-    if (chargedAtMs === undefined) return;
-    const nowMs = this.clock.nowMs();
+  private logRetry({ info }: UpstreamState, nowMs: Ms): void {
+    const waitedMs = this.retryCharge.waitedMs(nowMs);
+    if (waitedMs === undefined) return;
     this.log.info('retry', {
       requestId: this.caller.request.id,
       service: info.service,
       upstream: info.id,
-      waitedMs: Math.round(nowMs - chargedAtMs),
-      ...serving.budgetOf(info.service).usage(nowMs),
+      waitedMs: Math.round(waitedMs),
+      ...this.serving.budgetOf(info.service).usage(nowMs),
     });
   }
 
@@ -460,7 +463,9 @@
       nowMs < this.untilMs &&
       serving.decideAccess(admitted.caller.request)?.type === 'allowed' &&
       admitted.charge.covers(this.ranCount);
-    if (mayRun && serving.fleet.maySend(state, chosenAtMs, nowMs)) return true;
+    const budget = serving.budgetOf(state.info.service);
+    const isAccepted = mayRun && serving.fleet.maySend(state, chosenAtMs, nowMs);
+    if (isAccepted && this.retryCharge.send(budget, nowMs)) return true;
     this.log.info('request withheld', {
       requestId: admitted.caller.request.id,
       upstream: state.info.id,
@@ -495,6 +500,7 @@
 
   private attemptOver(end: AttemptEnd | { readonly type: 'answered' }): void {
     this.current = undefined;
+    this.retryCharge.ended(end.type !== 'not-run' || end.wasSent);
     if (end.type === 'not-run') this.refusedCount += 1;
     else this.ranCount += 1;
     if (end.type === 'answered') this.finish();
@@ -511,21 +517,22 @@
     const { serving, route, caller } = this;
     const nowMs = this.clock.nowMs();
     const service = pickService(route, caller.request.id);
-    const costs = step.type === 'resume' || (step.type === 'again' && step.costs);
-    if (costs && !serving.budgetOf(service).take(nowMs)) {
-      this.record.attempts.push('budget-spent');
-      this.stopTrying(end);
-      return;
-    }
-    if (costs) this.chargedAtMs = nowMs;
-    if (step.type === 'again' || step.type === 'resume') {
+    const isRetry = step.type === 'again' || step.type === 'resume';
+    if (isRetry && this.retryCharge.reserve(serving.budgetOf(service), nowMs)) {
       this.reply.setAside(end.type === 'failed');
       this.attempt();
       return;
     }
+    if (isRetry) this.record.attempts.push('budget-spent');
     this.stopTrying(end);
   }
 
+  /** Ends the request: it was to be sent again, and the window's budget is spent. */
+  private budgetSpent(): void {
+    this.record.attempts.push('budget-spent');
+    this.giveUp('upstream-failed', 'No upstream gave an answer.', RETRY_AFTER_MS);
+  }
+
   private stopTrying(end: AttemptEnd): void {
     if (end.type === 'failed') this.finish();
     else this.giveUp('upstream-failed', 'No upstream gave an answer.', RETRY_AFTER_MS);
@@ -575,7 +582,9 @@
   private withdraw(outcome: string): boolean {
     const { current } = this;
     this.current = undefined;
-    return current?.withdraw(outcome) ?? false;
+    const mayHaveRun = current?.withdraw(outcome) ?? false;
+    if (current) this.retryCharge.ended(mayHaveRun);
+    return mayHaveRun;
   }
 
   private gone(): void {
@@ -589,6 +598,7 @@
     this.isOver = true;
     this.forgetTimer();
     this.suspicion.end();
+    this.retryCharge.settle();
     this.admitted.charge.settle(this.ranCount);
     const { record } = this;
     const { request } = this.caller;
--- a/test/retrywait.test.ts
+++ b/test/retrywait.test.ts
@@ -42,3 +42,20 @@
   t.is(rig.statuses.length, REQUESTS);
   t.deepEqual([...new Set(rig.statuses)].sort(), [200, 503]);
 });
+
+// Guards against retries that are charged twice because their upstream left while a connection to it was being opened.
+test('a retry that is withheld keeps its charge for the next upstream', async (t) => {
+  const rig = await startWaiting();
+  rig.openMs = 50;
+  rig.add('u2');
+  await rig.setLoaded();
+  await rig.pass(20);
+  rig.remove('u2');
+  await rig.pass(100);
+  t.is(rig.retryTimes.length, 0);
+  rig.add('u3');
+  await rig.setLoaded();
+  await rig.pass(200);
+  t.is(rig.retryTimes.length, BOUND.ratio * REQUESTS + BOUND.slack);
+  t.is(rig.statuses.length, REQUESTS);
+});
--- a/test/support/retryworld.ts
+++ b/test/support/retryworld.ts
@@ -155,11 +155,13 @@
 
   private retry(entry: Entry, attempt: number): void {
     const nowMs = this.clock.nowMs();
-    if (!entry.budgets.of(SERVICE).take(nowMs)) return;
+    const reserved = entry.budgets.of(SERVICE).reserve(nowMs);
+    if (!reserved) return;
     const isWaiting = this.chance() < (this.scenario.waitShare ?? 0);
     const waitMs = isWaiting ? READY_EVERY_MS - (nowMs % READY_EVERY_MS) : 0;
     this.clock.after(waitMs, () => {
-      if (entry.isUp) this.send(entry, attempt);
+      if (entry.isUp && reserved.send(this.clock.nowMs())) this.send(entry, attempt);
+      else reserved.cancel();
     });
   }
 
