An entry that starts again has no part of the retry slack in its first window

What callers saw: after kills and rolls of entries, upstreams that were in trouble got more retries than the budget allows.

Cause: an entry that started again had its whole part of the slack, though its former process had spent it in the same window. With five entries and eight parts, four restarts within 10 s exceed the bound. Right after its start an entry also took one of 32 parts until the holder told it the count, whatever the fleet; and a new holder, to which few had reported yet, told everyone a low count, so that each took one of eight parts in a fleet of hundreds.

Fix: an entry that finds a lease record at its start had a predecessor, and its slack is zero until a whole window has passed; its share of its own requests stays, as those count for the rule as well. An entry takes the number of entries from the lease record too, and a lower number takes effect only after the 20 s in which a silent entry is forgotten. Connection shares, which use the same number, gain the same. A first start, with no record in the store, has its whole part at once.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -390,14 +390,21 @@
   }
 
   ownKeyChanged(key: string, item: KeyValue | undefined): void {
-    if (key === this.orderLeaseKey) this.orderLease.heard(item);
+    if (key === this.orderLeaseKey) this.leaseRecordChanged(item);
     else if (key.startsWith(this.poisonPrefix)) this.poison.stored(key, item);
   }
 
   complete(): void {
+    if (!this.hasState && this.orderLease.recordedEntries) this.budgets.setPredecessor();
     this.hasState = true;
   }
 
+  private leaseRecordChanged(item: KeyValue | undefined): void {
+    this.orderLease.heard(item);
+    const count = this.orderLease.recordedEntries?.count ?? 0;
+    this.entries.setRecordedCount(count, this.clock.nowMs());
+  }
+
   private pace(): ReturnType<ConstructorParameters<typeof Follower>[5]> {
     if (this.shared.isShared()) return paceTable.shared;
     if (this.dispatcher.isMoving()) return paceTable.moving;
--- a/src/direct/entrycount.ts
+++ b/src/direct/entrycount.ts
@@ -18,6 +18,10 @@
 
   private reportedCount = 0;
 
+  private recordedCount = 0;
+
+  private recordedAtMs: Ms = 0;
+
   /** Records a report by another entry. */
   heard(entry: string, nowMs: Ms): void {
     this.reportedAtMs.set(entry, nowMs);
@@ -28,6 +32,16 @@
     this.reportedCount = count;
   }
 
+  /**
+   * Records the count in the order lease's record: all that an entry knows right after its start. A lower one counts
+   * later, because a new holder knows only the entries that have reached it.
+   */
+  setRecordedCount(count: number, nowMs: Ms): void {
+    if (count < this.recordedCount && nowMs - this.recordedAtMs < FORGET_MS) return;
+    this.recordedCount = count;
+    this.recordedAtMs = nowMs;
+  }
+
   /** Returns the number of entries that reported lately, including this one. */
   count(nowMs: Ms): number {
     for (const [entry, atMs] of this.reportedAtMs) {
@@ -36,9 +50,12 @@
     return this.reportedAtMs.size + 1;
   }
 
-  /** Returns the number of entries as known from the holder's count or from own reports. */
+  /**
+   * Returns the number of entries as known from the holder's count, the lease record or own reports. To a new holder not
+   * all have reported yet.
+   */
   known(nowMs: Ms): number {
-    return Math.max(this.reportedCount, this.count(nowMs));
+    return Math.max(this.reportedCount, this.recordedCount, this.count(nowMs));
   }
 
   /** Returns the number of parts into which shared budgets are divided. */
--- a/src/direct/retrybudgets.ts
+++ b/src/direct/retrybudgets.ts
@@ -17,15 +17,35 @@
 export class RetryBudgets {
   private readonly byService = new Map<ServiceId, RetryBudget>();
 
-  constructor(private readonly options: RetryBudgetsOptions) {}
+  private readonly startedAtMs: Ms;
+
+  private hasPredecessor = false;
+
+  constructor(private readonly options: RetryBudgetsOptions) {
+    this.startedAtMs = options.clock.nowMs();
+  }
+
+  /**
+   * Called at the start if entries ran before this one: one of them, on the same host, may have spent this entry's part
+   * of the slack in the window in which this one starts.
+   */
+  setPredecessor(): void {
+    this.hasPredecessor = true;
+  }
 
   of(service: ServiceId): RetryBudget {
     let budget = this.byService.get(service);
     if (!budget) {
-      const { ratio, slack, windowMs, parts } = this.options;
-      budget = new RetryBudget({ windowMs, ratio, slack: () => slack / parts() });
+      const { ratio, windowMs } = this.options;
+      budget = new RetryBudget({ windowMs, ratio, slack: () => this.slack() });
       this.byService.set(service, budget);
     }
     return budget;
   }
+
+  private slack(): number {
+    const { clock, slack, windowMs, parts } = this.options;
+    const isFirstWindow = clock.nowMs() - this.startedAtMs < windowMs;
+    return isFirstWindow && this.hasPredecessor ? 0 : slack / parts();
+  }
 }
--- a/test/entrycount.test.ts
+++ b/test/entrycount.test.ts
@@ -24,3 +24,20 @@
   count.heard('b', 30_000);
   t.is(count.count(30_000), 2);
 });
+
+test('an entry that has just started knows the recorded count', (t) => {
+  const count = new EntryCount();
+  count.setRecordedCount(68, 0);
+  t.true(count.shares(0) >= 68);
+});
+
+// Guards against a new holder's low count: each entry would take a larger part than there is.
+test('a lower recorded or reported count takes effect only after the time in which entries are forgotten', (t) => {
+  const count = new EntryCount();
+  count.setRecordedCount(68, 0);
+  count.setReportedCount(3);
+  count.setRecordedCount(3, 1000);
+  t.true(count.shares(1000) >= 68);
+  count.setRecordedCount(3, 30_000);
+  t.is(count.known(30_000), 3);
+});
--- /dev/null
+++ b/test/retryrestart.test.ts
@@ -0,0 +1,23 @@
+import test from 'ava';
+import { systemClock, type ServiceId } from '../src/base/index.js';
+import { PlatformRig } from './support/platformrig.js';
+import { PlatformServer } from '../standin/platform/index.js';
+
+const SERVICE = 'plain' as ServiceId;
+
+function allowedRetries(rig: PlatformRig): number {
+  return rig.entry.budgetOf(SERVICE).usage(systemClock.nowMs()).allowed;
+}
+
+// Guards against an entry that spends its part of the slack once more after each restart.
+test('an entry that starts again has no part of the slack in its first window', async (t) => {
+  const rig = new PlatformRig();
+  t.teardown(() => rig.close());
+  await rig.start([new PlatformServer('p1', 'plain')]);
+  t.true(allowedRetries(rig) > 0);
+  await rig.until(() => rig.findLine('order turn taken') !== undefined);
+  rig.stopEntry(0);
+  await rig.startEntry(0);
+  await rig.until(() => rig.entry.isReady());
+  t.is(allowedRetries(rig), 0);
+});
--- a/test/support/retryworld.ts
+++ b/test/support/retryworld.ts
@@ -36,6 +36,8 @@
 const MIN_REQUESTS_PER_S = 60;
 const STEP_MS = 20;
 const REPORT_MS = 250;
+/** All entries have reported to a new holder after this. */
+const LEARN_MS = 2000;
 const DOWN_MS = 500;
 const LATENCY_MS = 15;
 const MAX_ATTEMPTS = 4;
@@ -57,6 +59,13 @@
 
   private rolledCount = 0;
 
+  /** Number of entries in the lease record, which every entry can read. */
+  private recordedCount = 0;
+
+  private holder: Entry | undefined;
+
+  private heldSinceMs: Ms = 0;
+
   constructor(
     seed: number,
     private readonly scenario: Scenario,
@@ -96,6 +105,8 @@
       clock.nowMs() >= LEAD_MS + cut.atMs &&
       at >= entryCount * (1 - cut.share);
     const budgets = new RetryBudgets({ clock, ...BOUND, parts });
+    count.setRecordedCount(this.recordedCount, clock.nowMs());
+    if (this.recordedCount > 0) budgets.setPredecessor();
     return { id: `e${at}`, count, budgets, isCut, isUp: true };
   }
 
@@ -122,11 +133,17 @@
     const nowMs = this.clock.nowMs();
     const holder = this.entries.find(({ isUp }) => isUp);
     if (!holder) return;
+    if (holder !== this.holder) this.heldSinceMs = nowMs;
+    this.holder = holder;
     for (const { id, count, isUp, isCut } of this.entries) {
       if (!isUp || isCut() || id === holder.id) continue;
       holder.count.heard(id, nowMs);
       count.setReportedCount(holder.count.count(nowMs));
     }
+    const heardCount = holder.count.count(nowMs);
+    const isComplete = nowMs - this.heldSinceMs > LEARN_MS;
+    this.recordedCount = isComplete ? heardCount : Math.max(heardCount, this.recordedCount);
+    for (const { count } of this.entries) count.setRecordedCount(this.recordedCount, nowMs);
   }
 
   private arrive(): void {
