A broken stream whose continuation fails does not end as complete

What callers saw: a stream that had broken off ended like a whole one, with the body of another upstream's failure behind its last event.

Cause: Run.stopTrying completed the answer of a failed attempt also where a part of another answer had been sent. Fix: such a stream is cut, so that the caller sees that it is incomplete.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -534,7 +534,8 @@
   }
 
   private stopTrying(end: AttemptEnd): void {
-    if (end.type === 'failed') this.finish();
+    // A failure that follows a part of another answer is not an answer: the caller's stream is cut.
+    if (end.type === 'failed' && !this.reply.hasBegun) this.finish();
     else this.giveUp('upstream-failed', 'No upstream gave an answer.', RETRY_AFTER_MS);
   }
 
