Soak: the retry budget is a promise, with a planted defect, and seeds of overload

Arrivals beyond the first of each request, refused ones too, are summed over all servers in windows of 4 s and held against the rule as the platform states it. From seed 50,000 on all servers at once refuse or fail rows of requests. Memory that is overcommitted by orders was a promise already, with the planted defect 'limit'.

--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -38,6 +38,7 @@
 const DEFECT_ONE_IN = 10;
 const ENTRIES = 3;
 const COST = 200;
+const UNBOUNDED_RETRIES = 40;
 const FORWARDED_HEADERS = [
   'tarragonstile-request-id',
   'tarragonstile-response-signature',
@@ -263,6 +264,25 @@
   response.writeHead(status, kept).end(sentBody);
 }
 
+/** The defect: sends a failed request again without a budget, at once and to the same server. */
+function retry(
+  incoming: IncomingMessage,
+  response: ServerResponse,
+  server: Server,
+  failure: number,
+): void {
+  let remaining = UNBOUNDED_RETRIES;
+  const again = () => {
+    remaining -= 1;
+    send(incoming, server, (status, headers, body) => {
+      if (status >= 500 && remaining > 0) again();
+      else if (status >= 500) response.writeHead(failure).end();
+      else forward(response, status, headers, body);
+    });
+  };
+  again();
+}
+
 function serve(incoming: IncomingMessage, response: ServerResponse): void {
   count += 1;
   const path = incoming.url ?? '';
@@ -292,6 +312,7 @@
   if (defect === 'twice' && isAffected) send(incoming, server, () => undefined);
   send(incoming, server, (status, headers, body) => {
     if (defect === 'false-refusal' && isAffected) response.writeHead(503).end();
+    else if (defect === 'retries' && status >= 500) retry(incoming, response, server, status);
     else forward(response, status, headers, body);
   });
 }
--- a/bench/soak/knownfaults.ts
+++ b/bench/soak/knownfaults.ts
@@ -1,4 +1,5 @@
 import { faults } from './faults.js';
+import { overloadFaults } from './overloadfaults.js';
 import { suspensionFaults } from './suspensionfaults.js';
 import { serverListFaults } from './serverlistfaults.js';
 import { reportedStateFaults } from './reportedstatefaults.js';
@@ -9,4 +10,5 @@
   ...serverListFaults,
   ...suspensionFaults,
   ...reportedStateFaults,
+  ...overloadFaults,
 };
--- a/bench/soak/promisechecker.ts
+++ b/bench/soak/promisechecker.ts
@@ -1,5 +1,6 @@
 import type { Call } from './call.js';
 import { KeyChecker } from './keychecker.js';
+import { RetryChecker } from './retrychecker.js';
 import { ReportedStateChecker } from './reportedstatechecker.js';
 import type { Site } from './site.js';
 
@@ -73,6 +74,7 @@
     this.noRevert();
     this.keys();
     this.reportedStates();
+    this.retries();
     this.poison();
     this.orders();
     for (const { unexpectedExits: ownEnds } of this.site.entries) {
@@ -98,6 +100,11 @@
     new ReportedStateChecker({ site, slackMs, breach }, this.calls).judge();
   }
 
+  private retries(): void {
+    const breach = (promise: string, detail: string) => this.breach(promise, detail);
+    new RetryChecker({ site: this.site, breach }, this.calls).judge();
+  }
+
   private breach(promise: string, detail: string): void {
     this.breaches.push({ promise, detail });
   }
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -6,6 +6,7 @@
 import { Ports } from './ports.js';
 import { Program } from './program.js';
 import { Proxy } from './proxy.js';
+import { retryTerms } from './retryterms.js';
 
 /** A server in the store's server list, with the proxy in front of it. */
 export interface ListedServer {
@@ -186,9 +187,9 @@
       storeAddress,
       leastLeaseMs: 1000,
       graceS: GRACE_S,
-      retryRatio: 0.2,
-      retrySlack: 80,
-      retryWindowS: 10,
+      retryRatio: retryTerms.ratio,
+      retrySlack: retryTerms.slack,
+      retryWindowS: retryTerms.windowMs / 1000,
       orderTurnMs: ORDER_LEASE_MS,
       loadWindowS: 5,
       loadOvershoot: 1.1,
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -6,6 +6,7 @@
 import { suspensionFaults } from './suspensionfaults.js';
 import { knownFaults } from './knownfaults.js';
 import { serverListFaults } from './serverlistfaults.js';
+import { overloadFaults } from './overloadfaults.js';
 import { reportedStateFaults } from './reportedstatefaults.js';
 import { pause } from './pause.js';
 import { Site } from './site.js';
@@ -63,6 +64,7 @@
 const FIRST_HARSH_SEED = 20_000;
 const FIRST_KEYED_SEED = 30_000;
 const FIRST_REPORTED_STATE_SEED = 40_000;
+const FIRST_OVERLOAD_SEED = 50_000;
 
 async function untilListening(site: Site): Promise<void> {
   const isListening = () =>
@@ -75,7 +77,9 @@
   if (seed < FIRST_SERVER_LIST_SEED) return faults;
   if (seed < FIRST_HARSH_SEED) return { ...faults, ...serverListFaults };
   const harsh = { ...faults, ...serverListFaults, ...suspensionFaults };
-  return seed < FIRST_REPORTED_STATE_SEED ? harsh : { ...harsh, ...reportedStateFaults };
+  if (seed < FIRST_REPORTED_STATE_SEED) return harsh;
+  const reported = { ...harsh, ...reportedStateFaults };
+  return seed < FIRST_OVERLOAD_SEED ? reported : { ...reported, ...overloadFaults };
 }
 
 /**
--- a/test/retrywait.test.ts
+++ b/test/retrywait.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { retryExcess } from './support/retryexcess.js';
+import { retryExcess } from '../bench/soak/retryexcess.js';
 import { RunRig } from './support/runrig.js';
 
 const BOUND = { ratio: 0.2, slack: 20, windowMs: 10_000 };
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -10,6 +10,8 @@
   { seed: 30_001, forS: 8 },
   // From 40,000 on servers report limits, leave before they are listed as draining, and ask for backoff.
   { seed: 40_001, forS: 12 },
+  // From 50,000 on all servers at once refuse or fail rows of requests.
+  { seed: 50_001, forS: 10 },
   // SIGHUP arrived while modules were loaded, before its handler was installed.
   { seed: 1003, forS: 5 },
   // A fault of the soak: an outgoing connection had taken the port of an entry that was down.
--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -29,6 +29,11 @@
   skipped: { promise: 'answers are in order', faultNames: ['hangUp'] },
   hang: { promise: 'every request ends by its deadline', faultNames: ['hangUp'] },
   exits: { promise: 'no process exits unexpectedly', faultNames: ['hangUp'] },
+  retries: {
+    promise: 'retries stay within their budget over all entries',
+    faultNames: ['shed', 'failAll'],
+    gapMs: 200,
+  },
   limit: { promise: 'memory is never overcommitted', faultNames: ['hangUp'] },
   holders: { promise: 'orders have one holder at a time', faultNames: ['hangUp'] },
   revert: { promise: 'a configuration never reverts', faultNames: ['configure'] },
--- a/test/support/retryworld.ts
+++ b/test/support/retryworld.ts
@@ -3,7 +3,7 @@
 import { VirtualClock, type Ms, type ServiceId } from '../../src/base/index.js';
 import { EntryCount } from '../../src/direct/entrycount.js';
 import { RetryBudgets } from '../../src/direct/retrybudgets.js';
-import { retryExcess } from './retryexcess.js';
+import { retryExcess } from '../../bench/soak/retryexcess.js';
 
 interface Scenario {
   readonly entryCount: number;
