--- a/src/core/retrybudget/retrybudget.ts
+++ b/src/core/retrybudget/retrybudget.ts
@@ -11,7 +11,8 @@
   readonly slack: () => number;
 }
 
-interface Entry {
+/** A retry that counts in the current window. */
+interface CountedRetry {
   /** Infinite until it is sent, so that it counts in every window. */
   sentAtMs: Ms;
 }
@@ -21,7 +22,7 @@
   private readonly requests = new SlidingWindow();
 
   /** Retries that are reserved or were sent in the current window. */
-  private readonly retries = new Set<Entry>();
+  private readonly retries = new Set<CountedRetry>();
 
   constructor(private readonly limits: BudgetLimits) {}
 
@@ -37,17 +38,17 @@
   reserve(nowMs: Ms): Retry | undefined {
     const { retries, allowed } = this.usage(nowMs);
     if (retries + 1 > allowed) return undefined;
-    const entry: Entry = { sentAtMs: Infinity };
-    this.retries.add(entry);
+    const counted: CountedRetry = { sentAtMs: Infinity };
+    this.retries.add(counted);
     return {
       reservedAtMs: nowMs,
-      send: (sentAtMs) => this.send(entry, sentAtMs),
+      send: (sentAtMs) => this.send(counted, sentAtMs),
       withhold: () => {
-        entry.sentAtMs = Infinity;
-        this.retries.add(entry);
+        counted.sentAtMs = Infinity;
+        this.retries.add(counted);
       },
       cancel: () => {
-        if (entry.sentAtMs === Infinity) this.retries.delete(entry);
+        if (counted.sentAtMs === Infinity) this.retries.delete(counted);
       },
     };
   }
@@ -55,22 +56,22 @@
   /** Returns the requests and retries in the current window, and how many retries it allows. */
   usage(nowMs: Ms): { requests: number; retries: number; allowed: number } {
     const { windowMs, ratio, slack } = this.limits;
-    for (const entry of this.retries) {
-      if (entry.sentAtMs <= nowMs - windowMs) this.retries.delete(entry);
+    for (const counted of this.retries) {
+      if (counted.sentAtMs <= nowMs - windowMs) this.retries.delete(counted);
     }
     const requests = this.requests.count(nowMs, windowMs);
     return { requests, retries: this.retries.size, allowed: ratio * requests + slack() };
   }
 
-  private send(entry: Entry, nowMs: Ms): boolean {
+  private send(counted: CountedRetry, nowMs: Ms): boolean {
     const { allowed } = this.usage(nowMs);
     let sentCount = 0;
     for (const other of this.retries) {
-      if (other !== entry && other.sentAtMs !== Infinity) sentCount += 1;
+      if (other !== counted && other.sentAtMs !== Infinity) sentCount += 1;
     }
     if (sentCount + 1 > allowed) return false;
-    Object.assign(entry, { sentAtMs: nowMs });
-    this.retries.add(entry);
+    Object.assign(counted, { sentAtMs: nowMs });
+    this.retries.add(counted);
     return true;
   }
 }
--- a/src/direct/orders/createview.ts
+++ b/src/direct/orders/createview.ts
@@ -13,6 +13,7 @@
     models: new Map(),
     learned: undefined,
     isMoving: false,
+    plannedModel: undefined,
     coming: 0,
     arrivingAdapters: 0,
     restUntilMs: 0,
--- a/src/direct/orders/hasroom.ts
+++ b/src/direct/orders/hasroom.ts
@@ -10,9 +10,12 @@
   readonly evicted?: readonly ModelId[];
 }
 
-/** Returns true if an upstream has room for a load beside everything that it holds, loads or unloads. */
+/**
+ * Returns true if an upstream has room for a load beside everything that it holds, loads or unloads. A model whose load
+ * is planned and not ordered yet is checked in its turn.
+ */
 export function hasRoom(
-  { models }: Pick<UpstreamView, 'models'>,
+  { models, plannedModel }: UpstreamView,
   engine: NonNullable<ServiceSpec['engine']>,
   { model, adapter, evicted = [] }: PlannedLoad,
 ): boolean {
@@ -20,8 +23,9 @@
   let usedMb = isModelLoad ? heldMb(engine, model, 0) : 0;
   let adapterCount = 0;
   for (const [held, { adapters }] of models) {
-    // The view contains the model from the start of its move on.
-    if (evicted.includes(held) || (isModelLoad && held === model)) continue;
+    // The view contains the model of a move from its start on.
+    const isUncounted = held === plannedModel || (isModelLoad && held === model);
+    if (isUncounted || evicted.includes(held)) continue;
     const count = adapters.size + (held === model ? 1 : 0);
     usedMb += heldMb(engine, held, count);
     adapterCount += count;
--- a/src/direct/orders/mover.ts
+++ b/src/direct/orders/mover.ts
@@ -83,6 +83,7 @@
     }
     // The model counts as loading from now on, so that no second replica is planned while room is made.
     view.models.set(model, { phase: 'loading', sinceMs: clock.nowMs(), adapters: new Set() });
+    target.plannedModel = model;
     this.moving += 1;
     const key = `${service}/${model}`;
     const startedAtMs = clock.nowMs();
@@ -93,6 +94,7 @@
     const decided = { gain, cost, demand: modelDemand, planAgeMs: Math.round(planAgeMs) };
     log.info('move begun', { ...subject, evicted, isFromStore, ...decided });
     const end = await this.carryOut(view, move, () => {
+      target.plannedModel = undefined;
       startLoad(clock.nowMs());
       this.expected.set(key, clock.nowMs() + loadMs);
     });
@@ -106,6 +108,7 @@
     this.expected.delete(key);
     this.moving -= 1;
     target.isMoving = false;
+    target.plannedModel = undefined;
     metrics.count('direct.move', 1, { end });
     log.info('move ended', { ...subject, end, tookMs: Math.round(clock.nowMs() - startedAtMs) });
   }
--- a/src/direct/orders/upstreamview.ts
+++ b/src/direct/orders/upstreamview.ts
@@ -31,6 +31,8 @@
   learned: { readonly from: 'list' | 'report'; readonly atMs: Ms } | undefined;
   /** True while a move is in progress. */
   isMoving: boolean;
+  /** The model of that move, until its load is ordered. */
+  plannedModel: ModelId | undefined;
   /** Adapter loads that are queued for this upstream. */
   coming: number;
   /** Adapters whose order was accepted and that are still loading. */
