--- a/src/direct/orders/mover.ts
+++ b/src/direct/orders/mover.ts
@@ -154,11 +154,24 @@
       return `unload-${outcome}`;
     }
     const isGone = () => !view.models.has(victim);
-    if (await this.until(view, isGone, UNLOAD_MS, REPORT_AFTER_UNLOAD_MS)) return 'done';
+    if (await this.until(view, isGone, UNLOAD_MS, REPORT_AFTER_UNLOAD_MS)) {
+      this.forgetAdapters(view, victim);
+      return 'done';
+    }
     held.phase = 'ready';
     return 'unload-overdue';
   }
 
+  /** Forgets own adapter orders for a model that was unloaded: if it is loaded again, it has none of its adapters. */
+  private forgetAdapters({ done, unloadingAdapters }: UpstreamView, model: ModelId): void {
+    const prefix = `${model}/`;
+    for (const key of [...done.keys(), ...unloadingAdapters]) {
+      if (!key.startsWith(prefix)) continue;
+      done.delete(key);
+      unloadingAdapters.delete(key);
+    }
+  }
+
   /**
    * Waits until a condition holds according to the list; while the list is unreadable, requests the upstream's own
    * report.
