--- a/test/retryworld.test.ts
+++ b/test/retryworld.test.ts
@@ -13,11 +13,16 @@
 const killed = (share: number, ...times: readonly number[]) => ({
   restarts: times.map((atMs) => ({ atMs, share })),
 });
-const SCENARIOS: Readonly<Record<string, Omit<Scenario, 'entryCount' | 'failShare'>>> = {
+const laterTrouble = (atMs: number) => (atMs < 5000 ? 0 : 0.9);
+const SCENARIOS: Readonly<Record<string, Partial<Omit<Scenario, 'entryCount'>>>> = {
   'no entry restarts and no retry waits': {},
   'retries that wait for the same target': { waitShare: 1 },
   'entries that are killed twice': killed(0.6, 4000, 9000),
   'entries that are killed four times': killed(0.6, 3000, 5000, 7000, 9000),
+  'entries that spend what they have saved and are killed': {
+    failShare: laterTrouble,
+    ...killed(0.6, 7000),
+  },
   'entries that restart in turn and are killed': { rollEveryMs: 700, ...killed(0.6, 6000) },
   'entries that are added': { added: { atMs: 5000, share: 0.45 } },
   'entries that restart cut off from the lease holder': {
