An entry that starts again allows no retry in its first window

What callers saw: after a kill of entries amid trouble, more retries at upstreams than the budget allows.

Cause: the part for an entry's own requests was taken to be safe across a restart, because the rule counts those requests as well. But an entry may save up: one that retried little for 10 s may spend all of that within a moment, and be killed; its new process then allowed a fifth of its requests at once, in the same window.

Ruled out: half of the share in the first window (three of five entries killed still exceed the spare part of the slack), and shorter windows (they refuse the retries after a crash in calm times).

Fix: an entry with a predecessor allows no retry until a whole window has passed since its start, and requests before that do not count, so that entries which started together do not burst together. Its callers get 'not run' or the upstream's failure meanwhile.

--- a/src/core/retrybudget/retrybudget.ts
+++ b/src/core/retrybudget/retrybudget.ts
@@ -9,6 +9,8 @@
   readonly ratio: number;
   /** Retries allowed beyond that in a window; depends on the number of entries that share it. */
   readonly slack: () => number;
+  /** Returns false while no retry is allowed at all; absent if there is no such time. */
+  readonly isOpen?: () => boolean;
 }
 
 /** A retry that counts in the current window. */
@@ -26,9 +28,9 @@
 
   constructor(private readonly limits: BudgetLimits) {}
 
-  /** Counts a caller's request to the service. */
+  /** Counts a caller's request to the service, unless no retry is allowed yet: budgets that open together would burst. */
   request(nowMs: Ms): void {
-    this.requests.add(nowMs);
+    if (this.limits.isOpen?.() !== false) this.requests.add(nowMs);
   }
 
   /**
@@ -55,12 +57,13 @@
 
   /** Returns the requests and retries in the current window, and how many retries it allows. */
   usage(nowMs: Ms): { requests: number; retries: number; allowed: number } {
-    const { windowMs, ratio, slack } = this.limits;
+    const { windowMs, ratio, slack, isOpen } = this.limits;
     for (const counted of this.retries) {
       if (counted.sentAtMs <= nowMs - windowMs) this.retries.delete(counted);
     }
     const requests = this.requests.count(nowMs, windowMs);
-    return { requests, retries: this.retries.size, allowed: ratio * requests + slack() };
+    const allowed = isOpen?.() === false ? 0 : ratio * requests + slack();
+    return { requests, retries: this.retries.size, allowed };
   }
 
   private send(counted: CountedRetry, nowMs: Ms): boolean {
--- a/src/direct/retrybudgets.ts
+++ b/src/direct/retrybudgets.ts
@@ -26,8 +26,8 @@
   }
 
   /**
-   * Called at the start if entries ran before this one: one of them, on the same host, may have spent this entry's part
-   * of the slack in the window in which this one starts.
+   * Called at the start if entries ran before this one: one of them, on the same host, may have spent in the window in
+   * which this one starts all that its requests of a whole window and its part of the slack allow.
    */
   setPredecessor(): void {
     this.hasPredecessor = true;
@@ -36,16 +36,16 @@
   of(service: ServiceId): RetryBudget {
     let budget = this.byService.get(service);
     if (!budget) {
-      const { ratio, windowMs } = this.options;
-      budget = new RetryBudget({ windowMs, ratio, slack: () => this.slack() });
+      const { ratio, slack, windowMs, parts } = this.options;
+      const isOpen = () => !this.isFirstWindow();
+      budget = new RetryBudget({ windowMs, ratio, slack: () => slack / parts(), isOpen });
       this.byService.set(service, budget);
     }
     return budget;
   }
 
-  private slack(): number {
-    const { clock, slack, windowMs, parts } = this.options;
-    const isFirstWindow = clock.nowMs() - this.startedAtMs < windowMs;
-    return isFirstWindow && this.hasPredecessor ? 0 : slack / parts();
+  private isFirstWindow(): boolean {
+    const { clock, windowMs } = this.options;
+    return this.hasPredecessor && clock.nowMs() - this.startedAtMs < windowMs;
   }
 }
