Log lines on what the list says of an upstream: listed, leaving, removed, and how old the list is

The lines could not tell whether a record took back that an upstream leaves, whether a removal was read late or held back, or how old the list was when a request was sent. Added: `upstream listed` and `upstream leaving` with revision, sequence and what was known before; revision and the list's age with `upstream gone` and `upstream lapsed`; the list's age in `request` and `request withheld`; gauge `direct.list_age_ms`. No decision changes. Lines are one a change of an upstream, bounded by the changes of the list.

--- a/src/core/upstreams/upstream.ts
+++ b/src/core/upstreams/upstream.ts
@@ -12,6 +12,8 @@
   readonly id: UpstreamId;
   /** Unix time of its start; undefined if the upstream does not report it. */
   readonly startedAtMs?: Ms;
+  /** Number of records that it has written, this one included; undefined if it does not report it. */
+  readonly sequence?: number;
   readonly service: ServiceId;
   /** IP address and port. */
   readonly address: string;
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -316,6 +316,10 @@
     return this.budgets.of(service);
   }
 
+  listAgeMs(): Ms {
+    return this.follower.knownAgeMs();
+  }
+
   connectionShare(maxConnections = 0): number {
     const shares = this.entries.shares(this.clock.nowMs());
     return Math.max(MIN_CONNECTIONS, Math.floor(maxConnections / shares));
@@ -436,6 +440,7 @@
     metrics.gauge('direct.in_flight', this.runs.size);
     metrics.gauge('direct.configuration_version', this.table?.version ?? 0);
     metrics.gauge('direct.store_silent_ms', this.follower.silentMs());
+    if (this.hasState) metrics.gauge('direct.list_age_ms', this.follower.knownAgeMs());
     metrics.gauge('direct.gives_orders', this.orderLease.mayOrder() ? 1 : 0);
     metrics.gauge('direct.upstreams_lost', this.fleet.lost(this.clock.nowMs()).length);
     metrics.gauge('direct.upstreams_limited', this.gate.limitedCount());
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -98,6 +98,7 @@
     attempts: [],
     firstSentAtMs: undefined,
     firstByteAtMs: undefined,
+    listAgeMs: undefined,
     longestGapMs: 0,
     pacedMs: 0,
     blockedMs: 0,
@@ -470,6 +471,7 @@
       requestId: admitted.caller.request.id,
       upstream: state.info.id,
       heldMs: Math.round(nowMs - chosenAtMs),
+      listAgeMs: Math.round(serving.listAgeMs()),
       remainingMs: Math.round(this.untilMs - nowMs),
       mayRun,
     });
@@ -622,6 +624,7 @@
       firstByteMs: since(record.firstByteAtMs),
       pacedMs: record.pacedMs,
       blockedMs: record.blockedMs,
+      listAgeMs: record.listAgeMs && Math.round(record.listAgeMs),
       longestGapMs: Math.round(record.longestGapMs),
       totalMs: since(nowMs),
       isReturn: this.isReturn,
--- a/src/direct/run/runrecord.ts
+++ b/src/direct/run/runrecord.ts
@@ -6,6 +6,8 @@
   readonly attempts: string[];
   firstSentAtMs: Ms | undefined;
   firstByteAtMs: Ms | undefined;
+  /** Age of the list of upstreams when the last upstream was chosen. */
+  listAgeMs: Ms | undefined;
   longestGapMs: Ms;
   /** Time spent waiting while engines processed other prompts. */
   pacedMs: Ms;
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -37,6 +37,8 @@
   /** Counts a request that was refused before it was run. */
   refused(reason: string, customer: CustomerSpec | undefined): void;
   budgetOf(service: ServiceId): RetryBudget;
+  /** Returns the greatest possible age of the list of upstreams, in ms. */
+  listAgeMs(): Ms;
   /** Returns how many connections this entry may open to one upstream. */
   connectionShare(maxConnections: number | undefined): number;
   /** Waits until an upstream has the target loaded, or returns why none will in time. */
--- a/src/direct/sync/changelog.ts
+++ b/src/direct/sync/changelog.ts
@@ -89,11 +89,11 @@
     return before === undefined || !isDeepStrictEqual(before, content);
   }
 
-  /** Returns an upstream's decoded record; undefined for other keys and for unreadable records. */
+  /** Returns an upstream's record without its sequence; undefined for other keys and for unreadable records. */
   private contentOf({ key, value }: KeyValue): unknown {
     const id = this.codec.upstreamOf(key);
     if (id === undefined) return undefined;
     const upstream = this.codec.decodeUpstream(id, value);
-    return upstream.ok ? upstream.val : undefined;
+    return upstream.ok ? { ...upstream.val, sequence: undefined } : undefined;
   }
 }
--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -20,6 +20,9 @@
   complete(): void;
 }
 
+/** What the last record of an upstream in the list said. */
+type Listed = Pick<Upstream, 'startedAtMs' | 'sequence' | 'isLeaving'>;
+
 const FIRST_PAUSE_MS = 50;
 const MAX_PAUSE_MS = 400;
 /** Upstreams whose records expired during a store outage write them again within about 2 s of its end. */
@@ -33,8 +36,8 @@
 
   private version = -1;
 
-  /** Upstreams in the list, with the time at which they started. */
-  private readonly known = new Map<UpstreamId, Ms | undefined>();
+  /** Upstreams in the list. */
+  private readonly known = new Map<UpstreamId, Listed>();
 
   /** Unreadable records and the reason; each is logged once. */
   private readonly unreadable = new Map<string, string>();
@@ -118,7 +121,7 @@
       if (id !== undefined) present.add(id as UpstreamId);
     }
     for (const id of [...this.known.keys()]) {
-      if (!present.has(id)) this.gone(id);
+      if (!present.has(id)) this.gone(id, revision);
     }
     const keys = new Set(items.map(({ key }) => key));
     for (const key of this.ownKeys) {
@@ -142,7 +145,7 @@
     this.storeRegained();
     for (const change of answer.val.changes) {
       if (change.type === 'put') this.put(change.item);
-      else this.deleted(change.key);
+      else this.deleted(change.key, change.revision);
     }
     this.revision = answer.val.revision;
     // Another entry may have read the changes for this one, at most this long ago.
@@ -184,7 +187,8 @@
     this.unreadable.delete(id);
     const upstream = decoded.val;
     const { startedAtMs } = upstream;
-    const before = this.known.get(upstream.id);
+    const listed = this.known.get(upstream.id);
+    const before = listed?.startedAtMs;
     if (before !== undefined && startedAtMs !== undefined && startedAtMs < before) {
       this.log.info('upstream record of an earlier start ignored', {
         upstream: id,
@@ -193,7 +197,8 @@
       });
       return;
     }
-    this.known.set(upstream.id, startedAtMs);
+    this.logState(upstream, listed, revision);
+    this.known.set(upstream.id, upstream);
     this.lapsed.delete(upstream.id);
     if (before === undefined || startedAtMs === undefined || startedAtMs === before) {
       this.listener.upstream(upstream);
@@ -203,6 +208,21 @@
     this.listener.upstreamRestarted(upstream);
   }
 
+  /** Logs that an upstream has entered the list, leaves, or no longer says that it leaves. */
+  private logState(upstream: Upstream, before: Listed | undefined, revision: Revision): void {
+    const { id, sequence, isLeaving, leavesInMs } = upstream;
+    if (before !== undefined && before.isLeaving === isLeaving) return;
+    this.log.info(isLeaving ? 'upstream leaving' : 'upstream listed', {
+      upstream: id,
+      revision,
+      sequence,
+      sequenceBefore: before?.sequence,
+      wasLeaving: before?.isLeaving,
+      leavesInMs,
+      listAgeMs: Math.round(this.knownAgeMs()),
+    });
+  }
+
   /** Drops an upstream whose record is unreadable, such as one by another writer; its next own record restores it. */
   private dropUnreadable(id: UpstreamId, revision: Revision, detail: string): void {
     if (this.unreadable.get(id) !== detail) {
@@ -214,12 +234,12 @@
         detail,
       });
     }
-    if (this.known.has(id)) this.forget(id);
+    if (this.known.has(id)) this.forget(id, revision);
   }
 
-  private deleted(key: string): void {
+  private deleted(key: string, revision: Revision): void {
     const id = this.codec.upstreamOf(key) as UpstreamId | undefined;
-    if (id !== undefined) this.gone(id);
+    if (id !== undefined) this.gone(id, revision);
     else if (key.startsWith(this.codec.ownPrefix)) this.ownKeyDeleted(key);
   }
 
@@ -228,23 +248,29 @@
     this.listener.ownKeyChanged(key, undefined);
   }
 
-  private gone(id: UpstreamId): void {
+  private gone(id: UpstreamId, revision: Revision): void {
     const nowMs = this.clock.nowMs();
     if (nowMs < this.trustFromMs) {
       if (!this.lapsed.has(id)) this.lapsed.set(id, this.trustFromMs);
       this.log.info('upstream lapsed', {
         upstream: id,
-        goneInMs: this.trustFromMs - nowMs,
+        revision,
+        goneInMs: Math.round(this.trustFromMs - nowMs),
+        regainedMs: Math.round(this.steadyMs()),
       });
       return;
     }
-    this.forget(id);
+    this.forget(id, revision);
   }
 
-  private forget(id: UpstreamId): void {
+  private forget(id: UpstreamId, revision?: Revision): void {
     this.known.delete(id);
     this.lapsed.delete(id);
-    this.log.info('upstream gone', { upstream: id });
+    this.log.info('upstream gone', {
+      upstream: id,
+      revision,
+      listAgeMs: Math.round(this.knownAgeMs()),
+    });
     this.listener.upstreamGone(id);
   }
 
--- a/test/support/runrig.ts
+++ b/test/support/runrig.ts
@@ -78,6 +78,7 @@
       mayWait: true,
       decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
       budgetOf: (service) => budgets.of(service),
+      listAgeMs: () => 0,
       connectionShare: () => 100,
       waitForTarget: () =>
         new Promise((resolve) => {
