Failing tests: upstreams that leave, and five entries that follow the list

A world in virtual time: twelve servers that drain, are removed without a report, write late, are cut off from the store or overwritten; five entries that read the list through the holder of the lease; a store that refuses single calls, cuts watches, discards its history and goes away. Judged by the rule as it is written, 2.0 s after the store's acknowledgement while it is stable, by entries that were not in trouble for 3.0 s; and no server that is ready may be forgotten.

--- /dev/null
+++ b/test/support/listentry.ts
@@ -0,0 +1,199 @@
+import type { Clock, Ms, UpstreamId } from '../../src/base/index.js';
+import type { Upstream } from '../../src/core/upstreams/index.js';
+import type { StateCodec } from '../../src/direct/index.js';
+import { Fleet } from '../../src/direct/route/index.js';
+import { Follower, paceTable, SharedFeed } from '../../src/direct/sync/index.js';
+import type { KeyValue, Log } from '../../src/port/index.js';
+import type { ListStore } from './liststore.js';
+
+type Answer = Awaited<ReturnType<SharedFeed['changes']>>;
+type ChangesRequest = Parameters<SharedFeed['answer']>[0];
+
+interface ListEntryOptions {
+  readonly name: string;
+  readonly clock: Clock;
+  readonly codec: StateCodec;
+  readonly store: ListStore;
+  /** Key under which the holder of the lease writes its name. */
+  readonly leaseKey: string;
+  /** Returns another entry; undefined if there is none of that name. */
+  readonly peer: (name: string) => ListEntry | undefined;
+  readonly log: Log;
+}
+
+const LATENCY_MS = 1;
+/** How much longer than its wait an entry waits for another entry's answer. */
+const MARGIN_MS = 200;
+
+/** One process of an entry that follows the list of upstreams, directly or through the holder of the lease. */
+export class ListEntry {
+  fleet = new Fleet('z');
+
+  private frozenUntilMs: Ms = -Infinity;
+
+  private cutUntilMs: Ms = -Infinity;
+
+  private failingCalls = 0;
+
+  private holder: string | undefined;
+
+  private shared: SharedFeed;
+
+  private follower: Follower;
+
+  private process = 0;
+
+  constructor(private readonly options: ListEntryOptions) {
+    [this.shared, this.follower] = this.start();
+  }
+
+  get name(): string {
+    return this.options.name;
+  }
+
+  get isFrozen(): boolean {
+    return this.options.clock.nowMs() < this.frozenUntilMs;
+  }
+
+  get isCut(): boolean {
+    return this.options.clock.nowMs() < this.cutUntilMs;
+  }
+
+  get isHolder(): boolean {
+    return this.holder === this.options.name;
+  }
+
+  freeze(forMs: Ms): void {
+    this.frozenUntilMs = this.options.clock.nowMs() + forMs;
+  }
+
+  /** Cuts the entry off from the store; other entries still reach it. */
+  cut(forMs: Ms): void {
+    this.cutUntilMs = this.options.clock.nowMs() + forMs;
+  }
+
+  /** Lets the next calls to the store fail, as the store may refuse any call. */
+  failCalls(count: number): void {
+    this.failingCalls = count;
+  }
+
+  /** Starts a new process, which knows nothing. */
+  restart(): void {
+    this.follower.stop();
+    this.holder = undefined;
+    this.fleet = new Fleet('z');
+    [this.shared, this.follower] = this.start();
+  }
+
+  /** Answers another entry's request for changes; never if this entry is frozen. */
+  async answer(request: ChangesRequest): Promise<Answer | undefined> {
+    const { process } = this;
+    if (this.isFrozen) return new Promise(() => {});
+    const answer = await this.shared.answer(request);
+    await this.whenRunning();
+    return process === this.process ? answer : undefined;
+  }
+
+  /** Returns true if this entry would send a request to the upstream now. */
+  maySend(id: UpstreamId): boolean {
+    const info = this.fleet.get(id)?.info;
+    return info !== undefined && !info.isLeaving;
+  }
+
+  private start(): [SharedFeed, Follower] {
+    this.process += 1;
+    const { codec, store, log, name } = this.options;
+    const clock = this.ownClock();
+    const failsNow = () => {
+      if (this.failingCalls === 0) return false;
+      this.failingCalls -= 1;
+      return true;
+    };
+    const feed = this.whileRunning(store.feed({ isOpen: () => !this.isCut, failsNow }));
+    const sharer = () => (this.holder === name ? undefined : this.holder);
+    const ask = (to: string, request: ChangesRequest) => this.ask(to, request);
+    const shared = new SharedFeed({ feed: feed as never, codec, clock, log, sharer, ask });
+    const pace = () => {
+      if (shared.isShared()) return paceTable.shared;
+      return this.isHolder ? paceTable.sharer : paceTable.alone;
+    };
+    const follower = new Follower(shared, codec, this.listener(this.fleet), clock, log, pace);
+    void follower.run();
+    return [shared, follower];
+  }
+
+  private listener(fleet: Fleet): ConstructorParameters<typeof Follower>[2] {
+    return {
+      setTable() {},
+      upstream: (upstream: Upstream) => fleet.put(upstream),
+      upstreamGone: (id: UpstreamId) => fleet.remove(id),
+      upstreamRestarted: (upstream: Upstream) => {
+        fleet.remove(upstream.id);
+        fleet.put(upstream);
+      },
+      ownKeyChanged: (key: string, item: KeyValue | undefined) => {
+        if (key === this.options.leaseKey) this.holder = item?.value;
+      },
+      complete() {},
+    };
+  }
+
+  /** A clock whose timers wait until the entry is not frozen, and fire no more once its process has ended. */
+  private ownClock(): Clock {
+    const { clock } = this.options;
+    const { process } = this;
+    return {
+      nowMs: () => clock.nowMs(),
+      wallMs: () => clock.wallMs(),
+      after: (delayMs, act) => {
+        let isCancelled = false;
+        clock.after(delayMs, () => {
+          void this.whenRunning().then(() => {
+            if (!isCancelled && process === this.process) act();
+          });
+        });
+        return () => {
+          isCancelled = true;
+        };
+      },
+    };
+  }
+
+  private whenRunning(): Promise<void> {
+    if (!this.isFrozen) return Promise.resolve();
+    const { clock } = this.options;
+    return new Promise((resolve) => {
+      clock.after(this.frozenUntilMs - clock.nowMs(), resolve);
+    });
+  }
+
+  /** Delivers a feed's answers only while the entry is not frozen, and to the process that asked. */
+  private whileRunning(feed: ReturnType<ListStore['feed']>): ReturnType<ListStore['feed']> {
+    const { process } = this;
+    const deliver = async <T>(answer: Promise<T>): Promise<T> => {
+      const got = await answer;
+      await this.whenRunning();
+      return process === this.process ? got : new Promise<T>(() => {});
+    };
+    return {
+      list: (prefix) => deliver(feed.list(prefix)),
+      changes: (...args) => deliver(feed.changes(...args)),
+    };
+  }
+
+  private async ask(to: string, request: ChangesRequest): Promise<Answer | undefined> {
+    const { clock, peer } = this.options;
+    const own = this.ownClock();
+    const timeout = new Promise<undefined>((resolve) => {
+      own.after(request.waitMs + MARGIN_MS, () => resolve(undefined));
+    });
+    const latency = () =>
+      new Promise<void>((resolve) => {
+        clock.after(LATENCY_MS, resolve);
+      });
+    const answer = latency().then(() => peer(to)?.answer(request) ?? undefined);
+    const got = await Promise.race([answer, timeout]);
+    await this.whenRunning();
+    return got;
+  }
+}
--- /dev/null
+++ b/test/support/listserver.ts
@@ -0,0 +1,153 @@
+import type { Clock, Ms, UpstreamId } from '../../src/base/index.js';
+import type { ListStore } from './liststore.js';
+
+/** Why the store has acknowledged that a server leaves or is gone. */
+type Ack = 'draining' | 'removed' | 'lapsed';
+
+const HEARTBEAT_MS = 1200;
+/** A record expires after three missed heartbeats. */
+const EXPIRES_MS = 3 * HEARTBEAT_MS;
+const RETRY_MS = 150;
+
+/** One start of a server, which writes its record to the store. */
+export class ListServer {
+  readonly key: string;
+
+  /** When the store acknowledged that it leaves or is gone; undefined while it counts as ready. */
+  ack: { readonly atMs: Ms; readonly what: Ack; readonly isStable: boolean } | undefined;
+
+  /** Since when its own record has been in the store, apart from lapses during an outage. */
+  listedSinceMs: Ms = Infinity;
+
+  /** True once every entry has had the time to learn of it. */
+  isEstablished = false;
+
+  private state: 'ready' | 'draining' | 'ended' = 'ready';
+
+  private sequence = 0;
+
+  private writtenAtMs: Ms = -Infinity;
+
+  private cutUntilMs: Ms = -Infinity;
+
+  constructor(
+    readonly id: UpstreamId,
+    private readonly clock: Clock,
+    private readonly store: ListStore,
+    private readonly isStable: () => boolean,
+  ) {
+    this.key = `servers/${id}`;
+    this.beat();
+    this.watchExpiry();
+  }
+
+  get isReady(): boolean {
+    return this.state === 'ready';
+  }
+
+  get isCut(): boolean {
+    return this.clock.nowMs() < this.cutUntilMs;
+  }
+
+  /** Reports that it leaves, and is removed when it has served for a while longer. */
+  drain(servesMs: Ms): void {
+    if (!this.isReady) return;
+    this.state = 'draining';
+    this.untilWritten(() => {
+      this.acknowledge('draining');
+      this.clock.after(servesMs, () => this.end());
+    });
+  }
+
+  /** Leaves without a report: its record is removed, and it continues to serve. */
+  leave(): void {
+    if (!this.isReady) return;
+    this.state = 'ended';
+    this.remove();
+  }
+
+  /** Cuts it off from the store; entries still reach it. */
+  cut(forMs: Ms): void {
+    this.cutUntilMs = this.clock.nowMs() + forMs;
+    this.unlist();
+  }
+
+  /** Its next write gets no answer and is carried out later, if the record is still there. */
+  writeLate(inMs: Ms): void {
+    if (!this.isReady) return;
+    this.sequence += 1;
+    const value = this.record();
+    this.clock.after(inMs, () => {
+      if (this.store.has(this.key)) this.store.put(this.key, value);
+    });
+  }
+
+  /** Another writer overwrites the record with something unreadable. */
+  overwrite(): void {
+    if (this.store.has(this.key) && this.store.put(this.key, 'junk')) {
+      this.unlist();
+    }
+  }
+
+  private end(): void {
+    this.state = 'ended';
+    this.remove();
+  }
+
+  private remove(): void {
+    if (this.store.isDown) {
+      this.clock.after(RETRY_MS, () => this.remove());
+      return;
+    }
+    this.store.remove(this.key);
+    this.acknowledge('removed');
+  }
+
+  private unlist(): void {
+    this.listedSinceMs = Infinity;
+    this.isEstablished = false;
+  }
+
+  private acknowledge(what: Ack): void {
+    if (what !== 'lapsed') this.unlist();
+    this.ack ??= { atMs: this.clock.nowMs(), what, isStable: this.isStable() };
+  }
+
+  private record(): string {
+    const { id, sequence, state } = this;
+    const address = `${id}:1`;
+    return JSON.stringify({ service: 's', address, zone: 'z', state, seq: sequence });
+  }
+
+  private write(): boolean {
+    if (this.state === 'ended' || this.isCut) return false;
+    this.sequence += 1;
+    if (!this.store.put(this.key, this.record())) return false;
+    this.writtenAtMs = this.clock.nowMs();
+    if (!this.isReady) return true;
+    if (this.ack?.what === 'lapsed') this.ack = undefined;
+    this.listedSinceMs = Math.min(this.listedSinceMs, this.writtenAtMs);
+    return true;
+  }
+
+  private untilWritten(act: () => void): void {
+    if (this.write()) act();
+    else this.clock.after(RETRY_MS, () => this.untilWritten(act));
+  }
+
+  private beat(): void {
+    if (this.state === 'ended') return;
+    this.write();
+    this.clock.after(HEARTBEAT_MS, () => this.beat());
+  }
+
+  private watchExpiry(): void {
+    const dueInMs = this.writtenAtMs + EXPIRES_MS - this.clock.nowMs();
+    if (dueInMs <= 0 && this.store.has(this.key)) {
+      this.store.remove(this.key);
+      this.acknowledge('lapsed');
+    }
+    if (this.state === 'ended' && !this.store.has(this.key)) return;
+    this.clock.after(Math.max(100, dueInMs), () => this.watchExpiry());
+  }
+}
