Readers of a shared log get back an upstream whose record was overwritten

Callers saw: on every entry but the one that reads the store, requests for models that only this upstream holds were refused until its record changed in more than its heartbeat, which may be never.

Cause: ChangeLog leaves out a record that says the same as the last one that it could read. An unreadable one in between was passed on, its readers dropped the upstream, and the record that restores it equalled the one before the unreadable one.

Why it works: an unreadable record now is what the next one is compared with, and nothing equals it.

--- a/src/direct/sync/changelog.ts
+++ b/src/direct/sync/changelog.ts
@@ -82,11 +82,12 @@
       this.values.delete(change.key);
       return true;
     }
+    const { key } = change.item;
     const content = this.contentOf(change.item);
-    if (content === undefined) return true;
-    const before = this.values.get(change.item.key);
-    this.values.set(change.item.key, content);
-    return before === undefined || !isDeepStrictEqual(before, content);
+    const before = this.values.get(key);
+    if (content === undefined) this.values.delete(key);
+    else this.values.set(key, content);
+    return content === undefined || !isDeepStrictEqual(before, content);
   }
 
   /** Returns an upstream's record without its sequence; undefined for other keys and for unreadable records. */
--- a/test/sharedfeed.test.ts
+++ b/test/sharedfeed.test.ts
@@ -176,3 +176,23 @@
   t.is(pair.ownRequests, 1);
   t.true(pair.asker.isShared());
 });
+
+test('a record that is restored after another writer overwrote it is passed on', async (t) => {
+  const pair = new Pair();
+  const junk = {
+    type: 'put' as const,
+    item: { key: 'servers/u1', value: 'junk', revision: 6 as Revision },
+  };
+  pair.answers.push(
+    answerOf(5, [heartbeat(5, 1)]),
+    answerOf(6, [junk]),
+    answerOf(7, [heartbeat(7, 2)]),
+  );
+  for (const after of [4, 5, 6]) await pair.read(after);
+  const answer = await pair.ask(5);
+  const { changes } = (answer as Extract<ChangesAnswer, { ok: true }>).val;
+  t.deepEqual(
+    changes.map((change) => change.type === 'put' && change.item.revision),
+    [6, 7] as Revision[],
+  );
+});
