--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -1,49 +1,34 @@
 import type { Clock, Ms, Revision, UpstreamId } from '../../base/index.js';
 import type { RouteTable } from '../../core/routetable/index.js';
-import type { Upstream } from '../../core/upstreams/index.js';
 import type { KeyValue, Log } from '../../port/index.js';
 import type { StateCodec } from '../statecodec.js';
 import type { FollowPace } from './followpace.js';
 import { MAX_SHARED_AGE_MS } from './maxsharedage.js';
 import type { StateFeed } from './statefeed.js';
+import { UpstreamList } from './upstreamlist.js';
+
+type ListListener = ConstructorParameters<typeof UpstreamList>[0]['listener'];
 
 /** Receives the followed state. */
-interface Listener {
+interface Listener extends ListListener {
   setTable(table: RouteTable): void;
-  upstream(upstream: Upstream): void;
-  upstreamGone(id: UpstreamId): void;
-  /** An upstream has restarted under its id: all earlier state of it is void. */
-  upstreamRestarted(upstream: Upstream): void;
   /** A key that this system writes has changed; `item` is undefined once it is deleted. */
   ownKeyChanged(key: string, item: KeyValue | undefined): void;
   /** The first full read is done. */
   complete(): void;
 }
 
-/** What the last record of an upstream in the list said. */
-type Listed = Pick<Upstream, 'startedAtMs' | 'sequence' | 'isLeaving'>;
-
 const FIRST_PAUSE_MS = 50;
 const MAX_PAUSE_MS = 400;
 /** Upstreams whose records expired during a store outage write them again within about 2 s of its end. */
 const REWRITE_MS = 2100;
-/** Bound on remembered unreadable records; beyond it they are logged again. */
-const MAX_UNREADABLE = 1000;
-
 /** Follows the platform's store: reads everything once, then polls for changes. */
 export class Follower {
   private revision = 0 as Revision;
 
   private version = -1;
 
-  /** Upstreams in the list. */
-  private readonly known = new Map<UpstreamId, Listed>();
-
-  /** Unreadable records and the reason; each is logged once. */
-  private readonly unreadable = new Map<string, string>();
-
-  /** Upstreams whose record expired during a store outage, with the time at which they count as gone. */
-  private readonly lapsed = new Map<UpstreamId, Ms>();
+  private readonly list: UpstreamList;
 
   /** Existing keys that this system writes. */
   private readonly ownKeys = new Set<string>();
@@ -54,8 +39,6 @@
 
   private failingSinceMs: Ms | undefined;
 
-  private trustFromMs: Ms = 0;
-
   /** All changes up to this time are known. */
   private knownAtMs: Ms = -Infinity;
 
@@ -68,14 +51,17 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly pace: () => FollowPace,
-  ) {}
+  ) {
+    const ageMs = () => this.knownAgeMs();
+    this.list = new UpstreamList({ codec, listener, clock, log, ageMs });
+  }
 
   /** Follows the store until `stop` is called. */
   async run(): Promise<void> {
     let pauseMs = FIRST_PAUSE_MS;
     while (!this.isStopped) {
       const failure = this.isComplete ? await this.follow() : await this.readAll();
-      this.dropLapsed();
+      if (this.failingSinceMs === undefined) this.list.dropLapsed();
       if (failure === undefined) {
         pauseMs = FIRST_PAUSE_MS;
         await this.pause(this.pace().batchMs);
@@ -120,9 +106,7 @@
       const id = this.codec.upstreamOf(item.key);
       if (id !== undefined) present.add(id as UpstreamId);
     }
-    for (const id of [...this.known.keys()]) {
-      if (!present.has(id)) this.gone(id, revision);
-    }
+    this.list.retain(present, revision);
     const keys = new Set(items.map(({ key }) => key));
     for (const key of this.ownKeys) {
       if (!keys.has(key)) this.ownKeyDeleted(key);
@@ -156,7 +140,7 @@
   private put(item: KeyValue): void {
     const { codec } = this;
     const id = codec.upstreamOf(item.key);
-    if (id !== undefined) this.putUpstream(id, item);
+    if (id !== undefined) this.list.put(id as UpstreamId, item);
     else if (codec.isTable(item.key)) this.putTable(item);
     else if (item.key.startsWith(codec.ownPrefix)) {
       this.ownKeys.add(item.key);
@@ -178,68 +162,9 @@
     this.listener.setTable(table.val);
   }
 
-  private putUpstream(id: string, { value, revision }: KeyValue): void {
-    const decoded = this.codec.decodeUpstream(id, value);
-    if (decoded.err) {
-      this.dropUnreadable(id as UpstreamId, revision, decoded.val.detail);
-      return;
-    }
-    this.unreadable.delete(id);
-    const upstream = decoded.val;
-    const { startedAtMs } = upstream;
-    const listed = this.known.get(upstream.id);
-    const before = listed?.startedAtMs;
-    if (before !== undefined && startedAtMs !== undefined && startedAtMs < before) {
-      this.log.info('upstream record of an earlier start ignored', {
-        upstream: id,
-        startedAtMs,
-        before,
-      });
-      return;
-    }
-    this.logState(upstream, listed, revision);
-    this.known.set(upstream.id, upstream);
-    this.lapsed.delete(upstream.id);
-    if (before === undefined || startedAtMs === undefined || startedAtMs === before) {
-      this.listener.upstream(upstream);
-      return;
-    }
-    this.log.info('upstream started again', { upstream: id, startedAtMs, before, revision });
-    this.listener.upstreamRestarted(upstream);
-  }
-
-  /** Logs that an upstream has entered the list, leaves, or no longer says that it leaves. */
-  private logState(upstream: Upstream, before: Listed | undefined, revision: Revision): void {
-    const { id, sequence, isLeaving, leavesInMs } = upstream;
-    if (before !== undefined && before.isLeaving === isLeaving) return;
-    this.log.info(isLeaving ? 'upstream leaving' : 'upstream listed', {
-      upstream: id,
-      revision,
-      sequence,
-      sequenceBefore: before?.sequence,
-      wasLeaving: before?.isLeaving,
-      leavesInMs,
-      listAgeMs: Math.round(this.knownAgeMs()),
-    });
-  }
-
-  /** Drops an upstream whose record is unreadable, such as one by another writer; its next own record restores it. */
-  private dropUnreadable(id: UpstreamId, revision: Revision, detail: string): void {
-    if (this.unreadable.get(id) !== detail) {
-      if (this.unreadable.size >= MAX_UNREADABLE) this.unreadable.clear();
-      this.unreadable.set(id, detail);
-      this.log.error('upstream not readable', {
-        upstream: id,
-        revision,
-        detail,
-      });
-    }
-    if (this.known.has(id)) this.forget(id, revision);
-  }
-
   private deleted(key: string, revision: Revision): void {
     const id = this.codec.upstreamOf(key) as UpstreamId | undefined;
-    if (id !== undefined) this.gone(id, revision);
+    if (id !== undefined) this.list.removed(id, revision);
     else if (key.startsWith(this.codec.ownPrefix)) this.ownKeyDeleted(key);
   }
 
@@ -248,40 +173,6 @@
     this.listener.ownKeyChanged(key, undefined);
   }
 
-  private gone(id: UpstreamId, revision: Revision): void {
-    const nowMs = this.clock.nowMs();
-    if (nowMs < this.trustFromMs) {
-      if (!this.lapsed.has(id)) this.lapsed.set(id, this.trustFromMs);
-      this.log.info('upstream lapsed', {
-        upstream: id,
-        revision,
-        goneInMs: Math.round(this.trustFromMs - nowMs),
-        regainedMs: Math.round(this.steadyMs()),
-      });
-      return;
-    }
-    this.forget(id, revision);
-  }
-
-  private forget(id: UpstreamId, revision?: Revision): void {
-    this.known.delete(id);
-    this.lapsed.delete(id);
-    this.log.info('upstream gone', {
-      upstream: id,
-      revision,
-      listAgeMs: Math.round(this.knownAgeMs()),
-    });
-    this.listener.upstreamGone(id);
-  }
-
-  private dropLapsed(): void {
-    const nowMs = this.clock.nowMs();
-    if (this.failingSinceMs !== undefined) return;
-    for (const [id, goneAtMs] of this.lapsed) {
-      if (nowMs >= goneAtMs) this.forget(id);
-    }
-  }
-
   private lost(failure: string): void {
     if (this.failingSinceMs !== undefined || failure === 'store-compacted') return;
     this.failingSinceMs = this.clock.nowMs();
@@ -293,7 +184,7 @@
     const nowMs = this.clock.nowMs();
     this.log.info('store regained', { afterMs: Math.round(nowMs - this.failingSinceMs) });
     this.failingSinceMs = undefined;
-    this.trustFromMs = nowMs + REWRITE_MS;
+    this.list.distrustUntil(nowMs + REWRITE_MS);
     this.regainedAtMs = nowMs;
   }
 
