A removal of an upstream is held back only if its record may have expired, and believed once another entry confirms it

Callers saw: requests were sent to an upstream up to 4 s after the platform's list had dropped it.

Cause: after any failed call to the store, of any kind and length, a removal that was read in the next 2.1 s waited for their end, and then for the end of the running poll (up to 1.4 s). The wait is meant for records that expire while the store is away. An entry that was cut off from the store for 3.4 s regained it 0.85 s after the cut, as its calls were timing out and pausing, and sent requests on until 3.0 to 3.4 s after the cut: by then it counts as in touch and is bound again.

Why it works: a record expires after three missed heartbeats, so a failure shorter than one heartbeat removes nothing that lives. After a longer one the wait ends by a timer, and before that as soon as any entry has been answered by the store for 3.1 s on end (told with reports to the lease holder and its answers): then only the reader was cut off, and the removals are true. It drops nothing while the store has not answered within 0.7 s. The store is found again sooner: no long poll while it is lost, pauses count from the start of a call, a discarded history is read anew at once.

--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -186,6 +186,7 @@
       metricsPort,
       storeAddress,
       leastLeaseMs: 1000,
+      heartbeatMs: 1000,
       graceS: GRACE_S,
       retryRatio: retryTerms.ratio,
       retrySlack: retryTerms.slack,
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -152,7 +152,15 @@
       },
       ask: (to, request) => this.peers.changes(to, request),
     });
-    this.follower = new Follower(this.shared, codec, this, clock, log, () => this.pace());
+    this.follower = new Follower({
+      feed: this.shared,
+      codec,
+      listener: this,
+      clock,
+      log,
+      pace: () => this.pace(),
+      heartbeatMs: settings.heartbeatMs,
+    });
     this.meter = new DemandMeter(host, address);
     this.orderLeaseKey = `${codec.ownPrefix}order-turn`;
     this.orderLease = new OrderLeaseKeeper({
@@ -206,6 +214,7 @@
       quota: this.quota,
       quotaLedger: this.quotaLedger,
       gate: this.gate,
+      follower: this.follower,
       peers: () => this.peers,
       hasCustomers: () => this.table?.access !== undefined,
     });
@@ -409,7 +418,7 @@
     this.entries.setRecordedCount(count, this.clock.nowMs());
   }
 
-  private pace(): ReturnType<ConstructorParameters<typeof Follower>[5]> {
+  private pace(): ReturnType<ConstructorParameters<typeof Follower>[0]['pace']> {
     if (this.shared.isShared()) return paceTable.shared;
     if (this.dispatcher.isMoving()) return paceTable.moving;
     return this.orderLease.isHolder() ? paceTable.sharer : paceTable.alone;
--- a/src/direct/directsettings.ts
+++ b/src/direct/directsettings.ts
@@ -13,6 +13,8 @@
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMs: Ms;
+  /** How often upstreams write their records to the list. */
+  readonly heartbeatMs: Ms;
   /** How long a previous order lease holder may count as active after its last order. */
   readonly orderTurnMs: Ms;
   /** Window and permitted excess of the limit on loads from the weight store. */
--- a/src/direct/orders/demandanswer.ts
+++ b/src/direct/orders/demandanswer.ts
@@ -1,3 +1,4 @@
+import type { Ms } from '../../base/index.js';
 import type { SuspectBatch } from '../poison/index.js';
 import type { QuotaAnswer } from '../quota/index.js';
 import type { ReportedStateUpdate } from '../selfreport/index.js';
@@ -7,6 +8,8 @@
 export interface DemandAnswer {
   /** Number of entries that report to the holder, including the holder. */
   readonly entryCount: number;
+  /** How long the store has answered the holder without a break, in ms; absent from a holder that does not say it. */
+  readonly storeReachedMs?: Ms;
   /** Residency changes that orders made since the entry's cursor. */
   readonly news: ResidencyUpdate;
   /** Suspected queries of death that are new to the entry. */
--- a/src/direct/orders/demandreport.ts
+++ b/src/direct/orders/demandreport.ts
@@ -31,6 +31,8 @@
   readonly models: readonly ModelReport[];
   /** Upstreams that the entry considers lost: connections to them do not open. */
   readonly lost: readonly UpstreamId[];
+  /** How long the store has answered the entry without a break, in ms; absent from an entry that does not say it. */
+  readonly storeReachedMs?: Ms;
   /** Position up to which the entry knows residency changes. */
   readonly heard?: ResidencyCursor;
   /** Absent from an entry that does not track suspected queries of death. */
--- a/src/direct/reporter.ts
+++ b/src/direct/reporter.ts
@@ -15,6 +15,7 @@
 import type { QuotaLedger, QuotaClient } from './quota/index.js';
 import type { Fleet } from './route/index.js';
 import type { UpstreamGate } from './selfreport/index.js';
+import type { Follower } from './sync/index.js';
 
 /** Options of a reporter. */
 interface ReporterOptions {
@@ -30,6 +31,7 @@
   readonly quota: QuotaClient;
   readonly quotaLedger: QuotaLedger;
   readonly gate: UpstreamGate;
+  readonly follower: Follower;
   readonly peers: () => Peers;
   /** True if customers are configured. */
   readonly hasCustomers: () => boolean;
@@ -65,13 +67,14 @@
 
   /** Sends a report. Called several times a second. */
   report(): void {
-    const { clock, meter, poison, quota, gate, lease, hasCustomers } = this.options;
+    const { clock, meter, poison, quota, gate, follower, lease, hasCustomers } = this.options;
     this.updateLost(this.options.fleet.lost(clock.nowMs()));
     const report = {
       ...meter.report(this.lost, this.residencyCursor),
       poison: poison.sync.report(),
       quota: hasCustomers() ? quota.report() : undefined,
       standings: gate.report(),
+      storeReachedMs: Math.round(follower.reachedMs()),
     };
     const address = lease.holderAddress();
     if (lease.isHolder()) this.reportToSelf(report);
@@ -90,15 +93,17 @@
 
   /** Answers another entry's report. */
   answer(report: DemandReport): DemandAnswer {
-    const { clock, entries, dispatcher, poison, quotaLedger, gate } = this.options;
+    const { clock, entries, dispatcher, poison, quotaLedger, gate, follower } = this.options;
     const nowMs = clock.nowMs();
     this.others.delete(report.entry);
     this.others.set(report.entry, report.address);
     entries.heard(report.entry, nowMs);
     dispatcher.demand(report);
     if (report.standings) gate.take(report.entry, report.standings);
+    follower.confirm(report.storeReachedMs ?? 0);
     return {
       entryCount: entries.count(nowMs),
+      storeReachedMs: Math.round(follower.reachedMs()),
       news: dispatcher.news(report.heard),
       poison: report.poison && poison.sync.answer(report.poison),
       quota: report.quota && quotaLedger.report(report.entry as HostId, report.quota),
@@ -116,7 +121,7 @@
   }
 
   private async sendReport(address: string, report: DemandReport): Promise<void> {
-    const { clock, entries, quota, poison, gate, peers } = this.options;
+    const { clock, entries, quota, poison, gate, follower, peers } = this.options;
     const sentAtMs = clock.nowMs();
     const answer = await peers().demand(address, report);
     if (!answer) return;
@@ -124,6 +129,7 @@
     entries.setReportedCount(answer.entryCount);
     this.applyChanges(answer.news);
     if (answer.standings) gate.take(address, answer.standings);
+    follower.confirm(answer.storeReachedMs ?? 0);
     if (report.poison && answer.poison) poison.sync.answered(report.poison, answer.poison);
   }
 
--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -18,10 +18,26 @@
   complete(): void;
 }
 
+interface FollowerOptions {
+  readonly feed: StateFeed;
+  readonly codec: StateCodec;
+  readonly listener: Listener;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly pace: () => FollowPace;
+  /** How often upstreams write their records. */
+  readonly heartbeatMs: Ms;
+}
+
 const FIRST_PAUSE_MS = 50;
-const MAX_PAUSE_MS = 400;
+const MAX_RETRY_MS = 400;
 /** Upstreams whose records expired during a store outage write them again within about 2 s of its end. */
 const REWRITE_MS = 2100;
+/** Another entry's word that the store has answered it counts from here on: its list and this one's may be 1 s old. */
+const CONFIRMED_MS = REWRITE_MS + 1000;
+/** A store that has not answered for longer may be in an outage that no call has noticed yet. */
+const ANSWERED_MS = 700;
+
 /** Follows the platform's store: reads everything once, then polls for changes. */
 export class Follower {
   private revision = 0 as Revision;
@@ -39,37 +55,44 @@
 
   private failingSinceMs: Ms | undefined;
 
+  /** When the first of the calls in a row that failed was sent. */
+  private unansweredSinceMs: Ms = 0;
+
   /** All changes up to this time are known. */
   private knownAtMs: Ms = -Infinity;
 
+  private answeredAtMs: Ms = -Infinity;
+
   private regainedAtMs: Ms = -Infinity;
 
-  constructor(
-    private readonly feed: StateFeed,
-    private readonly codec: StateCodec,
-    private readonly listener: Listener,
-    private readonly clock: Clock,
-    private readonly log: Log,
-    private readonly pace: () => FollowPace,
-  ) {
+  /** When this process first knew the whole state. */
+  private completedAtMs: Ms = Infinity;
+
+  constructor(private readonly options: FollowerOptions) {
+    const { codec, listener, clock, log } = options;
     const ageMs = () => this.knownAgeMs();
-    this.list = new UpstreamList({ codec, listener, clock, log, ageMs });
+    const isStoreReached = () =>
+      this.failingSinceMs === undefined && clock.nowMs() - this.answeredAtMs <= ANSWERED_MS;
+    this.list = new UpstreamList({ codec, listener, clock, log, ageMs, isStoreReached });
   }
 
   /** Follows the store until `stop` is called. */
   async run(): Promise<void> {
-    let pauseMs = FIRST_PAUSE_MS;
+    let retryMs = FIRST_PAUSE_MS;
     while (!this.isStopped) {
+      const sentAtMs = this.options.clock.nowMs();
       const failure = this.isComplete ? await this.follow() : await this.readAll();
-      if (this.failingSinceMs === undefined) this.list.dropLapsed();
       if (failure === undefined) {
-        pauseMs = FIRST_PAUSE_MS;
-        await this.pause(this.pace().batchMs);
+        retryMs = FIRST_PAUSE_MS;
+        await this.pause(this.options.pace().batchMs);
         continue;
       }
-      this.lost(failure);
-      await this.pause(pauseMs);
-      pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
+      if (failure === 'store-compacted') continue;
+      this.lost(failure, sentAtMs);
+      // A call that was long without an answer has waited already.
+      const tookMs = this.options.clock.nowMs() - sentAtMs;
+      await this.pause(Math.max(FIRST_PAUSE_MS, retryMs - tookMs));
+      retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
     }
   }
 
@@ -79,31 +102,42 @@
 
   /** Returns for how long the store has not answered, in ms; 0 while it does. */
   silentMs(): Ms {
-    return this.failingSinceMs === undefined ? 0 : this.clock.nowMs() - this.failingSinceMs;
+    return this.failingSinceMs === undefined ? 0 : this.options.clock.nowMs() - this.failingSinceMs;
   }
 
   /** Returns for how long the store has answered without a break, in ms. */
   steadyMs(): Ms {
     if (this.failingSinceMs !== undefined) return 0;
-    return this.clock.nowMs() - this.regainedAtMs;
+    return this.options.clock.nowMs() - this.regainedAtMs;
+  }
+
+  /** Returns for how long the store is known to have answered this process without a break, in ms. */
+  reachedMs(): Ms {
+    const completeMs = this.options.clock.nowMs() - this.completedAtMs;
+    return Math.max(0, Math.min(this.steadyMs(), completeMs));
+  }
+
+  /** Takes another entry's word for how long the store has answered it: then no record expired meanwhile. */
+  confirm(reachedMs: Ms): void {
+    if (reachedMs >= CONFIRMED_MS) this.list.trust();
   }
 
   /** Returns the greatest possible age of this entry's state of the store, in ms. */
   knownAgeMs(): Ms {
-    return this.clock.nowMs() - this.knownAtMs;
+    return this.options.clock.nowMs() - this.knownAtMs;
   }
 
   private async readAll(): Promise<string | undefined> {
-    const sentAtMs = this.clock.nowMs();
-    const answer = await this.feed.list(this.codec.watchedPrefix);
+    const sentAtMs = this.options.clock.nowMs();
+    const answer = await this.options.feed.list(this.options.codec.watchedPrefix);
     if (answer.err) return answer.val.type;
-    this.storeRegained();
+    this.storeAnswered();
     this.knownAtMs = sentAtMs;
     const { items, revision } = answer.val;
     const present = new Set<UpstreamId>();
     for (const item of items) {
       this.put(item);
-      const id = this.codec.upstreamOf(item.key);
+      const id = this.options.codec.upstreamOf(item.key);
       if (id !== undefined) present.add(id as UpstreamId);
     }
     this.list.retain(present, revision);
@@ -113,20 +147,26 @@
     }
     this.revision = revision;
     this.isComplete = true;
-    this.log.info('state read', { revision, items: items.length, version: this.version });
-    this.listener.complete();
+    if (this.completedAtMs === Infinity) this.completedAtMs = this.options.clock.nowMs();
+    this.options.log.info('state read', { revision, items: items.length, version: this.version });
+    this.options.listener.complete();
     return undefined;
   }
 
   private async follow(): Promise<string | undefined> {
-    const { waitMs } = this.pace();
-    const sentAtMs = this.clock.nowMs();
-    const answer = await this.feed.changes(this.codec.watchedPrefix, this.revision, waitMs);
+    // A call that waits for changes takes long to show that the store is back.
+    const waitMs = this.failingSinceMs === undefined ? this.options.pace().waitMs : 0;
+    const sentAtMs = this.options.clock.nowMs();
+    const answer = await this.options.feed.changes(
+      this.options.codec.watchedPrefix,
+      this.revision,
+      waitMs,
+    );
     if (answer.err) {
       if (answer.val.type === 'store-compacted') this.isComplete = false;
       return answer.val.type;
     }
-    this.storeRegained();
+    this.storeAnswered();
     for (const change of answer.val.changes) {
       if (change.type === 'put') this.put(change.item);
       else this.deleted(change.key, change.revision);
@@ -138,59 +178,74 @@
   }
 
   private put(item: KeyValue): void {
-    const { codec } = this;
+    const { codec } = this.options;
     const id = codec.upstreamOf(item.key);
     if (id !== undefined) this.list.put(id as UpstreamId, item);
     else if (codec.isTable(item.key)) this.putTable(item);
     else if (item.key.startsWith(codec.ownPrefix)) {
       this.ownKeys.add(item.key);
-      this.listener.ownKeyChanged(item.key, item);
+      this.options.listener.ownKeyChanged(item.key, item);
     }
   }
 
   private putTable({ value, revision }: KeyValue): void {
-    const table = this.codec.decodeTable(value);
+    const table = this.options.codec.decodeTable(value);
     if (table.err) {
       const { detail } = table.val;
-      this.log.error('configuration not readable', { revision, detail, inForce: this.version });
+      this.options.log.error('configuration not readable', {
+        revision,
+        detail,
+        inForce: this.version,
+      });
       return;
     }
     const { version } = table.val;
     if (version <= this.version) return;
-    this.log.info('configuration in force', { version, before: this.version, revision });
+    this.options.log.info('configuration in force', { version, before: this.version, revision });
     this.version = version;
-    this.listener.setTable(table.val);
+    this.options.listener.setTable(table.val);
   }
 
   private deleted(key: string, revision: Revision): void {
-    const id = this.codec.upstreamOf(key) as UpstreamId | undefined;
+    const id = this.options.codec.upstreamOf(key) as UpstreamId | undefined;
     if (id !== undefined) this.list.removed(id, revision);
-    else if (key.startsWith(this.codec.ownPrefix)) this.ownKeyDeleted(key);
+    else if (key.startsWith(this.options.codec.ownPrefix)) this.ownKeyDeleted(key);
   }
 
   private ownKeyDeleted(key: string): void {
     this.ownKeys.delete(key);
-    this.listener.ownKeyChanged(key, undefined);
+    this.options.listener.ownKeyChanged(key, undefined);
   }
 
-  private lost(failure: string): void {
-    if (this.failingSinceMs !== undefined || failure === 'store-compacted') return;
-    this.failingSinceMs = this.clock.nowMs();
-    this.log.warn('store lost', { failure, revision: this.revision });
+  private lost(failure: string, sentAtMs: Ms): void {
+    if (this.failingSinceMs !== undefined) return;
+    this.failingSinceMs = this.options.clock.nowMs();
+    this.unansweredSinceMs = sentAtMs;
+    this.options.log.warn('store lost', { failure, revision: this.revision });
   }
 
-  private storeRegained(): void {
-    if (this.failingSinceMs === undefined) return;
-    const nowMs = this.clock.nowMs();
-    this.log.info('store regained', { afterMs: Math.round(nowMs - this.failingSinceMs) });
+  private storeAnswered(): void {
+    const nowMs = this.options.clock.nowMs();
+    this.answeredAtMs = nowMs;
+    if (this.failingSinceMs === undefined) {
+      this.list.dropLapsed();
+      return;
+    }
+    const unansweredMs = nowMs - this.unansweredSinceMs;
+    this.options.log.info('store regained', {
+      afterMs: Math.round(nowMs - this.failingSinceMs),
+      unansweredMs: Math.round(unansweredMs),
+    });
     this.failingSinceMs = undefined;
-    this.list.distrustUntil(nowMs + REWRITE_MS);
     this.regainedAtMs = nowMs;
+    // A record expires only after several missed heartbeats; a shorter failure removed none.
+    if (unansweredMs >= this.options.heartbeatMs) this.list.distrust(REWRITE_MS);
+    else this.list.dropLapsed();
   }
 
   private pause(ms: Ms): Promise<void> {
     return new Promise((resolve) => {
-      this.clock.after(ms, resolve);
+      this.options.clock.after(ms, resolve);
     });
   }
 }
--- a/src/direct/sync/sharedfeed.ts
+++ b/src/direct/sync/sharedfeed.ts
@@ -49,10 +49,12 @@
 
   async changes(prefix: string, after: Revision, waitMs: Ms): Promise<Answer> {
     const { clock, feed } = this.options;
+    const isShared = this.isShared();
     const shared = await this.shared(after);
     if (shared) return shared;
     const sentAtMs = clock.nowMs();
-    const answer = await feed.changes(prefix, after, waitMs);
+    // The request to the other entry has waited already.
+    const answer = await feed.changes(prefix, after, isShared ? 0 : waitMs);
     if (answer.ok) this.changeLog.add(after, answer.val, sentAtMs);
     return answer;
   }
--- a/src/direct/sync/upstreamlist.ts
+++ b/src/direct/sync/upstreamlist.ts
@@ -18,6 +18,8 @@
   readonly log: Log;
   /** Returns the greatest possible age of what is known of the store, in ms. */
   readonly ageMs: () => Ms;
+  /** Returns true if the store has answered lately. */
+  readonly isStoreReached: () => boolean;
 }
 
 /** Bound on remembered unreadable records; beyond it they are logged again. */
@@ -32,9 +34,10 @@
   /** Unreadable records and the reason; each is logged once. */
   private readonly unreadable = new Map<UpstreamId, string>();
 
-  /** Upstreams whose record expired during a store outage, with the time at which they count as gone. */
-  private readonly lapsed = new Map<UpstreamId, Ms>();
+  /** Upstreams whose record may have expired during a store outage. */
+  private readonly lapsed = new Set<UpstreamId>();
 
+  /** From then on a removal is believed at once. */
   private trustFromMs: Ms = -Infinity;
 
   constructor(private readonly options: UpstreamListOptions) {}
@@ -71,7 +74,7 @@
       this.forget(id, revision);
       return;
     }
-    if (!this.lapsed.has(id)) this.lapsed.set(id, this.trustFromMs);
+    this.lapsed.add(id);
     const goneInMs = Math.round(this.trustFromMs - nowMs);
     log.info('upstream lapsed', { upstream: id, revision, goneInMs });
   }
@@ -83,17 +86,24 @@
     }
   }
 
-  /** Keeps upstreams whose records are removed until then: they may have expired during an outage. */
-  distrustUntil(atMs: Ms): void {
-    this.trustFromMs = atMs;
+  /** Keeps upstreams whose records are removed for a while: they may have expired during an outage. */
+  distrust(forMs: Ms): void {
+    const { clock } = this.options;
+    this.trustFromMs = clock.nowMs() + forMs;
+    clock.after(forMs, () => this.dropLapsed());
   }
 
-  /** Removes the upstreams that have not written again after an outage. */
+  /** Believes removals at once: every upstream whose record expired has had the time to write it again. */
+  trust(): void {
+    this.trustFromMs = Math.min(this.trustFromMs, this.options.clock.nowMs());
+    this.dropLapsed();
+  }
+
+  /** Removes the upstreams that have not written again in time after an outage. */
   dropLapsed(): void {
-    const nowMs = this.options.clock.nowMs();
-    for (const [id, goneAtMs] of this.lapsed) {
-      if (nowMs >= goneAtMs) this.forget(id);
-    }
+    const { clock, isStoreReached } = this.options;
+    if (clock.nowMs() < this.trustFromMs || !isStoreReached()) return;
+    for (const id of [...this.lapsed]) this.forget(id);
   }
 
   private keep(id: UpstreamId, lifecycle: Lifecycle): void {
--- a/test/platformsettings.test.ts
+++ b/test/platformsettings.test.ts
@@ -17,6 +17,7 @@
   internal_port_range: [7380, 7395],
   'platform.address': '10.200.1.7:8142',
   'platform.ttl_min_ms': 1000,
+  heartbeat_ms: 1200,
   'bounds.grace_s': 8,
   'bounds.retry_budget_ratio': 0.2,
   'bounds.budget_slack': 56,
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -86,6 +86,7 @@
         metricsPort: 0,
         storeAddress: this.storeAddress,
         leastLeaseMs: 1000,
+        heartbeatMs: 1000,
         graceS: 2,
         retryRatio: 0.2,
         retrySlack: 80,
