A load from the weight store counts from the answer to its order, not from its sending

Callers saw: nothing directly; more loads began in 5 s than the weight store bears, which slows all of them.

Cause: `LoadBudget` counted a load from the moment before its order was sent. On a host with half a core the order's answer came 50 ms later, and the load began in between. Five loads left the window at 55.381 (5.0 s after 50.381), a plan used them at 55.392, and 55.403 was within 5.0 s of the loads that had begun at 50.422 to 50.445: 21 in the window.

Why it works: until the answer the load is reserved; it begins before the answer, so that a window from the answer on covers it.

--- a/src/direct/orders/mover.ts
+++ b/src/direct/orders/mover.ts
@@ -25,6 +25,13 @@
   readonly planAgeMs: Ms;
 }
 
+/** Called as the load of a move is ordered. */
+interface LoadSteps {
+  readonly ordered: () => void;
+  /** The order was answered or given up: unless it is carried out late, the load has begun. */
+  readonly answered: () => void;
+}
+
 /** Interval between checks whether an order is done. */
 const POLL_MS = 25;
 /** A model order that is not done this long after its expected end has failed. */
@@ -93,10 +100,12 @@
     const subject = { upstream: move.upstream, service, model };
     const decided = { gain, cost, demand: modelDemand, planAgeMs: Math.round(planAgeMs) };
     log.info('move begun', { ...subject, evicted, isFromStore, ...decided });
-    const end = await this.carryOut(view, move, () => {
-      target.plannedModel = undefined;
-      startLoad(clock.nowMs());
-      this.expected.set(key, clock.nowMs() + loadMs);
+    const end = await this.carryOut(view, move, {
+      ordered: () => {
+        target.plannedModel = undefined;
+        this.expected.set(key, clock.nowMs() + loadMs);
+      },
+      answered: () => startLoad(clock.nowMs()),
     });
     // A reserved load that was never ordered counts as if it started now.
     if (end.startsWith('unload-')) startLoad(clock.nowMs());
@@ -124,16 +133,17 @@
   private async carryOut(
     view: UpstreamView,
     { model, evicted, loadMs }: Move,
-    loadStarts: () => void,
+    load: LoadSteps,
   ): Promise<string> {
     for (const victim of evicted) {
       const end = await this.unload(view, victim);
       if (end !== 'done') return end;
     }
     const outcome = await enqueue(view, () => {
-      loadStarts();
+      load.ordered();
       return sendOrder(this.options, view, { action: 'load', model });
     });
+    load.answered();
     if (outcome !== 'accepted' && outcome !== 'done') return `load-${outcome}`;
     const isThere = () => view.models.get(model)?.phase === 'ready';
     const reportAfterMs = loadMs + REPORT_AFTER_LOAD_MS;
