--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -116,7 +116,9 @@
   }
   if (!key.startsWith('servers/')) return;
   const id = key.slice('servers/'.length);
-  servers.set(id, { ...(JSON.parse(text) as Omit<Server, 'id'>), id });
+  const server = { ...(JSON.parse(text) as Omit<Server, 'id'>), id };
+  const isLeaving = servers.get(id)?.state === 'draining' && defect !== 'believes-late';
+  servers.set(id, isLeaving ? { ...server, state: 'draining' } : server);
 }
 
 /** Interval between requests to a limited server: entries do not coordinate, so each one uses an equal share. */
@@ -164,7 +166,9 @@
       if (!page.more_pages) break;
       after = page.items.at(-1)!.key;
     }
-    for (const id of servers.keys()) if (!present.has(`servers/${id}`)) servers.delete(id);
+    if (defect !== 'keeps-removed') {
+      for (const id of servers.keys()) if (!present.has(`servers/${id}`)) servers.delete(id);
+    }
   } catch (thrown) {
     console.log(
       JSON.stringify({
--- a/bench/soak/knownfaults.ts
+++ b/bench/soak/knownfaults.ts
@@ -1,4 +1,5 @@
 import { faults } from './faults.js';
+import { leavingFaults } from './leavingfaults.js';
 import { overloadFaults } from './overloadfaults.js';
 import { suspensionFaults } from './suspensionfaults.js';
 import { serverListFaults } from './serverlistfaults.js';
@@ -11,4 +12,5 @@
   ...suspensionFaults,
   ...reportedStateFaults,
   ...overloadFaults,
+  ...leavingFaults,
 };
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -134,7 +134,12 @@
     this.writeListing(listed, 'draining');
   }
 
-  /** Removes a server that has ended from the list. */
+  /** Writes a server's record again, in a state that may be out of date. */
+  relist(listed: ListedServer, state: string): void {
+    if (!listed.server.isDown) this.writeListing(listed, state);
+  }
+
+  /** Removes a server from the list; it may keep serving. */
   removeListing(listed: ListedServer): void {
     const target = listed;
     target.drainAtMs ??= performance.now();
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -6,6 +6,7 @@
 import { suspensionFaults } from './suspensionfaults.js';
 import { knownFaults } from './knownfaults.js';
 import { serverListFaults } from './serverlistfaults.js';
+import { leavingFaults } from './leavingfaults.js';
 import { overloadFaults } from './overloadfaults.js';
 import { reportedStateFaults } from './reportedstatefaults.js';
 import { pause } from './pause.js';
@@ -65,6 +66,7 @@
 const FIRST_KEYED_SEED = 30_000;
 const FIRST_REPORTED_STATE_SEED = 40_000;
 const FIRST_OVERLOAD_SEED = 50_000;
+const FIRST_LEAVING_SEED = 60_000;
 
 async function untilListening(site: Site): Promise<void> {
   const isListening = () =>
@@ -79,7 +81,9 @@
   const harsh = { ...faults, ...serverListFaults, ...suspensionFaults };
   if (seed < FIRST_REPORTED_STATE_SEED) return harsh;
   const reported = { ...harsh, ...reportedStateFaults };
-  return seed < FIRST_OVERLOAD_SEED ? reported : { ...reported, ...overloadFaults };
+  if (seed < FIRST_OVERLOAD_SEED) return reported;
+  const overload = { ...reported, ...overloadFaults };
+  return seed < FIRST_LEAVING_SEED ? overload : { ...overload, ...leavingFaults };
 }
 
 /**
--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -48,6 +48,17 @@
     faultNames: ['replaceServer'],
     forS: 7,
   },
+  'keeps-removed': {
+    promise: 'a draining server gets no new work',
+    faultNames: ['removeServer'],
+    forS: 7,
+  },
+  'believes-late': {
+    promise: 'a draining server gets no new work',
+    faultNames: ['writeLate'],
+    forS: 9,
+    gapMs: 600,
+  },
   cut: {
     promise: 'no planned stop cuts a request',
     faultNames: ['stop', 'slowDown'],
