The planted defect `gone` has enough callers to show

The entry with the defect is the soak's own, so no change of the product takes part. Cause: each of the 24 callers ends up waiting for a silent server, and the defect shows only by those that left one before.

--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -12,6 +12,8 @@
   readonly gapMs?: number;
   /** True to send poison requests. */
   readonly isHarsh?: boolean;
+  /** Number of callers, if the default is too few for the defect to show. */
+  readonly callerCount?: number;
   /** True to configure customers and send keys. */
   readonly isKeyed?: boolean;
 }
@@ -108,18 +110,25 @@
     forS: 8,
     gapMs: 300,
   },
-  gone: { promise: 'work ends when its caller disconnects', faultNames: ['silence'], gapMs: 200 },
+  gone: {
+    promise: 'work ends when its caller disconnects',
+    faultNames: ['silence'],
+    gapMs: 200,
+    // Each caller waits for a silent server in the end; with few callers, none may have left before.
+    callerCount: 96,
+  },
 };
 
 for (const [defect, planted] of Object.entries(DEFECTS)) {
   const { promise, faultNames, forS = FOR_S, gapMs = 900, isHarsh = false } = planted;
-  const { isKeyed = false } = planted;
+  const { isKeyed = false, callerCount } = planted;
   test.serial(`the soak finds the planted defect ${defect}`, async (t) => {
     const { breaches, asked, answered, faults } = await runSoak(
       ...['--seed', '7', '--for', String(forS), '--gap', String(gapMs)],
       ...['--defect', defect, '--faults', faultNames.join(',')],
       ...(isHarsh ? ['--harsh'] : []),
       ...(isKeyed ? ['--keyed'] : []),
+      ...(callerCount === undefined ? [] : ['--callers', String(callerCount)]),
     );
     const isFound = breaches.some((breach) => breach.promise === promise);
     t.true(isFound, JSON.stringify({ asked, answered, faults, breaches: breaches.slice(0, 5) }));
