A store that refuses a full read is not asked again without a pause

Nobody has seen it. The pause is left out only after a request for changes. The new test would never end without this.

--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -81,13 +81,15 @@
     let retryMs = FIRST_PAUSE_MS;
     while (!this.isStopped) {
       const sentAtMs = this.options.clock.nowMs();
-      const failure = this.isComplete ? await this.follow() : await this.readAll();
+      const wasComplete = this.isComplete;
+      const failure = wasComplete ? await this.follow() : await this.readAll();
       if (failure === undefined) {
         retryMs = FIRST_PAUSE_MS;
         await this.pause(this.options.pace().batchMs);
         continue;
       }
-      if (failure === 'store-compacted') continue;
+      // The store has answered; the whole state has to be read instead.
+      if (wasComplete && failure === 'store-compacted') continue;
       this.lost(failure, sentAtMs);
       // A call that was long without an answer has waited already.
       const tookMs = this.options.clock.nowMs() - sentAtMs;
--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -77,6 +77,26 @@
   t.deepEqual(gone, ['u1']);
 });
 
+test('a store that refuses a full read is not asked again without a pause', async (t) => {
+  const clock = new VirtualClock();
+  let callCount = 0;
+  const compacted = result.Err({ type: 'store-compacted' as const, detail: 'discarded' });
+  const feed = {
+    list: () => {
+      callCount += 1;
+      return Promise.resolve(compacted);
+    },
+  } as unknown as ChangeFeed;
+  const listener = {} as unknown as ConstructorParameters<typeof Follower>[0]['listener'];
+  const pace = () => paceTable.alone;
+  const options = { feed, codec, listener, clock, log: LOG, pace, heartbeatMs: HEARTBEAT_MS };
+  const follower = new Follower(options);
+  void follower.run();
+  await advance(clock, 1000);
+  follower.stop();
+  t.is(callCount, 5);
+});
+
 test('a removal that is read after a single failed call is believed at once', async (t) => {
   const { gone } = await follow([DOWN, deleted(2)]);
   t.deepEqual(gone, ['u1']);
