Failing test: a cold upstream gets as many requests as a warm one

Cause: neither the configuration's `cold_start_s` and `cold_per_s` nor the record's `cold_remaining_ms` is read. The stand-ins can say both now.

--- a/standin/platform/configurationof.ts
+++ b/standin/platform/configurationof.ts
@@ -21,6 +21,12 @@
   readonly burst?: number;
 }
 
+/** How long a server is slow after its start, and how many requests per second it takes meanwhile from all entries. */
+interface ColdStart {
+  readonly startS: number;
+  readonly perS: number;
+}
+
 const TIMEOUT_MS = 4000;
 const PLAIN_TOKENS = 200;
 const TARGET_MS = 1000;
@@ -37,6 +43,7 @@
   host: string,
   routes: readonly RouteChoice[],
   customers?: readonly CustomerChoice[],
+  cold: ColdStart = { startS: 0, perS: 0 },
 ): object {
   const models = MODELS.map((name) => ({
     name,
@@ -61,7 +68,7 @@
       public: route.isPublic ?? false,
     })),
     services: [
-      { name: 'plain', max_conns: 100 },
+      { name: 'plain', max_conns: 100, cold_start_s: cold.startS, cold_per_s: cold.perS },
       {
         name: 'engine',
         max_conns: 100,
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -96,6 +96,9 @@
   /** Every request that was run, in order. */
   readonly requestLog: RequestRecord[] = [];
 
+  /** How much longer it is slow after its start, as its record says. */
+  coldRemainingMs = 0;
+
   /** Every request that was refused, in order. */
   readonly refusals: RefusalRecord[] = [];
 
@@ -195,7 +198,19 @@
     }));
     const { service, address, availabilityZone: zone } = this;
     const born = this.startedAtMs;
-    return { service, address, zone, version: 'v1', slots: 4, state, seq: 1, born, models };
+    const cold = this.coldRemainingMs === 0 ? {} : { cold_remaining_ms: this.coldRemainingMs };
+    return {
+      service,
+      address,
+      zone,
+      version: 'v1',
+      slots: 4,
+      state,
+      seq: 1,
+      born,
+      models,
+      ...cold,
+    };
   }
 
   /** Stops at once and closes every connection. The test starts a successor. */
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -39,6 +39,9 @@
   /** Target latency of all routes in the next configurations; undefined: the default of `configurationOf`. */
   targetLatencyMs: number | undefined;
 
+  /** How plain servers start in the next configurations; undefined: they are never slow. */
+  cold: Parameters<typeof configurationOf>[4];
+
   /** Setting of entries that are started from now on. */
   strictRevokeMs: number | undefined;
 
@@ -157,10 +160,10 @@
   }
 
   configure(version: number, left: readonly string[] = []): void {
-    const { targetLatencyMs } = this;
+    const { targetLatencyMs, customers, cold } = this;
     const kept = ROUTES.filter(({ name }) => !left.includes(name));
     const routes = kept.map((route) => ({ ...route, targetLatencyMs }));
-    this.store.put('op/config', configurationOf(version, HOST, routes, this.customers));
+    this.store.put('op/config', configurationOf(version, HOST, routes, customers, cold));
   }
 
   /** Polls until a condition holds; ava's timeout fails a test whose condition never holds. */
