An upstream that has written its record again is not dropped before that record is applied

Found by reading the mend in: an answer of the store dropped the upstreams whose hold had ended before its changes were applied, so that one whose record is among them was gone for a moment; its connections and what was learned of it were lost. Callers would have seen slower first requests.

Comments of the same lines reworded.

--- a/src/core/upstreams/lifecycle.ts
+++ b/src/core/upstreams/lifecycle.ts
@@ -1,6 +1,6 @@
 import type { Ms, Revision } from '../../base/index.js';
 
-/** What the list has said of the latest start of an upstream. It only moves forward. */
+/** What the list has said of the latest start of an upstream. A later record adds to it and takes nothing back. */
 export interface Lifecycle {
   readonly startedAtMs?: Ms;
   /** Revision of the last change of its record. */
--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -33,7 +33,10 @@
 const MAX_RETRY_MS = 400;
 /** Upstreams whose records expired during a store outage write them again within about 2 s of its end. */
 const REWRITE_MS = 2100;
-/** Another entry's word that the store has answered it counts from here on: its list and this one's may be 1 s old. */
+/**
+ * How long the store has to have answered another entry before removals are believed on its word. What either entry
+ * knows of the store may be 1 s old.
+ */
 const CONFIRMED_MS = REWRITE_MS + 1000;
 /** A store that has not answered for longer may be in an outage that no call has noticed yet. */
 const ANSWERED_MS = 700;
@@ -119,7 +122,10 @@
     return Math.max(0, Math.min(this.steadyMs(), completeMs));
   }
 
-  /** Takes another entry's word for how long the store has answered it: then no record expired meanwhile. */
+  /**
+   * Believes removals if the store has answered another entry for long enough: only this entry was cut off, or all
+   * records that expired have been written again.
+   */
   confirm(reachedMs: Ms): void {
     if (reachedMs >= CONFIRMED_MS) this.list.trust();
   }
@@ -143,6 +149,7 @@
       if (id !== undefined) present.add(id as UpstreamId);
     }
     this.list.retain(present, revision);
+    this.list.dropLapsed();
     const keys = new Set(items.map(({ key }) => key));
     for (const key of this.ownKeys) {
       if (!keys.has(key)) this.ownKeyDeleted(key);
@@ -156,7 +163,7 @@
   }
 
   private async follow(): Promise<string | undefined> {
-    // A call that waits for changes takes long to show that the store is back.
+    // While the store is lost, a call that waits for changes would only be slower to notice that it is back.
     const waitMs = this.failingSinceMs === undefined ? this.options.pace().waitMs : 0;
     const sentAtMs = this.options.clock.nowMs();
     const answer = await this.options.feed.changes(
@@ -173,6 +180,8 @@
       if (change.type === 'put') this.put(change.item);
       else this.deleted(change.key, change.revision);
     }
+    // Only now, as the changes may show that an upstream has written its record again.
+    this.list.dropLapsed();
     this.revision = answer.val.revision;
     // Another entry may have read the changes for this one, at most this long ago.
     this.knownAtMs = Math.max(this.knownAtMs, sentAtMs - MAX_SHARED_AGE_MS);
@@ -229,10 +238,7 @@
   private storeAnswered(): void {
     const nowMs = this.options.clock.nowMs();
     this.answeredAtMs = nowMs;
-    if (this.failingSinceMs === undefined) {
-      this.list.dropLapsed();
-      return;
-    }
+    if (this.failingSinceMs === undefined) return;
     const unansweredMs = nowMs - this.unansweredSinceMs;
     this.options.log.info('store regained', {
       afterMs: Math.round(nowMs - this.failingSinceMs),
@@ -242,7 +248,6 @@
     this.regainedAtMs = nowMs;
     // A record expires only after several missed heartbeats; a shorter failure removed none.
     if (unansweredMs >= this.options.heartbeatMs) this.list.distrust(REWRITE_MS);
-    else this.list.dropLapsed();
   }
 
   private pause(ms: Ms): Promise<void> {
--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -21,7 +21,7 @@
 
 /** A feed that answers each request for changes with the next of `answers`, and then never. */
 class ScriptedFeed {
-  constructor(private readonly answers: Changes[]) {}
+  constructor(private readonly answers: (Changes | Promise<Changes>)[]) {}
 
   list(): ReturnType<ChangeFeed['list']> {
     const item = { key: 'servers/u1', value: SERVER, revision: 1 as Revision };
@@ -43,8 +43,10 @@
   }
 }
 
-async function follow(answers: Changes[]): Promise<{ clock: VirtualClock; gone: UpstreamId[] }> {
-  const clock = new VirtualClock();
+async function follow(
+  answers: (Changes | Promise<Changes>)[],
+  clock = new VirtualClock(),
+): Promise<{ clock: VirtualClock; gone: UpstreamId[] }> {
   const gone: UpstreamId[] = [];
   const listener = {
     setTable() {},
@@ -109,6 +111,22 @@
   t.deepEqual(gone, []);
 });
 
+test('an upstream that is found to have written its record again is not dropped in between', async (t) => {
+  const item = { key: 'servers/u1', value: SERVER, revision: 3 as Revision };
+  const rewritten: Changes = result.Ok({
+    changes: [{ type: 'put', item }],
+    revision: 3 as Revision,
+  });
+  // The answer comes after the upstream counts as gone; until then the store has been silent for too long.
+  const clock = new VirtualClock();
+  const late = new Promise<Changes>((resolve) => {
+    clock.after(5000, () => resolve(rewritten));
+  });
+  const { gone } = await follow([...OUTAGE, deleted(2), late], clock);
+  await advance(clock, 5000);
+  t.deepEqual(gone, []);
+});
+
 test('an upstream that has not written its record again by then is removed', async (t) => {
   const quiet: Changes = result.Ok({ changes: [], revision: 2 as Revision });
   const { clock, gone } = await follow([
