Logs: software versions of the list and of a request's upstreams, the request that a stream is resumed from

The lines could not tell a stream that went on within one answer from one that its client took up, nor on which software.

--- a/src/core/upstreams/upstream.ts
+++ b/src/core/upstreams/upstream.ts
@@ -15,6 +15,8 @@
   /** Number of records that it has written, this one included; undefined if it does not report it. */
   readonly sequence?: number;
   readonly service: ServiceId;
+  /** Version of its software; undefined if it does not report one. */
+  readonly softwareVersion?: string;
   /** IP address and port. */
   readonly address: string;
   readonly availabilityZone: string;
--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -23,6 +23,8 @@
   readonly adapter: string | undefined;
   /** Id of the last event that the caller has received, if it resumes a stream. */
   readonly resumeAfter: string | undefined;
+  /** Request that the first event of the resumed stream came with, if the caller names it. */
+  readonly resumes: RequestId | undefined;
   readonly arrivedAtMs: Ms;
 }
 
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -70,6 +70,7 @@
     }
     this.isUnderWay = true;
     record.firstSentAtMs ??= nowMs;
+    record.softwareVersions.push(state.info.softwareVersion);
     record.listAgeMs = serving.listAgeMs();
     this.sentAtMs = nowMs;
     this.sentLoad = fleet.load(state.info.id, nowMs);
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -15,6 +15,7 @@
 import { Attempt } from './attempt.js';
 import { Reply } from './reply.js';
 import { capacityWaitMs } from './capacitywait.js';
+import { resumptionFields } from './resumptionfields.js';
 import { RetryCharge } from './retrycharge.js';
 import type { RunRecord } from './runrecord.js';
 import { Suspicion } from './suspicion.js';
@@ -96,6 +97,7 @@
 
   private readonly record: RunRecord = {
     attempts: [],
+    softwareVersions: [],
     firstSentAtMs: undefined,
     firstByteAtMs: undefined,
     listAgeMs: undefined,
@@ -628,6 +630,7 @@
       longestGapMs: Math.round(record.longestGapMs),
       totalMs: since(nowMs),
       isReturn: this.isReturn,
+      ...resumptionFields(request, record),
       ...this.suspicion.logFields(end === 'request-ends-upstreams'),
       retryAfterMs,
     });
--- a/src/direct/run/runrecord.ts
+++ b/src/direct/run/runrecord.ts
@@ -4,6 +4,8 @@
 export interface RunRecord {
   /** Upstream and outcome of each attempt, in order. */
   readonly attempts: string[];
+  /** Software version of the upstream of each attempt that was sent, as known when it was sent. */
+  readonly softwareVersions: (string | undefined)[];
   firstSentAtMs: Ms | undefined;
   firstByteAtMs: Ms | undefined;
   /** Age of the list of upstreams when the last upstream was chosen. */
--- a/src/direct/sync/upstreamlist.ts
+++ b/src/direct/sync/upstreamlist.ts
@@ -141,7 +141,7 @@
 
   /** Logs a record that changes more than what an upstream holds, or that is ignored. */
   private logRecord(
-    { id, startedAtMs, sequence, isLeaving, leavesInMs }: Upstream,
+    { id, startedAtMs, sequence, isLeaving, leavesInMs, softwareVersion }: Upstream,
     before: Lifecycle | undefined,
     revision: Revision,
     verdict: ReturnType<typeof takeRecord>['verdict'],
@@ -151,6 +151,7 @@
     if (verdict === 'current' && isListed && before.isLeaving === isLeaving) return;
     const fields = {
       upstream: id,
+      softwareVersion,
       revision,
       sequence,
       sequenceBefore: before?.sequence,
