--- a/bench/soak/promisechecker.ts
+++ b/bench/soak/promisechecker.ts
@@ -11,6 +11,8 @@
 }
 
 const EVENTS = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
+/** Names the software that made an event; a stream of one version has the same everywhere. */
+const MAKER = / by v[\d.]+$/gm;
 const PLAIN = 'the whole answer';
 /** Statuses by which the system promises that a request has not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
@@ -140,7 +142,8 @@
 
   /** An answer is signed by a server that ran this request, complete and in order. */
   private answer(call: Call): void {
-    const { id, kind, status, signature, echoedId, body, isWhole } = call;
+    const { id, kind, status, signature, echoedId, isWhole } = call;
+    const body = call.body.replaceAll(MAKER, '');
     if (status === undefined) return;
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && signature === undefined) this.breach('answers are signed', `${id}: unsigned`);
--- a/src/direct/entrycount.ts
+++ b/src/direct/entrycount.ts
@@ -27,6 +27,11 @@
     this.reportedAtMs.set(entry, nowMs);
   }
 
+  /** The count that the order lease holder reported last; 0 if it has not yet. */
+  get reported(): number {
+    return this.reportedCount;
+  }
+
   /** Records the count that the order lease holder reported, to which all entries report. */
   setReportedCount(count: number): void {
     this.reportedCount = count;
--- a/src/direct/reporter.ts
+++ b/src/direct/reporter.ts
@@ -121,18 +121,24 @@
   }
 
   private async sendReport(address: string, report: DemandReport): Promise<void> {
-    const { clock, entries, quota, poison, gate, follower, peers } = this.options;
+    const { clock, quota, poison, gate, follower, peers } = this.options;
     const sentAtMs = clock.nowMs();
     const answer = await peers().demand(address, report);
     if (!answer) return;
     if (answer.quota) quota.answered(answer.quota, sentAtMs);
-    entries.setReportedCount(answer.entryCount);
+    this.setEntryCount(answer.entryCount);
     this.applyChanges(answer.news);
     if (answer.standings) gate.take(address, answer.standings);
     follower.confirm(answer.storeReachedMs ?? 0);
     if (report.poison && answer.poison) poison.sync.answered(report.poison, answer.poison);
   }
 
+  private setEntryCount(count: number): void {
+    const { entries, log } = this.options;
+    if (count !== entries.reported) log.info('entries known', { count, before: entries.reported });
+    entries.setReportedCount(count);
+  }
+
   /** Applies residency changes by orders before the list shows them. */
   private applyChanges({ epoch, index, changes }: ResidencyUpdate): void {
     const { fleet, clock } = this.options;
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -116,6 +116,12 @@
 
   address = '';
 
+  /** Version of its software, as its record and its streams' events name it. */
+  softwareVersion = 'v1';
+
+  /** Version of the weights of all its models. */
+  weightsVersion = 1;
+
   /** Unix time of the start, in ms. Increases with every restart, also within the same ms. */
   private startedAtMs = Date.now();
 
@@ -193,7 +199,7 @@
   entry(state = 'ready'): object {
     const models = [...this.models].map(([name, adapters]) => ({
       name,
-      version: 1,
+      version: this.weightsVersion,
       adapters: [...adapters],
     }));
     const { service, address, availabilityZone: zone } = this;
@@ -203,7 +209,7 @@
       service,
       address,
       zone,
-      version: 'v1',
+      version: this.softwareVersion,
       slots: 4,
       state,
       seq: 1,
@@ -285,7 +291,8 @@
 
   private serve(request: IncomingMessage, response: ServerResponse): void {
     const model = request.headers['tarragonstile-model'] as string | undefined;
-    if (!this.holds(model)) {
+    const expected = request.headers['tarragonstile-expect-version'] ?? String(this.weightsVersion);
+    if (!this.holds(model) || expected !== String(this.weightsVersion)) {
       response.writeHead(421, { 'tarragonstile-not-executed': '1' }).end();
       return;
     }
@@ -358,7 +365,7 @@
       behavior === 'other-id' ? 'another' : String(request.headers['tarragonstile-request-id']);
     const headers: Record<string, string> = {
       'tarragonstile-request-id': id,
-      'tarragonstile-weight-versions': '1',
+      'tarragonstile-weight-versions': String(this.weightsVersion),
       'tarragonstile-server-load': '1,0,4',
       ...this.stateHeaders(),
     };
@@ -396,6 +403,10 @@
     });
   }
 
+  private eventOf(id: number): string {
+    return `id: ${id}\ndata: piece ${id} by ${this.softwareVersion}\n\n`;
+  }
+
   private stream(
     request: IncomingMessage,
     response: ServerResponse,
@@ -407,12 +418,12 @@
       'content-type': 'text/event-stream',
     });
     if (behavior === 'paused') {
-      response.write('id: 1\ndata: piece 1\n\n');
-      this.resumeStream = () => response.end('id: 2\ndata: piece 2\n\n');
+      response.write(this.eventOf(from + 1));
+      this.resumeStream = () => response.end(this.eventOf(from + 2));
       return;
     }
     for (let id = from + 1; id <= EVENTS; id += 1) {
-      const event = `id: ${id}\ndata: piece ${id}\n\n`;
+      const event = this.eventOf(id);
       if (behavior === 'cut' && id === from + 3) {
         // Cuts the stream in the middle of an event.
         response.write(event.slice(0, 8), () => request.socket.resetAndDestroy());
--- a/test/platformstream.test.ts
+++ b/test/platformstream.test.ts
@@ -4,7 +4,7 @@
 import { PlatformRig } from './support/platformrig.js';
 
 const MODEL = { 'Tarragonstile-Model': 'm1' };
-const EVENTS = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
+const EVENTS = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: piece ${id} by v1\n\n`).join('');
 
 function engine(id: string, zone: string, ...models: string[]): PlatformServer {
   const server = new PlatformServer(id, 'engine', zone);
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -8,6 +8,8 @@
 interface Line {
   readonly message: string;
   readonly fields: Readonly<Record<string, unknown>>;
+  /** Index of the entry that wrote it. */
+  readonly entry: number;
 }
 
 const ROUTES: Parameters<typeof configurationOf>[2] = [
@@ -71,7 +73,7 @@
   /** Starts the entry with this index, also again after `stopEntry`. */
   async startEntry(at: number): Promise<void> {
     const write = (message: string, fields = {}) => {
-      this.lines.push({ message, fields });
+      this.lines.push({ message, fields, entry: at });
     };
     const log: Log = { info: write, warn: write, error: write };
     const peerPort = await freePort();
@@ -175,6 +177,23 @@
     }
   }
 
+  /** Waits until this many entries have logged a line of which the condition holds. */
+  untilLogged(
+    entryCount: number,
+    message: string,
+    isMeant: (fields: Line['fields']) => boolean = () => true,
+  ): Promise<void> {
+    const meant = (line: Line) => line.message === message && isMeant(line.fields);
+    const entries = () => new Set(this.lines.filter(meant).map(({ entry }) => entry));
+    return this.until(() => entries().size >= entryCount);
+  }
+
+  /** Waits until all entries know each other: every one but the order lease holder has heard so from it. */
+  async untilAcquainted(): Promise<void> {
+    const { length } = this.started;
+    await this.untilLogged(length - 1, 'entries known', ({ count }) => count === length);
+  }
+
   /** Returns the first log line with this message. */
   findLine(message: string): Line | undefined {
     return this.lines.find((line) => line.message === message);
