A stream goes on within its answer only at the software version and weights that began it

Callers saw, in one answer, events of two versions of an upstream's software: when a stream broke, the next upstream was chosen by model and load alone, as the list's version was dropped when it was decoded.

A stream is now bound to its origin (service, software, weights) by the first event that its caller gets. The software is the one known when the request was sent: the record may be replaced while the attempt runs. The origin is part of the target, so that choice, blocks, waits, orders and the last look before the send ask for the same. Without an upstream of its version a stream is cut at once. Weights were taken from the first head of an answer, even one that brought no event; they are now those of the first event. A 421 for weights no longer counts as a missing model.

--- a/src/direct/orders/adapterloader.ts
+++ b/src/direct/orders/adapterloader.ts
@@ -1,4 +1,5 @@
 import type { ModelId, Ms } from '../../base/index.js';
+import type { StreamOrigin } from '../../core/origin/index.js';
 import type { ServiceSpec } from '../../core/routetable/index.js';
 import type { DemandEstimator } from './demandestimator.js';
 import type { FindAnswer } from './findanswer.js';
@@ -81,8 +82,10 @@
     engine: Engine,
     model: ModelId,
     adapter: string,
+    origin?: StreamOrigin,
   ): Promise<FindAnswer> {
-    const key = `${model}/${adapter}`;
+    // Streams of other software may not share the order: an upstream that serves one cannot serve the other.
+    const key = `${model}/${adapter}${origin ? `@${origin.softwareVersion}` : ''}`;
     const known = this.loading.get(key);
     if (known) return known;
     const loaded = replicas().find((view) => view.models.get(model)?.adapters.has(adapter));
--- a/src/direct/orders/mover.ts
+++ b/src/direct/orders/mover.ts
@@ -1,5 +1,8 @@
 import type { Clock, ModelId, Ms, ServiceId } from '../../base/index.js';
 import type { ModelDemand, Move } from '../../core/allocation/index.js';
+import { isContinuable } from '../../core/origin/index.js';
+import type { Upstream } from '../../core/upstreams/index.js';
+import type { Target } from '../route/index.js';
 import { enqueue } from './enqueue.js';
 import type { LoadBudget } from './loadbudget.js';
 import type { OrderContext } from './ordercontext.js';
@@ -25,6 +28,12 @@
   readonly planAgeMs: Ms;
 }
 
+/** When a move's model should be loaded, and where. */
+interface Expected {
+  readonly upstream: Upstream;
+  readonly atMs: Ms;
+}
+
 /** Called as the load of a move is ordered. */
 interface LoadSteps {
   readonly ordered: () => void;
@@ -52,7 +61,7 @@
 /** Carries out moves: evicts models at an upstream, then loads one. Failed moves are left to the next plan. */
 export class Mover {
   /** When a model should be loaded, by service and model. */
-  private readonly expected = new Map<string, Ms>();
+  private readonly expected = new Map<string, Expected>();
 
   private moving = 0;
 
@@ -67,9 +76,11 @@
     return this.moving > 0;
   }
 
-  /** Returns when a model that is being moved should be loaded. */
-  expectedAtMs(service: ServiceId, model: ModelId | undefined): Ms | undefined {
-    return this.expected.get(`${service}/${model}`);
+  /** Returns when a model that is being moved should be loaded, where the target can use it. */
+  expectedAtMs({ service, model, origin }: Target): Ms | undefined {
+    const expected = this.expected.get(`${service}/${model}`);
+    if (!expected || (origin && !isContinuable(expected.upstream, origin, model))) return undefined;
+    return expected.atMs;
   }
 
   async move(
@@ -95,7 +106,8 @@
     const key = `${service}/${model}`;
     const startedAtMs = clock.nowMs();
     const startLoad = isFromStore ? budget.reserve() : () => {};
-    this.expected.set(key, startedAtMs + this.evictionMs(evicted, demand) + loadMs);
+    const expect = (atMs: Ms) => this.expected.set(key, { upstream: view.info, atMs });
+    expect(startedAtMs + this.evictionMs(evicted, demand) + loadMs);
     const modelDemand = demand.get(model);
     const subject = { upstream: move.upstream, service, model };
     const decided = { gain, cost, demand: modelDemand, planAgeMs: Math.round(planAgeMs) };
@@ -103,7 +115,7 @@
     const end = await this.carryOut(view, move, {
       ordered: () => {
         target.plannedModel = undefined;
-        this.expected.set(key, clock.nowMs() + loadMs);
+        expect(clock.nowMs() + loadMs);
       },
       answered: () => startLoad(clock.nowMs()),
     });
--- a/src/direct/orders/orderdispatcher.ts
+++ b/src/direct/orders/orderdispatcher.ts
@@ -1,4 +1,5 @@
 import type { Clock, ModelId, Ms, ServiceId, UpstreamId } from '../../base/index.js';
+import { isContinuable } from '../../core/origin/index.js';
 import type { Move, PlanInput, PlanUpstream } from '../../core/allocation/index.js';
 import type { RouteTable, ServiceSpec } from '../../core/routetable/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
@@ -209,10 +210,10 @@
   async find(target: Target): Promise<FindAnswer> {
     const { lease, clock } = this.options;
     if (!lease.isHolder()) return { type: 'not-holder' };
-    const { service, model, adapter } = target;
+    const { service, model, adapter, origin } = target;
     const engine = this.engineOf(service);
     if (model === undefined || !engine) return this.later(target);
-    const replicas = this.withoutLimit(this.replicas(service, model));
+    const replicas = this.withoutLimit(this.replicas(target));
     if (replicas.length === 0) return this.later(target);
     if (adapter === undefined) return { type: 'ready', upstream: replicas[0]!.info.id };
     this.book.adapterUsed(model, adapter, clock.nowMs());
@@ -220,10 +221,11 @@
     if (!loaded && !lease.mayOrder()) return this.later(target);
     return this.answerInTime(
       this.adapters.ensureLoaded(
-        () => this.withoutLimit(this.replicas(service, model)),
+        () => this.withoutLimit(this.replicas(target)),
         engine,
         model,
         adapter,
+        origin,
       ),
     );
   }
@@ -246,12 +248,14 @@
     });
   }
 
-  private replicas(service: ServiceId, model: ModelId): UpstreamView[] {
+  /** Returns the upstreams that have the target's model and, if a stream is continued, can continue it. */
+  private replicas({ service, model, origin }: Target): UpstreamView[] {
     const found: UpstreamView[] = [];
     for (const view of this.views.values()) {
       const { info, models } = view;
       if (info.service !== service || info.isLeaving || this.isLost(view)) continue;
-      if (models.get(model)?.phase === 'ready') found.push(view);
+      if (origin && !isContinuable(info, origin, model)) continue;
+      if (model !== undefined && models.get(model)?.phase === 'ready') found.push(view);
     }
     return found;
   }
@@ -263,15 +267,16 @@
   }
 
   /** Plans at once for a model without a replica, so that the answer can contain when it will be loaded. */
-  private later({ service, model }: Target): FindAnswer {
+  private later(target: Target): FindAnswer {
+    const { service, model } = target;
     const nowMs = this.options.clock.nowMs();
     const engine = this.engineOf(service);
-    const isBeingMoved = this.mover.expectedAtMs(service, model) !== undefined;
+    const isBeingMoved = this.mover.expectedAtMs(target) !== undefined;
     if (model !== undefined && engine && !isBeingMoved && this.options.lease.mayOrder()) {
       this.book.wanted(service, model, nowMs);
       this.planRunner.plan(service);
     }
-    const expectedAtMs = this.mover.expectedAtMs(service, model);
+    const expectedAtMs = this.mover.expectedAtMs(target);
     const waitMs = this.options.lease.ordersInMs();
     if (expectedAtMs === undefined) {
       const inMs = waitMs + this.unplannedMs(engine, model);
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -1,6 +1,7 @@
 import type { Ms, ServiceId, UpstreamId } from '../../base/index.js';
 import { initialLimit, engineLimitRules, maxFill, onGap } from '../../core/enginelimit/index.js';
 import { expectedAnswerMs, learnService, mayJoin } from '../../core/plainwait/index.js';
+import { isContinuable, type StreamOrigin } from '../../core/origin/index.js';
 import { unloadedTimeMs, isPrefilling, promptPaceRules } from '../../core/promptpace/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
@@ -177,9 +178,20 @@
   }
 
   /** Returns true if a request for which the upstream was chosen at `chosenAtMs` may still be sent there. */
-  maySend({ info }: UpstreamState, chosenAtMs: Ms, nowMs: Ms): boolean {
+  maySend({ info }: UpstreamState, { model, origin }: Target, chosenAtMs: Ms, nowMs: Ms): boolean {
     const known = this.states.get(info.id)?.info;
-    return known !== undefined && !known.isLeaving && this.gate.maySend(known, chosenAtMs, nowMs);
+    if (!known || known.isLeaving) return false;
+    // It may have started again with other software while the connection was opened.
+    if (origin && !isContinuable(known, origin, model)) return false;
+    return this.gate.maySend(known, chosenAtMs, nowMs);
+  }
+
+  /** Returns true if some upstream runs the software that a stream has to be continued with. */
+  mayContinue(origin: StreamOrigin): boolean {
+    for (const { info } of this.upstreamsOf(origin.service)) {
+      if (!info.isLeaving && isContinuable(info, origin, undefined)) return true;
+    }
+    return false;
   }
 
   /** Records that a request is sent there. */
--- a/src/direct/route/has.ts
+++ b/src/direct/route/has.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import { isContinuable } from '../../core/origin/index.js';
 import type { Target } from './target.js';
 import type { UpstreamState } from './upstreamstate.js';
 
@@ -7,8 +8,9 @@
   return hint && hint.untilMs > nowMs ? hint.isThere : undefined;
 }
 
-/** Returns true if an upstream has the target's model and adapter in memory, as far as this entry knows. */
-export function has(state: UpstreamState, { model, adapter }: Target, nowMs: Ms): boolean {
+/** Returns true if an upstream can serve the target from its memory, as far as this entry knows. */
+export function has(state: UpstreamState, { model, adapter, origin }: Target, nowMs: Ms): boolean {
+  if (origin && !isContinuable(state.info, origin, model)) return false;
   if (model === undefined) return true;
   const held = state.info.models.get(model);
   if (!(hinted(state, model, nowMs) ?? held !== undefined)) return false;
--- a/src/direct/route/target.ts
+++ b/src/direct/route/target.ts
@@ -1,8 +1,11 @@
 import type { ModelId, ServiceId } from '../../base/index.js';
+import type { StreamOrigin } from '../../core/origin/index.js';
 
 /** Service, model and adapter that a request requires. */
 export interface Target {
   readonly service: ServiceId;
   readonly model?: ModelId;
   readonly adapter?: string;
+  /** Set if a stream is continued: only an upstream that can continue it serves the request. */
+  readonly origin?: StreamOrigin;
 }
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -1,5 +1,6 @@
 import type { Ms } from '../../base/index.js';
 import type { AttemptEnd } from '../../core/delivery/index.js';
+import type { StreamOrigin } from '../../core/origin/index.js';
 import type { Route } from '../../core/routetable/index.js';
 import type { UpstreamLink, UpstreamReceiver } from '../../port/index.js';
 import type { Target, UpstreamState } from '../route/index.js';
@@ -45,6 +46,9 @@
   /** Number of requests there when it was sent. */
   private sentLoad = 0;
 
+  /** The upstream's software when the request was sent; its record may change while the attempt runs. */
+  private softwareVersion: string | undefined;
+
   private lastEventAtMs: Ms | undefined;
 
   /** True for a stream whose first event has not arrived. */
@@ -59,7 +63,11 @@
     const nowMs = clock.nowMs();
     fleet.recordSend(state, nowMs, call.requestId);
     let isChosenNow = true;
-    const maySend = () => isChosenNow || this.options.maySend(nowMs);
+    const maySend = () => {
+      const isAllowed = isChosenNow || this.options.maySend(nowMs);
+      if (isAllowed) this.recordSoftware();
+      return isAllowed;
+    };
     this.sent = link.send({ ...call, maySend }, this.receiver());
     isChosenNow = false;
     if (!this.sent) {
@@ -70,7 +78,6 @@
     }
     this.isUnderWay = true;
     record.firstSentAtMs ??= nowMs;
-    record.softwareVersions.push(state.info.softwareVersion);
     record.listAgeMs = serving.listAgeMs();
     this.sentAtMs = nowMs;
     this.sentLoad = fleet.load(state.info.id, nowMs);
@@ -80,6 +87,18 @@
     serving.began(target);
   }
 
+  private recordSoftware(): void {
+    const { serving, state, record } = this.options;
+    const { softwareVersion } = serving.fleet.get(state.info.id)?.info ?? state.info;
+    this.softwareVersion = softwareVersion;
+    record.softwareVersions.push(softwareVersion);
+  }
+
+  private originWith({ weightsVersion }: Head): StreamOrigin {
+    const { service } = this.options.target;
+    return { service, softwareVersion: this.softwareVersion, weightsVersion };
+  }
+
   /** Cancels the attempt. Returns true if the upstream may have run it. */
   withdraw(outcome: string): boolean {
     const mayHaveRun = this.sent?.isSent ?? false;
@@ -125,17 +144,25 @@
       fleet.recordServiceTime(state, nowMs - this.sentAtMs, this.sentLoad);
     }
     const isStream = route.kind === 'streaming' && head.status < FIRST_NON_SUCCESS_STATUS;
-    reply.take(head, { isStream, isResumable: route.isResumable });
+    const origin = this.originWith(head);
+    reply.take(head, { isStream, isResumable: route.isResumable, origin });
   }
 
   private notRun(head: Head): void {
     this.leave();
     this.sent?.cancel();
-    this.recordOutcome(head.status === WRONG_UPSTREAM_STATUS ? 'missing' : 'full');
+    this.recordRefusal(head);
     this.note(`not-run-${head.status}`);
     this.options.over({ type: 'not-run', wasSent: true });
   }
 
+  private recordRefusal({ status }: Head): void {
+    // The upstream may hold the model with other weights than the stream needs.
+    const mayHoldModel = this.options.target.origin?.weightsVersion !== undefined;
+    if (status !== WRONG_UPSTREAM_STATUS) this.recordOutcome('full');
+    else if (!mayHoldModel) this.recordOutcome('missing');
+  }
+
   private data(chunk: Buffer): boolean {
     const { route, reply } = this.options;
     if (route.kind === 'streaming') this.recordEvent();
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -1,4 +1,5 @@
 import type { RequestId } from '../../base/index.js';
+import type { StreamOrigin } from '../../core/origin/index.js';
 import type { UpstreamReceiver } from '../../port/index.js';
 import type { Caller } from '../caller.js';
 import { EventAssembler } from './eventassembler.js';
@@ -13,6 +14,8 @@
   readonly isStream: boolean;
   /** Another upstream may continue the stream after a break, so only complete events are passed on. */
   readonly isResumable: boolean;
+  /** What the answer would begin with if it is a stream. */
+  readonly origin: StreamOrigin;
 }
 
 /** The answer to one caller, assembled from the answers of one or more upstreams. */
@@ -20,8 +23,11 @@
   /** True once any part of it was sent to the caller. */
   hasBegun = false;
 
-  /** Version of the weights that produced the sent part; a stream has to be continued with the same weights. */
-  weightsVersion: string | undefined;
+  /** What the stream began with; undefined until a part of it was sent to the caller. */
+  origin: StreamOrigin | undefined;
+
+  /** What the stream begins with if a part of the answer under way is sent to the caller. */
+  private nextOrigin: StreamOrigin | undefined;
 
   private head: Head | undefined;
 
@@ -55,13 +61,13 @@
   }
 
   /** Begins with the head of an upstream's answer. */
-  take(head: Head, { isStream, isResumable }: ReplyMode): void {
+  take(head: Head, { isStream, isResumable, origin }: ReplyMode): void {
     this.head = head;
     if (!isStream) {
       this.held = [];
       return;
     }
-    this.weightsVersion ??= head.weightsVersion;
+    this.nextOrigin = origin;
     // A resumable stream begins with its first event: until then another upstream may answer instead.
     if (!isResumable) this.begin();
     else if (this.assembler) this.assembler.restart();
@@ -107,6 +113,7 @@
   private begin(): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
+    this.origin = this.nextOrigin;
     const { status, headers, hasLength } = this.head!;
     this.caller.begin(status, headers, hasLength);
   }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -1,8 +1,9 @@
-import type { Clock, Ms, UpstreamId } from '../../base/index.js';
+import type { Clock, Ms, ServiceId, UpstreamId } from '../../base/index.js';
 import { spreadRetryAfterMs } from '../../core/retryafter/index.js';
 import { nextStep, type AttemptEnd, type Progress } from '../../core/delivery/index.js';
 import { hash32 } from '../../core/hash/index.js';
 import { plainWaitRules } from '../../core/plainwait/index.js';
+import type { StreamOrigin } from '../../core/origin/index.js';
 import { promptPaceRules } from '../../core/promptpace/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
 import { pickService, requestUrgency, type Route } from '../../core/routetable/index.js';
@@ -124,6 +125,15 @@
     return requestUrgency(this.route, this.admitted.customer, this.serving.table?.access);
   }
 
+  /** What the stream began with, once it has; it is only continued with the same. */
+  private get origin(): StreamOrigin | undefined {
+    return this.reply.origin;
+  }
+
+  private get service(): ServiceId {
+    return this.origin?.service ?? pickService(this.route, this.caller.request.id);
+  }
+
   private get clock(): Clock {
     return this.serving.clock;
   }
@@ -143,7 +153,7 @@
     const waitMs = Math.max(0, this.untilMs - this.clock.nowMs());
     this.forgetTimer = this.clock.after(waitMs, () => this.timeout());
     caller.onFree(() => this.current?.resume());
-    const service = pickService(route, request.id);
+    const { service } = this;
     serving.budgetOf(service).request(this.clock.nowMs());
     serving.arrived({ service, model: request.model, adapter: request.adapter });
     this.attempt();
@@ -197,8 +207,22 @@
       void this.payAgain();
       return;
     }
-    const service = pickService(route, request.id);
-    this.target = { service, model: request.model, adapter: request.adapter };
+    if (!this.isOnRoute()) {
+      this.giveUp('stream-withdrawn', 'The route no longer leads to the service of the stream.');
+      return;
+    }
+    const { origin } = this;
+    this.target = {
+      service: this.service,
+      model: request.model,
+      adapter: request.adapter,
+      origin,
+    };
+    if (origin && !serving.fleet.mayContinue(origin)) {
+      const detail = 'No upstream runs the software version that the stream began with.';
+      this.giveUp('stream-version-gone', detail);
+      return;
+    }
     if (!serving.mayWait) {
       this.stopWaiting();
       return;
@@ -222,6 +246,11 @@
     else this.tryAgainLater();
   }
 
+  /** Returns false if the stream began at a service that a new configuration has taken off the route. */
+  private isOnRoute(): boolean {
+    return this.route.destinations.some(({ service }) => service === this.service);
+  }
+
   /** Refuses the request: the configuration has stopped allowing it. */
   private withdrawn(type: keyof typeof WITHDRAWN): void {
     const { end, detail } = WITHDRAWN[type];
@@ -467,7 +496,7 @@
       serving.decideAccess(admitted.caller.request)?.type === 'allowed' &&
       admitted.charge.covers(this.ranCount);
     const budget = serving.budgetOf(state.info.service);
-    const isAccepted = mayRun && serving.fleet.maySend(state, chosenAtMs, nowMs);
+    const isAccepted = mayRun && serving.fleet.maySend(state, this.target!, chosenAtMs, nowMs);
     if (isAccepted && this.retryCharge.send(budget, nowMs)) return true;
     this.log.info('request withheld', {
       requestId: admitted.caller.request.id,
@@ -498,7 +527,7 @@
       deadlineMs: this.untilMs - this.clock.nowMs(),
       priority: this.urgency.rank,
       resumeAfter: reply.lastEventId ?? request.resumeAfter,
-      weightsVersion: reply.hasBegun ? reply.weightsVersion : undefined,
+      weightsVersion: this.origin?.weightsVersion,
     };
   }
 
@@ -518,9 +547,8 @@
 
   private decide(end: AttemptEnd): void {
     const step = nextStep(this.progress(), end);
-    const { serving, route, caller } = this;
+    const { serving, service } = this;
     const nowMs = this.clock.nowMs();
-    const service = pickService(route, caller.request.id);
     const isRetry = step.type === 'again' || step.type === 'resume';
     if (isRetry && this.retryCharge.reserve(serving.budgetOf(service), nowMs)) {
       this.reply.setAside(end.type === 'failed');
--- a/src/direct/targetfinder.ts
+++ b/src/direct/targetfinder.ts
@@ -1,4 +1,5 @@
 import type { Clock, Ms } from '../base/index.js';
+import { isContinuable } from '../core/origin/index.js';
 import { holdOrRefuse, type ResidencyWait } from '../core/residencywait/index.js';
 import type { Log } from '../port/index.js';
 import type { DemandMeter, FindAnswer } from './orders/index.js';
@@ -91,7 +92,9 @@
   private isReady(target: Target, found: FindAnswer | undefined): boolean {
     if (found?.type === 'ready') {
       const state = this.options.fleet.get(found.upstream);
-      if (state && !state.info.isLeaving) {
+      const { model, origin } = target;
+      const isUsable = state && (!origin || isContinuable(state.info, origin, model));
+      if (isUsable && !state.info.isLeaving) {
         this.options.fleet.hint(state, target, true, this.options.clock.nowMs());
         return true;
       }
@@ -110,7 +113,9 @@
 
   /** Asks the order lease holder. Requests with the same target share a call and reuse a recent answer. */
   private ask(target: Target): Promise<FindAnswer | undefined> {
-    const key = `${target.service}/${target.model}/${target.adapter ?? ''}`;
+    const { service, model, adapter = '', origin } = target;
+    const versions = origin ? `/${origin.softwareVersion}/${origin.weightsVersion}` : '';
+    const key = `${service}/${model}/${adapter}${versions}`;
     const known = this.pending.get(key);
     if (known) return known;
     const nowMs = this.options.clock.nowMs();
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -61,3 +61,27 @@
   Object.assign(state, { prefillCount: 1, unloadedFirstEventMs: 80 });
   t.is(fleet.choose(TARGET, 1010)!.info.id, 'second' as UpstreamId);
 });
+
+test('a stream is not continued at an upstream that started again with other software while its connection opened', (t) => {
+  const fleet = new Fleet('z');
+  fleet.put({ ...upstream('first'), softwareVersion: 'v1' });
+  const origin = { service: TARGET.service, softwareVersion: 'v1', weightsVersion: undefined };
+  const target = { ...TARGET, origin };
+  const chosen = fleet.choose(target, 1000)!;
+  t.true(fleet.maySend(chosen, target, 1000, 1001));
+  fleet.remove(chosen.info.id);
+  fleet.put({ ...upstream('first'), softwareVersion: 'v1.1' });
+  t.false(fleet.maySend(chosen, target, 1000, 1002));
+  t.is(fleet.choose(target, 1002), undefined);
+  t.false(fleet.mayContinue(origin));
+});
+
+test('a stream is continued with the weights that began it', (t) => {
+  const fleet = new Fleet('z');
+  for (const version of [1, 2]) {
+    const models = new Map([[TARGET.model, { version, adapters: new Set<string>() }]]);
+    fleet.put({ ...upstream(`weights-${version}`), models });
+  }
+  const origin = { service: TARGET.service, softwareVersion: undefined, weightsVersion: '2' };
+  t.is(fleet.choose({ ...TARGET, origin }, 1000)!.info.id, 'weights-2' as UpstreamId);
+});
