A stream that its caller takes up goes on only at the software version that began it, at whichever entry

Callers saw events of two versions over their tries: a request with Last-Event-Id was handled as a new one, at the entry that began the stream as well as at any other.

The class: a continuation was decided on part of what it depends on. The origin of a stream (service, software, weights) is recorded when its request is sent, before its first event, under the id that the caller names in Resumes. While several origins are possible for its route, two other entries get a copy, found by rendezvous hashing of the id over the members that the order lease holder lists, not both in the sender's zone; streams begun before that are told then. A taking-up asks its entry's memory, then the entries that may keep a copy (150 ms at most). Without a copy it goes on only if it can have had one origin alone: one service on the route and one version of its software within the route's time-out and two minutes, by a list that is fresh, or 30 s old where two entries answered that they keep no copy. What an entry knows of earlier versions is written with the lease record for entries that start. One that names no request goes on while one version alone has been listed.

Ruled out: memory of the one entry (gone with it), the store (a write a stream), reports to the holder (late, gone with it). While one version serves nothing is sent between entries.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -1,6 +1,14 @@
-import { result, type Clock, type Ms, type ServiceId, type UpstreamId } from '../base/index.js';
+import {
+  result,
+  type Clock,
+  type Ms,
+  type RequestId,
+  type ServiceId,
+  type UpstreamId,
+} from '../base/index.js';
 import { takeoverDelay } from '../core/orderlease/index.js';
 import type { CustomerSpec } from '../core/access/index.js';
+import { OriginHistory } from '../core/origin/index.js';
 import { quotaParts } from '../core/quota/index.js';
 import type { RetryBudget } from '../core/retrybudget/index.js';
 import { rateRules } from '../core/sharedrate/index.js';
@@ -15,6 +23,8 @@
 import type { Caller } from './caller.js';
 import type { DirectSettings } from './directsettings.js';
 import { EntryCount } from './entrycount.js';
+import { Members } from './members.js';
+import { Origins, type OriginCopy } from './origin/index.js';
 import { Intake, type Admitted } from './intake/index.js';
 import {
   DemandMeter,
@@ -81,6 +91,8 @@
 
   readonly gate: UpstreamGate;
 
+  readonly origins: Origins;
+
   table: RouteTable | undefined;
 
   mayWait = true;
@@ -93,6 +105,10 @@
 
   private readonly entries = new EntryCount();
 
+  private readonly members: Members;
+
+  private readonly originHistory = new OriginHistory();
+
   private readonly returnDetector = new ReturnDetector();
 
   private readonly runs = new Set<Run>();
@@ -141,6 +157,8 @@
       parts: () => this.entries.shares(clock.nowMs()),
     });
     const address = `${peerListen.host}:${peerListen.port}`;
+    const { availabilityZone } = settings;
+    this.members = new Members({ entry: host, address, availabilityZone });
     this.shared = new SharedFeed({
       feed,
       codec,
@@ -174,6 +192,7 @@
       log,
       relay: (swap) => this.relay(swap),
       entries: () => ({ count: this.knownCount(), parts: this.entryParts() }),
+      versions: () => this.originHistory.recorded(clock.nowMs()),
       onTaken: (isFirst) => {
         this.dispatcher.leaseTaken(isFirst);
         this.quotaLedger.takeOver(isFirst);
@@ -201,8 +220,11 @@
     this.dispatcher = new OrderDispatcher({ ...shared, ...reading, lease: this.orderLease });
     this.poisonPrefix = `${codec.ownPrefix}poison/`;
     this.poison = this.createPoisonGuard();
+    this.origins = this.createOrigins();
     this.reporter = new Reporter({
       host,
+      availabilityZone,
+      members: this.members,
       clock,
       log,
       fleet: this.fleet,
@@ -228,6 +250,8 @@
         this.table?.access && listCustomers(this.table.access, this.quota, this.quotaLedger),
       draw: (request: DrawRequest) => this.quotaLedger.draw(request),
       slot: (request: SlotRequest) => this.gate.answer(request),
+      copyOrigins: (copies: readonly OriginCopy[]) => this.origins.receive(copies),
+      origin: (id: RequestId) => this.origins.answer(id),
       swap: (swap: Swap) => feed.swap(swap),
       changes: (request: Parameters<SharedFeed['answer']>[0]) => this.shared.answer(request),
     };
@@ -375,12 +399,15 @@
 
   setTable(table: RouteTable): void {
     this.table = table;
+    this.originHistory.table(table, this.clock.nowMs());
+    this.origins.tick();
     this.dispatcher.table = table;
     this.quotaLedger.limit(table.access);
   }
 
   upstream(listed: Upstream): void {
     const upstream = this.gate.withReportedState(listed);
+    if (this.originHistory.upstream(upstream, this.clock.nowMs())) this.origins.tick();
     this.fleet.put(upstream);
     if (upstream.isLeaving) this.poison.upstreamLeaving(upstream.id);
     this.dispatcher.upstream(upstream);
@@ -388,6 +415,7 @@
 
   upstreamGone(id: UpstreamId): void {
     this.fleet.remove(id);
+    this.originHistory.upstreamGone(id, this.clock.nowMs());
     this.poison.upstreamGone(id);
     this.dispatcher.removeUpstream(id);
     this.keepConnections();
@@ -408,7 +436,9 @@
   }
 
   complete(): void {
-    if (!this.hasState && this.orderLease.recordedEntries) this.budgets.setPredecessor();
+    const { record } = this.orderLease;
+    if (!this.hasState && record?.entries) this.budgets.setPredecessor();
+    this.originHistory.complete(record?.versions, record !== undefined, this.clock.nowMs());
     this.hasState = true;
   }
 
@@ -434,6 +464,7 @@
     if (this.hasState && !this.isStopping && isDue) this.orderLease.tick();
     this.dispatcher.tick();
     this.poison.tick();
+    this.origins.tick();
     this.quotaLedger.tick();
     const endedAtMs = this.clock.nowMs();
     if (endedAtMs - nowMs > STALL_MS) this.resumed(endedAtMs);
@@ -453,6 +484,7 @@
     metrics.gauge('direct.gives_orders', this.orderLease.mayOrder() ? 1 : 0);
     metrics.gauge('direct.upstreams_lost', this.fleet.lost(this.clock.nowMs()).length);
     metrics.gauge('direct.upstreams_limited', this.gate.limitedCount());
+    metrics.gauge('direct.origins_kept', this.origins.size);
   }
 
   private createUpstreamGate(): UpstreamGate {
@@ -488,6 +520,21 @@
     return address === undefined ? undefined : this.peers.slot(address, request);
   }
 
+  private createOrigins(): Origins {
+    const { settings, clock, log, metrics } = this.context;
+    return new Origins({
+      clock,
+      log,
+      metrics,
+      entry: settings.host,
+      history: this.originHistory,
+      members: () => this.members.all(clock.nowMs()),
+      listAgeMs: () => this.follower.knownAgeMs(),
+      copy: (address, copies) => this.peers.copyOrigins(address, copies),
+      ask: (address, id) => this.peers.origin(address, id),
+    });
+  }
+
   private createPoisonGuard(): PoisonGuard {
     const { settings, clock, log, metrics, feed } = this.context;
     return new PoisonGuard({
--- a/src/direct/orders/demandanswer.ts
+++ b/src/direct/orders/demandanswer.ts
@@ -1,6 +1,7 @@
 import type { Ms } from '../../base/index.js';
 import type { SuspectBatch } from '../poison/index.js';
 import type { QuotaAnswer } from '../quota/index.js';
+import type { MemberList } from '../memberlist.js';
 import type { ReportedStateUpdate } from '../selfreport/index.js';
 import type { ResidencyUpdate } from './residencyupdate.js';
 
@@ -8,6 +9,8 @@
 export interface DemandAnswer {
   /** Number of entries that report to the holder, including the holder. */
   readonly entryCount: number;
+  /** The entries that report to the holder; absent from a holder that does not list them. */
+  readonly members?: MemberList;
   /** How long the store has answered the holder without a break, in ms; absent from a holder that does not say it. */
   readonly storeReachedMs?: Ms;
   /** Residency changes that orders made since the entry's cursor. */
--- a/src/direct/orders/demandreport.ts
+++ b/src/direct/orders/demandreport.ts
@@ -28,6 +28,10 @@
   readonly entry: string;
   /** Address at which other entries reach this one. */
   readonly address: string;
+  /** Absent from an entry that does not say it. */
+  readonly availabilityZone?: string;
+  /** Digest of the list of members that the entry has; absent if it has none. */
+  readonly membersDigest?: number;
   readonly models: readonly ModelReport[];
   /** Upstreams that the entry considers lost: connections to them do not open. */
   readonly lost: readonly UpstreamId[];
--- a/src/direct/orders/orderleasekeeper.ts
+++ b/src/direct/orders/orderleasekeeper.ts
@@ -27,6 +27,8 @@
   readonly relay: (swap: Swap) => ReturnType<ChangeFeed['swap']>;
   /** Number of entries, written with the record for entries that start and for the next holder. */
   readonly entries: () => OrderLeaseRecord['entries'];
+  /** Versions of upstreams, written with the record for entries that start. */
+  readonly versions: () => OrderLeaseRecord['versions'];
   /** Called when this process takes the lease; `isFirst` if no process held it before. */
   readonly onTaken: (isFirst: boolean) => void;
 }
@@ -95,6 +97,11 @@
     return this.state.seen?.value.entries;
   }
 
+  /** The last record that was read. */
+  get record(): OrderLeaseRecord | undefined {
+    return this.state.seen?.value;
+  }
+
   get epoch(): number {
     return this.state.own?.epoch ?? 0;
   }
@@ -165,14 +172,20 @@
     this.state = { ...this.state, own: undefined };
     if (!release) return;
     const { expectedRevision, value } = release;
-    const reply = await feed.swap({ key, expectedRevision, value: JSON.stringify(value) });
+    const reply = await feed.swap({ key, expectedRevision, value: this.encode(value) });
     log.info('order turn released', { epoch, outcome: reply.val.type });
   }
 
+  /** Adds what entries that start need to know: nobody may hold the lease when they do. */
+  private encode(value: OrderLeaseRecord): string {
+    const { entries, versions } = this.options;
+    return JSON.stringify({ ...value, entries: entries(), versions: versions() });
+  }
+
   private async write(write: LeaseWrite): Promise<void> {
     const { feed, key } = this.options;
     this.isWriting = true;
-    const value = JSON.stringify({ ...write.value, entries: this.options.entries() });
+    const value = this.encode(write.value);
     const swap = { key, expectedRevision: write.expectedRevision, value };
     const reply = write.type === 'renew' ? await this.renew(swap) : await feed.swap(swap);
     if (reply.err) await this.writeFailed(write, reply.val.type);
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -1,8 +1,16 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { result, type Clock, type ContentId, type Ms, type Revision } from '../../base/index.js';
+import {
+  result,
+  type Clock,
+  type ContentId,
+  type Ms,
+  type RequestId,
+  type Revision,
+} from '../../base/index.js';
 import type { ChangeFeed, Log, StoreFailure, Swap, SwapOutcome } from '../../port/index.js';
 import { callOnce, Channel } from '../../shell/http1/index.js';
 import type { Suspect } from '../../core/poison/index.js';
+import type { OriginAnswer, OriginCopy } from '../origin/index.js';
 import type { TrialRequest } from '../poison/index.js';
 import type { CustomerState, DrawAnswer, DrawRequest } from '../quota/index.js';
 import type { Target } from '../route/index.js';
@@ -25,6 +33,10 @@
   slot(request: SlotRequest): Promise<SlotAnswer>;
   /** True if a suspected query of death may run as a trial at another entry now. */
   trial(request: TrialRequest): boolean;
+  /** Keeps copies of what streams of another entry began with. */
+  copyOrigins(copies: readonly OriginCopy[]): void;
+  /** Returns what is known of the stream that began with this request. */
+  origin(id: RequestId): OriginAnswer;
   /** Returns customers, their limits and their use, for an operator. */
   customers(): readonly CustomerState[] | undefined;
   /** Returns suspected queries of death, for an operator. */
@@ -60,6 +72,8 @@
   slot: '/limit/slot',
   customers: '/quota/list',
   trial: '/poison/trial',
+  copyOrigins: '/streams/copy',
+  origin: '/streams/find',
   suspects: '/poison/list',
   lift: '/poison/lift',
 } as const;
@@ -73,6 +87,10 @@
 const TRIAL_TIMEOUT_MS = 150;
 /** A request whose target may be 250 ms waits for this answer; an entry that is up gives it within milliseconds. */
 const DRAW_TIMEOUT_MS = 150;
+/** A caller that resumes a stream waits for this answer; an entry that is up gives it within milliseconds. */
+const ORIGIN_TIMEOUT_MS = 150;
+/** Nobody waits for this answer. */
+const COPY_TIMEOUT_MS = 2000;
 /** Used to renew the order lease, which is not valid for much longer. */
 const SWAP_TIMEOUT_MS = 500;
 /** Margin beyond the wait of a request for changes: a round trip on a busy host. */
@@ -151,6 +169,17 @@
     return answer as SlotAnswer | undefined;
   }
 
+  /** Sends copies of streams' origins. Returns false if the entry does not answer. */
+  async copyOrigins(address: string, copies: readonly OriginCopy[]): Promise<boolean> {
+    return (await this.ask(address, PATHS.copyOrigins, { copies }, COPY_TIMEOUT_MS)) !== undefined;
+  }
+
+  /** Returns undefined if the entry does not answer. */
+  async origin(address: string, id: RequestId): Promise<OriginAnswer | undefined> {
+    const answer = await this.ask(address, PATHS.origin, { id }, ORIGIN_TIMEOUT_MS);
+    return answer as OriginAnswer | undefined;
+  }
+
   /** Returns the store's changes as another entry has read them; undefined if it does not answer. */
   async changes(
     address: string,
@@ -230,6 +259,11 @@
     if (path === PATHS.slot) return this.handlers.slot(body as SlotRequest);
     if (path === PATHS.customers) return { customers: this.handlers.customers() ?? [] };
     if (path === PATHS.trial) return { mayRun: this.handlers.trial(body as TrialRequest) };
+    if (path === PATHS.origin) return this.handlers.origin((body as { id: RequestId }).id);
+    if (path === PATHS.copyOrigins) {
+      this.handlers.copyOrigins((body as { copies: OriginCopy[] }).copies);
+      return {};
+    }
     if (path === PATHS.suspects) return { suspects: this.handlers.suspects() };
     if (path === PATHS.lift) {
       return { isLifted: this.handlers.lift((body as { content: ContentId }).content) };
--- /dev/null
+++ b/src/direct/origin/index.ts
@@ -0,0 +1,5 @@
+/** With what streams began, at whichever entry. */
+export type { FoundOrigin } from './foundorigin.js';
+export type { OriginAnswer } from './originanswer.js';
+export type { OriginCopy } from './origincopy.js';
+export { Origins } from './origins.js';
--- /dev/null
+++ b/src/direct/origin/origins.ts
@@ -0,0 +1,200 @@
+import type { Clock, ModelId, Ms, RequestId } from '../../base/index.js';
+import {
+  copyHolders,
+  type Member,
+  type OriginHistory,
+  type StreamOrigin,
+} from '../../core/origin/index.js';
+import type { Route } from '../../core/routetable/index.js';
+import type { Log, Metrics } from '../../port/index.js';
+import type { Caller } from '../caller.js';
+import { CopyOutbox } from './copyoutbox.js';
+import type { FoundOrigin } from './foundorigin.js';
+import type { OriginAnswer } from './originanswer.js';
+import type { OriginCopy } from './origincopy.js';
+import { OriginTable } from './origintable.js';
+import { PendingCopies } from './pendingcopies.js';
+
+interface OriginsOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Name of this entry. */
+  readonly entry: string;
+  readonly history: OriginHistory;
+  readonly members: () => readonly Member[];
+  /** Returns the greatest possible age of the list of upstreams. */
+  readonly listAgeMs: () => Ms;
+  /** Sends copies to another entry. Returns false if it did not answer. */
+  readonly copy: (address: string, copies: readonly OriginCopy[]) => Promise<boolean>;
+  /** Asks another entry; undefined if it did not answer in time. */
+  readonly ask: (address: string, id: RequestId) => Promise<OriginAnswer | undefined>;
+}
+
+/** A request whose stream begins. */
+interface Beginning {
+  readonly id: RequestId;
+  readonly route: Route;
+  readonly model: ModelId | undefined;
+  readonly origin: StreamOrigin;
+  /** How much longer the caller may take the stream up. */
+  readonly keepMs: Ms;
+}
+
+/** A change of the list is known to every entry that is not disturbed within this time. */
+const LIST_FRESH_MS = 2000;
+/**
+ * Where other entries have answered that they keep no copy, the stream began while its entry saw one version alone, so
+ * the list only has to show the same one.
+ */
+const LIST_CONFIRMED_MS = 30_000;
+/** Other entries that have to answer so: of the two that keep a copy one may have started again. */
+const CONFIRMATIONS = 2;
+/** A caller may be a little later than it has announced. */
+const KEEP_MARGIN_MS = 5000;
+const MAX_KEEP_MS = 600_000;
+
+type Known = Extract<OriginAnswer, { readonly type: 'known' }>;
+
+function newestOf(answers: readonly (OriginAnswer | undefined)[]): Known | undefined {
+  let newest: Known | undefined;
+  for (const answer of answers) {
+    if (answer?.type !== 'known') continue;
+    if (!newest || answer.sequence > newest.sequence) newest = answer;
+  }
+  return newest;
+}
+
+/** Returns how many entries keep no copy of a stream that may have begun within this time. */
+function denialCount(answers: readonly (OriginAnswer | undefined)[], withinMs: Ms): number {
+  return answers.filter((answer) => answer?.type === 'unknown' && answer.keptMs >= withinMs).length;
+}
+
+/** Knows with what streams began, also those that other entries have begun, so that they go on with the same. */
+export class Origins {
+  private readonly table = new OriginTable();
+
+  private readonly pending = new PendingCopies();
+
+  private readonly outbox: CopyOutbox;
+
+  private readonly startedAtMs: Ms;
+
+  constructor(private readonly options: OriginsOptions) {
+    const { clock, entry, members, copy, metrics } = options;
+    this.startedAtMs = clock.nowMs();
+    this.outbox = new CopyOutbox({
+      clock,
+      entry,
+      members,
+      send: copy,
+      count: (outcome, copies) => metrics.count('direct.origin_copy', copies, { outcome }),
+    });
+  }
+
+  /** Number of streams whose origin is kept here. */
+  get size(): number {
+    return this.table.size;
+  }
+
+  /** Records with what a stream begins, or goes on; called when its request is sent, before its first event. */
+  record({ id, route, model, origin, keepMs }: Beginning): void {
+    const nowMs = this.options.clock.nowMs();
+    const known = this.table.get(id, nowMs);
+    const sequence = (known?.sequence ?? 0) + 1;
+    const keptMs = Math.min(MAX_KEEP_MS, keepMs + KEEP_MARGIN_MS);
+    const copy = { id, origin, sequence, keepMs: Math.round(keptMs) };
+    this.table.put(copy, nowMs);
+    // An origin that others were told of has to be told again when it changes.
+    const isInferable = !known && this.isInferable(route, model);
+    if (isInferable) this.pending.add(id, { route, model, untilMs: nowMs + keptMs });
+    else {
+      this.pending.delete(id, { route, model });
+      this.outbox.add(copy);
+    }
+  }
+
+  /** Finds with what the stream began that a request resumes; `service` is the one that a new stream would go to. */
+  async find(
+    request: Caller['request'],
+    route: Route,
+    service: StreamOrigin['service'],
+  ): Promise<FoundOrigin> {
+    const { resumes: id, model, deadlineMs } = request;
+    const found =
+      id === undefined ? this.findUnnamed(route, service) : await this.findNamed(id, route);
+    const { origin, source } = found;
+    this.options.metrics.count('direct.origin_found', 1, { source });
+    // Copies follow the members that there are now.
+    const isNew = source === 'copy' || source === 'inferred';
+    if (id !== undefined && isNew && origin) {
+      this.record({ id, route, model, origin, keepMs: deadlineMs ?? route.timeoutMs });
+    }
+    return found;
+  }
+
+  /** Records what other entries have begun. */
+  receive(copies: readonly OriginCopy[]): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const copy of copies) this.table.put(copy, nowMs);
+  }
+
+  /** Answers another entry. */
+  answer(id: RequestId): OriginAnswer {
+    const nowMs = this.options.clock.nowMs();
+    const known = this.table.get(id, nowMs);
+    if (!known) return { type: 'unknown', keptMs: Math.round(nowMs - this.startedAtMs) };
+    const { origin, sequence, sinceMs } = known;
+    return { type: 'known', origin, sequence, ageMs: Math.round(nowMs - sinceMs) };
+  }
+
+  /** Tells other entries of streams whose origin they can no longer infer. Called at changes and several times a second. */
+  tick(): void {
+    const nowMs = this.options.clock.nowMs();
+    const ids = this.pending.take(({ route, model }) => !this.isInferable(route, model), nowMs);
+    for (const id of ids) {
+      const known = this.table.get(id, nowMs);
+      if (!known) continue;
+      const { origin, sequence, untilMs } = known;
+      this.outbox.add({ id, origin, sequence, keepMs: Math.round(untilMs - nowMs) });
+    }
+    if (ids.length > 0) this.options.log.info('stream origins told', { streams: ids.length });
+  }
+
+  private isInferable(route: Route, model: ModelId | undefined): boolean {
+    const { history, listAgeMs, clock } = this.options;
+    if (listAgeMs() > LIST_FRESH_MS) return false;
+    return history.onlyOrigin(route, model, clock.nowMs()) !== undefined;
+  }
+
+  private findUnnamed(route: Route, service: StreamOrigin['service']): FoundOrigin {
+    const { history, clock } = this.options;
+    return this.inferred(history.onlySoftware(route, service, clock.nowMs()), LIST_CONFIRMED_MS);
+  }
+
+  private async findNamed(id: RequestId, route: Route): Promise<FoundOrigin> {
+    const { history, clock } = this.options;
+    const own = this.table.get(id, clock.nowMs());
+    if (own) return { origin: own.origin, source: 'own', ageMs: clock.nowMs() - own.sinceMs };
+    const answers = await this.askHolders(id);
+    const copy = newestOf(answers);
+    if (copy) return { origin: copy.origin, source: 'copy', ageMs: copy.ageMs };
+    const only = history.onlyOrigin(route, undefined, clock.nowMs());
+    const isConfirmed = denialCount(answers, route.timeoutMs) >= CONFIRMATIONS;
+    return this.inferred(only, isConfirmed ? LIST_CONFIRMED_MS : LIST_FRESH_MS);
+  }
+
+  private inferred(origin: StreamOrigin | undefined, maxListAgeMs: Ms): FoundOrigin {
+    if (!origin || this.options.listAgeMs() > maxListAgeMs) {
+      return { origin: undefined, source: 'unknown' };
+    }
+    return { origin, source: 'inferred' };
+  }
+
+  /** Asks the entries that may keep a copy. */
+  private async askHolders(id: RequestId): Promise<(OriginAnswer | undefined)[]> {
+    const { entry, members, ask } = this.options;
+    const holders = copyHolders(id, members()).filter((holder) => holder.entry !== entry);
+    return Promise.all(holders.map(({ address }) => ask(address, id)));
+  }
+}
--- a/src/direct/reporter.ts
+++ b/src/direct/reporter.ts
@@ -1,6 +1,7 @@
 import type { Clock, HostId, Ms, UpstreamId } from '../base/index.js';
 import type { Log } from '../port/index.js';
 import type { EntryCount } from './entrycount.js';
+import type { Members } from './members.js';
 import type {
   DemandAnswer,
   DemandMeter,
@@ -25,6 +26,8 @@
   readonly fleet: Fleet;
   readonly meter: DemandMeter;
   readonly entries: EntryCount;
+  readonly availabilityZone: string;
+  readonly members: Members;
   readonly lease: OrderLeaseKeeper;
   readonly dispatcher: OrderDispatcher;
   readonly poison: PoisonGuard;
@@ -68,9 +71,12 @@
   /** Sends a report. Called several times a second. */
   report(): void {
     const { clock, meter, poison, quota, gate, follower, lease, hasCustomers } = this.options;
+    const { availabilityZone, members } = this.options;
     this.updateLost(this.options.fleet.lost(clock.nowMs()));
     const report = {
       ...meter.report(this.lost, this.residencyCursor),
+      availabilityZone,
+      membersDigest: members.knownDigest,
       poison: poison.sync.report(),
       quota: hasCustomers() ? quota.report() : undefined,
       standings: gate.report(),
@@ -93,16 +99,20 @@
 
   /** Answers another entry's report. */
   answer(report: DemandReport): DemandAnswer {
-    const { clock, entries, dispatcher, poison, quotaLedger, gate, follower } = this.options;
+    const { clock, entries, members, dispatcher, poison, quotaLedger, gate, follower } =
+      this.options;
     const nowMs = clock.nowMs();
     this.others.delete(report.entry);
     this.others.set(report.entry, report.address);
     entries.heard(report.entry, nowMs);
+    const { entry, address, availabilityZone = '' } = report;
+    members.reported({ entry, address, availabilityZone }, nowMs);
     dispatcher.demand(report);
     if (report.standings) gate.take(report.entry, report.standings);
     follower.confirm(report.storeReachedMs ?? 0);
     return {
       entryCount: entries.count(nowMs),
+      members: members.listFor(report.membersDigest, nowMs),
       storeReachedMs: Math.round(follower.reachedMs()),
       news: dispatcher.news(report.heard),
       poison: report.poison && poison.sync.answer(report.poison),
@@ -121,11 +131,12 @@
   }
 
   private async sendReport(address: string, report: DemandReport): Promise<void> {
-    const { clock, quota, poison, gate, follower, peers } = this.options;
+    const { clock, members, quota, poison, gate, follower, peers } = this.options;
     const sentAtMs = clock.nowMs();
     const answer = await peers().demand(address, report);
     if (!answer) return;
     if (answer.quota) quota.answered(answer.quota, sentAtMs);
+    if (answer.members) members.answered(answer.members, clock.nowMs());
     this.setEntryCount(answer.entryCount);
     this.applyChanges(answer.news);
     if (answer.standings) gate.take(address, answer.standings);
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -24,6 +24,8 @@
   readonly state: UpstreamState;
   /** Returns true if the request, for which the upstream was chosen at `chosenAtMs`, may still be sent there. */
   readonly maySend: (chosenAtMs: Ms) => boolean;
+  /** Called with what the stream begins with, if this attempt brings its first event. */
+  readonly begins: (origin: StreamOrigin) => void;
   /** Called once, when the attempt is over. */
   readonly over: (end: AttemptEnd | { readonly type: 'answered' }) => void;
 }
@@ -46,8 +48,8 @@
   /** Number of requests there when it was sent. */
   private sentLoad = 0;
 
-  /** The upstream's software when the request was sent; its record may change while the attempt runs. */
-  private softwareVersion: string | undefined;
+  /** The upstream's versions when the request was sent; its record may change while the attempt runs. */
+  private origin: StreamOrigin | undefined;
 
   private lastEventAtMs: Ms | undefined;
 
@@ -65,7 +67,7 @@
     let isChosenNow = true;
     const maySend = () => {
       const isAllowed = isChosenNow || this.options.maySend(nowMs);
-      if (isAllowed) this.recordSoftware();
+      if (isAllowed) this.recordOrigin();
       return isAllowed;
     };
     this.sent = link.send({ ...call, maySend }, this.receiver());
@@ -87,16 +89,23 @@
     serving.began(target);
   }
 
-  private recordSoftware(): void {
-    const { serving, state, record } = this.options;
-    const { softwareVersion } = serving.fleet.get(state.info.id)?.info ?? state.info;
-    this.softwareVersion = softwareVersion;
+  /** Records with what the stream begins if this attempt brings its first event. */
+  private recordOrigin(): void {
+    const { serving, state, target, record } = this.options;
+    const { softwareVersion, models } = serving.fleet.get(state.info.id)?.info ?? state.info;
+    const weights = target.model === undefined ? undefined : models.get(target.model)?.version;
+    const weightsVersion = weights === undefined ? undefined : String(weights);
+    this.origin = { service: target.service, softwareVersion, weightsVersion };
     record.softwareVersions.push(softwareVersion);
+    this.options.begins(this.origin);
   }
 
-  private originWith({ weightsVersion }: Head): StreamOrigin {
-    const { service } = this.options.target;
-    return { service, softwareVersion: this.softwareVersion, weightsVersion };
+  /** Returns the origin with the weights that the upstream names: the list may show earlier ones. */
+  private originWith({ weightsVersion = this.origin?.weightsVersion }: Head): StreamOrigin {
+    const origin = { ...this.origin!, weightsVersion };
+    if (weightsVersion !== this.origin!.weightsVersion) this.options.begins(origin);
+    this.origin = origin;
+    return origin;
   }
 
   /** Cancels the attempt. Returns true if the upstream may have run it. */
@@ -144,7 +153,7 @@
       fleet.recordServiceTime(state, nowMs - this.sentAtMs, this.sentLoad);
     }
     const isStream = route.kind === 'streaming' && head.status < FIRST_NON_SUCCESS_STATUS;
-    const origin = this.originWith(head);
+    const origin = isStream ? this.originWith(head) : undefined;
     reply.take(head, { isStream, isResumable: route.isResumable, origin });
   }
 
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -14,8 +14,8 @@
   readonly isStream: boolean;
   /** Another upstream may continue the stream after a break, so only complete events are passed on. */
   readonly isResumable: boolean;
-  /** What the answer would begin with if it is a stream. */
-  readonly origin: StreamOrigin;
+  /** What the stream begins with, if it is one. */
+  readonly origin: StreamOrigin | undefined;
 }
 
 /** The answer to one caller, assembled from the answers of one or more upstreams. */
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -13,6 +13,7 @@
 import type { Refusal } from '../refusal.js';
 import type { Block, Target, UpstreamState } from '../route/index.js';
 import type { Serving } from '../serving.js';
+import type { FoundOrigin } from '../origin/index.js';
 import { Attempt } from './attempt.js';
 import { Reply } from './reply.js';
 import { capacityWaitMs } from './capacitywait.js';
@@ -74,6 +75,9 @@
   /** True once every upstream that holds the target has been tried. */
   private hasTriedAll = false;
 
+  /** What is known of the stream that the request resumes; undefined if it resumes none. */
+  private resumed: FoundOrigin | undefined;
+
   private isOver = false;
 
   /** True once the order lease holder has been asked for an upstream that holds the target. */
@@ -127,7 +131,7 @@
 
   /** What the stream began with, once it has; it is only continued with the same. */
   private get origin(): StreamOrigin | undefined {
-    return this.reply.origin;
+    return this.reply.origin ?? this.resumed?.origin;
   }
 
   private get service(): ServiceId {
@@ -156,7 +160,22 @@
     const { service } = this;
     serving.budgetOf(service).request(this.clock.nowMs());
     serving.arrived({ service, model: request.model, adapter: request.adapter });
-    this.attempt();
+    if (route.isResumable && request.resumeAfter !== undefined) void this.resume();
+    else this.attempt();
+  }
+
+  /** Continues a stream that an earlier request of the caller began, at whichever entry. */
+  private async resume(): Promise<void> {
+    const { serving, route, service, caller } = this;
+    this.resumed = await serving.origins.find(caller.request, route, service);
+    if (this.isOver) return;
+    if (this.resumed.origin) {
+      this.attempt();
+      return;
+    }
+    const detail =
+      'Several software versions serve, and it is not known which one began the stream.';
+    this.giveUp('stream-origin-unknown', detail);
   }
 
   /** Refuses the request if it is not at an upstream: the process is about to end. */
@@ -468,13 +487,22 @@
     }
     const over = (end: AttemptEnd | { readonly type: 'answered' }) => this.attemptOver(end);
     const maySend = (chosenAtMs: Ms) => this.maySend(state, chosenAtMs);
-    const options = { serving, suspicion, reply, record, route, target, state, maySend, over };
+    const begins = (origin: StreamOrigin) => this.streamBegins(origin);
+    const options = { serving, suspicion, reply, record, route, target, state };
     this.tried.add(state.info.id);
     this.logRetry(state, nowMs);
-    this.current = new Attempt(options);
+    this.current = new Attempt({ ...options, maySend, begins, over });
     this.current.begin(this.callTo(state));
   }
 
+  /** Tells with what the stream begins, so that its caller can take it up at any entry. */
+  private streamBegins(origin: StreamOrigin): void {
+    const { route, caller, serving } = this;
+    if (!route.isResumable || this.origin) return;
+    const { id, model, deadlineMs = route.timeoutMs } = caller.request;
+    serving.origins.record({ id, route, model, origin, keepMs: deadlineMs });
+  }
+
   private logRetry({ info }: UpstreamState, nowMs: Ms): void {
     const waitedMs = this.retryCharge.waitedMs(nowMs);
     if (waitedMs === undefined) return;
@@ -658,7 +686,7 @@
       longestGapMs: Math.round(record.longestGapMs),
       totalMs: since(nowMs),
       isReturn: this.isReturn,
-      ...resumptionFields(request, record),
+      ...resumptionFields(request, record, this.resumed),
       ...this.suspicion.logFields(end === 'request-ends-upstreams'),
       retryAfterMs,
     });
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -5,6 +5,7 @@
 import type { AccessDecision, Route, RouteTable } from '../core/routetable/index.js';
 import type { Log, UpstreamLink } from '../port/index.js';
 import type { Caller } from './caller.js';
+import type { Origins } from './origin/index.js';
 import type { PoisonGuard } from './poison/index.js';
 import type { QuotaClient } from './quota/index.js';
 import type { Fleet, Target } from './route/index.js';
@@ -27,6 +28,7 @@
   readonly link: UpstreamLink;
   readonly fleet: Fleet;
   readonly poison: PoisonGuard;
+  readonly origins: Origins;
   readonly quota: QuotaClient;
   readonly gate: UpstreamGate;
   readonly table: RouteTable | undefined;
--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -39,6 +39,12 @@
   return [...new Set([...text.matchAll(/ by (v[\d.]+)/g)].map(([, version]) => version!))];
 }
 
+/** Waits until all entries know with what a stream began. */
+function untilCopied(rig: PlatformRig): Promise<void> {
+  const entries = Array.from({ length: ENTRY_COUNT }, (_, at) => rig.entryOf(at));
+  return rig.until(() => entries.every(({ origins }) => origins.size === 1));
+}
+
 /** Begins a stream at the first entry and the engine `begun`, and returns it once its first event has come. */
 async function begin(rig: PlatformRig, begun: PlatformServer): Promise<PartialStream> {
   begun.behaviors.push('paused');
@@ -86,9 +92,10 @@
   await rig.add(same);
   rig.publish(first, 'draining');
   await rig.untilLogged(ENTRY_COUNT, 'upstream leaving');
+  await untilCopied(rig);
   stream.leave();
   const answer = await takeUp(rig, 1, FIRST_ID);
-  t.is(answer.status, 200);
+  t.is(answer.status, 200, answer.body);
   t.deepEqual(versionsIn(answer.body), ['v1']);
   t.is(other.runs.length, 0);
 });
@@ -101,10 +108,11 @@
   await begin(rig, first);
   rig.publish(first, 'draining');
   await rig.untilLogged(ENTRY_COUNT, 'upstream leaving');
+  await untilCopied(rig);
   rig.stopEntry(0);
   const answers = [await takeUp(rig, 1, FIRST_ID), await takeUp(rig, 2, FIRST_ID)];
   for (const { status, body } of answers) {
-    t.is(status, 200);
+    t.is(status, 200, body);
     t.deepEqual(versionsIn(body), ['v1']);
   }
   t.is(other.runs.length, 0);
@@ -123,7 +131,7 @@
   await rig.untilLogged(ENTRY_COUNT, 'upstream leaving');
   stream.leave();
   const answer = await takeUp(rig, 0, FIRST_ID);
-  t.is(answer.status, 200);
+  t.is(answer.status, 200, answer.body);
   t.is(newer.runs.length, 0);
   t.is(same.runs.length, 1);
 });
@@ -148,7 +156,7 @@
   await rig.start([engine('e1', 'v1', 'z1')], true, ENTRY_COUNT);
   await rig.untilAcquainted();
   for (const answer of [await takeUp(rig, 1, 'unknown-attempt'), await takeUp(rig, 2)]) {
-    t.is(answer.status, 200);
+    t.is(answer.status, 200, answer.body);
     t.regex(answer.body, /id: 2\n/);
   }
 });
