--- /dev/null
+++ b/test/streamworld.test.ts
@@ -0,0 +1,145 @@
+import test from 'ava';
+import { codec } from '../platform/codec.js';
+import type { ServiceId, UpstreamId } from '../src/base/index.js';
+import { OriginHistory, type StreamOrigin } from '../src/core/origin/index.js';
+import type { Route } from '../src/core/routetable/index.js';
+import type { Upstream } from '../src/core/upstreams/index.js';
+import type { Origins } from '../src/direct/origin/index.js';
+import { StreamWorld } from './support/streamworld.js';
+
+type Options = ConstructorParameters<typeof StreamWorld>[0];
+type Rates = Options['rates'];
+type OriginsOptions = ConstructorParameters<typeof Origins>[0];
+
+/** For a longer run: STREAM_SEEDS=100 npx ava --timeout=20m dist/test/streamworld.test.js. */
+const SEEDS = Number(process.env.STREAM_SEEDS ?? 2);
+const DAY_MS = 60_000;
+const RELEASE_EVERY_MS = 12_000;
+/** Streams that are taken up below which their share shows nothing. */
+const MIN_TAKEN_UP = 12;
+const CHANGES: Rates = { drain: 20, leave: 10, crash: 6 };
+const SCENARIOS: Readonly<Record<string, Rates>> = {
+  'nothing is disturbed': {},
+  'single calls to the store fail': { failCalls: 40 },
+  'the history is discarded': { compact: 15 },
+  'servers are cut off from the store': { cutServer: 20 },
+  'writes of servers are carried out late': { writeLate: 40 },
+  'the store goes away': { down: 6 },
+  'entries are frozen': { freeze: 12 },
+  'entries are cut off from the store': { cutEntry: 12 },
+  'entries are cut off from everything but servers and callers': { isolate: 12 },
+  'entries are killed': { restart: 20 },
+  'everything at once': {
+    failCalls: 20,
+    compact: 4,
+    writeLate: 20,
+    cutServer: 10,
+    down: 2,
+    freeze: 6,
+    cutEntry: 6,
+    isolate: 6,
+    restart: 10,
+  },
+};
+
+/** Plays seeds of a scenario and returns what breaks a rule. */
+async function play(rates: Rates, options: Partial<Options> = {}): Promise<string[]> {
+  const findings: string[] = [];
+  const begun = { count: 0, served: 0 };
+  const takenUp = { count: 0, served: 0 };
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    const world = new StreamWorld({
+      seed,
+      codec,
+      releaseEveryMs: RELEASE_EVERY_MS,
+      rates: { ...CHANGES, ...rates },
+      ...options,
+    });
+    await world.run(DAY_MS);
+    for (const finding of world.findings) findings.push(`${seed}: ${finding}`);
+    for (const [sum, part] of [
+      [begun, world.begun],
+      [takenUp, world.takenUp],
+    ] as const) {
+      sum.count += part.count;
+      sum.served += part.served;
+    }
+  }
+  const share = takenUp.served / takenUp.count;
+  const isLost = share < begun.served / begun.count / 2;
+  if (takenUp.count < MIN_TAKEN_UP) findings.push(`${takenUp.count} streams taken up`);
+  else if (isLost) findings.push(`${takenUp.served} of ${takenUp.count} taken up went on`);
+  return findings;
+}
+
+for (const [name, disturbances] of Object.entries(SCENARIOS)) {
+  test(`no stream holds events of two versions, and those that are taken up go on: ${name}`, async (t) => {
+    t.deepEqual(await play(disturbances), []);
+  });
+}
+
+test('streams of one version are taken up at any entry', async (t) => {
+  t.deepEqual(await play({ restart: 20, isolate: 6 }, { releaseEveryMs: Infinity }), []);
+});
+
+/** Takes only what is listed now for what may have begun a stream. */
+class PresentHistory extends OriginHistory {
+  private readonly present = new Map<UpstreamId, string | undefined>();
+
+  override upstream(upstream: Upstream, nowMs: number): boolean {
+    this.present.set(upstream.id, upstream.softwareVersion);
+    return super.upstream(upstream, nowMs);
+  }
+
+  override upstreamGone(id: UpstreamId, nowMs: number): void {
+    this.present.delete(id);
+    super.upstreamGone(id, nowMs);
+  }
+
+  override onlySoftware(_: Route, service: ServiceId): StreamOrigin | undefined {
+    const [softwareVersion, ...others] = new Set(this.present.values());
+    if (others.length > 0) return undefined;
+    return { service, softwareVersion, weightsVersion: undefined };
+  }
+}
+
+/** Takes any of the listed versions for the one that began a stream. */
+class GuessingHistory extends OriginHistory {
+  private latest: string | undefined;
+
+  override upstream(upstream: Upstream, nowMs: number): boolean {
+    this.latest = upstream.softwareVersion;
+    return super.upstream(upstream, nowMs);
+  }
+
+  override onlySoftware(_: Route, service: ServiceId): StreamOrigin | undefined {
+    return { service, softwareVersion: this.latest, weightsVersion: undefined };
+  }
+}
+
+test('the checks find copies that are not sent', async (t) => {
+  const findings = await play(
+    {},
+    { parts: { origins: (options) => ({ ...options, copy: () => Promise.resolve(false) }) } },
+  );
+  t.true(findings.some((finding) => finding.endsWith('taken up went on')));
+});
+
+test('the checks find streams of unknown begin that are sent on', async (t) => {
+  const findings = await play({ restart: 20 }, { parts: { history: () => new GuessingHistory() } });
+  t.true(findings.some((finding) => finding.includes('stream-')));
+});
+
+test('the checks find an inference from what is listed now', async (t) => {
+  const findings = await play(
+    { restart: 20 },
+    { releaseEveryMs: 30_000, parts: { history: () => new PresentHistory() } },
+  );
+  t.true(findings.some((finding) => finding.includes('stream-')));
+});
+
+test('the checks find an inference from a list of any age', async (t) => {
+  const ageless = { origins: (options: OriginsOptions) => ({ ...options, listAgeMs: () => 0 }) };
+  const findings = await play({ isolate: 20 }, { releaseEveryMs: 30_000, parts: ageless });
+  t.true(findings.some((finding) => finding.includes('stream-')));
+});
--- a/test/support/listentry.ts
+++ b/test/support/listentry.ts
@@ -1,6 +1,9 @@
 import type { Clock, Ms, UpstreamId } from '../../src/base/index.js';
+import { OriginHistory, type Member, type RecordedVersions } from '../../src/core/origin/index.js';
+import type { RouteTable } from '../../src/core/routetable/index.js';
 import type { Upstream } from '../../src/core/upstreams/index.js';
 import type { StateCodec } from '../../src/direct/index.js';
+import { Origins } from '../../src/direct/origin/index.js';
 import { Fleet } from '../../src/direct/route/index.js';
 import { Follower, paceTable, SharedFeed } from '../../src/direct/sync/index.js';
 import type { KeyValue, Log } from '../../src/port/index.js';
@@ -21,8 +24,21 @@
   readonly log: Log;
   /** How often it takes upstreams to write their records. */
   readonly heartbeatMs: Ms;
+  /** Replaces parts of the entry, to plant a defect. */
+  readonly parts?: Parts | undefined;
 }
 
+interface Parts {
+  readonly history?: () => OriginHistory;
+  readonly origins?: (
+    options: ConstructorParameters<typeof Origins>[0],
+  ) => ConstructorParameters<typeof Origins>[0];
+}
+
+const VERSIONS_KEY = 'tarragonstile/versions';
+const SILENT_METRICS = { count() {}, gauge() {}, histogram() {} };
+const COPY_TIMEOUT_MS = 2000;
+const ASK_TIMEOUT_MS = 150;
 const LATENCY_MS = 1;
 /** How much longer than its wait an entry waits for another entry's answer. */
 const MARGIN_MS = 200;
@@ -31,6 +47,16 @@
 export class ListEntry {
   fleet = new Fleet('z');
 
+  history = new OriginHistory();
+
+  origins: Origins;
+
+  /** Entries that it knows, itself among them. */
+  members: readonly Member[] = [];
+
+  /** Routes in force at every process. */
+  table: RouteTable | undefined;
+
   /** When its process first knew the whole list. */
   completedAtMs: Ms = Infinity;
 
@@ -52,6 +78,7 @@
 
   constructor(private readonly options: ListEntryOptions) {
     [this.shared, this.follower] = this.start();
+    this.origins = this.createOrigins();
   }
 
   get name(): string {
@@ -101,6 +128,7 @@
     this.completedAtMs = Infinity;
     this.fleet = new Fleet('z');
     [this.shared, this.follower] = this.start();
+    this.origins = this.createOrigins();
   }
 
   /** Answers another entry's request for changes; never if this entry is frozen. */
@@ -112,6 +140,13 @@
     return process === this.process ? answer : undefined;
   }
 
+  /** Writes down what entries that start need to know of versions, as the holder of the lease does. */
+  recordVersions(): void {
+    if (this.isFrozen || this.isCut || this.completedAtMs === Infinity) return;
+    const versions = this.history.recorded(this.options.clock.nowMs());
+    this.options.store.put(VERSIONS_KEY, JSON.stringify(versions));
+  }
+
   /** Reports to the holder that this entry knows, and hears its answer, unless one of them is frozen or cut off. */
   report(): void {
     if (this.holder === undefined || this.isHolder || this.isFrozen) return;
@@ -127,8 +162,62 @@
     return info !== undefined && !info.isLeaving;
   }
 
+  /** Answers another entry's call, if this process runs and the network lets it. */
+  async call<T>(act: () => T): Promise<T | undefined> {
+    const { process } = this;
+    await this.whenRunning();
+    return process === this.process && !this.isIsolated ? act() : undefined;
+  }
+
+  /** Calls another entry; undefined if it does not answer in time. */
+  private async callPeer<T>(
+    address: string,
+    timeoutMs: Ms,
+    act: (peer: ListEntry) => T,
+  ): Promise<T | undefined> {
+    const { clock, peer } = this.options;
+    const later = (ms: Ms) =>
+      new Promise<undefined>((resolve) => {
+        clock.after(ms, () => resolve(undefined));
+      });
+    const { process } = this;
+    const reach = async () => {
+      await later(LATENCY_MS);
+      const other = peer(address);
+      return other && !this.isIsolated ? other.call(() => act(other)) : later(timeoutMs);
+    };
+    const got = await Promise.race([reach(), later(timeoutMs)]);
+    await this.whenRunning();
+    return process === this.process ? got : new Promise(() => {});
+  }
+
+  private createOrigins(): Origins {
+    const { name, log, parts } = this.options;
+    const options: ConstructorParameters<typeof Origins>[0] = {
+      clock: this.ownClock(),
+      log,
+      metrics: SILENT_METRICS,
+      entry: name,
+      history: this.history,
+      members: () => this.members,
+      listAgeMs: () => this.follower.knownAgeMs(),
+      copy: async (address, copies) => {
+        const received = (peer: ListEntry) => {
+          peer.origins.receive(copies);
+          return true;
+        };
+        return (await this.callPeer(address, COPY_TIMEOUT_MS, received)) ?? false;
+      },
+      ask: (address, id) =>
+        this.callPeer(address, ASK_TIMEOUT_MS, (peer) => peer.origins.answer(id)),
+    };
+    return new Origins(parts?.origins?.(options) ?? options);
+  }
+
   private start(): [SharedFeed, Follower] {
     this.process += 1;
+    this.history = this.options.parts?.history?.() ?? new OriginHistory();
+    if (this.table) this.history.table(this.table, this.options.clock.nowMs());
     const { codec, store, log, name } = this.options;
     const clock = this.ownClock();
     const failsNow = () => {
@@ -153,25 +242,36 @@
   }
 
   private listener(fleet: Fleet): ConstructorParameters<typeof Follower>[0]['listener'] {
+    const nowMs = () => this.options.clock.nowMs();
+    let recorded: RecordedVersions | undefined;
     return {
       setTable() {},
-      upstream: (upstream: Upstream) => fleet.put(upstream),
-      upstreamGone: (id: UpstreamId) => fleet.remove(id),
+      upstream: (upstream: Upstream) => {
+        fleet.put(upstream);
+        this.history.upstream(upstream, nowMs());
+      },
+      upstreamGone: (id: UpstreamId) => {
+        fleet.remove(id);
+        this.history.upstreamGone(id, nowMs());
+      },
       upstreamRestarted: (upstream: Upstream) => {
         fleet.remove(upstream.id);
         fleet.put(upstream);
+        this.history.upstream(upstream, nowMs());
       },
       ownKeyChanged: (key: string, item: KeyValue | undefined) => {
         if (key === this.options.leaseKey) this.holder = item?.value;
+        if (key === VERSIONS_KEY && item) recorded = JSON.parse(item.value) as RecordedVersions;
       },
       complete: () => {
+        this.history.complete(recorded, recorded !== undefined, nowMs());
         this.completedAtMs = Math.min(this.completedAtMs, this.options.clock.nowMs());
       },
     };
   }
 
   /** A clock whose timers wait until the entry is not frozen, and fire no more once its process has ended. */
-  private ownClock(): Clock {
+  ownClock(): Clock {
     const { clock } = this.options;
     const { process } = this;
     return {
@@ -191,7 +291,8 @@
     };
   }
 
-  private whenRunning(): Promise<void> {
+  /** Resolves once the entry is not frozen. */
+  whenRunning(): Promise<void> {
     if (!this.isFrozen) return Promise.resolve();
     const { clock } = this.options;
     return new Promise((resolve) => {
--- a/test/support/listserver.ts
+++ b/test/support/listserver.ts
@@ -8,6 +8,8 @@
 /** A record expires after three missed heartbeats. */
 const EXPIRES_MS = 3 * HEARTBEAT_MS;
 const RETRY_MS = 150;
+/** It serves on for this long after its record was removed. */
+const LINGER_MS = 4000;
 
 /** One start of a server, which writes its record to the store. */
 export class ListServer {
@@ -30,11 +32,14 @@
 
   private cutUntilMs: Ms = -Infinity;
 
+  private servesUntilMs: Ms = Infinity;
+
   constructor(
     readonly id: UpstreamId,
     private readonly clock: Clock,
     private readonly store: ListStore,
     private readonly isStable: () => boolean,
+    readonly softwareVersion?: string,
   ) {
     this.key = `servers/${id}`;
     this.beat();
@@ -45,6 +50,19 @@
     return this.state === 'ready';
   }
 
+  /** True while it answers requests: it serves on for a while after it has left. */
+  get isServing(): boolean {
+    return this.clock.nowMs() < this.servesUntilMs;
+  }
+
+  /** Ends at once; its record stays until it expires. */
+  crash(): void {
+    if (!this.isReady) return;
+    this.state = 'ended';
+    this.servesUntilMs = this.clock.nowMs();
+    this.unlist();
+  }
+
   get isCut(): boolean {
     return this.clock.nowMs() < this.cutUntilMs;
   }
@@ -64,6 +82,7 @@
   leave(): void {
     if (!this.isReady) return;
     this.state = 'ended';
+    this.servesUntilMs = this.clock.nowMs() + LINGER_MS;
     this.unlist();
     this.remove();
   }
@@ -93,6 +112,7 @@
 
   private end(): void {
     this.state = 'ended';
+    this.servesUntilMs = this.clock.nowMs() + LINGER_MS;
     this.remove();
   }
 
@@ -117,9 +137,9 @@
   }
 
   private record(): string {
-    const { id, sequence, state } = this;
+    const { id, sequence, state, softwareVersion: version } = this;
     const address = `${id}:1`;
-    return JSON.stringify({ service: 's', address, zone: 'z', state, seq: sequence });
+    return JSON.stringify({ service: 's', address, zone: 'z', state, seq: sequence, version });
   }
 
   private write(): boolean {
--- a/test/support/listworld.ts
+++ b/test/support/listworld.ts
@@ -11,6 +11,7 @@
 interface Rates {
   readonly drain?: number;
   readonly leave?: number;
+  readonly crash?: number;
   readonly cutServer?: number;
   readonly writeLate?: number;
   readonly overwrite?: number;
@@ -35,6 +36,10 @@
   /** How often the entries take upstreams to write their records. */
   readonly heartbeatMs?: Ms;
   readonly log?: (entry: string) => Log;
+  /** Returns the software version of the next server. */
+  readonly softwareVersion?: () => string;
+  /** Replaces parts of the entries, to plant a defect. */
+  readonly parts?: ConstructorParameters<typeof ListEntry>[0]['parts'];
 }
 
 /** An entry that would send to a server that leaves, or that does not know a server that is ready. */
@@ -78,7 +83,7 @@
 
   private readonly generator;
 
-  private readonly servers: ListServer[] = [];
+  readonly servers: ListServer[] = [];
 
   /** Entries with the end of their last trouble. */
   private readonly troubledUntilMs = new Map<ListEntry, Ms>();
@@ -93,13 +98,14 @@
 
   constructor(private readonly options: ListWorldOptions) {
     const { seed, codec, entryCount = ENTRY_COUNT, heartbeatMs = HEARTBEAT_MS, log } = options;
+    const { parts } = options;
     this.generator = xoroshiro128plus(seed);
     while (this.servers.length < SERVER_COUNT) this.startServer();
     const { clock, store } = this;
     for (let at = 0; at < entryCount; at += 1) {
       const name = `e${at}`;
       const peer = (of: string) => this.entries.find((entry) => entry.name === of);
-      const shared = { clock, codec, store, leaseKey: LEASE_KEY, peer, heartbeatMs };
+      const shared = { clock, codec, store, leaseKey: LEASE_KEY, peer, heartbeatMs, parts };
       this.entries.push(new ListEntry({ ...shared, name, log: log?.(name) ?? SILENT_LOG }));
     }
     this.takeLease(0);
@@ -115,6 +121,7 @@
     const untilMs = this.clock.nowMs() + forMs;
     while (this.clock.nowMs() < untilMs) {
       this.cause();
+      this.onStep();
       this.keepLease();
       for (let turn = 0; turn < SETTLE_TURNS; turn += 1) await Promise.resolve();
       this.clock.advanceTo(this.clock.nowMs() + STEP_MS);
@@ -122,6 +129,9 @@
     }
   }
 
+  /** Called at every step. */
+  onStep: () => void = () => {};
+
   private reportAll(): void {
     for (const entry of this.entries) entry.report();
     this.clock.after(REPORT_MS, () => this.reportAll());
@@ -138,14 +148,16 @@
   private startServer(): void {
     this.startedCount += 1;
     const id = `u${this.startedCount}` as UpstreamId;
-    this.servers.push(new ListServer(id, this.clock, this.store, () => this.isStable()));
+    const version = this.options.softwareVersion?.();
+    const isStable = () => this.isStable();
+    this.servers.push(new ListServer(id, this.clock, this.store, isStable, version));
   }
 
-  private isStable(): boolean {
+  isStable(): boolean {
     return this.clock.nowMs() - this.store.disturbedAtMs >= CONTACT_MS;
   }
 
-  private isInTouch(entry: ListEntry): boolean {
+  isInTouch(entry: ListEntry): boolean {
     return this.clock.nowMs() - (this.troubledUntilMs.get(entry) ?? -Infinity) >= CONTACT_MS;
   }
 
@@ -165,6 +177,10 @@
       this.pick(this.ready())?.leave();
       this.startServer();
     },
+    crash: () => {
+      this.pick(this.ready())?.crash();
+      this.startServer();
+    },
     cutServer: () => this.pick(this.ready())?.cut(1000 + this.random(6000)),
     writeLate: () => {
       const server = this.pick(this.ready());
