A world of entries, servers of several versions and callers that take streams up, in virtual time

The real Run, Fleet, Origins and OriginHistory at five entries that follow the list of test/support/listworld.ts: releases, drains, crashes, all servers replaced at once; entries that are killed, frozen, cut off from the store or from everything but servers and callers; callers that lose connections and take up at any entry, in chains. Judged by both rules: no stream holds events of two versions, at any entry; of the streams taken up at entries in touch while two servers of their version serve at least half of the share of new streams goes on. 14 scenarios, and one version alone. Planted defects that it finds: memory of one entry alone, streams of unknown begin sent on, an inference from what is listed now, one from a list of any age.

--- a/test/streamworld.test.ts
+++ b/test/streamworld.test.ts
@@ -1,10 +1,8 @@
 import test from 'ava';
 import { codec } from '../platform/codec.js';
-import type { ServiceId, UpstreamId } from '../src/base/index.js';
-import { OriginHistory, type StreamOrigin } from '../src/core/origin/index.js';
-import type { Route } from '../src/core/routetable/index.js';
-import type { Upstream } from '../src/core/upstreams/index.js';
 import type { Origins } from '../src/direct/origin/index.js';
+import { GuessingHistory } from './support/guessinghistory.js';
+import { PresentHistory } from './support/presenthistory.js';
 import { StreamWorld } from './support/streamworld.js';
 
 type Options = ConstructorParameters<typeof StreamWorld>[0];
@@ -18,6 +16,9 @@
 /** Streams that are taken up below which their share shows nothing. */
 const MIN_TAKEN_UP = 12;
 const CHANGES: Rates = { drain: 20, leave: 10, crash: 6 };
+const REPLACED: Rates = { drain: 0, leave: 0, replaceAll: 12 };
+/** A release that leaves no server of the version before, and callers that lose their connections often. */
+const REPLACING: Partial<Options> = { releaseEveryMs: 4000, versionsAtOnce: 1, lossMs: 1000 };
 const SCENARIOS: Readonly<Record<string, Rates>> = {
   'nothing is disturbed': {},
   'single calls to the store fail': { failCalls: 40 },
@@ -29,6 +30,9 @@
   'entries are cut off from the store': { cutEntry: 12 },
   'entries are cut off from everything but servers and callers': { isolate: 12 },
   'entries are killed': { restart: 20 },
+  'all servers are replaced at once': REPLACED,
+  'all servers are replaced at once while entries are cut off': { ...REPLACED, isolate: 30 },
+  'all servers are replaced at once while entries are killed': { ...REPLACED, restart: 30 },
   'everything at once': {
     failCalls: 20,
     compact: 4,
@@ -43,11 +47,15 @@
 };
 
 /** Plays seeds of a scenario and returns what breaks a rule. */
-async function play(rates: Rates, options: Partial<Options> = {}): Promise<string[]> {
+async function play(
+  rates: Rates,
+  options: Partial<Options> = {},
+  { seeds = SEEDS, dayMs = DAY_MS } = {},
+): Promise<string[]> {
   const findings: string[] = [];
   const begun = { count: 0, served: 0 };
   const takenUp = { count: 0, served: 0 };
-  for (let seed = 1; seed <= SEEDS; seed += 1) {
+  for (let seed = 1; seed <= seeds; seed += 1) {
     const world = new StreamWorld({
       seed,
       codec,
@@ -55,7 +63,7 @@
       rates: { ...CHANGES, ...rates },
       ...options,
     });
-    await world.run(DAY_MS);
+    await world.run(dayMs);
     for (const finding of world.findings) findings.push(`${seed}: ${finding}`);
     for (const [sum, part] of [
       [begun, world.begun],
@@ -82,46 +90,10 @@
   t.deepEqual(await play({ restart: 20, isolate: 6 }, { releaseEveryMs: Infinity }), []);
 });
 
-/** Takes only what is listed now for what may have begun a stream. */
-class PresentHistory extends OriginHistory {
-  private readonly present = new Map<UpstreamId, string | undefined>();
-
-  override upstream(upstream: Upstream, nowMs: number): boolean {
-    this.present.set(upstream.id, upstream.softwareVersion);
-    return super.upstream(upstream, nowMs);
-  }
-
-  override upstreamGone(id: UpstreamId, nowMs: number): void {
-    this.present.delete(id);
-    super.upstreamGone(id, nowMs);
-  }
-
-  override onlySoftware(_: Route, service: ServiceId): StreamOrigin | undefined {
-    const [softwareVersion, ...others] = new Set(this.present.values());
-    if (others.length > 0) return undefined;
-    return { service, softwareVersion, weightsVersion: undefined };
-  }
-}
-
-/** Takes any of the listed versions for the one that began a stream. */
-class GuessingHistory extends OriginHistory {
-  private latest: string | undefined;
-
-  override upstream(upstream: Upstream, nowMs: number): boolean {
-    this.latest = upstream.softwareVersion;
-    return super.upstream(upstream, nowMs);
-  }
-
-  override onlySoftware(_: Route, service: ServiceId): StreamOrigin | undefined {
-    return { service, softwareVersion: this.latest, weightsVersion: undefined };
-  }
-}
-
-test('the checks find copies that are not sent', async (t) => {
-  const findings = await play(
-    {},
-    { parts: { origins: (options) => ({ ...options, copy: () => Promise.resolve(false) }) } },
-  );
+test('the checks find memories of one entry alone', async (t) => {
+  const silent = { copy: () => Promise.resolve(false), ask: () => Promise.resolve(undefined) };
+  const origins = (options: OriginsOptions) => ({ ...options, ...silent });
+  const findings = await play({}, { parts: { origins } });
   t.true(findings.some((finding) => finding.endsWith('taken up went on')));
 });
 
@@ -131,15 +103,14 @@
 });
 
 test('the checks find an inference from what is listed now', async (t) => {
-  const findings = await play(
-    { restart: 20 },
-    { releaseEveryMs: 30_000, parts: { history: () => new PresentHistory() } },
-  );
+  const parts = { history: () => new PresentHistory() };
+  const findings = await play({ ...REPLACED, isolate: 30 }, { ...REPLACING, parts });
   t.true(findings.some((finding) => finding.includes('stream-')));
 });
 
 test('the checks find an inference from a list of any age', async (t) => {
-  const ageless = { origins: (options: OriginsOptions) => ({ ...options, listAgeMs: () => 0 }) };
-  const findings = await play({ isolate: 20 }, { releaseEveryMs: 30_000, parts: ageless });
+  const parts = { origins: (options: OriginsOptions) => ({ ...options, listAgeMs: () => 0 }) };
+  const rates = { ...REPLACED, isolate: 60 };
+  const findings = await play(rates, { ...REPLACING, parts }, { seeds: 12, dayMs: 20_000 });
   t.true(findings.some((finding) => finding.includes('stream-')));
 });
--- a/test/support/listworld.ts
+++ b/test/support/listworld.ts
@@ -12,6 +12,8 @@
   readonly drain?: number;
   readonly leave?: number;
   readonly crash?: number;
+  /** All servers leave at once, and others take their place. */
+  readonly replaceAll?: number;
   readonly cutServer?: number;
   readonly writeLate?: number;
   readonly overwrite?: number;
@@ -181,6 +183,12 @@
       this.pick(this.ready())?.crash();
       this.startServer();
     },
+    replaceAll: () => {
+      for (const server of this.ready()) {
+        server.leave();
+        this.startServer();
+      }
+    },
     cutServer: () => this.pick(this.ready())?.cut(1000 + this.random(6000)),
     writeLate: () => {
       const server = this.pick(this.ready());
--- a/test/support/streamworld.ts
+++ b/test/support/streamworld.ts
@@ -18,6 +18,8 @@
 interface StreamWorldOptions extends Omit<WorldOptions, 'softwareVersion'> {
   /** Time from one release to the next; Infinity: one version alone serves. */
   readonly releaseEveryMs: Ms;
+  /** Versions that servers start with between two releases; 2 if not set. */
+  readonly versionsAtOnce?: number;
   /** Mean time after which a caller loses its connection. */
   readonly lossMs?: Ms;
 }
@@ -112,12 +114,12 @@
   private readonly due = { report: 0, record: 0, start: 0 };
 
   constructor(private readonly options: StreamWorldOptions) {
-    const { seed, releaseEveryMs } = options;
+    const { seed, releaseEveryMs, versionsAtOnce = 2 } = options;
     this.generator = xoroshiro128plus(seed + 1_000_000);
     let nowMs = () => 0;
     const softwareVersion = () => {
       const release = Number.isFinite(releaseEveryMs) ? Math.floor(nowMs() / releaseEveryMs) : 0;
-      return `v${Math.max(0, release - Math.floor(this.random(2)))}`;
+      return `v${Math.max(0, release - Math.floor(this.random(versionsAtOnce)))}`;
     };
     this.list = new ListWorld({ ...options, softwareVersion });
     nowMs = () => this.list.clock.nowMs();
@@ -221,6 +223,7 @@
     let isOver = false;
     let gone = ignore;
     let lastMs = clock.nowMs();
+    let cut = ignore;
     const end = (isRetried: boolean) => {
       if (isOver) return;
       isOver = true;
@@ -228,8 +231,8 @@
       if (isRetried) this.retry(stream);
       else subject.isOver = true;
     };
-    /** The connection is lost: both sides notice. */
-    const cut = () => {
+    // The connection is lost, and both sides notice.
+    cut = () => {
       end(true);
       if (fleet === entry.fleet) gone();
     };
@@ -375,7 +378,11 @@
       this.serve(server, call, receiver, deliver);
     };
     if (this.random(1) < 0.5) write();
-    else clock.after(this.random(OPEN_MS), () => void entry.whenRunning().then(write));
+    else {
+      clock.after(this.random(OPEN_MS), () => {
+        void entry.whenRunning().then(write);
+      });
+    }
     return sent;
   }
 
