Soak: engines of several versions, streams that last, callers that take them up at any entry

Engines are released, some or all at once; streams send an event each 70 ms; callers whose stream is cut name its first request in Resumes and go on at any entry, four requests at most. Two promises: a stream holds events of one software version, and of 12 or more that are taken up at calm entries while two engines of their version serve at least half of the share of new ones goes on. Planted defects any-version and refuses-resumed are found.

--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -36,6 +36,8 @@
 const READ_EVERY_MS = 100;
 /** Defects that do not affect every request affect one in this many. */
 const DEFECT_ONE_IN = 10;
+/** Defects that show only where answers are passed on as they come. */
+const isPassedOn = defect === 'any-version' || defect === 'refuses-resumed';
 const ENTRIES = 3;
 const COST = 200;
 const UNBOUNDED_RETRIES = 40;
@@ -196,10 +198,21 @@
   return chosen[count % Math.max(1, chosen.length)];
 }
 
+function forwardedHeaders(headers: IncomingMessage['headers']): Record<string, string> {
+  const kept: Record<string, string> = {};
+  for (const name of FORWARDED_HEADERS) {
+    const value = headers[name];
+    if (typeof value === 'string') kept[name] = value;
+  }
+  return kept;
+}
+
 function send(
   incoming: IncomingMessage,
   server: Server,
   done: (status: number, headers: IncomingMessage['headers'], body: string) => void,
+  /** Gets the answer as it comes, where the defect needs that. */
+  passOn?: ServerResponse,
 ): void {
   const [host, port] = server.address.split(':');
   const headers: IncomingMessage['headers'] = {
@@ -219,6 +232,11 @@
       body += chunk.toString('utf8');
     });
     applyReport(server, answer.statusCode ?? 502, answer.headers);
+    if (passOn && isPassedOn && answer.statusCode === 200) {
+      passOn.writeHead(200, forwardedHeaders(answer.headers));
+      answer.pipe(passOn);
+      return;
+    }
     answer.on('end', () => done(answer.statusCode ?? 502, answer.headers, body));
   });
   sent.on('error', () => done(502, {}, ''));
@@ -259,13 +277,9 @@
 ): void {
   const sentBody = count % DEFECT_ONE_IN === 0 ? corrupt(body) : body;
   previousBody = `${body}!`;
-  const kept: Record<string, string> = { 'content-length': String(sentBody.length) };
-  for (const name of FORWARDED_HEADERS) {
-    const value = headers[name];
-    const isDropped = defect === 'unsigned' && count % DEFECT_ONE_IN === 0;
-    if (typeof value === 'string' && !isDropped) kept[name] = value;
-  }
-  response.writeHead(status, kept).end(sentBody);
+  const isDropped = defect === 'unsigned' && count % DEFECT_ONE_IN === 0;
+  const kept = isDropped ? {} : forwardedHeaders(headers);
+  response.writeHead(status, { ...kept, 'content-length': String(sentBody.length) }).end(sentBody);
 }
 
 /** The defect: sends a failed request again without a budget, at once and to the same server. */
@@ -306,6 +320,10 @@
   const wanted = String(incoming.headers['tarragonstile-model'] ?? '');
   const [model = '', adapter] = wanted.split('/');
   const server = choose(model === '' ? 'plain' : 'engine', model);
+  if (defect === 'refuses-resumed' && incoming.headers['last-event-id'] !== undefined) {
+    response.writeHead(503).end();
+    return;
+  }
   if (defect === 'hang' && count % DEFECT_ONE_IN === 0) return;
   if (!server || adapter !== undefined) {
     response.writeHead(503).end();
@@ -314,11 +332,16 @@
   if (defect === 'limit' || defect === 'holders') void order(choose('engine', 'm1') ?? server);
   const isAffected = count % DEFECT_ONE_IN === 0 && path.startsWith('/charge');
   if (defect === 'twice' && isAffected) send(incoming, server, () => undefined);
-  send(incoming, server, (status, headers, body) => {
-    if (defect === 'false-refusal' && isAffected) response.writeHead(503).end();
-    else if (defect === 'retries' && status >= 500) retry(incoming, response, server, status);
-    else forward(response, status, headers, body);
-  });
+  send(
+    incoming,
+    server,
+    (status, headers, body) => {
+      if (defect === 'false-refusal' && isAffected) response.writeHead(503).end();
+      else if (defect === 'retries' && status >= 500) retry(incoming, response, server, status);
+      else forward(response, status, headers, body);
+    },
+    response,
+  );
 }
 
 if (defect === 'exits') setTimeout(() => process.exit(1), READ_EVERY_MS * 10);
--- a/bench/soak/call.ts
+++ b/bench/soak/call.ts
@@ -13,6 +13,8 @@
   readonly sentAtMs: number;
   /** For probes: the configuration version whose route is requested. */
   readonly version: number;
+  /** First request of the stream that it resumes, and the last event received so far; absent if it resumes none. */
+  readonly resumed: { readonly first: string; readonly lastEvent: number } | undefined;
   /** Key that was sent; absent if no customers are configured. */
   readonly held: CallerKey | undefined;
   status: number | undefined;
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -13,10 +13,24 @@
 const HOST = 'caller.example';
 const MODELS = ['m1', 'm2', 'm1/a1', 'm1/a2', 'm2/a3', 'm3'];
 const KINDS: readonly CallKind[] = ['lookup', 'charge', 'draft', 'batch', 'probe'];
+const EVENTS = 5;
+/** Requests that a caller sends for one stream at most. */
+const MAX_TRIES = 4;
 /** One in this many callers disconnects without waiting for its answer. */
 const LEAVES = 8;
 const LEAVE_AFTER_MS = 120;
 
+/** What a request for a stream asks for. */
+interface StreamChoice {
+  readonly model?: string;
+  readonly resumed?: Call['resumed'];
+}
+
+/** Returns the number of whole events in an answer. */
+function eventCount(body: string): number {
+  return body.match(/^id: \d+\ndata: .*\n\n/gm)?.length ?? 0;
+}
+
 /** Callers that send requests over keep-alive connections to the entries. */
 export class Callers {
   readonly calls: Call[] = [];
@@ -35,6 +49,8 @@
     private readonly dice: Dice,
     /** True if customers are configured: callers then send keys, and a forged customer name. */
     private readonly isKeyed = false,
+    /** True if callers take up streams that were cut, at any entry. */
+    private readonly isResuming = false,
   ) {
     this.agents = entries.map(() => new Agent({ keepAlive: true, maxSockets: 64 }));
   }
@@ -63,7 +79,28 @@
     const age = this.dice.below(2);
     const version = Math.max(1, this.version - age);
     const path = kind === 'probe' ? `/probe-${version}/` : `/${kind}/1`;
-    return this.sendCall(entry, kind, path, version);
+    const isResumed = kind === 'batch' && this.isResuming;
+    return isResumed ? this.sendStream(entry, version) : this.sendCall(entry, kind, path, version);
+  }
+
+  /** Sends a request for a stream, and others for the rest of it while it is cut. */
+  private async sendStream(entry: number, version: number): Promise<void> {
+    const model = this.dice.pick(MODELS);
+    const first = `c${this.calls.length}`;
+    const firstCall = this.calls.length;
+    await this.sendCall(entry, 'batch', '/batch/1', version, { model });
+    let last = this.calls[firstCall]!;
+    for (let tries = 1; tries < MAX_TRIES && !this.isOver; tries += 1) {
+      const lastEvent = (last.resumed?.lastEvent ?? 0) + eventCount(last.body);
+      const isBegun = lastEvent > 0;
+      if (!isBegun || lastEvent >= EVENTS) return;
+      await pause(this.dice.below(PAUSE_MS));
+      const at = this.calls.length;
+      const next = this.dice.below(this.entries.length);
+      const resumed = { first, lastEvent };
+      await this.sendCall(next, 'batch', '/batch/1', version, { model, resumed });
+      last = this.calls[at]!;
+    }
   }
 
   /** Sends a poison request: one that ends each server that runs it. */
@@ -71,7 +108,13 @@
     return this.sendCall(entry, 'crash', path, this.version);
   }
 
-  private sendCall(entry: number, kind: CallKind, path: string, version: number): Promise<void> {
+  private sendCall(
+    entry: number,
+    kind: CallKind,
+    path: string,
+    version: number,
+    { model, resumed }: StreamChoice = {},
+  ): Promise<void> {
     const call: Call = {
       id: `c${this.calls.length}`,
       kind,
@@ -79,6 +122,7 @@
       startCount: this.entries[entry]!.startCount,
       sentAtMs: performance.now(),
       version,
+      resumed,
       held: this.isKeyed ? randomKey(this.version, this.dice) : undefined,
       status: undefined,
       signature: undefined,
@@ -101,7 +145,7 @@
         this.inFlight -= 1;
         resolve();
       };
-      const sent = this.send(call, path, end);
+      const sent = this.send(call, path, model, end);
       setTimeout(() => {
         sent.destroy();
         end('caller gave up');
@@ -116,7 +160,12 @@
     });
   }
 
-  private send(call: Call, path: string, end: (error?: string) => void): ClientRequest {
+  private send(
+    call: Call,
+    path: string,
+    model: string | undefined,
+    end: (error?: string) => void,
+  ): ClientRequest {
     const { kind } = call;
     const isStream = kind === 'draft' || kind === 'batch';
     const headers: Record<string, string> = {
@@ -129,7 +178,11 @@
       headers['Tarragonstile-Token-Usage'] = `${customers.cost - 1},1`;
       if (call.held.key !== undefined) headers.Authorization = `Bearer ${call.held.key}`;
     }
-    if (isStream) headers['Tarragonstile-Model'] = this.dice.pick(MODELS);
+    if (isStream) headers['Tarragonstile-Model'] = model ?? this.dice.pick(MODELS);
+    if (call.resumed) {
+      headers['Last-Event-Id'] = String(call.resumed.lastEvent);
+      headers.Resumes = call.resumed.first;
+    }
     if (kind === 'crash') headers['Tarragonstile-Model'] = MODELS[0]!;
     const method = kind === 'lookup' || kind === 'probe' ? 'GET' : 'POST';
     const agent = this.agents[call.entry];
--- a/bench/soak/knownfaults.ts
+++ b/bench/soak/knownfaults.ts
@@ -1,6 +1,7 @@
 import { faults } from './faults.js';
 import { leavingFaults } from './leavingfaults.js';
 import { overloadFaults } from './overloadfaults.js';
+import { releaseFaults } from './releasefaults.js';
 import { suspensionFaults } from './suspensionfaults.js';
 import { serverListFaults } from './serverlistfaults.js';
 import { reportedStateFaults } from './reportedstatefaults.js';
@@ -13,4 +14,5 @@
   ...reportedStateFaults,
   ...overloadFaults,
   ...leavingFaults,
+  ...releaseFaults,
 };
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -28,6 +28,8 @@
     harsh: { type: 'boolean' },
     /** Configures customers, and callers send keys; the default for seeds from 30,000 on. */
     keyed: { type: 'boolean' },
+    /** Streams last for some time, and callers take them up; the default for seeds from 70,000 on. */
+    releasing: { type: 'boolean' },
     /** Entries on suspended hosts use a clock that does not advance during the suspension. */
     steady: { type: 'boolean', default: false },
     /** Prints the last log lines of the entries if a promise was broken. */
@@ -59,6 +61,7 @@
     slackMs: Number(values.slack),
     isHarsh: values.harsh,
     isKeyed: values.keyed,
+    isReleasing: values.releasing,
     isSteady: values.steady,
   });
   const isBroken = result.breaches.length > 0;
--- a/bench/soak/promisechecker.ts
+++ b/bench/soak/promisechecker.ts
@@ -3,6 +3,7 @@
 import { RetryChecker } from './retrychecker.js';
 import { ReportedStateChecker } from './reportedstatechecker.js';
 import type { Site } from './site.js';
+import { StreamChecker } from './streamchecker.js';
 
 /** A broken promise. */
 export interface Breach {
@@ -10,7 +11,7 @@
   readonly detail: string;
 }
 
-const EVENTS = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
+const EVENTS = [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: piece ${id}\n\n`);
 /** Names the software that made an event; a stream of one version has the same everywhere. */
 const MAKER = / by v[\d.]+$/gm;
 const PLAIN = 'the whole answer';
@@ -77,6 +78,7 @@
     this.keys();
     this.reportedStates();
     this.retries();
+    this.streams();
     this.poison();
     this.orders();
     for (const { unexpectedExits: ownEnds } of this.site.entries) {
@@ -102,6 +104,15 @@
     new ReportedStateChecker({ site, slackMs, breach }, this.calls).judge();
   }
 
+  private streams(): void {
+    const { site } = this;
+    new StreamChecker({
+      site,
+      isCalm: (call) => this.isCalm(call, call.sentAtMs),
+      breach: (promise, detail) => this.breach(promise, detail),
+    }).judge(this.calls);
+  }
+
   private retries(): void {
     const breach = (promise: string, detail: string) => this.breach(promise, detail);
     new RetryChecker({ site: this.site, breach }, this.calls).judge();
@@ -157,7 +168,8 @@
         `${id}: signed ${signature}, which never ran it`,
       );
     }
-    const expected = kind === 'draft' || kind === 'batch' ? EVENTS : PLAIN;
+    const isStream = kind === 'draft' || kind === 'batch';
+    const expected = isStream ? EVENTS.slice(call.resumed?.lastEvent ?? 0).join('') : PLAIN;
     if (!isSuccess) return;
     if (isWhole && body !== expected) this.breach('answers are complete', `${id}: ${body}`);
     if (!expected.startsWith(body)) this.breach('answers are in order', `${id}: ${body}`);
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -84,7 +84,13 @@
 
   private serverCount = 0;
 
-  constructor(private readonly isKeyed = false) {}
+  private releaseCount = 0;
+
+  constructor(
+    private readonly isKeyed = false,
+    /** Pause between the events of streams, in ms. */
+    private readonly eventGapMs = 0,
+  ) {}
 
   async start(entryCount: number, command: readonly string[]): Promise<void> {
     const storePort = Number((await this.store.listen()).split(':')[1]);
@@ -111,6 +117,8 @@
     const zone = ZONES[this.serverCount % ZONES.length];
     const server = new PlatformServer(`s${this.serverCount}`, service, zone);
     for (const model of models) server.models.set(model, new Set());
+    server.eventGapMs = this.eventGapMs;
+    if (service === 'engine') server.softwareVersion = this.softwareVersion;
     await server.listen();
     const proxy = new Proxy(Number(server.address.split(':')[1]));
     const listed: ListedServer = {
@@ -127,6 +135,17 @@
     this.writeListing(listed, 'ready');
   }
 
+  /** Version of the software with which engines start. */
+  get softwareVersion(): string {
+    return this.releaseCount === 0 ? 'v1' : `v1.${this.releaseCount}`;
+  }
+
+  /** Releases a new version: engines that start from now on run it. */
+  release(): string {
+    this.releaseCount += 1;
+    return this.softwareVersion;
+  }
+
   /** Lists a server as draining; it keeps serving. */
   drain(listed: ListedServer): void {
     const target = listed;
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -7,6 +7,7 @@
 import { knownFaults } from './knownfaults.js';
 import { serverListFaults } from './serverlistfaults.js';
 import { leavingFaults } from './leavingfaults.js';
+import { releaseFaults } from './releasefaults.js';
 import { overloadFaults } from './overloadfaults.js';
 import { reportedStateFaults } from './reportedstatefaults.js';
 import { pause } from './pause.js';
@@ -32,6 +33,8 @@
   readonly isHarsh?: boolean;
   /** Configures customers, and callers send keys. */
   readonly isKeyed?: boolean;
+  /** Streams last for some time, and their callers take them up where they were cut. */
+  readonly isReleasing?: boolean;
   /** Entries use a clock that does not advance while their host is suspended. */
   readonly isSteady?: boolean;
 }
@@ -67,6 +70,9 @@
 const FIRST_REPORTED_STATE_SEED = 40_000;
 const FIRST_OVERLOAD_SEED = 50_000;
 const FIRST_LEAVING_SEED = 60_000;
+const FIRST_RELEASE_SEED = 70_000;
+/** Streams last for some of these, so that they are cut midway. */
+const EVENT_GAP_MS = 70;
 
 async function untilListening(site: Site): Promise<void> {
   const isListening = () =>
@@ -83,7 +89,9 @@
   const reported = { ...harsh, ...reportedStateFaults };
   if (seed < FIRST_OVERLOAD_SEED) return reported;
   const overload = { ...reported, ...overloadFaults };
-  return seed < FIRST_LEAVING_SEED ? overload : { ...overload, ...leavingFaults };
+  if (seed < FIRST_LEAVING_SEED) return overload;
+  const leaving = { ...overload, ...leavingFaults };
+  return seed < FIRST_RELEASE_SEED ? leaving : { ...leaving, ...releaseFaults };
 }
 
 /**
@@ -96,14 +104,15 @@
   const dice = new Dice(seed);
   const isHarsh = options.isHarsh ?? seed >= FIRST_HARSH_SEED;
   const isKeyed = options.isKeyed ?? seed >= FIRST_KEYED_SEED;
-  const site = new Site(isKeyed);
+  const isReleasing = options.isReleasing ?? seed >= FIRST_RELEASE_SEED;
+  const site = new Site(isKeyed, isReleasing ? EVENT_GAP_MS : 0);
   const isSuspendable = isHarsh && command === entryCommand;
   await site.start(
     entryCount,
     isSuspendable ? suspendedCommand(options.isSteady ?? false) : command,
   );
   await untilListening(site);
-  const callers = new Callers(site.entries, new Dice(seed + 1), isKeyed);
+  const callers = new Callers(site.entries, new Dice(seed + 1), isKeyed, isReleasing);
   callers.start(callerCount);
   const ask = (path: string, entry: number) => callers.sendPoison(path, entry);
   const poisonLoad = new PoisonLoad({ site, dice: new Dice(seed + 2), ask });
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -119,6 +119,9 @@
   /** Version of its software, as its record and its streams' events name it. */
   softwareVersion = 'v1';
 
+  /** Pause before each event of a stream, in ms. */
+  eventGapMs = 0;
+
   /** Version of the weights of all its models. */
   weightsVersion = 1;
 
@@ -407,6 +410,19 @@
     return `id: ${id}\ndata: piece ${id} by ${this.softwareVersion}\n\n`;
   }
 
+  /** Writes the events from this one on, each after a pause. */
+  private writePaced(response: ServerResponse, id: number): void {
+    if (response.destroyed) return;
+    if (id > EVENTS) {
+      response.end();
+      return;
+    }
+    setTimeout(() => {
+      response.write(this.eventOf(id));
+      this.writePaced(response, id + 1);
+    }, this.eventGapMs);
+  }
+
   private stream(
     request: IncomingMessage,
     response: ServerResponse,
@@ -422,6 +438,10 @@
       this.resumeStream = () => response.end(this.eventOf(from + 2));
       return;
     }
+    if (behavior === 'serve' && this.eventGapMs > 0) {
+      this.writePaced(response, from + 1);
+      return;
+    }
     for (let id = from + 1; id <= EVENTS; id += 1) {
       const event = this.eventOf(id);
       if (behavior === 'cut' && id === from + 3) {
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -14,6 +14,8 @@
   { seed: 50_001, forS: 10 },
   // From 60,000 on servers leave without a report or write late, and single calls to the store fail.
   { seed: 60_001, forS: 10 },
+  // From 70,000 on streams last, engines of several versions serve, and callers take streams up.
+  { seed: 70_001, forS: 10 },
   // SIGHUP arrived while modules were loaded, before its handler was installed.
   { seed: 1003, forS: 5 },
   // A fault of the soak: an outgoing connection had taken the port of an entry that was down.
--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -14,6 +14,8 @@
   readonly isHarsh?: boolean;
   /** Number of callers, if the default is too few for the defect to show. */
   readonly callerCount?: number;
+  /** True for streams that last, and callers that take them up. */
+  readonly isReleasing?: boolean;
   /** True to configure customers and send keys. */
   readonly isKeyed?: boolean;
 }
@@ -110,6 +112,21 @@
     forS: 8,
     gapMs: 300,
   },
+  'any-version': {
+    promise: 'a stream holds events of one software version',
+    faultNames: ['release', 'addEngine'],
+    forS: 8,
+    isReleasing: true,
+    callerCount: 96,
+  },
+  'refuses-resumed': {
+    promise: 'streams that are taken up go on',
+    faultNames: ['hangUp'],
+    forS: 8,
+    gapMs: 8000,
+    isReleasing: true,
+    callerCount: 96,
+  },
   gone: {
     promise: 'work ends when its caller disconnects',
     faultNames: ['silence'],
@@ -121,13 +138,14 @@
 
 for (const [defect, planted] of Object.entries(DEFECTS)) {
   const { promise, faultNames, forS = FOR_S, gapMs = 900, isHarsh = false } = planted;
-  const { isKeyed = false, callerCount } = planted;
+  const { isKeyed = false, isReleasing = false, callerCount } = planted;
   test.serial(`the soak finds the planted defect ${defect}`, async (t) => {
     const { breaches, asked, answered, faults } = await runSoak(
       ...['--seed', '7', '--for', String(forS), '--gap', String(gapMs)],
       ...['--defect', defect, '--faults', faultNames.join(',')],
       ...(isHarsh ? ['--harsh'] : []),
       ...(isKeyed ? ['--keyed'] : []),
+      ...(isReleasing ? ['--releasing'] : []),
       ...(callerCount === undefined ? [] : ['--callers', String(callerCount)]),
     );
     const isFound = breaches.some((breach) => breach.promise === promise);
