trace follows a stream over the requests of its caller

Asked for any request of a stream, it shows all that name the same first one, and with what the stream had to go on. The fixture has two more lines, so the message on an unknown request counts 10 in place of 8.

--- a/src/command/trace/describerequest.ts
+++ b/src/command/trace/describerequest.ts
@@ -47,6 +47,16 @@
   return output;
 }
 
+/** Describes with what a stream has to go on, if the request resumes one. */
+function describeResumption({ fields }: LogLine): string[] {
+  const { originSource, origin } = fields;
+  if (originSource === undefined) return [];
+  const versions = (origin ?? {}) as Readonly<Record<string, unknown>>;
+  const begin = `software ${text(versions.softwareVersion) || '-'}, weights ${text(versions.weightsVersion) || '-'}`;
+  const first = text(fields.resumes) || 'no request that it names';
+  return [`  It resumed the stream of ${first}: ${begin} (${text(originSource)}).`];
+}
+
 function describe(line: LogLine): string[] {
   if (line.message === 'request refused') return describeRefusal(line);
   const { fields, from } = line;
@@ -66,6 +76,7 @@
       `  Customer ${text(fields.customer)} was charged ${text(fields.cost)} for each run.`,
     );
   }
+  output.push(...describeResumption(line));
   if (attempts.length === 0) output.push('  It was sent to no upstream.');
   for (const attempt of attempts) output.push(`  Attempt: ${attempt}.`);
   if (text(fields.sentMs) !== '') output.push(`  First sent after ${text(fields.sentMs)} ms.`);
@@ -83,6 +94,15 @@
   return output;
 }
 
+/** Returns the requests of one stream: the given one, the one that it resumes and others that resume the same. */
+function requestsOfStream(lines: readonly LogLine[], requestId: string): ReadonlySet<string> {
+  const own = lines.find(({ fields }) => fields.requestId === requestId && text(fields.resumes));
+  const first = text(own?.fields.resumes) || requestId;
+  const ids = new Set([requestId, first]);
+  for (const { fields } of lines) if (fields.resumes === first) ids.add(text(fields.requestId));
+  return ids;
+}
+
 /** Returns the content ids logged for a request. Earlier lines with the same content show its earlier runs. */
 function contentsOf(lines: readonly LogLine[], requestId: string): ReadonlySet<string> {
   const contents = new Set<string>();
@@ -118,12 +138,18 @@
   return `  ${new Date(atMs).toISOString()} ${from}: ${message} ${rest.join(' ')}`;
 }
 
-/** Describes the outcome of a request, with the log lines that may explain it. Empty if no line has its id. */
+/**
+ * Describes the outcome of a request, or of all requests for one stream, with the log lines that may explain it. Empty
+ * if no line has its id.
+ */
 export function describeRequest(lines: readonly LogLine[], requestId: string): string[] {
   const output: string[] = [];
-  const requests = lines.filter(
-    ({ message, fields }) => message.startsWith('request') && fields.requestId === requestId,
-  );
+  const ids = requestsOfStream(lines, requestId);
+  const requests = lines
+    .filter(
+      ({ message, fields }) => message.startsWith('request') && ids.has(text(fields.requestId)),
+    )
+    .sort((a, b) => a.atMs - b.atMs);
   const contents = contentsOf(lines, requestId);
   for (const request of requests) {
     output.push(...describe(request));
--- a/src/command/trace/enddescriptions.ts
+++ b/src/command/trace/enddescriptions.ts
@@ -23,6 +23,10 @@
   'over-quota': 'its customer had reached its limit, over all entries',
   'quota-unknown':
     'no quota holder answered, and this entry had used up its own share of the limit',
+  'stream-origin-unknown':
+    'it resumed a stream of which no entry that answered knew the software version, while several served',
+  'stream-version-gone': 'it resumed a stream of a software version that no upstream runs',
+  'stream-withdrawn': 'it resumed a stream of a service that is no longer on the route',
   timeout: "the route's time limit passed",
   cut: 'the answer had started and could not be continued elsewhere',
 };
--- a/test/trace.test.ts
+++ b/test/trace.test.ts
@@ -43,6 +43,21 @@
   }),
   line('run broke off', 20, { requestId: 'r8', content: 'c1', upstream: 'u5', runMs: 80 }),
   line('request judged', 21, { content: 'c1', verdict: 'poison' }),
+  line('request', 51, {
+    requestId: 'r10',
+    end: 'cut',
+    attempts: ['u1:upstream-lost'],
+    totalMs: 70,
+  }),
+  line('request', 52, {
+    requestId: 'r11',
+    resumes: 'r10',
+    origin: { service: 's', softwareVersion: 'v1' },
+    originSource: 'copy',
+    end: 'answered',
+    attempts: ['u2:200'],
+    totalMs: 90,
+  }),
   line('request', 58, {
     requestId: 'r9',
     end: 'request-ends-upstreams',
@@ -94,5 +109,13 @@
 test('trace fails with a message if no log line has the request id', async (t) => {
   const { code, errors } = await trace('r2');
   t.is(code, 1);
-  t.regex(errors, /No line of 8 names the request r2/);
+  t.regex(errors, /No line of 10 names the request r2/);
 });
+
+for (const id of ['r10', 'r11']) {
+  test(`trace shows all requests of a stream that its caller took up, asked for ${id}`, async (t) => {
+    const { out } = await trace(id);
+    t.regex(out, /ended as "cut"[^]*ended as "answered"/);
+    t.regex(out, /resumed the stream of r10: software v1, weights - \(copy\)/);
+  });
+}
