--- a/src/core/origin/originhistory.ts
+++ b/src/core/origin/originhistory.ts
@@ -10,7 +10,7 @@
  * upstream serves on after its record was removed.
  */
 const MARGIN_MS = 120_000;
-/** Bound of what is kept. Streams of routes with longer time-outs are never inferred. */
+/** Bound of what is kept; the origin of a stream that may last longer is never inferred. */
 const MAX_WINDOW_MS = 3_600_000;
 /** Stands for the version of an upstream that reports none. */
 const NO_VERSION = '';
@@ -31,6 +31,11 @@
   return versions;
 }
 
+/** Returns how far back a stream of the route may have begun. */
+function windowOf({ timeoutMs }: Route): Ms {
+  return timeoutMs + MARGIN_MS;
+}
+
 /** The services, software and weights with which streams may have begun lately, as far as an entry knows. */
 export class OriginHistory {
   /** Software versions by service. */
@@ -89,7 +94,7 @@
 
   /** Returns the only origin that a stream of the route may have; undefined if there may be several. */
   onlyOrigin(route: Route, model: ModelId | undefined, nowMs: Ms): StreamOrigin | undefined {
-    const fromMs = this.windowStart(route, nowMs);
+    const fromMs = nowMs - windowOf(route);
     const services: ServiceId[] = [];
     for (const [service, untilMs] of this.services.get(routeKey(route)) ?? []) {
       if (untilMs >= fromMs) services.push(service);
@@ -103,19 +108,14 @@
 
   /** Returns the origin of a stream that began at this service, if one software version alone has served there. */
   onlySoftware(route: Route, service: ServiceId, nowMs: Ms): StreamOrigin | undefined {
-    const fromMs = this.windowStart(route, nowMs);
+    const fromMs = nowMs - windowOf(route);
     const [version, ...others] = this.software.since(service, fromMs);
-    const isCovered = this.coveredFromMs <= fromMs;
+    const isCovered = this.coveredFromMs <= fromMs && windowOf(route) <= MAX_WINDOW_MS;
     if (!isCovered || version === undefined || others.length > 0) return undefined;
     const softwareVersion = version === NO_VERSION ? undefined : version;
     return { service, softwareVersion, weightsVersion: undefined };
   }
 
-  private windowStart({ timeoutMs }: Route, nowMs: Ms): Ms {
-    const windowMs = timeoutMs + MARGIN_MS;
-    return windowMs > MAX_WINDOW_MS ? -Infinity : nowMs - windowMs;
-  }
-
   private addRoute(route: Route): void {
     const key = routeKey(route);
     const services = this.services.get(key) ?? new Map<ServiceId, Ms>();
