The wait that a watch of the store asked for does not count as silence of the store

Cause: a watch waits for 300 ms and is given up 700 ms later; the time since it was sent, with the 165 to 228 ms until the store answered again, passed a heartbeat, and removals are held back for 2.1 s after a heartbeat without an answer. Only the time after the answer was due is silence. A record expires after three missed heartbeats, 2.4 s after the store went away at the earliest; the wait adds 1 s at most to the 1.2 s.

--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -58,7 +58,10 @@
 
   private failingSinceMs: Ms | undefined;
 
-  /** When the first of the calls in a row that failed was sent. */
+  /** When the answer to the call under way is due: a store that does not answer a watch may have nothing to tell. */
+  private answerDueAtMs: Ms = 0;
+
+  /** Since when the store is silent: when the answer to the first of the calls in a row that failed was due. */
   private unansweredSinceMs: Ms = 0;
 
   /** All changes up to this time are known. */
@@ -93,7 +96,7 @@
       }
       // The store has answered; the whole state has to be read instead.
       if (wasComplete && failure === 'store-compacted') continue;
-      this.lost(failure, sentAtMs);
+      this.lost(failure);
       // A call that was long without an answer has waited already.
       const tookMs = this.options.clock.nowMs() - sentAtMs;
       await this.pause(Math.max(FIRST_PAUSE_MS, retryMs - tookMs));
@@ -137,6 +140,7 @@
 
   private async readAll(): Promise<string | undefined> {
     const sentAtMs = this.options.clock.nowMs();
+    this.answerDueAtMs = sentAtMs;
     const answer = await this.options.feed.list(this.options.codec.watchedPrefix);
     if (answer.err) return answer.val.type;
     this.storeAnswered();
@@ -166,6 +170,7 @@
     // While the store is lost, a call that waits for changes would only be slower to notice that it is back.
     const waitMs = this.failingSinceMs === undefined ? this.options.pace().waitMs : 0;
     const sentAtMs = this.options.clock.nowMs();
+    this.answerDueAtMs = sentAtMs + waitMs;
     const answer = await this.options.feed.changes(
       this.options.codec.watchedPrefix,
       this.revision,
@@ -228,10 +233,10 @@
     this.options.listener.ownKeyChanged(key, undefined);
   }
 
-  private lost(failure: string, sentAtMs: Ms): void {
+  private lost(failure: string): void {
     if (this.failingSinceMs !== undefined) return;
     this.failingSinceMs = this.options.clock.nowMs();
-    this.unansweredSinceMs = sentAtMs;
+    this.unansweredSinceMs = Math.min(this.failingSinceMs, this.answerDueAtMs);
     this.options.log.warn('store lost', { failure, revision: this.revision });
   }
 
--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -104,6 +104,19 @@
   t.deepEqual(gone, ['u1']);
 });
 
+test('the wait that a silent watch asked for does not count as an outage of the store', async (t) => {
+  const clock = new VirtualClock();
+  const later = (ms: number, answer: Changes) =>
+    new Promise<Changes>((resolve) => {
+      clock.after(ms, () => resolve(answer));
+    });
+  const { waitMs, batchMs } = paceTable.alone;
+  // The watch is sent after a pause, and another call is answered right after the watch has failed.
+  const failsAtMs = batchMs + waitMs + HEARTBEAT_MS - 200;
+  const { gone } = await follow([later(failsAtMs, DOWN), deleted(2)], clock);
+  t.deepEqual(gone, ['u1']);
+});
+
 test('an upstream whose record expired during a store outage is kept until it could write again', async (t) => {
   const { clock, gone } = await follow([...OUTAGE, deleted(2)]);
   t.deepEqual(gone, []);
