--- a/test/streamworld.test.ts
+++ b/test/streamworld.test.ts
@@ -30,6 +30,7 @@
   'entries are cut off from the store': { cutEntry: 12 },
   'entries are cut off from everything but servers and callers': { isolate: 12 },
   'entries are killed': { restart: 20 },
+  'servers start again under their ids with other software': { startAgain: 20, isolate: 6 },
   'all servers are replaced at once': REPLACED,
   'all servers are replaced at once while entries are cut off': { ...REPLACED, isolate: 30 },
   'all servers are replaced at once while entries are killed': { ...REPLACED, restart: 30 },
--- a/test/support/listserver.ts
+++ b/test/support/listserver.ts
@@ -8,6 +8,8 @@
 /** A record expires after three missed heartbeats. */
 const EXPIRES_MS = 3 * HEARTBEAT_MS;
 const RETRY_MS = 150;
+/** Longer than any entry is cut off from the list. */
+const EMPTY_MS = 6000;
 /** It serves on for this long after its record was removed. */
 const LINGER_MS = 4000;
 
@@ -32,6 +34,10 @@
 
   private cutUntilMs: Ms = -Infinity;
 
+  startCount = 0;
+
+  private emptyUntilMs: Ms = -Infinity;
+
   private servesUntilMs: Ms = Infinity;
 
   constructor(
@@ -39,7 +45,7 @@
     private readonly clock: Clock,
     private readonly store: ListStore,
     private readonly isStable: () => boolean,
-    readonly softwareVersion?: string,
+    public softwareVersion?: string,
   ) {
     this.key = `servers/${id}`;
     this.beat();
@@ -55,6 +61,20 @@
     return this.clock.nowMs() < this.servesUntilMs;
   }
 
+  /** True while it holds no model after a start under its id, and refuses requests. */
+  get isEmpty(): boolean {
+    return this.clock.nowMs() < this.emptyUntilMs;
+  }
+
+  /** Starts again under its id, with other software. Its next heartbeat shows it. */
+  startAgain(softwareVersion: string | undefined): void {
+    if (!this.isReady) return;
+    this.startCount += 1;
+    this.softwareVersion = softwareVersion;
+    this.emptyUntilMs = this.clock.nowMs() + EMPTY_MS;
+    this.unlist();
+  }
+
   /** Ends at once; its record stays until it expires. */
   crash(): void {
     if (!this.isReady) return;
--- a/test/support/listworld.ts
+++ b/test/support/listworld.ts
@@ -12,6 +12,8 @@
   readonly drain?: number;
   readonly leave?: number;
   readonly crash?: number;
+  /** A server starts again under its id, with other software. */
+  readonly startAgain?: number;
   /** All servers leave at once, and others take their place. */
   readonly replaceAll?: number;
   readonly cutServer?: number;
@@ -183,6 +185,7 @@
       this.pick(this.ready())?.crash();
       this.startServer();
     },
+    startAgain: () => this.pick(this.ready())?.startAgain(this.options.softwareVersion?.()),
     replaceAll: () => {
       for (const server of this.ready()) {
         server.leave();
--- a/test/support/runrig.ts
+++ b/test/support/runrig.ts
@@ -7,6 +7,7 @@
 import { Run } from '../../src/direct/run/index.js';
 import type { Serving } from '../../src/direct/serving.js';
 import type { UpstreamLink } from '../../src/port/index.js';
+import { fakeServing } from './fakeserving.js';
 
 type Call = Parameters<UpstreamLink['send']>[0];
 type Receiver = Parameters<UpstreamLink['send']>[1];
@@ -66,29 +67,17 @@
   constructor(readonly bound: { ratio: number; slack: number; windowMs: Ms }) {
     const { clock, fleet } = this;
     const budgets = new RetryBudgets({ clock, ...bound, parts: () => 1 });
-    const ignore = () => {};
-    const partial: Partial<Serving> = {
+    this.serving = fakeServing({
       clock,
       fleet,
-      log: { info: ignore, warn: ignore, error: ignore },
       link: { send: this.send.bind(this) } as unknown as UpstreamLink,
-      poison: { isIdle: true, answered: ignore } as unknown as Serving['poison'],
-      gate: { onAnswer: ignore } as unknown as Serving['gate'],
-      table: { services: new Map() } as unknown as Serving['table'],
-      mayWait: true,
       decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
       budgetOf: (service) => budgets.of(service),
-      listAgeMs: () => 0,
-      connectionShare: () => 100,
       waitForTarget: () =>
         new Promise((resolve) => {
           this.loaded.push(() => resolve({ type: 'ready' }));
         }),
-      isReturn: () => false,
-    };
-    const counters = ['arrived', 'waiting', 'began', 'left', 'attempted', 'ended', 'refused'];
-    const ignored = Object.fromEntries(counters.map((name) => [name, ignore]));
-    this.serving = { ...ignored, ...partial } as Serving;
+    });
   }
 
   /** Arrivals beyond the first of each request. */
--- a/test/support/streamworld.ts
+++ b/test/support/streamworld.ts
@@ -6,6 +6,7 @@
 import { Run } from '../../src/direct/run/index.js';
 import type { Serving } from '../../src/direct/serving.js';
 import type { UpstreamLink } from '../../src/port/index.js';
+import { fakeServing } from './fakeserving.js';
 import type { ListEntry } from './listentry.js';
 import type { ListServer } from './listserver.js';
 import { ListWorld } from './listworld.js';
@@ -49,6 +50,8 @@
 /** A run of a request at a server. */
 interface ServerRun {
   readonly server: ListServer;
+  /** Start of the server that runs it. */
+  readonly start: number;
   readonly fail: () => void;
 }
 
@@ -86,6 +89,7 @@
 /** A caller leaves after this long without an event. */
 const PATIENCE_MS = 2000;
 const LOSS_MS = 6000;
+const HEAD = { status: 200, headers: [], isNotRun: false, isForRequest: true, hasLength: false };
 const ignore = () => {};
 
 /** Streams at entries that follow the list of servers of several software versions; callers take cut ones up. */
@@ -165,7 +169,10 @@
 
   /** Breaks the runs of servers that have stopped, and the connections to entries whose process has ended. */
   private cutStopped(): void {
-    for (const run of [...this.runs]) if (!run.server.isServing) run.fail();
+    for (const run of [...this.runs]) {
+      const { isServing, startCount } = run.server;
+      if (!isServing || startCount !== run.start) run.fail();
+    }
     for (const [entry, { fleet }] of this.servings) {
       if (fleet === entry.fleet) continue;
       this.servings.delete(entry);
@@ -321,27 +328,17 @@
     const bound = { ratio: 10, slack: 10_000, windowMs: 1000 };
     const budgets = new RetryBudgets({ clock, ...bound, parts: () => 1 });
     const { fleet, origins } = entry;
-    const partial: Partial<Serving> = {
+    const serving = fakeServing({
       clock,
       fleet,
       origins,
-      log: { info: ignore, warn: ignore, error: ignore },
       link: { send: (...args: [Call, Receiver]) => this.link(entry, ...args) } as never,
-      poison: { isIdle: true, answered: ignore, recordCrash: ignore } as never,
-      gate: { onAnswer: ignore } as never,
       table: TABLE,
-      mayWait: true,
       decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
       budgetOf: (service) => budgets.of(service),
-      listAgeMs: () => 0,
-      connectionShare: () => 100,
       waitForTarget: () =>
         Promise.resolve({ type: 'unavailable', reason: 'no-upstream', detail: '' }),
-      isReturn: () => false,
-    };
-    const counters = ['arrived', 'waiting', 'began', 'left', 'attempted', 'ended', 'refused'];
-    const ignored = Object.fromEntries(counters.map((name) => [name, ignore]));
-    const serving = { ...ignored, ...partial } as Serving;
+    });
     this.servings.set(entry, { fleet, serving });
     return serving;
   }
@@ -397,21 +394,20 @@
     let next = Number(call.resumeAfter ?? 0) + 1;
     const run: ServerRun = {
       server,
+      start: server.startCount,
       fail: () => {
         this.runs.delete(run);
         const failure = { type: 'upstream-lost', detail: '', mayHaveRun: true } as const;
         deliver(() => receiver.failed(failure));
       },
     };
+    if (server.isEmpty) {
+      const refused = { ...HEAD, status: 421, isNotRun: true };
+      deliver(() => receiver.head(refused));
+      return;
+    }
     this.runs.add(run);
-    const head = {
-      status: 200,
-      headers: [],
-      isNotRun: false,
-      isForRequest: true,
-      hasLength: false,
-    };
-    deliver(() => receiver.head(head));
+    deliver(() => receiver.head(HEAD));
     const step = () => {
       if (!this.runs.has(run)) return;
       const event = `id: ${next}\ndata: ${server.softwareVersion}\n\n`;
