Logs: parts of a prompt and the state of the answer of a broken run, what cleared a suspicion

The record's lines told neither the parts that broken runs share, nor whether an answer had a length, nor what cleared a request: the hypotheses could not be told apart.

--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -16,6 +16,7 @@
 export type { KindName } from './kindname.js';
 export type { ModelId } from './modelid.js';
 export type { Ms } from './ms.js';
+export type { PromptPartId } from './promptpartid.js';
 export type { RequestId } from './requestid.js';
 export { result } from './result.js';
 export type { Revision } from './revision.js';
--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -1,4 +1,4 @@
-import type { KeyHash, ModelId, Ms, RequestId } from '../base/index.js';
+import type { KeyHash, ModelId, Ms, PromptPartId, RequestId } from '../base/index.js';
 import type { Refusal } from './refusal.js';
 
 /** A caller's complete request. */
@@ -21,6 +21,8 @@
   readonly deadlineMs: Ms | undefined;
   readonly model: ModelId | undefined;
   readonly adapter: string | undefined;
+  /** Parts of the prompt that other requests may share, in order; the part of the request's own is left out. */
+  readonly sharedParts: readonly PromptPartId[];
   /** Id of the last event that the caller has received, if it resumes a stream. */
   readonly resumeAfter: string | undefined;
   /** Request that the first event of the resumed stream came with, if the caller names it. */
--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -109,8 +109,10 @@
   }
 
   /** Records that a request ran to the end of its answer: it was not the cause of earlier crashes. */
-  recordCompletion(content: ContentId): void {
-    if (this.book.clear(content, this.options.clock.nowMs())) this.options.reportSoon();
+  recordCompletion(content: ContentId, evidence: Readonly<Record<string, unknown>> = {}): void {
+    if (!this.book.clear(content, this.options.clock.nowMs())) return;
+    this.options.log.info('suspicion cleared', { content, ...evidence });
+    this.options.reportSoon();
   }
 
   /** Records that an upstream answered a request that was sent to it at `sentAtMs`. */
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -53,6 +53,11 @@
 
   private lastEventAtMs: Ms | undefined;
 
+  /** The answer that has begun, if any. */
+  private head: Head | undefined;
+
+  private headAtMs: Ms = 0;
+
   /** True for a stream whose first event has not arrived. */
   private isPrefilling = false;
 
@@ -148,6 +153,8 @@
       this.notRun(head);
       return;
     }
+    this.head = head;
+    this.headAtMs = nowMs;
     record.firstByteAtMs ??= nowMs;
     if (target.model === undefined && head.status < FIRST_FAILURE_STATUS) {
       fleet.recordServiceTime(state, nowMs - this.sentAtMs, this.sentLoad);
@@ -216,7 +223,7 @@
     const isFailure = status >= FIRST_FAILURE_STATUS;
     this.recordOutcome(isFailure ? 'failed' : 'answered');
     this.note(String(status));
-    if (!isFailure) suspicion.recordCompletion();
+    if (!isFailure) suspicion.recordCompletion(reply.requestId, status, this.head!.hasLength);
     this.options.over({ type: isFailure && reply.isHeld ? 'failed' : 'answered' });
   }
 
@@ -239,12 +246,15 @@
   private onConnectionLost(detail: string): void {
     const { serving, state, target, suspicion, reply } = this.options;
     const { id: upstream, isLeaving } = state.info;
-    const runMs = serving.clock.nowMs() - this.sentAtMs;
+    const nowMs = serving.clock.nowMs();
+    const runMs = nowMs - this.sentAtMs;
     serving.log.warn('run broke off', {
       requestId: reply.requestId,
       content: suspicion.content,
       upstream,
       runMs: Math.round(runMs),
+      sharedParts: reply.sharedParts,
+      answer: this.answerFields(nowMs),
       othersThere: state.inFlight,
       isLeaving,
       detail,
@@ -252,6 +262,13 @@
     suspicion.recordBreak(state, target, runMs, serving.fleet);
   }
 
+  /** Returns fields for the log line of a broken run: how far its answer had come; undefined if none had begun. */
+  private answerFields(nowMs: Ms): object | undefined {
+    if (!this.head) return undefined;
+    const { status, hasLength } = this.head;
+    return { status, hasLength, forMs: Math.round(nowMs - this.headAtMs) };
+  }
+
   private recordOutcome(outcome: Parameters<Serving['fleet']['recordOutcome']>[1]): void {
     const { serving, state, target } = this.options;
     serving.fleet.recordOutcome(state, outcome, target, serving.clock.nowMs());
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -46,6 +46,10 @@
     return this.caller.request.id;
   }
 
+  get sharedParts(): Caller['request']['sharedParts'] {
+    return this.caller.request.sharedParts;
+  }
+
   /** Status of the last answer. */
   get status(): number {
     return this.head!.status;
--- a/src/direct/run/suspicion.ts
+++ b/src/direct/run/suspicion.ts
@@ -1,4 +1,4 @@
-import type { ContentId, Ms } from '../../base/index.js';
+import type { ContentId, Ms, RequestId } from '../../base/index.js';
 import type { Caller } from '../caller.js';
 import type { PoisonGuard } from '../poison/index.js';
 import type { Fleet, Target, UpstreamState } from '../route/index.js';
@@ -61,8 +61,9 @@
   }
 
   /** Records that an upstream gave a complete answer without a failure of its own. */
-  recordCompletion(): void {
-    if (!this.poison.isIdle) this.poison.recordCompletion(this.content);
+  recordCompletion(requestId: RequestId, status: number, hasLength: boolean): void {
+    if (this.poison.isIdle) return;
+    this.poison.recordCompletion(this.content, { requestId, status, hasLength });
   }
 
   /** Records a lost connection as a crash. If the upstream was leaving or has left the list, its end was planned. */
