Failing tests: requests that share a deadly part of their prompts, answers that end with their connection

A 400 after each crash clears the request, so that it crashes 8 engines where 3 are enough to judge it. A resumable stream whose connection closes inside an event counts as whole.

--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -22,11 +22,27 @@
   | 'cut'
   /** Sends part of an answer without a length and resets the connection. */
   | 'unframed'
+  /** Sends a whole stream without a length, which ends with its connection. */
+  | 'unframed-whole'
+  /** Sends a stream without a length and closes the connection in an orderly way inside an event. */
+  | 'unframed-cut'
+  /** Like `unframed-cut`, but between two events. */
+  | 'unframed-short'
+  /** Answers with status 400 after it has run the request. */
+  | 'bad-request'
   /** Sends the first event of a stream; `resumeStream` sends the rest. */
   | 'paused'
   /** Sends an unsolicited second answer. */
   | 'extra';
 
+/** How a server crashes that begins to answer a request. */
+interface PartCrash {
+  /** Time from the start of the run to the crash, in ms. */
+  readonly afterMs: number;
+  /** How much of the answer is sent before it. */
+  readonly sends: 'nothing' | 'one-event' | 'unframed-cut' | 'unframed-short';
+}
+
 interface Order {
   readonly op: 'load' | 'unload';
   readonly model: string;
@@ -40,6 +56,8 @@
 interface RequestRecord {
   readonly id: string;
   readonly path: string;
+  /** Parts of its prompt but the last. */
+  readonly sharedParts: readonly string[];
   readonly atMs: number;
   readonly behavior: ServerBehavior;
   /** Customer that the entry named in the request. */
@@ -82,6 +100,15 @@
 const EVENTS = 5;
 const BODY = 'the whole answer';
 
+/** Returns the ids of the parts of a request's prompt, but for the last one. */
+function sharedPartsOf({ headers }: IncomingMessage): readonly string[] {
+  const header = (headers['tarragonstile-prompt-prefix'] as string | undefined) ?? '';
+  return header
+    .split(',')
+    .slice(0, -1)
+    .map((part) => part.split(':')[0]!);
+}
+
 /** A stand-in for a server of the platform. Runs requests, accepts orders and injects faults on demand. */
 export class PlatformServer {
   /** How the next requests are handled; `serve` once the list is empty. */
@@ -146,6 +173,9 @@
   /** Paths whose requests crash this server, with the delay from the start of the run to the crash, in ms. */
   crashDelayMsByPath: ReadonlyMap<string, number> = new Map();
 
+  /** Parts of prompts that crash this server when it begins an answer, at any place of a prompt but the last. */
+  crashByPart: ReadonlyMap<string, PartCrash> = new Map();
+
   /** Called when the server has crashed. */
   onCrash: () => void = () => {};
 
@@ -308,9 +338,11 @@
     const id = String(request.headers['tarragonstile-request-id']);
     const path = request.url ?? '';
     const { headers } = request;
+    const sharedParts = sharedPartsOf(request);
     const record: RequestRecord = {
       id,
       path,
+      sharedParts,
       atMs: performance.now(),
       behavior,
       customer: headers['tarragonstile-tenant'] as string | undefined,
@@ -326,6 +358,11 @@
       setTimeout(() => this.crash(), crashAfterMs);
       return;
     }
+    const crashingPart = sharedParts.find((part) => this.crashByPart.has(part));
+    if (crashingPart !== undefined) {
+      this.crashUnder(request, response, this.crashByPart.get(crashingPart)!);
+      return;
+    }
     if (behavior === 'silent') return;
     if (behavior === 'reset') request.socket.resetAndDestroy();
     else if (behavior === 'slow') {
@@ -333,6 +370,35 @@
     } else this.answer(model, request, response, behavior);
   }
 
+  private crashUnder(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { afterMs, sends }: PartCrash,
+  ): void {
+    if (sends === 'one-event') {
+      response.writeHead(200, this.headersOf(request, 'serve'));
+      response.write(this.eventOf(1));
+    } else if (sends !== 'nothing') this.unframedStream(request, sends, 1);
+    setTimeout(() => this.crash(), afterMs);
+  }
+
+  /** Writes a stream without a length; the caller ends its connection. */
+  private unframedStream(
+    request: IncomingMessage,
+    behavior: 'unframed-whole' | 'unframed-cut' | 'unframed-short',
+    from: number,
+  ): void {
+    const head = Object.entries(this.headersOf(request, behavior));
+    const lines = [...head, ['content-type', 'text/event-stream']].map(
+      ([name, value]) => `${name}: ${value}\r\n`,
+    );
+    const last = behavior === 'unframed-whole' ? EVENTS : from + 1;
+    let events = '';
+    for (let id = from; id <= last; id += 1) events += this.eventOf(id);
+    if (behavior === 'unframed-cut') events += this.eventOf(last + 1).slice(0, 8);
+    request.socket.write(`HTTP/1.1 200 OK\r\n${lines.join('')}Connection: close\r\n\r\n${events}`);
+  }
+
   private refuse(request: IncomingMessage, response: ServerResponse, isPause: boolean): void {
     const id = String(request.headers['tarragonstile-request-id']);
     const backoffMs = isPause ? Number(this.retryAfterText) * MS_PER_S : undefined;
@@ -388,6 +454,10 @@
       response.writeHead(500, headers).end('no');
       return;
     }
+    if (behavior === 'bad-request') {
+      response.writeHead(400, headers).end('no');
+      return;
+    }
     if (behavior === 'unframed') {
       const head = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
       socket.write(
@@ -429,6 +499,19 @@
     behavior: ServerBehavior,
   ): void {
     const from = Number(request.headers['last-event-id'] ?? 0);
+    if (behavior === 'bad-request') {
+      response.writeHead(400, this.headersOf(request, behavior)).end('no');
+      return;
+    }
+    if (
+      behavior === 'unframed-whole' ||
+      behavior === 'unframed-cut' ||
+      behavior === 'unframed-short'
+    ) {
+      this.unframedStream(request, behavior, from + 1);
+      request.socket.end();
+      return;
+    }
     response.writeHead(200, {
       ...this.headersOf(request, behavior),
       'content-type': 'text/event-stream',
--- a/test/support/platformrig.ts
+++ b/test/support/platformrig.ts
@@ -12,6 +12,8 @@
   readonly entry: number;
 }
 
+type PartCrash = NonNullable<ReturnType<PlatformServer['crashByPart']['get']>>;
+
 const ROUTES: Parameters<typeof configurationOf>[2] = [
   { name: 'lookup', kind: 'idempotent', service: 'plain', maxAttempts: 2 },
   { name: 'charge', kind: 'non_idempotent', service: 'plain' },
@@ -35,6 +37,9 @@
   /** Paths whose requests crash their server, with the delay from the start of the run to the crash, in ms. */
   readonly crashDelayMsByPath = new Map<string, number>();
 
+  /** Parts of prompts whose requests crash their server when it begins an answer. */
+  readonly crashByPart: Map<string, PartCrash> = new Map();
+
   /** Customers in the next configurations; undefined: no customers are configured. */
   customers: Parameters<typeof configurationOf>[3];
 
@@ -143,6 +148,7 @@
     const added = server;
     added.onChange = () => this.publish(server);
     added.crashDelayMsByPath = this.crashDelayMsByPath;
+    added.crashByPart = this.crashByPart;
     added.onCrash = () => {
       this.replace(server).catch(() => undefined);
     };
