A stream that ends inside an event counts as broken, whatever its framing

Callers saw streams end in the middle of an event as if they were whole: a resumable one was not continued, and one passed on as it came ended with an orderly close. Cause: an answer without a length ends with its connection, so that every orderly close counted as the end of the answer.

Why it works: Reply follows the boundary between events, and an attempt whose answer ends inside one is a lost connection as any other: it is continued where that is allowed, counts as evidence against the upstream, and is cut otherwise. Without a single event such a stream proves nothing and counts as broken, unless it continues another.

--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -219,6 +219,11 @@
   private ended(): void {
     const { reply, suspicion } = this.options;
     const { status } = reply;
+    if (reply.isInsideEvent) {
+      const detail = 'The stream ended inside an event.';
+      this.onFailure({ type: 'upstream-lost', detail, mayHaveRun: true });
+      return;
+    }
     this.leave();
     const isFailure = status >= FIRST_FAILURE_STATUS;
     this.recordOutcome(isFailure ? 'failed' : 'answered');
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -3,6 +3,7 @@
 import type { UpstreamReceiver } from '../../port/index.js';
 import type { Caller } from '../caller.js';
 import { EventAssembler } from './eventassembler.js';
+import { EventBoundary } from './eventboundary.js';
 
 type Head = Parameters<UpstreamReceiver['head']>[0];
 
@@ -18,6 +19,15 @@
   readonly origin: StreamOrigin | undefined;
 }
 
+/** Streams are event streams unless their head says otherwise. */
+function isEventStream({ headers }: Head): boolean {
+  for (let at = 0; at < headers.length; at += 2) {
+    const isType = headers[at]!.toLowerCase() === 'content-type';
+    if (isType) return headers[at + 1]!.toLowerCase().startsWith('text/event-stream');
+  }
+  return true;
+}
+
 /** The answer to one caller, assembled from the answers of one or more upstreams. */
 export class Reply {
   /** True once any part of it was sent to the caller. */
@@ -33,6 +43,9 @@
 
   private assembler: EventAssembler | undefined;
 
+  /** Whether the stream of the last answer is inside an event. */
+  private boundary: EventBoundary | undefined;
+
   private held: Buffer[] | undefined;
 
   private heldBytes = 0;
@@ -64,9 +77,15 @@
     return this.held !== undefined;
   }
 
+  /** True if the last answer is a stream whose last event is incomplete so far. */
+  get isInsideEvent(): boolean {
+    return this.boundary?.isInsideEvent ?? false;
+  }
+
   /** Begins with the head of an upstream's answer. */
   take(head: Head, { isStream, isResumable, origin }: ReplyMode): void {
     this.head = head;
+    this.boundary = isStream && isEventStream(head) ? this.newBoundary(head) : undefined;
     if (!isStream) {
       this.held = [];
       return;
@@ -86,6 +105,7 @@
       if (this.heldBytes > MAX_HELD_BYTES) this.release();
       return true;
     }
+    this.boundary?.take(chunk);
     const payload = this.assembler ? this.assembler.take(chunk) : chunk;
     if (!payload) return true;
     this.begin();
@@ -114,6 +134,12 @@
     this.caller.end();
   }
 
+  /** An answer that ends with its connection may have been cut before its first event. */
+  private newBoundary({ hasLength }: Head): EventBoundary {
+    const isContinuation = this.hasBegun || this.caller.request.resumeAfter !== undefined;
+    return new EventBoundary(hasLength || isContinuation);
+  }
+
   private begin(): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
