Only a whole answer of success clears a suspected request

Callers saw a request crash eight upstreams where three are enough for a verdict, if upstreams answered it with a 400 in between. Cause: every status below 500 counted as a completed run, and so did an answer without a length whose connection just closed; a completion clears all earlier crashes, as the highest rank of the merge. Why it works: a server that refuses a request has not begun the answer that crashes it, and a connection that closes is also how a crash looks; neither says anything of the request.

--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -228,7 +228,8 @@
     const isFailure = status >= FIRST_FAILURE_STATUS;
     this.recordOutcome(isFailure ? 'failed' : 'answered');
     this.note(String(status));
-    if (!isFailure) suspicion.recordCompletion(reply.requestId, status, this.head!.hasLength);
+    const isProof = status < FIRST_NON_SUCCESS_STATUS && this.head!.hasLength;
+    if (isProof) suspicion.recordCompletion(reply.requestId, status, this.head!.hasLength);
     this.options.over({ type: isFailure && reply.isHeld ? 'failed' : 'answered' });
   }
 
