--- a/src/core/poison/crashstate.ts
+++ b/src/core/poison/crashstate.ts
@@ -1,13 +1,13 @@
 /**
- * What is known of an upstream that seemed to crash under a request. Where the records of two entries differ, the state
+ * What is known of an upstream that seemed to crash under a trait. Where the records of two entries differ, the state
  * that is later in this list wins.
  */
 export type CrashState =
   /** The connection broke; nothing else is known yet. */
   | 'open'
-  /** The upstream is still running, or was about to leave: the request is not the cause. */
+  /** The upstream is still running, or was about to leave: the trait is not the cause. */
   | 'explained'
   /** The upstream is gone. */
   | 'ended'
-  /** The same request completed on another upstream, or an operator has lifted the verdict. */
+  /** A request with the trait ran well on the same software, or an operator has lifted the verdict. */
   | 'cleared';
--- a/src/core/poison/judge.ts
+++ b/src/core/poison/judge.ts
@@ -1,27 +1,47 @@
 import { countedCrashes } from './countedcrashes.js';
 import type { Crash } from './crash.js';
+import { partTrait } from './parttrait.js';
 import { poisonRules } from './poisonrules.js';
 import type { Suspect } from './suspect.js';
 import type { Verdict } from './verdict.js';
 
+/** Returns true if a request of the same content ran at both crashes: it may be the cause instead of a part of it. */
+function shareContent(a: Crash, b: Crash): boolean {
+  return a.companions.some(
+    (trait) => partTrait.partOf(trait) === undefined && b.companions.includes(trait),
+  );
+}
+
 /**
- * Returns the chances of the independent crashes. Crashes of runs that are no trials count as one, with the highest
- * of their chances: those runs may have been sent before any crash was known, and the crashes may share a cause.
+ * Groups crashes that may have one cause apart from the trait. Runs that are no trials may have been sent before any
+ * crash was known, and their crashes may share a cause.
  */
+function dependentCrashes(counted: readonly Crash[]): readonly (readonly Crash[])[] {
+  const first = counted.filter(({ isTrial }) => !isTrial);
+  const groups = first.length > 0 ? [first] : [];
+  for (const crash of counted.filter(({ isTrial }) => isTrial)) {
+    const group = groups.find((each) => each.some((other) => shareContent(other, crash)));
+    if (group) group.push(crash);
+    else groups.push([crash]);
+  }
+  return groups;
+}
+
+/** Returns the chances of the independent crashes: of each group the highest. */
 function independentChances(counted: readonly Crash[]): readonly number[] {
-  const chances = (isTrial: boolean) =>
-    counted.filter((crash) => crash.isTrial === isTrial).map(({ chance }) => chance);
-  const first = chances(false);
-  return first.length > 0 ? [Math.max(...first), ...chances(true)] : chances(true);
+  return dependentCrashes(counted).map((group) => Math.max(...group.map(({ chance }) => chance)));
 }
 
-/** Returns the verdict on a request. It depends on the crashes alone, so all entries that know them agree. */
-export function judge(suspect: Pick<Suspect, 'crashes'>): Verdict {
-  const chances = independentChances(countedCrashes(suspect));
-  const { minCrashes, sufficientCrashes, maxProbability } = poisonRules;
+/** Returns the verdict on a trait by its own crashes, whatever other traits were there. */
+export function judge(suspect: Pick<Suspect, 'trait' | 'crashes'>): Verdict {
+  const counted = countedCrashes(suspect);
+  const chances = independentChances(counted);
+  const isPart = partTrait.partOf(suspect.trait) !== undefined;
+  const { minCrashes, sufficientCrashes } = isPart ? poisonRules.part : poisonRules.content;
   if (chances.length === 0) return 'sound';
+  if (counted.length === 1 && counted[0]!.hasPriorProof) return 'sound';
   if (chances.length >= sufficientCrashes) return 'poison';
   if (chances.length < minCrashes) return 'suspect';
   const chance = chances.reduce((product, each) => product * each, 1);
-  return chance <= maxProbability ? 'poison' : 'suspect';
+  return chance <= poisonRules.maxProbability ? 'poison' : 'suspect';
 }
--- a/src/core/poison/verdict.ts
+++ b/src/core/poison/verdict.ts
@@ -1,11 +1,11 @@
-/** How a request is treated, by the crashes of upstreams that ran it before. */
+/** How requests with a trait are treated, by the crashes of upstreams that ran such requests before. */
 export type Verdict =
   /** No evidence against it. */
   | 'sound'
   /**
-   * Upstreams crashed under it, maybe by coincidence: it runs at one upstream at a time, preferably one whose crash
-   * does least harm.
+   * Upstreams crashed under it, maybe by coincidence: one request with it runs at a time, preferably at an upstream
+   * whose crash does least harm.
    */
   | 'suspect'
-  /** The request crashes the upstreams that run it, so it is not sent to any. */
+  /** It crashes the upstreams that run it, so requests with it are not sent to any. */
   | 'poison';
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -2,14 +2,14 @@
 import {
   result,
   type Clock,
-  type ContentId,
   type Ms,
   type RequestId,
   type Revision,
+  type TraitId,
 } from '../../base/index.js';
 import type { ChangeFeed, Log, StoreFailure, Swap, SwapOutcome } from '../../port/index.js';
 import { callOnce, Channel } from '../../shell/http1/index.js';
-import type { Suspect } from '../../core/poison/index.js';
+import type { ListedSuspect } from '../../core/poison/index.js';
 import type { OriginAnswer, OriginCopy } from '../origin/index.js';
 import type { TrialRequest } from '../poison/index.js';
 import type { CustomerState, DrawAnswer, DrawRequest } from '../quota/index.js';
@@ -31,7 +31,7 @@
   draw(request: DrawRequest): DrawAnswer;
   /** Grants a slot: a time at which a request may be sent to an upstream with a rate limit. */
   slot(request: SlotRequest): Promise<SlotAnswer>;
-  /** True if a suspected query of death may run as a trial at another entry now. */
+  /** True if a request with suspected traits may run as a trial at another entry now. */
   trial(request: TrialRequest): boolean;
   /** Keeps copies of what streams of another entry began with. */
   copyOrigins(copies: readonly OriginCopy[]): void;
@@ -40,9 +40,9 @@
   /** Returns customers, their limits and their use, for an operator. */
   customers(): readonly CustomerState[] | undefined;
   /** Returns suspected queries of death, for an operator. */
-  suspects(): readonly Suspect[];
-  /** Clears a request of suspicion. Returns false if it was not suspected. */
-  lift(content: ContentId): boolean;
+  suspects(): readonly ListedSuspect[];
+  /** Clears a trait of suspicion. Returns false if it was not suspected. */
+  lift(trait: TraitId): boolean;
 }
 
 /** A request for the store's changes. */
@@ -266,7 +266,7 @@
     }
     if (path === PATHS.suspects) return { suspects: this.handlers.suspects() };
     if (path === PATHS.lift) {
-      return { isLifted: this.handlers.lift((body as { content: ContentId }).content) };
+      return { isLifted: this.handlers.lift((body as { trait: TraitId }).trait) };
     }
     if (path !== PATHS.demand) return undefined;
     return this.handlers.demand(body as DemandReport);
--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -1,18 +1,28 @@
-import type { Clock, ContentId, ModelId, Ms, ServiceId, UpstreamId } from '../../base/index.js';
+import type { Clock, Ms, ServiceId, TraitId, UpstreamId } from '../../base/index.js';
 import {
   crashProbability,
   countedCrashes,
+  isRefuted,
+  partTrait,
   poisonRules,
+  type Assessment,
+  type Conviction,
   type Crash,
+  type ListedSuspect,
   type Suspect,
   type Verdict,
 } from '../../core/poison/index.js';
 import type { ChangeFeed, KeyValue, Log, Metrics, Swap } from '../../port/index.js';
+import { EndedRuns } from './endedruns.js';
+import { Proofs } from './proofs.js';
+import { readSuspect } from './readsuspect.js';
 import { SuspectTable } from './suspecttable.js';
 import { SuspectSync } from './suspectsync.js';
 import { SuspectStore } from './suspectstore.js';
+import { traitFields } from './traitfields.js';
 import type { TrialRequest } from './trialrequest.js';
 import { Trials } from './trials.js';
+import type { UpstreamRun } from './upstreamrun.js';
 
 interface PoisonGuardOptions {
   readonly host: string;
@@ -34,25 +44,14 @@
   readonly isListed: (upstream: UpstreamId) => boolean | undefined;
 }
 
-/** A run whose upstream seemed to crash. */
-interface BrokenRun {
-  readonly content: ContentId;
-  readonly service: ServiceId;
-  readonly model: ModelId | undefined;
-  readonly path: string;
-  readonly upstream: UpstreamId;
-  readonly runMs: Ms;
-  /** The request was suspected already and ran alone. */
-  readonly isTrial: boolean;
-}
-
-/** Interval between removals of expired requests. */
+/** Interval between removals of expired traits. */
 const EXPIRY_INTERVAL_MS = 5000;
 
 /**
- * Keeps a request that crashes upstreams from crashing more of them. All entries learn within a second what one of them
- * has seen, through the order lease holder; entries that start later learn it from the store. After one crash a
- * request is suspected and runs one at a time in the whole fleet; one found to be the cause is not sent any more.
+ * Keeps requests that crash upstreams from crashing more of them. What is blamed is a trait: the content of a request
+ * or a part of its prompt. All entries learn within a second what one of them has seen, through the order lease holder;
+ * entries that start later learn it from the store. After a crash, requests with a suspected trait run one at a time in
+ * the whole fleet; requests with one that is found to be the cause are not sent any more.
  */
 export class PoisonGuard {
   readonly sync: SuspectSync;
@@ -63,28 +62,41 @@
 
   private readonly trials = new Trials();
 
+  private readonly proofs = new Proofs();
+
+  private readonly endedRuns = new EndedRuns();
+
   private expiredAtMs: Ms = 0;
 
   constructor(private readonly options: PoisonGuardOptions) {
     const { host, clock, log, prefix, swap } = options;
     const name = `${host}/${clock.wallMs().toString(36)}`;
-    this.book = new SuspectTable(name, (...change) => this.changed(...change));
-    this.store = new SuspectStore({ book: this.book, prefix, log, swap });
-    this.sync = new SuspectSync(this.book, clock);
+    this.book = new SuspectTable({
+      name,
+      changed: (suspect) => this.store.changed(suspect, clock.nowMs(), options.isHolder()),
+      judged: (...judgement) => this.judged(...judgement),
+    });
+    const learn = (reported: Suspect) => this.learn(reported);
+    this.store = new SuspectStore({ book: this.book, prefix, log, swap, learn });
+    this.sync = new SuspectSync(this.book, learn);
   }
 
-  /** True while no request is suspected, so that no content id has to be computed. */
+  /** True while no trait is suspected, so that no content id has to be computed. */
   get isIdle(): boolean {
     return this.book.isEmpty;
   }
 
-  verdict(content: ContentId): Verdict {
-    return this.book.verdict(content);
+  assess(traits: readonly TraitId[]): Assessment {
+    return this.book.assess(traits, this.options.clock.nowMs());
+  }
+
+  verdict(trait: TraitId): Verdict {
+    return this.book.verdict(trait);
   }
 
-  /** Returns the remaining validity of the verdict on a request. */
-  verdictRemainingMs(content: ContentId): Ms {
-    const suspect = this.book.get(content);
+  /** Returns the remaining validity of the verdict on a trait. */
+  verdictRemainingMs(trait: TraitId): Ms {
+    const suspect = this.book.get(trait);
     if (!suspect) return 0;
     return Math.max(
       0,
@@ -93,67 +105,88 @@
   }
 
   /** Records that an upstream, which was not about to leave, closed the connection before its answer was complete. */
-  recordCrash({ content, service, model, path, upstream, runMs, isTrial }: BrokenRun): void {
-    const { clock, metrics, upstreamCount, reportSoon } = this.options;
+  recordCrash(run: UpstreamRun): void {
+    const { clock, metrics } = this.options;
     const nowMs = clock.nowMs();
-    const recentCrashes = this.book.crashesSince(nowMs - poisonRules.windowMs, upstream);
-    const chance = crashProbability(runMs, {
-      upstreamCount: upstreamCount(service),
-      recentCrashes,
-    });
-    const crash: Crash = { upstream, runMs: Math.round(runMs), chance, isTrial, state: 'open' };
-    const sinceWallMs = clock.wallMs();
     metrics.count('direct.run_broke_off', 1);
-    this.book.add({ content, service, model, path, sinceWallMs, crashes: [crash] }, nowMs);
-    reportSoon();
+    this.addCrash(run, [run.content, ...this.partsInDoubt(run, nowMs)], 'open');
+    // An answer that had just ended, or that ended with its connection, may be the one that crashed the upstream.
+    for (const ended of this.endedRuns.takeAt(run.upstream)) {
+      this.addCrash(ended, this.partsInDoubt(ended, nowMs), 'open');
+    }
+    this.options.reportSoon();
   }
 
-  /** Records that a request ran to the end of its answer: it was not the cause of earlier crashes. */
-  recordCompletion(content: ContentId, evidence: Readonly<Record<string, unknown>> = {}): void {
-    if (!this.book.clear(content, this.options.clock.nowMs())) return;
-    this.options.log.info('suspicion cleared', { content, ...evidence });
-    this.options.reportSoon();
+  /** Records that an answer goes on well after it began. It proves the traits of its request sound. */
+  recordSurvival(run: UpstreamRun): void {
+    const { answerBeganAtMs } = run;
+    if (answerBeganAtMs === undefined) return;
+    const nowMs = this.options.clock.nowMs();
+    const { service, softwareVersion, content, parts } = run;
+    for (const part of parts) this.proofs.record(part, run, answerBeganAtMs);
+    if (this.isIdle) return;
+    const proof = { service, softwareVersion, answerBeganAtMs };
+    const refuted = [content, ...parts].filter((trait) => this.book.refute(trait, proof, nowMs));
+    if (refuted.length > 0) this.reportRefuted(refuted, run);
+  }
+
+  /**
+   * Records an answer that ended, complete as far as its framing tells, before it had gone on for long enough to prove
+   * anything.
+   */
+  recordEnd(run: Parameters<EndedRuns['add']>[0]): void {
+    this.endedRuns.add(run);
   }
 
   /** Records that an upstream answered a request that was sent to it at `sentAtMs`. */
   answered(upstream: UpstreamId, sentAtMs: Ms): void {
+    this.endedRuns.answered(upstream, sentAtMs);
     if (!this.isIdle) this.book.answered(upstream, sentAtMs, this.options.clock.nowMs());
   }
 
   /** Records that an upstream left the list or has restarted. */
   upstreamGone(upstream: UpstreamId): void {
-    this.book.settle(upstream, 'ended', this.options.clock.nowMs());
+    const nowMs = this.options.clock.nowMs();
+    for (const ended of this.endedRuns.takeAt(upstream)) {
+      if (!ended.hasLength) this.addCrash(ended, this.partsInDoubt(ended, nowMs), 'ended');
+    }
+    this.book.settle(upstream, 'ended', nowMs);
   }
 
   /** Records that an upstream has reported a planned stop. */
   upstreamLeaving(upstream: UpstreamId): void {
+    this.endedRuns.takeAt(upstream);
     this.book.settle(upstream, 'explained', this.options.clock.nowMs());
   }
 
-  /** Returns true if a suspected request may run now; a call of `end` has to follow then. */
-  async beginTrial(content: ContentId): Promise<boolean> {
-    const { host, isHolder, requestTrial } = this.options;
-    if (isHolder()) return this.decideTrial({ content, entry: host, isOver: false });
-    const decision = await requestTrial({ content, entry: host, isOver: false });
+  /** Returns true if a request with these suspected traits may run now; a call of `endTrial` has to follow then. */
+  async beginTrial(traits: readonly TraitId[]): Promise<boolean> {
+    const { host, clock, isHolder, requestTrial } = this.options;
+    const request = { traits, entry: host, isOver: false };
+    if (isHolder()) return this.decideTrial(request);
+    const decision = await requestTrial(request);
     if (decision !== undefined) return decision;
-    // Without an answer of the holder, it is unknown whether the request runs elsewhere. It runs here if at most one
-    // crash counts against it: a single crash is most probably a coincidence.
-    const suspect = this.book.get(content);
-    return !suspect || countedCrashes(suspect).length < poisonRules.minCrashes;
+    // Without an answer of the holder, it is unknown whether others run the traits. This entry does, one request at a
+    // time, if at most one crash counts against each: a single crash is most probably a coincidence.
+    const isWeak = (trait: TraitId) => {
+      const suspect = this.book.get(trait);
+      return !suspect || countedCrashes(suspect).length < poisonRules.maxCrashesWithoutHolder;
+    };
+    return traits.every(isWeak) && this.trials.begin(traits, host, clock.nowMs());
   }
 
-  end(content: ContentId): void {
+  endTrial(traits: readonly TraitId[]): void {
     const { host, isHolder, requestTrial } = this.options;
-    const request = { content, entry: host, isOver: true };
-    if (isHolder()) this.decideTrial(request);
-    else void requestTrial(request);
+    const request = { traits, entry: host, isOver: true };
+    this.trials.end(traits, host);
+    if (!isHolder()) void requestTrial(request);
   }
 
   /** Decides another entry's trial request, as the order lease holder. */
-  decideTrial({ content, entry, isOver }: TrialRequest): boolean {
-    if (isOver) this.trials.end(content, entry);
-    if (isOver || this.book.verdict(content) === 'poison') return false;
-    return this.trials.begin(content, entry, this.options.clock.nowMs());
+  decideTrial({ traits, entry, isOver }: TrialRequest): boolean {
+    if (isOver) this.trials.end(traits, entry);
+    if (isOver || this.assess(traits).verdict === 'poison') return false;
+    return this.trials.begin(traits, entry, this.options.clock.nowMs());
   }
 
   /** Applies a change or deletion of a record in the store. */
@@ -161,27 +194,31 @@
     this.store.heard(key, item, this.options.clock.nowMs());
   }
 
-  list(): readonly Suspect[] {
-    return this.book.all();
+  /** Returns all suspects with their verdicts, for an operator. */
+  list(): readonly ListedSuspect[] {
+    return this.book.all().map((suspect) => ({ ...suspect, verdict: this.verdict(suspect.trait) }));
   }
 
-  /** Clears a request on an operator's behalf. Returns true if it was suspected. */
-  lift(content: ContentId): boolean {
-    const isLifted = this.book.clear(content, this.options.clock.nowMs());
+  /** Clears a trait on an operator's behalf. Returns true if it was suspected. */
+  lift(trait: TraitId): boolean {
+    const isLifted = this.book.clear(trait, this.options.clock.nowMs());
     if (!isLifted) return false;
-    this.options.log.info('verdict lifted', { content });
+    this.options.log.info('verdict lifted', traitFields(trait));
     this.options.reportSoon();
     return true;
   }
 
   tick(): void {
     const nowMs = this.options.clock.nowMs();
+    this.proofs.expire(nowMs);
+    for (const run of this.endedRuns.takeSurvived(nowMs)) this.recordSurvival(run);
     for (const upstream of this.book.overdue(nowMs)) {
       const isListed = this.options.isListed(upstream);
       if (isListed !== undefined) {
         this.book.settle(upstream, isListed ? 'explained' : 'ended', nowMs);
       }
     }
+    this.book.update();
     this.store.tick(nowMs);
     if (nowMs - this.expiredAtMs < EXPIRY_INTERVAL_MS) return;
     this.expiredAtMs = nowMs;
@@ -192,21 +229,108 @@
     this.options.metrics.gauge('direct.requests_poison', poison);
   }
 
-  /** Clears requests whose verdict has expired: the software that crashed may have been replaced. */
+  /** Adds a crash to traits of a run. */
+  private addCrash(run: UpstreamRun, traits: readonly TraitId[], state: Crash['state']): void {
+    const { clock, upstreamCount } = this.options;
+    const { content, service, model, path, upstream, softwareVersion, isTrial } = run;
+    const nowMs = clock.nowMs();
+    const runMs = Math.round(nowMs - run.sentAtMs);
+    const recentCrashes = this.book.crashesSince(nowMs - poisonRules.windowMs, upstream);
+    const chance = crashProbability(runMs, {
+      upstreamCount: upstreamCount(service),
+      recentCrashes,
+    });
+    const sinceWallMs = clock.wallMs();
+    for (const trait of traits) {
+      const companions = traits.filter((other) => other !== trait).sort();
+      const seen = { upstream, service, softwareVersion, runMs, chance, isTrial };
+      const hasPriorProof = this.proofs.latest(trait, run) !== undefined;
+      const crash: Crash = { ...seen, state, hasPriorProof, companions };
+      const isPart = trait !== content;
+      const recognised = isPart ? {} : { model, path };
+      this.book.add({ trait, service, ...recognised, sinceWallMs, crashes: [crash] }, nowMs);
+      if (isPart) this.logSuspected(trait, crash);
+    }
+  }
+
+  /** Returns the parts of a run that may have crashed its upstream: neither it nor a recent run proves them sound. */
+  private partsInDoubt(run: UpstreamRun, nowMs: Ms): readonly TraitId[] {
+    const { parts, answerBeganAtMs = nowMs } = run;
+    if (nowMs - answerBeganAtMs >= poisonRules.survivalMs) return [];
+    return parts.filter((part) => !this.isRecentlyProven(part, run, nowMs));
+  }
+
+  private isRecentlyProven(trait: TraitId, software: UpstreamRun, nowMs: Ms): boolean {
+    const beganAtMs = this.proofs.latest(trait, software);
+    return beganAtMs !== undefined && isRefuted(nowMs, beganAtMs);
+  }
+
+  /** Merges what another entry reported, and adds what this entry has seen of runs with the trait. */
+  private learn(reported: Suspect): void {
+    const nowMs = this.options.clock.nowMs();
+    const suspect = readSuspect(reported);
+    if (!suspect) {
+      this.options.log.error('reported suspect not readable', {});
+      return;
+    }
+    const { trait } = suspect;
+    this.book.add(suspect, nowMs);
+    for (const { service, softwareVersion } of suspect.crashes) {
+      const answerBeganAtMs = this.proofs.latest(trait, { service, softwareVersion });
+      if (answerBeganAtMs === undefined) continue;
+      const proof = { service, softwareVersion, answerBeganAtMs };
+      if (this.book.refute(trait, proof, nowMs)) this.reportRefuted([trait], proof);
+      else if (this.book.vouch(trait, proof, nowMs)) this.options.reportSoon();
+    }
+  }
+
+  private reportRefuted(
+    traits: readonly TraitId[],
+    proof: Pick<UpstreamRun, 'service' | 'softwareVersion' | 'answerBeganAtMs'>,
+  ): void {
+    const { clock, log, reportSoon } = this.options;
+    const { service, softwareVersion, answerBeganAtMs = 0 } = proof;
+    const beganAgoMs = Math.round(clock.nowMs() - answerBeganAtMs);
+    for (const trait of traits) {
+      if (partTrait.partOf(trait) === undefined) continue;
+      log.info('suspicion cleared', {
+        ...traitFields(trait),
+        service,
+        softwareVersion,
+        beganAgoMs,
+      });
+    }
+    reportSoon();
+  }
+
+  private logSuspected(trait: TraitId, crash: Crash): void {
+    const { companions, ...fields } = crash;
+    this.options.log.warn('prompt part suspected', {
+      ...traitFields(trait),
+      ...fields,
+      companions: companions.map(traitFields),
+    });
+  }
+
+  /** Clears traits whose verdict has expired: the software that crashed may have been replaced. */
   private expireVerdicts(nowMs: Ms): void {
-    for (const { content } of this.book.all()) {
-      if (this.book.verdict(content) !== 'poison' || this.verdictRemainingMs(content) > 0) continue;
-      this.options.log.info('verdict expired', { content });
-      this.book.clear(content, nowMs);
+    for (const { trait } of this.book.all()) {
+      if (this.book.verdict(trait) !== 'poison' || this.verdictRemainingMs(trait) > 0) continue;
+      this.options.log.info('verdict expired', traitFields(trait));
+      this.book.clear(trait, nowMs);
     }
   }
 
-  private changed(suspect: Suspect, verdict: Verdict, before: Verdict): void {
-    const { clock, isHolder, log, metrics } = this.options;
-    const { content, service, model, path, crashes } = suspect;
-    this.store.changed(suspect, clock.nowMs(), isHolder());
-    if (verdict === before || (verdict !== 'poison' && before !== 'poison')) return;
+  private judged(suspect: Suspect, verdict: Verdict, conviction: Conviction | undefined): void {
+    const { log, metrics } = this.options;
+    const { trait, service, model, path, crashes } = suspect;
+    const others = [...(conviction?.traits ?? [])].filter((other) => other !== trait);
     metrics.count('direct.verdict', 1, { verdict });
-    log.warn('request judged', { content, verdict, before, service, model, path, crashes });
+    const message = path === undefined ? 'prompt part judged' : 'request judged';
+    log.warn(message, {
+      ...traitFields(trait),
+      ...{ verdict, service, model, path, crashes },
+      onlyWith: others.map(traitFields),
+    });
   }
 }
--- a/src/direct/poison/suspectstore.ts
+++ b/src/direct/poison/suspectstore.ts
@@ -1,4 +1,4 @@
-import type { ContentId, Ms, Revision, UpstreamId } from '../../base/index.js';
+import type { Ms, Revision, TraitId, UpstreamId } from '../../base/index.js';
 import type { Suspect } from '../../core/poison/index.js';
 import type { ChangeFeed, KeyValue, Log, Swap } from '../../port/index.js';
 import { decodeSuspects } from './decodesuspects.js';
@@ -7,14 +7,14 @@
 /** The record that the store holds of one upstream's crash. */
 interface Stored {
   readonly revision: Revision;
-  /** Requests that ran there and have not been cleared. */
-  readonly contents: ReadonlySet<ContentId>;
+  /** Traits that ran there and have not been cleared. */
+  readonly traits: ReadonlySet<TraitId>;
 }
 
 /** When a record is checked next. */
 interface Due {
   readonly atMs: Ms;
-  /** Writes the record then even if the only change is that requests have to be removed. */
+  /** Writes the record then even if the only change is that traits have to be removed. */
   readonly isRemoval: boolean;
 }
 
@@ -23,6 +23,8 @@
   /** Prefix of the records' keys. */
   readonly prefix: string;
   readonly log: Log;
+  /** Merges what another entry wrote. */
+  readonly learn: (suspect: Suspect) => void;
   swap(swap: Swap): ReturnType<ChangeFeed['swap']>;
 }
 
@@ -36,7 +38,7 @@
  * after 2.6 s.
  */
 const OTHERS_GATHER_MS = 1500;
-/** Requests are cleared one by one as their callers retry: waiting this long gathers them into one write. */
+/** Traits are cleared one by one as requests with them run: waiting this long gathers them into one write. */
 const REMOVE_AFTER_MS = 10_000;
 /**
  * Delay before a failed write is repeated. The store answers within milliseconds, or it fails or rejects this entry for
@@ -44,15 +46,15 @@
  */
 const RETRY_MS = 2000;
 /**
- * Bound on the requests of one record, beyond which the longest runs are left out: twice the number of requests that an
- * upstream runs at once.
+ * Bound on the suspects of one record, beyond which the longest runs are left out: the contents and parts of twice the
+ * number of requests that an upstream runs at once.
  */
-const MAX_RUNS = 64;
+const MAX_SUSPECTS = 256;
 const ABSENT = 0 as Revision;
 
 /**
- * Stores one record for each crash of an upstream, with the requests that ran there, so that the evidence against a
- * request survives a restart of all entries. Records of single requests, written from the second crash on, were not
+ * Stores one record for each crash of an upstream, with the traits of what ran there, so that the evidence against a
+ * trait survives a restart of all entries. Records of single requests, written from the second crash on, were not
  * enough: when all entries were killed every 15 s, a crashing request ran four times instead of three (in one of 187
  * seeds of the simulation).
  */
@@ -65,7 +67,7 @@
 
   constructor(private readonly options: SuspectStoreOptions) {}
 
-  /** Schedules writes of the records that mention a request: what is known of it has changed. */
+  /** Schedules writes of the records that mention a trait: what is known of it has changed. */
   changed({ crashes }: Suspect, nowMs: Ms, isHolder: boolean): void {
     const atMs = nowMs + (isHolder ? GATHER_MS : OTHERS_GATHER_MS);
     for (const { upstream } of crashes) {
@@ -89,9 +91,9 @@
     }
   }
 
-  /** Applies a record from the store. A request that is missing from the new version was cleared by its writer. */
+  /** Applies a record from the store. A trait that is missing from the new version was cleared by its writer. */
   heard(key: string, item: KeyValue | undefined, nowMs: Ms): void {
-    const { book, prefix, log } = this.options;
+    const { book, prefix, log, learn } = this.options;
     const upstream = key.slice(prefix.length) as UpstreamId;
     const known = this.stored.get(upstream);
     if (item && known && item.revision <= known.revision) return;
@@ -100,23 +102,23 @@
       log.error('poison record not readable', { key, revision: item?.revision });
       return;
     }
-    const contents = new Set(suspects.map(({ content }) => content));
-    if (item) this.stored.set(upstream, { revision: item.revision, contents });
+    const traits = new Set(suspects.map(({ trait }) => trait));
+    if (item) this.stored.set(upstream, { revision: item.revision, traits });
     else this.stored.delete(upstream);
-    for (const content of known?.contents ?? []) {
-      if (!contents.has(content)) book.clearCrash(content, upstream, nowMs);
+    for (const trait of known?.traits ?? []) {
+      if (!traits.has(trait)) book.clearCrash(trait, upstream, nowMs);
     }
-    for (const suspect of suspects) book.add(suspect, nowMs);
+    for (const suspect of suspects) learn(suspect);
   }
 
-  /** Compares an upstream's record with its desired content: whether it lacks requests, or only has too many. */
+  /** Compares an upstream's record with its desired content: whether it lacks traits, or only has too many. */
   private difference(upstream: UpstreamId): {
     readonly isIncomplete: boolean;
     readonly hasSurplus: boolean;
   } {
     const wanted = this.wanted(upstream);
-    const has = this.stored.get(upstream)?.contents ?? new Set<ContentId>();
-    const isIncomplete = wanted.some(({ content }) => !has.has(content));
+    const has = this.stored.get(upstream)?.traits ?? new Set<TraitId>();
+    const isIncomplete = wanted.some(({ trait }) => !has.has(trait));
     return { isIncomplete, hasSurplus: !isIncomplete && wanted.length < has.size };
   }
 
@@ -127,7 +129,7 @@
       crashes: suspect.crashes.filter((crash) => crash.upstream === upstream),
     }));
     ownCrashOnly.sort((a, b) => a.crashes[0]!.runMs - b.crashes[0]!.runMs);
-    return ownCrashOnly.slice(0, MAX_RUNS);
+    return ownCrashOnly.slice(0, MAX_SUSPECTS);
   }
 
   private async write(upstream: UpstreamId, nowMs: Ms): Promise<void> {
@@ -150,9 +152,9 @@
       return;
     }
     const { revision } = swapped.val;
-    log.info('poison record written', { upstream, requests: suspects.length, revision });
-    const contents = new Set(suspects.map(({ content }) => content));
+    log.info('poison record written', { upstream, suspects: suspects.length, revision });
+    const traits = new Set(suspects.map(({ trait }) => trait));
     if (value === undefined) this.stored.delete(upstream);
-    else this.stored.set(upstream, { revision, contents });
+    else this.stored.set(upstream, { revision, traits });
   }
 }
--- a/src/direct/poison/suspectsync.ts
+++ b/src/direct/poison/suspectsync.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../../base/index.js';
+import type { Suspect } from '../../core/poison/index.js';
 import type { SuspectTable } from './suspecttable.js';
 import type { PoisonReport } from './poisonreport.js';
 import type { SuspectBatch } from './suspectbatch.js';
@@ -14,10 +14,11 @@
 
   constructor(
     private readonly book: SuspectTable,
-    private readonly clock: Clock,
+    /** Merges what another entry reported, in its wire form. */
+    private readonly learn: (reported: Suspect) => void,
   ) {}
 
-  /** Returns the part on suspected requests of the next report to the holder. */
+  /** Returns the part on suspects of the next report to the holder. */
   report(): PoisonReport {
     const news = this.book.changesSince(this.acknowledged);
     const { heard } = this;
@@ -41,6 +42,6 @@
   }
 
   private take({ suspects }: SuspectBatch): void {
-    for (const suspect of suspects) this.book.add(suspect, this.clock.nowMs());
+    for (const suspect of suspects) this.learn(suspect);
   }
 }
--- a/src/direct/poison/suspecttable.ts
+++ b/src/direct/poison/suspecttable.ts
@@ -1,10 +1,16 @@
-import type { ContentId, Ms, UpstreamId } from '../../base/index.js';
+import type { Ms, ServiceId, TraitId, UpstreamId } from '../../base/index.js';
 import {
+  convict,
   countedCrashes,
+  isRefuted,
   judge,
   merge,
+  partTrait,
+  poisonRules,
+  unexplainedCrashes,
+  type Assessment,
+  type Conviction,
   type Crash,
-  type CrashState,
   type Suspect,
   type Verdict,
 } from '../../core/poison/index.js';
@@ -12,7 +18,7 @@
 import type { SuspectBatch } from './suspectbatch.js';
 import type { SuspectCursor } from './suspectcursor.js';
 
-/** One suspected request, with its verdict and the number and time of its last change. */
+/** One suspected trait, with the verdict by its own crashes and the number and time of its last change. */
 interface TrackedSuspect {
   readonly suspect: Suspect;
   readonly verdict: Verdict;
@@ -20,8 +26,30 @@
   readonly changedAtMs: Ms;
 }
 
-/** Called after each change; `before` is the verdict until then. */
-type OnChange = (suspect: Suspect, verdict: Verdict, before: Verdict) => void;
+interface Software {
+  readonly service: ServiceId;
+  readonly softwareVersion: string | undefined;
+}
+
+/** A run that proves a trait sound. */
+interface Proof extends Software {
+  readonly answerBeganAtMs: Ms;
+}
+
+interface SuspectTableOptions {
+  /** Identifies this table among those of other and earlier processes. */
+  readonly name: string;
+  /** Called after each change of what is known of a trait. */
+  changed(suspect: Suspect): void;
+  /** Called when a trait is convicted, or is no longer. */
+  judged(suspect: Suspect, verdict: Verdict, conviction: Conviction | undefined): void;
+}
+
+const CLEARED: Partial<Crash> = { state: 'cleared' };
+
+function isOn(crash: Crash, { service, softwareVersion }: Software): boolean {
+  return crash.service === service && crash.softwareVersion === softwareVersion;
+}
 
 const RETENTION_MS: Readonly<Record<Verdict, Ms>> = {
   sound: poisonLimits.clearedRetentionMs,
@@ -30,43 +58,67 @@
 };
 
 /**
- * The requests under which upstreams crashed, as far as this entry knows. Entries merge their tables in any order.
- * Each change has a number, so that another entry can be sent only what has changed since its cursor.
+ * The traits of requests under which upstreams crashed, as far as this entry knows. Entries merge their tables in any
+ * order. Each change has a number, so that another entry can be sent only what has changed since its cursor.
  */
 export class SuspectTable {
   /** Ordered by last change, oldest first. */
-  private readonly kept = new Map<ContentId, TrackedSuspect>();
+  private readonly kept = new Map<TraitId, TrackedSuspect>();
 
-  /** When this entry learned of each crash that is still open. */
-  private readonly open = new Map<UpstreamId, Ms>();
+  /** Upstreams whose crash is still open. */
+  private readonly open = new Set<UpstreamId>();
 
-  /** Requests that ran on an upstream when it seemed to crash. */
-  private readonly byUpstream = new Map<UpstreamId, Set<ContentId>>();
+  /** Traits that ran on an upstream when it seemed to crash. */
+  private readonly byUpstream = new Map<UpstreamId, Set<TraitId>>();
 
-  private index = 0;
+  /** When this entry learned of each crash. */
+  private readonly knownAtMs = new Map<UpstreamId, Ms>();
 
-  private poisonCount = 0;
+  /** Traits that would be convicted by their own crashes alone. */
+  private readonly candidates = new Set<TraitId>();
 
-  constructor(
-    /** Identifies this table among those of other and earlier processes. */
-    private readonly name: string,
-    private readonly changed: OnChange,
-  ) {}
+  private convictions: readonly Conviction[] = [];
+
+  /** Convictions by each of their traits. */
+  private convictionOf = new Map<TraitId, Conviction>();
+
+  /** True if the convictions have to be computed again. */
+  private isStale = false;
+
+  private index = 0;
+
+  constructor(private readonly options: SuspectTableOptions) {}
 
   get isEmpty(): boolean {
     return this.kept.size === 0;
   }
 
   get sizes(): { readonly suspects: number; readonly poison: number } {
-    return { suspects: this.kept.size, poison: this.poisonCount };
+    this.update();
+    return { suspects: this.kept.size, poison: this.convictionOf.size };
+  }
+
+  /** Returns how a request with these traits is treated. */
+  assess(traits: readonly TraitId[], nowMs: Ms): Assessment {
+    this.update();
+    const suspects: TraitId[] = [];
+    for (const trait of traits) {
+      const conviction = this.convictionOf.get(trait);
+      const isWhole = conviction && [...conviction.traits].every((each) => traits.includes(each));
+      if (isWhole && !this.mayRetry(trait, nowMs)) return { verdict: 'poison', trait };
+      if (conviction || this.isSuspected(trait)) suspects.push(trait);
+    }
+    return suspects.length > 0 ? { verdict: 'suspect', traits: suspects } : { verdict: 'sound' };
   }
 
-  verdict(content: ContentId): Verdict {
-    return this.kept.get(content)?.verdict ?? 'sound';
+  verdict(trait: TraitId): Verdict {
+    this.update();
+    if (this.convictionOf.has(trait)) return 'poison';
+    return this.isSuspected(trait) ? 'suspect' : 'sound';
   }
 
-  get(content: ContentId): Suspect | undefined {
-    return this.kept.get(content)?.suspect;
+  get(trait: TraitId): Suspect | undefined {
+    return this.kept.get(trait)?.suspect;
   }
 
   all(): Suspect[] {
@@ -75,39 +127,53 @@
 
   /** Merges what this entry saw or another one reported. Returns true if anything was new. */
   add(reported: Suspect, nowMs: Ms): boolean {
-    const known = this.kept.get(reported.content);
-    const suspect = merge(known?.suspect, reported);
-    if (suspect === known?.suspect) return false;
+    const { trait } = reported;
+    const known = this.kept.get(trait);
+    const merged = merge(known?.suspect, reported);
+    if (merged === known?.suspect) return false;
+    const suspect = this.pruned(merged, nowMs);
     const verdict = judge(suspect);
-    const before = known?.verdict ?? 'sound';
     this.index += 1;
-    this.poisonCount += Number(verdict === 'poison') - Number(before === 'poison');
-    this.kept.delete(suspect.content);
-    this.kept.set(suspect.content, { suspect, verdict, index: this.index, changedAtMs: nowMs });
+    this.kept.delete(trait);
+    this.kept.set(trait, { suspect, verdict, index: this.index, changedAtMs: nowMs });
     this.indexUpstreams(suspect, nowMs);
+    if (verdict === 'poison') this.candidates.add(trait);
+    else this.candidates.delete(trait);
+    this.isStale = true;
     this.evict();
-    this.changed(suspect, verdict, before);
+    this.options.changed(suspect);
     return true;
   }
 
-  /** Clears a request that completed, or that an operator wants retried. Returns true if it was suspected. */
-  clear(content: ContentId, nowMs: Ms): boolean {
-    const suspect = this.kept.get(content)?.suspect;
-    return suspect !== undefined && this.update(suspect, () => 'cleared', nowMs);
+  /** Clears a trait of all crashes, as an operator wants. Returns true if it was suspected. */
+  clear(trait: TraitId, nowMs: Ms): boolean {
+    return this.changeWhere(trait, () => true, CLEARED, nowMs);
   }
 
-  /** Clears one crash of a request. */
-  clearCrash(content: ContentId, upstream: UpstreamId, nowMs: Ms): void {
-    const suspect = this.kept.get(content)?.suspect;
-    const nextState = (crash: Crash) => (crash.upstream === upstream ? 'cleared' : crash.state);
-    if (suspect) this.update(suspect, nextState, nowMs);
+  /** Clears one crash of a trait. */
+  clearCrash(trait: TraitId, upstream: UpstreamId, nowMs: Ms): void {
+    this.changeWhere(trait, (crash) => crash.upstream === upstream, CLEARED, nowMs);
   }
 
-  /** Returns the requests for which the crash of this upstream still counts. */
+  /** Clears the crashes that a run with the trait refutes. Returns true if there were any. */
+  refute(trait: TraitId, proof: Proof, nowMs: Ms): boolean {
+    const isRefutedBy = (crash: Crash) =>
+      isOn(crash, proof) &&
+      isRefuted(this.knownAtMs.get(crash.upstream) ?? -Infinity, proof.answerBeganAtMs);
+    return this.changeWhere(trait, isRefutedBy, CLEARED, nowMs);
+  }
+
+  /** Records that this entry saw a trait run well on software that crashed later. Returns true if that is new. */
+  vouch(trait: TraitId, software: Software, nowMs: Ms): boolean {
+    const isMeant = (crash: Crash) => !crash.hasPriorProof && isOn(crash, software);
+    return this.changeWhere(trait, isMeant, { hasPriorProof: true }, nowMs);
+  }
+
+  /** Returns the traits against which the crash of this upstream counts. */
   at(upstream: UpstreamId): Suspect[] {
     const suspects: Suspect[] = [];
-    for (const content of this.byUpstream.get(upstream) ?? []) {
-      const suspect = this.kept.get(content)?.suspect;
+    for (const trait of this.byUpstream.get(upstream) ?? []) {
+      const suspect = this.kept.get(trait)?.suspect;
       const counted = suspect ? countedCrashes(suspect) : [];
       if (counted.some((crash) => crash.upstream === upstream)) suspects.push(suspect!);
     }
@@ -118,16 +184,15 @@
    * Records that an upstream answered a request sent at `sentAtMs`: connections that broke before then were no crash.
    */
   answered(upstream: UpstreamId, sentAtMs: Ms, nowMs: Ms): void {
-    const openAtMs = this.open.get(upstream);
-    if (openAtMs !== undefined && openAtMs < sentAtMs) this.settle(upstream, 'explained', nowMs);
+    const isLater = this.open.has(upstream) && this.knownAtMs.get(upstream)! < sentAtMs;
+    if (isLater) this.settle(upstream, 'explained', nowMs);
   }
 
   /** Settles an open crash: the upstream is either gone, or its lost connections have another explanation. */
   settle(upstream: UpstreamId, state: 'explained' | 'ended', nowMs: Ms): void {
     if (!this.open.delete(upstream)) return;
-    const nextState = (crash: Crash) =>
-      crash.upstream === upstream && crash.state === 'open' ? state : crash.state;
-    for (const suspect of this.at(upstream)) this.update(suspect, nextState, nowMs);
+    const isMeant = (crash: Crash) => crash.upstream === upstream && crash.state === 'open';
+    for (const { trait } of this.at(upstream)) this.changeWhere(trait, isMeant, { state }, nowMs);
   }
 
   /**
@@ -136,8 +201,8 @@
    */
   overdue(nowMs: Ms): UpstreamId[] {
     const ids: UpstreamId[] = [];
-    for (const [id, atMs] of this.open) {
-      if (nowMs - atMs > poisonLimits.listLapseMs) ids.push(id);
+    for (const id of this.open) {
+      if (nowMs - this.knownAtMs.get(id)! > poisonLimits.listLapseMs) ids.push(id);
     }
     return ids;
   }
@@ -156,62 +221,137 @@
 
   /** Returns the changes after a cursor, up to the size of one message. */
   changesSince(cursor: SuspectCursor | undefined): SuspectBatch {
-    const from = cursor?.book === this.name ? cursor.index : 0;
+    const from = cursor?.book === this.options.name ? cursor.index : 0;
     const suspects: Suspect[] = [];
     let index = from;
-    if (this.index === from) return { book: this.name, index, suspects };
+    if (this.index === from) return { book: this.options.name, index, suspects };
     for (const kept of this.kept.values()) {
       if (kept.index <= from) continue;
       if (suspects.length >= poisonLimits.maxBatchSize) break;
       suspects.push(kept.suspect);
       index = kept.index;
     }
-    return { book: this.name, index, suspects };
+    return { book: this.options.name, index, suspects };
   }
 
-  /** Removes requests whose retention time is over. */
+  /** Removes traits whose retention time is over. */
   expire(nowMs: Ms): void {
-    for (const [content, { suspect, verdict, changedAtMs }] of this.kept) {
+    for (const [trait, { suspect, verdict, changedAtMs }] of this.kept) {
       if (nowMs - changedAtMs <= RETENTION_MS[verdict]) continue;
-      this.remove(content);
-      this.changed(suspect, 'sound', verdict);
+      this.remove(trait);
+      this.options.changed(suspect);
     }
   }
 
-  remove(content: ContentId): void {
-    const kept = this.kept.get(content);
+  /** Computes the convictions again if the evidence has changed. */
+  update(): void {
+    if (!this.isStale) return;
+    this.isStale = false;
+    if (this.candidates.size === 0 && this.convictions.length === 0) return;
+    const before = this.convictionOf;
+    const suspects = [...this.candidates].map((trait) => this.get(trait)!);
+    this.convictions = convict(suspects, (trait) => this.get(trait));
+    this.convictionOf = new Map();
+    for (const conviction of this.convictions) {
+      for (const trait of conviction.traits) this.convictionOf.set(trait, conviction);
+    }
+    this.reportJudged(before);
+  }
+
+  private reportJudged(before: ReadonlyMap<TraitId, Conviction>): void {
+    for (const [trait, conviction] of this.convictionOf) {
+      const suspect = this.get(trait);
+      if (!before.has(trait) && suspect) this.options.judged(suspect, 'poison', conviction);
+    }
+    for (const trait of before.keys()) {
+      const suspect = this.get(trait);
+      if (this.convictionOf.has(trait) || !suspect) continue;
+      this.options.judged(suspect, this.verdict(trait), undefined);
+    }
+  }
+
+  /** Returns true if a convicted trait may run as a trial again, as it may have been convicted by chance. */
+  private mayRetry(trait: TraitId, nowMs: Ms): boolean {
+    const suspect = this.get(trait);
+    if (!suspect || partTrait.partOf(trait) === undefined) return false;
+    const crashes = countedCrashes(suspect);
+    const trialCount = crashes.filter(({ isTrial }) => isTrial).length;
+    const lastMs = Math.max(
+      ...crashes.map(({ upstream }) => this.knownAtMs.get(upstream) ?? nowMs),
+    );
+    return trialCount < poisonRules.finalTrials && nowMs - lastMs >= poisonRules.retrialAfterMs;
+  }
+
+  private isSuspected(trait: TraitId): boolean {
+    const suspect = this.get(trait);
+    if (!suspect) return false;
+    return judge({ trait, crashes: unexplainedCrashes(suspect, this.convictions) }) !== 'sound';
+  }
+
+  /** Leaves out crashes that no longer count and are known to all entries, and those beyond what a verdict needs. */
+  private pruned(suspect: Suspect, nowMs: Ms): Suspect {
+    const counted = countedCrashes(suspect).slice(0, poisonLimits.maxCrashes);
+    const oldestMs = nowMs - poisonLimits.clearedRetentionMs;
+    const isKept = (crash: Crash) => {
+      if (crash.state === 'open' || crash.state === 'ended') return counted.includes(crash);
+      return (this.knownAtMs.get(crash.upstream) ?? nowMs) > oldestMs;
+    };
+    const crashes = suspect.crashes.filter(isKept);
+    return crashes.length < suspect.crashes.length ? { ...suspect, crashes } : suspect;
+  }
+
+  private remove(trait: TraitId): void {
+    const kept = this.kept.get(trait);
     if (!kept) return;
-    this.kept.delete(content);
-    if (kept.verdict === 'poison') this.poisonCount -= 1;
+    this.kept.delete(trait);
+    this.candidates.delete(trait);
+    this.isStale = true;
     for (const { upstream } of kept.suspect.crashes) {
-      const contents = this.byUpstream.get(upstream);
-      contents?.delete(content);
-      if (contents?.size === 0) this.byUpstream.delete(upstream);
+      const traits = this.byUpstream.get(upstream);
+      traits?.delete(trait);
+      if (traits?.size !== 0) continue;
+      this.byUpstream.delete(upstream);
+      this.knownAtMs.delete(upstream);
+      this.open.delete(upstream);
     }
   }
 
-  private update(suspect: Suspect, nextState: (crash: Crash) => CrashState, nowMs: Ms): boolean {
-    const crashes = suspect.crashes.map((crash) => ({ ...crash, state: nextState(crash) }));
+  /** Changes the counted crashes of a trait for which a condition holds. Returns true if there were any. */
+  private changeWhere(
+    trait: TraitId,
+    isMeant: (crash: Crash) => boolean,
+    change: Partial<Crash>,
+    nowMs: Ms,
+  ): boolean {
+    const suspect = this.get(trait);
+    if (!suspect) return false;
+    const meant = new Set(countedCrashes(suspect).filter(isMeant));
+    if (meant.size === 0) return false;
+    const crashes = suspect.crashes.map((crash) =>
+      meant.has(crash) ? { ...crash, ...change } : crash,
+    );
     return this.add({ ...suspect, crashes }, nowMs);
   }
 
-  private indexUpstreams({ content, crashes }: Suspect, nowMs: Ms): void {
+  private indexUpstreams({ trait, crashes }: Suspect, nowMs: Ms): void {
     for (const { upstream, state } of crashes) {
-      const contents = this.byUpstream.get(upstream) ?? new Set();
-      this.byUpstream.set(upstream, contents.add(content));
-      if (state === 'open' && !this.open.has(upstream)) this.open.set(upstream, nowMs);
+      const traits = this.byUpstream.get(upstream) ?? new Set();
+      this.byUpstream.set(upstream, traits.add(trait));
+      const isReopened = state === 'open' && !this.open.has(upstream);
+      if (isReopened || !this.knownAtMs.has(upstream)) this.knownAtMs.set(upstream, nowMs);
+      if (isReopened) this.open.add(upstream);
     }
   }
 
   private evict(): void {
-    if (this.poisonCount > poisonLimits.maxPoison) this.dropOldest(true);
+    if (this.candidates.size > poisonLimits.maxPoison) this.dropOldest(true);
     if (this.kept.size > poisonLimits.maxSuspects) this.dropOldest(false);
   }
 
   private dropOldest(isPoison: boolean): void {
-    for (const [content, { verdict }] of this.kept) {
+    for (const [trait, { verdict }] of this.kept) {
       if ((verdict === 'poison') !== isPoison) continue;
-      this.remove(content);
+      this.remove(trait);
       return;
     }
   }
--- a/src/direct/poison/trialrequest.ts
+++ b/src/direct/poison/trialrequest.ts
@@ -1,8 +1,8 @@
-import type { ContentId } from '../../base/index.js';
+import type { TraitId } from '../../base/index.js';
 
-/** Asks the order lease holder for permission to run a suspected request, or reports that the run is over. */
+/** Asks the order lease holder for permission to run a request with suspected traits, or reports that it is over. */
 export interface TrialRequest {
-  readonly content: ContentId;
+  readonly traits: readonly TraitId[];
   readonly entry: string;
   readonly isOver: boolean;
 }
--- a/src/direct/poison/trials.ts
+++ b/src/direct/poison/trials.ts
@@ -1,26 +1,28 @@
-import type { ContentId, Ms } from '../../base/index.js';
+import type { Ms, TraitId } from '../../base/index.js';
 
 /**
- * A suspected request crashes its upstream within seconds if at all. After this time another run of it may start
- * beside the first, so an entry that is gone does not block the request.
+ * A request with a suspected trait crashes its upstream within seconds if at all. After this time another run may
+ * start beside the first, so an entry that is gone does not block the trait.
  */
 const TRIAL_MS = 10_000;
 
-/** The suspected requests that run now, with the entry that runs each. Each has at most one run in the whole fleet. */
+/** The suspected traits that run now, with the entry that runs each. Each has at most one run in the whole fleet. */
 export class Trials {
-  private readonly running = new Map<ContentId, { readonly entry: string; readonly untilMs: Ms }>();
+  private readonly running = new Map<TraitId, { readonly entry: string; readonly untilMs: Ms }>();
 
-  /** Starts a trial at an entry. Returns false while another run of the request is under way. */
-  begin(content: ContentId, entry: string, nowMs: Ms): boolean {
+  /** Starts a trial of all these traits at an entry. Returns false while another run with one of them is under way. */
+  begin(traits: readonly TraitId[], entry: string, nowMs: Ms): boolean {
     for (const [other, { untilMs }] of this.running) {
       if (untilMs <= nowMs) this.running.delete(other);
     }
-    if (this.running.has(content)) return false;
-    this.running.set(content, { entry, untilMs: nowMs + TRIAL_MS });
+    if (traits.some((trait) => this.running.has(trait))) return false;
+    for (const trait of traits) this.running.set(trait, { entry, untilMs: nowMs + TRIAL_MS });
     return true;
   }
 
-  end(content: ContentId, entry: string): void {
-    if (this.running.get(content)?.entry === entry) this.running.delete(content);
+  end(traits: readonly TraitId[], entry: string): void {
+    for (const trait of traits) {
+      if (this.running.get(trait)?.entry === entry) this.running.delete(trait);
+    }
   }
 }
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import { poisonRules } from '../../core/poison/index.js';
 import type { AttemptEnd } from '../../core/delivery/index.js';
 import type { StreamOrigin } from '../../core/origin/index.js';
 import type { Route } from '../../core/routetable/index.js';
@@ -53,6 +54,12 @@
 
   private lastEventAtMs: Ms | undefined;
 
+  /** When the first data of the answer arrived. */
+  private answerBeganAtMs: Ms | undefined;
+
+  /** True once the answer has gone on for long enough to prove that the request crashes no upstream. */
+  private hasSurvived = false;
+
   /** The answer that has begun, if any. */
   private head: Head | undefined;
 
@@ -180,11 +187,30 @@
   }
 
   private data(chunk: Buffer): boolean {
-    const { route, reply } = this.options;
+    const { route, reply, serving, suspicion } = this.options;
+    const nowMs = serving.clock.nowMs();
+    this.answerBeganAtMs ??= nowMs;
+    const isLong = nowMs - this.answerBeganAtMs >= poisonRules.survivalMs;
+    if (isLong && !this.hasSurvived && this.isSuccess) {
+      this.hasSurvived = true;
+      suspicion.recordSurvival(this.seenRun());
+    }
     if (route.kind === 'streaming') this.recordEvent();
     return reply.data(chunk);
   }
 
+  private get isSuccess(): boolean {
+    const { status = FIRST_FAILURE_STATUS } = this.head ?? {};
+    return status < FIRST_NON_SUCCESS_STATUS;
+  }
+
+  private seenRun(): Parameters<Suspicion['recordBreak']>[0] {
+    const { state, target } = this.options;
+    const { sentAtMs, answerBeganAtMs } = this;
+    const softwareVersion = this.origin?.softwareVersion;
+    return { state, target, softwareVersion, sentAtMs, answerBeganAtMs };
+  }
+
   private recordEvent(): void {
     const { serving, state, record, route } = this.options;
     const { fleet } = serving;
@@ -217,7 +243,7 @@
   }
 
   private ended(): void {
-    const { reply, suspicion } = this.options;
+    const { reply } = this.options;
     const { status } = reply;
     if (reply.isInsideEvent) {
       const detail = 'The stream ended inside an event.';
@@ -228,11 +254,19 @@
     const isFailure = status >= FIRST_FAILURE_STATUS;
     this.recordOutcome(isFailure ? 'failed' : 'answered');
     this.note(String(status));
-    const isProof = status < FIRST_NON_SUCCESS_STATUS && this.head!.hasLength;
-    if (isProof) suspicion.recordCompletion(reply.requestId, status, this.head!.hasLength);
+    this.recordShortAnswer();
     this.options.over({ type: isFailure && reply.isHeld ? 'failed' : 'answered' });
   }
 
+  /** Records an answer that ended before it could prove anything by itself. */
+  private recordShortAnswer(): void {
+    const { answerBeganAtMs, head, hasSurvived } = this;
+    if (hasSurvived || !this.isSuccess || answerBeganAtMs === undefined) return;
+    const { suspicion, serving } = this.options;
+    const end = { endedAtMs: serving.clock.nowMs(), hasLength: head!.hasLength };
+    suspicion.recordEnd({ ...this.seenRun(), answerBeganAtMs }, end);
+  }
+
   private onFailure({ type, detail, mayHaveRun }: Failure): void {
     this.leave();
     this.note(type);
@@ -247,10 +281,10 @@
 
   /**
    * The upstream may have crashed, and this request may be the cause. A retry has another id and may reach another
-   * entry, so the request is identified by its content.
+   * entry, and other requests may share the part of the prompt that is the cause.
    */
   private onConnectionLost(detail: string): void {
-    const { serving, state, target, suspicion, reply } = this.options;
+    const { serving, state, suspicion, reply } = this.options;
     const { id: upstream, isLeaving } = state.info;
     const nowMs = serving.clock.nowMs();
     const runMs = nowMs - this.sentAtMs;
@@ -265,7 +299,7 @@
       isLeaving,
       detail,
     });
-    suspicion.recordBreak(state, target, runMs, serving.fleet);
+    suspicion.recordBreak(this.seenRun(), serving.fleet);
   }
 
   /** Returns fields for the log line of a broken run: how far its answer had come; undefined if none had begun. */
--- a/src/direct/run/contentidof.ts
+++ b/src/direct/run/contentidof.ts
@@ -1,4 +1,4 @@
-import type { ContentId } from '../../base/index.js';
+import type { TraitId } from '../../base/index.js';
 import { requestHash } from '../../shell/hash/index.js';
 import type { Caller } from '../caller.js';
 
@@ -7,7 +7,7 @@
  * new one. So is the caller's address: it differs by availability zone and load balancer, and a request that crashes
  * upstreams would have to be detected anew for each address.
  */
-export function contentIdOf(request: Caller['request']): ContentId {
+export function contentIdOf(request: Caller['request']): TraitId {
   const { method, host, path, body } = request;
-  return requestHash(method, `${host}${path}`, body) as ContentId;
+  return requestHash(method, `${host}${path}`, body) as TraitId;
 }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -35,9 +35,9 @@
 const HASH_RANGE = 2 ** 32;
 /** Delay before upstreams that refused are tried again; a few runs end within it. */
 const NEXT_ROUND_MS = 50;
-/** A suspected request that runs elsewhere crashes its upstream or completes within about this time. */
+/** A trial crashes its upstream or clears its traits within about this time. */
 const SUSPECT_RETRY_AFTER_MS = 1000;
-/** Interval between checks whether a completed run has cleared the request; most runs take longer. */
+/** Interval between checks whether a run has cleared the suspected traits; most runs take longer. */
 const VERDICT_CHECK_MS = 50;
 
 /** Refusals of requests that a new configuration stopped allowing while they waited. */
@@ -206,7 +206,7 @@
 
   /** Sends the request to an upstream that can run it; otherwise waits, searches or refuses. */
   private attempt(): void {
-    if (this.isOver || this.isHeldBack()) return;
+    if (this.isOver || this.isBarred()) return;
     const { caller, serving, clock } = this;
     const { request } = caller;
     // After a stall of the event loop, the timer that calls this may fire before the one of the deadline.
@@ -249,7 +249,8 @@
     const nowMs = clock.nowMs();
     // A request without a model has no alternative to an upstream that may be lost; a model can be loaded elsewhere.
     const includesLost = request.model === undefined || this.hasWaitedForTarget;
-    const { isTrial } = this.suspicion;
+    const mustAsk = this.suspicion.permission() === 'ask-first';
+    const isTrial = mustAsk || this.suspicion.isTrial;
     const requestId = request.id;
     const choosing = { tried: this.tried, includesLost, isTrial, requestId };
     const state = serving.fleet.choose(this.target, nowMs, choosing);
@@ -258,6 +259,7 @@
     else if (state && this.isQueueTooLong(state, nowMs)) this.waitForQueue();
     else if (state && this.isToBePaced(state, nowMs)) this.pace();
     else if (state && !caller.isPresent) caller.whenPresent(() => this.attempt());
+    else if (state && mustAsk) void this.beginTrial();
     else if (state) this.send(state, route);
     else if (block && !this.mayBeLoaded()) this.waitForSlot(block);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
@@ -291,19 +293,16 @@
     else this.refuse(status, type, detail, retryAfterMs);
   }
 
-  /** Returns true if the request may not be sent now, because upstreams crashed under the same content. */
-  private isHeldBack(): boolean {
-    const permission = this.suspicion.permission();
-    if (permission === 'free') return false;
-    if (permission === 'ask-first') void this.beginTrial();
-    else {
-      const detail = 'Upstreams crashed each time they ran this request, so it is not run again.';
-      this.giveUp('request-ends-upstreams', detail, this.suspicion.remainingMs());
-    }
+  /** Refuses the request if upstreams crash under its content or under a part of its prompt. */
+  private isBarred(): boolean {
+    if (this.suspicion.permission() !== 'barred') return false;
+    const detail =
+      'Upstreams crashed each time they ran requests with this content or a part of this prompt.';
+    this.giveUp('request-ends-upstreams', detail, this.suspicion.remainingMs());
     return true;
   }
 
-  /** Runs the request as a trial, if no other run of it is under way. */
+  /** Runs the request as a trial, if no other run with a suspected trait of it is under way. */
   private async beginTrial(): Promise<void> {
     const mayRun = await this.suspicion.begin();
     if (this.isOver) {
@@ -319,7 +318,7 @@
       return;
     }
     const detail =
-      'An upstream crashed under this request, and another run of it may be under way.';
+      'An upstream crashed under a request like this one, and another such request may be running.';
     this.giveUp('request-suspected', detail, SUSPECT_RETRY_AFTER_MS);
   }
 
@@ -521,6 +520,7 @@
     const nowMs = clock.nowMs();
     const mayRun =
       nowMs < this.untilMs &&
+      this.suspicion.permission() === 'free' &&
       serving.decideAccess(admitted.caller.request)?.type === 'allowed' &&
       admitted.charge.covers(this.ranCount);
     const budget = serving.budgetOf(state.info.service);
@@ -687,7 +687,7 @@
       totalMs: since(nowMs),
       isReturn: this.isReturn,
       ...resumptionFields(request, record, this.resumed),
-      ...this.suspicion.logFields(end === 'request-ends-upstreams'),
+      ...this.suspicion.logFields(),
       retryAfterMs,
     });
     this.over();
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import type { ContentId, ServiceId, UpstreamId } from '../src/base/index.js';
+import type { TraitId, ServiceId, UpstreamId } from '../src/base/index.js';
 import {
   crashProbability,
   judge,
@@ -14,14 +14,19 @@
 import { SuspectTable } from '../src/direct/poison/suspecttable.js';
 
 const STATES: readonly CrashState[] = ['open', 'explained', 'ended', 'cleared'];
-const CONTENT = 'c' as ContentId;
+const CONTENT = 'c' as TraitId;
+
+const SOFTWARE = { service: 's' as ServiceId, softwareVersion: 'v1' };
 
 function crashOf(upstream: string, state: CrashState, chance = 0.01, isTrial = true): Crash {
-  return { upstream: upstream as UpstreamId, state, chance, runMs: 100, isTrial };
+  const companions: readonly TraitId[] = [];
+  const seen = { upstream: upstream as UpstreamId, ...SOFTWARE, chance, runMs: 100, isTrial };
+  return { ...seen, state, hasPriorProof: false, companions };
 }
 
-function suspectOf(crashes: readonly Crash[], content = CONTENT): Suspect {
-  return { content, service: 's' as ServiceId, path: '/p', sinceWallMs: 0, crashes };
+function suspectOf(crashes: readonly Crash[], trait = CONTENT): Suspect {
+  const { service } = SOFTWARE;
+  return { trait, service, model: undefined, path: '/p', sinceWallMs: 0, crashes };
 }
 
 const anyCrash = fc.record({
@@ -30,6 +35,10 @@
   chance: fc.constantFrom(1e-6, 1e-3, 0.1),
   runMs: fc.constantFrom(20, 300),
   isTrial: fc.boolean(),
+  service: fc.constant(SOFTWARE.service),
+  softwareVersion: fc.constantFrom('v1', 'v2', undefined),
+  hasPriorProof: fc.boolean(),
+  companions: fc.subarray(['x', 'y', 'z'] as TraitId[]),
 });
 const anySuspect = fc
   .uniqueArray(anyCrash, { selector: ({ upstream }) => upstream, maxLength: 4 })
@@ -92,7 +101,7 @@
 });
 
 function newTable(): SuspectTable {
-  return new SuspectTable('book', () => {});
+  return new SuspectTable({ name: 'book', changed: () => {}, judged: () => {} });
 }
 
 test('an upstream that answers a request sent after a broken run has not crashed', (t) => {
@@ -110,18 +119,18 @@
 
 test('a table sends the changes since a cursor, and everything for a cursor of another table', (t) => {
   const book = newTable();
-  const contents = ['a', 'b', 'c'].map((name) => name as ContentId);
-  for (const content of contents) book.add(suspectOf([crashOf('u1', 'open')], content), 0);
+  const traits = ['a', 'b', 'c'].map((name) => name as TraitId);
+  for (const trait of traits) book.add(suspectOf([crashOf('u1', 'open')], trait), 0);
   const first = book.changesSince(undefined);
   t.deepEqual(
-    first.suspects.map(({ content }) => content),
-    contents,
+    first.suspects.map(({ trait }) => trait),
+    traits,
   );
   t.deepEqual(book.changesSince(first).suspects, []);
-  book.clear(contents[0]!, 10);
+  book.clear(traits[0]!, 10);
   t.deepEqual(
-    book.changesSince(first).suspects.map(({ content }) => content),
-    [contents[0]!],
+    book.changesSince(first).suspects.map(({ trait }) => trait),
+    [traits[0]!],
   );
   t.is(book.changesSince({ book: 'another', index: 99 }).suspects.length, 3);
 });
@@ -130,7 +139,7 @@
   const book = newTable();
   book.add(suspectOf([crashOf('u1', 'ended'), crashOf('u2', 'ended')]), 0);
   for (let at = 0; at < 5000; at += 1) {
-    book.add(suspectOf([crashOf('u3', 'ended')], `f${at}` as ContentId), 1);
+    book.add(suspectOf([crashOf('u3', 'ended')], `f${at}` as TraitId), 1);
   }
   t.is(book.verdict(CONTENT), 'poison');
   t.true(book.sizes.suspects <= 4000);
--- a/test/poisonrequest.test.ts
+++ b/test/poisonrequest.test.ts
@@ -8,7 +8,7 @@
 import test from 'ava';
 import { execFile } from 'node:child_process';
 import { join } from 'node:path';
-import type { ContentId } from '../src/base/index.js';
+import type { TraitId } from '../src/base/index.js';
 import { PlatformServer } from '../standin/platform/index.js';
 import { callEntry } from './support/callentry.js';
 import { PlatformRig } from './support/platformrig.js';
@@ -158,7 +158,7 @@
   t.not(content, '');
   rig.crashDelayMsByPath.clear();
   t.regex(await command('--peer', rig.peerOf(1), '--lift', content), /may run again/);
-  await rig.until(() => rig.entryOf(0).poison.verdict(content as ContentId) === 'sound');
+  await rig.until(() => rig.entryOf(0).poison.verdict(content as TraitId) === 'sound');
   const request = { method: 'POST', path: CRASHING, headers: MODEL, body: 'x' };
   t.is((await callEntry(rig.portOf(0), request)).status, 200);
 });
