--- a/bench/soak/partchecker.ts
+++ b/bench/soak/partchecker.ts
@@ -42,7 +42,7 @@
       this.sends(part.id, knownAtMs, calls);
       const lastAtMs = crashes[Math.min(crashes.length, CRASHES_UNTIL_WITHHELD) - 1] ?? Infinity;
       const [first] = part.parts;
-      if (first !== part.id) this.goOn(first!, lastAtMs, calls);
+      if (first !== part.id) this.goOn(first!, crashes[0] ?? Infinity, lastAtMs, calls);
     }
   }
 
@@ -74,8 +74,13 @@
     );
   }
 
-  /** Compares sound requests with a deadly part's first part to those with other first parts, at the same time. */
-  private goOn(first: string, lastCrashAtMs: number, calls: readonly Call[]): void {
+  /** Compares sound requests with a deadly part's first part to all sound ones before the first crash. */
+  private goOn(
+    first: string,
+    firstCrashAtMs: number,
+    lastCrashAtMs: number,
+    calls: readonly Call[],
+  ): void {
     const { slackMs, isCalm, breach } = this.options;
     const fromMs = lastCrashAtMs + 2 * CONTACT_MS + slackMs;
     const sound = calls.filter(
@@ -83,14 +88,13 @@
         (call.kind === 'draft' || call.kind === 'batch') &&
         call.leftAtMs === undefined &&
         call.resumed === undefined &&
-        call.sentAtMs > fromMs &&
         isCalm(call, call.sentAtMs),
     );
-    const sharing = sound.filter(({ parts }) => parts[0] === first);
-    const others = sound.filter(({ parts }) => parts[0] !== first);
-    if (sharing.length < MIN_CALLS || others.length < MIN_CALLS) return;
-    if (shareOf(sharing) >= shareOf(others) * MIN_SHARE) return;
-    const detail = `${first}: ${shareOf(sharing).toFixed(2)}, others ${shareOf(others).toFixed(2)}`;
+    const sharing = sound.filter(({ parts, sentAtMs }) => parts[0] === first && sentAtMs > fromMs);
+    const before = sound.filter(({ sentAtMs }) => sentAtMs < firstCrashAtMs);
+    if (sharing.length < MIN_CALLS || before.length < MIN_CALLS) return;
+    if (shareOf(sharing) >= shareOf(before) * MIN_SHARE) return;
+    const detail = `${first}: ${shareOf(sharing).toFixed(2)}, before ${shareOf(before).toFixed(2)}`;
     breach('sound requests that share parts with deadly ones go on', detail);
   }
 }
--- a/bench/soak/partload.ts
+++ b/bench/soak/partload.ts
@@ -29,8 +29,8 @@
 const LONGEST_CRASH_MS = 100;
 const SHORTEST_PAUSE_MS = 250;
 const LONGEST_PAUSE_MS = 900;
-/** The second deadly part comes later than the first. */
-const LATER_MS = 3000;
+/** Time without deadly parts at first, for comparison, and between the two. */
+const LATER_MS = 5000;
 
 /** Callers whose requests hold deadly parts. No two of their requests are alike. */
 export class PartLoad {
@@ -66,7 +66,7 @@
       added(listed);
       arm(listed);
     };
-    for (const [at, part] of this.deadly.entries()) void this.repeat(part, at * LATER_MS);
+    for (const [at, part] of this.deadly.entries()) void this.repeat(part, (at + 1) * LATER_MS);
   }
 
   stop(): void {
--- a/bench/soak/poisonload.ts
+++ b/bench/soak/poisonload.ts
@@ -15,8 +15,6 @@
 const LONGEST_RUN_MS = 300;
 /** Longest pause before a caller sends its request again, to a random entry. */
 const LONGEST_PAUSE_MS = 1500;
-/** A server that has ended is removed from the list and replaced by a new one after this. */
-const REPLACE_AFTER_MS = 1200;
 
 /** Callers that send poison requests again and again: each ends every server that runs it. */
 export class PoisonLoad {
@@ -39,22 +37,9 @@
     this.isOver = true;
   }
 
-  private arm(listed: ListedServer): void {
-    const { server } = listed;
-    server.crashDelayMsByPath = this.afterMs;
-    server.onCrash = () => this.onCrash(listed);
-  }
-
-  private onCrash(listed: ListedServer): void {
-    const { site } = this.options;
-    const { server } = listed;
-    listed.proxy.close();
-    site.serversDisturbedAtMs.push(performance.now());
-    setTimeout(() => {
-      if (this.isOver) return;
-      site.removeListing(listed);
-      void site.addServer(server.service, [...server.models.keys()]);
-    }, REPLACE_AFTER_MS);
+  private arm({ server }: ListedServer): void {
+    const armed = server;
+    armed.crashDelayMsByPath = this.afterMs;
   }
 
   private async repeat(path: string): Promise<void> {
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -24,6 +24,8 @@
 /** Number of probe routes in a configuration: one for each of the newest versions. */
 const PROBE_ROUTES = 5;
 const TARGET_LATENCY_MS = 500;
+/** A server that has crashed is removed from the list and replaced by a new one after this. */
+const REPLACE_AFTER_MS = 1200;
 
 const ROUTES: Parameters<typeof configurationOf>[2] = [
   { name: 'lookup', kind: 'idempotent', service: 'plain', maxAttempts: 2 },
@@ -86,6 +88,8 @@
 
   private releaseCount = 0;
 
+  private isClosed = false;
+
   constructor(
     private readonly isKeyed = false,
     /** Pause between the events of streams, in ms. */
@@ -128,6 +132,7 @@
       drainAtMs: undefined,
     };
     this.servers.push(listed);
+    server.onCrash = () => this.replaceCrashed(listed);
     this.added(listed);
     server.onChange = () => {
       if (listed.drainAtMs === undefined) this.writeListing(listed, 'ready');
@@ -135,6 +140,17 @@
     this.writeListing(listed, 'ready');
   }
 
+  private replaceCrashed(listed: ListedServer): void {
+    const { server, proxy } = listed;
+    proxy.close();
+    this.serversDisturbedAtMs.push(performance.now());
+    setTimeout(() => {
+      if (this.isClosed) return;
+      this.removeListing(listed);
+      void this.addServer(server.service, [...server.models.keys()]);
+    }, REPLACE_AFTER_MS);
+  }
+
   /** Version of the software with which engines start. */
   get softwareVersion(): string {
     return this.releaseCount === 0 ? 'v1' : `v1.${this.releaseCount}`;
@@ -177,6 +193,7 @@
   }
 
   async close(): Promise<void> {
+    this.isClosed = true;
     await Promise.all(this.entries.map((entry) => entry.close()));
     this.store.close();
     for (const proxy of this.storeProxies) proxy.close();
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -124,7 +124,6 @@
   callers.start(callerCount);
   const ask = (path: string, entry: number) => callers.sendPoison(path, entry);
   const poisonLoad = new PoisonLoad({ site, dice: new Dice(seed + 2), ask });
-  // Servers that crash are replaced by the poison load.
   if (isHarsh) poisonLoad.start();
   const partLoad = new PartLoad({
     site,
--- a/src/core/poison/index.ts
+++ b/src/core/poison/index.ts
@@ -13,5 +13,4 @@
 export { partTrait } from './parttrait.js';
 export { poisonRules } from './poisonrules.js';
 export type { Suspect } from './suspect.js';
-export { unexplainedCrashes } from './unexplainedcrashes.js';
 export type { Verdict } from './verdict.js';
--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -62,6 +62,9 @@
 
   private readonly trials = new Trials();
 
+  /** Convicted traits that have run as a trial again, by the permission of this entry as the order lease holder. */
+  private readonly retried = new Set<TraitId>();
+
   private readonly proofs = new Proofs();
 
   private readonly endedRuns = new EndedRuns();
@@ -186,7 +189,12 @@
   decideTrial({ traits, entry, isOver }: TrialRequest): boolean {
     if (isOver) this.trials.end(traits, entry);
     if (isOver || this.assess(traits).verdict === 'poison') return false;
-    return this.trials.begin(traits, entry, this.options.clock.nowMs());
+    const convicted = traits.filter((trait) => this.book.verdict(trait) === 'poison');
+    // A trial that ends without evidence would otherwise be followed by any number of others.
+    if (convicted.some((trait) => this.retried.has(trait))) return false;
+    const isBegun = this.trials.begin(traits, entry, this.options.clock.nowMs());
+    if (isBegun) for (const trait of convicted) this.retried.add(trait);
+    return isBegun;
   }
 
   /** Applies a change or deletion of a record in the store. */
@@ -324,6 +332,7 @@
   private judged(suspect: Suspect, verdict: Verdict, conviction: Conviction | undefined): void {
     const { log, metrics } = this.options;
     const { trait, service, model, path, crashes } = suspect;
+    if (verdict !== 'poison') this.retried.delete(trait);
     const others = [...(conviction?.traits ?? [])].filter((other) => other !== trait);
     metrics.count('direct.verdict', 1, { verdict });
     const message = path === undefined ? 'prompt part judged' : 'request judged';
--- a/src/direct/poison/suspecttable.ts
+++ b/src/direct/poison/suspecttable.ts
@@ -7,7 +7,6 @@
   merge,
   partTrait,
   poisonRules,
-  unexplainedCrashes,
   type Assessment,
   type Conviction,
   type Crash,
@@ -282,10 +281,10 @@
     return trialCount < poisonRules.finalTrials && nowMs - lastMs >= poisonRules.retrialAfterMs;
   }
 
+  /** A conviction that explains the crashes of a trait may be wrong, so the trait is suspected until a run clears it. */
   private isSuspected(trait: TraitId): boolean {
-    const suspect = this.get(trait);
-    if (!suspect) return false;
-    return judge({ trait, crashes: unexplainedCrashes(suspect, this.convictions) }) !== 'sound';
+    const verdict = this.kept.get(trait)?.verdict ?? 'sound';
+    return verdict !== 'sound';
   }
 
   /** Leaves out crashes that no longer count and are known to all entries, and those beyond what a verdict needs. */
