--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -246,6 +246,7 @@
     }
     answer.on('error', fail);
     answer.on('end', () => {
+      if (isOver) return;
       isOver = true;
       done(answer.statusCode ?? 502, answer.headers, body);
     });
