Retrials are limited for convicted requests only; runs with open ends count when their upstream leaves the list; crash rates from the upstreams' own crashes

Found by reading the change, each with a test in test/poisonguard: a part that is convicted together with another could have run as a trial only once by itself, so that a trial without evidence would have barred it for good; an answer that ended with its connection never counted once its upstream had left the list, as the time until then passed for its survival.

--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -112,10 +112,11 @@
     const { clock, metrics } = this.options;
     const nowMs = clock.nowMs();
     metrics.count('direct.run_broke_off', 1);
-    this.addCrash(run, [run.content, ...this.partsInDoubt(run, nowMs)], 'open');
+    this.addCrash(run, [run.content, ...this.partsInDoubt(run, nowMs, nowMs)], 'open');
     // An answer that had just ended, or that ended with its connection, may be the one that crashed the upstream.
     for (const ended of this.endedRuns.takeAt(run.upstream)) {
-      this.addCrash(ended, this.partsInDoubt(ended, nowMs), 'open');
+      const aliveUntilMs = ended.hasLength ? nowMs : ended.endedAtMs;
+      this.addCrash(ended, this.partsInDoubt(ended, aliveUntilMs, nowMs), 'open');
     }
     this.options.reportSoon();
   }
@@ -151,7 +152,8 @@
   upstreamGone(upstream: UpstreamId): void {
     const nowMs = this.options.clock.nowMs();
     for (const ended of this.endedRuns.takeAt(upstream)) {
-      if (!ended.hasLength) this.addCrash(ended, this.partsInDoubt(ended, nowMs), 'ended');
+      if (ended.hasLength) continue;
+      this.addCrash(ended, this.partsInDoubt(ended, ended.endedAtMs, nowMs), 'ended');
     }
     this.book.settle(upstream, 'ended', nowMs);
   }
@@ -189,7 +191,7 @@
   decideTrial({ traits, entry, isOver }: TrialRequest): boolean {
     if (isOver) this.trials.end(traits, entry);
     if (isOver || this.assess(traits).verdict === 'poison') return false;
-    const convicted = traits.filter((trait) => this.book.verdict(trait) === 'poison');
+    const convicted = this.book.convictedAmong(traits);
     // A trial that ends without evidence would otherwise be followed by any number of others.
     if (convicted.some((trait) => this.retried.has(trait))) return false;
     const isBegun = this.trials.begin(traits, entry, this.options.clock.nowMs());
@@ -261,10 +263,13 @@
     }
   }
 
-  /** Returns the parts of a run that may have crashed its upstream: neither it nor a recent run proves them sound. */
-  private partsInDoubt(run: UpstreamRun, nowMs: Ms): readonly TraitId[] {
-    const { parts, answerBeganAtMs = nowMs } = run;
-    if (nowMs - answerBeganAtMs >= poisonRules.survivalMs) return [];
+  /**
+   * Returns the parts of a run that may have crashed its upstream, which was alive until `aliveUntilMs`: neither this
+   * run nor a recent one proves them sound.
+   */
+  private partsInDoubt(run: UpstreamRun, aliveUntilMs: Ms, nowMs: Ms): readonly TraitId[] {
+    const { parts, answerBeganAtMs = aliveUntilMs } = run;
+    if (aliveUntilMs - answerBeganAtMs >= poisonRules.survivalMs) return [];
     return parts.filter((part) => !this.isRecentlyProven(part, run, nowMs));
   }
 
--- a/src/direct/poison/suspecttable.ts
+++ b/src/direct/poison/suspecttable.ts
@@ -97,16 +97,22 @@
     return { suspects: this.kept.size, poison: this.convictionOf.size };
   }
 
-  /** Returns how a request with these traits is treated. */
-  assess(traits: readonly TraitId[], nowMs: Ms): Assessment {
+  /** Returns those of the traits of a request that bar it, apart from trials. */
+  convictedAmong(traits: readonly TraitId[]): readonly TraitId[] {
     this.update();
-    const suspects: TraitId[] = [];
-    for (const trait of traits) {
+    return traits.filter((trait) => {
       const conviction = this.convictionOf.get(trait);
-      const isWhole = conviction && [...conviction.traits].every((each) => traits.includes(each));
-      if (isWhole && !this.mayRetry(trait, nowMs)) return { verdict: 'poison', trait };
-      if (conviction || this.isSuspected(trait)) suspects.push(trait);
-    }
+      return conviction && [...conviction.traits].every((each) => traits.includes(each));
+    });
+  }
+
+  /** Returns how a request with these traits is treated. */
+  assess(traits: readonly TraitId[], nowMs: Ms): Assessment {
+    const barring = this.convictedAmong(traits).find((trait) => !this.mayRetry(trait, nowMs));
+    if (barring !== undefined) return { verdict: 'poison', trait: barring };
+    const suspects = traits.filter(
+      (trait) => this.convictionOf.has(trait) || this.isSuspected(trait),
+    );
     return suspects.length > 0 ? { verdict: 'suspect', traits: suspects } : { verdict: 'sound' };
   }
 
@@ -208,14 +214,11 @@
 
   /** Returns the number of other upstreams that seemed to crash since a point in time. */
   crashesSince(sinceMs: Ms, except: UpstreamId): number {
-    const ids = new Set<UpstreamId>();
-    for (const { suspect, changedAtMs } of this.kept.values()) {
-      if (changedAtMs < sinceMs) continue;
-      for (const { upstream, state } of suspect.crashes) {
-        if (upstream !== except && (state === 'open' || state === 'ended')) ids.add(upstream);
-      }
+    let count = 0;
+    for (const [upstream, atMs] of this.knownAtMs) {
+      if (atMs >= sinceMs && upstream !== except && this.hasCounted(upstream)) count += 1;
     }
-    return ids.size;
+    return count;
   }
 
   /** Returns the changes after a cursor, up to the size of one message. */
@@ -257,6 +260,15 @@
     this.reportJudged(before);
   }
 
+  /** Returns true if the crash of an upstream counts against any trait. */
+  private hasCounted(upstream: UpstreamId): boolean {
+    for (const trait of this.byUpstream.get(upstream) ?? []) {
+      const counted = countedCrashes(this.get(trait)!);
+      if (counted.some((crash) => crash.upstream === upstream)) return true;
+    }
+    return false;
+  }
+
   private reportJudged(before: ReadonlyMap<TraitId, Conviction>): void {
     for (const [trait, conviction] of this.convictionOf) {
       const suspect = this.get(trait);
--- /dev/null
+++ b/test/poisonguard.test.ts
@@ -0,0 +1,182 @@
+import test from 'ava';
+import {
+  result,
+  VirtualClock,
+  type Ms,
+  type ServiceId,
+  type TraitId,
+  type UpstreamId,
+} from '../src/base/index.js';
+import { PoisonGuard, type UpstreamRun } from '../src/direct/poison/index.js';
+
+const SERVICE = 'engine' as ServiceId;
+const [FIRST, SECOND, OTHER] = ['part:f', 'part:q', 'part:o'] as TraitId[] as [
+  TraitId,
+  TraitId,
+  TraitId,
+];
+const STEP_MS = 2000;
+
+function guardOf(clock: VirtualClock): PoisonGuard {
+  const unavailable = result.Err({ type: 'store-unavailable' as const, detail: 'none' });
+  return new PoisonGuard({
+    host: 'entry-1',
+    clock,
+    log: { info: () => {}, warn: () => {}, error: () => {} },
+    metrics: { count: () => {}, gauge: () => {}, histogram: () => {} },
+    verdictValidMs: 3_600_000,
+    prefix: 'poison/',
+    swap: () => Promise.resolve(unavailable),
+    isHolder: () => true,
+    requestTrial: () => Promise.resolve(undefined),
+    reportSoon: () => {},
+    upstreamCount: () => 13,
+    isListed: () => false,
+  });
+}
+
+/** Plays runs at a guard that holds the order lease. */
+class Play {
+  readonly clock = new VirtualClock();
+
+  readonly guard = guardOf(this.clock);
+
+  private count = 0;
+
+  run(parts: readonly TraitId[], changes: Partial<UpstreamRun> = {}): UpstreamRun {
+    this.count += 1;
+    const nowMs = this.clock.nowMs();
+    return {
+      content: `c${this.count}` as TraitId,
+      parts,
+      service: SERVICE,
+      model: undefined,
+      path: '/',
+      upstream: `u${this.count}` as UpstreamId,
+      softwareVersion: 'v1',
+      sentAtMs: nowMs - 100,
+      answerBeganAtMs: undefined,
+      isTrial: true,
+      ...changes,
+    };
+  }
+
+  wait(ms: Ms = STEP_MS): void {
+    this.clock.advanceTo(this.clock.nowMs() + ms);
+    this.guard.tick();
+  }
+
+  crash(parts: readonly TraitId[], times = 1, changes: Partial<UpstreamRun> = {}): void {
+    for (let at = 0; at < times; at += 1) {
+      this.guard.recordCrash(this.run(parts, changes));
+      this.wait();
+    }
+  }
+
+  survive(parts: readonly TraitId[], changes: Partial<UpstreamRun> = {}): void {
+    const answerBeganAtMs = this.clock.nowMs() - 600;
+    this.guard.recordSurvival(this.run(parts, { answerBeganAtMs, ...changes }));
+  }
+
+  verdict(parts: readonly TraitId[]): string {
+    return this.guard.assess(['new' as TraitId, ...parts]).verdict;
+  }
+}
+
+test('parts that always crash together bar only requests that hold both', (t) => {
+  const play = new Play();
+  play.crash([FIRST, SECOND], 3);
+  t.is(play.verdict([FIRST, SECOND]), 'poison');
+  t.is(play.verdict([FIRST]), 'suspect');
+  t.is(play.verdict([SECOND, OTHER]), 'suspect');
+});
+
+test('a run without the other part tells two parts apart', (t) => {
+  const play = new Play();
+  play.crash([FIRST, SECOND], 3);
+  play.survive([FIRST]);
+  t.is(play.verdict([FIRST]), 'sound');
+  t.is(play.verdict([SECOND]), 'poison');
+});
+
+test('trials with one of two parts that crash together only are not limited to one', (t) => {
+  const play = new Play();
+  play.crash([FIRST, SECOND], 3);
+  const request = { traits: [FIRST], entry: 'entry-2' };
+  for (let at = 0; at < 3; at += 1) {
+    t.true(play.guard.decideTrial({ ...request, isOver: false }));
+    play.guard.decideTrial({ ...request, isOver: true });
+  }
+});
+
+test('a run on other software proves nothing for the software that crashed', (t) => {
+  const play = new Play();
+  play.crash([SECOND], 2);
+  play.survive([SECOND], { softwareVersion: 'v2' });
+  t.is(play.verdict([SECOND]), 'suspect');
+  play.crash([SECOND]);
+  t.is(play.verdict([SECOND]), 'poison');
+});
+
+test('a part that has run well is suspected from its second crash on only', (t) => {
+  const play = new Play();
+  play.survive([FIRST]);
+  play.wait();
+  play.crash([FIRST]);
+  t.is(play.verdict([FIRST]), 'sound');
+  play.crash([FIRST]);
+  t.is(play.verdict([FIRST]), 'suspect');
+});
+
+test('a run that went well into its answer is no evidence against its parts', (t) => {
+  const play = new Play();
+  play.wait();
+  play.crash([FIRST], 5, { answerBeganAtMs: 0 });
+  t.is(play.verdict([FIRST]), 'sound');
+});
+
+test('an answer without a length after which its upstream leaves the list counts as a crash', (t) => {
+  const play = new Play();
+  for (let at = 0; at < 3; at += 1) {
+    const nowMs = play.clock.nowMs();
+    const run = { ...play.run([SECOND]), answerBeganAtMs: nowMs - 50 };
+    play.guard.recordEnd({ ...run, endedAtMs: nowMs, hasLength: false });
+    play.wait();
+    play.guard.upstreamGone(run.upstream);
+  }
+  t.is(play.verdict([SECOND]), 'poison');
+});
+
+test('a convicted part runs as a trial once more, and is barred for good if it crashes again', (t) => {
+  const play = new Play();
+  play.crash([SECOND], 1, { isTrial: false });
+  play.crash([SECOND], 2);
+  t.is(play.verdict([SECOND]), 'poison');
+  play.wait(30_000);
+  t.is(play.verdict([SECOND]), 'suspect');
+  const request = { traits: [SECOND], entry: 'entry-2' };
+  t.true(play.guard.decideTrial({ ...request, isOver: false }));
+  play.guard.decideTrial({ ...request, isOver: true });
+  t.false(play.guard.decideTrial({ ...request, isOver: false }));
+  play.crash([SECOND]);
+  play.wait(60_000);
+  t.is(play.verdict([SECOND]), 'poison');
+});
+
+test('an operator lifts the verdict on a part that a release has mended', (t) => {
+  const play = new Play();
+  play.crash([SECOND], 4);
+  t.is(play.verdict([SECOND]), 'poison');
+  t.true(play.guard.lift(SECOND));
+  t.is(play.verdict([SECOND]), 'sound');
+});
+
+test('a flood of rare parts under crashes leaves the verdict on a deadly one', (t) => {
+  const play = new Play();
+  play.crash([SECOND], 4);
+  for (let at = 0; at < 3000; at += 1) {
+    play.guard.recordCrash(play.run([`part:x${at}` as TraitId], { isTrial: false }));
+  }
+  t.is(play.verdict([SECOND]), 'poison');
+  t.true(play.guard.list().length <= 4000);
+});
