--- a/src/command/trace/describerequest.ts
+++ b/src/command/trace/describerequest.ts
@@ -23,6 +23,11 @@
   return typeof value === 'string' || typeof value === 'number' ? String(value) : '';
 }
 
+/** Returns the part of its prompt that barred a request; empty if none did. */
+function barringPart({ barredBy }: LogLine['fields']): string {
+  return text((barredBy as { part?: unknown } | undefined)?.part);
+}
+
 function attemptsOf({ fields }: LogLine): string[] {
   return Array.isArray(fields.attempts) ? fields.attempts.map(String) : [];
 }
@@ -87,6 +92,8 @@
   if (blockedMs !== '' && blockedMs !== '0') {
     output.push(`  It waited ${blockedMs} ms in the queue of upstreams that accepted no requests.`);
   }
+  const part = barringPart(fields);
+  if (part !== '') output.push(`  Part ${part} of its prompt crashes upstreams.`);
   if (fields.isReturn === true) output.push('  The caller had been refused before.');
   if (text(fields.retryAfterMs) !== '') {
     output.push(`  The caller was asked to retry after ${text(fields.retryAfterMs)} ms.`);
@@ -103,25 +110,41 @@
   return ids;
 }
 
-/** Returns the content ids logged for a request. Earlier lines with the same content show its earlier runs. */
-function contentsOf(lines: readonly LogLine[], requestId: string): ReadonlySet<string> {
+/** The traits of a request that upstreams may have crashed under. */
+interface Traits {
+  readonly contents: ReadonlySet<string>;
+  /** Parts of its prompt that barred it. */
+  readonly parts: ReadonlySet<string>;
+}
+
+/** Returns the traits logged for a request. Earlier lines with the same ones show earlier runs. */
+function traitsOf(lines: readonly LogLine[], requestId: string): Traits {
   const contents = new Set<string>();
+  const parts = new Set<string>();
   for (const { fields } of lines) {
-    if (fields.requestId === requestId && text(fields.content) !== '') {
-      contents.add(text(fields.content));
-    }
+    if (fields.requestId !== requestId) continue;
+    if (text(fields.content) !== '') contents.add(text(fields.content));
+    const part = barringPart(fields);
+    if (part !== '') parts.add(part);
   }
-  return contents;
+  return { contents, parts };
+}
+
+/** True if a line is about a content, or about a part of prompts or a run that held it. */
+function hasTrait({ fields }: LogLine, { contents, parts }: Traits): boolean {
+  if (contents.has(text(fields.content)) || parts.has(text(fields.part))) return true;
+  const { sharedParts } = fields;
+  return Array.isArray(sharedParts) && sharedParts.some((part) => parts.has(text(part)));
 }
 
 /**
- * True if a line is about the same content, or was logged around the request's end and is about an upstream that it
- * tried, the model that it needed, or all requests.
+ * True if a line is about the same content or part of prompts, or was logged around the request's end and is about an
+ * upstream that it tried, the model that it needed, or all requests.
  */
-function isRelated(line: LogLine, request: LogLine, contents: ReadonlySet<string>): boolean {
+function isRelated(line: LogLine, request: LogLine, traits: Traits): boolean {
   const { message, fields, atMs } = line;
   if (message === 'request') return false;
-  if (contents.has(text(fields.content))) return true;
+  if (hasTrait(line, traits)) return true;
   if (atMs < request.atMs - BEFORE_MS || atMs > request.atMs + AFTER_MS) return false;
   if (GENERAL_MESSAGES.has(message)) return true;
   const upstreams = attemptsOf(request).map((attempt) => attempt.split(':')[0]);
@@ -150,11 +173,11 @@
       ({ message, fields }) => message.startsWith('request') && ids.has(text(fields.requestId)),
     )
     .sort((a, b) => a.atMs - b.atMs);
-  const contents = contentsOf(lines, requestId);
+  const traits = traitsOf(lines, requestId);
   for (const request of requests) {
     output.push(...describe(request));
     const related = lines
-      .filter((line) => isRelated(line, request, contents))
+      .filter((line) => isRelated(line, request, traits))
       .sort((a, b) => a.atMs - b.atMs);
     if (related.length === 0) continue;
     output.push(`  Related lines (${related.length} in all, the last ${MAX_LINES} at most):`);
--- a/src/command/trace/enddescriptions.ts
+++ b/src/command/trace/enddescriptions.ts
@@ -10,9 +10,9 @@
   'upstream-failed':
     'the upstream failed or closed the connection, and the request could not be retried',
   'request-ends-upstreams':
-    'upstreams crashed each time they ran this request; see the lines with the same content below',
+    'upstreams crashed each time they ran requests with its content or a part of its prompt; see the lines about it below',
   'request-suspected':
-    'an upstream crashed while it ran this request, so it may have only one run at a time',
+    'an upstream crashed under its content or a part of its prompt, so one such request may run at a time',
   'no-upstream': 'the upstream list had no upstream of the service',
   'route-unknown': 'no route of the configuration in force matches its host and path',
   'route-withdrawn': 'the route was withdrawn while it waited',
--- a/src/direct/poison/poisonlimits.ts
+++ b/src/direct/poison/poisonlimits.ts
@@ -17,7 +17,7 @@
   suspectRetentionMs: 3_600_000,
   /** Suspects in one message: 51 kB of JSON. */
   maxBatchSize: 200,
-  /** Parts that are known to have run well; each takes 0.2 kB of heap. The one proven longest ago is evicted first. */
+  /** Parts that are known to have run well; each takes 0.3 kB of heap. The one proven longest ago is evicted first. */
   maxProofs: 20_000,
   proofRetentionMs: 600_000,
   /** Short answers of one upstream that may still turn out to have crashed it. */
--- a/test/poisonrequest.test.ts
+++ b/test/poisonrequest.test.ts
@@ -6,12 +6,11 @@
  * The cause was that a broken run was held against the upstream only; nothing connected two arrivals of one request.
  */
 import test from 'ava';
-import { execFile } from 'node:child_process';
-import { join } from 'node:path';
 import type { TraitId } from '../src/base/index.js';
 import { PlatformServer } from '../standin/platform/index.js';
 import { callEntry } from './support/callentry.js';
 import { PlatformRig } from './support/platformrig.js';
+import { poisonCommand } from './support/poisoncommand.js';
 
 const MODEL = { 'Tarragonstile-Model': 'm1' };
 const CRASHING = '/draft/crashing';
@@ -138,14 +137,6 @@
   t.is((await callEntry(rig.port, request)).status, 200);
 });
 
-const BIN = join(import.meta.dirname, '..', '..', 'bin', 'tarragonstile.js');
-
-function command(...args: string[]): Promise<string> {
-  return new Promise((resolve) => {
-    execFile(process.execPath, [BIN, 'poison', ...args], (_error, out) => resolve(out));
-  });
-}
-
 test('an operator sees why a request is refused and can allow it again at all entries', async (t) => {
   const rig = new PlatformRig();
   t.teardown(() => rig.close());
@@ -154,10 +145,10 @@
   await sendUntilVerdict(rig);
   await rig.until(() => rig.store.model.list(RECORDS).items.length === crashCount(rig));
   const [, content = ''] =
-    /^poison (\S+) engine m1 /m.exec(await command('--peer', rig.peerOf(0))) ?? [];
+    /^poison (\S+) engine m1 /m.exec(await poisonCommand('--peer', rig.peerOf(0))) ?? [];
   t.not(content, '');
   rig.crashDelayMsByPath.clear();
-  t.regex(await command('--peer', rig.peerOf(1), '--lift', content), /may run again/);
+  t.regex(await poisonCommand('--peer', rig.peerOf(1), '--lift', content), /may run again/);
   await rig.until(() => rig.entryOf(0).poison.verdict(content as TraitId) === 'sound');
   const request = { method: 'POST', path: CRASHING, headers: MODEL, body: 'x' };
   t.is((await callEntry(rig.portOf(0), request)).status, 200);
--- a/test/sharedparts.test.ts
+++ b/test/sharedparts.test.ts
@@ -1,7 +1,9 @@
 import test from 'ava';
+import type { TraitId } from '../src/base/index.js';
 import { PlatformServer } from '../standin/platform/index.js';
 import { callEntry } from './support/callentry.js';
 import { PlatformRig } from './support/platformrig.js';
+import { poisonCommand } from './support/poisoncommand.js';
 
 const FIRST = 'f1';
 const DEADLY = 'dead';
@@ -107,6 +109,19 @@
   t.is(crashCount(rig), before);
 });
 
+test('an operator sees a part of prompts that crashes upstreams and can allow it again at all entries', async (t) => {
+  const rig = await startRig();
+  t.teardown(() => rig.close());
+  arm(rig, 'nothing');
+  await play(rig, '/draft/deadly');
+  const trait = `part:${Buffer.from(DEADLY).toString('hex')}`;
+  t.regex(await poisonCommand('--peer', rig.peerOf(0)), new RegExp(`^poison ${trait} engine`, 'm'));
+  rig.crashByPart.clear();
+  t.regex(await poisonCommand('--peer', rig.peerOf(1), '--lift', trait), /may run again/);
+  await rig.until(() => rig.entryOf(0).poison.verdict(trait as TraitId) === 'sound');
+  t.is((await ask(rig, 0, '/draft/deadly', [FIRST, DEADLY])).status, 200);
+});
+
 test('an answer with status 400 does not clear a request that crashes upstreams', async (t) => {
   const rig = await startRig();
   t.teardown(() => rig.close());
--- a/test/trace.test.ts
+++ b/test/trace.test.ts
@@ -65,6 +65,17 @@
     content: 'c1',
     totalMs: 1,
   }),
+  line('run broke off', 30, { requestId: 'r20', content: 'c2', sharedParts: ['f1', 'dead'] }),
+  line('run broke off', 31, { requestId: 'r21', content: 'c3', sharedParts: ['f1'] }),
+  line('prompt part judged', 32, { part: 'dead', verdict: 'poison' }),
+  line('request', 59, {
+    requestId: 'r22',
+    end: 'request-ends-upstreams',
+    attempts: [],
+    content: 'c4',
+    barredBy: { part: 'dead' },
+    totalMs: 1,
+  }),
 ].join('\n');
 
 function trace(id: string): Promise<{ code: number | null; out: string; errors: string }> {
@@ -96,6 +107,14 @@
   t.regex(out, /request judged content="c1" verdict="poison"/);
 });
 
+test('trace of a withheld request prints the runs that crashed under a part of its prompt', async (t) => {
+  const { out } = await trace('r22');
+  t.regex(out, /Part dead of its prompt crashes upstreams/);
+  t.regex(out, /run broke off requestId="r20" content="c2"/);
+  t.regex(out, /prompt part judged part="dead" verdict="poison"/);
+  t.notRegex(out, /r21/);
+});
+
 test('trace of a request over its quota prints the customer and the quota state', async (t) => {
   const { out } = await trace('r5');
   t.regex(out, /refused as "over-quota" \(429\): its customer had reached its limit/);
@@ -109,7 +128,7 @@
 test('trace fails with a message if no log line has the request id', async (t) => {
   const { code, errors } = await trace('r2');
   t.is(code, 1);
-  t.regex(errors, /No line of 10 names the request r2/);
+  t.regex(errors, /No line of 14 names the request r2/);
 });
 
 for (const id of ['r10', 'r11']) {
