--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -16,6 +16,8 @@
   { seed: 60_001, forS: 10 },
   // From 70,000 on streams last, engines of several versions serve, and callers take streams up.
   { seed: 70_001, forS: 10 },
+  // From 80,000 on prompts name their parts, some of them deadly, and answers end with their connections.
+  { seed: 80_001, forS: 22 },
   // SIGHUP arrived while modules were loaded, before its handler was installed.
   { seed: 1003, forS: 5 },
   // A fault of the soak: an outgoing connection had taken the port of an entry that was down.
