--- a/test/support/runrig.ts
+++ b/test/support/runrig.ts
@@ -134,6 +134,7 @@
       id: `r${this.requestCount}`,
       path: '/',
       headers: [],
+      sharedParts: [],
       body: Buffer.alloc(0),
       model: MODEL,
       arrivedAtMs,
--- a/test/support/streamworld.ts
+++ b/test/support/streamworld.ts
@@ -269,6 +269,7 @@
       method: 'POST',
       path: '/',
       headers: [],
+      sharedParts: [],
       body: Buffer.alloc(0),
       deadlineMs: Math.max(1, stream.untilMs - clock.nowMs()),
       resumeAfter: stream.lastId > 0 ? String(stream.lastId) : undefined,
