A crash counts as a trial's for the traits of the trial only; records are written once common parts are cleared

Three crashes within a second counted as independent trials of f0, though the trials there were of other parts of the requests: every crash under a trial counted as one for all traits. And all entries, killed at 3.7 s, read back two crashes of f0 that a run had cleared 0.5 s after: the record is written 0.3 s after a crash, and what is cleared leaves it 10 s later; the next crash convicted it.

A crash is a trial's only for the traits that the trial excludes elsewhere (test/poisonguard, new), and the holder writes a record 1 s after a crash, when common parts have been cleared.

--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -242,7 +242,7 @@
   /** Adds a crash to traits of a run. */
   private addCrash(run: UpstreamRun, traits: readonly TraitId[], state: Crash['state']): void {
     const { clock, upstreamCount } = this.options;
-    const { content, service, model, path, upstream, softwareVersion, isTrial } = run;
+    const { content, service, model, path, upstream, softwareVersion, trial } = run;
     const nowMs = clock.nowMs();
     const runMs = Math.round(nowMs - run.sentAtMs);
     const recentCrashes = this.book.crashesSince(nowMs - poisonRules.windowMs, upstream);
@@ -253,9 +253,10 @@
     const sinceWallMs = clock.wallMs();
     for (const trait of traits) {
       const companions = traits.filter((other) => other !== trait).sort();
-      const seen = { upstream, service, softwareVersion, runMs, chance, isTrial };
+      const seen = { upstream, service, softwareVersion, runMs, chance };
+      const isTrial = trial.includes(trait);
       const hasPriorProof = this.proofs.latest(trait, run) !== undefined;
-      const crash: Crash = { ...seen, state, hasPriorProof, companions };
+      const crash: Crash = { ...seen, isTrial, state, hasPriorProof, companions };
       const isPart = trait !== content;
       const recognised = isPart ? {} : { model, path };
       this.book.add({ trait, service, ...recognised, sinceWallMs, crashes: [crash] }, nowMs);
--- a/src/direct/poison/suspectstore.ts
+++ b/src/direct/poison/suspectstore.ts
@@ -29,10 +29,11 @@
 }
 
 /**
- * Delay before the order lease holder writes a record. By then all entries have reported to it, and connections that
- * broke at an upstream that is still running are explained, so that each crash takes one write.
+ * Delay before the order lease holder writes a record. By then all entries have reported to it, connections that broke
+ * at an upstream that is still running are explained, and runs have cleared the parts that many requests share: entries
+ * that start would suspect those again, and each crash takes one write.
  */
-const GATHER_MS = 300;
+const GATHER_MS = 1000;
 /**
  * Delay at other entries: without an order lease holder they write what they observed, as a new holder takes over only
  * after 2.6 s.
--- a/src/direct/poison/upstreamrun.ts
+++ b/src/direct/poison/upstreamrun.ts
@@ -13,6 +13,6 @@
   readonly sentAtMs: Ms;
   /** When the first data of its answer arrived; undefined if none has. */
   readonly answerBeganAtMs: Ms | undefined;
-  /** The request was suspected already and ran alone. */
-  readonly isTrial: boolean;
+  /** Traits that were suspected already, so that no other request with one of them ran. */
+  readonly trial: readonly TraitId[];
 }
--- a/src/direct/run/suspicion.ts
+++ b/src/direct/run/suspicion.ts
@@ -133,8 +133,8 @@
 
   private evidence({ state, target, ...run }: SeenRun): UpstreamRun {
     const [path = ''] = this.request.path.split('?');
-    const { content, parts, isTrial } = this;
+    const { content, parts, trial } = this;
     const { service, model } = target;
-    return { content, parts, service, model, path, upstream: state.info.id, isTrial, ...run };
+    return { content, parts, service, model, path, upstream: state.info.id, trial, ...run };
   }
 }
--- a/test/poisonguard.test.ts
+++ b/test/poisonguard.test.ts
@@ -56,7 +56,7 @@
       softwareVersion: 'v1',
       sentAtMs: nowMs - 100,
       answerBeganAtMs: undefined,
-      isTrial: true,
+      trial: parts,
       ...changes,
     };
   }
@@ -109,6 +109,15 @@
   }
 });
 
+test('crashes under a trial of one part do not count as trials of the others there', (t) => {
+  const play = new Play();
+  for (let at = 0; at < 4; at += 1) {
+    const other = `part:o${at}` as TraitId;
+    play.crash([FIRST, other], 1, { trial: [other] });
+  }
+  t.is(play.verdict([FIRST]), 'suspect');
+});
+
 test('a run on other software proves nothing for the software that crashed', (t) => {
   const play = new Play();
   play.crash([SECOND], 2);
@@ -149,7 +158,7 @@
 
 test('a convicted part runs as a trial once more, and is barred for good if it crashes again', (t) => {
   const play = new Play();
-  play.crash([SECOND], 1, { isTrial: false });
+  play.crash([SECOND], 1, { trial: [] });
   play.crash([SECOND], 2);
   t.is(play.verdict([SECOND]), 'poison');
   play.wait(30_000);
@@ -175,7 +184,7 @@
   const play = new Play();
   play.crash([SECOND], 4);
   for (let at = 0; at < 3000; at += 1) {
-    play.guard.recordCrash(play.run([`part:x${at}` as TraitId], { isTrial: false }));
+    play.guard.recordCrash(play.run([`part:x${at}` as TraitId], { trial: [] }));
   }
   t.is(play.verdict([SECOND]), 'poison');
   t.true(play.guard.list().length <= 4000);
--- a/test/support/poisonworld.ts
+++ b/test/support/poisonworld.ts
@@ -432,7 +432,7 @@
       softwareVersion: upstream.version,
       sentAtMs,
       answerBeganAtMs,
-      isTrial: trial.length > 0,
+      trial,
     };
   }
 
