--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -112,7 +112,7 @@
     const { clock, metrics } = this.options;
     const nowMs = clock.nowMs();
     metrics.count('direct.run_broke_off', 1);
-    this.addCrash(run, [run.content, ...this.partsInDoubt(run, nowMs, nowMs)], 'open');
+    this.addCrash(run, [run.content(), ...this.partsInDoubt(run, nowMs, nowMs)], 'open');
     // An answer that had just ended, or that ended with its connection, may be the one that crashed the upstream.
     for (const ended of this.endedRuns.takeAt(run.upstream)) {
       const aliveUntilMs = ended.hasLength ? nowMs : ended.endedAtMs;
@@ -126,11 +126,13 @@
     const { answerBeganAtMs } = run;
     if (answerBeganAtMs === undefined) return;
     const nowMs = this.options.clock.nowMs();
-    const { service, softwareVersion, content, parts } = run;
+    const { service, softwareVersion, parts } = run;
     for (const part of parts) this.proofs.record(part, run, answerBeganAtMs);
     if (this.isIdle) return;
     const proof = { service, softwareVersion, answerBeganAtMs };
-    const refuted = [content, ...parts].filter((trait) => this.book.refute(trait, proof, nowMs));
+    const refuted = [run.content(), ...parts].filter((trait) =>
+      this.book.refute(trait, proof, nowMs),
+    );
     if (refuted.length > 0) this.reportRefuted(refuted, run);
   }
 
@@ -242,7 +244,7 @@
   /** Adds a crash to traits of a run. */
   private addCrash(run: UpstreamRun, traits: readonly TraitId[], state: Crash['state']): void {
     const { clock, upstreamCount } = this.options;
-    const { content, service, model, path, upstream, softwareVersion, trial } = run;
+    const { service, model, path, upstream, softwareVersion, trial } = run;
     const nowMs = clock.nowMs();
     const runMs = Math.round(nowMs - run.sentAtMs);
     const recentCrashes = this.book.crashesSince(nowMs - poisonRules.windowMs, upstream);
@@ -257,7 +259,7 @@
       const isTrial = trial.includes(trait);
       const hasPriorProof = this.proofs.latest(trait, run) !== undefined;
       const crash: Crash = { ...seen, isTrial, state, hasPriorProof, companions };
-      const isPart = trait !== content;
+      const isPart = partTrait.partOf(trait) !== undefined;
       const recognised = isPart ? {} : { model, path };
       this.book.add({ trait, service, ...recognised, sinceWallMs, crashes: [crash] }, nowMs);
       if (isPart) this.logSuspected(trait, crash);
--- a/src/direct/poison/upstreamrun.ts
+++ b/src/direct/poison/upstreamrun.ts
@@ -2,7 +2,8 @@
 
 /** A run of a request at an upstream, as far as it is evidence on the traits of the request. */
 export interface UpstreamRun {
-  readonly content: TraitId;
+  /** Returns the id of what was asked. It is a hash, computed only while anything is suspected. */
+  readonly content: () => TraitId;
   /** Traits for the parts of its prompt that other requests share. */
   readonly parts: readonly TraitId[];
   readonly service: ServiceId;
--- a/src/direct/run/suspicion.ts
+++ b/src/direct/run/suspicion.ts
@@ -133,8 +133,9 @@
 
   private evidence({ state, target, ...run }: SeenRun): UpstreamRun {
     const [path = ''] = this.request.path.split('?');
-    const { content, parts, trial } = this;
+    const { parts, trial } = this;
     const { service, model } = target;
+    const content = () => this.content;
     return { content, parts, service, model, path, upstream: state.info.id, trial, ...run };
   }
 }
--- a/test/poisonguard.test.ts
+++ b/test/poisonguard.test.ts
@@ -46,8 +46,9 @@
   run(parts: readonly TraitId[], changes: Partial<UpstreamRun> = {}): UpstreamRun {
     this.count += 1;
     const nowMs = this.clock.nowMs();
+    const content = `c${this.count}` as TraitId;
     return {
-      content: `c${this.count}` as TraitId,
+      content: () => content,
       parts,
       service: SERVICE,
       model: undefined,
--- a/test/poisonrequest.test.ts
+++ b/test/poisonrequest.test.ts
@@ -7,11 +7,12 @@
  */
 import test from 'ava';
 import type { TraitId } from '../src/base/index.js';
-import { PlatformServer } from '../standin/platform/index.js';
 import { callEntry } from './support/callentry.js';
+import { crashRig } from './support/crashrig.js';
 import { PlatformRig } from './support/platformrig.js';
 import { poisonCommand } from './support/poisoncommand.js';
 
+const { engines, crashCount, pause } = crashRig;
 const MODEL = { 'Tarragonstile-Model': 'm1' };
 const CRASHING = '/draft/crashing';
 const CRASH_AFTER_MS = 60;
@@ -23,24 +24,6 @@
 /** Crashes until a verdict is certain, and sends until all entries know the verdict. */
 const MAX_SENDS = 3 + 3;
 
-function engines(count: number): PlatformServer[] {
-  return Array.from({ length: count }, (_, at) => {
-    const server = new PlatformServer(`e${at + 1}`, 'engine', `z${(at % 2) + 1}`);
-    server.models.set('m1', new Set());
-    return server;
-  });
-}
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
-function crashCount(rig: PlatformRig): number {
-  return rig.servers.filter(({ isDown }) => isDown).length;
-}
-
 test('a request that crashes upstreams is not sent to one after the other by several entries', async (t) => {
   const rig = new PlatformRig();
   t.teardown(() => rig.close());
--- a/test/sharedparts.test.ts
+++ b/test/sharedparts.test.ts
@@ -1,10 +1,11 @@
 import test from 'ava';
 import type { TraitId } from '../src/base/index.js';
-import { PlatformServer } from '../standin/platform/index.js';
 import { callEntry } from './support/callentry.js';
+import { crashRig } from './support/crashrig.js';
 import { PlatformRig } from './support/platformrig.js';
 import { poisonCommand } from './support/poisoncommand.js';
 
+const { engines, crashCount, pause } = crashRig;
 const FIRST = 'f1';
 const DEADLY = 'dead';
 const CRASH_AFTER_MS = 60;
@@ -18,20 +19,6 @@
 
 type PartCrash = NonNullable<ReturnType<PlatformRig['crashByPart']['get']>>;
 
-function engines(count: number): PlatformServer[] {
-  return Array.from({ length: count }, (_, at) => {
-    const server = new PlatformServer(`e${at + 1}`, 'engine', `z${(at % 2) + 1}`);
-    server.models.set('m1', new Set());
-    return server;
-  });
-}
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 async function startRig(): Promise<PlatformRig> {
   const rig = new PlatformRig();
   await rig.start(engines(9), true, ENTRIES);
@@ -52,10 +39,6 @@
   return callEntry(rig.portOf(entry), { method: 'POST', path, headers, body: `body ${asked}` });
 }
 
-function crashCount(rig: PlatformRig): number {
-  return rig.servers.filter(({ isDown }) => isDown).length;
-}
-
 function arm(rig: PlatformRig, sends: PartCrash['sends']): void {
   rig.crashByPart.set(Buffer.from(DEADLY).toString('hex'), { afterMs: CRASH_AFTER_MS, sends });
 }
--- a/test/support/poisonworld.ts
+++ b/test/support/poisonworld.ts
@@ -423,7 +423,7 @@
   private evidence({ ask, upstream, sentAtMs, answerBeganAtMs, trial }: Run): UpstreamRun {
     const { content, parts } = ask;
     return {
-      content,
+      content: () => content,
       parts: this.traitsOf(parts),
       service: SERVICE,
       model: undefined,
