--- a/src/core/poison/convict.ts
+++ b/src/core/poison/convict.ts
@@ -19,8 +19,16 @@
   return crashes.reduce((product, { chance }) => product * chance, 1);
 }
 
-/** Returns true if the first candidate explains more crashes, or the same number with less probability of chance. */
+function hasRunWell({ crashes }: Candidate): boolean {
+  return crashes.some(({ hasPriorProof }) => hasPriorProof);
+}
+
+/**
+ * Returns true if the first candidate never ran well and the second did, or else if it explains more crashes, or the
+ * same number with less probability of chance. Several deadly parts may share a part that was sound.
+ */
 function isStronger(a: Candidate, b: Candidate): boolean {
+  if (hasRunWell(a) !== hasRunWell(b)) return hasRunWell(b);
   if (a.crashes.length !== b.crashes.length) return a.crashes.length > b.crashes.length;
   const [chanceA, chanceB] = [chanceOf(a.crashes), chanceOf(b.crashes)];
   if (chanceA !== chanceB) return chanceA < chanceB;
--- a/test/poisonguard.test.ts
+++ b/test/poisonguard.test.ts
@@ -99,6 +99,25 @@
   t.is(play.verdict([SECOND, OTHER]), 'suspect');
 });
 
+test('a first part that ran well is not convicted for two deadly parts beside it', (t) => {
+  const play = new Play();
+  play.survive([FIRST]);
+  play.wait();
+  play.crash([FIRST, SECOND], 1, { trial: [] });
+  play.crash([FIRST, OTHER], 1, { trial: [] });
+  play.crash([FIRST, SECOND], 2);
+  t.is(play.verdict([FIRST, SECOND]), 'poison');
+  t.not(play.verdict([FIRST]), 'poison');
+});
+
+test('a part that ran well is convicted if it crashes upstreams beside any other', (t) => {
+  const play = new Play();
+  play.survive([FIRST]);
+  play.wait();
+  for (let at = 0; at < 4; at += 1) play.crash([FIRST, `part:o${at}` as TraitId]);
+  t.is(play.verdict([FIRST]), 'poison');
+});
+
 test('a run without the other part tells two parts apart', (t) => {
   const play = new Play();
   play.crash([FIRST, SECOND], 3);
--- a/test/poisonparts.test.ts
+++ b/test/poisonparts.test.ts
@@ -33,6 +33,13 @@
   'a first part': { ...DAY, deadlyParts: [{ ...PART, place: 'first' }] },
   'always beside the same part': { ...DAY, deadlyParts: [{ ...PART, companion: 'f0' }] },
   'two parts at once': { ...DAY, deadlyParts: [PART, { ...PART, periodMs: 500, fromMs: 8500 }] },
+  'two parts beside the same first part': {
+    ...DAY,
+    deadlyParts: [
+      { ...PART, companion: 'f0' },
+      { ...PART, companion: 'f0', periodMs: 500, fromMs: 8500 },
+    ],
+  },
   'a part that sound requests held': { ...DAY, deadlyParts: [{ ...PART, isShared: true }] },
   'one of two software versions': {
     ...DAY,
