--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -403,6 +403,10 @@
     this.origins.tick();
     this.dispatcher.table = table;
     this.quotaLedger.limit(table.access);
+    const { loadAware = 'auto' } = this.context.settings;
+    const customers = [...(table.access?.customers.values() ?? [])];
+    const quotaCustomers = customers.filter(({ quota }) => quota !== undefined).length;
+    this.fleet.setLoadMode(loadAware, quotaCustomers);
   }
 
   upstream(listed: Upstream): void {
--- a/src/direct/directsettings.ts
+++ b/src/direct/directsettings.ts
@@ -1,4 +1,5 @@
 import type { HostId, Ms } from '../base/index.js';
+import type { LoadAwareSetting } from '../core/loadmode/index.js';
 import type { QuotaTerms } from '../core/quota/index.js';
 
 /** Settings of a direct entry that do not depend on its platform's protocols. */
@@ -22,6 +23,8 @@
   readonly loadOvershoot: number;
   /** How long a query of death is refused, counted from the first upstream that ended under it. */
   readonly poisonKeepMs: Ms;
+  /** Which services are served with queues, forecasts and shared loads; absent: `auto`. */
+  readonly loadAware?: LoadAwareSetting;
   /** How precisely customers' quotas have to hold over all entries. */
   readonly quotaTerms: QuotaTerms;
   /** An entry whose state of the store may be older than this accepts no keys; absent if it continues to serve. */
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -1,5 +1,7 @@
 import type { Ms, ServiceId, UpstreamId } from '../../base/index.js';
+import { initialPace, paceAt } from '../../core/hostpace/index.js';
 import { initialLimit, engineLimitRules, maxFill, onGap } from '../../core/enginelimit/index.js';
+import { isLoadAware, type LoadAwareSetting } from '../../core/loadmode/index.js';
 import { expectedAnswerMs, learnService, mayJoin } from '../../core/plainwait/index.js';
 import { isContinuable, type StreamOrigin } from '../../core/origin/index.js';
 import { unloadedTimeMs, isPrefilling, promptPaceRules } from '../../core/promptpace/index.js';
@@ -76,11 +78,35 @@
 
   private resumedAtMs: Ms = -Infinity;
 
+  private loadAware: LoadAwareSetting = 'off';
+
+  private quotaCustomers = 0;
+
+  /** Services with an upstream that has reported its pace. */
+  private readonly pacedServices = new Set<ServiceId>();
+
   constructor(
     private readonly availabilityZone: string,
     private readonly gate: Gate = OPEN_GATE,
   ) {}
 
+  /** Sets what decides, besides the reports of upstreams, which services are served load-aware. */
+  setLoadMode(setting: LoadAwareSetting, quotaCustomers: number): void {
+    this.loadAware = setting;
+    this.quotaCustomers = quotaCustomers;
+  }
+
+  /** Returns true if a service is served with queues, forecasts and shared loads. */
+  isLoadAware(service: ServiceId): boolean {
+    const { loadAware: setting, quotaCustomers, pacedServices } = this;
+    return isLoadAware({ setting, quotaCustomers, reportsPace: pacedServices.has(service) });
+  }
+
+  /** Returns how long work takes at an upstream now, as a factor of the usual time. */
+  paceOf(state: UpstreamState, nowMs: Ms): number {
+    return paceAt(state.pace, nowMs);
+  }
+
   put(info: Upstream): void {
     const known = this.states.get(info.id);
     if (known) {
@@ -93,6 +119,7 @@
       sent: new SendCounter(rateRules.windowMs),
       othersLoad: 0,
       othersAtMs: 0,
+      pace: initialPace(),
       failureShare: 0,
       avoidUntilMs: 0,
       lostAtMs: -Infinity,
--- a/src/direct/route/upstreamstate.ts
+++ b/src/direct/route/upstreamstate.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import type { Pace } from '../../core/hostpace/index.js';
 import type { LimitState } from '../../core/enginelimit/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { SendCounter } from './sendcounter.js';
@@ -13,6 +14,7 @@
   /** Requests of other entries, by the load reported in the last answer. */
   othersLoad: number;
   othersAtMs: Ms;
+  pace: Pace;
   /** Fraction of the recent attempts that failed there: 0 to 1. */
   failureShare: number;
   /** Not chosen before this time if another upstream can be chosen. */
