--- a/src/direct/route/choiceoptions.ts
+++ b/src/direct/route/choiceoptions.ts
@@ -1,4 +1,4 @@
-import type { UpstreamId } from '../../base/index.js';
+import type { Ms, UpstreamId } from '../../base/index.js';
 
 /** Options of a choice of upstream. */
 export interface ChoiceOptions {
@@ -10,4 +10,10 @@
   readonly isTrial?: boolean;
   /** Identifies the request: a slot may be reserved for it. */
   readonly requestId?: string;
+  /** Time left until a first event is late; used for load-aware services, like the following ones. */
+  readonly targetMs?: Ms;
+  /** True for the most urgent requests and for returning callers, which may exceed the slots of an engine. */
+  readonly isUrgent?: boolean;
+  /** Hash of the request id, from 0 to 2^32 - 1: spreads requests over upstreams. */
+  readonly seed?: number;
 }
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -6,11 +6,14 @@
 import { isContinuable, type StreamOrigin } from '../../core/origin/index.js';
 import { unloadedTimeMs, isPrefilling, promptPaceRules } from '../../core/promptpace/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
+import { choosePlace, forecast, upstreamForecastRules } from '../../core/upstreamforecast/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { Block } from './block.js';
 import type { ChoiceOptions } from './choiceoptions.js';
 import type { Gate } from './gate.js';
 import { has } from './has.js';
+import type { FleetCandidate } from './fleetcandidate.js';
+import { newCandidate } from './newcandidate.js';
 import type { Target } from './target.js';
 import { SendCounter } from './sendcounter.js';
 import type { SlotWaiter } from './slotwaiter.js';
@@ -34,6 +37,13 @@
 const ONLY_REPLICA_COST = 10;
 /** Cost of a failure share of 1, as a fraction of the slots. */
 const FAILURE_COST = 2;
+/** Risks of a choice in load-aware services: a candidate is chosen only if there is none with less. */
+const AVOIDED_RISK = 1;
+const ONLY_REPLICA_RISK = 2;
+/** Multiplier, increment and modulus of a linear congruential generator (Numerical Recipes). */
+const SEED_FACTOR = 1_664_525;
+const SEED_STEP = 1_013_904_223;
+const SEED_RANGE = 2 ** 32;
 /**
  * An upstream that could not be reached, or that has restarted, is avoided for this long. The list shows a crash only
  * after three missed renewals (3.6 s); without this rule 1,300 requests of one day went to crashed upstreams.
@@ -70,12 +80,22 @@
   useSlot() {},
 };
 
+/** Returns the seed of another draw for the same request. */
+function redraw(seed: number): number {
+  return (seed * SEED_FACTOR + SEED_STEP) % SEED_RANGE;
+}
+
 /** The upstreams that this entry may choose from. */
 export class Fleet {
   private readonly states = new Map<UpstreamId, UpstreamState>();
 
   private readonly byService = new Map<ServiceId, Set<UpstreamState>>();
 
+  /** Reused from choice to choice, because entries with a small part of a core make hundreds of them per second. */
+  private readonly candidates: FleetCandidate[] = [];
+
+  private candidateCount = 0;
+
   private resumedAtMs: Ms = -Infinity;
 
   private loadAware: LoadAwareSetting = 'off';
@@ -130,6 +150,7 @@
       eventAtMs: -Infinity,
       unloadedGapMs: Infinity,
       unloadedFirstEventMs: Infinity,
+      usualFirstEventMs: Infinity,
       gapTargetMs: Infinity,
       serviceMs: Infinity,
       limit: initialLimit(),
@@ -165,6 +186,7 @@
    * moment only: where a connection has to be opened first, `maySend` has to be asked again right before the send.
    */
   choose(target: Target, nowMs: Ms, choosing: ChoiceOptions = {}): UpstreamState | undefined {
+    if (this.isLoadAware(target.service)) return this.chooseByForecast(target, nowMs, choosing);
     const { tried, includesLost = true, isTrial = false, requestId } = choosing;
     let best: UpstreamState | undefined;
     let bestCost = Infinity;
@@ -187,6 +209,93 @@
     return best;
   }
 
+  /** Chooses for a load-aware service: by forecasts, and spread over the upstreams with a free slot. */
+  private chooseByForecast(
+    target: Target,
+    nowMs: Ms,
+    choosing: ChoiceOptions,
+  ): UpstreamState | undefined {
+    const { tried, requestId, targetMs = Infinity, isUrgent = false, seed = 0 } = choosing;
+    this.collect(target, nowMs, choosing);
+    const { candidates } = this;
+    // A retry draws anew: the upstream next to one that refused would otherwise get all of its retries.
+    let draw = seed;
+    for (let count = tried?.size ?? 0; count > 0; count -= 1) draw = redraw(draw);
+    const isEngine = target.model !== undefined;
+    const pick = () =>
+      choosePlace({ candidates, count: this.candidateCount, targetMs }, draw)?.state;
+    let state = pick();
+    if (state && this.gate.blockOf(state.info, nowMs, requestId)) {
+      const blocked = state;
+      this.dropBlocked(nowMs, requestId);
+      draw = redraw(draw);
+      state = pick();
+      if (state) this.requestNextSlot(blocked, nowMs);
+    }
+    // Slots are used first; the most urgent requests exceed them only if none is free.
+    if (!state || !isEngine || !isUrgent || !this.isFull(state, false, nowMs)) return state;
+    for (let at = 0; at < this.candidateCount; at += 1) {
+      const candidate = candidates[at]!;
+      candidate.slots *= upstreamForecastRules.urgentFactor;
+      this.applyForecast(candidate);
+    }
+    return pick();
+  }
+
+  /** Collects the upstreams that a request may be sent to. */
+  private collect(target: Target, nowMs: Ms, choosing: ChoiceOptions): void {
+    const { tried, includesLost = true, isTrial = false } = choosing;
+    const isEngine = target.model !== undefined;
+    this.candidateCount = 0;
+    for (const state of this.upstreamsOf(target.service)) {
+      if (state.info.isLeaving || tried?.has(state.info.id) || !has(state, target, nowMs)) continue;
+      const isLost = this.isLost(state, nowMs);
+      if (isLost && !includesLost) continue;
+      if (this.candidateCount === this.candidates.length) this.candidates.push(newCandidate(state));
+      const candidate = this.candidates[this.candidateCount]!;
+      this.candidateCount += 1;
+      candidate.state = state;
+      candidate.isOwnZone = state.info.availabilityZone === this.availabilityZone;
+      candidate.isPrefilling = this.isPrefilling(state, state.gapTargetMs, nowMs);
+      candidate.risk = isLost || state.avoidUntilMs > nowMs ? AVOIDED_RISK : 0;
+      if (isTrial && this.hasOnlyReplica(state, nowMs)) candidate.risk += ONLY_REPLICA_RISK;
+      candidate.load = this.load(state.info.id, nowMs);
+      candidate.slots = isEngine ? this.placesOf(state, false, nowMs) : state.info.slots;
+      candidate.pace = this.paceOf(state, nowMs);
+      candidate.unloadedFirstMs = isEngine ? state.usualFirstEventMs : state.serviceMs;
+      candidate.serviceMs = state.serviceMs;
+      candidate.prefillCount = isEngine ? state.prefillCount : 0;
+      this.applyForecast(candidate);
+    }
+  }
+
+  private applyForecast(candidate: FleetCandidate): void {
+    const draft = candidate;
+    forecast(candidate, candidate);
+    // An upstream that fails often gets requests only if no other has a free slot.
+    draft.freePlaces *= Math.max(0, 1 - candidate.state.failureShare * FAILURE_COST);
+  }
+
+  /** Removes the candidates that may not be sent a request now. */
+  private dropBlocked(nowMs: Ms, requestId: string | undefined): void {
+    const { candidates } = this;
+    let count = 0;
+    for (let at = 0; at < this.candidateCount; at += 1) {
+      const candidate = candidates[at]!;
+      if (this.gate.blockOf(candidate.state.info, nowMs, requestId)) continue;
+      candidates[at] = candidates[count]!;
+      candidates[count] = candidate;
+      count += 1;
+    }
+    this.candidateCount = count;
+  }
+
+  /** Returns how many streams an engine of a load-aware service may take: its slots, or less while its gaps are long. */
+  private placesOf({ info, limit }: UpstreamState, isUrgent: boolean, nowMs: Ms): number {
+    const places = info.slots * Math.min(1, maxFill(limit, nowMs));
+    return isUrgent ? places * upstreamForecastRules.urgentFactor : places;
+  }
+
   /** Returns why no upstream that holds the target may be sent a request now: the block that ends first. */
   blockFor(target: Target, nowMs: Ms, requestId: string): Block | undefined {
     let first: Block | undefined;
@@ -318,6 +427,9 @@
   recordFirstEvent(state: UpstreamState, tookMs: Ms, nowMs: Ms): void {
     const unloadedFirstEventMs = unloadedTimeMs(state.unloadedFirstEventMs, tookMs);
     Object.assign(state, { eventAtMs: nowMs, unloadedFirstEventMs });
+    if (!this.isLoadAware(state.info.service)) return;
+    const usualMs = tookMs / this.paceOf(state, nowMs);
+    Object.assign(state, { usualFirstEventMs: unloadedTimeMs(state.usualFirstEventMs, usualMs) });
   }
 
   /** Records the gap between two events of a stream. Returns true if it has reduced the engine's limit. */
@@ -332,23 +444,29 @@
   }
 
   /** Records how long a plain upstream took to answer, with `load` requests there when the request was sent. */
-  recordServiceTime(state: UpstreamState, tookMs: Ms, load: number): void {
+  recordServiceTime(state: UpstreamState, tookMs: Ms, load: number, nowMs: Ms): void {
     const draft = state;
-    const { slots } = state.info;
-    draft.serviceMs = learnService(state.serviceMs, { tookMs, load, slots });
+    const { slots, service } = state.info;
+    const usualMs = this.isLoadAware(service) ? tookMs / this.paceOf(state, nowMs) : tookMs;
+    draft.serviceMs = learnService(state.serviceMs, { tookMs: usualMs, load, slots });
   }
 
   /** Returns true if a request can be answered in time by a plain upstream, or does not delay other requests there. */
   mayJoin(state: UpstreamState, heldMs: Ms, targetMs: Ms, nowMs: Ms): boolean {
     const load = this.load(state.info.id, nowMs);
-    const { slots } = state.info;
-    const { serviceMs } = state;
+    const { slots, service } = state.info;
+    const pace = this.isLoadAware(service) ? this.paceOf(state, nowMs) : 1;
+    const serviceMs = state.serviceMs * pace;
     const takesMs = expectedAnswerMs({ load, slots, serviceMs });
     return mayJoin({ heldMs, targetMs, expectedMs: takesMs, load, slots });
   }
 
   /** Returns true if an engine has reached its limit, which is higher for the most urgent requests. */
   isFull(state: UpstreamState, isUrgent: boolean, nowMs: Ms): boolean {
+    if (this.isLoadAware(state.info.service)) {
+      const free = this.placesOf(state, isUrgent, nowMs) - this.load(state.info.id, nowMs);
+      return free < upstreamForecastRules.minFree;
+    }
     const share = isUrgent ? engineLimitRules.urgentFactor : 1;
     return this.utilization(state, nowMs) > maxFill(state.limit, nowMs) * share;
   }
@@ -367,7 +485,8 @@
 
   /** Returns true if an engine is processing prompts now, as far as this entry can see. */
   isPrefilling(state: UpstreamState, gapTargetMs: Ms, nowMs: Ms): boolean {
-    if (this.resumedAtMs <= state.eventAtMs) return isPrefilling(state, gapTargetMs, nowMs);
+    const isCurrent = state.streamCount === 0 || this.resumedAtMs <= state.eventAtMs;
+    if (isCurrent) return isPrefilling(state, gapTargetMs, nowMs);
     return isPrefilling({ ...state, eventAtMs: this.resumedAtMs }, gapTargetMs, nowMs);
   }
 
--- a/src/direct/route/has.ts
+++ b/src/direct/route/has.ts
@@ -3,8 +3,15 @@
 import type { Target } from './target.js';
 import type { UpstreamState } from './upstreamstate.js';
 
-function hinted({ hints }: UpstreamState, key: string, nowMs: Ms): boolean | undefined {
-  const hint = hints.get(key);
+function hinted(
+  { hints }: UpstreamState,
+  model: string,
+  adapter: string | undefined,
+  nowMs: Ms,
+): boolean | undefined {
+  // Nearly all upstreams have no hints; this spares the key.
+  if (hints.size === 0) return undefined;
+  const hint = hints.get(adapter === undefined ? model : `${model}/${adapter}`);
   return hint && hint.untilMs > nowMs ? hint.isThere : undefined;
 }
 
@@ -13,7 +20,7 @@
   if (origin && !isContinuable(state.info, origin, model)) return false;
   if (model === undefined) return true;
   const held = state.info.models.get(model);
-  if (!(hinted(state, model, nowMs) ?? held !== undefined)) return false;
+  if (!(hinted(state, model, undefined, nowMs) ?? held !== undefined)) return false;
   if (adapter === undefined) return true;
-  return hinted(state, `${model}/${adapter}`, nowMs) ?? held?.adapters.has(adapter) ?? false;
+  return hinted(state, model, adapter, nowMs) ?? held?.adapters.has(adapter) ?? false;
 }
--- a/src/direct/route/upstreamstate.ts
+++ b/src/direct/route/upstreamstate.ts
@@ -36,9 +36,14 @@
   unloadedGapMs: Ms;
   /** Time to the first event of a stream under the same condition. */
   unloadedFirstEventMs: Ms;
+  /** The same time divided by the upstream's pace; kept for load-aware services only. */
+  usualFirstEventMs: Ms;
   /** Longest gap between events that the target latency of its streams allows, as of the last event. */
   gapTargetMs: Ms;
-  /** Service time of one request at a plain upstream; Infinity until one was answered. */
+  /**
+   * Service time of one request at a plain upstream, divided by its pace if the service is load-aware; Infinity until
+   * one was answered.
+   */
   serviceMs: Ms;
   /** Concurrency limit, found from the gaps between events. */
   limit: LimitState;
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -164,7 +164,7 @@
     this.headAtMs = nowMs;
     record.firstByteAtMs ??= nowMs;
     if (target.model === undefined && head.status < FIRST_FAILURE_STATUS) {
-      fleet.recordServiceTime(state, nowMs - this.sentAtMs, this.sentLoad);
+      fleet.recordServiceTime(state, nowMs - this.sentAtMs, this.sentLoad, nowMs);
     }
     const isStream = route.kind === 'streaming' && head.status < FIRST_NON_SUCCESS_STATUS;
     const origin = isStream ? this.originWith(head) : undefined;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -252,8 +252,15 @@
     const mustAsk = this.suspicion.permission() === 'ask-first';
     const isTrial = mustAsk || this.suspicion.isTrial;
     const requestId = request.id;
-    const choosing = { tried: this.tried, includesLost, isTrial, requestId };
-    const state = serving.fleet.choose(this.target, nowMs, choosing);
+    const state = serving.fleet.choose(this.target, nowMs, {
+      tried: this.tried,
+      includesLost,
+      isTrial,
+      requestId,
+      targetMs: route.targetLatencyMs - (nowMs - request.arrivedAtMs),
+      isUrgent: this.urgency.isFirst || this.isReturn,
+      seed: hash32(requestId),
+    });
     const block = state ? undefined : serving.fleet.blockFor(this.target, nowMs, requestId);
     if (state && this.isAtLimit(state, nowMs)) this.waitForCapacity();
     else if (state && this.isQueueTooLong(state, nowMs)) this.waitForQueue();
--- a/test/support/plainworld.ts
+++ b/test/support/plainworld.ts
@@ -1,6 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { VirtualClock, type Ms, type ServiceId, type UpstreamId } from '../../src/base/index.js';
+import { onWorkPercent } from '../../src/core/hostpace/index.js';
 import { plainWaitRules } from '../../src/core/plainwait/index.js';
 import { Fleet, type UpstreamState } from '../../src/direct/route/index.js';
 
@@ -18,6 +19,10 @@
   readonly seed: number;
   /** Sends requests to the least loaded server, however long its queue is. */
   readonly ignoresQueues?: boolean;
+  /** Serves load-aware. */
+  readonly isLoadAware?: boolean;
+  /** Pace of a server at a time; each answer reports it. */
+  readonly paceAt?: (server: number, atMs: Ms) => number;
 }
 
 interface Job {
@@ -68,6 +73,7 @@
       queue: [],
     }));
     for (const fleet of this.fleets) {
+      fleet.setLoadMode(options.isLoadAware ? 'on' : 'off', 0);
       for (const { id } of this.servers) {
         const info = { id, service: SERVICE, address: id, availabilityZone: 'z', slots };
         fleet.put({ ...info, isLeaving: false, models: new Map() } as never);
@@ -95,7 +101,9 @@
     const nowMs = clock.nowMs();
     const fleet = this.fleets[entry]!;
     const target = { service: SERVICE, model: undefined, adapter: undefined };
-    const state = fleet.choose(target, nowMs, { tried });
+    const targetMs = options.targetMs - (nowMs - arrivedAtMs);
+    const seed = options.isLoadAware ? Math.floor(this.chance() * 2 ** 32) : 0;
+    const state = fleet.choose(target, nowMs, { tried, targetMs, seed });
     if (!state) {
       this.refused += 1;
       return;
@@ -137,7 +145,7 @@
       const current = server;
       current.running += 1;
       // The processing time varies by up to 30%.
-      const takesMs = serviceMs * (0.7 + 0.6 * this.chance());
+      const takesMs = serviceMs * (0.7 + 0.6 * this.chance()) * this.paceOf(server);
       this.clock.after(takesMs, () => {
         current.running -= 1;
         const report = { running: server.running, waiting: server.queue.length };
@@ -153,13 +161,18 @@
     const state = fleet.get(server.id)!;
     state.inFlight -= 1;
     fleet.recordLoad(state, report, nowMs);
-    fleet.recordServiceTime(state, nowMs - job.sentAtMs, job.load);
+    state.pace = onWorkPercent(state.pace, this.paceOf(server) * 100, nowMs);
+    fleet.recordServiceTime(state, nowMs - job.sentAtMs, job.load, nowMs);
     const tookMs = nowMs - job.arrivedAtMs;
     if (tookMs <= this.options.targetMs) this.inTime += 1;
     else if (tookMs <= this.options.deadlineMs) this.late += 1;
     else this.refused += 1;
   }
 
+  private paceOf(server: Server): number {
+    return this.options.paceAt?.(this.servers.indexOf(server), this.clock.nowMs()) ?? 1;
+  }
+
   private chance(): number {
     return uniformFloat64(this.generator);
   }
