--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -216,7 +216,15 @@
     const loadOf = (id: UpstreamId) => this.fleet.load(id, clock.nowMs());
     const promptsPerGap = (service: ServiceId) => this.fleet.promptsPerGap(service);
     const limitOf = (upstream: Upstream) => this.gate.limitOf(upstream);
-    const reading = { listSilentMs, listSteadyMs, loadOf, limitOf, promptsPerGap };
+    const isLoadAware = (service: ServiceId) => this.fleet.isLoadAware(service);
+    const reading = {
+      listSilentMs,
+      listSteadyMs,
+      loadOf,
+      limitOf,
+      promptsPerGap,
+      isLoadAware,
+    };
     this.dispatcher = new OrderDispatcher({ ...shared, ...reading, lease: this.orderLease });
     this.poisonPrefix = `${codec.ownPrefix}poison/`;
     this.poison = this.createPoisonGuard();
--- a/src/direct/orders/ordercontext.ts
+++ b/src/direct/orders/ordercontext.ts
@@ -13,4 +13,6 @@
   readonly host: string;
   /** Returns the engine settings in force for a service; undefined if it has none. */
   readonly engineOf: (service: ServiceId) => ServiceSpec['engine'];
+  /** True if a service is served load-aware; absent: none is. */
+  readonly isLoadAware?: ((service: ServiceId) => boolean) | undefined;
 }
--- a/src/direct/orders/orderdispatcher.ts
+++ b/src/direct/orders/orderdispatcher.ts
@@ -46,6 +46,8 @@
   readonly limitOf: (upstream: Upstream) => number | undefined;
   /** Prompts that a service's engine can prefill within one target token gap; undefined if not yet measured. */
   readonly promptsPerGap: (service: ServiceId) => number | undefined;
+  /** True if a service is served load-aware; absent: none is. */
+  readonly isLoadAware?: ((service: ServiceId) => boolean) | undefined;
 }
 
 type Engine = NonNullable<ServiceSpec['engine']>;
--- a/src/direct/orders/refresh.ts
+++ b/src/direct/orders/refresh.ts
@@ -1,6 +1,7 @@
 import type { Ms } from '../../base/index.js';
 import { adoptModels } from './adoptmodels.js';
 import type { OrderContext } from './ordercontext.js';
+import { reportLagMs } from './reportlag.js';
 import { settleUnconfirmed } from './settleunconfirmed.js';
 import type { UpstreamView } from './upstreamview.js';
 
@@ -30,14 +31,15 @@
   view.done.clear();
   view.unloadingAdapters.clear();
   const info = { ...view.info, startedAtMs };
-  Object.assign(view, { info, unconfirmed: undefined, models: new Map() });
+  Object.assign(view, { info, unconfirmed: [], ambiguousAtMs: undefined, models: new Map() });
   return true;
 }
 
 /** Requests the upstream's own report of its residency and adopts it. */
 export async function refresh(context: OrderContext, view: UpstreamView): Promise<void> {
   const { clock, link, log } = context;
-  const { id, address } = view.info;
+  const { id, address, service } = view.info;
+  const requestedAtMs = clock.nowMs();
   const report = await link.report(id, address, REPORT_TIMEOUT_MS);
   const { orderCount, isBusy } = report ?? {};
   log.info('upstream asked what it holds', {
@@ -53,7 +55,13 @@
   }
   if (!isCurrentStart(context, view, report.startedAtMs)) return;
   adoptModels(view, report.models, 'report', clock.nowMs());
-  settleUnconfirmed(view, report.orderCount, clock.nowMs());
+  const nowMs = clock.nowMs();
+  const keepsOpen = context.isLoadAware?.(service) === true;
+  const counted = { orderCount: report.orderCount, requestedAtMs, nowMs };
+  if (!settleUnconfirmed(view, counted, keepsOpen)) {
+    Object.assign(view, { orderCount: undefined, restUntilMs: nowMs + reportLagMs });
+    return;
+  }
   // A busy upstream accepts no order, and its count may rise once it is done.
   const restUntilMs = isBusy ? clock.nowMs() + BUSY_REST_MS : 0;
   Object.assign(view, { orderCount: isBusy ? undefined : orderCount, restUntilMs });
--- a/src/direct/orders/upstreamview.ts
+++ b/src/direct/orders/upstreamview.ts
@@ -1,5 +1,6 @@
 import type { ModelId, Ms } from '../../base/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
+import type { UnconfirmedOrder } from './unconfirmedorder.js';
 
 /** A model at an upstream in the order lease holder's view. */
 interface ModelView {
@@ -8,13 +9,6 @@
   adapters: Set<string>;
 }
 
-/** A load order without an answer: it may have been accepted, or may still be carried out later. */
-interface UnconfirmedLoad {
-  readonly model: ModelId;
-  readonly adapter?: string;
-  readonly expectedOrderCount: number;
-}
-
 /** The order lease holder's view of one upstream: its entry in the list and the effects of own orders since. */
 export interface UpstreamView {
   info: Upstream;
@@ -24,8 +18,13 @@
   readonly done: Map<string, { readonly isThere: boolean; readonly atMs: Ms }>;
   /** Adapters, `model/adapter`, that are unloaded once their last run has ended. */
   readonly unloadingAdapters: Set<string>;
-  /** A load order without an answer, and the count of orders that it expected. */
-  unconfirmed: UnconfirmedLoad | undefined;
+  /**
+   * Orders without an answer. The upstream accepts at most one of those that expected the same count. Where the service
+   * is not load-aware, at most the last load.
+   */
+  unconfirmed: readonly UnconfirmedOrder[];
+  /** When a report showed that one of several unconfirmed orders was carried out; undefined if none has. */
+  ambiguousAtMs: Ms | undefined;
   models: Map<ModelId, ModelView>;
   /** Where `models` were last adopted from, and when; for the log. */
   learned: { readonly from: 'list' | 'report'; readonly atMs: Ms } | undefined;
--- a/test/support/orderedupstream.ts
+++ b/test/support/orderedupstream.ts
@@ -15,6 +15,10 @@
   readonly models: readonly ModelId[];
   /** Age of the content of a report. */
   readonly reportLagMs: Ms;
+  /** True if the models of a report have that age, and its count of orders is current. */
+  readonly hasOldModels: boolean;
+  /** True if an unload of what is not held leaves the count of orders as it is. */
+  readonly hasUncountedUnloads: boolean;
   /** Duration of the next unload of a model or adapter, which waits for its runs; 0: none runs. */
   readonly unloadMs: () => Ms;
   /** Called when the upstream begins and ends an order about a model, as it then rewrites its record. */
@@ -67,7 +71,9 @@
   report(): Report {
     const fromMs = this.options.clock.nowMs() - this.options.reportLagMs;
     const past = this.history.filter(({ atMs }) => atMs <= fromMs);
-    return (past.at(-1) ?? this.history[0]!).report;
+    const old = (past.at(-1) ?? this.history[0]!).report;
+    const { orderCount, isBusy } = this;
+    return this.options.hasOldModels ? { ...old, orderCount, isBusy } : old;
   }
 
   /** Loses all models and its count of orders. */
@@ -126,7 +132,7 @@
       this.begin(waitMs, () => this.models.delete(model));
       return 'accepted';
     }
-    this.orderCount += 1;
+    if (isThere || !this.options.hasUncountedUnloads) this.orderCount += 1;
     this.note();
     if (!isThere || adapter === undefined) return 'done';
     const remove = () => {
--- a/test/support/orderworld.ts
+++ b/test/support/orderworld.ts
@@ -14,8 +14,18 @@
 
 /** Faults and properties of a run; each fault is off if absent. */
 interface Scenario {
+  /** True if the service is load-aware: orders without an answer are superseded instead of waited for. */
+  readonly isLoadAware?: boolean;
   /** One in this many orders gets no answer, and may be carried out seconds later. */
   readonly lateOrderOneIn?: number;
+  /** Least and greatest delay of a late order, counted from its sending. */
+  readonly lateAfterMs?: readonly [Ms, Ms];
+  /** One in this many orders is carried out at once, and its answer is lost. */
+  readonly lostAnswerOneIn?: number;
+  /** True if the models of a report are older than its count of orders. */
+  readonly hasOldModels?: boolean;
+  /** True if an unload of what is not held leaves the count of orders as it is. */
+  readonly hasUncountedUnloads?: boolean;
   /** One in this many records reaches the list seconds late. */
   readonly lateRecordOneIn?: number;
   /** One in this many reports gets no answer. */
@@ -56,6 +66,8 @@
 const NETWORK_MS = 3;
 const MAX_CUT_MS = 6000;
 const CONNECT_TIMEOUT_MS = 400;
+const ORDER_TIMEOUT_MS = 600;
+const LATE_AFTER_MS = [2000, 12_000] as const;
 const DEMAND_EVERY_MS = 250;
 /** Each demand shift selects this many models in use. */
 const IN_USE = 7;
@@ -87,6 +99,9 @@
 
   private readonly generator;
 
+  /** Orders that the upstream accepted late. */
+  lateLoads = 0;
+
   private inUse: readonly ModelId[] = [];
 
   private regainedAtMs: Ms = -Infinity;
@@ -142,6 +157,8 @@
       clock: this.clock,
       models,
       reportLagMs: REPORT_LAG_MS,
+      hasOldModels: this.scenario.hasOldModels ?? false,
+      hasUncountedUnloads: this.scenario.hasUncountedUnloads ?? false,
       unloadMs: () => (this.oneIn(2) ? 0 : this.random(800)),
       changed: (upstream) => this.publish(upstream),
     });
@@ -176,6 +193,7 @@
       loadOf: () => 0,
       limitOf: () => undefined,
       promptsPerGap: () => undefined,
+      isLoadAware: () => this.scenario.isLoadAware ?? false,
     });
     const services = new Map([[SERVICE, { id: SERVICE, maxConnections: 10, engine: this.engine }]]);
     dispatcher.table = { services } as unknown as RouteTable;
@@ -282,7 +300,8 @@
   }
 
   private async order(order: Order): Promise<Outcome> {
-    const { lateOrderOneIn = 0 } = this.scenario;
+    const { lateOrderOneIn = 0, lostAnswerOneIn = 0 } = this.scenario;
+    const [lateFromMs, lateToMs] = this.scenario.lateAfterMs ?? LATE_AFTER_MS;
     const upstream = this.upstreams.find(({ id }) => id === order.upstream)!;
     const { startedAtMs } = upstream;
     await this.pause(1 + this.random(NETWORK_MS));
@@ -291,13 +310,19 @@
       return 'unsent';
     }
     if (lateOrderOneIn > 0 && this.oneIn(lateOrderOneIn)) {
-      this.clock.after(2000 + this.random(10_000), () => {
-        if (!upstream.isDown && upstream.startedAtMs === startedAtMs) upstream.take(order);
+      this.clock.after(lateFromMs + this.random(lateToMs - lateFromMs), () => {
+        if (upstream.isDown || upstream.startedAtMs !== startedAtMs) return;
+        const outcome = upstream.take(order);
+        if (outcome === 'accepted') this.lateLoads += 1;
       });
-      await this.pause(600);
+      await this.pause(ORDER_TIMEOUT_MS);
       return 'unknown';
     }
     const outcome = upstream.take(order);
+    if (lostAnswerOneIn > 0 && this.oneIn(lostAnswerOneIn)) {
+      await this.pause(ORDER_TIMEOUT_MS);
+      return 'unknown';
+    }
     await this.pause(1 + this.random(NETWORK_MS));
     return outcome;
   }
--- a/test/upstreamstart.test.ts
+++ b/test/upstreamstart.test.ts
@@ -141,13 +141,13 @@
 function createView(startedAtMs: number): UpstreamView {
   const info = (codec.decodeUpstream('u1', entry(startedAtMs)) as { val: Upstream }).val;
   const held = { phase: 'ready' as const, sinceMs: 0, adapters: new Set<string>() };
-  const unconfirmed = { model: 'm9' as ModelId, expectedOrderCount: 1 };
+  const unconfirmed = { action: 'load' as const, model: 'm9' as ModelId, expectedOrderCount: 1 };
   return {
     ...createUpstreamView(info),
     orderCount: 7,
     done: new Map([['m1/a7', { isThere: true, atMs: 0 }]]),
     unloadingAdapters: new Set(['m1/a8']),
-    unconfirmed,
+    unconfirmed: [unconfirmed],
     models: new Map([['m1' as ModelId, held]]),
   };
 }
@@ -165,7 +165,7 @@
   const view = await refreshed(createView(10), 20);
   t.is(view.orderCount, 2);
   t.is(view.info.startedAtMs, 20);
-  t.is(view.unconfirmed, undefined);
+  t.deepEqual(view.unconfirmed, []);
   t.is(view.models.size, 0);
   t.is(view.done.size + view.unloadingAdapters.size, 0);
 });
@@ -175,5 +175,5 @@
   t.is(view.orderCount, 7);
   t.is(view.info.startedAtMs, 10);
   t.is(view.models.size, 1);
-  t.not(view.unconfirmed, undefined);
+  t.is(view.unconfirmed.length, 1);
 });
