--- a/src/core/hostpace/pace.ts
+++ b/src/core/hostpace/pace.ts
@@ -8,4 +8,6 @@
   readonly reported: number;
   /** When it was last reported; -Infinity if never. */
   readonly reportedAtMs: Ms;
+  /** Average of what all entries have learned; absent until the order lease holder has sent one. */
+  readonly shared?: { readonly average: number; readonly atMs: Ms };
 }
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -11,6 +11,7 @@
 import { OriginHistory } from '../core/origin/index.js';
 import { quotaParts } from '../core/quota/index.js';
 import type { RetryBudget } from '../core/retrybudget/index.js';
+import { sharedLoadRules } from '../core/sharedload/index.js';
 import { rateRules } from '../core/sharedrate/index.js';
 import {
   decideAccess,
@@ -239,6 +240,7 @@
       follower: this.follower,
       peers: () => this.peers,
       hasCustomers: () => this.table?.access !== undefined,
+      knownCount: () => this.knownCount(),
     });
     const handlers = {
       trial: (...args: Parameters<PoisonGuard['decideTrial']>) => this.poison.decideTrial(...args),
@@ -267,10 +269,8 @@
     await this.peers.listen(host, port);
     void this.follower.run();
     this.every(TICK_MS, () => this.tick());
-    this.every(REPORT_MS, () => {
-      this.measure();
-      this.reporter.report();
-    });
+    this.every(REPORT_MS, () => this.measure());
+    this.reportLater();
   }
 
   isReady(): boolean {
@@ -619,6 +619,16 @@
     });
   }
 
+  /** Sends reports, more often while a service is load-aware. */
+  private reportLater(): void {
+    const ms = this.fleet.hasLoadAware() ? sharedLoadRules.reportMs : REPORT_MS;
+    this.clock.after(ms, () => {
+      if (this.isClosed) return;
+      this.reporter.report();
+      this.reportLater();
+    });
+  }
+
   private keepConnections(): void {
     const addresses = new Set<string>();
     for (const { info } of this.fleet.all()) addresses.add(info.address);
--- a/src/direct/orders/demandanswer.ts
+++ b/src/direct/orders/demandanswer.ts
@@ -1,4 +1,5 @@
 import type { Ms } from '../../base/index.js';
+import type { UpstreamLoad, UpstreamPace } from '../../core/sharedload/index.js';
 import type { SuspectBatch } from '../poison/index.js';
 import type { QuotaAnswer } from '../quota/index.js';
 import type { MemberList } from '../memberlist.js';
@@ -21,4 +22,8 @@
   readonly quota?: QuotaAnswer;
   /** Upstreams' reported states as the holder knows them. */
   readonly standings?: readonly ReportedStateUpdate[];
+  /** Requests of all entries, including the one that reported; absent while the holder has heard of too few entries. */
+  readonly loads?: readonly UpstreamLoad[];
+  /** Average paces over all entries; absent from a holder without a load-aware service. */
+  readonly paces?: readonly UpstreamPace[];
 }
--- a/src/direct/reporter.ts
+++ b/src/direct/reporter.ts
@@ -1,4 +1,10 @@
 import type { Clock, HostId, Ms, UpstreamId } from '../base/index.js';
+import {
+  changedPaces,
+  LoadTable,
+  loadOfOthers,
+  type UpstreamPace,
+} from '../core/sharedload/index.js';
 import type { Log } from '../port/index.js';
 import type { EntryCount } from './entrycount.js';
 import type { Members } from './members.js';
@@ -38,8 +44,22 @@
   readonly peers: () => Peers;
   /** True if customers are configured. */
   readonly hasCustomers: () => boolean;
+  /** Number of entries that may exist, as known to this holder or the previous one. */
+  readonly knownCount: () => number;
 }
 
+/** What entries tell each other of loads; absent without a load-aware service. */
+type LoadFields = Pick<DemandReport, 'loads' | 'paces'>;
+
+/**
+ * Least interval of quota reports while a service is load-aware: every second report has one. The holder grants a
+ * multiple of the demand between two of them, and takes an entry without one for 350 ms for isolated.
+ */
+const QUOTA_REPORT_MS = 180;
+
+/** Interval after which all paces are reported again, because a holder that has restarted has lost them. */
+const PACES_MS = 5000;
+
 /** Delay of an extra report after an upstream ended; its dozen broken requests are all noticed within 5 ms. */
 const REPORT_SOON_MS = 20;
 
@@ -53,6 +73,17 @@
   /** Lost upstreams as last reported. */
   private lost: readonly UpstreamId[] = [];
 
+  private readonly loadTable = new LoadTable();
+
+  /** Paces in percent that the holder at `toldAddress` has been told. */
+  private readonly toldPaces = new Map<UpstreamId, number>();
+
+  private toldAddress: string | undefined;
+
+  private toldSinceMs: Ms = -Infinity;
+
+  private quotaReportedAtMs: Ms = -Infinity;
+
   private isReportDue = false;
 
   private isClosed = false;
@@ -70,19 +101,21 @@
 
   /** Sends a report. Called several times a second. */
   report(): void {
-    const { clock, meter, poison, quota, gate, follower, lease, hasCustomers } = this.options;
+    const { clock, meter, poison, gate, follower, lease } = this.options;
     const { availabilityZone, members } = this.options;
     this.updateLost(this.options.fleet.lost(clock.nowMs()));
+    const address = lease.holderAddress();
+    this.forgetTold(address);
     const report = {
       ...meter.report(this.lost, this.residencyCursor),
       availabilityZone,
       membersDigest: members.knownDigest,
       poison: poison.sync.report(),
-      quota: hasCustomers() ? quota.report() : undefined,
+      quota: this.quotaReport(),
       standings: gate.report(),
       storeReachedMs: Math.round(follower.reachedMs()),
+      ...this.ownLoadFields(),
     };
-    const address = lease.holderAddress();
     if (lease.isHolder()) this.reportToSelf(report);
     else if (address !== undefined) void this.sendReport(address, report);
   }
@@ -110,6 +143,7 @@
     dispatcher.demand(report);
     if (report.standings) gate.take(report.entry, report.standings);
     follower.confirm(report.storeReachedMs ?? 0);
+    this.takeLoads(report);
     return {
       entryCount: entries.count(nowMs),
       members: members.listFor(report.membersDigest, nowMs),
@@ -118,13 +152,70 @@
       poison: report.poison && poison.sync.answer(report.poison),
       quota: report.quota && quotaLedger.report(report.entry as HostId, report.quota),
       standings: gate.report(),
+      ...this.sharedLoadFields(),
     };
   }
 
+  private quotaReport(): DemandReport['quota'] {
+    const { clock, fleet, quota, hasCustomers } = this.options;
+    if (!hasCustomers()) return undefined;
+    const nowMs = clock.nowMs();
+    const isEarly = nowMs - this.quotaReportedAtMs < QUOTA_REPORT_MS;
+    if (isEarly && fleet.hasLoadAware()) return undefined;
+    this.quotaReportedAtMs = nowMs;
+    return quota.report();
+  }
+
+  private ownLoadFields(): LoadFields {
+    const { fleet } = this.options;
+    if (!fleet.hasLoadAware()) return {};
+    return { loads: fleet.ownLoads(), paces: changedPaces(fleet.ownPaces(), this.toldPaces) };
+  }
+
+  private takeLoads({ entry, loads, paces }: DemandReport): void {
+    if (loads) this.loadTable.report(entry, loads, this.options.clock.nowMs());
+    if (paces) this.loadTable.reportPaces(paces);
+  }
+
+  /** Returns what all entries have reported; nothing while another entry may be the holder. */
+  private sharedLoadFields(): LoadFields {
+    const { fleet, lease, clock, knownCount } = this.options;
+    if (!lease.isHolder() || !fleet.hasLoadAware()) return {};
+    const loads = this.loadTable.loads(knownCount(), clock.nowMs());
+    return { loads, paces: this.loadTable.paces() };
+  }
+
+  /** Applies the holder's answer to the report sent at `sentAtMs`. */
+  private applyLoads(report: DemandReport, answer: LoadFields, sentAtMs: Ms): void {
+    const { fleet, clock } = this.options;
+    if (report.loads && answer.loads) {
+      fleet.recordSharedLoads(loadOfOthers(answer.loads, report.loads), sentAtMs);
+    }
+    if (!answer.paces) return;
+    fleet.recordSharedPaces(answer.paces, clock.nowMs());
+    this.recordTold(report.paces ?? []);
+  }
+
+  /** Forgets what the holder was told if it is another one or may have restarted. */
+  private forgetTold(holderAddress: string | undefined): void {
+    const nowMs = this.options.clock.nowMs();
+    if (holderAddress === this.toldAddress && nowMs - this.toldSinceMs < PACES_MS) return;
+    this.toldPaces.clear();
+    this.toldAddress = holderAddress;
+    this.toldSinceMs = nowMs;
+  }
+
+  private recordTold(paces: readonly UpstreamPace[]): void {
+    for (const { upstream, percent } of paces) this.toldPaces.set(upstream, percent);
+  }
+
   private reportToSelf(report: DemandReport): void {
-    const { host, clock, dispatcher, quota, quotaLedger } = this.options;
+    const { host, clock, fleet, dispatcher, quota, quotaLedger } = this.options;
     const sentAtMs: Ms = clock.nowMs();
     dispatcher.demand(report);
+    this.loadTable.keepPaces((upstream) => fleet.get(upstream) !== undefined);
+    this.takeLoads(report);
+    this.applyLoads(report, this.sharedLoadFields(), sentAtMs);
     this.applyChanges(dispatcher.news(this.residencyCursor));
     const answer = report.quota && quotaLedger.report(host, report.quota);
     if (answer) quota.answered(answer, sentAtMs);
@@ -136,6 +227,7 @@
     const answer = await peers().demand(address, report);
     if (!answer) return;
     if (answer.quota) quota.answered(answer.quota, sentAtMs);
+    if (address === this.toldAddress) this.applyLoads(report, answer, sentAtMs);
     if (answer.members) members.answered(answer.members, clock.nowMs());
     this.setEntryCount(answer.entryCount);
     this.applyChanges(answer.news);
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -1,10 +1,21 @@
 import type { Ms, ServiceId, UpstreamId } from '../../base/index.js';
-import { initialPace, paceAt } from '../../core/hostpace/index.js';
+import {
+  averagePaceAt,
+  initialPace,
+  onSharedPercent,
+  onWorkPercent,
+  paceAt,
+} from '../../core/hostpace/index.js';
 import { initialLimit, engineLimitRules, maxFill, onGap } from '../../core/enginelimit/index.js';
 import { isLoadAware, type LoadAwareSetting } from '../../core/loadmode/index.js';
 import { expectedAnswerMs, learnService, mayJoin } from '../../core/plainwait/index.js';
 import { isContinuable, type StreamOrigin } from '../../core/origin/index.js';
 import { unloadedTimeMs, isPrefilling, promptPaceRules } from '../../core/promptpace/index.js';
+import {
+  sharedLoadRules,
+  type UpstreamLoad,
+  type UpstreamPace,
+} from '../../core/sharedload/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { Block } from './block.js';
@@ -19,10 +30,18 @@
 /** Outcome of an attempt, as far as it is evidence on the upstream. */
 type Outcome = 'answered' | 'full' | 'missing' | 'failed' | 'unreachable';
 
+/** Load and pace as an upstream reports them in an answer. */
+interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly workPercent?: number;
+}
+
 /** An upstream in another availability zone is preferred only if its load is lower by this fraction of its slots. */
 const ZONE_COST = 0.08;
 /** The load of other entries, as reported in a load header, decays by half in this time until a newer report. */
 const OTHERS_HALF_LIFE_MS = 1000;
+const PERCENT = 100;
 /** Weight of one attempt in the moving average of failures. */
 const FAILURE_WEIGHT = 0.15;
 /** Cost of an upstream that has reached its limit, so that others are preferred. */
@@ -85,6 +104,9 @@
   /** Services with an upstream that has reported its pace. */
   private readonly pacedServices = new Set<ServiceId>();
 
+  /** When the last sums over all entries were requested; -Infinity if there were none. */
+  private sharedAtMs: Ms = -Infinity;
+
   constructor(
     private readonly availabilityZone: string,
     private readonly gate: Gate = OPEN_GATE,
@@ -102,11 +124,22 @@
     return isLoadAware({ setting, quotaCustomers, reportsPace: pacedServices.has(service) });
   }
 
+  /** Returns true if some service is served with queues, forecasts and shared loads. */
+  hasLoadAware(): boolean {
+    for (const service of this.byService.keys()) if (this.isLoadAware(service)) return true;
+    return false;
+  }
+
   /** Returns how long work takes at an upstream now, as a factor of the usual time. */
   paceOf(state: UpstreamState, nowMs: Ms): number {
     return paceAt(state.pace, nowMs);
   }
 
+  /** Returns how long work takes at an upstream on average over the last seconds, for decisions that last. */
+  averagePaceOf(state: UpstreamState, nowMs: Ms): number {
+    return averagePaceAt(state.pace, nowMs);
+  }
+
   put(info: Upstream): void {
     const known = this.states.get(info.id);
     if (known) {
@@ -119,6 +152,7 @@
       sent: new SendCounter(rateRules.windowMs),
       othersLoad: 0,
       othersAtMs: 0,
+      sharedLoad: 0,
       pace: initialPace(),
       failureShare: 0,
       avoidUntilMs: 0,
@@ -308,10 +342,62 @@
     if (adapter === undefined || isThere) state.hints.set(model, hint);
   }
 
-  /** Applies the load that an upstream reported in an answer. */
-  recordLoad(state: UpstreamState, load: { running: number; waiting: number }, nowMs: Ms): void {
+  /** Applies the load and pace that an upstream reported in an answer. */
+  recordLoad(state: UpstreamState, load: ReportedLoad, nowMs: Ms): void {
     const othersLoad = Math.max(0, load.running + load.waiting - state.inFlight);
     Object.assign(state, { othersLoad, othersAtMs: nowMs });
+    if (load.workPercent === undefined) return;
+    this.updatePace(state, onWorkPercent(state.pace, load.workPercent, nowMs));
+  }
+
+  /** Returns this entry's requests at upstreams of load-aware services, to be reported to the order lease holder. */
+  ownLoads(): readonly UpstreamLoad[] {
+    const loads: UpstreamLoad[] = [];
+    for (const { info, inFlight } of this.states.values()) {
+      if (inFlight === 0 || !this.isLoadAware(info.service)) continue;
+      loads.push({ upstream: info.id, running: inFlight });
+    }
+    return loads;
+  }
+
+  /** Returns the average paces that this entry has learned by itself. */
+  ownPaces(): readonly UpstreamPace[] {
+    const paces: UpstreamPace[] = [];
+    for (const { info, pace } of this.states.values()) {
+      if (pace.reportedAtMs === -Infinity || !this.isLoadAware(info.service)) continue;
+      paces.push({ upstream: info.id, percent: Math.round(pace.average * PERCENT) });
+    }
+    return paces;
+  }
+
+  /**
+   * Applies the requests of other entries, requested at `requestedAtMs`. Upstreams that are not listed have none. Answers
+   * may overtake each other; an older one is ignored.
+   */
+  recordSharedLoads(others: readonly UpstreamLoad[], requestedAtMs: Ms): void {
+    if (requestedAtMs < this.sharedAtMs) return;
+    this.sharedAtMs = requestedAtMs;
+    for (const state of this.states.values()) state.sharedLoad = 0;
+    for (const { upstream, running } of others) {
+      const state = this.states.get(upstream);
+      if (state) state.sharedLoad = running;
+    }
+  }
+
+  /** Applies the average paces over all entries. */
+  recordSharedPaces(paces: readonly UpstreamPace[], nowMs: Ms): void {
+    for (const { upstream, percent } of paces) {
+      const state = this.states.get(upstream);
+      if (state) this.updatePace(state, onSharedPercent(state.pace, percent, nowMs));
+    }
+  }
+
+  /** Sets a pace; one that has changed shows that an upstream of the service reports it. */
+  private updatePace(state: UpstreamState, pace: UpstreamState['pace']): void {
+    const draft = state;
+    if (pace === state.pace) return;
+    draft.pace = pace;
+    this.pacedServices.add(state.info.service);
   }
 
   /** Records the time from sending a request to the first event of its stream. */
@@ -400,7 +486,16 @@
     );
   }
 
-  private others({ othersLoad, othersAtMs }: UpstreamState, nowMs: Ms): number {
-    return othersLoad * 0.5 ** ((nowMs - othersAtMs) / OTHERS_HALF_LIFE_MS);
+  private others(state: UpstreamState, nowMs: Ms): number {
+    const { othersLoad, othersAtMs } = state;
+    const byHeader = othersLoad * 0.5 ** ((nowMs - othersAtMs) / OTHERS_HALF_LIFE_MS);
+    if (!this.isLoadAware(state.info.service)) return byHeader;
+    const { freshMs, halfLifeMs } = sharedLoadRules;
+    const overdueMs = nowMs - this.sharedAtMs - freshMs;
+    const bySum = state.sharedLoad * 0.5 ** (Math.max(0, overdueMs) / halfLifeMs);
+    if (othersAtMs <= this.sharedAtMs) return bySum;
+    // A load header leaves out requests that are on their way to the upstream. So while the sum is fresh, a newer header
+    // only shows requests that the sum lacks: an underestimate overloads the upstream, an overestimate lasts 100 ms.
+    return overdueMs > 0 ? byHeader : Math.max(bySum, byHeader);
   }
 }
--- a/src/direct/route/upstreamstate.ts
+++ b/src/direct/route/upstreamstate.ts
@@ -14,6 +14,8 @@
   /** Requests of other entries, by the load reported in the last answer. */
   othersLoad: number;
   othersAtMs: Ms;
+  /** Requests of other entries by the last sum over all entries; used for load-aware services. */
+  sharedLoad: number;
   pace: Pace;
   /** Fraction of the recent attempts that failed there: 0 to 1. */
   failureShare: number;
--- a/src/port/upstreamreceiver.ts
+++ b/src/port/upstreamreceiver.ts
@@ -13,7 +13,12 @@
   /** False if the end of the connection ends the answer: a truncated answer cannot be detected then. */
   readonly hasLength: boolean;
   /** Numbers of running and waiting requests at the upstream, if it reports them. */
-  readonly load?: { readonly running: number; readonly waiting: number };
+  readonly load?: {
+    readonly running: number;
+    readonly waiting: number;
+    /** How long work takes there now, in percent of the usual time; absent if it is missing or unreadable. */
+    readonly workPercent?: number;
+  };
   readonly weightsVersion?: string;
   /** The upstream's report of its own state; absent if the answer is from another start of the upstream. */
   readonly selfReport?: SelfReport;
