--- a/bench/allocationcost.ts
+++ b/bench/allocationcost.ts
@@ -2,13 +2,22 @@
 import { Plan, type PlanInput } from '../src/core/allocation/index.js';
 import type { Bench } from './bench.js';
 
-const SIZES: readonly { readonly engines: number; readonly models: number }[] = [
+interface Size {
+  readonly engines: number;
+  readonly models: number;
+  /** True if engines differ in how long work takes there. */
+  readonly hasPaces?: boolean;
+}
+
+const SIZES: readonly Size[] = [
   { engines: 8, models: 26 },
   { engines: 28, models: 85 },
   { engines: 65, models: 171 },
+  { engines: 65, models: 171, hasPaces: true },
   { engines: 250, models: 400 },
   { engines: 1000, models: 1200 },
 ];
+const PACES = [0.6, 1, 1.6];
 const ROUNDS = 5;
 const MODELS_PER_ENGINE = 3;
 /** Number of models that take most of the requests, and the fraction of engines that hold the first of them. */
@@ -32,7 +41,7 @@
 }
 
 /** Engines that hold busy and rare models, after demand has shifted to the next four models. */
-function inputOf(engines: number, count: number): PlanInput {
+function inputOf({ engines, models: count, hasPaces = false }: Size): PlanInput {
   const models = modelsOf(count);
   const names = [...models.keys()];
   const upstreams = Array.from({ length: engines }, (_, at) => {
@@ -49,7 +58,9 @@
     }));
     const none = new Set<ModelId>();
     const id = `u${at}` as UpstreamId;
-    return { id, slots: 12, placed, isBusy: at % 3 === 0, warm: none, onDisk: none, load: 0 };
+    const pace = hasPaces ? PACES[at % PACES.length]! : 1;
+    const isBusy = at % 3 === 0;
+    return { id, slots: 12, pace, placed, isBusy, warm: none, onDisk: none, load: 0 };
   });
   const quiet = { waiting: 0, missed: 0, adaptersInUse: 0, absentMs: 0, idleMs: 500 };
   const demand = new Map(
@@ -73,12 +84,13 @@
 /** Measures an allocation plan by engines and models: the first run, with uncompiled code, and the best of five. */
 export const allocationCost: Bench = () => {
   const table: Record<string, object> = {};
-  for (const { engines, models } of SIZES) {
+  for (const size of SIZES) {
+    const { engines, models, hasPaces } = size;
     const tookMs: number[] = [];
     let longestStepMs = 0;
     let moves = 0;
     for (let round = 0; round < ROUNDS; round += 1) {
-      const plan = new Plan(inputOf(engines, models));
+      const plan = new Plan(inputOf(size));
       const fromMs = performance.now();
       for (let isDone = false; !isDone;) {
         const stepFromMs = performance.now();
@@ -89,7 +101,7 @@
       moves = plan.moves.length;
     }
     const round = (ms: number) => Math.round(ms * 100) / 100;
-    table[`${engines} engines, ${models} models`] = {
+    table[`${engines} engines, ${models} models${hasPaces ? ', paces 0.6 to 1.6' : ''}`] = {
       firstMs: round(tookMs[0]!),
       bestMs: round(Math.min(...tookMs)),
       longestStepMs: round(longestStepMs),
--- a/src/core/allocation/loadprojection.ts
+++ b/src/core/allocation/loadprojection.ts
@@ -13,7 +13,9 @@
 /** A queue holds the arrivals of at most about this many seconds, as callers that wait longer leave. */
 const QUEUE_SPAN_S = 2;
 
-function byLevel(a: Site, b: Site): number {
+type Basin = Pick<Site, 'level' | 'pace'>;
+
+function byLevel(a: Basin, b: Basin): number {
   return a.level - b.level;
 }
 
@@ -77,18 +79,31 @@
     if (load === 0 || sites.length === 0) return;
     const sorted = [...sites].sort(byLevel);
     const levels = sorted.map((site) => site.level);
-    const level = waterFill(load, levels);
+    const level = waterFill(load, sorted);
     for (const [at, site] of sorted.entries()) {
       if (levels[at]! < level) this.setPortion(site, model, level - levels[at]!);
     }
   }
 
-  /** Returns the requests per second that become on time with another replica on an engine of this level. */
-  gainAt(held: HeldModel, level: number): number {
+  /** Returns the requests per second that become on time with another replica on an engine. */
+  gainAt(held: HeldModel, site: Site): number {
     if (held.load === 0) return 0;
-    const others = held.sites.map((site) => site.level - (site.portions.get(held.model) ?? 0));
-    const before = held.sites.reduce((sum, site) => sum + this.lateAt(site.level), 0);
-    return this.late(held, [...others, level], -this.lateAt(level) - before);
+    const others = held.sites.map((other) => this.withoutPortion(other, held.model));
+    const before = held.sites.reduce((sum, other) => sum + this.lateAt(other), 0);
+    return this.late(held, [...others, site], -this.lateAt(site) - before);
+  }
+
+  /**
+   * Returns how much of a model's load an engine would answer on time as its first replica, relative to an engine of
+   * the usual pace with the same level.
+   */
+  firstReplicaShare({ load }: HeldModel, { level, pace }: Site): number {
+    if (pace === 1 || load === 0) return 1;
+    const answered = (factor: number) =>
+      (goodput(level + load * factor, this.onTimeShare) - goodput(level, this.onTimeShare)) /
+      factor;
+    const usual = answered(1);
+    return usual > 0 ? answered(pace) / usual : 1;
   }
 
   /** Returns the requests per second that become late or are refused without the replica on an engine. */
@@ -96,9 +111,9 @@
     const portion = lost.portions.get(held.model) ?? 0;
     if (portion === 0) return 0;
     const left = held.sites.filter((site) => site !== lost);
-    const others = left.map((site) => site.level - (site.portions.get(held.model) ?? 0));
-    const before = held.sites.reduce((sum, site) => sum + this.lateAt(site.level), 0);
-    const freed = this.lateAt(lost.level - portion);
+    const others = left.map((site) => this.withoutPortion(site, held.model));
+    const before = held.sites.reduce((sum, site) => sum + this.lateAt(site), 0);
+    const freed = this.lateAt(this.withoutPortion(lost, held.model));
     return -this.late(held, others, freed - before);
   }
 
@@ -132,19 +147,25 @@
    * Returns by how many requests per second lateness falls if a model's load is distributed over engines of these
    * levels. `change` is the lateness of other engines afterwards, minus that of all affected engines at present.
    */
-  private late(held: HeldModel, levels: readonly number[], change: number): number {
-    const sorted = [...levels].sort((a, b) => a - b);
+  private late(held: HeldModel, basins: readonly Basin[], change: number): number {
+    const sorted = [...basins].sort(byLevel);
     const level = waterFill(held.load, sorted);
     let after = change;
-    for (const at of sorted) after += this.lateAt(Math.max(at, level));
+    for (const at of sorted) {
+      after += this.lateAt({ level: Math.max(at.level, level), pace: at.pace });
+    }
     // A slot serves fewer requests per second of a slow model.
     const requestsPerEngineS = held.load > 0 ? held.perSecond / held.load : this.requestsPerEngineS;
     return -after * requestsPerEngineS;
   }
 
-  /** Returns the load of an engine that is late or refused, as a share of its slots. */
-  private lateAt(level: number): number {
-    return level - goodput(level, this.onTimeShare);
+  /** Returns the load of an engine that is late or refused, as a share of the slots of an engine of the usual pace. */
+  private lateAt({ level, pace }: Basin): number {
+    return (level - goodput(level, this.onTimeShare)) / pace;
+  }
+
+  private withoutPortion({ level, pace, portions }: Site, model: ModelId): Basin {
+    return { level: level - (portions.get(model) ?? 0), pace };
   }
 
   private setPortion(site: Site, model: ModelId, portion: number): void {
@@ -164,6 +185,7 @@
     return {
       upstream,
       placed,
+      pace: upstream.pace ?? 1,
       level: 0,
       portions: new Map(),
       isReserved: isBusy,
--- a/src/core/allocation/replicagain.ts
+++ b/src/core/allocation/replicagain.ts
@@ -23,9 +23,10 @@
   const missed = modelDemand.waiting + modelDemand.missed * RETRY_SHARE;
   if (count === 0) {
     const absent = (absentGainPerS * modelDemand.absentMs) / MS_PER_S;
-    return reachableGain + held.perSecond * horizonS + missed + absent;
+    const share = projection.firstReplicaShare(held, site);
+    return reachableGain + held.perSecond * horizonS * share + missed + absent;
   }
-  const late = Math.max(0, projection.gainAt(held, site.level)) * horizonS;
+  const late = Math.max(0, projection.gainAt(held, site)) * horizonS;
   const isAbsent = held.readyCount === 0;
   const soonerS = isAbsent ? Math.max(0, held.readyInMs - loadMs) / MS_PER_S : 0;
   const redundancyGain = count === 1 ? held.perSecond * redundancyShare * horizonS : 0;
--- a/src/core/allocation/site.ts
+++ b/src/core/allocation/site.ts
@@ -8,6 +8,8 @@
 export interface Site {
   readonly upstream: PlanUpstream;
   readonly placed: readonly Placed[];
+  /** How long work takes there, as a factor of the usual time. */
+  readonly pace: number;
   /** Projected load of all its models, as a share of its slots. */
   level: number;
   /** Contribution of each model to `level`. */
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -217,12 +217,17 @@
     const promptsPerGap = (service: ServiceId) => this.fleet.promptsPerGap(service);
     const limitOf = (upstream: Upstream) => this.gate.limitOf(upstream);
     const isLoadAware = (service: ServiceId) => this.fleet.isLoadAware(service);
+    const paceOf = (id: UpstreamId) => {
+      const state = this.fleet.get(id);
+      return state ? this.fleet.paceOf(state, clock.nowMs()) : 1;
+    };
     const reading = {
       listSilentMs,
       listSteadyMs,
       loadOf,
       limitOf,
       promptsPerGap,
+      paceOf,
       isLoadAware,
     };
     this.dispatcher = new OrderDispatcher({ ...shared, ...reading, lease: this.orderLease });
--- a/src/direct/orders/orderdispatcher.ts
+++ b/src/direct/orders/orderdispatcher.ts
@@ -46,6 +46,8 @@
   readonly limitOf: (upstream: Upstream) => number | undefined;
   /** Prompts that a service's engine can prefill within one target token gap; undefined if not yet measured. */
   readonly promptsPerGap: (service: ServiceId) => number | undefined;
+  /** How long work takes at an upstream now, as a factor of the usual time; absent: 1. */
+  readonly paceOf?: ((upstream: UpstreamId) => number) | undefined;
   /** True if a service is served load-aware; absent: none is. */
   readonly isLoadAware?: ((service: ServiceId) => boolean) | undefined;
 }
@@ -335,6 +337,11 @@
     void this.mover.move(view, service, move, { demand, planAgeMs });
   }
 
+  private paceOf({ id, service }: Upstream): number {
+    const { isLoadAware, paceOf } = this.options;
+    return isLoadAware?.(service) ? (paceOf?.(id) ?? 1) : 1;
+  }
+
   private planUpstream(view: UpstreamView, nowMs: Ms): PlanUpstream {
     const { info, models, isMoving, restUntilMs } = view;
     const placed = [...models].map(([model, { phase, sinceMs, adapters }]) => ({
@@ -346,6 +353,7 @@
     return {
       id: info.id,
       slots: info.slots,
+      pace: this.paceOf(info),
       ratePerS: this.options.limitOf(info),
       placed,
       isBusy: isMoving || restUntilMs > nowMs,
--- a/test/allocation.test.ts
+++ b/test/allocation.test.ts
@@ -243,3 +243,51 @@
   );
   t.pass();
 });
+
+// Guards against replicas of the busiest model on engines on which its requests take longest.
+test('a model with too much load for one engine gets its replicas on the fastest engines', (t) => {
+  const upstreams = [
+    upstream('u1', ['m1']),
+    upstream('u2', [], { pace: 1.6 }),
+    upstream('u3', [], { pace: 1 }),
+    upstream('u4', [], { pace: 0.6 }),
+  ];
+  const busy = { concurrency: 12, perSecond: 12, idleMs: 0 };
+  const moves = planMoves(input(upstreams, { m1: busy }, ['m1']), 4);
+  t.deepEqual(moves.map((move) => move.upstream).slice(0, 2), ['u4', 'u3'] as UpstreamId[]);
+});
+
+test('the first replica of a busy model goes to the fastest engine', (t) => {
+  const paces = [1.6, 1, 0.6, 1];
+  const upstreams = paces.map((pace, at) => upstream(`u${at}`, [], { pace }));
+  const busy = { concurrency: 9, perSecond: 12, idleMs: 0, missed: 3 };
+  const [move] = planMoves(input(upstreams, { m1: busy }, ['m1']), 1);
+  t.is(move!.upstream, 'u2' as UpstreamId);
+});
+
+// Guards against a slow engine that is planned as if it answered as many requests as the others.
+test('a model on a slow engine gets another replica at a load that an engine of the usual pace bears', (t) => {
+  const load = { concurrency: 2.4, perSecond: 3, idleMs: 0 };
+  const gainAt = (pace: number) => {
+    const upstreams = [upstream('u1', ['m1'], { pace }), upstream('u2', [])];
+    const [move] = planMoves(input(upstreams, { m1: load }, ['m1']), 1);
+    return move?.gain ?? 0;
+  };
+  t.true(gainAt(1.6) > 2 * gainAt(1), `${gainAt(1.6)} and ${gainAt(1)}`);
+  t.true(gainAt(0.6) <= gainAt(1), `${gainAt(0.6)} and ${gainAt(1)}`);
+});
+
+test('a plan for engines of the usual pace is the same whether or not they report it', (t) => {
+  const names = ['m1', 'm2', 'm3', 'm4'];
+  const demand = { m1: { concurrency: 9, perSecond: 6, idleMs: 0 }, m4: { waiting: 2, idleMs: 0 } };
+  const planOf = (more: Partial<PlanUpstream>) =>
+    planMoves(
+      input(
+        [['m1', 'm2'], ['m3'], ['m2', 'm3']].map((held, at) => upstream(`u${at}`, held, more)),
+        demand,
+        names,
+      ),
+      9,
+    );
+  t.deepEqual(planOf({ pace: 1 }), planOf({}));
+});
