--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -389,6 +389,11 @@
     this.meter.waiting(target, change);
   }
 
+  refusedFull(target: Target, isReturn: boolean): void {
+    // A caller counts once, whether or not its return is refused as well.
+    if (!isReturn) this.meter.refusedFull(target);
+  }
+
   began(target: Target): void {
     this.meter.began(target);
   }
--- a/src/direct/orders/demandestimator.ts
+++ b/src/direct/orders/demandestimator.ts
@@ -11,6 +11,14 @@
   rarePerSecond: number;
   /** Average of requests that ended per second. */
   endedPerSecond: number;
+  /** Running requests as last reported. */
+  running: number;
+  /** Callers that were refused because all replicas were full, and have not returned yet. */
+  returning: number;
+  /** Callers that should have returned by now, and whose arrivals have not been left out yet. */
+  returned: number;
+  /** When a request was last refused because all replicas were full. */
+  refusedFullAtMs: Ms;
   /** Requests that found no replica, decayed over time. */
   missed: number;
   concurrency: number;
@@ -70,6 +78,13 @@
 const ADAPTER_FRESH_MS = 300;
 /** An entry that has not reported for this long is gone. */
 const SILENT_MS = 1500;
+/**
+ * A caller that was refused returns after about this long, once. Its return is not counted as another arrival, as the
+ * rate of a model would grow with the refusals.
+ */
+const RETURN_MS = 2000;
+/** What waits in queues for a full replica is to be served within this: the horizon of a plan. */
+const BACKLOG_S = 4;
 const MS_PER_S = 1000;
 
 /** Estimates demand for each model from the reports of all entries. Used by the order lease holder. */
@@ -88,13 +103,17 @@
 
   private updatedAtMs: Ms = 0;
 
+  /** `isLoadAware` tells which services count queues and returning callers; by default none does. */
+  constructor(private readonly isLoadAware: (service: ServiceId) => boolean = () => false) {}
+
   take({ entry, models }: DemandReport, nowMs: Ms): void {
     for (const stats of this.allStats()) stats.byEntry.delete(entry);
     const busy = new Set<string>();
     this.busy.set(entry, { adapters: busy, atMs: nowMs });
     for (const report of models) {
-      const { service, model, arrivals, ended = 0, running, waiting, adapters } = report;
+      const { service, model, ended = 0, running, waiting, adapters } = report;
       const stats = this.stats(service, model, nowMs);
+      const arrivals = this.firstArrivals(stats, report, nowMs);
       if (arrivals > 0 || waiting > 0) stats.lastMs = nowMs;
       this.firstMs ??= nowMs;
       stats.perSecond += (arrivals * MS_PER_S) / AVERAGE_MS;
@@ -116,6 +135,27 @@
     }
   }
 
+  /** Returns the arrivals of a report without the expected returns of callers that were refused before. */
+  private firstArrivals(
+    stats: ModelStats,
+    { service, arrivals, refusedFull = 0 }: DemandReport['models'][number],
+    nowMs: Ms,
+  ): number {
+    const changed = stats;
+    if (refusedFull > 0) changed.refusedFullAtMs = nowMs;
+    if (!this.isLoadAware(service)) return arrivals;
+    const returned = Math.min(stats.returned, arrivals);
+    changed.returned -= returned;
+    changed.returning += refusedFull;
+    return arrivals - returned;
+  }
+
+  /** Returns the models of a service with requests refused since `sinceMs` because all their replicas were full. */
+  refusedFullSince(service: ServiceId, sinceMs: Ms): readonly ModelId[] {
+    const models = [...(this.services.get(service) ?? [])];
+    return models.filter(([, stats]) => stats.refusedFullAtMs >= sinceMs).map(([model]) => model);
+  }
+
   adapterUsed(model: ModelId, adapter: string, nowMs: Ms): void {
     let adapters = this.adapters.get(model);
     if (!adapters) {
@@ -163,14 +203,23 @@
     const elapsedMs = nowMs - this.updatedAtMs;
     const kept = Math.exp(-elapsedMs / AVERAGE_MS);
     const keptInRise = Math.exp(-elapsedMs / RISE_MS);
+    const keptOfReturning = Math.exp(-elapsedMs / RETURN_MS);
     this.updatedAtMs = nowMs;
     this.updateMeanS(elapsedMs);
     for (const stats of this.allStats()) {
       let current = 0;
+      let runningNow = 0;
       for (const [entry, { running, waiting, atMs }] of stats.byEntry) {
         if (nowMs - atMs > SILENT_MS) stats.byEntry.delete(entry);
-        else current += running + waiting;
+        else {
+          current += running + waiting;
+          runningNow += running;
+        }
       }
+      const returnedNow = stats.returning * (1 - keptOfReturning);
+      stats.returning -= returnedNow;
+      // Some callers do not return: what was not found among the arrivals is forgotten.
+      stats.returned = stats.returned * kept + returnedNow;
       const keptOfEnded = Math.exp(-elapsedMs / PACE_AVERAGE_MS);
       stats.endedCount *= keptOfEnded;
       stats.endedS *= keptOfEnded;
@@ -182,6 +231,7 @@
       stats.longPerSecond *= Math.exp(-elapsedMs / LONG_MS);
       const share = current > stats.concurrency ? keptInRise : kept;
       stats.concurrency = current + (stats.concurrency - current) * share;
+      stats.running = runningNow + (stats.running - runningNow) * kept;
     }
   }
 
@@ -200,7 +250,9 @@
       for (const report of stats.byEntry.values()) waiting += report.waiting;
       if (isReady(model)) stats.missed = 0;
       const idleMs = nowMs - stats.lastMs;
-      const perSecond = this.rate(stats, idleMs, observedMs);
+      const isQueued = this.isLoadAware(service) && isReady(model);
+      const backlogPerSecond = isQueued ? waiting / BACKLOG_S : 0;
+      const perSecond = this.rate(stats, idleMs, observedMs) + backlogPerSecond;
       demand.set(model, {
         concurrency: perSecond * meanS * this.paceOf(stats, meanRunS),
         perSecond,
@@ -239,8 +291,10 @@
     for (const [service, allStats] of this.services) {
       let running = 0;
       let endedPerSecond = 0;
+      // What waits in a queue says nothing about the duration of a request at an upstream.
+      const isLoadAware = this.isLoadAware(service);
       for (const stats of allStats.values()) {
-        running += stats.concurrency;
+        running += isLoadAware ? stats.running : stats.concurrency;
         endedPerSecond += stats.endedPerSecond;
       }
       if (endedPerSecond * (AVERAGE_MS / MS_PER_S) < MIN_ENDED) continue;
@@ -294,6 +348,10 @@
         longPerSecond: 0,
         rarePerSecond: 0,
         endedPerSecond: 0,
+        running: 0,
+        returning: 0,
+        returned: 0,
+        refusedFullAtMs: -Infinity,
         missed: 0,
         concurrency: 0,
         endedCount: 0,
--- a/src/direct/orders/demandmeter.ts
+++ b/src/direct/orders/demandmeter.ts
@@ -11,6 +11,7 @@
   endedMs: Ms;
   running: number;
   waiting: number;
+  refusedFull: number;
   adapters: Set<string>;
   /** Requests at upstreams, by adapter. */
   readonly runningByAdapter: Map<string, number>;
@@ -65,12 +66,19 @@
     if (counts) counts.waiting += change;
   }
 
+  /** Counts a first try that was refused because all upstreams with its model were full. */
+  refusedFull(target: Target): void {
+    const counts = this.countsOf(target);
+    if (counts) counts.refusedFull += 1;
+  }
+
   /** Returns the counts since the last report and resets them; models without activity are left out. */
   report(lost: readonly UpstreamId[] = [], heard?: ResidencyCursor): DemandReport {
     const models: DemandReport['models'][number][] = [];
     for (const [key, counts] of this.counts) {
       const { service, model, arrivals, ended, endedMs, running, waiting, adapters } = counts;
-      if (arrivals === 0 && ended === 0 && running === 0 && waiting === 0) {
+      const { refusedFull } = counts;
+      if (arrivals + ended + refusedFull === 0 && running === 0 && waiting === 0) {
         this.counts.delete(key);
         continue;
       }
@@ -83,12 +91,14 @@
         endedMs: Math.round(endedMs),
         running,
         waiting,
+        ...(refusedFull > 0 ? { refusedFull } : {}),
         adapters: [...adapters],
         busyAdapters,
       });
       counts.arrivals = 0;
       counts.ended = 0;
       counts.endedMs = 0;
+      counts.refusedFull = 0;
       counts.adapters = new Set();
     }
     return { entry: this.entry, address: this.address, models, lost, heard };
@@ -107,6 +117,7 @@
         endedMs: 0,
         running: 0,
         waiting: 0,
+        refusedFull: 0,
         adapters: new Set(),
         runningByAdapter: new Map(),
       };
--- a/src/direct/orders/demandreport.ts
+++ b/src/direct/orders/demandreport.ts
@@ -16,8 +16,10 @@
   readonly endedMs?: Ms;
   /** Requests at upstreams now. */
   readonly running: number;
-  /** Requests that wait because no upstream has their target loaded. */
+  /** Requests that wait because no upstream has their target loaded, or all that have it are full. */
   readonly waiting: number;
+  /** First tries that were refused because all upstreams with the model were full; absent: none. */
+  readonly refusedFull?: number;
   readonly adapters: readonly string[];
   /** Adapters with requests at upstreams now. */
   readonly busyAdapters: readonly string[];
--- a/src/direct/orders/orderdispatcher.ts
+++ b/src/direct/orders/orderdispatcher.ts
@@ -80,7 +80,7 @@
 export class OrderDispatcher {
   private readonly views = new Map<UpstreamId, UpstreamView>();
 
-  private readonly book = new DemandEstimator();
+  private readonly book: DemandEstimator;
 
   private readonly residencyChanges = new ResidencyChanges();
 
@@ -108,6 +108,7 @@
   table: RouteTable | undefined;
 
   constructor(private readonly options: OrderDispatcherOptions) {
+    this.book = new DemandEstimator(options.isLoadAware);
     this.budget = new LoadBudget(options.loadWindowMs, options.loadOvershoot);
     this.orders = { ...options, engineOf: (service) => this.engineOf(service) };
     this.adapters = new AdapterLoader(this.orders, this.book, this.residencyChanges);
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -609,6 +609,7 @@
       this.close('cut');
       return;
     }
+    if (type === 'upstreams-full') this.serving.refusedFull(this.target!, this.isReturn);
     if (this.ranCount > 0) this.refuse(502, type, detail);
     else this.refuse(503, type, detail, retryAfterMs ?? RETRY_AFTER_MS);
   }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -54,6 +54,8 @@
   arrived(target: Target): void;
   /** Changes the number of requests that wait because no suitable upstream accepts them now. */
   waiting(target: Target, change: 1 | -1): void;
+  /** Counts a request that was refused because every upstream that has its target is full. */
+  refusedFull(target: Target, isReturn: boolean): void;
   /** Counts a request that was sent to an upstream. */
   began(target: Target): void;
   /** Counts a request that ended after `tookMs` at an upstream. */
--- a/test/support/fakeserving.ts
+++ b/test/support/fakeserving.ts
@@ -1,7 +1,16 @@
 import type { Serving } from '../../src/direct/serving.js';
 
 const ignore = () => {};
-const COUNTERS = ['arrived', 'waiting', 'began', 'left', 'attempted', 'ended', 'refused'];
+const COUNTERS = [
+  'arrived',
+  'waiting',
+  'began',
+  'left',
+  'attempted',
+  'ended',
+  'refused',
+  'refusedFull',
+];
 
 /** Parts of an entry that a test has to give. */
 type Given = 'clock' | 'fleet' | 'budgetOf' | 'link' | 'decideAccess' | 'waitForTarget';
