--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -218,12 +218,17 @@
     const promptsPerGap = (service: ServiceId) => this.fleet.promptsPerGap(service);
     const limitOf = (upstream: Upstream) => this.gate.limitOf(upstream);
     const isLoadAware = (service: ServiceId) => this.fleet.isLoadAware(service);
+    const paceOf = (id: UpstreamId) => {
+      const state = this.fleet.get(id);
+      return state ? this.fleet.paceOf(state, clock.nowMs()) : 1;
+    };
     const reading = {
       listSilentMs,
       listSteadyMs,
       loadOf,
       limitOf,
       promptsPerGap,
+      paceOf,
       isLoadAware,
     };
     this.dispatcher = new OrderDispatcher({ ...shared, ...reading, lease: this.orderLease });
@@ -384,6 +389,11 @@
     this.meter.waiting(target, change);
   }
 
+  refusedFull(target: Target, isReturn: boolean): void {
+    // A caller counts once, whether or not its return is refused as well.
+    if (!isReturn) this.meter.refusedFull(target);
+  }
+
   began(target: Target): void {
     this.meter.began(target);
   }
