--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -220,7 +220,7 @@
     const isLoadAware = (service: ServiceId) => this.fleet.isLoadAware(service);
     const paceOf = (id: UpstreamId) => {
       const state = this.fleet.get(id);
-      return state ? this.fleet.paceOf(state, clock.nowMs()) : 1;
+      return state ? this.fleet.averagePaceOf(state, clock.nowMs()) : 1;
     };
     const reading = {
       listSilentMs,
