--- a/bench/table.ts
+++ b/bench/table.ts
@@ -24,6 +24,7 @@
   policy: async () => (await import('./policy.js')).policy,
   'access-cost': async () => (await import('./accesscost.js')).accessCost,
   'admission-cost': async () => (await import('./admissioncost.js')).admissionCost,
+  'queue-cost': async () => (await import('./queuecost.js')).queueCost,
   'config-cost': async () => (await import('./configcost.js')).configCost,
   'path-link': async () => (await import('./pathlink.js')).pathLink,
   'path-throughput': async () => (await import('./paththroughput.js')).pathThroughput,
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -52,6 +52,7 @@
 import { TargetFinder } from './targetfinder.js';
 import type { Serving } from './serving.js';
 import type { StateCodec } from './statecodec.js';
+import { Waitline } from './waitline/index.js';
 import { Follower, paceTable, SharedFeed } from './sync/index.js';
 
 /** Settings and ports of a direct entry. */
@@ -93,6 +94,8 @@
 
   readonly origins: Origins;
 
+  readonly waitline: Waitline;
+
   table: RouteTable | undefined;
 
   mayWait = true;
@@ -147,7 +150,10 @@
     this.log = log;
     this.link = link;
     this.gate = this.createUpstreamGate();
-    this.fleet = new Fleet(settings.availabilityZone, this.gate);
+    const fleet = new Fleet(settings.availabilityZone, this.gate);
+    this.fleet = fleet;
+    const waiting = (...args: Parameters<Serving['waiting']>) => this.waiting(...args);
+    this.waitline = new Waitline({ clock, log, metrics: context.metrics, fleet, waiting });
     const { host, peerListen, orderTurnMs, loadWindowMs, loadOvershoot } = settings;
     this.budgets = new RetryBudgets({
       clock,
@@ -413,12 +419,14 @@
     const upstream = this.gate.withReportedState(listed);
     if (this.originHistory.upstream(upstream, this.clock.nowMs())) this.origins.tick();
     this.fleet.put(upstream);
+    this.waitline.wakeService(upstream.service);
     if (upstream.isLeaving) this.poison.upstreamLeaving(upstream.id);
     this.dispatcher.upstream(upstream);
   }
 
   upstreamGone(id: UpstreamId): void {
     this.fleet.remove(id);
+    this.waitline.wakeAll();
     this.originHistory.upstreamGone(id, this.clock.nowMs());
     this.poison.upstreamGone(id);
     this.dispatcher.removeUpstream(id);
@@ -489,6 +497,7 @@
     metrics.gauge('direct.upstreams_lost', this.fleet.lost(this.clock.nowMs()).length);
     metrics.gauge('direct.upstreams_limited', this.gate.limitedCount());
     metrics.gauge('direct.origins_kept', this.origins.size);
+    metrics.gauge('direct.queue_length', this.waitline.size);
   }
 
   private createUpstreamGate(): UpstreamGate {
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -223,6 +223,8 @@
       state.prefillCount -= 1;
       this.isPrefilling = false;
       fleet.recordFirstEvent(state, nowMs - this.sentAtMs, nowMs);
+      // Another prompt may be processed there now.
+      serving.waitline.wakeAt(state.info.id);
     }
     if (lastEventAtMs === undefined) return;
     const gapMs = nowMs - lastEventAtMs;
@@ -329,5 +331,6 @@
     else if (this.lastEventAtMs !== undefined) state.streamCount -= 1;
     this.isPrefilling = false;
     serving.left(target, serving.clock.nowMs() - this.sentAtMs);
+    serving.waitline.wakeAt(state.info.id);
   }
 }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -15,6 +15,7 @@
 import type { Serving } from '../serving.js';
 import type { FoundOrigin } from '../origin/index.js';
 import { Attempt } from './attempt.js';
+import { QueueAccess } from './queueaccess.js';
 import { Reply } from './reply.js';
 import { capacityWaitMs } from './capacitywait.js';
 import { resumptionFields } from './resumptionfields.js';
@@ -98,6 +99,8 @@
 
   private readonly retryCharge = new RetryCharge();
 
+  private readonly queue: QueueAccess;
+
   private forgetTimer = () => {};
 
   private readonly record: RunRecord = {
@@ -119,6 +122,9 @@
     this.route = admitted.route;
     this.reply = new Reply(admitted.caller);
     this.suspicion = new Suspicion(serving.poison, admitted.caller.request);
+    const attempt = () => this.attempt();
+    const refuse = (detail: string, ms: Ms) => this.giveUp('upstreams-full', detail, ms);
+    this.queue = new QueueAccess({ serving, admitted, attempt, refuse });
   }
 
   private get caller(): Caller {
@@ -255,9 +261,9 @@
     const choosing = { tried: this.tried, includesLost, isTrial, requestId };
     const state = serving.fleet.choose(this.target, nowMs, choosing);
     const block = state ? undefined : serving.fleet.blockFor(this.target, nowMs, requestId);
-    if (state && this.isAtLimit(state, nowMs)) this.waitForCapacity();
-    else if (state && this.isQueueTooLong(state, nowMs)) this.waitForQueue();
-    else if (state && this.isToBePaced(state, nowMs)) this.pace();
+    if (!state) this.queue.leave();
+    const hold = state && this.holdFor(state, nowMs);
+    if (hold) hold();
     else if (state && !caller.isPresent) caller.whenPresent(() => this.attempt());
     else if (state && mustAsk) void this.beginTrial();
     else if (state) this.send(state, route);
@@ -322,6 +328,30 @@
     this.giveUp('request-suspected', detail, SUSPECT_RETRY_AFTER_MS);
   }
 
+  /** Returns what the request does instead of being sent to its upstream now; undefined if it can be sent. */
+  private holdFor(state: UpstreamState, nowMs: Ms): (() => void) | undefined {
+    const hold = this.timerFor(state, nowMs);
+    // A request that has run or whose stream has begun is not refused, so that it does not wait in the queue.
+    if (!this.isLoadAware || this.ranCount > 0 || this.reply.hasBegun) return hold;
+    const { route, isReturn, untilMs } = this;
+    const target = this.target!;
+    const situation = { target, route, rank: this.urgency.rank, isReturn, untilMs };
+    if (!this.queue.mustWait(situation, hold !== undefined)) return undefined;
+    return () => this.queue.wait(situation, hold !== undefined);
+  }
+
+  private get isLoadAware(): boolean {
+    return this.serving.fleet.isLoadAware(this.target!.service);
+  }
+
+  /** Returns the wait for a better moment if the upstream cannot take the request in time now. */
+  private timerFor(state: UpstreamState, nowMs: Ms): (() => void) | undefined {
+    if (this.isAtLimit(state, nowMs)) return () => this.waitForCapacity();
+    if (this.isQueueTooLong(state, nowMs)) return () => this.waitForQueue();
+    if (this.isToBePaced(state, nowMs)) return () => this.pace();
+    return undefined;
+  }
+
   /** Returns true if a request of this urgency would be answered too late by an engine, which has reached its limit. */
   private isAtLimit(state: UpstreamState, nowMs: Ms): boolean {
     if (this.target!.model === undefined || this.ranCount > 0) return false;
@@ -333,6 +363,7 @@
   /** Returns true if a plain upstream would answer one more request too late. */
   private isQueueTooLong(state: UpstreamState, nowMs: Ms): boolean {
     if (this.target!.model !== undefined) return false;
+    if (this.reply.hasBegun && this.isLoadAware) return false;
     const heldMs = nowMs - this.caller.request.arrivedAtMs;
     return !this.serving.fleet.mayJoin(state, heldMs, this.route.targetLatencyMs, nowMs);
   }
@@ -490,6 +521,7 @@
     const options = { serving, suspicion, reply, record, route, target, state };
     this.tried.add(state.info.id);
     this.logRetry(state, nowMs);
+    this.queue.sent(target, this.urgency.rank);
     this.current = new Attempt({ ...options, maySend, begins, over });
     this.current.begin(this.callTo(state));
   }
@@ -658,6 +690,7 @@
     if (this.isOver) return;
     this.isOver = true;
     this.forgetTimer();
+    this.queue.leave();
     this.suspicion.end();
     this.retryCharge.settle();
     this.admitted.charge.settle(this.ranCount);
@@ -682,6 +715,7 @@
       firstByteMs: since(record.firstByteAtMs),
       pacedMs: record.pacedMs,
       blockedMs: record.blockedMs,
+      queuedMs: this.queue.waitedMs,
       listAgeMs: record.listAgeMs && Math.round(record.listAgeMs),
       longestGapMs: Math.round(record.longestGapMs),
       totalMs: since(nowMs),
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -10,6 +10,7 @@
 import type { QuotaClient } from './quota/index.js';
 import type { Fleet, Target } from './route/index.js';
 import type { UpstreamGate } from './selfreport/index.js';
+import type { Waitline } from './waitline/index.js';
 
 /** Whether a request's target was made ready. */
 type TargetResult =
@@ -31,6 +32,8 @@
   readonly origins: Origins;
   readonly quota: QuotaClient;
   readonly gate: UpstreamGate;
+  /** Queue of the requests of load-aware services that find no free slot. */
+  readonly waitline: Waitline;
   readonly table: RouteTable | undefined;
   /** False late in a planned stop: requests not yet sent to an upstream are refused. */
   readonly mayWait: boolean;
--- a/test/support/fakeserving.ts
+++ b/test/support/fakeserving.ts
@@ -12,6 +12,7 @@
     log: { info: ignore, warn: ignore, error: ignore },
     poison: { isIdle: true, answered: ignore, recordCrash: ignore } as never,
     gate: { onAnswer: ignore } as never,
+    waitline: { wakeAt: ignore } as never,
     table: { services: new Map() } as never,
     mayWait: true,
     listAgeMs: () => 0,
