--- a/bench/table.ts
+++ b/bench/table.ts
@@ -25,6 +25,7 @@
   'access-cost': async () => (await import('./accesscost.js')).accessCost,
   'admission-cost': async () => (await import('./admissioncost.js')).admissionCost,
   'choice-cost': async () => (await import('./choicecost.js')).choiceCost,
+  'queue-cost': async () => (await import('./queuecost.js')).queueCost,
   'config-cost': async () => (await import('./configcost.js')).configCost,
   'path-link': async () => (await import('./pathlink.js')).pathLink,
   'path-throughput': async () => (await import('./paththroughput.js')).pathThroughput,
