--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -258,6 +258,7 @@
       gate: this.gate,
       follower: this.follower,
       peers: () => this.peers,
+      loadsChanged: () => this.waitline.wakeAll(),
       hasCustomers: () => this.table?.access !== undefined,
       knownCount: () => this.knownCount(),
     });
--- a/src/direct/reporter.ts
+++ b/src/direct/reporter.ts
@@ -42,6 +42,8 @@
   readonly gate: UpstreamGate;
   readonly follower: Follower;
   readonly peers: () => Peers;
+  /** Called when other entries' loads have become known. */
+  readonly loadsChanged: () => void;
   /** True if customers are configured. */
   readonly hasCustomers: () => boolean;
   /** Number of entries that may exist, as known to this holder or the previous one. */
@@ -190,6 +192,7 @@
     const { fleet, clock } = this.options;
     if (report.loads && answer.loads) {
       fleet.recordSharedLoads(loadOfOthers(answer.loads, report.loads), sentAtMs);
+      this.options.loadsChanged();
     }
     if (!answer.paces) return;
     fleet.recordSharedPaces(answer.paces, clock.nowMs());
