--- a/src/command/trace/describerequest.ts
+++ b/src/command/trace/describerequest.ts
@@ -92,6 +92,8 @@
   if (blockedMs !== '' && blockedMs !== '0') {
     output.push(`  It waited ${blockedMs} ms in the queue of upstreams that accepted no requests.`);
   }
+  const queuedMs = text(fields.queuedMs);
+  if (queuedMs !== '') output.push(`  It waited ${queuedMs} ms in the queue of its entry.`);
   const part = barringPart(fields);
   if (part !== '') output.push(`  Part ${part} of its prompt crashes upstreams.`);
   if (fields.isReturn === true) output.push('  The caller had been refused before.');
@@ -101,6 +103,19 @@
   return output;
 }
 
+/** Describes why the queue of its entry refused a request, if it did. */
+function describeQueueRefusal(lines: readonly LogLine[], requestId: string): string[] {
+  const refusal = lines.find(
+    ({ message, fields }) => message === 'queue refused' && fields.requestId === requestId,
+  );
+  if (!refusal) return [];
+  const { reason, rank, position, expectedStartMs, waitedMs } = refusal.fields;
+  return [
+    `  The queue refused it as "${text(reason)}" (rank ${text(rank)}) after ${text(waitedMs)} ms: ` +
+      `${text(position)} requests before it, start expected in ${text(expectedStartMs)} ms.`,
+  ];
+}
+
 /** Returns the requests of one stream: the given one, the one that it resumes and others that resume the same. */
 function requestsOfStream(lines: readonly LogLine[], requestId: string): ReadonlySet<string> {
   const own = lines.find(({ fields }) => fields.requestId === requestId && text(fields.resumes));
@@ -176,6 +191,7 @@
   const traits = traitsOf(lines, requestId);
   for (const request of requests) {
     output.push(...describe(request));
+    output.push(...describeQueueRefusal(lines, text(request.fields.requestId)));
     const related = lines
       .filter((line) => isRelated(line, request, traits))
       .sort((a, b) => a.atMs - b.atMs);
--- a/test/sharedloadreports.test.ts
+++ b/test/sharedloadreports.test.ts
@@ -78,6 +78,7 @@
       gate: { report: () => [], take() {} },
       follower: { reachedMs: () => 0, confirm() {} },
       peers: () => ({ demand: (to: string, report: DemandReport) => this.demand(to, report) }),
+      loadsChanged() {},
       hasCustomers: () => true,
       knownCount: () => this.knownCount,
     };
--- a/test/trace.test.ts
+++ b/test/trace.test.ts
@@ -28,6 +28,25 @@
     totalMs: 60,
     retryAfterMs: 360,
   }),
+  line('queue refused', 48, {
+    requestId: 'r30',
+    reason: 'late',
+    rank: 3,
+    position: 12,
+    expectedStartMs: 640,
+    waitedMs: 35,
+    retryAfterMs: 2100,
+  }),
+  line('request', 48, {
+    requestId: 'r30',
+    end: 'upstreams-full',
+    attempts: [],
+    service: 's',
+    model: 'm7',
+    totalMs: 36,
+    queuedMs: 35,
+    retryAfterMs: 2100,
+  }),
   line('request refused', 50, {
     requestId: 'r5',
     reason: 'over-quota',
@@ -115,6 +134,15 @@
   t.notRegex(out, /r21/);
 });
 
+test('trace of a request that the queue refused prints the forecast behind the refusal', async (t) => {
+  const { out } = await trace('r30');
+  t.regex(out, /It waited 35 ms in the queue of its entry/);
+  t.regex(
+    out,
+    /refused it as "late" \(rank 3\) after 35 ms: 12 requests before it, start expected in 640 ms/,
+  );
+});
+
 test('trace of a request over its quota prints the customer and the quota state', async (t) => {
   const { out } = await trace('r5');
   t.regex(out, /refused as "over-quota" \(429\): its customer had reached its limit/);
