--- a/src/core/allocation/index.ts
+++ b/src/core/allocation/index.ts
@@ -4,6 +4,7 @@
  * nothing from an engine with an order under way, and starts at most `coldLoadsLeft` loads from the weight store.
  */
 export { heldMb } from './heldmb.js';
+export { idleReasons } from './idlereasons.js';
 export type { ModelDemand } from './modeldemand.js';
 export type { Move } from './move.js';
 export { Plan } from './plan.js';
--- a/src/direct/orders/orderdispatcher.ts
+++ b/src/direct/orders/orderdispatcher.ts
@@ -13,6 +13,7 @@
 import type { FindAnswer } from './findanswer.js';
 import { enqueue } from './enqueue.js';
 import { hasRoom } from './hasroom.js';
+import { IdleWatch } from './idlewatch.js';
 import { listLagMs } from './listlag.js';
 import { LoadBudget } from './loadbudget.js';
 import { Mover } from './mover.js';
@@ -96,6 +97,8 @@
 
   private readonly planRunner: PlanRunner;
 
+  private readonly idleWatch: IdleWatch;
+
   /** When the newest upstream first appeared. */
   private newestAtMs: Ms = 0;
 
@@ -124,6 +127,11 @@
       input: (service) => this.planInput(service),
       startMove: (service, move, input, ageMs) => this.startMove(service, move, input, ageMs),
     });
+    this.idleWatch = new IdleWatch({
+      ...options,
+      input: (service) => this.planInput(service),
+      refusedSince: (service, sinceMs) => this.book.refusedFullSince(service, sinceMs),
+    });
   }
 
   /** Called when this process takes the order lease; the previous holder's orders and loads still count. */
@@ -180,10 +188,12 @@
     if (this.needsCounts && lease.isHolder() && lease.ordersInMs() <= REQUEST_COUNTS_BEFORE_MS) {
       this.requestCounts();
     }
+    if (!lease.isHolder()) this.idleWatch.stop();
     if (!lease.mayOrder()) return;
     this.adapters.tick();
     for (const { id, engine } of this.table?.services.values() ?? []) {
       if (engine) this.planRunner.plan(id);
+      if (engine && this.options.isLoadAware?.(id)) this.idleWatch.tick(id);
     }
   }
 
