--- a/test/support/sharedloadworld.ts
+++ b/test/support/sharedloadworld.ts
@@ -2,6 +2,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { VirtualClock, type ModelId, type Ms, type ServiceId } from '../../src/base/index.js';
 import { LoadTable, loadOfOthers, sharedLoadRules } from '../../src/core/sharedload/index.js';
+import { hash32 } from '../../src/core/hash/index.js';
 import { Fleet, type UpstreamState } from '../../src/direct/route/index.js';
 
 /** Options of the simulation. */
@@ -87,7 +88,8 @@
 
   private send(fleet: Fleet, model: ModelId): void {
     const sentAtMs = this.clock.nowMs();
-    const state = fleet.choose({ service: SERVICE, model }, sentAtMs)!;
+    const choosing = { seed: hash32(String(this.sent)), targetMs: TARGET_MS };
+    const state = fleet.choose({ service: SERVICE, model }, sentAtMs, choosing)!;
     const engine = this.engines[Number(state.info.id)]!;
     this.sent += 1;
     state.inFlight += 1;
--- a/test/trace.test.ts
+++ b/test/trace.test.ts
@@ -156,7 +156,7 @@
 test('trace fails with a message if no log line has the request id', async (t) => {
   const { code, errors } = await trace('r2');
   t.is(code, 1);
-  t.regex(errors, /No line of 14 names the request r2/);
+  t.regex(errors, /No line of 16 names the request r2/);
 });
 
 for (const id of ['r10', 'r11']) {
