--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -17,7 +17,12 @@
   type UpstreamPace,
 } from '../../core/sharedload/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
-import { choosePlace, forecast, upstreamForecastRules } from '../../core/upstreamforecast/index.js';
+import {
+  choosePlace,
+  enginePlaces,
+  forecast,
+  upstreamForecastRules,
+} from '../../core/upstreamforecast/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { Block } from './block.js';
 import type { ChoiceOptions } from './choiceoptions.js';
@@ -267,7 +272,9 @@
       if (state) this.requestNextSlot(blocked, nowMs);
     }
     // Slots are used first; the most urgent requests exceed them only if none is free.
-    if (!state || !isEngine || !isUrgent || !this.isFull(state, false, nowMs)) return state;
+    if (!state || !isEngine || !isUrgent || !this.isFull(state, false, nowMs, choosing.targetMs)) {
+      return state;
+    }
     for (let at = 0; at < this.candidateCount; at += 1) {
       const candidate = candidates[at]!;
       candidate.slots *= upstreamForecastRules.urgentFactor;
@@ -278,7 +285,7 @@
 
   /** Collects the upstreams that a request may be sent to. */
   private collect(target: Target, nowMs: Ms, choosing: ChoiceOptions): void {
-    const { tried, includesLost = true, isTrial = false } = choosing;
+    const { tried, includesLost = true, isTrial = false, targetMs = 0 } = choosing;
     const isEngine = target.model !== undefined;
     this.candidateCount = 0;
     for (const state of this.upstreamsOf(target.service)) {
@@ -294,7 +301,7 @@
       candidate.risk = isLost || state.avoidUntilMs > nowMs ? AVOIDED_RISK : 0;
       if (isTrial && this.hasOnlyReplica(state, nowMs)) candidate.risk += ONLY_REPLICA_RISK;
       candidate.load = this.load(state.info.id, nowMs);
-      candidate.slots = isEngine ? this.placesOf(state, false, nowMs) : state.info.slots;
+      candidate.slots = isEngine ? this.placesOf(state, false, targetMs, nowMs) : state.info.slots;
       candidate.pace = this.paceOf(state, nowMs);
       candidate.unloadedFirstMs = isEngine ? state.usualFirstEventMs : state.serviceMs;
       candidate.serviceMs = state.serviceMs;
@@ -324,10 +331,11 @@
     this.candidateCount = count;
   }
 
-  /** Returns how many streams an engine of a load-aware service may take: its slots, or less while its gaps are long. */
-  private placesOf({ info, limit }: UpstreamState, isUrgent: boolean, nowMs: Ms): number {
-    const places = info.slots * Math.min(1, maxFill(limit, nowMs));
-    return isUrgent ? places * upstreamForecastRules.urgentFactor : places;
+  /** Returns how many streams an engine of a load-aware service may take. */
+  private placesOf(state: UpstreamState, isUrgent: boolean, targetMs: Ms, nowMs: Ms): number {
+    const { info, limit } = state;
+    const capacity = { pace: this.paceOf(state, nowMs), maxFill: maxFill(limit, nowMs) };
+    return enginePlaces({ slots: info.slots, ...capacity, targetMs, isUrgent });
   }
 
   /** Returns why no upstream that holds the target may be sent a request now: the block that ends first. */
@@ -548,9 +556,10 @@
   }
 
   /** Returns true if an engine has reached its limit, which is higher for the most urgent requests. */
-  isFull(state: UpstreamState, isUrgent: boolean, nowMs: Ms): boolean {
+  isFull(state: UpstreamState, isUrgent: boolean, nowMs: Ms, targetMs: Ms = 0): boolean {
     if (this.isLoadAware(state.info.service)) {
-      const free = this.placesOf(state, isUrgent, nowMs) - this.load(state.info.id, nowMs);
+      const free =
+        this.placesOf(state, isUrgent, targetMs, nowMs) - this.load(state.info.id, nowMs);
       return free < upstreamForecastRules.minFree;
     }
     const share = isUrgent ? engineLimitRules.urgentFactor : 1;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -364,7 +364,8 @@
     if (this.target!.model === undefined || this.ranCount > 0) return false;
     // A caller that was refused once gives up after another refusal.
     const isUrgent = this.urgency.isFirst || this.isReturn;
-    return this.serving.fleet.isFull(state, isUrgent, nowMs);
+    const targetMs = this.route.targetLatencyMs - (nowMs - this.caller.request.arrivedAtMs);
+    return this.serving.fleet.isFull(state, isUrgent, nowMs, targetMs);
   }
 
   /** Returns true if a plain upstream would answer one more request too late. */
