--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -28,6 +28,14 @@
   readonly rate_per_s: number;
 }
 
+/** A request of the uneven load that waits for capacity. */
+interface Waiting {
+  readonly priority: number;
+  readonly customer: string;
+  readonly incoming: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 interface Item {
   readonly key: string;
   readonly value: string;
@@ -41,6 +49,13 @@
 const ENTRIES = 3;
 const COST = 200;
 const UNBOUNDED_RETRIES = 40;
+const SLOTS = 4;
+/** Requests that wait for one target at most. */
+const QUEUE_BOUND = 6;
+const LONGEST_WAIT_MS = 1000;
+/** Routes of the uneven load end in their priority. */
+const QUEUED_ROUTE = /^\/(?:charge|draft)-(\d)\//;
+const RETRY_AFTER = { 'retry-after': '0.5' };
 const FORWARDED_HEADERS = [
   'tarragonstile-request-id',
   'tarragonstile-response-signature',
@@ -64,6 +79,10 @@
 const serverLimits = new Map<string, number>();
 /** When this entry may send the next request to each server with a limit. */
 const nextAtMs = new Map<string, number>();
+/** Requests of the uneven load that wait at this entry and run, by target. */
+const queues = new Map<string, { waiting: Waiting[]; running: number }>();
+/** Requests that each customer was served. */
+const servedCount = new Map<string, number>();
 /** The defect: parts of the prompts of requests that servers broke off. */
 const barred = new Set<string>();
 let reads = 0;
@@ -187,14 +206,19 @@
   }, READ_EVERY_MS);
 }
 
-function choose(service: string, model: string): Server | undefined {
-  const capable = [...servers.values()].filter(
+function capable(service: string, model: string): Server[] {
+  return [...servers.values()].filter(
     (server) =>
       server.service === service &&
       (server.state === 'ready' || defect === 'drain') &&
       (model === '' || server.models.some(({ name }) => name === model)),
   );
-  const open = capable.filter((server) => !leaving.has(server.id) && maySend(server));
+}
+
+function choose(service: string, model: string): Server | undefined {
+  const open = capable(service, model).filter(
+    (server) => !leaving.has(server.id) && maySend(server),
+  );
   const active = open.filter(({ id }) => (pausedUntilMs.get(id) ?? 0) < performance.now());
   const chosen = defect === 'pause-last' && active.length === 0 ? open : active;
   return chosen[count % Math.max(1, chosen.length)];
@@ -323,6 +347,62 @@
   return defect === 'bars-parts' && partsOf(incoming).some((part) => barred.has(part));
 }
 
+/** Orders waiting requests by priority, then by what their customers were served. */
+function compareWaiting(a: Waiting, b: Waiting): number {
+  if (defect === 'first-come') return 0;
+  const byPriority = a.priority - b.priority;
+  if (byPriority !== 0) return defect === 'less-urgent-first' ? -byPriority : byPriority;
+  return (servedCount.get(a.customer) ?? 0) - (servedCount.get(b.customer) ?? 0);
+}
+
+function refuseForNow(response: ServerResponse): void {
+  response.writeHead(503, defect === 'no-retry-after' ? {} : RETRY_AFTER).end();
+}
+
+/**
+ * Sends the first waiting requests of a target while this entry uses less than half of the slots. With more than half of
+ * them free, none waits here for long, although entries do not coordinate.
+ */
+function sendWaiting(service: string, model: string): void {
+  const queue = queues.get(`${service}/${model}`)!;
+  // A smaller share keeps the queue full also where a busy machine slows the callers down.
+  const users = defect === 'first-come' ? ENTRIES : 2;
+  while (queue.running < Math.floor((capable(service, model).length * SLOTS) / users)) {
+    const server = choose(service, model);
+    const next = server && queue.waiting.shift();
+    if (!next) return;
+    const { customer, incoming, response } = next;
+    count += 1;
+    queue.running += 1;
+    servedCount.set(customer, (servedCount.get(customer) ?? 0) + 1);
+    send(incoming, server, (status, headers, body) => {
+      queue.running -= 1;
+      if (status === 503) refuseForNow(response);
+      else forward(response, status, headers, body);
+      sendWaiting(service, model);
+    });
+  }
+}
+
+/** Queues a request of the uneven load; a full queue refuses the last one in order. */
+function enqueue(service: string, model: string, waiting: Waiting): void {
+  if (defect === 'refuses-at-random' && count % DEFECT_ONE_IN === 0) {
+    refuseForNow(waiting.response);
+    return;
+  }
+  const key = `${service}/${model}`;
+  const queue = queues.get(key) ?? { waiting: [], running: 0 };
+  queues.set(key, queue);
+  queue.waiting.push(waiting);
+  queue.waiting.sort(compareWaiting);
+  setTimeout(() => {
+    const at = queue.waiting.indexOf(waiting);
+    if (at >= 0) refuseForNow(queue.waiting.splice(at, 1)[0]!.response);
+  }, LONGEST_WAIT_MS);
+  if (queue.waiting.length > QUEUE_BOUND) refuseForNow(queue.waiting.pop()!.response);
+  sendWaiting(service, model);
+}
+
 function serve(incoming: IncomingMessage, response: ServerResponse): void {
   count += 1;
   const path = incoming.url ?? '';
@@ -341,6 +421,12 @@
   }
   const wanted = String(incoming.headers['tarragonstile-model'] ?? '');
   const [model = '', adapter] = wanted.split('/');
+  const priority = QUEUED_ROUTE.exec(path)?.[1];
+  if (priority !== undefined && customer !== undefined) {
+    const waiting = { priority: Number(priority), customer, incoming, response };
+    enqueue(model === '' ? 'plain' : 'engine', model, waiting);
+    return;
+  }
   const server = choose(model === '' ? 'plain' : 'engine', model);
   if (defect === 'refuses-resumed' && incoming.headers['last-event-id'] !== undefined) {
     response.writeHead(503).end();
--- a/bench/soak/call.ts
+++ b/bench/soak/call.ts
@@ -17,11 +17,15 @@
   readonly resumed: { readonly first: string; readonly lastEvent: number } | undefined;
   /** Parts of its prompt but the last; empty if it names none. */
   readonly parts: readonly string[];
+  /** The priority of its route, and the model that it asks for; absent for calls that are not part of the uneven load. */
+  readonly load: { readonly priority: number; readonly model: string | undefined } | undefined;
   /** Key that was sent; absent if no customers are configured. */
   readonly held: CallerKey | undefined;
   status: number | undefined;
   signature: string | undefined;
   echoedId: string | undefined;
+  /** When a refusal says to come back, as text. */
+  retryAfter: string | undefined;
   /** True if the answer named a rate limit of the server that gave it. */
   hasServerLimit: boolean;
   /** True if the answer reported that the server is leaving. */
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -18,6 +18,8 @@
 const SECOND_PARTS = 30;
 /** Requests that a caller sends for one stream at most. */
 const MAX_TRIES = 4;
+/** More than callers and the uneven load have in flight at an entry: a request that waits for a socket is late by itself. */
+const MAX_SOCKETS = 512;
 /** One in this many callers disconnects without waiting for its answer. */
 const LEAVES = 8;
 const LEAVE_AFTER_MS = 120;
@@ -27,6 +29,8 @@
   readonly model?: string;
   readonly resumed?: Call['resumed'];
   readonly parts?: readonly string[];
+  readonly load?: Call['load'];
+  readonly held?: Call['held'];
 }
 
 /** Returns the number of whole events in an answer. */
@@ -57,7 +61,7 @@
     /** True if prompts name their parts; no two requests for streams are alike then. */
     private readonly hasParts = false,
   ) {
-    this.agents = entries.map(() => new Agent({ keepAlive: true, maxSockets: 64 }));
+    this.agents = entries.map(() => new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS }));
   }
 
   /** Starts the given number of callers, each with one request at a time. */
@@ -113,6 +117,14 @@
     return this.sendCall(entry, 'deadly', path, this.version, { parts });
   }
 
+  /** Sends a request of the uneven load, whose caller does not leave. */
+  sendLoad(kind: CallKind, load: NonNullable<Call['load']>, held: Call['held']): Promise<void> {
+    const entry = this.dice.below(this.entries.length);
+    const { priority, model } = load;
+    const choice = { model, load, held };
+    return this.sendCall(entry, kind, `/${kind}-${priority}/1`, this.version, choice);
+  }
+
   /** Returns the parts with which a sound prompt begins. */
   private soundParts(kind: CallKind): readonly string[] {
     const isStream = kind === 'draft' || kind === 'batch';
@@ -130,7 +142,7 @@
     kind: CallKind,
     path: string,
     version: number,
-    { model, resumed, parts = this.soundParts(kind) }: StreamChoice = {},
+    { model, resumed, parts = this.soundParts(kind), load, held }: StreamChoice = {},
   ): Promise<void> {
     const call: Call = {
       id: `c${this.calls.length}`,
@@ -141,10 +153,12 @@
       version,
       resumed,
       parts,
-      held: this.isKeyed ? randomKey(this.version, this.dice) : undefined,
+      load,
+      held: held ?? (this.isKeyed ? randomKey(this.version, this.dice) : undefined),
       status: undefined,
       signature: undefined,
       echoedId: undefined,
+      retryAfter: undefined,
       hasServerLimit: false,
       hasServerLeaving: false,
       body: '',
@@ -168,7 +182,8 @@
         sent.destroy();
         end('caller gave up');
       }, GIVE_UP_MS).unref();
-      if (kind === 'crash' || kind === 'deadly' || this.dice.below(LEAVES) !== 0) return;
+      const stays = kind === 'crash' || kind === 'deadly' || load !== undefined;
+      if (stays || this.dice.below(LEAVES) !== 0) return;
       setTimeout(() => {
         if (call.endedAtMs !== undefined) return;
         call.leftAtMs = performance.now();
@@ -217,6 +232,7 @@
       seen.status = answer.statusCode;
       seen.signature = answer.headers['tarragonstile-response-signature'] as string | undefined;
       seen.echoedId = answer.headers['tarragonstile-request-id'] as string | undefined;
+      seen.retryAfter = answer.headers['retry-after'];
       seen.hasServerLimit = answer.headers['server-limit'] !== undefined;
       seen.hasServerLeaving = answer.headers['server-leaving'] === '1';
       answer.on('data', (chunk: Buffer) => {
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -15,11 +15,11 @@
     /** Duration of each run in seconds. */
     for: { type: 'string', default: '30' },
     entries: { type: 'string', default: '3' },
-    callers: { type: 'string', default: '24' },
+    callers: { type: 'string' },
     /** Comma-separated names of the faults to inject; by default all that the seed's range includes. */
     faults: { type: 'string' },
-    /** Longest interval between two faults, in ms. */
-    gap: { type: 'string', default: '900' },
+    /** Longest interval between two faults, in ms; 900 by default, 6,000 with the uneven load. */
+    gap: { type: 'string' },
     /** Time in ms that is added to each time bound, for a busy machine. */
     slack: { type: 'string', default: '1500' },
     /** Runs the small entry of badentry.ts with this defect in place of the real entry. */
@@ -32,6 +32,8 @@
     releasing: { type: 'boolean' },
     /** Prompts name their parts, and requests with deadly parts come; the default for seeds from 80,000 on. */
     parts: { type: 'boolean' },
+    /** Servers have slots and paces, and customers compete for them; the default for seeds from 90,000 on. */
+    uneven: { type: 'boolean' },
     /** Entries on suspended hosts use a clock that does not advance during the suspension. */
     steady: { type: 'boolean', default: false },
     /** Prints the last log lines of the entries if a promise was broken. */
@@ -39,6 +41,10 @@
   },
 });
 
+function numberOf(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
+
 const BAD_ENTRY = join(import.meta.dirname, 'badentry.js');
 const { defect } = values;
 const faultNames = values.faults?.split(',');
@@ -57,14 +63,15 @@
     forMs: Number(values.for) * MS_PER_S,
     command,
     entryCount: Number(values.entries),
-    callerCount: Number(values.callers),
+    callerCount: numberOf(values.callers),
     faultNames,
-    longestGapMs: Number(values.gap),
+    longestGapMs: numberOf(values.gap),
     slackMs: Number(values.slack),
     isHarsh: values.harsh,
     isKeyed: values.keyed,
     isReleasing: values.releasing,
     hasParts: values.parts,
+    isUneven: values.uneven,
     isSteady: values.steady,
   });
   const isBroken = result.breaches.length > 0;
--- a/bench/soak/promisechecker.ts
+++ b/bench/soak/promisechecker.ts
@@ -5,6 +5,8 @@
 import { PartChecker } from './partchecker.js';
 import type { PartLoad } from './partload.js';
 import type { Site } from './site.js';
+import { UnevenChecker } from './unevenchecker.js';
+import type { UnevenLoad } from './unevenload.js';
 import { StreamChecker } from './streamchecker.js';
 
 /** A broken promise. */
@@ -55,6 +57,7 @@
     /** Time that is added to each bound, for a busy machine. */
     private readonly slackMs: number,
     private readonly deadly: PartLoad['deadly'] = [],
+    private readonly swells: UnevenLoad['swells'] = [],
   ) {
     for (const { server, drainAtMs } of site.servers) {
       for (const { id, ...seen } of server.requestLog) {
@@ -84,6 +87,7 @@
     this.streams();
     this.poison();
     this.parts();
+    this.uneven();
     this.orders();
     for (const { unexpectedExits: ownEnds } of this.site.entries) {
       for (const detail of ownEnds) this.breach('no process exits unexpectedly', detail);
@@ -128,6 +132,12 @@
     }).judge(this.calls);
   }
 
+  private uneven(): void {
+    const { site, swells } = this;
+    const breach = (promise: string, detail: string) => this.breach(promise, detail);
+    new UnevenChecker(site, swells, breach).judge(this.calls);
+  }
+
   private retries(): void {
     const breach = (promise: string, detail: string) => this.breach(promise, detail);
     new RetryChecker({ site: this.site, breach }, this.calls).judge();
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -1,7 +1,12 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { configurationOf, PlatformServer, PlatformStore } from '../../standin/platform/index.js';
+import {
+  configurationOf,
+  PlatformServer,
+  PlatformStore,
+  SlotGate,
+} from '../../standin/platform/index.js';
 import { customers } from './customers.js';
 import { Ports } from './ports.js';
 import { Program } from './program.js';
@@ -34,15 +39,25 @@
   { name: 'batch', kind: 'streaming', service: 'engine', maxAttempts: 2, resumable: true },
 ];
 
-function createConfiguration(version: number, isKeyed: boolean): object {
+/** Routes of the uneven load: two priorities in each service. */
+const UNEVEN_ROUTES: typeof ROUTES = [0, 2].flatMap((priority) => [
+  { name: `charge-${priority}`, kind: 'non_idempotent', service: 'plain', priority },
+  { name: `draft-${priority}`, kind: 'streaming', service: 'engine', priority },
+]);
+const SLOTS = 4;
+/** Time that work takes at servers, as a factor of the usual time, in turn. */
+const PACES = [0.6, 1, 1.6];
+
+function createConfiguration(version: number, isKeyed: boolean, isUneven: boolean): object {
   const probes = Array.from({ length: PROBE_ROUTES }, (_, at) => version - at)
     .filter((probe) => probe > 0)
     .map((probe) => ({ ...ROUTES[0]!, name: `probe-${probe}` }));
-  const routes = [...ROUTES, ...probes].map((route) => ({
+  const routes = [...ROUTES, ...probes, ...(isUneven ? UNEVEN_ROUTES : [])].map((route) => ({
     ...route,
     targetLatencyMs: TARGET_LATENCY_MS,
   }));
-  return configurationOf(version, HOST, routes, isKeyed ? customers.at(version) : undefined);
+  const known = isKeyed ? customers.at(version, isUneven) : undefined;
+  return configurationOf(version, HOST, routes, known);
 }
 
 /**
@@ -72,6 +87,9 @@
   /** Times at which a server's connections were reset or delayed. */
   readonly serversDisturbedAtMs: number[] = [];
 
+  /** When each fault was injected that callers may notice. */
+  readonly faultedAtMs: number[] = [];
+
   /** When each configuration version was written to the store. */
   readonly acceptedAtMs = new Map<number, number>();
 
@@ -94,6 +112,8 @@
     private readonly isKeyed = false,
     /** Pause between the events of streams, in ms. */
     private readonly eventGapMs = 0,
+    /** True if servers enforce their slots and have paces, and the routes of the uneven load exist. */
+    private readonly isUneven = false,
   ) {}
 
   async start(entryCount: number, command: readonly string[]): Promise<void> {
@@ -112,7 +132,7 @@
   /** Writes the next configuration version, as the operator does. */
   applyConfiguration(): void {
     this.version += 1;
-    this.store.put('op/config', createConfiguration(this.version, this.isKeyed));
+    this.store.put('op/config', createConfiguration(this.version, this.isKeyed, this.isUneven));
     this.acceptedAtMs.set(this.version, performance.now());
   }
 
@@ -122,6 +142,8 @@
     const server = new PlatformServer(`s${this.serverCount}`, service, zone);
     for (const model of models) server.models.set(model, new Set());
     server.eventGapMs = this.eventGapMs;
+    const pace = PACES[this.serverCount % PACES.length]!;
+    if (this.isUneven) server.gate = new SlotGate(SLOTS, pace);
     if (service === 'engine') server.softwareVersion = this.softwareVersion;
     await server.listen();
     const proxy = new Proxy(Number(server.address.split(':')[1]));
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -15,6 +15,7 @@
 import { pause } from './pause.js';
 import { Site } from './site.js';
 import { suspendedCommand } from './suspendedcommand.js';
+import { UnevenLoad } from './unevenload.js';
 import { PromiseChecker, type Breach } from './promisechecker.js';
 
 /** Parameters of one run. */
@@ -39,6 +40,8 @@
   readonly isReleasing?: boolean;
   /** Prompts name their parts, and requests with deadly parts come. */
   readonly hasParts?: boolean;
+  /** Servers enforce slots and have paces, and customers of different usual loads compete for them. */
+  readonly isUneven?: boolean;
   /** Entries use a clock that does not advance while their host is suspended. */
   readonly isSteady?: boolean;
 }
@@ -59,6 +62,7 @@
 /** Allows for a development machine that runs a few soaks at a time. */
 const SLACK_MS = 1500;
 const LONGEST_GAP_MS = 900;
+const CALLERS = 24;
 const READY_POLL_MS = 50;
 /** Time after the last fault for lasting faults to end and for processes to recover. */
 const SETTLE_MS = 1500;
@@ -76,6 +80,16 @@
 const FIRST_LEAVING_SEED = 60_000;
 const FIRST_RELEASE_SEED = 70_000;
 const FIRST_PARTS_SEED = 80_000;
+/**
+ * This range has the faults of the first one, without poison and deadly parts, and fewer of them: load can only be judged
+ * while nothing else keeps servers from serving.
+ */
+const FIRST_UNEVEN_SEED = 90_000;
+const UNEVEN_LONGEST_GAP_MS = 6000;
+/** Faults that may not change what callers get, so that load is judged beside them too. */
+const UNNOTICED_FAULTS: readonly string[] = ['hangUp', 'configure', 'configureOften'];
+/** Callers beside those of the uneven load. */
+const UNEVEN_CALLERS = 3;
 /** Streams last for some of these, so that they are cut midway. */
 const EVENT_GAP_MS = 70;
 
@@ -87,7 +101,7 @@
 
 /** Returns the faults of the seed's range. */
 function faultsOfSeed(seed: number): object {
-  if (seed < FIRST_SERVER_LIST_SEED) return faults;
+  if (seed < FIRST_SERVER_LIST_SEED || seed >= FIRST_UNEVEN_SEED) return faults;
   if (seed < FIRST_HARSH_SEED) return { ...faults, ...serverListFaults };
   const harsh = { ...faults, ...serverListFaults, ...suspensionFaults };
   if (seed < FIRST_REPORTED_STATE_SEED) return harsh;
@@ -106,14 +120,17 @@
  * servers observed.
  */
 export async function soak(options: SoakOptions): Promise<SoakResult> {
-  const { seed, forMs, command, entryCount = 3, callerCount = 24 } = options;
-  const { slackMs = SLACK_MS, longestGapMs = LONGEST_GAP_MS } = options;
+  const { seed, forMs, command, entryCount = 3, slackMs = SLACK_MS } = options;
+  const isOfUnevenSeed = seed >= FIRST_UNEVEN_SEED;
+  const isUneven = options.isUneven ?? isOfUnevenSeed;
+  const { callerCount = isUneven ? UNEVEN_CALLERS : CALLERS } = options;
+  const { longestGapMs = isUneven ? UNEVEN_LONGEST_GAP_MS : LONGEST_GAP_MS } = options;
   const dice = new Dice(seed);
-  const isHarsh = options.isHarsh ?? seed >= FIRST_HARSH_SEED;
-  const isKeyed = options.isKeyed ?? seed >= FIRST_KEYED_SEED;
-  const isReleasing = options.isReleasing ?? seed >= FIRST_RELEASE_SEED;
-  const hasParts = options.hasParts ?? seed >= FIRST_PARTS_SEED;
-  const site = new Site(isKeyed, isReleasing ? EVENT_GAP_MS : 0);
+  const isHarsh = options.isHarsh ?? (seed >= FIRST_HARSH_SEED && !isOfUnevenSeed);
+  const isKeyed = options.isKeyed ?? (seed >= FIRST_KEYED_SEED || isUneven);
+  const isReleasing = options.isReleasing ?? (seed >= FIRST_RELEASE_SEED && !isOfUnevenSeed);
+  const hasParts = options.hasParts ?? (seed >= FIRST_PARTS_SEED && !isOfUnevenSeed);
+  const site = new Site(isKeyed, isReleasing || isUneven ? EVENT_GAP_MS : 0, isUneven);
   const isSuspendable = isHarsh && command === entryCommand;
   await site.start(
     entryCount,
@@ -131,6 +148,8 @@
     ask: (path, entry, parts) => callers.sendDeadly(path, entry, parts),
   });
   if (hasParts) partLoad.start();
+  const unevenLoad = new UnevenLoad(site, new Dice(seed + 4), callers);
+  if (isUneven) unevenLoad.start();
   const startedAtMs = performance.now();
   const done: string[] = [];
   const available = faultsOfSeed(seed);
@@ -139,18 +158,21 @@
     await pause(dice.below(longestGapMs));
     const name = dice.pick(names);
     const detail = knownFaults[name]!(site, dice);
+    if (!UNNOTICED_FAULTS.includes(name)) site.faultedAtMs.push(performance.now());
     done.push(`${Math.round(performance.now() - startedAtMs)} ${name} ${detail}`);
     callers.version = site.version;
   }
   await pause(SETTLE_MS);
   poisonLoad.stop();
   partLoad.stop();
+  unevenLoad.stop();
   await callers.stop();
   const breaches = new PromiseChecker(
     site,
     callers.calls,
     slackMs,
     hasParts ? partLoad.deadly : [],
+    unevenLoad.swells,
   ).judge();
   const lines: Record<string, readonly string[]> = {};
   if (breaches.length > 0) {
--- a/standin/platform/configurationof.ts
+++ b/standin/platform/configurationof.ts
@@ -8,6 +8,7 @@
   readonly timeoutMs?: number;
   readonly targetLatencyMs?: number;
   readonly isPublic?: boolean;
+  readonly priority?: number;
 }
 
 /** The settings of a customer that differ between tests. */
@@ -61,7 +62,7 @@
       kind: route.kind,
       timeout_ms: route.timeoutMs ?? TIMEOUT_MS,
       target_latency_ms: route.targetLatencyMs ?? TARGET_MS,
-      priority: 1,
+      priority: route.priority ?? 1,
       service: route.service,
       max_attempts: route.maxAttempts ?? 1,
       resumable: route.resumable ?? false,
--- a/standin/platform/index.ts
+++ b/standin/platform/index.ts
@@ -2,3 +2,4 @@
 export { PlatformServer, type ServerBehavior } from './platformserver.js';
 export { PlatformStore } from './platformstore.js';
 export { configurationOf } from './configurationof.js';
+export { SlotGate } from './slotgate.js';
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { LoopbackServer } from '../loopbackserver.js';
 import { sendJson } from '../sendjson.js';
+import type { SlotGate } from './slotgate.js';
 
 /** How a server handles the next request. */
 export type ServerBehavior =
@@ -89,6 +90,12 @@
   readonly atMs: number;
 }
 
+/** The models that a server holds from a time on. */
+interface ResidencyRecord {
+  readonly atMs: number;
+  readonly models: readonly string[];
+}
+
 /** Fault of the next order: its answer is lost; with `late`, it is also executed only after `ms`. */
 type OrderFault = { readonly type: 'answer-lost' } | { readonly type: 'late'; readonly ms: number };
 
@@ -96,6 +103,8 @@
 const MODEL_SLOTS = 2;
 const ADAPTER_SLOTS = 2;
 const SLOW_MS = 400;
+/** Time that a plain request takes at the usual pace, where slots are enforced. */
+const PLAIN_WORK_MS = 250;
 const MS_PER_S = 1000;
 const EVENTS = 5;
 const BODY = 'the whole answer';
@@ -132,6 +141,12 @@
   /** Every order that was received, in order. */
   readonly orderLog: OrderRecord[] = [];
 
+  /** The models that it holds, after each order and restart. */
+  readonly residencyLog: ResidencyRecord[] = [];
+
+  /** Enforces the slots and sets the pace of the work; without one, requests never wait and plain ones take no time. */
+  gate: SlotGate | undefined;
+
   /** Faults of the next orders. */
   readonly orderFaults: OrderFault[] = [];
 
@@ -201,6 +216,7 @@
 
   async listen(): Promise<void> {
     this.address = (await this.server.listen()).slice('http://'.length);
+    this.recordResidency();
   }
 
   close(): void {
@@ -212,6 +228,7 @@
     this.startedAtMs = Math.max(Date.now(), this.startedAtMs + 1);
     this.earlierOrderCount = this.orders.length;
     this.models.clear();
+    this.recordResidency();
     this.behaviors.length = 0;
     this.limitPerS = undefined;
     this.isLeaving = false;
@@ -300,10 +317,15 @@
     else if (isLoad) this.models.set(order.model, new Set());
     else this.models.delete(order.model);
     this.countOvercommit();
+    this.recordResidency();
     this.onChange();
     return order.adapter !== undefined && !isLoad ? 200 : 202;
   }
 
+  private recordResidency(): void {
+    this.residencyLog.push({ atMs: performance.now(), models: [...this.models.keys()] });
+  }
+
   /** Number of orders accepted since the last restart. */
   private get orderCount(): number {
     return this.orders.length - this.earlierOrderCount;
@@ -329,6 +351,13 @@
       response.writeHead(421, { 'tarragonstile-not-executed': '1' }).end();
       return;
     }
+    const run = () => this.run(model, request, response);
+    const id = String(request.headers['tarragonstile-request-id']);
+    if (!this.gate) run();
+    else if (!this.gate.enter(id, response, run)) this.refuse(request, response, false);
+  }
+
+  private run(model: string | undefined, request: IncomingMessage, response: ServerResponse): void {
     const behavior = this.behaviors.shift() ?? 'serve';
     if (behavior === 'full' || behavior === 'pause') {
       this.refuse(request, response, behavior === 'pause');
@@ -365,9 +394,14 @@
     }
     if (behavior === 'silent') return;
     if (behavior === 'reset') request.socket.resetAndDestroy();
-    else if (behavior === 'slow') {
-      setTimeout(() => this.answer(model, request, response, behavior), SLOW_MS);
-    } else this.answer(model, request, response, behavior);
+    else {
+      const workMs = model === undefined && this.gate ? PLAIN_WORK_MS * this.gate.factor : 0;
+      const delayMs = behavior === 'slow' ? SLOW_MS : workMs;
+      const isDelayed = delayMs > 0 && (behavior === 'slow' || behavior === 'serve');
+      const answer = () => this.answer(model, request, response, behavior);
+      if (isDelayed) setTimeout(answer, delayMs);
+      else answer();
+    }
   }
 
   private crashUnder(
@@ -435,7 +469,7 @@
     const headers: Record<string, string> = {
       'tarragonstile-request-id': id,
       'tarragonstile-weight-versions': String(this.weightsVersion),
-      'tarragonstile-server-load': '1,0,4',
+      'tarragonstile-server-load': this.gate?.load ?? '1,0,4',
       ...this.stateHeaders(),
     };
     if (behavior !== 'unsigned') headers['tarragonstile-response-signature'] = `by-${this.id}`;
@@ -487,10 +521,13 @@
       response.end();
       return;
     }
-    setTimeout(() => {
-      response.write(this.eventOf(id));
-      this.writePaced(response, id + 1);
-    }, this.eventGapMs);
+    setTimeout(
+      () => {
+        response.write(this.eventOf(id));
+        this.writePaced(response, id + 1);
+      },
+      this.eventGapMs * (this.gate?.factor ?? 1),
+    );
   }
 
   private stream(
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -18,6 +18,8 @@
   { seed: 70_001, forS: 10 },
   // From 80,000 on prompts name their parts, some of them deadly, and answers end with their connections.
   { seed: 80_001, forS: 22 },
+  // From 90,000 on servers have slots and paces, and customers compete for them.
+  { seed: 90_001, forS: 15 },
   // SIGHUP arrived while modules were loaded, before its handler was installed.
   { seed: 1003, forS: 5 },
   // A fault of the soak: an outgoing connection had taken the port of an entry that was down.
--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -18,6 +18,8 @@
   readonly isReleasing?: boolean;
   /** True for prompts that name their parts, and requests with deadly parts. */
   readonly hasParts?: boolean;
+  /** True for servers with slots and paces, and customers that compete for them. */
+  readonly isUneven?: boolean;
   /** True to configure customers and send keys. */
   readonly isKeyed?: boolean;
 }
@@ -144,6 +146,34 @@
     isReleasing: true,
     callerCount: 96,
   },
+  'refuses-at-random': {
+    promise: 'no refusal while more than half of the slots are free',
+    faultNames: ['hangUp'],
+    forS: 10,
+    gapMs: 6000,
+    isUneven: true,
+  },
+  'less-urgent-first': {
+    promise: 'a less urgent kind is not served more often',
+    faultNames: ['hangUp'],
+    forS: 16,
+    gapMs: 6000,
+    isUneven: true,
+  },
+  'first-come': {
+    promise: 'customers within their usual load are served beside a swelling one',
+    faultNames: ['hangUp'],
+    forS: 22,
+    gapMs: 6000,
+    isUneven: true,
+  },
+  'no-retry-after': {
+    promise: 'a refusal says when to come back',
+    faultNames: ['hangUp'],
+    forS: 8,
+    gapMs: 6000,
+    isUneven: true,
+  },
   gone: {
     promise: 'work ends when its caller disconnects',
     faultNames: ['silence'],
@@ -156,6 +186,7 @@
 for (const [defect, planted] of Object.entries(DEFECTS)) {
   const { promise, faultNames, forS = FOR_S, gapMs = 900, isHarsh = false } = planted;
   const { isKeyed = false, isReleasing = false, hasParts = false, callerCount } = planted;
+  const { isUneven = false } = planted;
   test.serial(`the soak finds the planted defect ${defect}`, async (t) => {
     const { breaches, asked, answered, faults } = await runSoak(
       ...['--seed', '7', '--for', String(forS), '--gap', String(gapMs)],
@@ -164,6 +195,7 @@
       ...(hasParts ? ['--parts'] : []),
       ...(isKeyed ? ['--keyed'] : []),
       ...(isReleasing ? ['--releasing'] : []),
+      ...(isUneven ? ['--uneven'] : []),
       ...(callerCount === undefined ? [] : ['--callers', String(callerCount)]),
     );
     const isFound = breaches.some((breach) => breach.promise === promise);
