--- a/src/core/upstreamforecast/chooseplace.ts
+++ b/src/core/upstreamforecast/chooseplace.ts
@@ -33,14 +33,15 @@
 }
 
 /**
- * Weights of a candidate in a group. Free slots count by the pace at which they serve, or by the first event if it is
- * late anyway. Without free slots the soonest upstream is preferred, but not by all: in a simulation of four plain
+ * Returns the weight of a candidate in its group. Free slots count squared, so that emptier upstreams are preferred
+ * without all entries taking the emptiest, and by the pace at which they serve; if the request is late anyway, by the
+ * first event. Without free slots the soonest upstream is preferred, but not by all: in a simulation of four plain
  * servers at 1.7 times their capacity, 4.3% more answers are on time than if every entry takes the soonest.
  */
 function weightOf(candidate: Candidate, group: number): number {
   const { freePlaces, pace, firstMs, isOwnZone } = candidate;
   const zone = isOwnZone ? upstreamForecastRules.ownZoneFactor : 1;
-  if (group < LATE) return (zone * freePlaces) / pace;
+  if (group < LATE) return (zone * freePlaces * freePlaces) / pace;
   const soonness = zone / Math.max(1, firstMs);
   if (group === LATE) return freePlaces * soonness;
   return group === FAILING ? soonness : soonness / Math.max(1, firstMs);
