--- a/src/direct/waitline/waitline.ts
+++ b/src/direct/waitline/waitline.ts
@@ -31,7 +31,7 @@
  * Bound on the attempts of one pass, and pause until the next one if targets are left. An attempt compares up to 53
  * upstreams (about 25 us), so that passes take at most a tenth of a core.
  */
-const MAX_ATTEMPTS = 16;
+const ATTEMPTS_PER_PASS = 16;
 const PAUSE_MS = 5;
 /**
  * Requests of a target that may have found a slot without having been sent: before a request is sent, its caller is
@@ -231,7 +231,7 @@
   private pass(): void {
     this.cancelPass = undefined;
     this.passAtMs = Infinity;
-    let left = MAX_ATTEMPTS;
+    let left = ATTEMPTS_PER_PASS;
     for (const key of this.dueInOrder()) {
       while (left > 0 && this.tryHead(key)) left -= 1;
       if (left <= 0) break;
