--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -153,6 +153,7 @@
     this.gate = this.createUpstreamGate();
     const fleet = new Fleet(settings.availabilityZone, this.gate);
     this.fleet = fleet;
+    fleet.setLoadMode(settings.loadAware ?? 'auto');
     const waiting = (...args: Parameters<Serving['waiting']>) => this.waiting(...args);
     this.waitline = new Waitline({ clock, log, metrics: context.metrics, fleet, waiting });
     const { host, peerListen, orderTurnMs, loadWindowMs, loadOvershoot } = settings;
@@ -428,10 +429,6 @@
     this.origins.tick();
     this.dispatcher.table = table;
     this.quotaLedger.limit(table.access);
-    const { loadAware = 'auto' } = this.context.settings;
-    const customers = [...(table.access?.customers.values() ?? [])];
-    const quotaCustomers = customers.filter(({ quota }) => quota !== undefined).length;
-    this.fleet.setLoadMode(loadAware, quotaCustomers);
   }
 
   upstream(listed: Upstream): void {
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -124,8 +124,6 @@
 
   private loadAware: LoadAwareSetting = 'off';
 
-  private quotaCustomers = 0;
-
   /** Services with an upstream that has reported its pace. */
   private readonly pacedServices = new Set<ServiceId>();
 
@@ -138,15 +136,14 @@
   ) {}
 
   /** Sets what decides, besides the reports of upstreams, which services are served load-aware. */
-  setLoadMode(setting: LoadAwareSetting, quotaCustomers: number): void {
+  setLoadMode(setting: LoadAwareSetting): void {
     this.loadAware = setting;
-    this.quotaCustomers = quotaCustomers;
   }
 
   /** Returns true if a service is served with queues, forecasts and shared loads. */
   isLoadAware(service: ServiceId): boolean {
-    const { loadAware: setting, quotaCustomers, pacedServices } = this;
-    return isLoadAware({ setting, quotaCustomers, reportsPace: pacedServices.has(service) });
+    const { loadAware: setting, pacedServices } = this;
+    return isLoadAware({ setting, reportsPace: pacedServices.has(service) });
   }
 
   /** Returns true if some service is served with queues, forecasts and shared loads. */
