--- a/test/sharedloadentry.test.ts
+++ b/test/sharedloadentry.test.ts
@@ -10,7 +10,6 @@
 const ID = 'p1' as UpstreamId;
 const SERVICE = 'plain' as ServiceId;
 const INFO = { service: SERVICE, address: '', availabilityZone: 'z', slots: 4, isLeaving: false };
-const QUOTA = { rate: 1000, burst: 1000 };
 
 /** Returns the times within the first second at which an entry reports. */
 async function reportTimes(setting: 'on' | 'off'): Promise<number[]> {
@@ -44,10 +43,10 @@
 });
 
 // Guards against loads that are lost on the way between the processes of entries, or between reporter and fleet.
-test('entries whose customers compete know of each other’s requests over their connections', async (t) => {
+test('entries of a load-aware service know of each other’s requests over their connections', async (t) => {
   const rig = new PlatformRig();
-  rig.customers = ['one', 'two'].map((name) => ({ name, keys: [`key-${name}`], ...QUOTA }));
   await rig.start([new PlatformServer(ID, SERVICE)], true, 3);
+  for (const at of [0, 1, 2]) rig.entryOf(at).fleet.setLoadMode('on');
   await rig.untilAcquainted();
   const fleets = [0, 1, 2].map((at) => rig.entryOf(at).fleet);
   t.true(fleets.every((fleet) => fleet.isLoadAware(SERVICE)));
