Log lines about the state have a limit of their own

Lines about requests that fail shared their limit with all lines that are not about successful requests. The sum of the limits is unchanged.

The new test failed before: the line came after 1,000 lines about requests and was dropped.

--- a/src/shell/log/createboundedlog.ts
+++ b/src/shell/log/createboundedlog.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../../base/index.js';
 import type { Log } from '../../port/index.js';
 import { LineBudget } from './linebudget.js';
+import type { LineKind } from './linekind.js';
 
 /** Options of a bounded log. */
 interface BoundedLogOptions {
@@ -12,16 +13,24 @@
 }
 
 /**
- * Lines per second. One line takes 26 to 44 us of processor time, so both limits together use at most 3% of half a
+ * Lines per second. One line takes 26 to 44 us of processor time, so all limits together use at most 3% of half a
  * core.
  */
-const LINES_PER_SECOND = { ordinary: 120, important: 200 };
+const LINES_PER_SECOND: Readonly<Record<LineKind, number>> = {
+  ordinary: 120,
+  request: 140,
+  state: 60,
+};
 /** No lines are written while this much output is buffered: about 3 s at the full rate. */
 const MAX_BUFFERED_BYTES = 262_144;
-/** Message and `end` field that mark a line about a successful request. */
-const ORDINARY_MESSAGE = 'request';
+const REQUEST_MESSAGE = 'request';
 const ORDINARY_END = 'answered';
 
+function kindOf(message: string, { end, requestId }: Readonly<Record<string, unknown>>): LineKind {
+  if (message === REQUEST_MESSAGE) return end === ORDINARY_END ? 'ordinary' : 'request';
+  return requestId === undefined ? 'state' : 'request';
+}
+
 /**
  * Creates a structured log that writes one JSON object per line and never blocks. Lines beyond the rate limit, or
  * written while the reader has stalled, are dropped and counted.
@@ -39,9 +48,8 @@
     (message: string, fields: Readonly<Record<string, unknown>> = {}) => {
       const droppedCount = isStalled() ? 0 : budget.startSecond(clock.nowMs());
       if (droppedCount > 0) logger.warn('lines left out', { leftOut: droppedCount });
-      const isOrdinary = message === ORDINARY_MESSAGE && fields.end === ORDINARY_END;
       if (isStalled()) budget.countDropped();
-      else if (budget.take(isOrdinary)) logger.log(level, message, fields);
+      else if (budget.take(kindOf(message, fields))) logger.log(level, message, fields);
     };
   return { info: write('info'), warn: write('warn'), error: write('error') };
 }
--- a/src/shell/log/linebudget.ts
+++ b/src/shell/log/linebudget.ts
@@ -1,37 +1,27 @@
 import type { Ms } from '../../base/index.js';
-
-/** Most lines that may be written within one second. */
-interface LineLimits {
-  /** Lines about requests that succeeded. */
-  readonly ordinary: number;
-  /** Every other line. */
-  readonly important: number;
-}
+import type { LineKind } from './linekind.js';
 
 const SECOND_MS = 1000;
+const NONE: Readonly<Record<LineKind, number>> = { ordinary: 0, request: 0, state: 0 };
 
-/** Rate limit for log lines. Lines about successful requests have their own limit, so they never displace others. */
+/** Rate limit for log lines, with a limit of its own for each kind, so that no kind displaces another. */
 export class LineBudget {
   private secondAtMs: Ms = 0;
 
-  private ordinary = 0;
-
-  private important = 0;
+  private used = { ...NONE };
 
   private droppedCount = 0;
 
-  constructor(private readonly limits: LineLimits) {}
+  /** `limits` are the most lines of each kind that may be written within one second. */
+  constructor(private readonly limits: Readonly<Record<LineKind, number>>) {}
 
   /** Counts a line against its limit. False if the limit of this second is used up. */
-  take(isOrdinary: boolean): boolean {
-    const used = isOrdinary ? this.ordinary : this.important;
-    const limit = isOrdinary ? this.limits.ordinary : this.limits.important;
-    if (used >= limit) {
+  take(kind: LineKind): boolean {
+    if (this.used[kind] >= this.limits[kind]) {
       this.droppedCount += 1;
       return false;
     }
-    if (isOrdinary) this.ordinary += 1;
-    else this.important += 1;
+    this.used[kind] += 1;
     return true;
   }
 
@@ -39,8 +29,7 @@
   startSecond(nowMs: Ms): number {
     if (nowMs - this.secondAtMs < SECOND_MS) return 0;
     this.secondAtMs = nowMs;
-    this.ordinary = 0;
-    this.important = 0;
+    this.used = { ...NONE };
     const { droppedCount } = this;
     this.droppedCount = 0;
     return droppedCount;
--- a/test/boundedlog.test.ts
+++ b/test/boundedlog.test.ts
@@ -33,6 +33,20 @@
   t.is(lines.find(({ message }) => message === 'lines left out')?.leftOut, 500 - answered);
 });
 
+test('lines about requests do not displace lines about the state of the process', async (t) => {
+  const clock = new VirtualClock();
+  const out = new PassThrough({ highWaterMark: 10_000_000 });
+  const log = createBoundedLog({ process: 'entry', out, clock });
+  clock.advanceTo(5000);
+  for (let at = 0; at < 500; at += 1) log.info('request', { end: 'timeout', requestId: `r${at}` });
+  for (let at = 0; at < 500; at += 1) log.info('request refused', { requestId: `r${at}` });
+  log.info('configuration in force', { version: 2 });
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  t.true(linesOf(out).some(({ message }) => message === 'configuration in force'));
+});
+
 test('a stalled reader does not block the log, and the dropped lines are counted once it reads again', async (t) => {
   const clock = new VirtualClock();
   const written: string[] = [];
