--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -278,7 +278,7 @@
       swap: (swap: Swap) => feed.swap(swap),
       changes: (request: Parameters<SharedFeed['answer']>[0]) => this.shared.answer(request),
     };
-    this.peers = new Peers(handlers, clock, log);
+    this.peers = new Peers(handlers, clock, log, metrics);
     const ask = (target: Target) => this.findTarget(target);
     const ordersInMs = () => this.orderLease.takeoverInMs();
     const finderOptions = { clock, log, fleet: this.fleet, meter: this.meter };
@@ -485,6 +485,8 @@
   private tick(): void {
     const nowMs = this.clock.nowMs();
     if (nowMs - this.tickedAtMs > STALL_MS) this.resumed(nowMs);
+    const lagMs = Math.max(0, nowMs - this.tickedAtMs - TICK_MS);
+    this.context.metrics.histogram('direct.loop_lag_ms', lagMs);
     this.tickedAtMs = nowMs;
     // After a store outage the previous holder continues if it can: a change of holder costs 3 s without orders.
     const mayTake = this.follower.steadyMs() > TAKE_AFTER_MS;
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -7,7 +7,14 @@
   type Revision,
   type TraitId,
 } from '../../base/index.js';
-import type { ChangeFeed, Log, StoreFailure, Swap, SwapOutcome } from '../../port/index.js';
+import type {
+  ChangeFeed,
+  Log,
+  Metrics,
+  StoreFailure,
+  Swap,
+  SwapOutcome,
+} from '../../port/index.js';
 import { callOnce, Channel } from '../../shell/http1/index.js';
 import type { ListedSuspect } from '../../core/poison/index.js';
 import type { OriginAnswer, OriginCopy } from '../origin/index.js';
@@ -121,6 +128,7 @@
     private readonly handlers: PeerHandlers,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly metrics: Metrics,
   ) {
     this.server = createServer((request, response) => {
       void this.answer(request, response);
@@ -203,23 +211,31 @@
 
   private async ask(address: string, path: string, body: object, timeoutMs: Ms): Promise<unknown> {
     const channel = this.channelTo(address);
-    const request = {
-      method: 'POST',
-      path,
-      headers: ['Content-Type', 'application/json'],
-      body: Buffer.from(JSON.stringify(body)),
-    };
+    const headers = ['Content-Type', 'application/json'];
+    const payload = Buffer.from(JSON.stringify(body));
+    const request = { method: 'POST', path, headers, body: payload };
     const answer = await callOnce(channel, request, this.clock, timeoutMs);
+    this.countBytes(path, 'sent', payload.length);
     if (answer.err || answer.val.status !== 200) {
-      const detail = answer.err ? answer.val.detail : `status ${answer.val.status}`;
-      if (!this.failed.has(address)) this.log.warn('entry not reached', { address, path, detail });
+      const { detail, receivedBytes } = answer.err
+        ? answer.val
+        : { detail: `status ${answer.val.status}`, receivedBytes: answer.val.body.length };
+      this.countBytes(path, 'discarded', receivedBytes);
+      if (!this.failed.has(address)) {
+        this.log.warn('entry not reached', { address, path, detail, receivedBytes });
+      }
       this.failed.add(address);
       return undefined;
     }
+    this.countBytes(path, 'received', answer.val.body.length);
     if (this.failed.delete(address)) this.log.info('entry reached again', { address, path });
     return JSON.parse(answer.val.body.toString('utf8'));
   }
 
+  private countBytes(path: string, fate: 'sent' | 'received' | 'discarded', bytes: number): void {
+    if (bytes > 0) this.metrics.count('direct.peer_bytes', bytes, { path, fate });
+  }
+
   private channelTo(address: string): Channel {
     let channel = this.channels.get(address);
     if (!channel) {
--- a/src/direct/poison/suspectstore.ts
+++ b/src/direct/poison/suspectstore.ts
@@ -152,11 +152,14 @@
     }
     if (swapped.val.type === 'conflict') {
       // Another entry has written meanwhile: the merged record is written next.
+      const bytes = swapped.val.current?.value.length ?? 0;
+      log.info('poison record conflict', { upstream, suspects: suspects.length, bytes });
       this.heard(key, swapped.val.current, nowMs);
       return;
     }
     const { revision } = swapped.val;
-    log.info('poison record written', { upstream, suspects: suspects.length, revision });
+    const bytes = value?.length ?? 0;
+    log.info('poison record written', { upstream, suspects: suspects.length, bytes, revision });
     const traits = new Set(suspects.map(({ trait }) => trait));
     if (value === undefined) this.stored.delete(upstream);
     else this.stored.set(upstream, { revision, traits });
--- a/src/direct/sync/follower.ts
+++ b/src/direct/sync/follower.ts
@@ -1,6 +1,6 @@
 import type { Clock, Ms, Revision, UpstreamId } from '../../base/index.js';
 import type { RouteTable } from '../../core/routetable/index.js';
-import type { KeyValue, Log } from '../../port/index.js';
+import type { KeyValue, Log, StoreFailure } from '../../port/index.js';
 import type { StateCodec } from '../statecodec.js';
 import type { FollowPace } from './followpace.js';
 import { MAX_SHARED_AGE_MS } from './maxsharedage.js';
@@ -95,7 +95,7 @@
         continue;
       }
       // The store has answered; the whole state has to be read instead.
-      if (wasComplete && failure === 'store-compacted') continue;
+      if (wasComplete && failure.type === 'store-compacted') continue;
       this.lost(failure);
       // A call that was long without an answer has waited already.
       const tookMs = this.options.clock.nowMs() - sentAtMs;
@@ -138,11 +138,11 @@
     return this.options.clock.nowMs() - this.knownAtMs;
   }
 
-  private async readAll(): Promise<string | undefined> {
+  private async readAll(): Promise<StoreFailure | undefined> {
     const sentAtMs = this.options.clock.nowMs();
     this.answerDueAtMs = sentAtMs;
     const answer = await this.options.feed.list(this.options.codec.watchedPrefix);
-    if (answer.err) return answer.val.type;
+    if (answer.err) return answer.val;
     this.storeAnswered();
     this.knownAtMs = sentAtMs;
     const { items, revision } = answer.val;
@@ -166,7 +166,7 @@
     return undefined;
   }
 
-  private async follow(): Promise<string | undefined> {
+  private async follow(): Promise<StoreFailure | undefined> {
     // While the store is lost, a call that waits for changes would only be slower to notice that it is back.
     const waitMs = this.failingSinceMs === undefined ? this.options.pace().waitMs : 0;
     const sentAtMs = this.options.clock.nowMs();
@@ -178,7 +178,7 @@
     );
     if (answer.err) {
       if (answer.val.type === 'store-compacted') this.isComplete = false;
-      return answer.val.type;
+      return answer.val;
     }
     this.storeAnswered();
     for (const change of answer.val.changes) {
@@ -217,7 +217,9 @@
     }
     const { version } = table.val;
     if (version <= this.version) return;
-    this.options.log.info('configuration in force', { version, before: this.version, revision });
+    const ageMs = Math.round(this.knownAgeMs());
+    const fields = { version, before: this.version, revision, ageMs };
+    this.options.log.info('configuration in force', fields);
     this.version = version;
     this.options.listener.setTable(table.val);
   }
@@ -233,11 +235,11 @@
     this.options.listener.ownKeyChanged(key, undefined);
   }
 
-  private lost(failure: string): void {
+  private lost({ type, detail }: StoreFailure): void {
     if (this.failingSinceMs !== undefined) return;
     this.failingSinceMs = this.options.clock.nowMs();
     this.unansweredSinceMs = Math.min(this.failingSinceMs, this.answerDueAtMs);
-    this.options.log.warn('store lost', { failure, revision: this.revision });
+    this.options.log.warn('store lost', { failure: type, detail, revision: this.revision });
   }
 
   private storeAnswered(): void {
--- a/src/shell/http1/callonce.ts
+++ b/src/shell/http1/callonce.ts
@@ -15,6 +15,8 @@
   readonly type: 'call-failed';
   /** False only if the request cannot have reached the peer. */
   readonly sent: boolean;
+  /** Bytes of the answer's body that arrived before the call failed. */
+  readonly receivedBytes: number;
 }
 
 /** Makes one call and collects its answer. After `timeoutMs` the connection is closed and the call fails. */
@@ -26,10 +28,11 @@
 ): Promise<Result<Http1Answer, CallFailure>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
+    let receivedBytes = 0;
     let status = 0;
     let headers: readonly string[] = [];
     const fail = (detail: string, sent: boolean) =>
-      resolve(result.Err({ type: 'call-failed', detail, sent }));
+      resolve(result.Err({ type: 'call-failed', detail, sent, receivedBytes }));
     let cancelTimeout = () => {};
     const sent = channel.send(call, {
       head(gotStatus, gotHeaders) {
@@ -38,6 +41,7 @@
       },
       data(chunk) {
         chunks.push(chunk);
+        receivedBytes += chunk.length;
         return true;
       },
       end() {
--- a/test/metricnames.test.ts
+++ b/test/metricnames.test.ts
@@ -8,12 +8,14 @@
 /** Returns the metric names in code, prefixed with the process if only one process can send them. */
 function namesInCode(): ReadonlySet<string> {
   const names = new Set<string>();
-  for (const file of readdirSync(join(ROOT, 'src'), { recursive: true, encoding: 'utf8' })) {
-    if (!file.endsWith('.ts')) continue;
-    const [folder = ''] = file.split('/');
-    const prefix = folder === 'entry' || folder === 'sidecar' ? `${folder}.` : '';
-    const text = readFileSync(join(ROOT, 'src', file), 'utf8');
-    for (const [, name = ''] of text.matchAll(USE)) names.add(prefix + name);
+  for (const root of ['src', 'platform']) {
+    for (const file of readdirSync(join(ROOT, root), { recursive: true, encoding: 'utf8' })) {
+      if (!file.endsWith('.ts')) continue;
+      const [folder = ''] = file.split('/');
+      const prefix = folder === 'entry' || folder === 'sidecar' ? `${folder}.` : '';
+      const text = readFileSync(join(ROOT, root, file), 'utf8');
+      for (const [, name = ''] of text.matchAll(USE)) names.add(prefix + name);
+    }
   }
   return names;
 }
