A call's time-out comes after what lies unread in the socket

Cause: after a stall the event loop runs late timers before it reads sockets, and the time-out ended the call at once. test/slowanswer failed before.

The time-out now waits until everything that has arrived is read (afterReads) and looks again.

--- a/src/shell/http1/callonce.ts
+++ b/src/shell/http1/callonce.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'ts-results';
 import { result, type Clock, type Failure, type Ms } from '../../base/index.js';
+import { afterReads } from '../loop/index.js';
 import type { Channel } from './channel.js';
 import type { Http1Call } from './http1call.js';
 
@@ -81,7 +82,8 @@
         if (leftMs > 0) checkAfter(leftMs);
         else giveUp();
       };
-      cancelTimeout = clock.after(ms, check);
+      // The answer may lie in the socket: after a stall, timers run before sockets are read.
+      cancelTimeout = clock.after(ms, () => afterReads(clock, check));
     };
     checkAfter(timeoutMs);
   });
