--- a/src/direct/sync/changelog.ts
+++ b/src/direct/sync/changelog.ts
@@ -13,6 +13,10 @@
   return change.type === 'put' ? change.item.revision : change.revision;
 }
 
+function keyOf(change: Change): string {
+  return change.type === 'put' ? change.item.key : change.key;
+}
+
 /**
  * The latest changes that this entry has read from the store, for other entries that read them from it. Writes that
  * change nothing but an upstream's heartbeat are left out: of 33 writes a second by 40 upstreams, few change more.
@@ -46,7 +50,7 @@
   add(after: Revision, { changes, revision }: Changes, sentAtMs: Ms): void {
     if (after !== this.lastRevision) this.restart(after);
     for (const change of changes) {
-      if (this.isNews(change)) this.kept.push(change);
+      if (this.isNews(change)) this.keep(change);
     }
     const excess = this.kept.length - MAX_CHANGES;
     if (excess > 0) {
@@ -71,6 +75,18 @@
     return () => this.waiting.delete(act);
   }
 
+  /**
+   * Keeps a change. Of the configuration and of records that this system writes only the newest version counts; of an
+   * upstream's record each one does, as what it says of a planned stop is not taken back by the next.
+   */
+  private keep(change: Change): void {
+    const key = keyOf(change);
+    if (this.codec.upstreamOf(key) === undefined) {
+      this.kept = this.kept.filter((earlier) => keyOf(earlier) !== key);
+    }
+    this.kept.push(change);
+  }
+
   private restart(after: Revision): void {
     this.kept = [];
     this.values.clear();
