What is known of suspects is told once

Callers saw: the entry that gives orders received 3.6 MB/s a second after engines had crashed and up to 11 MB/s later, used 127% of a core, and answered nobody in time; links of other entries were full.

Cause: entries report what they know of suspects to that entry, and it answers with what is new to them. Each report repeated what earlier ones on their way already held, the answers likewise; entries reported back what they had just been told or had read from the store; and each suspicion that was cleared sent one more report.

One report on suspects is on its way at a time; what the other side holds is marked and left out. One message holds 64 suspects in place of 200, and the next one follows at once, so that quotas and loads in the same message do not wait.

--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -80,8 +80,13 @@
       judged: (...judgement) => this.judged(...judgement),
     });
     const learn = (reported: Suspect) => this.learn(reported);
-    this.store = new SuspectStore({ book: this.book, prefix, log, swap, learn });
     this.sync = new SuspectSync(this.book, learn);
+    const learnStored = (stored: Suspect) => {
+      this.learn(stored);
+      this.sync.stored(stored);
+    };
+    const parts = { book: this.book, prefix, log, swap, learn: learnStored };
+    this.store = new SuspectStore(parts);
   }
 
   /** True while no trait is suspected, so that no content id has to be computed. */
@@ -118,7 +123,7 @@
       const aliveUntilMs = ended.hasLength ? nowMs : ended.endedAtMs;
       this.addCrash(ended, this.partsInDoubt(ended, aliveUntilMs, nowMs), 'open');
     }
-    this.options.reportSoon();
+    this.reportSoon();
   }
 
   /** Records that an answer goes on well after it began. It proves the traits of its request sound. */
@@ -216,7 +221,7 @@
     const isLifted = this.book.clear(trait, this.options.clock.nowMs());
     if (!isLifted) return false;
     this.options.log.info('verdict lifted', traitFields(trait));
-    this.options.reportSoon();
+    this.reportSoon();
     return true;
   }
 
@@ -241,6 +246,11 @@
     this.options.metrics.gauge('direct.requests_poison', poison);
   }
 
+  private reportSoon(): void {
+    // Another report follows the one on its way if there is more to tell.
+    if (!this.sync.isWaiting) this.options.reportSoon();
+  }
+
   /** Adds a crash to traits of a run. */
   private addCrash(run: UpstreamRun, traits: readonly TraitId[], state: Crash['state']): void {
     const { clock, upstreamCount } = this.options;
@@ -296,7 +306,7 @@
       if (answerBeganAtMs === undefined) continue;
       const proof = { service, softwareVersion, answerBeganAtMs };
       if (this.book.refute(trait, proof, nowMs)) this.reportRefuted([trait], proof);
-      else if (this.book.vouch(trait, proof, nowMs)) this.options.reportSoon();
+      else if (this.book.vouch(trait, proof, nowMs)) this.reportSoon();
     }
   }
 
@@ -304,7 +314,7 @@
     traits: readonly TraitId[],
     proof: Pick<UpstreamRun, 'service' | 'softwareVersion' | 'answerBeganAtMs'>,
   ): void {
-    const { clock, log, reportSoon } = this.options;
+    const { clock, log } = this.options;
     const { service, softwareVersion, answerBeganAtMs = 0 } = proof;
     const beganAgoMs = Math.round(clock.nowMs() - answerBeganAtMs);
     for (const trait of traits) {
@@ -316,7 +326,7 @@
         beganAgoMs,
       });
     }
-    reportSoon();
+    this.reportSoon();
   }
 
   private logSuspected(trait: TraitId, crash: Crash): void {
--- a/src/direct/poison/poisonlimits.ts
+++ b/src/direct/poison/poisonlimits.ts
@@ -15,8 +15,8 @@
   clearedRetentionMs: 60_000,
   /** A suspected trait is kept for as long as a caller may take to retry a request. */
   suspectRetentionMs: 3_600_000,
-  /** Suspects in one message: 51 kB of JSON. */
-  maxBatchSize: 200,
+  /** Suspects in one message: 23 kB of JSON, which must not hold up the quota and loads in the same message. */
+  maxBatchSize: 64,
   /** Parts that are known to have run well; each takes 0.3 kB of heap. The one proven longest ago is evicted first. */
   maxProofs: 20_000,
   proofRetentionMs: 600_000,
--- a/src/direct/poison/suspectsync.ts
+++ b/src/direct/poison/suspectsync.ts
@@ -1,4 +1,6 @@
 import type { Suspect } from '../../core/poison/index.js';
+import { poisonLimits } from './poisonlimits.js';
+import { readSuspect } from './readsuspect.js';
 import type { SuspectTable } from './suspecttable.js';
 import type { PoisonReport } from './poisonreport.js';
 import type { SuspectBatch } from './suspectbatch.js';
@@ -12,27 +14,60 @@
   /** How much of the holder's table this entry has received. */
   private heard: SuspectCursor | undefined;
 
+  private isAwaited = false;
+
+  /** True if the last answer was as large as one may be, so that the holder may have more to tell. */
+  private isMoreToHear = false;
+
   constructor(
     private readonly book: SuspectTable,
     /** Merges what another entry reported, in its wire form. */
     private readonly learn: (reported: Suspect) => void,
   ) {}
 
-  /** Returns the part on suspects of the next report to the holder. */
-  report(): PoisonReport {
-    const news = this.book.changesSince(this.acknowledged);
+  /** True while a report is on its way. Once it is answered, `hasMore` says whether another one is due. */
+  get isWaiting(): boolean {
+    return this.isAwaited;
+  }
+
+  /** True if there is more to tell or to hear than was in the last exchange. */
+  get hasMore(): boolean {
+    return this.isMoreToHear || this.news().suspects.length > 0;
+  }
+
+  /**
+   * Returns the part on suspects of the next report to the holder; undefined while one is on its way, as the same
+   * changes would be sent again both ways. `answered` or `unanswered` has to follow.
+   */
+  report(): PoisonReport | undefined {
+    if (this.isAwaited) return undefined;
+    this.isAwaited = true;
     const { heard } = this;
+    const news = this.news();
     return news.suspects.length > 0 ? { heard, news } : { heard };
   }
 
+  /** The last report got no answer. */
+  unanswered(): void {
+    this.isAwaited = false;
+  }
+
   /** Applies the holder's answer to a report. */
   answered({ news }: PoisonReport, reply: SuspectBatch): void {
+    this.isAwaited = false;
     this.take(reply);
-    const { book, index } = reply;
+    const { book, index, suspects } = reply;
+    for (const suspect of suspects) this.markKnown(suspect, book);
     // Another holder, or the same one after a restart, lacks what this entry reported before.
     if (this.heard?.book !== book) this.acknowledged = undefined;
     else if (news) this.acknowledged = { book: news.book, index: news.index };
     this.heard = { book, index };
+    this.isMoreToHear = suspects.length >= poisonLimits.maxBatchSize;
+  }
+
+  /** Records that the store holds a suspect: the holder reads it there. */
+  stored(reported: Suspect): void {
+    if (this.heard) this.markKnown(reported, this.heard.book);
   }
 
   /** Answers another entry's report, as the order lease holder. */
@@ -41,6 +76,15 @@
     return this.book.changesSince(heard);
   }
 
+  private markKnown(reported: Suspect, book: string): void {
+    const suspect = readSuspect(reported);
+    if (suspect) this.book.markKnown(suspect, book);
+  }
+
+  private news(): SuspectBatch {
+    return this.book.changesSince(this.acknowledged, this.heard?.book);
+  }
+
   private take({ suspects }: SuspectBatch): void {
     for (const suspect of suspects) this.learn(suspect);
   }
--- a/src/direct/poison/suspecttable.ts
+++ b/src/direct/poison/suspecttable.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import type { Ms, ServiceId, TraitId, UpstreamId } from '../../base/index.js';
 import {
   convict,
@@ -23,6 +24,8 @@
   readonly verdict: Verdict;
   readonly index: number;
   readonly changedAtMs: Ms;
+  /** The other entry's table that holds just the same, as far as this entry knows. */
+  readonly knownTo?: string;
 }
 
 interface Software {
@@ -130,6 +133,13 @@
     return [...this.kept.values()].map(({ suspect }) => suspect);
   }
 
+  /** Records that another entry's table holds the same of a trait, so that it need not be told. */
+  markKnown(reported: Suspect, book: string): void {
+    const kept = this.kept.get(reported.trait);
+    if (!kept || !isDeepStrictEqual(kept.suspect, reported)) return;
+    this.kept.set(reported.trait, { ...kept, knownTo: book });
+  }
+
   /** Merges what this entry saw or another one reported. Returns true if anything was new. */
   add(reported: Suspect, nowMs: Ms): boolean {
     const { trait } = reported;
@@ -221,14 +231,15 @@
     return count;
   }
 
-  /** Returns the changes after a cursor, up to the size of one message. */
-  changesSince(cursor: SuspectCursor | undefined): SuspectBatch {
+  /** Returns the changes after a cursor that another table does not know, up to the size of one message. */
+  changesSince(cursor: SuspectCursor | undefined, knownTo?: string): SuspectBatch {
     const from = cursor?.book === this.options.name ? cursor.index : 0;
     const suspects: Suspect[] = [];
     let index = from;
     if (this.index === from) return { book: this.options.name, index, suspects };
     for (const kept of this.kept.values()) {
       if (kept.index <= from) continue;
+      if (knownTo !== undefined && kept.knownTo === knownTo) continue;
       if (suspects.length >= poisonLimits.maxBatchSize) break;
       suspects.push(kept.suspect);
       index = kept.index;
--- a/src/direct/reporter.ts
+++ b/src/direct/reporter.ts
@@ -18,7 +18,7 @@
   Peers,
   OrderLeaseKeeper,
 } from './orders/index.js';
-import type { PoisonGuard } from './poison/index.js';
+import type { PoisonGuard, PoisonReport, SuspectBatch } from './poison/index.js';
 import type { QuotaLedger, QuotaClient } from './quota/index.js';
 import type { Fleet } from './route/index.js';
 import type { UpstreamGate } from './selfreport/index.js';
@@ -108,18 +108,19 @@
     this.updateLost(this.options.fleet.lost(clock.nowMs()));
     const address = lease.holderAddress();
     this.forgetTold(address);
+    const isSent = !lease.isHolder() && address !== undefined;
     const report = {
       ...meter.report(this.lost, this.residencyCursor),
       availabilityZone,
       membersDigest: members.knownDigest,
-      poison: poison.sync.report(),
+      poison: isSent ? poison.sync.report() : undefined,
       quota: this.quotaReport(),
       standings: gate.report(),
       storeReachedMs: Math.round(follower.reachedMs()),
       ...this.ownLoadFields(),
     };
-    if (lease.isHolder()) this.reportToSelf(report);
-    else if (address !== undefined) void this.sendReport(address, report);
+    if (isSent) void this.sendReport(address, report);
+    else if (lease.isHolder()) this.reportToSelf(report);
   }
 
   /** Sends an extra report after a short delay, which also covers what happens until then. */
@@ -225,9 +226,10 @@
   }
 
   private async sendReport(address: string, report: DemandReport): Promise<void> {
-    const { clock, members, quota, poison, gate, follower, peers } = this.options;
+    const { clock, members, quota, gate, follower, peers } = this.options;
     const sentAtMs = clock.nowMs();
     const answer = await peers().demand(address, report);
+    if (report.poison) this.exchangedSuspects(report.poison, answer?.poison);
     if (!answer) return;
     if (answer.quota) quota.answered(answer.quota, sentAtMs);
     if (address === this.toldAddress) this.applyLoads(report, answer, sentAtMs);
@@ -236,7 +238,16 @@
     this.applyChanges(answer.news);
     if (answer.standings) gate.take(address, answer.standings);
     follower.confirm(answer.storeReachedMs ?? 0);
-    if (report.poison && answer.poison) poison.sync.answered(report.poison, answer.poison);
+  }
+
+  private exchangedSuspects(report: PoisonReport, reply: SuspectBatch | undefined): void {
+    const { sync } = this.options.poison;
+    if (!reply) {
+      sync.unanswered();
+      return;
+    }
+    sync.answered(report, reply);
+    if (sync.hasMore) this.reportSoon();
   }
 
   private setEntryCount(count: number): void {
--- a/test/crashrecords.test.ts
+++ b/test/crashrecords.test.ts
@@ -22,6 +22,17 @@
   t.is(world.conflicts, 0);
 });
 
+test('an entry reports what it has seen once, and is told once, also while answers are slow', async (t) => {
+  const world = new CrashRecords({ entryCount: 25, hopMs: 300, watchMs: 800 });
+  await world.advance(1000);
+  for (const upstream of UPSTREAMS) world.crash(upstream, RUNS);
+  await world.advance(15_000);
+  const total = UPSTREAMS.length * TRAITS;
+  const holders = UPSTREAMS.length * 2 * Math.ceil(RUNS / 25);
+  t.is(world.reported, total - holders);
+  t.is(world.told, 24 * total);
+});
+
 test('crashes are recorded by the next holder of the order lease if the first one is lost before it wrote', async (t) => {
   const world = new CrashRecords({ entryCount: 25, hopMs: 6, watchMs: 400 });
   await world.advance(1000);
--- a/test/support/crashrecords.ts
+++ b/test/support/crashrecords.ts
@@ -25,6 +25,10 @@
 const LOG = { info() {}, warn() {}, error() {} };
 const METRICS = { count() {}, gauge() {}, histogram() {} };
 
+function wireForm<T>(message: T): T {
+  return JSON.parse(JSON.stringify(message)) as T;
+}
+
 /** Entries that learn of crashes and store records of them, in virtual time. */
 export class CrashRecords {
   readonly clock = new VirtualClock();
@@ -35,6 +39,11 @@
   /** Writes that the store refused because another entry had written. */
   conflicts = 0;
 
+  /** Suspects in reports to the holder, and in its answers. */
+  reported = 0;
+
+  told = 0;
+
   /** Index of the entry that holds the order lease, if any. */
   holder: number | undefined = 0;
 
@@ -118,10 +127,14 @@
     const { holder } = this;
     if (holder === undefined || holder === at || this.lost.has(at)) return;
     const { sync } = this.guards[at]!;
-    const report = sync.report();
+    const next = sync.report();
+    if (!next) return;
+    const report = wireForm(next);
+    this.reported += report.news?.suspects.length ?? 0;
     this.clock.after(this.options.hopMs, () => {
       if (this.lost.has(holder)) return;
-      const answer = this.guards[holder]!.sync.answer(report);
+      const answer = wireForm(this.guards[holder]!.sync.answer(report));
+      this.told += answer.suspects.length;
       this.clock.after(this.options.hopMs, () => sync.answered(report, answer));
     });
   }
--- a/test/support/poisonworld.ts
+++ b/test/support/poisonworld.ts
@@ -157,6 +157,8 @@
 const TICK_MS = 100;
 const REPORT_MS = 250;
 const HOP_MS = 6;
+const REPORT_TIMEOUT_MS = 400;
+const REPORT_SOON_MS = 20;
 /** The list shows a crash after three missed renewals; entries learn of it within another second. */
 const LAPSE_MS = 3600;
 const WATCH_MS = 400;
@@ -555,11 +557,17 @@
     const { guard } = entry;
     if (!entry.isUp || !holder || holder === entry || this.scenario.defect === 'no-sharing') return;
     const report = guard.sync.report();
+    if (!report) return;
     this.clock.after(HOP_MS, () => {
-      if (!holder.isUp) return;
+      if (!holder.isUp) {
+        this.clock.after(REPORT_TIMEOUT_MS, () => guard.sync.unanswered());
+        return;
+      }
       const answer = holder.guard.sync.answer(report);
       this.clock.after(HOP_MS, () => {
-        if (entry.isUp && entry.guard === guard) guard.sync.answered(report, answer);
+        if (!entry.isUp || entry.guard !== guard) return;
+        guard.sync.answered(report, answer);
+        if (guard.sync.hasMore) this.clock.after(REPORT_SOON_MS, () => this.report(entry));
       });
     });
   }
