Only the holder of the order lease writes the record of a crash

Callers saw: configuration and list of nine entries stood still for 11 to 18 s; their links were full.

Cause: an entry wrote the record of a crash whenever its copy lacked a trait that the entry knew of, 1.5 s after it had learned of it. By then all entries know of all traits, while the holder's record takes up to a second to reach them, so all wrote at once. A refused write returns the whole record, an accepted one sends it to all entries, and what it adds is missing in the others' view again.

Another entry now writes only what no holder that still answers has acknowledged. Without a holder all write, as before.

--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -80,12 +80,13 @@
       judged: (...judgement) => this.judged(...judgement),
     });
     const learn = (reported: Suspect) => this.learn(reported);
-    this.sync = new SuspectSync(this.book, learn);
+    this.sync = new SuspectSync(clock, this.book, learn);
+    const isOthersTask = (trait: TraitId) => !options.isHolder() && this.sync.isWithHolder(trait);
     const learnStored = (stored: Suspect) => {
       this.learn(stored);
       this.sync.stored(stored);
     };
-    const parts = { book: this.book, prefix, log, swap, learn: learnStored };
+    const parts = { book: this.book, prefix, log, swap, learn: learnStored, isOthersTask };
     this.store = new SuspectStore(parts);
   }
 
--- a/src/direct/poison/suspectstore.ts
+++ b/src/direct/poison/suspectstore.ts
@@ -25,6 +25,8 @@
   readonly log: Log;
   /** Merges what another entry wrote. */
   readonly learn: (suspect: Suspect) => void;
+  /** True if the order lease holder knows all that this entry knows of a trait, and so will store it. */
+  readonly isOthersTask: (trait: TraitId) => boolean;
   swap(swap: Swap): ReturnType<ChangeFeed['swap']>;
 }
 
@@ -35,8 +37,8 @@
  */
 const GATHER_MS = 1000;
 /**
- * Delay at other entries: without an order lease holder they write what they observed, as a new holder takes over only
- * after 2.6 s.
+ * Delay at other entries. They write only what no order lease holder knows, as a new one takes over only after 2.6 s: if
+ * each wrote what its copy of a record lacks, most writes would be refused, and each refusal returns the record.
  */
 const OTHERS_GATHER_MS = 1500;
 /** Contents are cleared one by one as their callers retry: waiting this long gathers them into one write. */
@@ -82,11 +84,15 @@
     if (this.isWriting) return;
     for (const [upstream, { atMs, isRemoval }] of this.due) {
       if (nowMs < atMs) continue;
-      const { isIncomplete, surplus } = this.difference(upstream);
+      const { missing, surplus, isOthersTask } = this.difference(upstream);
+      if (isOthersTask) {
+        this.due.set(upstream, { atMs: nowMs + RETRY_MS, isRemoval });
+        continue;
+      }
       const hasSurplus = surplus.length > 0;
       // Entries that start would suspect a part that many requests share, and convict it at the next crash.
       const isUrgent = surplus.some((trait) => partTrait.partOf(trait) !== undefined);
-      if (isIncomplete || isUrgent || (hasSurplus && isRemoval)) {
+      if (missing.length > 0 || isUrgent || (hasSurplus && isRemoval)) {
         void this.write(upstream, nowMs);
         return;
       }
@@ -115,15 +121,22 @@
     for (const suspect of suspects) learn(suspect);
   }
 
-  /** Compares an upstream's record with its desired content: whether it lacks traits, and which it has too many. */
+  /**
+   * Compares an upstream's record with its desired content: the traits that it lacks, those that it has too many, and
+   * whether another entry will write all of these differences.
+   */
   private difference(upstream: UpstreamId): {
-    readonly isIncomplete: boolean;
+    readonly missing: readonly TraitId[];
     readonly surplus: readonly TraitId[];
+    readonly isOthersTask: boolean;
   } {
     const wanted = new Set(this.wanted(upstream).map(({ trait }) => trait));
     const has = this.stored.get(upstream)?.traits ?? new Set<TraitId>();
-    const isIncomplete = [...wanted].some((trait) => !has.has(trait));
-    return { isIncomplete, surplus: [...has].filter((trait) => !wanted.has(trait)) };
+    const missing = [...wanted].filter((trait) => !has.has(trait));
+    const surplus = [...has].filter((trait) => !wanted.has(trait));
+    const differing = [...missing, ...surplus];
+    const isOthersTask = differing.length > 0 && differing.every(this.options.isOthersTask);
+    return { missing, surplus, isOthersTask };
   }
 
   /** Returns the desired content of an upstream's record: its suspects, each with the crash on this upstream only. */
--- a/src/direct/poison/suspectsync.ts
+++ b/src/direct/poison/suspectsync.ts
@@ -1,3 +1,4 @@
+import type { Clock, Ms, TraitId } from '../../base/index.js';
 import type { Suspect } from '../../core/poison/index.js';
 import { poisonLimits } from './poisonlimits.js';
 import { readSuspect } from './readsuspect.js';
@@ -6,6 +7,9 @@
 import type { SuspectBatch } from './suspectbatch.js';
 import type { SuspectCursor } from './suspectcursor.js';
 
+/** A holder that has not answered for longer may be lost: reports are answered within 400 ms, four times a second. */
+const HOLDER_SILENT_MS = 1500;
+
 /** Keeps the suspect tables of this entry and of the order lease holder in sync. */
 export class SuspectSync {
   /** How much of this entry's table the holder has acknowledged. */
@@ -14,12 +18,15 @@
   /** How much of the holder's table this entry has received. */
   private heard: SuspectCursor | undefined;
 
+  private answeredAtMs: Ms = -Infinity;
+
   private isAwaited = false;
 
   /** True if the last answer was as large as one may be, so that the holder may have more to tell. */
   private isMoreToHear = false;
 
   constructor(
+    private readonly clock: Clock,
     private readonly book: SuspectTable,
     /** Merges what another entry reported, in its wire form. */
     private readonly learn: (reported: Suspect) => void,
@@ -62,9 +69,17 @@
     if (this.heard?.book !== book) this.acknowledged = undefined;
     else if (news) this.acknowledged = { book: news.book, index: news.index };
     this.heard = { book, index };
+    this.answeredAtMs = this.clock.nowMs();
     this.isMoreToHear = suspects.length >= poisonLimits.maxBatchSize;
   }
 
+  /** Returns true if a holder that still answers knows all that this entry knows of a trait. */
+  isWithHolder(trait: TraitId): boolean {
+    const isSilent = this.clock.nowMs() - this.answeredAtMs > HOLDER_SILENT_MS;
+    if (isSilent || !this.heard) return false;
+    return this.book.isKnownTo(trait, this.heard.book, this.acknowledged?.index ?? 0);
+  }
+
   /** Records that the store holds a suspect: the holder reads it there. */
   stored(reported: Suspect): void {
     if (this.heard) this.markKnown(reported, this.heard.book);
--- a/src/direct/poison/suspecttable.ts
+++ b/src/direct/poison/suspecttable.ts
@@ -140,6 +140,12 @@
     this.kept.set(reported.trait, { ...kept, knownTo: book });
   }
 
+  /** Returns true if another entry's table, which has received changes up to `index`, holds what is known of a trait. */
+  isKnownTo(trait: TraitId, book: string, index: number): boolean {
+    const kept = this.kept.get(trait);
+    return !kept || kept.knownTo === book || kept.index <= index;
+  }
+
   /** Merges what this entry saw or another one reported. Returns true if anything was new. */
   add(reported: Suspect, nowMs: Ms): boolean {
     const { trait } = reported;
