Questions of requests leave connections for changes and reports

Cause: all calls between two entries share 16 connections. Under load they are taken by draws of quota and searches for a target, and a question for changes or a report that finds none fails at once; the entry that reads the store is then distrusted for 3 s and the store is asked instead.

Calls that keep an entry up to date have four connections of their own.

--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -86,7 +86,11 @@
 } as const;
 const CONNECT_TIMEOUT_MS = 250;
 const IDLE_MS = 10_000;
+/** Connections to an entry for questions of single requests, each with one question at a time. */
 const CONNECTIONS = 16;
+/** Connections for what an entry needs to stay up to date, which must not wait for questions of requests. */
+const STATE_CONNECTIONS = 4;
+const STATE_PATHS: ReadonlySet<string> = new Set([PATHS.changes, PATHS.demand, PATHS.swap]);
 /** An entry that is up answers within milliseconds; loading an adapter takes up to 30 ms. */
 const FIND_TIMEOUT_MS = 400;
 const DEMAND_TIMEOUT_MS = 400;
@@ -121,6 +125,8 @@
 
   private readonly channels = new Map<string, Channel>();
 
+  private readonly stateChannels = new Map<string, Channel>();
+
   /** Addresses whose last call failed. */
   private readonly failed = new Set<string>();
 
@@ -146,6 +152,7 @@
     this.server.close();
     this.server.closeAllConnections();
     for (const channel of this.channels.values()) channel.close();
+    for (const channel of this.stateChannels.values()) channel.close();
   }
 
   /** Returns undefined if the entry does not answer. */
@@ -210,7 +217,7 @@
   }
 
   private async ask(address: string, path: string, body: object, timeoutMs: Ms): Promise<unknown> {
-    const channel = this.channelTo(address);
+    const channel = this.channelTo(address, path);
     const headers = ['Content-Type', 'application/json'];
     const payload = Buffer.from(JSON.stringify(body));
     const request = { method: 'POST', path, headers, body: payload };
@@ -236,13 +243,16 @@
     if (bytes > 0) this.metrics.count('direct.peer_bytes', bytes, { path, fate });
   }
 
-  private channelTo(address: string): Channel {
-    let channel = this.channels.get(address);
+  private channelTo(address: string, path: string): Channel {
+    const isState = STATE_PATHS.has(path);
+    const channels = isState ? this.stateChannels : this.channels;
+    let channel = channels.get(address);
     if (!channel) {
       const { clock } = this;
+      const maxConnections = isState ? STATE_CONNECTIONS : CONNECTIONS;
       const options = { clock, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS };
-      channel = new Channel(address, { ...options, maxConnections: CONNECTIONS });
-      this.channels.set(address, channel);
+      channel = new Channel(address, { ...options, maxConnections });
+      channels.set(address, channel);
     }
     return channel;
   }
