Soak: routes are withdrawn, moved and given other time-outs

The soak judged only whether an added route is served.

Seeds from 100,000 on change routes every 3 to 8 s; a checker compares what servers ran and callers got with all configurations that may be in force.

--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -28,6 +28,12 @@
   readonly rate_per_s: number;
 }
 
+interface Route {
+  readonly path_prefix: string;
+  readonly service: string;
+  readonly timeout_ms: number;
+}
+
 /** A request of the uneven load that waits for capacity. */
 interface Waiting {
   readonly priority: number;
@@ -68,6 +74,8 @@
 ) as Settings;
 const servers = new Map<string, Server>();
 let paths: readonly string[] = [];
+/** What the configuration says of each route. */
+const routes = new Map<string, Route>();
 /** Customers by key; undefined if none are configured. */
 let keys: Map<string, string> | undefined;
 /** Token bucket of each customer: the remaining tokens and when they were computed. */
@@ -126,16 +134,26 @@
   return isAllowed;
 }
 
+/** Keeps a route as a configuration has it, except for what a defect keeps from the first one. */
+function takeRoute(route: Route): void {
+  const first = routes.get(route.path_prefix) ?? route;
+  const service = defect === 'keeps-services' ? first.service : route.service;
+  const timeoutMs = defect === 'keeps-timeouts' ? first.timeout_ms : route.timeout_ms;
+  routes.set(route.path_prefix, { ...route, service, timeout_ms: timeoutMs });
+}
+
 function take({ key, value }: Item): void {
   const text = Buffer.from(value, 'base64').toString('utf8');
   if (key === 'op/config') {
     const isStale = defect === 'stale' ? reads > 1 : defect === 'revert' && reads % 8 === 0;
     if (isStale && paths.length > 0 && defect === 'stale') return;
-    const { routes } = JSON.parse(text) as { routes: { path_prefix: string }[] };
-    const all = routes.map(({ path_prefix: prefix }) => prefix);
+    const known = (JSON.parse(text) as { routes: Route[] }).routes;
+    for (const route of known) takeRoute(route);
+    const all = known.map(({ path_prefix: prefix }) => prefix);
     const newest = all.find((prefix) => prefix.startsWith('/probe-'));
     applyCustomers(JSON.parse(text) as { tenants?: readonly Customer[] });
     paths = isStale ? all.filter((prefix) => prefix !== newest) : all;
+    if (defect === 'keeps-routes') paths = [...routes.keys()];
   }
   if (!key.startsWith('servers/')) return;
   const id = key.slice('servers/'.length);
@@ -311,6 +329,7 @@
   headers: IncomingMessage['headers'],
   body: string,
 ): void {
+  if (response.headersSent) return;
   const sentBody = count % DEFECT_ONE_IN === 0 ? corrupt(body) : body;
   previousBody = `${body}!`;
   const isDropped = defect === 'unsigned' && count % DEFECT_ONE_IN === 0;
@@ -427,7 +446,11 @@
     enqueue(model === '' ? 'plain' : 'engine', model, waiting);
     return;
   }
-  const server = choose(model === '' ? 'plain' : 'engine', model);
+  const route = routes.get(/^\/[^/]*\//.exec(path)?.[0] ?? '')!;
+  const server = choose(model === '' ? route.service : 'engine', model);
+  setTimeout(() => {
+    if (!response.headersSent) response.writeHead(504).end();
+  }, route.timeout_ms);
   if (defect === 'refuses-resumed' && incoming.headers['last-event-id'] !== undefined) {
     response.writeHead(503).end();
     return;
--- a/bench/soak/call.ts
+++ b/bench/soak/call.ts
@@ -1,7 +1,8 @@
 import type { CallerKey } from './callerkey.js';
 
 /** Kinds of request that the soak's callers send. */
-export type CallKind = 'lookup' | 'charge' | 'draft' | 'batch' | 'probe' | 'crash' | 'deadly';
+export type CallKind =
+  'lookup' | 'charge' | 'draft' | 'batch' | 'probe' | 'crash' | 'deadly' | 'moving' | 'timed';
 
 /** One request as its caller observed it. */
 export interface Call {
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -13,6 +13,10 @@
 const HOST = 'caller.example';
 const MODELS = ['m1', 'm2', 'm1/a1', 'm1/a2', 'm2/a3', 'm3'];
 const KINDS: readonly CallKind[] = ['lookup', 'charge', 'draft', 'batch', 'probe'];
+const CHANGING_KINDS: readonly CallKind[] = [...KINDS, 'probe', 'moving', 'timed'];
+/** Probes ask for the route of one of this many newest versions, where routes are withdrawn. */
+const CHANGING_AGES = 8;
+const GETS: ReadonlySet<CallKind> = new Set(['lookup', 'probe', 'moving', 'timed']);
 const EVENTS = 5;
 const FIRST_PARTS = 3;
 const SECOND_PARTS = 30;
@@ -60,6 +64,8 @@
     private readonly isResuming = false,
     /** True if prompts name their parts; no two requests for streams are alike then. */
     private readonly hasParts = false,
+    /** True if configurations withdraw, move and change routes. */
+    private readonly isChanging = false,
   ) {
     this.agents = entries.map(() => new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS }));
   }
@@ -84,8 +90,8 @@
   }
 
   private ask(entry: number): Promise<void> {
-    const kind = this.dice.pick(KINDS);
-    const age = this.dice.below(2);
+    const kind = this.dice.pick(this.isChanging ? CHANGING_KINDS : KINDS);
+    const age = this.dice.below(this.isChanging ? CHANGING_AGES : 2);
     const version = Math.max(1, this.version - age);
     const path = kind === 'probe' ? `/probe-${version}/` : `/${kind}/1`;
     const isResumed = kind === 'batch' && this.isResuming;
@@ -222,7 +228,7 @@
       const all = [...call.parts, call.id].map((part) => `${part}:9`);
       headers['Tarragonstile-Prompt-Prefix'] = all.join(',');
     }
-    const method = kind === 'lookup' || kind === 'probe' ? 'GET' : 'POST';
+    const method = GETS.has(kind) ? 'GET' : 'POST';
     const agent = this.agents[call.entry];
     const ownPath = call.parts.length > 0 ? `${path}/${call.id}` : path;
     const { port } = this.entries[call.entry]!;
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -34,6 +34,8 @@
     parts: { type: 'boolean' },
     /** Servers have slots and paces, and customers compete for them; the default for seeds from 90,000 on. */
     uneven: { type: 'boolean' },
+    /** Configurations withdraw, move and change routes; the default for seeds from 100,000 on. */
+    changing: { type: 'boolean' },
     /** Entries on suspended hosts use a clock that does not advance during the suspension. */
     steady: { type: 'boolean', default: false },
     /** Prints the last log lines of the entries if a promise was broken. */
@@ -72,6 +74,7 @@
     isReleasing: values.releasing,
     hasParts: values.parts,
     isUneven: values.uneven,
+    isChanging: values.changing,
     isSteady: values.steady,
   });
   const isBroken = result.breaches.length > 0;
--- a/bench/soak/promisechecker.ts
+++ b/bench/soak/promisechecker.ts
@@ -4,6 +4,7 @@
 import { ReportedStateChecker } from './reportedstatechecker.js';
 import { PartChecker } from './partchecker.js';
 import type { PartLoad } from './partload.js';
+import { RouteChecker } from './routechecker.js';
 import type { Site } from './site.js';
 import { UnevenChecker } from './unevenchecker.js';
 import type { UnevenLoad } from './unevenload.js';
@@ -82,6 +83,7 @@
     }
     this.noRevert();
     this.keys();
+    this.routes();
     this.reportedStates();
     this.retries();
     this.streams();
@@ -106,6 +108,17 @@
     }).judge(this.calls);
   }
 
+  private routes(): void {
+    const { site, slackMs } = this;
+    new RouteChecker({
+      site,
+      slackMs,
+      serversOf: (call) => this.runsOf(call).map(({ server }) => server),
+      isCalm: (call, fromMs) => this.isCalm(call, fromMs),
+      breach: (promise, detail) => this.breach(promise, detail),
+    }).judge(this.calls);
+  }
+
   private reportedStates(): void {
     const { site, slackMs } = this;
     const breach = (promise: string, detail: string) => this.breach(promise, detail);
--- a/bench/soak/retrychecker.ts
+++ b/bench/soak/retrychecker.ts
@@ -3,7 +3,7 @@
 import { retryTerms } from './retryterms.js';
 import type { Site } from './site.js';
 
-type Service = 'plain' | 'engine';
+type Service = 'plain' | 'engine' | 'other';
 
 /** What the promise checker provides. */
 interface RetryCheckerOptions {
@@ -19,6 +19,9 @@
   draft: 'engine',
   batch: 'engine',
   deadly: 'engine',
+  // Some of these reach `plain`; not to count them as its requests makes the check stricter.
+  moving: 'other',
+  timed: 'other',
 };
 
 /** Checks that all entries together stay within the retry budget, by what reached the servers. */
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -7,6 +7,7 @@
   PlatformStore,
   SlotGate,
 } from '../../standin/platform/index.js';
+import { changingRoutes } from './changingroutes.js';
 import { customers } from './customers.js';
 import { Ports } from './ports.js';
 import { Program } from './program.js';
@@ -47,12 +48,26 @@
 const SLOTS = 4;
 /** Time that work takes at servers, as a factor of the usual time, in turn. */
 const PACES = [0.6, 1, 1.6];
+/** Servers of the service `other` take three times the usual time for any number of requests at once. */
+const OTHER = { count: 2, slots: 1000, pace: 3 };
+
+/** Which routes and customers a configuration has besides those that each one has. */
+interface ConfigurationChoice {
+  readonly isKeyed: boolean;
+  readonly isUneven: boolean;
+  readonly isChanging: boolean;
+}
 
-function createConfiguration(version: number, isKeyed: boolean, isUneven: boolean): object {
+function createConfiguration(
+  version: number,
+  { isKeyed, isUneven, isChanging }: ConfigurationChoice,
+): object {
   const probes = Array.from({ length: PROBE_ROUTES }, (_, at) => version - at)
     .filter((probe) => probe > 0)
     .map((probe) => ({ ...ROUTES[0]!, name: `probe-${probe}` }));
-  const routes = [...ROUTES, ...probes, ...(isUneven ? UNEVEN_ROUTES : [])].map((route) => ({
+  const changing = isChanging ? changingRoutes.of(version) : [];
+  const uneven = isUneven ? UNEVEN_ROUTES : [];
+  const routes = [...ROUTES, ...probes, ...changing, ...uneven].map((route) => ({
     ...route,
     targetLatencyMs: TARGET_LATENCY_MS,
   }));
@@ -109,17 +124,25 @@
   private isClosed = false;
 
   constructor(
-    private readonly isKeyed = false,
+    readonly isKeyed = false,
     /** Pause between the events of streams, in ms. */
     private readonly eventGapMs = 0,
     /** True if servers enforce their slots and have paces, and the routes of the uneven load exist. */
-    private readonly isUneven = false,
+    readonly isUneven = false,
+    /** True if configurations move routes between services and change time-outs. */
+    readonly isChanging = false,
   ) {}
 
+  /** Number of newest versions whose probe routes a configuration has. */
+  get probeRoutes(): number {
+    return PROBE_ROUTES;
+  }
+
   async start(entryCount: number, command: readonly string[]): Promise<void> {
     const storePort = Number((await this.store.listen()).split(':')[1]);
     for (let at = 0; at < 3; at += 1) await this.addServer('plain');
     for (let at = 0; at < 4; at += 1) await this.addServer('engine', [`m${(at % 2) + 1}`]);
+    for (let at = 0; this.isChanging && at < OTHER.count; at += 1) await this.addServer('other');
     this.applyConfiguration();
     for (let at = 0; at < entryCount; at += 1) {
       const proxy = new Proxy(storePort);
@@ -132,7 +155,7 @@
   /** Writes the next configuration version, as the operator does. */
   applyConfiguration(): void {
     this.version += 1;
-    this.store.put('op/config', createConfiguration(this.version, this.isKeyed, this.isUneven));
+    this.store.put('op/config', createConfiguration(this.version, this));
     this.acceptedAtMs.set(this.version, performance.now());
   }
 
@@ -144,6 +167,7 @@
     server.eventGapMs = this.eventGapMs;
     const pace = PACES[this.serverCount % PACES.length]!;
     if (this.isUneven) server.gate = new SlotGate(SLOTS, pace);
+    if (service === 'other') server.gate = new SlotGate(OTHER.slots, OTHER.pace);
     if (service === 'engine') server.softwareVersion = this.softwareVersion;
     await server.listen();
     const proxy = new Proxy(Number(server.address.split(':')[1]));
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -42,6 +42,8 @@
   readonly hasParts?: boolean;
   /** Servers enforce slots and have paces, and customers of different usual loads compete for them. */
   readonly isUneven?: boolean;
+  /** Configurations withdraw routes, move them between services and change time-outs. */
+  readonly isChanging?: boolean;
   /** Entries use a clock that does not advance while their host is suspended. */
   readonly isSteady?: boolean;
 }
@@ -85,6 +87,10 @@
  * while nothing else keeps servers from serving.
  */
 const FIRST_UNEVEN_SEED = 90_000;
+/** This range has the faults of servers and list, and configurations that change routes. */
+const FIRST_CHANGING_SEED = 100_000;
+/** Pause between two of these: short, and long enough for the version to be judged. */
+const CHANGE_MS = { least: 3000, range: 5000 };
 const UNEVEN_LONGEST_GAP_MS = 6000;
 /** Faults that may not change what callers get, so that load is judged beside them too. */
 const UNNOTICED_FAULTS: readonly string[] = ['hangUp', 'configure', 'configureOften'];
@@ -101,6 +107,7 @@
 
 /** Returns the faults of the seed's range. */
 function faultsOfSeed(seed: number): object {
+  if (seed >= FIRST_CHANGING_SEED) return { ...faults, ...serverListFaults };
   if (seed < FIRST_SERVER_LIST_SEED || seed >= FIRST_UNEVEN_SEED) return faults;
   if (seed < FIRST_HARSH_SEED) return { ...faults, ...serverListFaults };
   const harsh = { ...faults, ...serverListFaults, ...suspensionFaults };
@@ -121,23 +128,32 @@
  */
 export async function soak(options: SoakOptions): Promise<SoakResult> {
   const { seed, forMs, command, entryCount = 3, slackMs = SLACK_MS } = options;
-  const isOfUnevenSeed = seed >= FIRST_UNEVEN_SEED;
+  const isChanging = options.isChanging ?? seed >= FIRST_CHANGING_SEED;
+  const isOfUnevenSeed = seed >= FIRST_UNEVEN_SEED && seed < FIRST_CHANGING_SEED;
+  const isOfLoneRange = seed >= FIRST_UNEVEN_SEED;
   const isUneven = options.isUneven ?? isOfUnevenSeed;
   const { callerCount = isUneven ? UNEVEN_CALLERS : CALLERS } = options;
   const { longestGapMs = isUneven ? UNEVEN_LONGEST_GAP_MS : LONGEST_GAP_MS } = options;
   const dice = new Dice(seed);
-  const isHarsh = options.isHarsh ?? (seed >= FIRST_HARSH_SEED && !isOfUnevenSeed);
-  const isKeyed = options.isKeyed ?? (seed >= FIRST_KEYED_SEED || isUneven);
-  const isReleasing = options.isReleasing ?? (seed >= FIRST_RELEASE_SEED && !isOfUnevenSeed);
-  const hasParts = options.hasParts ?? (seed >= FIRST_PARTS_SEED && !isOfUnevenSeed);
-  const site = new Site(isKeyed, isReleasing || isUneven ? EVENT_GAP_MS : 0, isUneven);
+  const isHarsh = options.isHarsh ?? (seed >= FIRST_HARSH_SEED && !isOfLoneRange);
+  const isKeyed = options.isKeyed ?? ((seed >= FIRST_KEYED_SEED && !isOfLoneRange) || isUneven);
+  const isReleasing = options.isReleasing ?? (seed >= FIRST_RELEASE_SEED && !isOfLoneRange);
+  const hasParts = options.hasParts ?? (seed >= FIRST_PARTS_SEED && !isOfLoneRange);
+  const site = new Site(isKeyed, isReleasing || isUneven ? EVENT_GAP_MS : 0, isUneven, isChanging);
   const isSuspendable = isHarsh && command === entryCommand;
   await site.start(
     entryCount,
     isSuspendable ? suspendedCommand(options.isSteady ?? false) : command,
   );
   await untilListening(site);
-  const callers = new Callers(site.entries, new Dice(seed + 1), isKeyed, isReleasing, hasParts);
+  const callers = new Callers(
+    site.entries,
+    new Dice(seed + 1),
+    isKeyed,
+    isReleasing,
+    hasParts,
+    isChanging,
+  );
   callers.start(callerCount);
   const ask = (path: string, entry: number) => callers.sendPoison(path, entry);
   const poisonLoad = new PoisonLoad({ site, dice: new Dice(seed + 2), ask });
@@ -151,6 +167,17 @@
   const unevenLoad = new UnevenLoad(site, new Dice(seed + 4), callers);
   if (isUneven) unevenLoad.start();
   const startedAtMs = performance.now();
+  const changeDice = new Dice(seed + 5);
+  const untilMs = startedAtMs + forMs;
+  const changeRoutes = async () => {
+    for (;;) {
+      await pause(CHANGE_MS.least + changeDice.below(CHANGE_MS.range));
+      if (performance.now() > untilMs) return;
+      site.applyConfiguration();
+      callers.version = site.version;
+    }
+  };
+  if (isChanging) void changeRoutes();
   const done: string[] = [];
   const available = faultsOfSeed(seed);
   const names = options.faultNames ?? Object.keys(available);
--- a/standin/platform/configurationof.ts
+++ b/standin/platform/configurationof.ts
@@ -70,6 +70,7 @@
     })),
     services: [
       { name: 'plain', max_conns: 100, cold_start_s: cold.startS, cold_per_s: cold.perS },
+      { name: 'other', max_conns: 100 },
       {
         name: 'engine',
         max_conns: 100,
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -20,6 +20,8 @@
   { seed: 80_001, forS: 22 },
   // From 90,000 on servers have slots and paces, and customers compete for them.
   { seed: 90_001, forS: 15 },
+  // From 100,000 on configurations withdraw, move and change routes.
+  { seed: 100_001, forS: 15 },
   // SIGHUP arrived while modules were loaded, before its handler was installed.
   { seed: 1003, forS: 5 },
   // A fault of the soak: an outgoing connection had taken the port of an entry that was down.
--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -20,6 +20,8 @@
   readonly hasParts?: boolean;
   /** True for servers with slots and paces, and customers that compete for them. */
   readonly isUneven?: boolean;
+  /** True for configurations that withdraw, move and change routes. */
+  readonly isChanging?: boolean;
   /** True to configure customers and send keys. */
   readonly isKeyed?: boolean;
 }
@@ -95,6 +97,27 @@
     hasParts: true,
     callerCount: 48,
   },
+  'keeps-routes': {
+    promise: 'a withdrawn route is not served',
+    faultNames: ['configure'],
+    forS: 20,
+    gapMs: 3000,
+    isChanging: true,
+  },
+  'keeps-services': {
+    promise: 'a moved route is served by its service',
+    faultNames: ['configure'],
+    forS: 24,
+    gapMs: 12_000,
+    isChanging: true,
+  },
+  'keeps-timeouts': {
+    promise: 'a changed time-out takes effect',
+    faultNames: ['configure'],
+    forS: 24,
+    gapMs: 12_000,
+    isChanging: true,
+  },
   forged: {
     promise: 'a request is attributed to the customer of its key',
     faultNames: ['hangUp'],
@@ -186,7 +209,7 @@
 for (const [defect, planted] of Object.entries(DEFECTS)) {
   const { promise, faultNames, forS = FOR_S, gapMs = 900, isHarsh = false } = planted;
   const { isKeyed = false, isReleasing = false, hasParts = false, callerCount } = planted;
-  const { isUneven = false } = planted;
+  const { isUneven = false, isChanging = false } = planted;
   test.serial(`the soak finds the planted defect ${defect}`, async (t) => {
     const { breaches, asked, answered, faults } = await runSoak(
       ...['--seed', '7', '--for', String(forS), '--gap', String(gapMs)],
@@ -196,6 +219,7 @@
       ...(isKeyed ? ['--keyed'] : []),
       ...(isReleasing ? ['--releasing'] : []),
       ...(isUneven ? ['--uneven'] : []),
+      ...(isChanging ? ['--changing'] : []),
       ...(callerCount === undefined ? [] : ['--callers', String(callerCount)]),
     );
     const isFound = breaches.some((breach) => breach.promise === promise);
