A deadline comes after an answer that lies unread

Cause: the timer of the deadline fires before sockets are read after a stall.

A request with an attempt under way now ends after everything that has arrived is read.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -10,6 +10,7 @@
 import type { Log, UpstreamLink } from '../../port/index.js';
 import type { Caller } from '../caller.js';
 import { quotaRefusal, type Admitted } from '../intake/index.js';
+import { afterReads } from '../../shell/loop/index.js';
 import type { Refusal } from '../refusal.js';
 import type { Block, Target, UpstreamState } from '../route/index.js';
 import type { Serving } from '../serving.js';
@@ -161,7 +162,7 @@
     this.untilMs = request.arrivedAtMs + deadlineMs;
     this.isReturn = serving.isReturn(route, request.deadlineMs);
     const waitMs = Math.max(0, this.untilMs - this.clock.nowMs());
-    this.forgetTimer = this.clock.after(waitMs, () => this.timeout());
+    this.forgetTimer = this.clock.after(waitMs, () => this.deadlinePassed());
     caller.onFree(() => this.current?.resume());
     const { service } = this;
     serving.budgetOf(service).request(this.clock.nowMs());
@@ -661,6 +662,12 @@
     this.close(type, retryAfterMs);
   }
 
+  private deadlinePassed(): void {
+    // After a stall the timer fires before the answer is read that may lie in the socket.
+    if (this.current) afterReads(this.clock, () => this.timeout());
+    else this.timeout();
+  }
+
   private timeout(): void {
     this.abandon('timeout', 'No answer came in time.');
   }
--- a/test/slowanswer.test.ts
+++ b/test/slowanswer.test.ts
@@ -3,6 +3,9 @@
 import test from 'ava';
 import { systemClock, VirtualClock } from '../src/base/index.js';
 import { callOnce, Channel, type Http1Receiver } from '../src/shell/http1/index.js';
+import { PlatformServer } from '../standin/platform/index.js';
+import { callEntry } from './support/callentry.js';
+import { PlatformRig } from './support/platformrig.js';
 import { stallEventLoop } from './support/stalleventloop.js';
 
 const TIMEOUT_MS = 200;
@@ -92,3 +95,23 @@
   const got = await callOnce(channel, CALL, systemClock, TIMEOUT_MS);
   t.true(got.ok);
 });
+
+test.serial(
+  'an answer that lies unread at the deadline of its request reaches the caller',
+  async (t) => {
+    const server = new PlatformServer('p1', 'plain');
+    const rig = new PlatformRig();
+    await rig.start([server]);
+    t.teardown(() => rig.close());
+    const { status: before } = await callEntry(rig.port, { path: '/lookup/1' });
+    t.is(before, 200);
+    // The event loop stalls right after the upstream has written its answer.
+    server.behaviors.shift = () => {
+      setImmediate(() => stallEventLoop(TIMEOUT_MS * 2));
+      return 'serve';
+    };
+    const headers = { 'Tarragonstile-Deadline-Ms': String(TIMEOUT_MS) };
+    const { status } = await callEntry(rig.port, { path: '/lookup/1', headers });
+    t.is(status, 200);
+  },
+);
