--- a/src/direct/poison/poisonguard.ts
+++ b/src/direct/poison/poisonguard.ts
@@ -81,12 +81,13 @@
     });
     const learn = (reported: Suspect) => this.learn(reported);
     this.sync = new SuspectSync(clock, this.book, learn);
-    const isOthersTask = (trait: TraitId) => !options.isHolder() && this.sync.isWithHolder(trait);
+    const isLeftToHolder = (trait: TraitId) =>
+      !options.isHolder() && this.sync.isKnownToHolder(trait);
     const learnStored = (stored: Suspect) => {
       this.learn(stored);
       this.sync.stored(stored);
     };
-    const parts = { book: this.book, prefix, log, swap, learn: learnStored, isOthersTask };
+    const parts = { book: this.book, prefix, log, swap, learn: learnStored, isLeftToHolder };
     this.store = new SuspectStore(parts);
   }
 
--- a/src/direct/poison/suspectstore.ts
+++ b/src/direct/poison/suspectstore.ts
@@ -26,7 +26,7 @@
   /** Merges what another entry wrote. */
   readonly learn: (suspect: Suspect) => void;
   /** True if the order lease holder knows all that this entry knows of a trait, and so will store it. */
-  readonly isOthersTask: (trait: TraitId) => boolean;
+  readonly isLeftToHolder: (trait: TraitId) => boolean;
   swap(swap: Swap): ReturnType<ChangeFeed['swap']>;
 }
 
@@ -84,8 +84,8 @@
     if (this.isWriting) return;
     for (const [upstream, { atMs, isRemoval }] of this.due) {
       if (nowMs < atMs) continue;
-      const { missing, surplus, isOthersTask } = this.difference(upstream);
-      if (isOthersTask) {
+      const { missing, surplus, isLeftToHolder } = this.difference(upstream);
+      if (isLeftToHolder) {
         this.due.set(upstream, { atMs: nowMs + RETRY_MS, isRemoval });
         continue;
       }
@@ -123,20 +123,20 @@
 
   /**
    * Compares an upstream's record with its desired content: the traits that it lacks, those that it has too many, and
-   * whether another entry will write all of these differences.
+   * whether the holder will write all of these differences.
    */
   private difference(upstream: UpstreamId): {
     readonly missing: readonly TraitId[];
     readonly surplus: readonly TraitId[];
-    readonly isOthersTask: boolean;
+    readonly isLeftToHolder: boolean;
   } {
     const wanted = new Set(this.wanted(upstream).map(({ trait }) => trait));
     const has = this.stored.get(upstream)?.traits ?? new Set<TraitId>();
     const missing = [...wanted].filter((trait) => !has.has(trait));
     const surplus = [...has].filter((trait) => !wanted.has(trait));
     const differing = [...missing, ...surplus];
-    const isOthersTask = differing.length > 0 && differing.every(this.options.isOthersTask);
-    return { missing, surplus, isOthersTask };
+    const isLeftToHolder = differing.length > 0 && differing.every(this.options.isLeftToHolder);
+    return { missing, surplus, isLeftToHolder };
   }
 
   /** Returns the desired content of an upstream's record: its suspects, each with the crash on this upstream only. */
--- a/src/direct/poison/suspectsync.ts
+++ b/src/direct/poison/suspectsync.ts
@@ -20,10 +20,10 @@
 
   private answeredAtMs: Ms = -Infinity;
 
-  private isAwaited = false;
+  private isAwaitingAnswer = false;
 
   /** True if the last answer was as large as one may be, so that the holder may have more to tell. */
-  private isMoreToHear = false;
+  private mayHearMore = false;
 
   constructor(
     private readonly clock: Clock,
@@ -34,12 +34,12 @@
 
   /** True while a report is on its way. Once it is answered, `hasMore` says whether another one is due. */
   get isWaiting(): boolean {
-    return this.isAwaited;
+    return this.isAwaitingAnswer;
   }
 
   /** True if there is more to tell or to hear than was in the last exchange. */
   get hasMore(): boolean {
-    return this.isMoreToHear || this.news().suspects.length > 0;
+    return this.mayHearMore || this.news().suspects.length > 0;
   }
 
   /**
@@ -47,8 +47,8 @@
    * changes would be sent again both ways. `answered` or `unanswered` has to follow.
    */
   report(): PoisonReport | undefined {
-    if (this.isAwaited) return undefined;
-    this.isAwaited = true;
+    if (this.isAwaitingAnswer) return undefined;
+    this.isAwaitingAnswer = true;
     const { heard } = this;
     const news = this.news();
     return news.suspects.length > 0 ? { heard, news } : { heard };
@@ -56,12 +56,12 @@
 
   /** The last report got no answer. */
   unanswered(): void {
-    this.isAwaited = false;
+    this.isAwaitingAnswer = false;
   }
 
   /** Applies the holder's answer to a report. */
   answered({ news }: PoisonReport, reply: SuspectBatch): void {
-    this.isAwaited = false;
+    this.isAwaitingAnswer = false;
     this.take(reply);
     const { book, index, suspects } = reply;
     for (const suspect of suspects) this.markKnown(suspect, book);
@@ -70,11 +70,11 @@
     else if (news) this.acknowledged = { book: news.book, index: news.index };
     this.heard = { book, index };
     this.answeredAtMs = this.clock.nowMs();
-    this.isMoreToHear = suspects.length >= poisonLimits.maxBatchSize;
+    this.mayHearMore = suspects.length >= poisonLimits.maxBatchSize;
   }
 
   /** Returns true if a holder that still answers knows all that this entry knows of a trait. */
-  isWithHolder(trait: TraitId): boolean {
+  isKnownToHolder(trait: TraitId): boolean {
     const isSilent = this.clock.nowMs() - this.answeredAtMs > HOLDER_SILENT_MS;
     if (isSilent || !this.heard) return false;
     return this.book.isKnownTo(trait, this.heard.book, this.acknowledged?.index ?? 0);
