Log lines about the state are named one by one

Fourteen messages have a limit of 20 a second now; the sum of the limits is unchanged. The test has 500 lines about orders in addition, and failed before.

--- a/src/shell/log/createboundedlog.ts
+++ b/src/shell/log/createboundedlog.ts
@@ -4,6 +4,7 @@
 import type { Log } from '../../port/index.js';
 import { LineBudget } from './linebudget.js';
 import type { LineKind } from './linekind.js';
+import { stateMessages } from './statemessages.js';
 
 /** Options of a bounded log. */
 interface BoundedLogOptions {
@@ -18,17 +19,17 @@
  */
 const LINES_PER_SECOND: Readonly<Record<LineKind, number>> = {
   ordinary: 120,
-  request: 140,
-  state: 60,
+  state: 20,
+  decision: 180,
 };
 /** No lines are written while this much output is buffered: about 3 s at the full rate. */
 const MAX_BUFFERED_BYTES = 262_144;
 const REQUEST_MESSAGE = 'request';
 const ORDINARY_END = 'answered';
 
-function kindOf(message: string, { end, requestId }: Readonly<Record<string, unknown>>): LineKind {
-  if (message === REQUEST_MESSAGE) return end === ORDINARY_END ? 'ordinary' : 'request';
-  return requestId === undefined ? 'state' : 'request';
+function kindOf(message: string, { end }: Readonly<Record<string, unknown>>): LineKind {
+  if (stateMessages.has(message)) return 'state';
+  return message === REQUEST_MESSAGE && end === ORDINARY_END ? 'ordinary' : 'decision';
 }
 
 /**
--- a/src/shell/log/linekind.ts
+++ b/src/shell/log/linekind.ts
@@ -1,2 +1,2 @@
-/** What a log line is about: a request that succeeded, another one, or the state of the process. */
-export type LineKind = 'ordinary' | 'request' | 'state';
+/** What a log line is about: a request that succeeded, the state of the process, or any other decision. */
+export type LineKind = 'ordinary' | 'state' | 'decision';
--- a/test/boundedlog.test.ts
+++ b/test/boundedlog.test.ts
@@ -33,13 +33,14 @@
   t.is(lines.find(({ message }) => message === 'lines left out')?.leftOut, 500 - answered);
 });
 
-test('lines about requests do not displace lines about the state of the process', async (t) => {
+test('lines about requests and orders do not displace lines about the state of the process', async (t) => {
   const clock = new VirtualClock();
   const out = new PassThrough({ highWaterMark: 10_000_000 });
   const log = createBoundedLog({ process: 'entry', out, clock });
   clock.advanceTo(5000);
   for (let at = 0; at < 500; at += 1) log.info('request', { end: 'timeout', requestId: `r${at}` });
   for (let at = 0; at < 500; at += 1) log.info('request refused', { requestId: `r${at}` });
+  for (let at = 0; at < 500; at += 1) log.info('order', { upstream: `u${at}` });
   log.info('configuration in force', { version: 2 });
   await new Promise((resolve) => {
     setImmediate(resolve);
