The careless entry hangs again with the defect that asks for it

Cause: the time-outs that the careless entry got with the changing routes answered its hanging requests with 504. They are set after that defect now; the test passes.

--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -448,14 +448,14 @@
   }
   const route = routes.get(/^\/[^/]*\//.exec(path)?.[0] ?? '')!;
   const server = choose(model === '' ? route.service : 'engine', model);
-  setTimeout(() => {
-    if (!response.headersSent) response.writeHead(504).end();
-  }, route.timeout_ms);
   if (defect === 'refuses-resumed' && incoming.headers['last-event-id'] !== undefined) {
     response.writeHead(503).end();
     return;
   }
   if (defect === 'hang' && count % DEFECT_ONE_IN === 0) return;
+  setTimeout(() => {
+    if (!response.headersSent) response.writeHead(504).end();
+  }, route.timeout_ms);
   if (!server || adapter !== undefined || isBarred(incoming)) {
     response.writeHead(503).end();
     return;
