--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -172,7 +172,7 @@
   'refuses-at-random': {
     promise: 'no refusal while more than half of the slots are free',
     faultNames: ['hangUp'],
-    forS: 10,
+    forS: 25,
     gapMs: 6000,
     isUneven: true,
   },
