--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -80,6 +80,7 @@
 /** Sends the events after `Last-Event-Id`; resets the connection after `lastNumber`. */
 function stream({ request, response, id, server }, lastNumber = Infinity) {
   const from = Number(request.headers['last-event-id'] ?? 0);
+  if (from > 0) server.rig.note('continued', { id, server: server.id, afterEvent: from });
   response.writeHead(200, { ...server.headers(id), 'Content-Type': 'text/event-stream' });
   const next = (number) => {
     if (response.destroyed) return;
