--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -10,12 +10,15 @@
 
 const HOST = 'redactor.example';
 const MODEL = 'daka510000';
-const EVENTS = 20;
+const EVENTS = 12;
 const EVENT_GAP_MS = 15;
 /** One stream in 50 (2 in 100) of one of the two servers is broken off. */
 const BROKEN_ONE_IN = 50;
-const WORKERS = 16;
-const PLAY_MS = 40_000;
+const WORKERS = 36;
+const PLAY_MS = 9000;
+/** The disruption begins this long after the entries are ready; the sheet has 5 to 5.5 s of it. */
+const TROUBLE_AFTER_MS = 2000;
+const TROUBLE_MS = 5000;
 /** Text of the events of a notice, in turn. */
 const TEXTS = [
   'Dear customer, the redirection of',
@@ -99,11 +102,11 @@
   setTimeout(() => next(from + 1), EVENT_GAP_MS);
 }
 
-function faultyStream(isTroubled) {
+function faultyStream(isFaulty) {
   let count = 0;
   return (call) => {
     count += 1;
-    const isBroken = isTroubled && count % BROKEN_ONE_IN === 0;
+    const isBroken = isFaulty() && count % BROKEN_ONE_IN === 0;
     stream(call, isBroken ? 1 + Math.floor(Math.random() * (EVENTS - 1)) : undefined);
   };
 }
@@ -121,6 +124,11 @@
 await runCase(import.meta.dirname, async (rig, isTroubled) => {
   const service = 'redactor';
   const both = { service, slots: 24, models: [MODEL] };
+  let troubleAtMs = Infinity;
+  const isFaulty = () => {
+    const sinceMs = performance.now() - troubleAtMs;
+    return isTroubled && sinceMs >= 0 && sinceMs < TROUBLE_MS;
+  };
   await rig.start({
     config,
     entries: ['oviedo-a', 'santander-b'],
@@ -129,7 +137,7 @@
         ...both,
         id: 'i-1',
         zone: 'oviedo-a',
-        serve: faultyStream(isTroubled),
+        serve: faultyStream(isFaulty),
       },
       {
         ...both,
@@ -139,6 +147,7 @@
       },
     ],
   });
+  troubleAtMs = performance.now() + TROUBLE_AFTER_MS;
   const untilMs = performance.now() + PLAY_MS;
   const broken = [];
   let sentCount = 0;
