Read event streams by their lines

Cause: five readers searched the bytes of events (the last "id: " anywhere, "\n\n" as the end of an event, "data: [DONE]", regular expressions over an event's text) and disagreed. A position that was not found left the one of an earlier event.

core/eventstream reads lines as the HTML standard defines them and is the only reader. An event with data and without an id makes the position unknown, so that the stream is cut in place of repeating it.

The chunk reader of sendRaw in the tests split bodies at any CR LF; it now reads the chunks by their sizes.

--- a/src/core/continuation/continuedevents.ts
+++ b/src/core/continuation/continuedevents.ts
@@ -1,9 +1,11 @@
+import { dataOf, eventsOf, idOf, type StreamEvent } from '../eventstream/index.js';
 import type { Chunk } from './chunk.js';
 import { chunkOf } from './chunkof.js';
-import { eventsOf } from './eventsof.js';
 import type { StreamTemplate } from './streamtemplate.js';
 
-const EVENT_ID = /^id: ?\d+$/m;
+type Line = StreamEvent['lines'][number];
+
+const NUMBER = /^\d+$/;
 const ID = /"id":\s*"[^"]*"/;
 const CREATED = /"created":\s*\d+/;
 const FINGERPRINT = /"system_fingerprint":\s*"[^"]*"/;
@@ -17,8 +19,12 @@
   return !choice.delta.content && !choice.finish_reason;
 }
 
-function put(event: string, pattern: RegExp, value: unknown, text: string): string {
-  return value === undefined ? event : event.replace(pattern, () => text);
+function put(data: string, pattern: RegExp, value: unknown, text: string): string {
+  return value === undefined ? data : data.replace(pattern, () => text);
+}
+
+function textOf({ name, text }: Line): string {
+  return name === undefined ? text : `${name}: ${text}`;
 }
 
 /**
@@ -31,26 +37,32 @@
   earlierTokens: number,
 ): (payload: Buffer) => Buffer {
   let eventId = lastEventId;
-  const renumber = (event: string) => {
-    if (eventId === undefined || !EVENT_ID.test(event)) return event;
-    eventId += 1;
-    return event.replace(EVENT_ID, `id: ${eventId}`);
-  };
-  const recount = (event: string) =>
-    event
+  const recount = (data: string) =>
+    data
       .replace(PROMPT_TOKENS, (_all, count) => `"prompt_tokens":${Number(count) - earlierTokens}`)
       .replace(
         COMPLETION_TOKENS,
         (_all, count) => `"completion_tokens":${Number(count) + earlierTokens}`,
       );
-  const rewrite = (event: string): string => {
-    const chunk = chunkOf(event);
-    if (!chunk) return `${event}\n\n`;
-    if (isOpening(chunk)) return '';
-    const named = put(renumber(event), ID, id, `"id":"${id}"`);
+  const rewriteData = (data: string, { usage }: Chunk): string => {
+    const named = put(data, ID, id, `"id":"${id}"`);
     const dated = put(named, CREATED, created, `"created":${created}`);
     const marked = put(dated, FINGERPRINT, fingerprint, `"system_fingerprint":"${fingerprint}"`);
-    return `${chunk.usage ? recount(marked) : marked}\n\n`;
+    return usage ? recount(marked) : marked;
+  };
+  const rewriteLine = (line: Line, chunk: Chunk): Line => {
+    if (line.name === 'data') return { ...line, text: rewriteData(line.text, chunk) };
+    if (line.name === 'id' && NUMBER.test(line.text) && eventId !== undefined) {
+      return { ...line, text: String(eventId) };
+    }
+    return line;
+  };
+  const rewrite = (event: StreamEvent): string => {
+    const chunk = chunkOf(dataOf(event));
+    if (chunk && isOpening(chunk)) return '';
+    if (chunk && eventId !== undefined && NUMBER.test(idOf(event) ?? '')) eventId += 1;
+    const lines = chunk ? event.lines.map((line) => rewriteLine(line, chunk)) : event.lines;
+    return `${lines.map(textOf).join('\n')}\n\n`;
   };
   return (payload) => Buffer.from(eventsOf(payload).map(rewrite).join(''));
 }
--- a/src/core/continuation/heldanswer.ts
+++ b/src/core/continuation/heldanswer.ts
@@ -1,12 +1,13 @@
 import type { Continuation } from '../../wire/index.js';
+import { dataOf, eventsOf, idOf, type StreamEvent } from '../eventstream/index.js';
 import type { Chunk } from './chunk.js';
 import { chunkOf } from './chunkof.js';
-import { eventsOf } from './eventsof.js';
 import type { StreamTemplate } from './streamtemplate.js';
 
 /** Payloads are parsed in batches of this many, to keep the cost of parsing off the path of each token. */
 const COMPACT_AT = 16;
-const EVENT_ID = /^id: ?(\d+)$/m;
+const NUMBER = /^\d+$/;
+const DONE = '[DONE]';
 
 /**
  * The part of a streamed answer that has been sent to the caller. It is mutable because it records every
@@ -65,11 +66,16 @@
     if (this.text.length * 2 > this.limitBytes) this.stopTracking();
   }
 
-  private read(event: string): void {
-    const eventId = EVENT_ID.exec(event)?.[1];
-    if (eventId !== undefined) this.template = { ...this.template, lastEventId: Number(eventId) };
-    const chunk = chunkOf(event);
+  private read(event: StreamEvent): void {
+    const eventId = idOf(event);
+    if (eventId !== undefined && NUMBER.test(eventId)) {
+      this.template = { ...this.template, lastEventId: Number(eventId) };
+    }
+    const data = dataOf(event);
+    const chunk = chunkOf(data);
     if (chunk) this.readChunk(chunk);
+    // What the caller has got of such an event is not known to the next engine.
+    else if (data !== undefined && data !== DONE) this.stopTracking();
   }
 
   private readChunk(chunk: Chunk): void {
--- /dev/null
+++ b/src/core/eventstream/linereader.ts
@@ -0,0 +1,77 @@
+const LF = 0x0a;
+const CR = 0x0d;
+const EMPTY = Buffer.alloc(0);
+const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
+
+/** Takes a complete line, without its end: `bytes` from `start` to `end`. The next line begins at `next` of the chunk. */
+type OnLine = (bytes: Buffer, start: number, end: number, next: number) => void;
+
+/** Splits bytes that arrive in chunks into lines, each of which ends with LF, CR LF or CR. */
+export class LineReader {
+  /** First bytes of a line whose end has not arrived. */
+  private partial: Buffer = EMPTY;
+
+  /** True if the last byte read was a CR: an LF that follows belongs to the same line end. */
+  private isAfterCr = false;
+
+  private isFirst = true;
+
+  constructor(
+    private readonly onLine: OnLine,
+    /** Of a line that spans chunks, only this many bytes are kept. */
+    private readonly maxPartialBytes = Infinity,
+  ) {}
+
+  /** True if the last line is incomplete so far. */
+  get isInsideLine(): boolean {
+    return this.partial.length > 0;
+  }
+
+  /** Reads a chunk. Returns the number of its first bytes that belong to the end of the line before. */
+  read(chunk: Buffer): number {
+    if (chunk.length === 0) return 0;
+    const first = this.isAfterCr && chunk[0] === LF ? 1 : 0;
+    this.isAfterCr = chunk[chunk.length - 1] === CR;
+    let start = first;
+    let lf = chunk.indexOf(LF, start);
+    let cr = chunk.indexOf(CR, start);
+    while (lf >= 0 || cr >= 0) {
+      const isCr = cr >= 0 && (lf < 0 || cr < lf);
+      const end = isCr ? cr : lf;
+      const next = isCr && chunk[end + 1] === LF ? end + 2 : end + 1;
+      this.takeLine(chunk, start, end, next);
+      start = next;
+      if (lf >= 0 && lf < start) lf = chunk.indexOf(LF, start);
+      if (cr >= 0 && cr < start) cr = chunk.indexOf(CR, start);
+    }
+    this.keep(chunk, start, chunk.length);
+    return first;
+  }
+
+  private takeLine(chunk: Buffer, start: number, end: number, next: number): void {
+    if (this.partial.length > 0) {
+      this.keep(chunk, start, end);
+      const line = this.partial;
+      this.partial = EMPTY;
+      this.emit(line, 0, line.length, next);
+    } else {
+      this.emit(chunk, start, end, next);
+    }
+  }
+
+  private emit(bytes: Buffer, start: number, end: number, next: number): void {
+    const { onLine, isFirst } = this;
+    this.isFirst = false;
+    const markEnd = start + BYTE_ORDER_MARK.length;
+    const hasMark =
+      isFirst && markEnd <= end && bytes.subarray(start, markEnd).equals(BYTE_ORDER_MARK);
+    onLine(bytes, hasMark ? markEnd : start, end, next);
+  }
+
+  private keep(chunk: Buffer, start: number, end: number): void {
+    const lackBytes = this.maxPartialBytes - this.partial.length;
+    if (start === end || lackBytes <= 0) return;
+    const added = chunk.subarray(start, Math.min(end, start + lackBytes));
+    this.partial = Buffer.concat([this.partial, added]);
+  }
+}
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -443,6 +443,10 @@
     this.context.metrics.count('direct.attempt', 1, { outcome });
   }
 
+  streamBroke(next: string, position: 'known' | 'unknown'): void {
+    this.context.metrics.count('direct.stream_break', 1, { next, position });
+  }
+
   // Callbacks of the follower.
 
   setTable(table: RouteTable): void {
--- a/src/direct/run/eventassembler.ts
+++ b/src/direct/run/eventassembler.ts
@@ -1,27 +1,41 @@
-import { EventSplitter } from '../../shell/engine/index.js';
+import { EventSplitter } from '../../core/eventstream/index.js';
 
-/** Passes on only complete events of a stream, and keeps the id of the last one. */
+const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
+
+/** Passes on only complete events of a stream, and keeps the id after which it can be continued. */
 export class EventAssembler {
   private splitter = new EventSplitter();
 
+  /** True until the first events of a continuation have come. */
+  private isContinuing = false;
+
   lastId: string | undefined;
 
   get isEventTooLarge(): boolean {
     return this.splitter.isEventTooLarge;
   }
 
+  get isInsideEvent(): boolean {
+    return this.splitter.isInsideEvent;
+  }
+
   /** Returns the complete events that a chunk finishes; undefined if there are none. */
   take(chunk: Buffer): Buffer | undefined {
-    const payloads: Buffer[] = [];
-    for (const { payload, resumeToken } of this.splitter.split(chunk)) {
-      payloads.push(payload);
-      if (resumeToken !== undefined) this.lastId = resumeToken;
-    }
-    return payloads.length > 0 ? Buffer.concat(payloads) : undefined;
+    const piece = this.splitter.split(chunk);
+    if (!piece) return undefined;
+    const { payload, resumeToken } = piece;
+    const { isContinuing } = this;
+    this.isContinuing = false;
+    this.lastId = resumeToken;
+    // Only the first bytes of the caller's stream can be a byte order mark.
+    const hasMark =
+      isContinuing && payload.subarray(0, BYTE_ORDER_MARK.length).equals(BYTE_ORDER_MARK);
+    return hasMark ? payload.subarray(BYTE_ORDER_MARK.length) : payload;
   }
 
   /** Discards an incomplete event: another upstream sends it again. */
   restart(): void {
-    this.splitter = new EventSplitter();
+    this.splitter = new EventSplitter(this.lastId);
+    this.isContinuing = this.lastId !== undefined;
   }
 }
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -1,9 +1,9 @@
 import type { RequestId } from '../../base/index.js';
+import { EventReader } from '../../core/eventstream/index.js';
 import type { StreamOrigin } from '../../core/origin/index.js';
 import type { UpstreamReceiver } from '../../port/index.js';
 import type { Caller } from '../caller.js';
 import { EventAssembler } from './eventassembler.js';
-import { EventBoundary } from './eventboundary.js';
 
 type Head = Parameters<UpstreamReceiver['head']>[0];
 
@@ -43,8 +43,14 @@
 
   private assembler: EventAssembler | undefined;
 
-  /** Whether the stream of the last answer is inside an event. */
-  private boundary: EventBoundary | undefined;
+  /** Reads the last answer if it is an event stream that cannot be continued. */
+  private reader: EventReader | undefined;
+
+  /** True if the last answer is complete without any bytes. */
+  private mayBeEmpty = true;
+
+  /** True if no bytes of the last answer have arrived. */
+  private isEmpty = true;
 
   private held: Buffer[] | undefined;
 
@@ -79,7 +85,8 @@
 
   /** True if the last answer is a stream whose last event is incomplete so far. */
   get isInsideEvent(): boolean {
-    return this.boundary?.isInsideEvent ?? false;
+    if (this.isEmpty) return !this.mayBeEmpty;
+    return (this.reader ?? this.assembler)?.isInsideEvent ?? false;
   }
 
   /** True if the stream's last event is incomplete and larger than an event can be. */
@@ -90,27 +97,36 @@
   /** Begins with the head of an upstream's answer. */
   take(head: Head, { isStream, isResumable, origin }: ReplyMode): void {
     this.head = head;
-    this.boundary = isStream && isEventStream(head) ? this.newBoundary(head) : undefined;
-    if (!isStream) {
+    const isEvents = isStream && isEventStream(head);
+    this.mayBeEmpty = !isEvents || this.mayBeEmptyStream(head);
+    this.isEmpty = true;
+    this.reader = undefined;
+    if (!isStream || (isResumable && !isEvents)) {
       this.held = [];
       return;
     }
     this.nextOrigin = origin;
     // A resumable stream begins with its first event: until then another upstream may answer instead.
-    if (!isResumable) this.begin();
-    else if (this.assembler) this.assembler.restart();
-    else this.assembler = new EventAssembler();
+    if (!isResumable) {
+      if (isEvents) this.reader = new EventReader();
+      this.begin();
+    } else if (this.assembler) {
+      this.assembler.restart();
+    } else {
+      this.assembler = new EventAssembler();
+    }
   }
 
   /** Passes on or buffers a chunk. Returns false while the caller accepts no more data. */
   data(chunk: Buffer): boolean {
+    this.isEmpty = false;
     if (this.held) {
       this.held.push(chunk);
       this.heldBytes += chunk.length;
       if (this.heldBytes > MAX_HELD_BYTES) this.release();
       return true;
     }
-    this.boundary?.take(chunk);
+    this.reader?.read(chunk);
     const payload = this.assembler ? this.assembler.take(chunk) : chunk;
     if (!payload) return true;
     this.begin();
@@ -140,9 +156,8 @@
   }
 
   /** An answer that ends with its connection may have been cut before its first event. */
-  private newBoundary({ hasLength }: Head): EventBoundary {
-    const isContinuation = this.hasBegun || this.caller.request.resumeAfter !== undefined;
-    return new EventBoundary(hasLength || isContinuation);
+  private mayBeEmptyStream({ hasLength }: Head): boolean {
+    return hasLength || this.hasBegun || this.caller.request.resumeAfter !== undefined;
   }
 
   private begin(): void {
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -33,6 +33,8 @@
 const CAPACITY_CHECK_MS = 20;
 /** Bound of the searches by one request: an upstream reported as ready may refuse, and may then be found again. */
 const MAX_TARGET_WAITS = 4;
+/** An id of an event is the upstream's text. */
+const MAX_LOGGED_ID_LENGTH = 64;
 /** Number of hash values. */
 const HASH_RANGE = 2 ** 32;
 /** Delay before upstreams that refused are tried again; a few runs end within it. */
@@ -643,6 +645,7 @@
     const { serving, service } = this;
     const nowMs = this.clock.nowMs();
     const isRetry = step.type === 'again' || step.type === 'resume';
+    if (this.reply.hasBegun) this.recordStreamBreak(step.type);
     if (isRetry && this.retryCharge.reserve(serving.budgetOf(service), nowMs)) {
       this.reply.setAside(end.type === 'failed');
       this.attempt();
@@ -652,6 +655,19 @@
     this.stopTrying(end);
   }
 
+  private recordStreamBreak(next: ReturnType<typeof nextStep>['type']): void {
+    const { reply, record, serving } = this;
+    const { lastEventId } = reply;
+    const position = lastEventId === undefined ? 'unknown' : 'known';
+    serving.streamBroke(next, position);
+    this.log.info('stream broke', {
+      requestId: reply.requestId,
+      next,
+      lastEventId: lastEventId?.slice(0, MAX_LOGGED_ID_LENGTH),
+      attempts: record.attempts,
+    });
+  }
+
   /** Ends the request: it was to be sent again, and the window's budget is spent. */
   private budgetSpent(): void {
     this.record.attempts.push('budget-spent');
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -67,5 +67,7 @@
   left(target: Target, tookMs: Ms): void;
   /** Counts an attempt at an upstream by its outcome. */
   attempted(outcome: string): void;
+  /** Counts a stream that broke off, by what follows and whether the position to continue from is known. */
+  streamBroke(next: string, position: 'known' | 'unknown'): void;
   ended(end: string, route: Route | undefined, tookMs: Ms): void;
 }
--- a/src/port/answerstream.ts
+++ b/src/port/answerstream.ts
@@ -15,7 +15,7 @@
         readonly payload: Buffer;
         readonly tokenCount: number;
         /** Token to resume the answer after this piece; absent if the upstream cannot resume. */
-        readonly resumeToken?: string;
+        readonly resumeToken?: string | undefined;
       },
       EngineFailure
     >
--- a/src/shell/engine/engineanswer.ts
+++ b/src/shell/engine/engineanswer.ts
@@ -1,14 +1,14 @@
 import type { Dispatcher } from 'undici';
 import type { Result } from 'ts-results';
 import { result } from '../../base/index.js';
+import { EventSplitter } from '../../core/eventstream/index.js';
 import type { AnswerStream, EngineFailure, Generation } from '../../port/index.js';
 import { readWithin } from '../body/index.js';
 import { discard } from './discard.js';
 import { httpAnswer } from './httpanswer.js';
 import { belongsToRequest } from './belongstorequest.js';
-import { EventSplitter } from './eventsplitter.js';
+import { eventsBelongToRequest } from './eventsbelongtorequest.js';
 
-const DONE = Buffer.from('data: [DONE]');
 const DETAIL_LENGTH = 200;
 const MAX_DETAIL_BYTES = 65_536;
 const FIRST_ERROR_STATUS = 400;
@@ -51,8 +51,8 @@
   return result.Err({ type: 'upstream-refused', detail: description, executed });
 }
 
-function asOnePiece(chunk: Buffer): { payload: Buffer; tokenCount: number }[] {
-  return [{ payload: chunk, tokenCount: 0 }];
+function asOnePiece(chunk: Buffer): { payload: Buffer; tokenCount: number } {
+  return { payload: chunk, tokenCount: 0 };
 }
 
 /** Reads an engine's answer and checks that it belongs to this request and is complete. */
@@ -70,21 +70,21 @@
   if (response.statusCode >= FIRST_ERROR_STATUS) {
     return result.Ok(httpAnswer(response, { split: asOnePiece }));
   }
-  const id = Buffer.from(requestId);
   if (String(response.headers['content-type']).startsWith('text/event-stream')) {
     const splitter = new EventSplitter();
     return result.Ok(
       httpAnswer(response, {
         split: (chunk) => splitter.split(chunk),
         overflow: () => (splitter.isEventTooLarge ? endlessEvent : undefined),
-        check: ({ payload }) => (belongsToRequest(payload, id) ? undefined : wrongAnswer),
-        missing: (last) => (last?.payload.includes(DONE) ? undefined : cutAnswer),
+        check: ({ payload }) =>
+          eventsBelongToRequest(payload, requestId) ? undefined : wrongAnswer,
+        missing: () => (splitter.isDone ? undefined : cutAnswer),
       }),
     );
   }
   let isFirst = true;
   const check = ({ payload }: { payload: Buffer }) => {
-    const isOwn = !isFirst || belongsToRequest(payload, id);
+    const isOwn = !isFirst || belongsToRequest(payload.toString(), requestId);
     isFirst = false;
     return isOwn ? undefined : wrongAnswer;
   };
--- a/src/shell/engine/httpanswer.ts
+++ b/src/shell/engine/httpanswer.ts
@@ -6,18 +6,19 @@
 interface Piece {
   readonly payload: Buffer;
   readonly tokenCount: number;
-  readonly resumeToken?: string;
+  readonly resumeToken?: string | undefined;
 }
 
 /** How the body of an answer is split and checked. */
 interface AnswerFormat {
-  readonly split: (chunk: Buffer) => Iterable<Piece>;
+  /** Returns the complete piece that a chunk finishes, if any. */
+  readonly split: (chunk: Buffer) => Piece | undefined;
   /** Returns a failure if what is buffered is larger than a piece can be. */
   readonly overflow?: () => EngineFailure | undefined;
   /** Returns a failure if the piece is invalid. */
   readonly check?: (piece: Piece) => EngineFailure | undefined;
-  /** Returns a failure if the answer is incomplete after its last piece. */
-  readonly missing?: (last: Piece | undefined) => EngineFailure | undefined;
+  /** Returns a failure if the answer is incomplete when it ends. */
+  readonly missing?: () => EngineFailure | undefined;
 }
 
 /** Hop-by-hop headers, and headers that are set again for the caller. */
@@ -37,18 +38,15 @@
   body: AsyncIterable<Buffer>,
   { split, overflow, check, missing }: AnswerFormat,
 ): AsyncIterable<Result<Piece, EngineFailure>> {
-  let last: Piece | undefined;
   try {
     for await (const chunk of body) {
-      for (const piece of split(chunk)) {
-        const wrong = check?.(piece);
-        if (wrong) {
-          yield result.Err(wrong);
-          return;
-        }
-        last = piece;
-        yield result.Ok(piece);
+      const piece = split(chunk);
+      const wrong = piece && check?.(piece);
+      if (wrong) {
+        yield result.Err(wrong);
+        return;
       }
+      if (piece) yield result.Ok(piece);
       const tooLarge = overflow?.();
       if (tooLarge) {
         yield result.Err(tooLarge);
@@ -60,7 +58,7 @@
     yield result.Err({ type: 'upstream-cut', detail, executed: 'unknown' });
     return;
   }
-  const lost = missing?.(last);
+  const lost = missing?.();
   if (lost) yield result.Err(lost);
 }
 
--- a/src/shell/engine/httpservice.ts
+++ b/src/shell/engine/httpservice.ts
@@ -6,7 +6,7 @@
 import { failureOf } from './failureof.js';
 import { httpAnswer } from './httpanswer.js';
 
-const asOnePiece = (chunk: Buffer) => [{ payload: chunk, tokenCount: 0 }];
+const asOnePiece = (chunk: Buffer) => ({ payload: chunk, tokenCount: 0 });
 
 const wrongAnswer: EngineFailure = {
   type: 'upstream-wrong-answer',
--- a/src/shell/engine/index.ts
+++ b/src/shell/engine/index.ts
@@ -1,4 +1,3 @@
 /** HTTP drivers of upstreams: model engines and plain services. */
-export { EventSplitter } from './eventsplitter.js';
 export { HttpEngine } from './httpengine.js';
 export { HttpService } from './httpservice.js';
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -203,7 +203,7 @@
     for await (const piece of pieces) {
       if (piece.err) return piece.val;
       const { payload, tokenCount } = piece.val;
-      this.resumeToken = piece.val.resumeToken ?? this.resumeToken;
+      this.resumeToken = piece.val.resumeToken;
       this.dataCount += 1;
       this.tokenCount += tokenCount;
       this.recorder.data(payload);
--- a/test/support/fakeserving.ts
+++ b/test/support/fakeserving.ts
@@ -7,6 +7,7 @@
   'began',
   'left',
   'attempted',
+  'streamBroke',
   'ended',
   'refused',
   'refusedFull',
--- a/test/support/sendraw.ts
+++ b/test/support/sendraw.ts
@@ -9,6 +9,21 @@
   readonly isWhole: boolean;
 }
 
+/** Reads a chunked body by the sizes of its chunks; the last chunk may be incomplete. */
+function readChunks(text: string): { body: string; isEnded: boolean } {
+  let body = '';
+  let at = 0;
+  for (;;) {
+    const lineEnd = text.indexOf('\r\n', at);
+    if (lineEnd < 0) return { body, isEnded: false };
+    const size = Number.parseInt(text.slice(at, lineEnd), 16);
+    const start = lineEnd + 2;
+    if (size === 0) return { body, isEnded: text.startsWith('\r\n', start) };
+    body += text.slice(start, start + size);
+    at = start + size + 2;
+  }
+}
+
 function answerOf(text: string): RawAnswer {
   const at = text.indexOf('\r\n\r\n');
   const head = at < 0 ? text : text.slice(0, at);
@@ -16,10 +31,9 @@
   const status = Number(/^HTTP\/1\.1 (\d+)/.exec(head)?.[1] ?? 0);
   const length = /content-length: (\d+)/i.exec(head)?.[1];
   const isChunked = /transfer-encoding: chunked/i.test(head);
-  const isEnded = isChunked ? rest.endsWith('0\r\n\r\n') : false;
-  const isWhole = isEnded || (length !== undefined && rest.length === Number(length));
-  const body = isChunked ? rest.replaceAll(/[0-9a-f]+\r\n([\s\S]*?)\r\n/g, '$1') : rest;
-  return { status, head, body, isWhole };
+  const chunks = isChunked ? readChunks(rest) : undefined;
+  const isWhole = chunks?.isEnded ?? (length !== undefined && rest.length === Number(length));
+  return { status, head, body: chunks?.body ?? rest, isWhole };
 }
 
 /** Sends raw bytes from a loopback address and reads until the connection ends. */
