Do not append failures to broken streams

Cause: only statuses from 500 on counted as failures of a stream that had begun, and only once the answer had ended. A failure of more than 256 KiB was passed on before that.

An answer can continue a stream only if it is a success and an event stream; any other is given up at its head as a failed attempt. The sidecar and the entry of the product path look at the status of a continuation in the same way. A failed attempt of a begun stream is decided like a broken one, which asks whether the position is known.

--- a/src/core/delivery/nextstep.ts
+++ b/src/core/delivery/nextstep.ts
@@ -44,6 +44,6 @@
 /** Decides what follows an attempt without a usable answer. A request that may have run is never refused. */
 export function nextStep(progress: Progress, end: AttemptEnd): Step {
   if (end.type === 'not-run') return afterNotRun(progress);
-  if (end.type === 'failed') return mayRunAgain(progress) ? AGAIN : { type: 'pass' };
-  return afterBroken(progress);
+  if (end.type === 'broken' || progress.hasBegun) return afterBroken(progress);
+  return mayRunAgain(progress) ? AGAIN : { type: 'pass' };
 }
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -162,6 +162,12 @@
       this.notRun(head);
       return;
     }
+    if (!reply.canTake(head)) {
+      this.sent?.cancel();
+      const detail = `The upstream answered ${head.status} to the continuation of a stream.`;
+      this.onFailure({ type: 'upstream-wrong-answer', detail, mayHaveRun: true });
+      return;
+    }
     this.head = head;
     this.headAtMs = nowMs;
     record.firstByteAtMs ??= nowMs;
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -9,6 +9,7 @@
 
 /** A plain answer up to this size is buffered until it is complete, so that a broken one can be repeated. */
 const MAX_HELD_BYTES = 262_144;
+const FIRST_NON_SUCCESS_STATUS = 300;
 
 /** How an upstream's answer is passed on to its caller. */
 interface ReplyMode {
@@ -94,6 +95,11 @@
     return this.assembler?.isEventTooLarge ?? false;
   }
 
+  /** Returns false if an answer cannot continue the stream that was begun: it is a failure, or no event stream. */
+  canTake(head: Head): boolean {
+    return !this.hasBegun || (head.status < FIRST_NON_SUCCESS_STATUS && isEventStream(head));
+  }
+
   /** Begins with the head of an upstream's answer. */
   take(head: Head, { isStream, isResumable, origin }: ReplyMode): void {
     this.head = head;
--- a/src/entry/requestrun.ts
+++ b/src/entry/requestrun.ts
@@ -28,6 +28,7 @@
 
 type Effect<Type> = Extract<AttemptEffect, { type: Type }>;
 
+const FIRST_NON_SUCCESS_STATUS = 300;
 const DONE_EVENT = Buffer.from('data: [DONE]\n\n');
 const UNKNOWN = { executed: Executed.EXECUTED_UNKNOWN };
 
@@ -221,6 +222,11 @@
   }
 
   private onStart({ status, headers }: AnswerStart): void {
+    if (this.answer.hasSent && status >= FIRST_NON_SUCCESS_STATUS) {
+      const detail = `The upstream answered ${status} to the continuation of a stream.`;
+      this.abandon(refuse('upstream-refused', detail, UNKNOWN));
+      return;
+    }
     this.answer.start(status, headers);
     this.step({ type: 'started' });
   }
--- a/src/sidecar/work.ts
+++ b/src/sidecar/work.ts
@@ -28,6 +28,14 @@
   yes: Executed.EXECUTED_YES,
 };
 
+const FIRST_NON_SUCCESS_STATUS = 300;
+
+const refusedContinuation: EngineFailure = {
+  type: 'upstream-refused',
+  detail: 'The upstream answered the continuation of a stream with a failure.',
+  executed: 'unknown',
+};
+
 /** One request at this sidecar, from admission through the upstream's answer to its end or refusal. */
 export class Work {
   private readonly abortController = new AbortController();
@@ -199,6 +207,7 @@
     if (stream.err) return stream.val;
     const { status, headers, pieces } = stream.val;
     if (!this.started) this.start(status, headers);
+    else if (status >= FIRST_NON_SUCCESS_STATUS) return refusedContinuation;
     signal.addEventListener('abort', () => this.sink.wake(), { once: true });
     for await (const piece of pieces) {
       if (piece.err) return piece.val;
--- a/test/failedcontinuation.test.ts
+++ b/test/failedcontinuation.test.ts
@@ -10,23 +10,37 @@
   return server;
 }
 
-// Guards against a stream that ends as complete though it was cut: the continuation fails with an answer of its own.
-test('a broken stream whose continuation fails with a status does not look complete', async (t) => {
-  const rig = new PlatformRig();
-  const [first, second] = [engine('e1', 'z1'), engine('e2', 'z2')];
-  first.behaviors.push('cut');
-  Object.assign(second, {
-    stream: ({ headers }: IncomingMessage, response: ServerResponse) => {
-      response.writeHead(500, {
-        'tarragonstile-request-id': headers['tarragonstile-request-id'],
-        'tarragonstile-response-signature': 'by-e2',
-      });
-      response.end('failed');
-    },
+/** Answers that are no continuation of a stream, by the status and the type of their content. */
+const ANSWERS = [
+  { status: 500, type: 'text/plain', body: 'failed' },
+  { status: 500, type: 'text/plain', body: 'x'.repeat(300_000) },
+  { status: 429, type: 'text/plain', body: 'data: not now\n\n' },
+  { status: 302, type: 'text/event-stream', body: 'data: moved\n\n' },
+  { status: 200, type: 'application/json', body: '{"text":"data"}\n\n' },
+] as const;
+
+for (const { status, type, body } of ANSWERS) {
+  // Guards against a stream that ends as complete though it was cut: the answer to its continuation is appended to it.
+  test(`a broken stream does not go on with ${body.length} bytes of ${status}, ${type}`, async (t) => {
+    const rig = new PlatformRig();
+    const [first, second] = [engine('e1', 'z1'), engine('e2', 'z2')];
+    first.behaviors.push('cut');
+    Object.assign(second, {
+      stream: ({ headers }: IncomingMessage, response: ServerResponse) => {
+        response.writeHead(status, {
+          'tarragonstile-request-id': headers['tarragonstile-request-id'],
+          'tarragonstile-response-signature': 'by-e2',
+          'content-type': type,
+        });
+        response.end(body);
+      },
+    });
+    await rig.start([first, second]);
+    const headers = { 'Tarragonstile-Model': 'm1' };
+    const answer = await callEntry(rig.port, { method: 'POST', path: '/batch/1', headers });
+    rig.close();
+    t.is(second.runs.length, 1);
+    t.false(answer.isWhole);
+    t.false(answer.body.includes(body), answer.body);
   });
-  await rig.start([first, second]);
-  const headers = { 'Tarragonstile-Model': 'm1' };
-  const answer = await callEntry(rig.port, { method: 'POST', path: '/batch/1', headers });
-  rig.close();
-  t.false(answer.isWhole);
-});
+}
