Check what comes from outside before it reaches code that throws

Cause: the decoder took fields as optional that every server writes, and any digits as a port; opening a connection to such an address throws, in the callback of a timer or socket. The same holds for other texts from outside: answers of the store and of other entries were cast and never checked, a call that undici cannot write was reported before its sender had the exchange, and a lease record of another writer could be replaced by nobody.

Records have to hold the eight fields that every server writes, and an address that can exist. Opening a connection and sending a request cannot throw to the caller; both fail later, with a line that names upstream, address and reason. Answers of the store, of entries and of servers are checked where they are read and are failed calls otherwise. An unreadable lease record names no holder and is replaced once a lease would have run out. An exception that nothing expects still ends the process. Fixtures that left fields out are completed.

--- a/bench/soak/serverlistfaults.ts
+++ b/bench/soak/serverlistfaults.ts
@@ -1,14 +1,34 @@
 import type { Dice } from './dice.js';
 import type { Site } from './site.js';
 
+/** Fields of a server's record. */
+const RECORD = {
+  service: 'engine',
+  address: '127.0.0.1:1',
+  zone: 'z1',
+  version: 'v1',
+  slots: 4,
+  state: 'ready',
+  cold_remaining_ms: 0,
+  seq: 1,
+};
+
 /** Values that another writer may leave under a server's key or under another key of the list. */
 const FOREIGN_VALUES: readonly string[] = [
   '{',
   '[]',
   '{"service":"engine"}',
-  '{"service":"engine","address":7,"zone":"z1","state":"ready"}',
-  '{"service":"engine","address":"127.0.0.1:1","zone":"z1","state":"resting"}',
-  '{"service":"nobody","address":"127.0.0.1:1","zone":"z1","state":"ready","models":"m1"}',
+  ...[
+    { address: 7 },
+    { address: '127.0.0.1:81450' },
+    { address: 'http://127.0.0.1:1/' },
+    { state: 'resting' },
+    { service: 'nobody', models: 'm1' },
+    { slots: -1 },
+    { version: undefined },
+    { cold_remaining_ms: undefined },
+    { seq: undefined },
+  ].map((wrong) => JSON.stringify({ ...RECORD, ...wrong })),
 ];
 /** Longest time until a foreign value is replaced or removed. */
 const LONGEST_MS = 1000;
--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -13,6 +13,7 @@
 export type { Incarnation } from './incarnation.js';
 export type { KeyHash } from './keyhash.js';
 export type { KindName } from './kindname.js';
+export { MAX_TIMER_MS } from './maxtimerms.js';
 export type { ModelId } from './modelid.js';
 export type { Ms } from './ms.js';
 export type { PromptPartId } from './promptpartid.js';
--- a/src/core/orderlease/index.ts
+++ b/src/core/orderlease/index.ts
@@ -6,6 +6,7 @@
 export { nextLeaseWrite } from './nextleasewrite.js';
 export { onWriteResult } from './onwriteresult.js';
 export { onRecord } from './onrecord.js';
+export { onUnreadable } from './onunreadable.js';
 export { earliestOrderAtMs } from './earliestorderatms.js';
 export { releasedLease } from './releasedlease.js';
 export { orderLeaseLimits } from './orderleaselimits.js';
--- a/src/direct/orders/orderleasekeeper.ts
+++ b/src/direct/orders/orderleasekeeper.ts
@@ -5,11 +5,13 @@
   nextLeaseWrite,
   onWriteResult,
   onRecord,
+  onUnreadable,
   releasedLease,
   orderLeaseLimits,
   type OrderLeaseRecord,
   type OrderLeaseState,
 } from '../../core/orderlease/index.js';
+import { shape } from '../../core/shape/index.js';
 import type { ChangeFeed, KeyValue, Log, Swap } from '../../port/index.js';
 
 /** Options of an order lease keeper. */
@@ -41,9 +43,27 @@
 /** A renewal without an answer after this time is sent through another entry as well. */
 const RELAY_AFTER_MS = 350;
 
+const isRecord = shape.object({
+  host: shape.text,
+  address: shape.address,
+  nonce: shape.text,
+  sentAtMs: shape.number,
+  isActive: shape.boolean,
+  isReleased: shape.boolean,
+  entries: shape.optional(shape.object({ count: shape.amount, parts: shape.amount })),
+  versions: shape.optional(
+    shape.object({
+      coveredMs: shape.amount,
+      mixed: (value) => Object.values(value ?? {}).every(shape.listOf(shape.string)),
+    }),
+  ),
+});
+
+/** Reads a record, which may come from another writer. */
 function parse(text: string): OrderLeaseRecord | undefined {
   try {
-    return JSON.parse(text) as OrderLeaseRecord;
+    const read: unknown = JSON.parse(text);
+    return isRecord(read) ? (read as OrderLeaseRecord) : undefined;
   } catch {
     return undefined;
   }
@@ -110,10 +130,11 @@
     return this.state.own !== undefined;
   }
 
-  /** Returns the holder's address; undefined if the lease was released or no record is known. */
+  /** Returns the holder's address; undefined if the lease was released or no readable record is known. */
   holderAddress(): string | undefined {
     const { seen } = this.state;
-    return seen && !seen.value.isReleased ? seen.value.address : undefined;
+    if (!seen || seen.value.isReleased || seen.value.address === '') return undefined;
+    return seen.value.address;
   }
 
   /** Returns how long until this process may send orders; 0 without a lease. */
@@ -139,11 +160,13 @@
   heard(item: KeyValue | undefined): void {
     const { log, clock } = this.options;
     const value = item && parse(item.value);
+    const old = this.state.own;
     if (!item || !value) {
+      this.state = onUnreadable(this.state, item?.revision, clock.nowMs());
       log.warn('order turn not readable', { revision: item?.revision });
+      if (old && !this.state.own) log.warn('order turn lost', { epoch: old.epoch });
       return;
     }
-    const old = this.state.own;
     const before = this.state.seen?.value.nonce;
     this.state = onRecord(this.state, value, item.revision, clock.nowMs());
     if (before !== value.nonce) {
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -25,6 +25,7 @@
 import type { DemandAnswer } from './demandanswer.js';
 import type { DemandReport } from './demandreport.js';
 import type { FindAnswer } from './findanswer.js';
+import { peerShapes } from './peershapes.js';
 
 /** Requests that other entries may send to this one. */
 interface PeerHandlers {
@@ -84,6 +85,13 @@
   suspects: '/poison/list',
   lift: '/poison/lift',
 } as const;
+type Name = keyof typeof PATHS;
+
+const NAMES: ReadonlyMap<string, Name> = new Map(
+  Object.entries(PATHS).map(([name, path]) => [path, name as Name]),
+);
+/** Statuses of requests without an answer, by the reason. */
+const NO_ANSWER_STATUS = { unknown: 404, malformed: 400 } as const;
 const CONNECT_TIMEOUT_MS = 250;
 const IDLE_MS = 10_000;
 /** Connections to an entry for questions of single requests, each with one question at a time. */
@@ -108,7 +116,16 @@
 const CHANGES_MARGIN_MS = 200;
 const MAX_BYTES = 262_144;
 
-async function readJson(request: IncomingMessage): Promise<unknown> {
+/** Parses a body; undefined if it is not JSON. */
+function parse(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of request as AsyncIterable<Buffer>) {
@@ -116,7 +133,7 @@
     if (size > MAX_BYTES) return undefined;
     chunks.push(chunk);
   }
-  return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+  return parse(Buffer.concat(chunks));
 }
 
 /** Calls between entries: orders, demand, quotas, slots, suspected requests and the store. */
@@ -157,41 +174,41 @@
 
   /** Returns undefined if the entry does not answer. */
   async find(address: string, target: Target): Promise<FindAnswer | undefined> {
-    return (await this.ask(address, PATHS.find, target, FIND_TIMEOUT_MS)) as FindAnswer | undefined;
+    return (await this.ask(address, 'find', target, FIND_TIMEOUT_MS)) as FindAnswer | undefined;
   }
 
   /** Returns undefined if the entry does not answer. */
   async demand(address: string, report: DemandReport): Promise<DemandAnswer | undefined> {
-    const answer = await this.ask(address, PATHS.demand, report, DEMAND_TIMEOUT_MS);
+    const answer = await this.ask(address, 'demand', report, DEMAND_TIMEOUT_MS);
     return answer as DemandAnswer | undefined;
   }
 
   /** Returns undefined if the entry does not answer. */
   async trial(address: string, request: TrialRequest): Promise<boolean | undefined> {
-    const answer = await this.ask(address, PATHS.trial, request, TRIAL_TIMEOUT_MS);
+    const answer = await this.ask(address, 'trial', request, TRIAL_TIMEOUT_MS);
     return (answer as { mayRun: boolean } | undefined)?.mayRun;
   }
 
   /** Returns undefined if the entry does not answer. */
   async draw(address: string, request: DrawRequest): Promise<DrawAnswer | undefined> {
-    const answer = await this.ask(address, PATHS.draw, request, DRAW_TIMEOUT_MS);
+    const answer = await this.ask(address, 'draw', request, DRAW_TIMEOUT_MS);
     return answer as DrawAnswer | undefined;
   }
 
   /** Returns undefined if the entry does not answer. */
   async slot(address: string, request: SlotRequest): Promise<SlotAnswer | undefined> {
-    const answer = await this.ask(address, PATHS.slot, request, request.waitMs + DRAW_TIMEOUT_MS);
+    const answer = await this.ask(address, 'slot', request, request.waitMs + DRAW_TIMEOUT_MS);
     return answer as SlotAnswer | undefined;
   }
 
   /** Sends copies of streams' origins. Returns false if the entry does not answer. */
   async copyOrigins(address: string, copies: readonly OriginCopy[]): Promise<boolean> {
-    return (await this.ask(address, PATHS.copyOrigins, { copies }, COPY_TIMEOUT_MS)) !== undefined;
+    return (await this.ask(address, 'copyOrigins', { copies }, COPY_TIMEOUT_MS)) !== undefined;
   }
 
   /** Returns undefined if the entry does not answer. */
   async origin(address: string, id: RequestId): Promise<OriginAnswer | undefined> {
-    const answer = await this.ask(address, PATHS.origin, { id }, ORIGIN_TIMEOUT_MS);
+    const answer = await this.ask(address, 'origin', { id }, ORIGIN_TIMEOUT_MS);
     return answer as OriginAnswer | undefined;
   }
 
@@ -201,7 +218,7 @@
     request: ChangesRequest,
   ): Promise<Awaited<ReturnType<ChangeFeed['changes']>> | undefined> {
     const timeoutMs = request.waitMs + CHANGES_MARGIN_MS;
-    const answer = await this.ask(address, PATHS.changes, request, timeoutMs);
+    const answer = await this.ask(address, 'changes', request, timeoutMs);
     const relayed = answer as RelayedChanges | undefined;
     if (!relayed) return undefined;
     return relayed.ok ? result.Ok(relayed.changes) : result.Err(relayed.failure);
@@ -209,34 +226,35 @@
 
   /** Performs a write through another entry. */
   async swap(address: string, swap: Swap): ReturnType<ChangeFeed['swap']> {
-    const answer = await this.ask(address, PATHS.swap, swap, SWAP_TIMEOUT_MS);
+    const answer = await this.ask(address, 'swap', swap, SWAP_TIMEOUT_MS);
     const relayed = answer as RelayedSwap | undefined;
     if (relayed?.ok) return result.Ok(relayed.outcome);
     const detail = `No answer from ${address}.`;
     return result.Err(relayed?.failure ?? { type: 'store-outcome-unknown', detail });
   }
 
-  private async ask(address: string, path: string, body: object, timeoutMs: Ms): Promise<unknown> {
+  private async ask(address: string, name: Name, body: object, timeoutMs: Ms): Promise<unknown> {
+    const path = PATHS[name];
     const channel = this.channelTo(address, path);
     const headers = ['Content-Type', 'application/json'];
     const payload = Buffer.from(JSON.stringify(body));
     const request = { method: 'POST', path, headers, body: payload };
     const answer = await callOnce(channel, request, this.clock, timeoutMs);
     this.countBytes(path, 'sent', payload.length);
-    if (answer.err || answer.val.status !== 200) {
-      const { detail, receivedBytes } = answer.err
-        ? answer.val
-        : { detail: `status ${answer.val.status}`, receivedBytes: answer.val.body.length };
+    const receivedBytes = answer.err ? answer.val.receivedBytes : answer.val.body.length;
+    const read = answer.err ? undefined : parse(answer.val.body);
+    if (answer.err || answer.val.status !== 200 || !peerShapes.answers[name](read)) {
       this.countBytes(path, 'discarded', receivedBytes);
+      const detail = answer.err ? answer.val.detail : `status ${answer.val.status}, or malformed`;
       if (!this.failed.has(address)) {
         this.log.warn('entry not reached', { address, path, detail, receivedBytes });
       }
       this.failed.add(address);
       return undefined;
     }
-    this.countBytes(path, 'received', answer.val.body.length);
+    this.countBytes(path, 'received', receivedBytes);
     if (this.failed.delete(address)) this.log.info('entry reached again', { address, path });
-    return JSON.parse(answer.val.body.toString('utf8'));
+    return read;
   }
 
   private countBytes(path: string, fate: 'sent' | 'received' | 'discarded', bytes: number): void {
@@ -260,9 +278,14 @@
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.sendDate = false;
     try {
-      const body = await readJson(request);
-      const answer = await this.handle(request.url ?? '', body);
-      response.writeHead(answer === undefined ? 404 : 200, { 'Content-Type': 'application/json' });
+      const body = await readBody(request);
+      const name = NAMES.get(request.url ?? '');
+      const isValid = name === undefined || peerShapes.requests[name](body);
+      if (!isValid) this.log.warn('request from another entry malformed', { path: request.url });
+      const answer = name && isValid ? await this.handle(name, body) : undefined;
+      const status =
+        answer === undefined ? NO_ANSWER_STATUS[isValid ? 'unknown' : 'malformed'] : 200;
+      response.writeHead(status, { 'Content-Type': 'application/json' });
       response.end(JSON.stringify(answer ?? {}));
     } catch (thrown) {
       this.log.warn('request from another entry failed', { detail: String(thrown) });
@@ -271,30 +294,31 @@
     }
   }
 
-  private async handle(path: string, body: unknown): Promise<object | undefined> {
-    if (path === PATHS.find) return this.handlers.find(body as Target);
-    if (path === PATHS.swap) {
-      const answer = await this.handlers.swap(body as Swap);
-      return answer.ok ? { ok: true, outcome: answer.val } : { ok: false, failure: answer.val };
-    }
-    if (path === PATHS.changes) {
-      const answer = await this.handlers.changes(body as ChangesRequest);
-      return answer.ok ? { ok: true, changes: answer.val } : { ok: false, failure: answer.val };
-    }
-    if (path === PATHS.draw) return this.handlers.draw(body as DrawRequest);
-    if (path === PATHS.slot) return this.handlers.slot(body as SlotRequest);
-    if (path === PATHS.customers) return { customers: this.handlers.customers() ?? [] };
-    if (path === PATHS.trial) return { mayRun: this.handlers.trial(body as TrialRequest) };
-    if (path === PATHS.origin) return this.handlers.origin((body as { id: RequestId }).id);
-    if (path === PATHS.copyOrigins) {
-      this.handlers.copyOrigins((body as { copies: OriginCopy[] }).copies);
-      return {};
-    }
-    if (path === PATHS.suspects) return { suspects: this.handlers.suspects() };
-    if (path === PATHS.lift) {
-      return { isLifted: this.handlers.lift((body as { trait: TraitId }).trait) };
-    }
-    if (path !== PATHS.demand) return undefined;
-    return this.handlers.demand(body as DemandReport);
+  private async handle(name: Name, body: unknown): Promise<object> {
+    const { handlers } = this;
+    const calls: Readonly<Record<Name, () => object | Promise<object>>> = {
+      find: () => handlers.find(body as Target),
+      demand: () => handlers.demand(body as DemandReport),
+      swap: async () => {
+        const answer = await handlers.swap(body as Swap);
+        return answer.ok ? { ok: true, outcome: answer.val } : { ok: false, failure: answer.val };
+      },
+      changes: async () => {
+        const answer = await handlers.changes(body as ChangesRequest);
+        return answer.ok ? { ok: true, changes: answer.val } : { ok: false, failure: answer.val };
+      },
+      draw: () => handlers.draw(body as DrawRequest),
+      slot: () => handlers.slot(body as SlotRequest),
+      customers: () => ({ customers: handlers.customers() ?? [] }),
+      trial: () => ({ mayRun: handlers.trial(body as TrialRequest) }),
+      origin: () => handlers.origin((body as { id: RequestId }).id),
+      copyOrigins: () => {
+        handlers.copyOrigins((body as { copies: OriginCopy[] }).copies);
+        return {};
+      },
+      suspects: () => ({ suspects: handlers.suspects() }),
+      lift: () => ({ isLifted: handlers.lift((body as { trait: TraitId }).trait) }),
+    };
+    return calls[name]();
   }
 }
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -289,16 +289,25 @@
   private onFailure({ type, detail, mayHaveRun }: Failure): void {
     this.leave();
     this.note(type);
-    if (type === 'request-withheld') {
+    if (type === 'request-withheld' || type === 'request-unsendable') {
+      if (type === 'request-unsendable') this.logUnsent(type, detail);
       this.options.over({ type: 'not-run', wasSent: false });
       return;
     }
+    if (type === 'upstream-unreachable') this.logUnsent(type, detail);
     if (type === 'upstream-lost') this.onConnectionLost(detail);
     if (type === 'upstream-wrong-answer') this.onWrongAnswer(detail);
     this.recordOutcome(mayHaveRun ? 'failed' : 'unreachable');
     this.options.over(mayHaveRun ? { type: 'broken' } : { type: 'not-run', wasSent: false });
   }
 
+  private logUnsent(type: Failure['type'], detail: string): void {
+    const { serving, state, reply } = this.options;
+    const { id: upstream, address } = state.info;
+    const fields = { requestId: reply.requestId, upstream, address, type, detail };
+    serving.log.warn('request not sent', fields);
+  }
+
   /**
    * The upstream may have crashed, and this request may be the cause. A retry has another id and may reach another
    * entry, and other requests may share the part of the prompt that is the cause.
--- a/src/port/upstreamreceiver.ts
+++ b/src/port/upstreamreceiver.ts
@@ -31,7 +31,9 @@
     | 'upstream-lost'
     | 'upstream-wrong-answer'
     /** The sender withdrew the request before it was sent; the upstream is not at fault. */
-    | 'request-withheld';
+    | 'request-withheld'
+    /** The request cannot be written, whatever the upstream. */
+    | 'request-unsendable';
   /** False only if no byte of the request has left this process. */
   readonly mayHaveRun: boolean;
 }
--- a/src/shell/clock/hostclock.ts
+++ b/src/shell/clock/hostclock.ts
@@ -1,4 +1,4 @@
-import type { Clock, Ms } from '../../base/index.js';
+import { MAX_TIMER_MS, type Clock, type Ms } from '../../base/index.js';
 import type { TimeSource } from './timesource.js';
 
 interface PendingTimer {
@@ -52,7 +52,7 @@
     const pendingTimer: PendingTimer = {
       atMs: this.nowMs() + delayMs,
       act,
-      timer: setTimeout(() => this.fire(pendingTimer), delayMs),
+      timer: setTimeout(() => this.fire(pendingTimer), Math.min(delayMs, MAX_TIMER_MS)),
     };
     this.pending.add(pendingTimer);
     return () => this.cancel(pendingTimer);
@@ -83,7 +83,7 @@
       clearTimeout(pendingTimer.timer);
       pendingTimer.timer = setTimeout(
         () => this.fire(pendingTimer),
-        Math.max(0, pendingTimer.atMs - nowMs),
+        Math.min(Math.max(0, pendingTimer.atMs - nowMs), MAX_TIMER_MS),
       );
     }
     this.onResume(suspendedMs);
--- a/src/shell/http1/channel.ts
+++ b/src/shell/http1/channel.ts
@@ -1,8 +1,9 @@
-import { FailureError, type Clock, type Ms } from '../../base/index.js';
+import { FailureError, type Clock, type Failure, type Ms } from '../../base/index.js';
 import type { Http1Call } from './http1call.js';
 import type { Http1Receiver } from './http1receiver.js';
 import type { Http1Exchange } from './http1exchange.js';
 import type { Connection } from './connection.js';
+import { isInvalidCall } from './isinvalidcall.js';
 import { isMalformed } from './ismalformed.js';
 import { openConnection } from './openconnection.js';
 
@@ -14,6 +15,8 @@
   readonly maxConnections: number;
 }
 
+type FailureType = Parameters<Http1Receiver['failed']>[0]['type'];
+
 const WITHHELD = 'The request was withheld: its sender no longer permits it.';
 
 /** Headers that delimit a body. An answer with neither of them ends when its connection closes. */
@@ -44,10 +47,17 @@
     this.maxConnections = options.maxConnections;
   }
 
-  /** Sends a request. Returns undefined if the connection limit is reached and no connection is idle. */
+  /**
+   * Sends a request. Returns undefined if the connection limit is reached and no connection is idle. Never throws: an
+   * address or a call that cannot be used fails after `send` has returned.
+   */
   send(call: Http1Call, receiver: Http1Receiver): Http1Exchange | undefined {
-    const connection = this.idle.pop() ?? this.add();
-    return connection && this.dispatch(connection, call, receiver);
+    const idle = this.idle.pop();
+    if (idle) return this.dispatch(idle, call, receiver);
+    if (this.connections.size >= this.maxConnections) return undefined;
+    const added = this.add();
+    if (added.ok) return this.dispatch(added.val, call, receiver);
+    return this.refuse(added.val, receiver);
   }
 
   /**
@@ -71,11 +81,29 @@
     for (const connection of [...this.connections]) this.drop(connection);
   }
 
-  private add(): Connection | undefined {
-    if (this.connections.size >= this.maxConnections) return undefined;
-    const connection = openConnection(this.address, this.options, () => this.forget(connection));
-    this.connections.add(connection);
-    return connection;
+  private add(): ReturnType<typeof openConnection> {
+    const added = openConnection(this.address, this.options, (connection) =>
+      this.forget(connection),
+    );
+    if (added.ok) this.connections.add(added.val);
+    return added;
+  }
+
+  /** Reports that no connection can be opened to the address. */
+  private refuse({ type, detail }: Failure, receiver: Http1Receiver): Http1Exchange {
+    let isOver = false;
+    queueMicrotask(() => {
+      if (!isOver) {
+        receiver.failed({ type: 'connection-failed', detail: `${type}: ${detail}`, sent: false });
+      }
+    });
+    return {
+      isSent: false,
+      cancel: () => {
+        isOver = true;
+      },
+      resume() {},
+    };
   }
 
   private forget(connection: Connection): void {
@@ -101,12 +129,22 @@
     let isOver = false;
     let framed = true;
     let resume = () => {};
-    const fail = (sentType: 'connection-lost' | 'answer-malformed', detail: string) => {
+    const fail = (type: FailureType, detail: string) => {
       if (isOver) return;
       isOver = true;
       this.drop(connection);
-      const unsentType = isWithheld ? 'withheld' : 'connection-failed';
-      receiver.failed({ type: isSent ? sentType : unsentType, detail, sent: isSent });
+      receiver.failed({ type, detail, sent: isSent });
+    };
+    const typeOf = (error: Error): FailureType => {
+      if (isSent) return isMalformed(error) ? 'answer-malformed' : 'connection-lost';
+      if (isWithheld) return 'withheld';
+      return isInvalidCall(error) ? 'call-invalid' : 'connection-failed';
+    };
+    let hasReturned = false;
+    const onError = (error: Error) => {
+      // A call that cannot be written is reported from within `dispatch`, before its sender has the exchange.
+      if (hasReturned) fail(typeOf(error), error.message);
+      else queueMicrotask(() => fail(typeOf(error), error.message));
     };
     const counted = connection;
     counted.receivedBefore = connection.receivedBytes;
@@ -153,10 +191,10 @@
           else this.drop(connection);
           receiver.end();
         },
-        onError: (error: Error) =>
-          fail(isMalformed(error) ? 'answer-malformed' : 'connection-lost', error.message),
+        onError,
       },
     );
+    hasReturned = true;
     return {
       get isSent() {
         return isSent;
--- a/src/shell/http1/http1receiver.ts
+++ b/src/shell/http1/http1receiver.ts
@@ -7,7 +7,9 @@
     | 'connection-lost'
     /** The peer has sent something else than an answer; this side has closed the connection. */
     | 'answer-malformed'
-    | 'withheld';
+    | 'withheld'
+    /** The call cannot be written, whatever the peer. */
+    | 'call-invalid';
   /** False only if no byte of the request can have left this process. */
   readonly sent: boolean;
 }
--- a/src/shell/http1/openconnection.ts
+++ b/src/shell/http1/openconnection.ts
@@ -1,6 +1,7 @@
 import { connect, type Socket } from 'node:net';
+import type { Result } from 'ts-results';
 import { Client } from 'undici';
-import { FailureError, type Clock, type Ms } from '../../base/index.js';
+import { FailureError, result, type Clock, type Failure, type Ms } from '../../base/index.js';
 import { afterReads } from '../loop/index.js';
 import type { Connection } from './connection.js';
 
@@ -31,12 +32,22 @@
   return framingBytes > MAX_FRAMING_BYTES + bodyBytes * MAX_FRAMING_RATIO;
 }
 
+/** An address to which no connection can be opened. */
+interface AddressFailure extends Failure {
+  readonly type: 'address-invalid';
+}
+
 /** Prepares a connection to an address. The first request opens it. */
 export function openConnection(
   address: string,
   options: ConnectionOptions,
-  closed: () => void,
-): Connection {
+  closed: (connection: Connection) => void,
+): Result<Connection, AddressFailure> {
+  const origin = `http://${address}`;
+  // The client's own parser throws.
+  if (!URL.canParse(origin)) {
+    return result.Err({ type: 'address-invalid', detail: `"${address}" is no host and port.` });
+  }
   let opened: Socket | undefined;
   const state = {
     isBroken: false,
@@ -83,7 +94,7 @@
       afterReads(options.clock, () => done(null, socket));
     });
   };
-  const client = new Client(`http://${address}`, {
+  const client = new Client(origin, {
     // undici's type also requires support for TLS sockets.
     connect: open as never,
     pipelining: 1,
@@ -98,10 +109,10 @@
   const close = () => {
     if (connection.isClosed) return;
     connection.isClosed = true;
-    closed();
+    closed(connection);
     void client.destroy().catch(() => undefined);
   };
   client.on('disconnect', close);
   client.on('connectionError', close);
-  return connection;
+  return result.Ok(connection);
 }
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -261,7 +261,6 @@
     }));
     const { service, address, availabilityZone: zone } = this;
     const born = this.startedAtMs;
-    const cold = this.coldRemainingMs === 0 ? {} : { cold_remaining_ms: this.coldRemainingMs };
     return {
       service,
       address,
@@ -272,7 +271,7 @@
       seq: 1,
       born,
       models,
-      ...cold,
+      cold_remaining_ms: this.coldRemainingMs,
     };
   }
 
--- a/standin/platform/platformstore.ts
+++ b/standin/platform/platformstore.ts
@@ -6,7 +6,14 @@
 import { StoreModel } from '../store/storemodel.js';
 
 /** Fault of the next call to a path. */
-type StoreFault = 'unavailable' | 'refused' | 'answer-lost' | 'silent' | 'rubbish';
+type StoreFault =
+  | 'unavailable'
+  | 'refused'
+  | 'answer-lost'
+  | 'silent'
+  | 'rubbish'
+  /** Answers like another process that has taken the address of the store. */
+  | 'foreign';
 
 interface Txn {
   readonly expected: readonly { readonly key: string; readonly revision: number }[];
@@ -89,6 +96,7 @@
     if (fault === 'silent') return;
     if (fault === 'unavailable') sendJson(response, 503, {});
     else if (fault === 'refused') request.socket.resetAndDestroy();
+    else if (fault === 'foreign') sendJson(response, 200, { items: 'none', changes: [] });
     else if (fault === 'rubbish') response.writeHead(200).end('{"items":');
     else this.answer(url, body, response, fault === 'answer-lost');
   }
--- a/test/follower.test.ts
+++ b/test/follower.test.ts
@@ -3,11 +3,12 @@
 import type { ChangeFeed, Log } from '../src/port/index.js';
 import { Follower, paceTable } from '../src/direct/sync/index.js';
 import { codec } from '../platform/codec.js';
+import { serverRecord } from './support/serverrecord.js';
 
 type Changes = Awaited<ReturnType<ChangeFeed['changes']>>;
 
 const LOG: Log = { info() {}, warn() {}, error() {} };
-const SERVER = JSON.stringify({ service: 's', address: '10.0.0.1:1', zone: 'z', state: 'ready' });
+const SERVER = serverRecord();
 const HEARTBEAT_MS = 1200;
 const DOWN: Changes = result.Err({ type: 'store-unavailable', detail: 'down' });
 
--- a/test/followerproperty.test.ts
+++ b/test/followerproperty.test.ts
@@ -6,6 +6,7 @@
 import { Follower, paceTable } from '../src/direct/sync/index.js';
 import type { ChangeFeed, Log } from '../src/port/index.js';
 import { codec } from '../platform/codec.js';
+import { serverRecord } from './support/serverrecord.js';
 
 type ChangesAnswer = Awaited<ReturnType<ChangeFeed['changes']>>;
 type Listed = Awaited<ReturnType<ChangeFeed['list']>>;
@@ -41,8 +42,8 @@
 );
 const day = fc.array(fc.record({ afterMs: fc.nat(900), event }), { maxLength: 30 });
 
-function server(id: string): string {
-  return JSON.stringify({ service: 's', address: `${id}:1`, zone: 'z', state: 'ready' });
+function addressOf(id: string): string {
+  return `10.0.0.${id.slice(1)}:1`;
 }
 
 function configuration(version: number): string {
@@ -85,7 +86,7 @@
   private readonly follower: Follower;
 
   constructor(guarded: StateCodec) {
-    for (const id of IDS) this.put(`servers/${id}`, server(id));
+    for (const id of IDS) this.put(`servers/${id}`, serverRecord({ address: addressOf(id) }));
     this.put('op/config', configuration(0));
     const feed = {
       list: () => this.list(),
@@ -144,7 +145,7 @@
       this.version += 1;
       this.put('op/config', configuration(this.version));
     } else if (next.type === 'write') {
-      this.put(`servers/${next.id}`, server(next.id));
+      this.put(`servers/${next.id}`, serverRecord({ address: addressOf(next.id) }));
       this.leftAtMs.delete(next.id);
     } else if (next.type === 'leave') this.leave(next.id);
     else if (next.type === 'old') this.oldBy = next.changes;
--- a/test/sharedfeed.test.ts
+++ b/test/sharedfeed.test.ts
@@ -3,6 +3,7 @@
 import type { ChangeFeed, Log } from '../src/port/index.js';
 import { SharedFeed } from '../src/direct/sync/index.js';
 import { codec } from '../platform/codec.js';
+import { serverRecord } from './support/serverrecord.js';
 
 type ChangesAnswer = Awaited<ReturnType<ChangeFeed['changes']>>;
 type Changes = Extract<ChangesAnswer, { ok: true }>['val']['changes'];
@@ -11,13 +12,7 @@
 const DOWN: ChangesAnswer = result.Err({ type: 'store-unavailable', detail: 'down' });
 
 function heartbeat(revision: number, count: number, state = 'ready'): Changes[number] {
-  const value = JSON.stringify({
-    service: 's',
-    address: '10.0.0.1:1',
-    zone: 'z',
-    state,
-    seq: count,
-  });
+  const value = serverRecord({ state, seq: count });
   return { type: 'put', item: { key: 'servers/u1', value, revision: revision as Revision } };
 }
 
--- a/test/support/listserver.ts
+++ b/test/support/listserver.ts
@@ -1,5 +1,6 @@
 import type { Clock, Ms, UpstreamId } from '../../src/base/index.js';
 import type { ListStore } from './liststore.js';
+import { serverRecord } from './serverrecord.js';
 
 /** Why the store has acknowledged that a server leaves or is gone. */
 type Ack = 'draining' | 'removed' | 'lapsed';
@@ -157,9 +158,10 @@
   }
 
   private record(): string {
-    const { id, sequence, state, softwareVersion: version } = this;
-    const address = `${id}:1`;
-    return JSON.stringify({ service: 's', address, zone: 'z', state, seq: sequence, version });
+    const { id, sequence, state, softwareVersion: version = 'v1' } = this;
+    const number = Number(id.replaceAll(/\D/g, ''));
+    const address = `10.0.${Math.floor(number / 200)}.${number % 200}:1`;
+    return serverRecord({ address, state, seq: sequence, version });
   }
 
   private write(): boolean {
--- a/test/upstreamstart.test.ts
+++ b/test/upstreamstart.test.ts
@@ -25,6 +25,7 @@
   version: 'v1',
   slots: 4,
   state: 'ready',
+  cold_remaining_ms: 0,
   seq: 3,
   born: 1_700_000_000_000,
   models: [{ name: 'm1', version: 2, adapters: ['a1', { name: 'a2', version: 1 }] }],
