Move an upstream whose service changes to the group of that service

Cause: Fleet.put replaced what is known of an upstream and left it in the group of the service under which it was first seen.

An upstream that is listed with another service is taken out of its group and begins anew in the other.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -460,6 +460,12 @@
   upstream(listed: Upstream): void {
     const upstream = this.gate.withReportedState(listed);
     if (this.originHistory.upstream(upstream, this.clock.nowMs())) this.origins.tick();
+    const serviceBefore = this.fleet.get(upstream.id)?.info.service;
+    if (serviceBefore !== undefined && serviceBefore !== upstream.service) {
+      const { id, service } = upstream;
+      this.context.log.warn('upstream listed with another service', { id, service, serviceBefore });
+      this.dispatcher.removeUpstream(id);
+    }
     this.fleet.put(upstream);
     this.waitline.wakeService(upstream.service);
     if (upstream.isLeaving) this.poison.upstreamLeaving(upstream.id);
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -164,10 +164,12 @@
 
   put(info: Upstream): void {
     const known = this.states.get(info.id);
-    if (known) {
+    if (known?.info.service === info.service) {
       known.info = info;
       return;
     }
+    // One of its records is by another writer: what was learned under the other service does not hold.
+    this.remove(info.id);
     const state: UpstreamState = {
       info,
       inFlight: 0,
--- a/test/foreignrecords.test.ts
+++ b/test/foreignrecords.test.ts
@@ -94,6 +94,28 @@
   });
 }
 
+// Guards against requests of one route at a server of another service: its own record came back after a foreign one.
+test('a server whose record named another service gets no request of that service again', async (t) => {
+  const rig = await startRig(t);
+  const [, engine] = rig.servers;
+  rig.store.put('servers/e1', { ...engine!.entry(), service: 'plain' });
+  await rig.startEntry(1);
+  await rig.until(() => rig.entryOf(1).isReady());
+  rig.publish(engine!);
+  await rig.untilLogged(
+    2,
+    'upstream listed with another service',
+    ({ service }) => service === 'engine',
+  );
+  for (let call = 0; call < CALLS; call += 1) {
+    t.is((await callEntry(rig.portOf(1), { path: '/lookup/1' })).status, 200);
+  }
+  t.is(engine!.runs.length, 0);
+  const headers = { 'Tarragonstile-Model': 'm1' };
+  const draft = await callEntry(rig.portOf(1), { method: 'POST', path: '/draft/1', headers });
+  t.is(draft.status, 200);
+});
+
 // Guards against a lease record of another writer under which no entry can take the lease any more.
 test('the order lease is taken again after another writer has replaced or removed its record', async (t) => {
   const rig = await startRig(t);
