--- a/bench/soak/knownfaults.ts
+++ b/bench/soak/knownfaults.ts
@@ -2,6 +2,7 @@
 import { leavingFaults } from './leavingfaults.js';
 import { overloadFaults } from './overloadfaults.js';
 import { openEndFaults } from './openendfaults.js';
+import { rejoinFaults } from './rejoinfaults.js';
 import { releaseFaults } from './releasefaults.js';
 import { suspensionFaults } from './suspensionfaults.js';
 import { serverListFaults } from './serverlistfaults.js';
@@ -16,5 +17,6 @@
   ...overloadFaults,
   ...leavingFaults,
   ...releaseFaults,
+  ...rejoinFaults,
   ...openEndFaults,
 };
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -43,3 +43,13 @@
     t.true(answered > 0);
   });
 }
+
+// Guards against streams joined from two versions after a kill of all entries, before, in and after a release.
+test.serial('the system keeps its promises when all entries are killed in releases', async (t) => {
+  const { breaches, answered, faults } = await runSoak(
+    ...['--seed', '70005', '--for', '14', '--slack', SLACK_MS, '--gap', '2500'],
+    ...['--faults', 'killAllInRelease,release,kill,resetEngine'],
+  );
+  t.deepEqual(breaches, [], JSON.stringify(faults));
+  t.true(answered > 0);
+});
