Tell a failure from a stream that ended inside an event

A failure that followed an answer which had broken off inside its first event was taken for a broken stream, and its caller got 502 in place of the upstream's failure. Came with the reader of events by lines: whether the last answer ended inside an event was asked of the reader of an earlier one.

Evidence: the new test of failedcontinuation failed before and passes now.

Only an answer that is an event stream can end inside an event.

--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -47,6 +47,9 @@
   /** Reads the last answer if it is an event stream that cannot be continued. */
   private reader: EventReader | undefined;
 
+  /** True if the last answer is an event stream. */
+  private isEvents = false;
+
   /** True if the last answer is complete without any bytes. */
   private mayBeEmpty = true;
 
@@ -86,6 +89,7 @@
 
   /** True if the last answer is a stream whose last event is incomplete so far. */
   get isInsideEvent(): boolean {
+    if (!this.isEvents) return false;
     if (this.isEmpty) return !this.mayBeEmpty;
     return (this.reader ?? this.assembler)?.isInsideEvent ?? false;
   }
@@ -104,7 +108,8 @@
   take(head: Head, { isStream, isResumable, origin }: ReplyMode): void {
     this.head = head;
     const isEvents = isStream && isEventStream(head);
-    this.mayBeEmpty = !isEvents || this.mayBeEmptyStream(head);
+    this.isEvents = isEvents;
+    this.mayBeEmpty = this.mayBeEmptyStream(head);
     this.isEmpty = true;
     this.reader = undefined;
     if (!isStream || (isResumable && !isEvents)) {
--- a/test/failedcontinuation.test.ts
+++ b/test/failedcontinuation.test.ts
@@ -44,3 +44,30 @@
     t.false(answer.body.includes(body), answer.body);
   });
 }
+
+// Guards against a failure that is taken for a broken stream, because an earlier answer broke off inside its first event.
+test('a failure that follows an answer without a whole event is passed on', async (t) => {
+  const rig = new PlatformRig();
+  const [first, second] = [engine('e1', 'z1'), engine('e2', 'z2')];
+  const headersOf = ({ headers }: IncomingMessage) => ({
+    'tarragonstile-request-id': headers['tarragonstile-request-id'],
+    'tarragonstile-response-signature': 'sig',
+  });
+  Object.assign(first, {
+    stream: (request: IncomingMessage, response: ServerResponse) => {
+      response.writeHead(200, { ...headersOf(request), 'content-type': 'text/event-stream' });
+      response.write('id: 1\ndata: part', () => request.socket.resetAndDestroy());
+    },
+  });
+  Object.assign(second, {
+    stream: (request: IncomingMessage, response: ServerResponse) => {
+      response.writeHead(500, headersOf(request)).end('failed');
+    },
+  });
+  await rig.start([first, second]);
+  const headers = { 'Tarragonstile-Model': 'm1' };
+  const answer = await callEntry(rig.port, { method: 'POST', path: '/batch/1', headers });
+  rig.close();
+  t.is(answer.status, 500);
+  t.is(answer.body, 'failed');
+});
