Refuse requests whose header names are no tokens

Cause: llhttp of Node 20.19 accepts a space in a field name on arm64 and refuses it on x86-64; both paths left the check to the parser.

The platformplain test is unchanged.

--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -5,6 +5,7 @@
 import { nanoid } from 'nanoid';
 import { refuse } from '../core/refusal/index.js';
 import { AcceptGate, gateConnections } from '../shell/accept/index.js';
+import { invalidFieldName } from '../shell/http1/index.js';
 import { callerServer, type KeySettings } from '../shell/tls/index.js';
 import { Connections } from './connections.js';
 import type { EntryContext } from './entrycontext.js';
@@ -30,6 +31,18 @@
   socket.end(`HTTP/1.1 ${status} \r\n${head}\r\n${body}`);
 }
 
+/** Wraps a listener so that it refuses requests with header names that are none. */
+function refuseInvalidNames(listen: RequestListener): RequestListener {
+  return (request, response) => {
+    if (invalidFieldName(request.rawHeaders) === undefined) {
+      listen(request, response);
+      return;
+    }
+    response.setHeader('connection', 'close');
+    sendProblem(response, refuse('malformed', 'The request has an invalid header name.'), nanoid());
+  };
+}
+
 /** Wraps a listener so that it refuses requests on connections past the limit. */
 function refuseOverLimit(connections: Connections, listen: RequestListener): RequestListener {
   return (request, response) => {
@@ -63,7 +76,7 @@
   });
   const connections = new Connections(server, limits.connections);
   const listen = toNodeHandler(app) as unknown as RequestListener;
-  server.on('request', refuseOverLimit(connections, listen));
+  server.on('request', refuseOverLimit(connections, refuseInvalidNames(listen)));
   server.on('clientError', refuseUnparsable);
   const gate = new AcceptGate({
     clock,
--- a/test/httpcallerserver.test.ts
+++ b/test/httpcallerserver.test.ts
@@ -73,6 +73,17 @@
   }
 });
 
+// A parser that accepts a space in a name hides a second length from this process, not from the next server.
+for (const name of ['Bad Header', 'X Content-Length', 'Content-Length ', 'Transfer Encoding']) {
+  test(`a request with the header name "${name}" is refused, not passed on`, async (t) => {
+    const { server, port, accepted } = await open(systemClock);
+    const answer = await sendRaw(port, `${REQUEST}${name}: 5\r\n\r\nxy`);
+    t.is(answer.status, 400);
+    t.is(accepted.length, 0);
+    server.close();
+  });
+}
+
 test('a request whose body is complete only after the accept deadline of a stop is refused', async (t) => {
   const clock = new VirtualClock();
   const { server, port, accepted } = await open(clock);
--- a/test/pathsession.test.ts
+++ b/test/pathsession.test.ts
@@ -68,6 +68,17 @@
   seen.check(t, 'path-unreadable');
 });
 
+test('a request with a space in a header name is refused, not passed on', async (t) => {
+  await withEngines([{}], async (rig, [engine]) => {
+    const socket = connect(rig.port, '127.0.0.1');
+    const body = '{"model":"model-a","messages":[]}';
+    const head = 'POST /v1/chat/completions HTTP/1.1\r\nHost: caller.example\r\nBad Header: 1\r\n';
+    socket.write(`${head}Content-Length: ${body.length}\r\n\r\n${body}`);
+    t.regex(await text(socket), /^HTTP\/1\.1 400 /);
+    t.is(engine?.ran, 0);
+  });
+});
+
 test('a cut stream is resumed at the same engine byte for byte', async (t) => {
   const seen = new Transcript();
   const faults = fixedFaults([{ type: 'none' }, { type: 'cut', afterTokens: 3 }]);
