Failing tests: streams that are taken up and find no place at their version

The optional fields `continuedAt` and `softwareVersion` of a plan's input come with the tests, which would not compile without them; nothing reads or sets them yet.

--- a/src/core/allocation/modeldemand.ts
+++ b/src/core/allocation/modeldemand.ts
@@ -14,6 +14,8 @@
   readonly adaptersInUse: number;
   /** How long it has been requested while no upstream had it ready. */
   readonly absentMs: Ms;
+  /** Software versions at which streams of the model wait to be continued; absent: none. */
+  readonly continuedAt?: ReadonlySet<string>;
   /** Time since the last request. */
   readonly idleMs: Ms;
 }
--- a/src/core/allocation/planupstream.ts
+++ b/src/core/allocation/planupstream.ts
@@ -13,6 +13,8 @@
 export interface PlanUpstream {
   readonly id: UpstreamId;
   readonly slots: number;
+  /** Version of its software; absent where it is not reported. */
+  readonly softwareVersion?: string;
   /** How long work takes there, as a factor of the usual time; absent: 1. */
   readonly pace?: number;
   /** Limit of requests per second over all entries; absent if there is none. */
--- a/test/allocation.test.ts
+++ b/test/allocation.test.ts
@@ -291,3 +291,32 @@
     );
   t.deepEqual(planOf({ pace: 1 }), planOf({}));
 });
+
+// Guards against streams that are refused because all replicas of their model are at another software version.
+test('a model is loaded at the version at which its streams wait to be continued, whatever replicas others have', (t) => {
+  const upstreams = [
+    upstream('u1', ['m1', 'm2'], { softwareVersion: 'v1.1' }),
+    upstream('u2', ['m1', 'm2'], { softwareVersion: 'v1.1' }),
+    upstream('u3', ['m2'], { softwareVersion: 'v1' }),
+  ];
+  const waiting = { idleMs: 0, continuedAt: new Set(['v1']) };
+  const moves = planMoves(input(upstreams, { m1: waiting }, ['m1', 'm2']), 4);
+  t.deepEqual(
+    moves.map(({ model, upstream: id }) => `${model} ${id}`),
+    ['m1 u3'],
+  );
+});
+
+// Guards against a version that loses the model for which its streams wait, as replicas elsewhere seem to be enough.
+test('the last replica at a version at which streams wait to be continued is not evicted', (t) => {
+  const upstreams = [
+    upstream('u1', ['m1', 'm3'], { softwareVersion: 'v1' }),
+    upstream('u2', ['m1', 'm3'], { softwareVersion: 'v1.1' }),
+    upstream('u3', ['m1', 'm3'], { softwareVersion: 'v1.1' }),
+  ];
+  const waiting = { idleMs: 0, continuedAt: new Set(['v1']) };
+  const wanted = { waiting: 20, perSecond: 5, idleMs: 0 };
+  const demand = { m1: waiting, m2: wanted, m3: { ...waiting, perSecond: 1 } };
+  const [move] = planMoves(input(upstreams, demand, ['m1', 'm2', 'm3']), 1);
+  t.not(move?.upstream, 'u1' as UpstreamId);
+});
--- /dev/null
+++ b/test/support/takeuprig.ts
@@ -0,0 +1,219 @@
+import { VirtualClock } from '../../src/base/index.js';
+import type { ModelId, Ms, ServiceId, UpstreamId } from '../../src/base/index.js';
+import type { StreamOrigin } from '../../src/core/origin/index.js';
+import type { Route } from '../../src/core/routetable/index.js';
+import type { Upstream } from '../../src/core/upstreams/index.js';
+import { DemandMeter, type FindAnswer } from '../../src/direct/orders/index.js';
+import { RetryBudgets } from '../../src/direct/retrybudgets.js';
+import { Fleet, type Target } from '../../src/direct/route/index.js';
+import { Run } from '../../src/direct/run/index.js';
+import type { Serving } from '../../src/direct/serving.js';
+import { TargetFinder } from '../../src/direct/targetfinder.js';
+import type { UpstreamLink } from '../../src/port/index.js';
+import { fakeServing } from './fakeserving.js';
+
+type Call = Parameters<UpstreamLink['send']>[0];
+type Receiver = Parameters<UpstreamLink['send']>[1];
+type Admitted = ConstructorParameters<typeof Run>[1];
+
+/** What a request meets at an upstream. `unsendable`: the request cannot be written. */
+type Condition = 'serving' | 'down' | 'empty' | 'full' | 'unsendable';
+
+/** How a request ended, as its caller sees it. */
+interface Ended {
+  readonly status: number;
+  readonly type?: string;
+  readonly atMs: Ms;
+}
+
+const SERVICE = 's' as ServiceId;
+const MODEL = 'm1' as ModelId;
+/** The caller's deadline. */
+const DEADLINE_MS = 20_000;
+const STEP_MS = 5;
+const ANSWER_MS = 1;
+const ROUTE: Route = {
+  name: 'streams',
+  host: 'h',
+  pathPrefix: '/',
+  kind: 'streaming',
+  timeoutMs: DEADLINE_MS,
+  targetLatencyMs: 250,
+  gapTargetMs: 1000,
+  priority: 0,
+  destinations: [{ service: SERVICE, weight: 1 }],
+  maxAttempts: 3,
+  isPublic: true,
+  isResumable: true,
+};
+const ignore = () => {};
+
+/** An entry at which callers take up streams that began at software version v1, in virtual time. */
+export class TakeUpRig {
+  static readonly model = MODEL;
+
+  readonly clock = new VirtualClock();
+
+  readonly ended: Ended[] = [];
+
+  /** Upstreams of the requests that were sent, or that could not be. */
+  readonly sends: string[] = [];
+
+  /** Fields of the log lines of requests that have ended. */
+  readonly lines: Readonly<Record<string, unknown>>[] = [];
+
+  /** The order lease holder's answer; undefined if it cannot be reached. */
+  answer: (target: Target) => FindAnswer | undefined = () => undefined;
+
+  private readonly conditions = new Map<string, Condition>();
+
+  private readonly fleet = new Fleet('z');
+
+  private readonly meter = new DemandMeter('e', 'a');
+
+  private readonly serving: Serving;
+
+  private requestCount = 0;
+
+  constructor(private readonly origin: Partial<StreamOrigin> = {}) {
+    const { clock, fleet, meter } = this;
+    const log = {
+      info: (message: string, fields: Readonly<Record<string, unknown>> = {}) => {
+        if (message === 'request') this.lines.push(fields);
+      },
+      warn: ignore,
+      error: ignore,
+    };
+    const ask = (target: Target) => Promise.resolve(this.answer(target));
+    const finder = new TargetFinder({ clock, log, fleet, meter, ask, ordersInMs: () => 0 });
+    const budgets = new RetryBudgets({
+      clock,
+      ratio: 10,
+      slack: 100,
+      windowMs: 1000,
+      parts: () => 1,
+    });
+    this.serving = fakeServing({
+      clock,
+      fleet,
+      log,
+      origins: { find: () => Promise.resolve(this.found()) } as never,
+      link: { send: this.send.bind(this) } as unknown as UpstreamLink,
+      decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
+      budgetOf: (service) => budgets.of(service),
+      waitForTarget: (target, waiter) => finder.waitForTarget(target, waiter),
+    });
+  }
+
+  /** Number of requests that the entry reports as waiting for a model. */
+  get waiting(): number {
+    return this.meter.report().models.reduce((sum, { waiting }) => sum + waiting, 0);
+  }
+
+  /** Lists an upstream, or changes what is listed of it. */
+  list(id: string, softwareVersion: string, models: readonly ModelId[] = []): void {
+    const none = () => ({ version: 1, adapters: new Set<string>() });
+    const info = {
+      id,
+      service: SERVICE,
+      address: id,
+      availabilityZone: 'z',
+      slots: 100,
+      isLeaving: false,
+      softwareVersion,
+      models: new Map(models.map((model) => [model, none()])),
+      warm: new Set(),
+      onDisk: new Set(),
+    };
+    this.fleet.put(info as unknown as Upstream);
+  }
+
+  unlist(id: string): void {
+    this.fleet.remove(id as UpstreamId);
+  }
+
+  setCondition(id: string, condition: Condition): void {
+    this.conditions.set(id, condition);
+  }
+
+  /** Starts a request that takes a stream up, and returns what its caller does to leave. */
+  takeUp(): () => void {
+    this.requestCount += 1;
+    let leave = ignore;
+    const request = {
+      id: `r${this.requestCount}`,
+      path: '/',
+      headers: [],
+      sharedParts: [],
+      body: Buffer.alloc(0),
+      model: MODEL,
+      resumeAfter: '1',
+      resumes: 'first',
+      arrivedAtMs: this.clock.nowMs(),
+    };
+    const caller = {
+      request,
+      isPresent: true,
+      begin: (status: number) => this.over({ status }),
+      refuse: ({ status, type }: { status: number; type: string }) => this.over({ status, type }),
+      write: () => true,
+      end: ignore,
+      cut: ignore,
+      onFree: ignore,
+      onGone: (act: () => void) => {
+        leave = act;
+      },
+      whenPresent: (act: () => void) => act(),
+    };
+    const charge = { cost: 0, covers: () => true, settle: ignore };
+    const admitted = { caller, route: ROUTE, charge } as unknown as Admitted;
+    new Run(this.serving, admitted, ignore).start();
+    return () => leave();
+  }
+
+  async pass(ms: Ms): Promise<void> {
+    const untilMs = this.clock.nowMs() + ms;
+    while (this.clock.nowMs() < untilMs) {
+      for (let round = 0; round < 20; round += 1) await Promise.resolve();
+      this.clock.advanceTo(Math.min(untilMs, this.clock.nowMs() + STEP_MS));
+    }
+  }
+
+  private over(end: Omit<Ended, 'atMs'>): void {
+    this.ended.push({ ...end, atMs: this.clock.nowMs() });
+  }
+
+  private found(): { origin: StreamOrigin; source: 'own'; ageMs: Ms } {
+    const origin = {
+      service: SERVICE,
+      softwareVersion: 'v1',
+      weightsVersion: undefined,
+      ...this.origin,
+    };
+    return { origin, source: 'own', ageMs: 0 };
+  }
+
+  private send({ upstream, maySend }: Call, receiver: Receiver): ReturnType<UpstreamLink['send']> {
+    const sent = { isSent: false, cancel: ignore, resume: ignore };
+    const condition = this.conditions.get(upstream) ?? 'serving';
+    this.sends.push(upstream);
+    const fail = (type: 'upstream-unreachable' | 'request-unsendable') =>
+      receiver.failed({ type, detail: '', mayHaveRun: false });
+    if (condition === 'unsendable') void Promise.resolve().then(() => fail('request-unsendable'));
+    else if (condition === 'down') this.clock.after(ANSWER_MS, () => fail('upstream-unreachable'));
+    else if (maySend()) {
+      sent.isSent = true;
+      this.clock.after(ANSWER_MS, () => this.respond(condition, receiver));
+    }
+    return sent;
+  }
+
+  private respond(condition: Condition, receiver: Receiver): void {
+    const isNotRun = condition !== 'serving';
+    const status = { serving: 200, empty: 421, full: 503 }[condition as 'empty'] ?? 200;
+    receiver.head({ status, headers: [], isNotRun, isForRequest: true, hasLength: false });
+    if (isNotRun) return;
+    receiver.data(Buffer.from('id: 2\ndata: x\n\n'));
+    receiver.end();
+  }
+}
--- /dev/null
+++ b/test/takeup.test.ts
@@ -0,0 +1,119 @@
+import test from 'ava';
+import type { UpstreamId } from '../src/base/index.js';
+import { TakeUpRig } from './support/takeuprig.js';
+
+/** Far below the deadline of a request. */
+const AT_ONCE_MS = 200;
+const READY = { type: 'ready', upstream: 'u1' as UpstreamId } as const;
+
+/** One upstream of v1 with the model, and one of another version. */
+function rigOf(...args: ConstructorParameters<typeof TakeUpRig>): TakeUpRig {
+  const rig = new TakeUpRig(...args);
+  rig.list('u1', 'v1', [TakeUpRig.model]);
+  rig.list('u2', 'v1.1', [TakeUpRig.model]);
+  return rig;
+}
+
+/** The holder's answer while a model is loading that is ready at `atMs`. */
+const loadingUntil = (rig: TakeUpRig, atMs: number) => () =>
+  ({ type: 'later', inMs: Math.max(25, atMs - rig.clock.nowMs()), isUnderWay: true }) as const;
+
+// Guards against a refusal after two tries 50 ms apart, with most of the deadline left.
+test('a stream that is taken up while the only upstream of its version is unreachable goes on once it is back', async (t) => {
+  const rig = rigOf();
+  rig.answer = () => READY;
+  rig.setCondition('u1', 'down');
+  rig.takeUp();
+  await rig.pass(1000);
+  rig.setCondition('u1', 'serving');
+  await rig.pass(4000);
+  t.deepEqual(
+    rig.ended.map(({ status }) => status),
+    [200],
+  );
+  t.false(rig.sends.includes('u2'));
+});
+
+// Guards against a refusal where an upstream has lost its model in a crash and another one of the version can load it.
+test('a stream goes on at another upstream of its version if its own one comes back empty', async (t) => {
+  const rig = rigOf();
+  rig.list('u3', 'v1');
+  rig.answer = () => READY;
+  rig.setCondition('u1', 'down');
+  rig.takeUp();
+  await rig.pass(500);
+  rig.setCondition('u1', 'empty');
+  await rig.pass(1500);
+  rig.answer = loadingUntil(rig, 5000);
+  await rig.pass(3000);
+  rig.list('u3', 'v1', [TakeUpRig.model]);
+  await rig.pass(1000);
+  t.deepEqual(
+    rig.ended.map(({ status }) => status),
+    [200],
+  );
+  t.is(rig.sends.at(-1), 'u3');
+});
+
+// Guards against the same at an entry that has not seen the crash, as it was frozen or sent nothing there meanwhile.
+test('a stream waits until the list shows that its upstream has restarted empty', async (t) => {
+  const rig = rigOf({ weightsVersion: '1' });
+  rig.list('u3', 'v1');
+  rig.setCondition('u1', 'empty');
+  rig.answer = loadingUntil(rig, 2500);
+  rig.takeUp();
+  await rig.pass(400);
+  rig.list('u1', 'v1');
+  await rig.pass(2100);
+  rig.list('u3', 'v1', [TakeUpRig.model]);
+  await rig.pass(1000);
+  t.deepEqual(
+    rig.ended.map(({ status }) => status),
+    [200],
+  );
+  t.is(rig.sends.at(-1), 'u3');
+});
+
+// Guards against a refusal after 3 ms although the model is being loaded at the version, with 20 s left.
+test('a stream waits for a load at its version that takes seconds', async (t) => {
+  const rig = rigOf();
+  rig.list('u1', 'v1');
+  rig.answer = loadingUntil(rig, 4200);
+  rig.takeUp();
+  await rig.pass(4200);
+  rig.list('u1', 'v1', [TakeUpRig.model]);
+  await rig.pass(1000);
+  t.deepEqual(
+    rig.ended.map(({ status }) => status),
+    [200],
+  );
+});
+
+// Guards against callers that are held although nothing can serve them any more.
+test('a stream is refused at once when no upstream of its version is left, also while it waits', async (t) => {
+  const rig = rigOf();
+  rig.list('u1', 'v1');
+  rig.answer = loadingUntil(rig, 6000);
+  rig.takeUp();
+  await rig.pass(1000);
+  rig.unlist('u1');
+  rig.takeUp();
+  await rig.pass(AT_ONCE_MS);
+  t.deepEqual(
+    rig.ended.map(({ type }) => type),
+    ['stream-version-gone', 'stream-version-gone'],
+  );
+});
+
+// Guards against demand of callers that have left, for which the plan would keep or load replicas.
+test('a caller that leaves ends its wait and no longer counts as waiting', async (t) => {
+  const rig = rigOf();
+  rig.list('u1', 'v1');
+  rig.answer = loadingUntil(rig, 1000);
+  const leave = rig.takeUp();
+  await rig.pass(200);
+  t.is(rig.waiting, 1);
+  leave();
+  await rig.pass(100);
+  t.is(rig.waiting, 0);
+});
