Plan places of models by the software version that streams need

A plan counted replicas whatever their software version, so a stream whose version kept engines but no replica of its model was refused until the release ended. The order lease holder now notes at which versions requests that continue a stream ask for a model; a plan loads a first replica there and keeps the last one. The note expires after 6 s, like that of requests that found no replica. Loads stay within the budget of loads from the store and the bound of rare ones.

The mover's expected times are kept by upstream: by service and model, the end of a load at one version hid a load of the same model under way at another.

Where no stream asks for a version, `continuedAt` is absent and plans are the same as before.

--- a/src/core/allocation/allocationrules.ts
+++ b/src/core/allocation/allocationrules.ts
@@ -28,6 +28,11 @@
   minStayMs: 1500,
   /** Gain per second for which requests for a model have found no replica: prevents starvation. */
   absentGainPerS: 0.25,
+  /**
+   * Gain of a first replica of a model at a software version at which streams wait to be continued. Such a stream can go
+   * on nowhere else, and its caller loses what has arrived as well.
+   */
+  continuedGain: 3,
   /** Gain of a first replica of a model without demand: the first request for the model then finds it in memory. */
   reachableGain: 0.5,
 } as const;
--- a/src/core/allocation/plan.ts
+++ b/src/core/allocation/plan.ts
@@ -2,6 +2,7 @@
 import { allocationRules } from './allocationrules.js';
 import { bestMove } from './bestmove.js';
 import type { HeldModel } from './heldmodel.js';
+import { lacksVersion } from './lacksversion.js';
 import type { Move } from './move.js';
 import { LoadProjection } from './loadprojection.js';
 import type { PlanInput } from './planinput.js';
@@ -73,7 +74,11 @@
   /** Returns the best move for a model, if it needs one. */
   private findMove(held: HeldModel): Candidate | undefined {
     const { isRare } = this;
-    const needsNone = held.load === 0 && held.sites.length > 0 && !this.lacksAdapterSlots(held);
+    const needsNone =
+      held.load === 0 &&
+      held.sites.length > 0 &&
+      !this.lacksAdapterSlots(held) &&
+      !this.lacksVersions(held);
     if (needsNone && held.readyCount > 0) return undefined;
     const found = bestMove(this.projection, held, this.mayLoadFromStore(isRare(held)));
     return found && { held, move: found.move, rank: found.rank, moveCount: this.moves.length };
@@ -88,6 +93,13 @@
     return adapters > sites.length * engine.adapterSlots;
   }
 
+  /** True if streams of the model wait to be continued at a version at which it has no replica. */
+  private lacksVersions(held: HeldModel): boolean {
+    const { sites, input } = this.projection;
+    if (!input.demand.get(held.model)?.continuedAt) return false;
+    return sites.some((site) => lacksVersion(this.projection, held, site));
+  }
+
   private mayLoadFromStore(isRare: boolean): boolean {
     if (this.coldLoadsLeft <= 0) return false;
     if (!isRare) return true;
--- a/src/core/allocation/replicaloss.ts
+++ b/src/core/allocation/replicaloss.ts
@@ -1,5 +1,6 @@
 import type { Ms } from '../../base/index.js';
 import { allocationRules } from './allocationrules.js';
+import { lacksVersion } from './lacksversion.js';
 import type { LoadProjection } from './loadprojection.js';
 import type { Site } from './site.js';
 
@@ -30,6 +31,7 @@
   const isInUse =
     modelDemand !== undefined && (modelDemand.waiting > 0 || modelDemand.idleMs < IN_USE_MS);
   if (isInUse && placed.ageMs < minStayMs) return Infinity;
+  if (lacksVersion(projection, held, site, site)) return Infinity;
   const spanS = horizonS + loadMs / MS_PER_S;
   const remainingCount = held.readyCount - 1;
   if (remainingCount === 0) {
--- a/src/direct/orders/demandestimator.ts
+++ b/src/direct/orders/demandestimator.ts
@@ -26,6 +26,8 @@
   endedCount: number;
   endedS: number;
   lastMs: Ms;
+  /** When streams that have to go on at a software version last asked for the model, by version. */
+  readonly continuedAtMs: Map<string, Ms>;
   /** When the first of the current requests without a replica arrived. */
   missedSinceMs: Ms;
   /** Running and waiting requests, by entry, as last reported. */
@@ -180,9 +182,19 @@
     return false;
   }
 
-  /** Records a request for a model that no report contains yet. */
-  wanted(service: ServiceId, model: ModelId, nowMs: Ms): void {
-    this.stats(service, model, nowMs).lastMs = nowMs;
+  /** Records a request for a model that no report contains yet, of a stream of `softwareVersion` if given. */
+  wanted(service: ServiceId, model: ModelId, nowMs: Ms, softwareVersion?: string): void {
+    const stats = this.stats(service, model, nowMs);
+    stats.lastMs = nowMs;
+    if (softwareVersion !== undefined) stats.continuedAtMs.set(softwareVersion, nowMs);
+  }
+
+  /** Returns the software versions at which streams of a model wait to be continued; undefined if there are none. */
+  private continuedAt({ continuedAtMs }: ModelStats, nowMs: Ms): ReadonlySet<string> | undefined {
+    for (const [version, atMs] of continuedAtMs) {
+      if (nowMs - atMs > MISSED_MS) continuedAtMs.delete(version);
+    }
+    return continuedAtMs.size === 0 ? undefined : new Set(continuedAtMs.keys());
   }
 
   /** True once requests have been observed for long enough to estimate demand. */
@@ -247,6 +259,8 @@
     const observedMs = nowMs - (this.firstMs ?? nowMs);
     for (const [model, stats] of allStats) {
       let waiting = 0;
+      const continuedAt = this.continuedAt(stats, nowMs);
+      const continued = continuedAt && { continuedAt };
       for (const report of stats.byEntry.values()) waiting += report.waiting;
       if (isReady(model)) stats.missed = 0;
       const idleMs = nowMs - stats.lastMs;
@@ -259,6 +273,7 @@
         waiting,
         missed: stats.missed,
         adaptersInUse: this.adaptersInUse(model, nowMs),
+        ...continued,
         absentMs: stats.missed < MIN_MISSED ? 0 : nowMs - stats.missedSinceMs,
         idleMs,
       });
@@ -357,6 +372,7 @@
         endedCount: 0,
         endedS: 0,
         lastMs: nowMs,
+        continuedAtMs: new Map(),
         missedSinceMs: nowMs,
         byEntry: new Map(),
       };
--- a/src/direct/orders/mover.ts
+++ b/src/direct/orders/mover.ts
@@ -1,4 +1,4 @@
-import type { Clock, ModelId, Ms, ServiceId } from '../../base/index.js';
+import type { Clock, ModelId, Ms, ServiceId, UpstreamId } from '../../base/index.js';
 import type { ModelDemand, Move } from '../../core/allocation/index.js';
 import { isContinuable } from '../../core/origin/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
@@ -30,6 +30,7 @@
 
 /** When a move's model should be loaded, and where. */
 interface Expected {
+  readonly model: ModelId;
   readonly upstream: Upstream;
   readonly atMs: Ms;
 }
@@ -60,8 +61,8 @@
 
 /** Carries out moves: evicts models at an upstream, then loads one. Failed moves are left to the next plan. */
 export class Mover {
-  /** When a model should be loaded, by service and model. */
-  private readonly expected = new Map<string, Expected>();
+  /** Models that are being moved, by upstream. */
+  private readonly expected = new Map<UpstreamId, Expected>();
 
   private moving = 0;
 
@@ -78,9 +79,13 @@
 
   /** Returns when a model that is being moved should be loaded, where the target can use it. */
   expectedAtMs({ service, model, origin }: Target): Ms | undefined {
-    const expected = this.expected.get(`${service}/${model}`);
-    if (!expected || (origin && !isContinuable(expected.upstream, origin, model))) return undefined;
-    return expected.atMs;
+    let earliestMs: Ms | undefined;
+    for (const { model: moved, upstream, atMs } of this.expected.values()) {
+      if (moved !== model || upstream.service !== service) continue;
+      if (origin && !isContinuable(upstream, origin, model)) continue;
+      earliestMs = Math.min(earliestMs ?? Infinity, atMs);
+    }
+    return earliestMs;
   }
 
   async move(
@@ -92,7 +97,7 @@
     const { clock } = this;
     const { log, metrics, budget } = this.options;
     const target = view;
-    const { model, evicted, loadMs, isFromStore, gain, cost } = move;
+    const { upstream, model, evicted, loadMs, isFromStore, gain, cost } = move;
     target.isMoving = true;
     if (view.orderCount === undefined) {
       await enqueue(view, () => refresh(this.options, view));
@@ -103,13 +108,12 @@
     view.models.set(model, { phase: 'loading', sinceMs: clock.nowMs(), adapters: new Set() });
     target.plannedModel = model;
     this.moving += 1;
-    const key = `${service}/${model}`;
     const startedAtMs = clock.nowMs();
     const startLoad = isFromStore ? budget.reserve() : () => {};
-    const expect = (atMs: Ms) => this.expected.set(key, { upstream: view.info, atMs });
+    const expect = (atMs: Ms) => this.expected.set(upstream, { model, upstream: view.info, atMs });
     expect(startedAtMs + this.evictionMs(evicted, demand) + loadMs);
     const modelDemand = demand.get(model);
-    const subject = { upstream: move.upstream, service, model };
+    const subject = { upstream, service, model };
     const decided = { gain, cost, demand: modelDemand, planAgeMs: Math.round(planAgeMs) };
     log.info('move begun', { ...subject, evicted, isFromStore, ...decided });
     const end = await this.carryOut(view, move, {
@@ -126,7 +130,7 @@
       // The upstream has accepted the load, so the view without it does not match the count of orders.
       if (end === 'load-overdue') target.orderCount = undefined;
     }
-    this.expected.delete(key);
+    this.expected.delete(upstream);
     this.moving -= 1;
     target.isMoving = false;
     target.plannedModel = undefined;
--- a/src/direct/orders/orderdispatcher.ts
+++ b/src/direct/orders/orderdispatcher.ts
@@ -283,13 +283,16 @@
 
   /** Plans at once for a model without a replica, so that the answer can contain when it will be loaded. */
   private later(target: Target): FindAnswer {
-    const { service, model } = target;
+    const { service, model, origin } = target;
     const nowMs = this.options.clock.nowMs();
     const engine = this.engineOf(service);
     const isBeingMoved = this.mover.expectedAtMs(target) !== undefined;
-    if (model !== undefined && engine && !isBeingMoved && this.options.lease.mayOrder()) {
-      this.book.wanted(service, model, nowMs);
-      this.planRunner.plan(service);
+    if (model !== undefined && engine && this.options.lease.mayOrder()) {
+      // A replica that is loaded for streams stays until they have found it.
+      if (!isBeingMoved || origin) {
+        this.book.wanted(service, model, nowMs, origin?.softwareVersion);
+      }
+      if (!isBeingMoved) this.planRunner.plan(service);
     }
     const expectedAtMs = this.mover.expectedAtMs(target);
     const waitMs = this.options.lease.ordersInMs();
@@ -364,6 +367,7 @@
     return {
       id: info.id,
       slots: info.slots,
+      softwareVersion: info.softwareVersion,
       pace: this.paceOf(info),
       ratePerS: this.options.limitOf(info),
       placed,
--- a/test/demand.test.ts
+++ b/test/demand.test.ts
@@ -94,3 +94,17 @@
   t.false('refusedFull' in meter.report().models[0]!);
   t.deepEqual(meter.report().models, []);
 });
+
+// Guards against replicas that are kept at a version for good, and against ones that no stream asked for.
+test('streams count as waiting at their version while requests ask for it, and for a limited time after', (t) => {
+  const book = new DemandEstimator();
+  const continuedAt = (nowMs: Ms) =>
+    book.estimate(SERVICE, nowMs, () => true).get(MODEL)?.continuedAt;
+  book.wanted(SERVICE, MODEL, 0);
+  t.is(continuedAt(0), undefined);
+  book.wanted(SERVICE, MODEL, 0, 'v1');
+  book.wanted(SERVICE, MODEL, 4000, 'v1.1');
+  t.deepEqual([...continuedAt(5000)!], ['v1', 'v1.1']);
+  t.deepEqual([...continuedAt(9000)!], ['v1.1']);
+  t.is(continuedAt(20_000), undefined);
+});
