Hold a request that continues a stream while its model can be loaded in time

A stream that is taken up was held like a new request: for at most 1.5 s, and only for a load under way; otherwise it was refused at once. It now waits for up to 0.8 of the time to its deadline, for a load at its version, a slot or capacity; the rest is for the stream itself. Without the order lease holder's word that a load can be expected it waits for 4 s: an entry that is cut off refuses it, so that its caller finds another one.

A wait ends within 25 ms when its caller has left or its deadline has passed, which no longer counts as demand, and when the last upstream of the version has left, which is refused as `stream-version-gone`.

--- a/src/core/residencywait/residencywait.ts
+++ b/src/core/residencywait/residencywait.ts
@@ -12,6 +12,10 @@
   readonly remainingMs: Ms;
   /** Target time to the first event of the route's answers. */
   readonly targetMs: Ms;
+  /** True if it continues a stream; absent: false. */
+  readonly isContinued?: boolean;
+  /** How long it has waited without word from the order lease holder that a load can be expected; absent: 0. */
+  readonly unplannedMs?: Ms;
   /** From 0 to 1, different for each request: spreads the retries over time. */
   readonly place: number;
 }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -5,6 +5,7 @@
 import { plainWaitRules } from '../../core/plainwait/index.js';
 import type { StreamOrigin } from '../../core/origin/index.js';
 import { promptPaceRules } from '../../core/promptpace/index.js';
+import { continuedHoldMs } from '../../core/residencywait/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
 import { pickService, requestUrgency, type Route } from '../../core/routetable/index.js';
 import type { Log, UpstreamLink } from '../../port/index.js';
@@ -466,7 +467,7 @@
     return hash32(this.caller.request.id) / HASH_RANGE;
   }
 
-  /** Returns true while the target latency leaves time for waiting. */
+  /** Returns true while the target latency, or the deadline of a stream that goes on, leaves time for waiting. */
   private mayWaitForCapacity(): boolean {
     return this.remainingWaitMs() > 0;
   }
@@ -475,7 +476,9 @@
     const { arrivedAtMs } = this.caller.request;
     const targetMs = this.route.targetLatencyMs;
     const wholeMs = this.untilMs - arrivedAtMs;
-    const waitMs = capacityWaitMs({ targetMs, wholeMs, isReturn: this.isReturn });
+    const waitMs = this.origin
+      ? continuedHoldMs(wholeMs)
+      : capacityWaitMs({ targetMs, wholeMs, isReturn: this.isReturn });
     return waitMs - (this.clock.nowMs() - arrivedAtMs);
   }
 
@@ -528,7 +531,9 @@
       heldMs: nowMs - request.arrivedAtMs,
       remainingMs: this.untilMs - nowMs,
       targetMs: this.route.targetLatencyMs,
+      isContinued: target.origin !== undefined,
       place: this.place(),
+      isOver: () => this.isOver,
     };
     this.hasWaitedForTarget = true;
     this.targetWaitCount += 1;
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -1,5 +1,4 @@
 import type { Clock, Ms, ServiceId, UpstreamId } from '../base/index.js';
-import type { ResidencyWait } from '../core/residencywait/index.js';
 import type { RetryBudget } from '../core/retrybudget/index.js';
 import type { CustomerSpec } from '../core/access/index.js';
 import type { AccessDecision, Route, RouteTable } from '../core/routetable/index.js';
@@ -9,6 +8,7 @@
 import type { PoisonGuard } from './poison/index.js';
 import type { QuotaClient } from './quota/index.js';
 import type { Fleet, Target } from './route/index.js';
+import type { TargetWaiter } from './targetwaiter.js';
 import type { UpstreamGate } from './selfreport/index.js';
 import type { Waitline } from './waitline/index.js';
 
@@ -49,10 +49,7 @@
   /** Records that every connection to an upstream that this entry may open is in use. */
   lackedConnection(upstream: UpstreamId): void;
   /** Waits until an upstream has the target loaded, or returns why none will in time. */
-  waitForTarget(
-    target: Target,
-    waiter: Omit<ResidencyWait, 'inMs' | 'isUnderWay'>,
-  ): Promise<TargetResult>;
+  waitForTarget(target: Target, waiter: TargetWaiter): Promise<TargetResult>;
   /** True if the caller was refused before and would give up if refused again. */
   isReturn(route: Route, deadlineMs: Ms | undefined): boolean;
   /** Counts the arrival of a request with this target. */
--- a/src/direct/targetfinder.ts
+++ b/src/direct/targetfinder.ts
@@ -1,9 +1,10 @@
 import type { Clock, Ms } from '../base/index.js';
-import { holdOrRefuse, type ResidencyWait } from '../core/residencywait/index.js';
+import { holdOrRefuse } from '../core/residencywait/index.js';
 import type { Log } from '../port/index.js';
 import type { DemandMeter, FindAnswer } from './orders/index.js';
 import { has, mayServe, type Fleet, type Target } from './route/index.js';
 import type { Serving } from './serving.js';
+import type { TargetWaiter } from './targetwaiter.js';
 
 type TargetResult = Awaited<ReturnType<Serving['waitForTarget']>>;
 
@@ -19,9 +20,6 @@
   ordersInMs(): Ms;
 }
 
-/** Properties of a waiting request that decide how long it waits. */
-type Waiter = Omit<ResidencyWait, 'inMs' | 'isUnderWay'>;
-
 /** Duration of a plan and a load from disk, once there is an order lease holder. */
 const UNPLANNED_MS = 900;
 const POLL_MS = 25;
@@ -52,7 +50,7 @@
 
   constructor(private readonly options: TargetFinderOptions) {}
 
-  async waitForTarget(target: Target, waiter: Waiter): Promise<TargetResult> {
+  async waitForTarget(target: Target, waiter: TargetWaiter): Promise<TargetResult> {
     const { clock, meter } = this.options;
     if (target.model === undefined) {
       const detail = `No upstream of ${target.service} can be chosen.`;
@@ -64,17 +62,21 @@
     return result;
   }
 
-  private async wait(target: Target, waiter: Waiter, startedAtMs: Ms): Promise<TargetResult> {
+  private async wait(target: Target, waiter: TargetWaiter, startedAtMs: Ms): Promise<TargetResult> {
     const { clock } = this.options;
     for (;;) {
       const found = await this.ask(target);
       if (this.isReady(target, found)) return { type: 'ready' };
+      const end = this.endOf(target, waiter);
+      if (end) return end;
       const inMs = found?.type === 'later' ? found.inMs : this.options.ordersInMs() + UNPLANNED_MS;
       const passedMs = clock.nowMs() - startedAtMs;
       const heldMs = waiter.heldMs + passedMs;
       const remainingMs = waiter.remainingMs - passedMs;
       const isUnderWay = found?.type === 'later' && found.isUnderWay;
-      const decision = holdOrRefuse({ ...waiter, inMs, isUnderWay, heldMs, remainingMs });
+      const unplannedMs = found?.type === 'later' ? 0 : (waiter.waitedMs ?? 0) + passedMs;
+      const times = { inMs, heldMs, remainingMs, unplannedMs };
+      const decision = holdOrRefuse({ ...waiter, ...times, isUnderWay });
       if (decision.type === 'refuse') {
         const detail = `No upstream of ${target.service} holds what the request needs yet.`;
         const { retryAfterMs } = decision;
@@ -83,11 +85,21 @@
       const untilMs = clock.nowMs() + inMs;
       // Waits at least once, even if no time is left, because the loop must not block the event loop.
       do await this.pause(POLL_MS);
-      while (clock.nowMs() < untilMs && !this.isLoaded(target));
+      while (clock.nowMs() < untilMs && !this.isLoaded(target) && !this.endOf(target, waiter));
       if (this.isLoaded(target)) return { type: 'ready' };
     }
   }
 
+  /** Returns why a wait is of no use any more; undefined if it may be. */
+  private endOf({ origin }: Target, { isOver }: TargetWaiter): TargetResult | undefined {
+    if (isOver?.()) {
+      return { type: 'unavailable', reason: 'gone', detail: 'Nobody waits for the answer.' };
+    }
+    if (!origin || this.options.fleet.mayContinue(origin)) return undefined;
+    const detail = 'No upstream runs the software version that the stream began with.';
+    return { type: 'unavailable', reason: 'stream-version-gone', detail };
+  }
+
   private isReady(target: Target, found: FindAnswer | undefined): boolean {
     if (found?.type === 'ready') {
       const state = this.options.fleet.get(found.upstream);
--- /dev/null
+++ b/src/direct/targetwaiter.ts
@@ -0,0 +1,12 @@
+import type { Ms } from '../base/index.js';
+import type { ResidencyWait } from '../core/residencywait/index.js';
+
+type Computed = 'inMs' | 'isUnderWay' | 'unplannedMs';
+
+/** Properties of a waiting request that decide how long it waits. */
+export interface TargetWaiter extends Omit<ResidencyWait, Computed> {
+  /** How long it has waited before without an upstream that it could reach; absent: 0. */
+  readonly waitedMs?: Ms;
+  /** Returns true once nobody waits for the answer any more; absent: somebody does. */
+  readonly isOver?: () => boolean;
+}
--- a/test/retryafter.test.ts
+++ b/test/retryafter.test.ts
@@ -56,3 +56,35 @@
   t.true(Math.min(...times) >= 4200);
   t.true(Math.max(...times) - Math.min(...times) > 500);
 });
+
+// Guards against streams that are refused with most of their deadline left, and against ones that are held to its end.
+test('a request that continues a stream is held for a later load, with time left for the rest of the stream', (t) => {
+  const wait = {
+    inMs: 4200,
+    isUnderWay: false,
+    heldMs: 0,
+    remainingMs: REMAINING_MS,
+    targetMs: 250,
+    isContinued: true,
+    place: 0,
+  };
+  t.is(holdOrRefuse(wait).type, 'hold');
+  const late = { ...wait, heldMs: 11_000, remainingMs: REMAINING_MS - 11_000 };
+  t.is(holdOrRefuse(late).type, 'refuse');
+  t.is(holdOrRefuse({ ...wait, isContinued: false }).type, 'refuse');
+});
+
+// Guards against streams that an entry without a connection to others holds, though another entry could serve them.
+test('a stream is held for seconds only while nobody plans a load for it', (t) => {
+  const wait = {
+    inMs: 900,
+    isUnderWay: false,
+    heldMs: 0,
+    remainingMs: REMAINING_MS,
+    targetMs: 250,
+    isContinued: true,
+    place: 0,
+  };
+  t.is(holdOrRefuse({ ...wait, unplannedMs: 3000 }).type, 'hold');
+  t.is(holdOrRefuse({ ...wait, unplannedMs: 4000 }).type, 'refuse');
+});
