Let a stream wait for an upstream that is unreachable or has restarted empty

A request that takes a stream up gave up after two tries 50 ms apart where the only upstream of its version with its model could not be reached or had lost it. It now waits until the upstream may be tried again (1.5 s), or until the model is loaded at another one of the version, whichever comes first. Attempts that reached no upstream are not counted as refusals, as each is followed by such a wait. After refusals the delays are 50, 400 and 1,600 ms, within which the list shows a restart; four refusals end the request as before, also where the holder reports as ready what refuses.

An upstream that answers 421 right after a failure has restarted, whatever weights the stream needs.

Streams without a model wait the same way for an upstream that this entry can reach.

--- a/src/core/delivery/attemptend.ts
+++ b/src/core/delivery/attemptend.ts
@@ -6,6 +6,8 @@
       readonly wasSent: boolean;
       /** True if every connection to the upstream that this process may open was in use. */
       readonly isUnconnected?: boolean;
+      /** True if the upstream could not be reached, so that it counts as lost for some time. */
+      readonly isUnreachable?: boolean;
     }
   /** A complete answer that reports a failure of the upstream. */
   | { readonly type: 'failed' }
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -188,8 +188,10 @@
   }
 
   private recordRefusal({ status }: Head): void {
-    // The upstream may hold the model with other weights than the stream needs.
-    const mayHoldModel = this.options.target.origin?.weightsVersion !== undefined;
+    const { target, state } = this.options;
+    // The upstream may hold the model with other weights than the stream needs, unless it has just restarted.
+    const hasFailed = state.failedAtMs > state.answeredAtMs;
+    const mayHoldModel = target.origin?.weightsVersion !== undefined && !hasFailed;
     if (status !== WRONG_UPSTREAM_STATUS) this.recordOutcome('full');
     else if (!mayHoldModel) this.recordOutcome('missing');
   }
@@ -298,7 +300,8 @@
     if (type === 'upstream-lost') this.onConnectionLost(detail);
     if (type === 'upstream-wrong-answer') this.onWrongAnswer(detail);
     this.recordOutcome(mayHaveRun ? 'failed' : 'unreachable');
-    this.options.over(mayHaveRun ? { type: 'broken' } : { type: 'not-run', wasSent: false });
+    if (mayHaveRun) this.options.over({ type: 'broken' });
+    else this.options.over({ type: 'not-run', wasSent: false, isUnreachable: true });
   }
 
   private logUnsent(type: Failure['type'], detail: string): void {
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -40,6 +40,11 @@
 const HASH_RANGE = 2 ** 32;
 /** Delay before upstreams that refused are tried again; a few runs end within it. */
 const NEXT_ROUND_MS = 50;
+/**
+ * The same for a stream that goes on, which has no other upstream, by the number of refusals: within these times the
+ * list shows an upstream that has restarted, and a slot becomes free at a full one.
+ */
+const STREAM_ROUND_MS = [NEXT_ROUND_MS, 400, 1600];
 /** A trial crashes its upstream or clears its traits within about this time. */
 const SUSPECT_RETRY_AFTER_MS = 1000;
 /** Interval between checks whether a run has cleared the suspected traits; most runs take longer. */
@@ -90,6 +95,9 @@
 
   private targetWaitCount = 0;
 
+  /** Since when no upstream could be reached; undefined if the last attempt reached one. */
+  private strandedAtMs: Ms | undefined;
+
   private readonly suspicion: Suspicion;
 
   /** The request was refused before, and its caller retries. */
@@ -263,7 +271,10 @@
     }
     const nowMs = clock.nowMs();
     // A request without a model has no alternative to an upstream that may be lost; a model can be loaded elsewhere.
-    const includesLost = request.model === undefined || this.hasWaitedForTarget;
+    // A stream that has waited does so until the upstream may be tried again.
+    const isStranded = this.strandedAtMs !== undefined;
+    const includesLost =
+      request.model === undefined ? !isStranded : this.hasWaitedForTarget && !origin;
     const mustAsk = this.suspicion.permission() === 'ask-first';
     const isTrial = mustAsk || this.suspicion.isTrial;
     const requestId = request.id;
@@ -285,7 +296,7 @@
     else if (state) this.send(state, route);
     else if (block && !this.mayBeLoaded()) this.waitForSlot(block);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
-    else if (this.targetWaitCount < MAX_TARGET_WAITS) this.waitForTarget();
+    else if (origin || this.targetWaitCount < MAX_TARGET_WAITS) this.waitForTarget();
     else this.tryAgainLater();
   }
 
@@ -493,13 +504,20 @@
       this.waitForConnection();
       return;
     }
-    if (this.ranCount > 0 || this.hasTriedAll) {
+    if (this.ranCount > 0 || (this.hasTriedAll && !this.origin)) {
       this.giveUp('upstreams-full', 'No upstream could take the request.', this.retryAfterMs());
       return;
     }
     this.hasTriedAll = true;
     this.tried.clear();
-    this.clock.after(NEXT_ROUND_MS, () => this.attempt());
+    this.clock.after(this.roundMs, () => this.attempt());
+  }
+
+  /** Delay before an upstream that refused is tried again. */
+  private get roundMs(): Ms {
+    if (!this.origin) return NEXT_ROUND_MS;
+    const at = Math.min(Math.max(1, this.refusedCount), STREAM_ROUND_MS.length) - 1;
+    return STREAM_ROUND_MS[at]!;
   }
 
   /** Waits as long as the target latency allows for a connection, of which others may be lent within milliseconds. */
@@ -527,11 +545,13 @@
     const target = this.target!;
     const { request } = this.caller;
     const nowMs = this.clock.nowMs();
+    this.strandedAtMs ??= nowMs;
     const waiter = {
       heldMs: nowMs - request.arrivedAtMs,
       remainingMs: this.untilMs - nowMs,
       targetMs: this.route.targetLatencyMs,
       isContinued: target.origin !== undefined,
+      waitedMs: nowMs - this.strandedAtMs,
       place: this.place(),
       isOver: () => this.isOver,
     };
@@ -539,11 +559,23 @@
     this.targetWaitCount += 1;
     void this.serving.waitForTarget(target, waiter).then((found) => {
       if (this.isOver) return;
-      if (found.type === 'ready') this.attempt();
+      if (found.type === 'ready') this.attemptAgain(nowMs);
       else this.giveUp(found.reason, found.detail, found.retryAfterMs);
     });
   }
 
+  /** Goes on after a wait since `waitedFromMs`: the holder may still report as ready what has just refused. */
+  private attemptAgain(waitedFromMs: Ms): void {
+    if (!this.origin) {
+      this.attempt();
+      return;
+    }
+    this.tried.clear();
+    const leftMs = this.refusedCount === 0 ? 0 : waitedFromMs + this.roundMs - this.clock.nowMs();
+    if (leftMs <= 0) this.attempt();
+    else this.clock.after(leftMs, () => this.attempt());
+  }
+
   private send(state: UpstreamState, route: Route): void {
     const { serving, reply, suspicion, record, retryCharge } = this;
     const target = this.target!;
@@ -635,7 +667,11 @@
       this.attempt();
       return;
     }
-    if (end.type === 'not-run') this.refusedCount += 1;
+    // Each such end is followed by a wait, so that a stream may have any number of them before its deadline.
+    const isUnreachable = end.type === 'not-run' && end.isUnreachable === true;
+    if (!isUnreachable) this.strandedAtMs = undefined;
+    const isUncounted = isUnreachable && this.origin !== undefined;
+    if (end.type === 'not-run') this.refusedCount += isUncounted ? 0 : 1;
     else this.ranCount += 1;
     if (end.type === 'answered') this.finish();
     else this.decide(end);
--- a/src/direct/targetfinder.ts
+++ b/src/direct/targetfinder.ts
@@ -2,7 +2,7 @@
 import { holdOrRefuse } from '../core/residencywait/index.js';
 import type { Log } from '../port/index.js';
 import type { DemandMeter, FindAnswer } from './orders/index.js';
-import { has, mayServe, type Fleet, type Target } from './route/index.js';
+import { has, mayServe, type Fleet, type Target, type UpstreamState } from './route/index.js';
 import type { Serving } from './serving.js';
 import type { TargetWaiter } from './targetwaiter.js';
 
@@ -52,7 +52,7 @@
 
   async waitForTarget(target: Target, waiter: TargetWaiter): Promise<TargetResult> {
     const { clock, meter } = this.options;
-    if (target.model === undefined) {
+    if (target.model === undefined && !target.origin) {
       const detail = `No upstream of ${target.service} can be chosen.`;
       return { type: 'unavailable', reason: 'no-upstream', detail };
     }
@@ -64,6 +64,7 @@
 
   private async wait(target: Target, waiter: TargetWaiter, startedAtMs: Ms): Promise<TargetResult> {
     const { clock } = this.options;
+    let unplannedFromMs = startedAtMs - (waiter.waitedMs ?? 0);
     for (;;) {
       const found = await this.ask(target);
       if (this.isReady(target, found)) return { type: 'ready' };
@@ -74,7 +75,8 @@
       const heldMs = waiter.heldMs + passedMs;
       const remainingMs = waiter.remainingMs - passedMs;
       const isUnderWay = found?.type === 'later' && found.isUnderWay;
-      const unplannedMs = found?.type === 'later' ? 0 : (waiter.waitedMs ?? 0) + passedMs;
+      if (found?.type === 'later') unplannedFromMs = clock.nowMs();
+      const unplannedMs = clock.nowMs() - unplannedFromMs;
       const times = { inMs, heldMs, remainingMs, unplannedMs };
       const decision = holdOrRefuse({ ...waiter, ...times, isUnderWay });
       if (decision.type === 'refuse') {
@@ -103,7 +105,7 @@
   private isReady(target: Target, found: FindAnswer | undefined): boolean {
     if (found?.type === 'ready') {
       const state = this.options.fleet.get(found.upstream);
-      if (state && !state.info.isLeaving && mayServe(state, target)) {
+      if (state && this.isUsable(state, target) && mayServe(state, target)) {
         this.options.fleet.hint(state, target, true, this.options.clock.nowMs());
         return true;
       }
@@ -115,14 +117,24 @@
     const { fleet, clock } = this.options;
     const nowMs = clock.nowMs();
     for (const state of fleet.upstreamsOf(target.service)) {
-      if (!state.info.isLeaving && has(state, target, nowMs)) return true;
+      if (this.isUsable(state, target) && has(state, target, nowMs)) return true;
     }
     return false;
   }
 
-  /** Asks the order lease holder. Requests with the same target share a call and reuse a recent answer. */
+  /** A stream waits until an upstream that counts as lost may be tried again, or for a load elsewhere. */
+  private isUsable(state: UpstreamState, { origin }: Target): boolean {
+    const { fleet, clock } = this.options;
+    return !state.info.isLeaving && !(origin && fleet.isLost(state, clock.nowMs()));
+  }
+
+  /**
+   * Asks the order lease holder. Requests with the same target share a call and reuse a recent answer. It knows nothing
+   * of streams without a model, which wait for an upstream that this entry can reach.
+   */
   private ask(target: Target): Promise<FindAnswer | undefined> {
     const { service, model, adapter = '', origin } = target;
+    if (model === undefined) return Promise.resolve(undefined);
     const versions = origin ? `/${origin.softwareVersion}/${origin.weightsVersion}` : '';
     const key = `${service}/${model}/${adapter}${versions}`;
     const known = this.pending.get(key);
--- a/test/takeup.test.ts
+++ b/test/takeup.test.ts
@@ -117,3 +117,75 @@
   await rig.pass(100);
   t.is(rig.waiting, 0);
 });
+
+// Guards against an entry that alone cannot reach an upstream and holds streams that other entries could serve.
+test('a stream is refused within seconds where the holder reports as ready what the entry cannot reach', async (t) => {
+  const rig = rigOf();
+  rig.answer = () => READY;
+  rig.setCondition('u1', 'down');
+  rig.takeUp();
+  await rig.pass(6000);
+  t.deepEqual(
+    rig.ended.map(({ type }) => type),
+    ['not-resident'],
+  );
+  t.true(rig.sends.length <= 4);
+});
+
+// Guards against a request that is sent again and again, without time passing, where no wait follows its failure.
+for (const condition of ['unsendable', 'empty', 'full'] as const) {
+  test(`a stream is sent a bounded number of times to an upstream that never takes it: ${condition}`, async (t) => {
+    const rig = rigOf({ weightsVersion: '1' });
+    rig.answer = () => READY;
+    rig.setCondition('u1', condition);
+    rig.takeUp();
+    await rig.pass(8000);
+    t.is(rig.ended.length, 1);
+    t.is(rig.ended[0]!.status, 503);
+    t.true(rig.sends.length <= 4);
+  });
+}
+
+// Guards against the same where nothing tells that the upstream has restarted, and the holder does not know it either.
+test('a stream is sent a bounded number of times where a model is reported as ready and is not there', async (t) => {
+  const rig = rigOf();
+  rig.answer = () => READY;
+  rig.setCondition('u1', 'empty');
+  rig.takeUp();
+  await rig.pass(8000);
+  t.is(rig.ended.length, 1);
+  t.true(rig.sends.length <= 4);
+  // In time for the list to show what the holder does not know.
+  t.true(rig.ended[0]!.atMs > 1500);
+});
+
+// Guards against requests that are held to their deadline, with no time left for another try or for the stream.
+test('a stream is refused before its deadline if the load that it waits for does not come', async (t) => {
+  const rig = rigOf();
+  rig.list('u1', 'v1');
+  rig.answer = () => ({ type: 'later', inMs: 1000, isUnderWay: true });
+  rig.takeUp();
+  await rig.pass(19_000);
+  t.deepEqual(
+    rig.ended.map(({ type }) => type),
+    ['not-resident'],
+  );
+  t.true(rig.ended[0]!.atMs > 14_000 && rig.ended[0]!.atMs <= 16_000);
+});
+
+// Guards against streams that are refused for an outage of the lease holder after a long wait for a load.
+test('a stream that waits for a load goes on waiting while the lease passes to another entry', async (t) => {
+  const rig = rigOf();
+  rig.list('u1', 'v1');
+  rig.answer = () => ({ type: 'later', inMs: 500, isUnderWay: true });
+  rig.takeUp();
+  await rig.pass(6000);
+  rig.answer = () => undefined;
+  await rig.pass(2000);
+  rig.list('u1', 'v1', [TakeUpRig.model]);
+  await rig.pass(1000);
+  t.deepEqual(
+    rig.ended.map(({ status }) => status),
+    [200],
+  );
+});
