--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -451,6 +451,10 @@
     metrics.histogram('direct.request_ms', tookMs, { kind });
   }
 
+  takenUp(end: string): void {
+    this.context.metrics.count('direct.taken_up', 1, { end });
+  }
+
   attempted(outcome: string): void {
     this.context.metrics.count('direct.attempt', 1, { outcome });
   }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -95,6 +95,9 @@
 
   private targetWaitCount = 0;
 
+  /** When the wait for a target that is under way began. */
+  private waitingFromMs: Ms | undefined;
+
   /** Since when no upstream could be reached; undefined if the last attempt reached one. */
   private strandedAtMs: Ms | undefined;
 
@@ -127,6 +130,7 @@
     longestGapMs: 0,
     pacedMs: 0,
     blockedMs: 0,
+    targetWaitMs: 0,
     unconnectedCount: 0,
   };
 
@@ -557,13 +561,22 @@
     };
     this.hasWaitedForTarget = true;
     this.targetWaitCount += 1;
+    this.waitingFromMs = nowMs;
     void this.serving.waitForTarget(target, waiter).then((found) => {
       if (this.isOver) return;
+      this.endTargetWait();
       if (found.type === 'ready') this.attemptAgain(nowMs);
       else this.giveUp(found.reason, found.detail, found.retryAfterMs);
     });
   }
 
+  private endTargetWait(): void {
+    const { waitingFromMs, record, clock } = this;
+    if (waitingFromMs === undefined) return;
+    record.targetWaitMs += clock.nowMs() - waitingFromMs;
+    this.waitingFromMs = undefined;
+  }
+
   /** Goes on after a wait since `waitedFromMs`: the holder may still report as ready what has just refused. */
   private attemptAgain(waitedFromMs: Ms): void {
     if (!this.origin) {
@@ -787,6 +800,7 @@
   private close(end: string, retryAfterMs?: Ms): void {
     if (this.isOver) return;
     this.isOver = true;
+    this.endTargetWait();
     this.forgetTimer();
     this.queue.leave();
     this.suspicion.end();
@@ -798,6 +812,7 @@
     const since = (atMs: Ms | undefined) =>
       atMs === undefined ? undefined : Math.round(atMs - request.arrivedAtMs);
     this.serving.ended(end, this.route, nowMs - request.arrivedAtMs);
+    if (this.resumed) this.serving.takenUp(end);
     this.log.info('request', {
       requestId: request.id,
       end,
@@ -813,6 +828,7 @@
       firstByteMs: since(record.firstByteAtMs),
       pacedMs: record.pacedMs,
       blockedMs: record.blockedMs,
+      targetWaitMs: Math.round(record.targetWaitMs) || undefined,
       unconnectedCount: record.unconnectedCount || undefined,
       queuedMs: this.queue.waitedMs,
       listAgeMs: record.listAgeMs && Math.round(record.listAgeMs),
--- a/src/direct/run/runrecord.ts
+++ b/src/direct/run/runrecord.ts
@@ -15,6 +15,8 @@
   pacedMs: Ms;
   /** Time spent waiting for upstreams that are rate limited or paused. */
   blockedMs: Ms;
+  /** Time spent waiting for an upstream that has the target and can be reached. */
+  targetWaitMs: Ms;
   /** Attempts that were not sent because every connection to the upstream was in use. */
   unconnectedCount: number;
 }
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -48,6 +48,8 @@
   connectionLimit(upstream: UpstreamId): number;
   /** Records that every connection to an upstream that this entry may open is in use. */
   lackedConnection(upstream: UpstreamId): void;
+  /** Counts a request that took a stream up, by how it ended. */
+  takenUp(end: string): void;
   /** Waits until an upstream has the target loaded, or returns why none will in time. */
   waitForTarget(target: Target, waiter: TargetWaiter): Promise<TargetResult>;
   /** True if the caller was refused before and would give up if refused again. */
--- a/test/support/fakeserving.ts
+++ b/test/support/fakeserving.ts
@@ -9,6 +9,7 @@
   'attempted',
   'streamBroke',
   'ended',
+  'takenUp',
   'refused',
   'refusedFull',
 ];
--- a/test/support/takeuprig.ts
+++ b/test/support/takeuprig.ts
@@ -59,6 +59,9 @@
   /** Upstreams of the requests that were sent, or that could not be. */
   readonly sends: string[] = [];
 
+  /** Ends of requests that took a stream up, as counted. */
+  readonly counted: string[] = [];
+
   /** Fields of the log lines of requests that have ended. */
   readonly lines: Readonly<Record<string, unknown>>[] = [];
 
@@ -101,6 +104,7 @@
       link: { send: this.send.bind(this) } as unknown as UpstreamLink,
       decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
       budgetOf: (service) => budgets.of(service),
+      takenUp: (end) => this.counted.push(end),
       waitForTarget: (target, waiter) => finder.waitForTarget(target, waiter),
     });
   }
--- a/test/takeup.test.ts
+++ b/test/takeup.test.ts
@@ -189,3 +189,18 @@
     [200],
   );
 });
+
+// Guards against refusals whose cause no log and no metric tells.
+test('the log line of a stream that is taken up says how long it waited, and its end is counted', async (t) => {
+  const rig = rigOf();
+  rig.list('u1', 'v1');
+  rig.answer = loadingUntil(rig, 3000);
+  rig.takeUp();
+  await rig.pass(1000);
+  rig.unlist('u1');
+  await rig.pass(AT_ONCE_MS);
+  const [line] = rig.lines;
+  t.is(line!.end, 'stream-version-gone');
+  t.true(Math.abs((line!.targetWaitMs as number) - 1000) <= AT_ONCE_MS);
+  t.deepEqual(rig.counted, ['stream-version-gone']);
+});
