--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -5,6 +5,7 @@
 import { plainWaitRules } from '../../core/plainwait/index.js';
 import type { StreamOrigin } from '../../core/origin/index.js';
 import { promptPaceRules } from '../../core/promptpace/index.js';
+import { continuedHoldMs } from '../../core/residencywait/index.js';
 import { rateRules } from '../../core/sharedrate/index.js';
 import { pickService, requestUrgency, type Route } from '../../core/routetable/index.js';
 import type { Log, UpstreamLink } from '../../port/index.js';
@@ -39,6 +40,11 @@
 const HASH_RANGE = 2 ** 32;
 /** Delay before upstreams that refused are tried again; a few runs end within it. */
 const NEXT_ROUND_MS = 50;
+/**
+ * The same for a stream that goes on, which has no other upstream, by the number of refusals: within these times the
+ * list shows an upstream that has restarted, and a slot becomes free at a full one.
+ */
+const STREAM_ROUND_MS = [NEXT_ROUND_MS, 400, 1600];
 /** A trial crashes its upstream or clears its traits within about this time. */
 const SUSPECT_RETRY_AFTER_MS = 1000;
 /** Interval between checks whether a run has cleared the suspected traits; most runs take longer. */
@@ -89,6 +95,12 @@
 
   private targetWaitCount = 0;
 
+  /** When the wait for a target that is under way began. */
+  private waitingFromMs: Ms | undefined;
+
+  /** Since when no upstream could be reached; undefined if the last attempt reached one. */
+  private strandedAtMs: Ms | undefined;
+
   private readonly suspicion: Suspicion;
 
   /** The request was refused before, and its caller retries. */
@@ -118,6 +130,7 @@
     longestGapMs: 0,
     pacedMs: 0,
     blockedMs: 0,
+    targetWaitMs: 0,
     unconnectedCount: 0,
   };
 
@@ -262,7 +275,10 @@
     }
     const nowMs = clock.nowMs();
     // A request without a model has no alternative to an upstream that may be lost; a model can be loaded elsewhere.
-    const includesLost = request.model === undefined || this.hasWaitedForTarget;
+    // A stream that has waited does so until the upstream may be tried again.
+    const isStranded = this.strandedAtMs !== undefined;
+    const includesLost =
+      request.model === undefined ? !isStranded : this.hasWaitedForTarget && !origin;
     const mustAsk = this.suspicion.permission() === 'ask-first';
     const isTrial = mustAsk || this.suspicion.isTrial;
     const requestId = request.id;
@@ -284,7 +300,7 @@
     else if (state) this.send(state, route);
     else if (block && !this.mayBeLoaded()) this.waitForSlot(block);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
-    else if (this.targetWaitCount < MAX_TARGET_WAITS) this.waitForTarget();
+    else if (origin || this.targetWaitCount < MAX_TARGET_WAITS) this.waitForTarget();
     else this.tryAgainLater();
   }
 
@@ -466,7 +482,7 @@
     return hash32(this.caller.request.id) / HASH_RANGE;
   }
 
-  /** Returns true while the target latency leaves time for waiting. */
+  /** Returns true while the target latency, or the deadline of a stream that goes on, leaves time for waiting. */
   private mayWaitForCapacity(): boolean {
     return this.remainingWaitMs() > 0;
   }
@@ -475,7 +491,9 @@
     const { arrivedAtMs } = this.caller.request;
     const targetMs = this.route.targetLatencyMs;
     const wholeMs = this.untilMs - arrivedAtMs;
-    const waitMs = capacityWaitMs({ targetMs, wholeMs, isReturn: this.isReturn });
+    const waitMs = this.origin
+      ? continuedHoldMs(wholeMs)
+      : capacityWaitMs({ targetMs, wholeMs, isReturn: this.isReturn });
     return waitMs - (this.clock.nowMs() - arrivedAtMs);
   }
 
@@ -490,13 +508,20 @@
       this.waitForConnection();
       return;
     }
-    if (this.ranCount > 0 || this.hasTriedAll) {
+    if (this.ranCount > 0 || (this.hasTriedAll && !this.origin)) {
       this.giveUp('upstreams-full', 'No upstream could take the request.', this.retryAfterMs());
       return;
     }
     this.hasTriedAll = true;
     this.tried.clear();
-    this.clock.after(NEXT_ROUND_MS, () => this.attempt());
+    this.clock.after(this.roundMs, () => this.attempt());
+  }
+
+  /** Delay before an upstream that refused is tried again. */
+  private get roundMs(): Ms {
+    if (!this.origin) return NEXT_ROUND_MS;
+    const at = Math.min(Math.max(1, this.refusedCount), STREAM_ROUND_MS.length) - 1;
+    return STREAM_ROUND_MS[at]!;
   }
 
   /** Waits as long as the target latency allows for a connection, of which others may be lent within milliseconds. */
@@ -524,21 +549,46 @@
     const target = this.target!;
     const { request } = this.caller;
     const nowMs = this.clock.nowMs();
+    this.strandedAtMs ??= nowMs;
     const waiter = {
       heldMs: nowMs - request.arrivedAtMs,
       remainingMs: this.untilMs - nowMs,
       targetMs: this.route.targetLatencyMs,
+      isContinued: target.origin !== undefined,
+      waitedMs: nowMs - this.strandedAtMs,
       place: this.place(),
+      isOver: () => this.isOver,
     };
     this.hasWaitedForTarget = true;
     this.targetWaitCount += 1;
+    this.waitingFromMs = nowMs;
     void this.serving.waitForTarget(target, waiter).then((found) => {
       if (this.isOver) return;
-      if (found.type === 'ready') this.attempt();
+      this.endTargetWait();
+      if (found.type === 'ready') this.attemptAgain(nowMs);
       else this.giveUp(found.reason, found.detail, found.retryAfterMs);
     });
   }
 
+  private endTargetWait(): void {
+    const { waitingFromMs, record, clock } = this;
+    if (waitingFromMs === undefined) return;
+    record.targetWaitMs += clock.nowMs() - waitingFromMs;
+    this.waitingFromMs = undefined;
+  }
+
+  /** Goes on after a wait since `waitedFromMs`: the holder may still report as ready what has just refused. */
+  private attemptAgain(waitedFromMs: Ms): void {
+    if (!this.origin) {
+      this.attempt();
+      return;
+    }
+    this.tried.clear();
+    const leftMs = this.refusedCount === 0 ? 0 : waitedFromMs + this.roundMs - this.clock.nowMs();
+    if (leftMs <= 0) this.attempt();
+    else this.clock.after(leftMs, () => this.attempt());
+  }
+
   private send(state: UpstreamState, route: Route): void {
     const { serving, reply, suspicion, record, retryCharge } = this;
     const target = this.target!;
@@ -630,7 +680,11 @@
       this.attempt();
       return;
     }
-    if (end.type === 'not-run') this.refusedCount += 1;
+    // Each such end is followed by a wait, so that a stream may have any number of them before its deadline.
+    const isUnreachable = end.type === 'not-run' && end.isUnreachable === true;
+    if (!isUnreachable) this.strandedAtMs = undefined;
+    const isUncounted = isUnreachable && this.origin !== undefined;
+    if (end.type === 'not-run') this.refusedCount += isUncounted ? 0 : 1;
     else this.ranCount += 1;
     if (end.type === 'answered') this.finish();
     else this.decide(end);
@@ -746,6 +800,7 @@
   private close(end: string, retryAfterMs?: Ms): void {
     if (this.isOver) return;
     this.isOver = true;
+    this.endTargetWait();
     this.forgetTimer();
     this.queue.leave();
     this.suspicion.end();
@@ -757,6 +812,7 @@
     const since = (atMs: Ms | undefined) =>
       atMs === undefined ? undefined : Math.round(atMs - request.arrivedAtMs);
     this.serving.ended(end, this.route, nowMs - request.arrivedAtMs);
+    if (this.resumed) this.serving.takenUp(end);
     this.log.info('request', {
       requestId: request.id,
       end,
@@ -772,6 +828,7 @@
       firstByteMs: since(record.firstByteAtMs),
       pacedMs: record.pacedMs,
       blockedMs: record.blockedMs,
+      targetWaitMs: Math.round(record.targetWaitMs) || undefined,
       unconnectedCount: record.unconnectedCount || undefined,
       queuedMs: this.queue.waitedMs,
       listAgeMs: record.listAgeMs && Math.round(record.listAgeMs),
