Record connections of callers that end without an answer

Connections of callers ended without an answer around planned work, and no line said whether the accept gate, a stop, the exit of the process, a cut answer or the caller had closed them, nor whether a request on them had been read or passed on. The lines have a limit of their own, 20 a second, since an overloaded process closes hundreds a second.

--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -40,6 +40,8 @@
   end(): void;
   /** Answers with a problem document; only before `begin`. */
   refuse(refusal: Refusal): void;
+  /** Records that the request is passed on to an upstream. */
+  sending?(): void;
   /** Breaks the connection, so that a partial answer does not look complete. */
   cut(): void;
   /** Calls back when the caller accepts more data again. */
--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -16,6 +16,8 @@
   connections(): Promise<number>;
 }
 
+type Phase = ReturnType<typeof stopPhase>;
+
 /** Options of a planned stop. */
 interface PlannedStopOptions {
   readonly entry: DirectEntry;
@@ -23,10 +25,10 @@
   readonly graceMs: Ms;
   readonly clock: Clock;
   readonly log: Log;
+  /** Called at the start of each phase. */
+  readonly entered?: (phase: Phase) => void;
 }
 
-type Phase = ReturnType<typeof stopPhase>;
-
 const POLL_MS = 50;
 
 /** Actions at the start of each phase. */
@@ -59,6 +61,7 @@
     const phase = stopPhase(tookMs, graceMs);
     for (; startedPhases <= ORDER.indexOf(phase); startedPhases += 1) {
       log.info('stop phase', { phase: ORDER[startedPhases], inFlight: entry.inFlight });
+      options.entered?.(ORDER[startedPhases]!);
       BEGIN[ORDER[startedPhases]!](options, startedAtMs);
     }
     const { inFlight } = entry;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -554,6 +554,7 @@
     this.tried.add(state.info.id);
     this.logRetry(state, nowMs);
     this.queue.sent(target, this.urgency.rank);
+    this.caller.sending?.();
     this.current = new Attempt({ ...options, maySend, begins, over });
     this.current.begin(this.callTo(state));
   }
--- a/src/shell/log/createboundedlog.ts
+++ b/src/shell/log/createboundedlog.ts
@@ -20,15 +20,19 @@
 const LINES_PER_SECOND: Readonly<Record<LineKind, number>> = {
   ordinary: 120,
   state: 20,
+  connection: 20,
   decision: 180,
 };
 /** No lines are written while this much output is buffered: about 3 s at the full rate. */
 const MAX_BUFFERED_BYTES = 262_144;
 const REQUEST_MESSAGE = 'request';
+/** An overloaded process closes hundreds of connections a second; a few lines show why, the counter how many. */
+const CONNECTION_MESSAGE = 'connection ended without an answer';
 const ORDINARY_END = 'answered';
 
 function kindOf(message: string, { end }: Readonly<Record<string, unknown>>): LineKind {
   if (stateMessages.has(message)) return 'state';
+  if (message === CONNECTION_MESSAGE) return 'connection';
   return message === REQUEST_MESSAGE && end === ORDINARY_END ? 'ordinary' : 'decision';
 }
 
--- a/src/shell/log/linebudget.ts
+++ b/src/shell/log/linebudget.ts
@@ -2,7 +2,12 @@
 import type { LineKind } from './linekind.js';
 
 const SECOND_MS = 1000;
-const NONE: Readonly<Record<LineKind, number>> = { ordinary: 0, state: 0, decision: 0 };
+const NONE: Readonly<Record<LineKind, number>> = {
+  ordinary: 0,
+  state: 0,
+  connection: 0,
+  decision: 0,
+};
 
 /** Rate limit for log lines, with a limit of its own for each kind, so that no kind displaces another. */
 export class LineBudget {
--- a/src/shell/log/linekind.ts
+++ b/src/shell/log/linekind.ts
@@ -1,2 +1,2 @@
-/** What a log line is about: a request that succeeded, the state of the process, or any other decision. */
-export type LineKind = 'ordinary' | 'state' | 'decision';
+/** What a log line is about: a request that succeeded, the state of the process, a lost connection, or any other decision. */
+export type LineKind = 'ordinary' | 'state' | 'connection' | 'decision';
