Do not take one slow turn of the event loop for a standing accept queue

Callers that connected to an entry in its first seconds were reset unread, each a request that was sent whole and may not be repeated if it is not idempotent.

Cause: the accept queue counted as standing once 200 ms had passed without a turn of the event loop that found it empty. At 0.243 of a core the first request of a process takes most of that time by itself, so that one turn was enough, and all connections that had come meanwhile were closed, though they could have been accepted within milliseconds.

Now 16 turns have to find a connection as well. That is less than a busy process makes within 200 ms at that quota (some 40), so that overload is found as soon as before.

--- a/src/core/overload/initialoverload.ts
+++ b/src/core/overload/initialoverload.ts
@@ -5,6 +5,7 @@
   return {
     phase: 'open',
     standingSinceMs: undefined,
+    standingTurns: 0,
     acceptedAtMs: 0,
     sheddingSinceMs: 0,
     closedCount: 0,
--- a/src/core/overload/overloadrules.ts
+++ b/src/core/overload/overloadrules.ts
@@ -5,6 +5,12 @@
    * quota leaves in it is accepted sooner; short requests lose a sixth of their time to such a wait.
    */
   standingMs: 200,
+  /**
+   * How many turns of the event loop have to find a connection before the queue counts as standing. One turn that takes
+   * long (code that runs for the first time, a suspension) does not show that more connections come than can be
+   * accepted. A busy process at 0.243 of a core makes some 40 turns within `standingMs`.
+   */
+  standingTurns: 16,
   /** Least interval of accepts while shedding: a process that reports itself ready has to go on accepting connections. */
   acceptEveryMs: 50,
 } as const;
--- a/src/core/overload/overloadstate.ts
+++ b/src/core/overload/overloadstate.ts
@@ -6,6 +6,8 @@
   readonly phase: OverloadPhase;
   /** Since when the queue has not been seen empty; undefined if it was empty at the last poll. */
   readonly standingSinceMs: Ms | undefined;
+  /** Polls since then that have found a connection. */
+  readonly standingTurns: number;
   readonly acceptedAtMs: Ms;
   readonly sheddingSinceMs: Ms;
   /** Connections closed since then. */
--- a/src/core/overload/stepoverload.ts
+++ b/src/core/overload/stepoverload.ts
@@ -20,7 +20,12 @@
 function drained(state: OverloadState, nowMs: Ms): OverloadTransition {
   const { closedCount, sheddingSinceMs } = state;
   return {
-    state: { ...state, phase: after(state.phase, 'DRAINED'), standingSinceMs: undefined },
+    state: {
+      ...state,
+      phase: after(state.phase, 'DRAINED'),
+      standingSinceMs: undefined,
+      standingTurns: 0,
+    },
     effects: [{ type: 'drained', closedCount, sheddingForMs: nowMs - sheddingSinceMs }],
   };
 }
@@ -37,13 +42,15 @@
       effects: [{ type: 'close' }],
     };
   },
-  polled: (state, { isQueueEmpty }, nowMs) => {
+  polled: (before, { isQueueEmpty }, nowMs) => {
     if (isQueueEmpty) {
-      if (state.phase === 'shedding') return drained(state, nowMs);
-      return { state: { ...state, standingSinceMs: undefined }, effects: [] };
+      if (before.phase === 'shedding') return drained(before, nowMs);
+      return { state: { ...before, standingSinceMs: undefined, standingTurns: 0 }, effects: [] };
     }
+    const state = { ...before, standingTurns: before.standingTurns + 1 };
     const standingForMs = nowMs - (state.standingSinceMs ?? nowMs);
-    const isStanding = standingForMs >= rules.standingMs;
+    const isStanding =
+      standingForMs >= rules.standingMs && state.standingTurns >= rules.standingTurns;
     if (!isStanding || state.phase === 'shedding') return { state, effects: [] };
     const phase = after(state.phase, 'STANDING');
     return { state: { ...state, phase, sheddingSinceMs: nowMs, closedCount: 0 }, effects: [] };
