Read a body behind another transfer coding as ended by its connection

Callers saw: an answer whose transfer coding is not chunked and whose connection is reset came as a whole 200 (MIXED).

Cause: any Transfer-Encoding counted as framing; only chunked shows where a body ends (RFC 9112, section 6.3), and undici reports a reset of other answers as their end.

The HTTP client says what ends an answer: its length, a last chunk or the connection. HEAD counts as framed: its answer ends with the head. slowanswer names the framing in place of a boolean.

--- a/src/port/upstreamreceiver.ts
+++ b/src/port/upstreamreceiver.ts
@@ -12,6 +12,8 @@
   readonly isForRequest: boolean;
   /** False if the end of the connection ends the answer: a truncated answer cannot be detected then. */
   readonly hasLength: boolean;
+  /** True if a last chunk ends the answer, which an upstream sends only if it has finished the answer. */
+  readonly isChunked?: boolean;
   /** Numbers of running and waiting requests at the upstream, if it reports them. */
   readonly load?: {
     readonly running: number;
--- a/src/shell/http1/channel.ts
+++ b/src/shell/http1/channel.ts
@@ -15,19 +15,25 @@
   readonly maxConnections: number;
 }
 
+type Framing = Parameters<Http1Receiver['head']>[2];
 type FailureType = Parameters<Http1Receiver['failed']>[0]['type'];
 
 const WITHHELD = 'The request was withheld: its sender no longer permits it.';
 
-/** Headers that delimit a body. An answer with neither of them ends when its connection closes. */
-const FRAMING = new Set(['content-length', 'transfer-encoding']);
+/** The last transfer coding decides: after any other than `chunked` the connection ends the body (RFC 9112, section 6.3). */
+const ENDS_CHUNKED = /(^|[\s,])chunked\s*$/i;
 
-function isFramed(status: number, headers: readonly string[]): boolean {
-  if (status === 204 || status === 304) return true;
+function framingOf(method: string, status: number, headers: readonly string[]): Framing {
+  if (method === 'HEAD' || status === 204 || status === 304) return 'length';
+  let framing: Framing = 'connection';
   for (let at = 0; at < headers.length; at += 2) {
-    if (FRAMING.has(headers[at]!.toLowerCase())) return true;
+    const name = headers[at]!.toLowerCase();
+    if (name === 'content-length') framing = 'length';
+    else if (name === 'transfer-encoding') {
+      framing = ENDS_CHUNKED.test(headers[at + 1]!) ? 'chunks' : 'connection';
+    }
   }
-  return false;
+  return framing;
 }
 
 /** Connection pool of one address. A connection carries one call at a time; the one used last is reused first. */
@@ -127,7 +133,7 @@
     let isSent = false;
     let isWithheld = false;
     let isOver = false;
-    let framed = true;
+    let framing: Framing = 'length';
     let resume = () => {};
     const fail = (type: FailureType, detail: string) => {
       if (isOver) return;
@@ -170,8 +176,8 @@
           if (status < 200) return true;
           resume = resumeFlow;
           const headers = raw.map((part) => part.toString('latin1'));
-          framed = isFramed(status, headers);
-          if (!isOver) receiver.head(status, headers, framed);
+          framing = framingOf(call.method, status, headers);
+          if (!isOver) receiver.head(status, headers, framing);
           return true;
         },
         onData: (chunk: Buffer) => {
@@ -179,14 +185,15 @@
           return isOver || receiver.data(Buffer.from(chunk));
         },
         onComplete: () => {
-          if (!framed && connection.isBroken) {
+          const isFramed = framing !== 'connection';
+          if (!isFramed && connection.isBroken) {
             const detail = 'The connection was reset before the end of an answer without a length.';
             fail('connection-lost', detail);
             return;
           }
           if (isOver) return;
           isOver = true;
-          const isKept = framed && !connection.isClosed && !this.isRetired;
+          const isKept = isFramed && !connection.isClosed && !this.isRetired;
           if (isKept && this.connections.size <= this.maxConnections) this.idle.push(connection);
           else this.drop(connection);
           receiver.end();
--- a/src/shell/http1/http1receiver.ts
+++ b/src/shell/http1/http1receiver.ts
@@ -14,13 +14,16 @@
   readonly sent: boolean;
 }
 
+/** What ends the body of an answer: its length, a last chunk or the end of the connection. */
+type Framing = 'length' | 'chunks' | 'connection';
+
 /** Receives the answer to one call: `head`, any number of `data`, then `end`; or `failed` at any point. */
 export interface Http1Receiver {
   /**
-   * `headers` alternates names (as received) and values. An answer without a length ends when its connection closes,
-   * which does not prove that it is complete.
+   * `headers` alternates names (as received) and values. An answer that is framed by its connection ends when this
+   * closes, which does not prove that it is complete.
    */
-  head(status: number, headers: readonly string[], hasLength: boolean): void;
+  head(status: number, headers: readonly string[], framing: Framing): void;
   /** Returns false to pause the answer until `Http1Exchange.resume` is called. */
   data(chunk: Buffer): boolean;
   end(): void;
--- a/test/slowanswer.test.ts
+++ b/test/slowanswer.test.ts
@@ -49,7 +49,7 @@
 
 test('an answer that is still arriving when its time-out passes is not discarded', async (t) => {
   const { channel, answer, advance } = begin();
-  channel.receiver.head(200, [], true);
+  channel.receiver.head(200, [], 'length');
   for (let piece = 0; piece < 10; piece += 1) {
     channel.receiver.data(Buffer.from('x'));
     await advance(TIMEOUT_MS * 0.8);
@@ -62,7 +62,7 @@
 
 test('an answer that stops arriving fails its call', async (t) => {
   const { channel, answer, advance } = begin();
-  channel.receiver.head(200, [], true);
+  channel.receiver.head(200, [], 'length');
   channel.receiver.data(Buffer.from('x'));
   await advance(TIMEOUT_MS * 0.8);
   channel.receiver.data(Buffer.from('x'));
