Do not take an answer that ends before its first event or byte for complete

Cause: an event stream without any event counted as complete if it had a length or continued another one, and a success without a length and without a byte of body counted as whole.

In a continuation, or a stream that its caller takes up, only a last chunk says that nothing is left, and not even that if the earlier server had begun another event; a length of 0 does not, as a server that streams events does not know their length. Comments are no events. A success without a length whose connection ends after the head may have been cut there; one with a length of 0, and failures, pass. A server that states the end of a finished stream by a length of 0 has it cut; its caller may ask again.

--- a/src/core/eventstream/eventreader.ts
+++ b/src/core/eventstream/eventreader.ts
@@ -23,6 +23,9 @@
   /** True once the closing event `[DONE]` has ended. */
   isDone = false;
 
+  /** True once an event has ended: comments are none. */
+  hasEvent = false;
+
   private readonly lines = new LineReader(
     (line, start, end, next) => this.takeLine(line, start, end, next),
     MAX_PARTIAL_BYTES,
@@ -89,6 +92,7 @@
   }
 
   private endEvent(): void {
+    this.hasEvent ||= this.hasData || this.hasId;
     if (this.hasDone) this.isDone = true;
     else if (this.hasData) this.eventCount += 1;
     if (this.hasId) this.position = this.id;
--- a/src/core/eventstream/eventsplitter.ts
+++ b/src/core/eventstream/eventsplitter.ts
@@ -35,6 +35,11 @@
     return this.reader.isInsideEvent;
   }
 
+  /** True once an event has ended. */
+  get hasEvent(): boolean {
+    return this.reader.hasEvent;
+  }
+
   /** True once the closing event `[DONE]` has come. */
   get isDone(): boolean {
     return this.reader.isDone;
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -263,9 +263,8 @@
 
   private ended(): void {
     const { reply } = this.options;
-    const { status } = reply;
-    if (reply.isInsideEvent) {
-      const detail = 'The stream ended inside an event.';
+    const { status, incompleteDetail: detail } = reply;
+    if (detail !== undefined) {
       this.onFailure({ type: 'upstream-lost', detail, mayHaveRun: true });
       return;
     }
--- a/src/direct/run/eventassembler.ts
+++ b/src/direct/run/eventassembler.ts
@@ -9,6 +9,9 @@
   /** True until the first events of a continuation have come. */
   private isContinuing = false;
 
+  /** True from a break inside an event until the next event: that event is still to come. */
+  lacksEvent = false;
+
   lastId: string | undefined;
 
   get isEventTooLarge(): boolean {
@@ -19,6 +22,11 @@
     return this.splitter.isInsideEvent;
   }
 
+  /** True once the answer that is being read has brought an event. */
+  get hasEvent(): boolean {
+    return this.splitter.hasEvent;
+  }
+
   /** Returns the complete events that a chunk finishes; undefined if there are none. */
   take(chunk: Buffer): Buffer | undefined {
     const piece = this.splitter.split(chunk);
@@ -35,6 +43,7 @@
 
   /** Discards an incomplete event: another upstream sends it again. */
   restart(): void {
+    this.lacksEvent = this.splitter.isInsideEvent || (this.lacksEvent && !this.splitter.hasEvent);
     this.splitter = new EventSplitter(this.lastId);
     this.isContinuing = this.lastId !== undefined;
   }
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -50,8 +50,8 @@
   /** True if the last answer is an event stream. */
   private isEvents = false;
 
-  /** True if the last answer is complete without any bytes. */
-  private mayBeEmpty = true;
+  /** True if the last answer continues a stream: its caller may have every event already. */
+  private isContinuation = false;
 
   /** True if no bytes of the last answer have arrived. */
   private isEmpty = true;
@@ -87,11 +87,29 @@
     return this.held !== undefined;
   }
 
-  /** True if the last answer is a stream whose last event is incomplete so far. */
-  get isInsideEvent(): boolean {
-    if (!this.isEvents) return false;
-    if (this.isEmpty) return !this.mayBeEmpty;
-    return (this.reader ?? this.assembler)?.isInsideEvent ?? false;
+  /** Why the last answer is incomplete if it has ended; undefined if it is complete. */
+  get incompleteDetail(): string | undefined {
+    if (!this.isEvents) {
+      return this.isEmpty && !this.mayLackBody ? 'The answer ended before its body.' : undefined;
+    }
+    const events = this.reader ?? this.assembler;
+    if (events?.isInsideEvent) return 'The stream ended inside an event.';
+    const isComplete = events?.hasEvent || this.mayLackEvents;
+    return isComplete ? undefined : 'The stream ended before any event.';
+  }
+
+  /** An answer without a length whose connection ends after the head may have been cut there. */
+  private get mayLackBody(): boolean {
+    const { hasLength, status } = this.head!;
+    return hasLength || status >= FIRST_NON_SUCCESS_STATUS;
+  }
+
+  /**
+   * A stream has at least one event. Only a last chunk says that nothing is left of one that goes on: a server that
+   * streams events does not know their length in advance.
+   */
+  private get mayLackEvents(): boolean {
+    return this.isContinuation && this.head!.isChunked === true && !this.assembler?.lacksEvent;
   }
 
   /** True if the stream's last event is incomplete and larger than an event can be. */
@@ -109,13 +127,13 @@
     this.head = head;
     const isEvents = isStream && isEventStream(head);
     this.isEvents = isEvents;
-    this.mayBeEmpty = this.mayBeEmptyStream(head);
     this.isEmpty = true;
     this.reader = undefined;
     if (!isStream || (isResumable && !isEvents)) {
       this.held = [];
       return;
     }
+    this.isContinuation = this.hasBegun || this.caller.request.resumeAfter !== undefined;
     this.nextOrigin = origin;
     // A resumable stream begins with its first event: until then another upstream may answer instead.
     if (!isResumable) {
@@ -166,11 +184,6 @@
     this.caller.end();
   }
 
-  /** An answer that ends with its connection may have been cut before its first event. */
-  private mayBeEmptyStream({ hasLength }: Head): boolean {
-    return hasLength || this.hasBegun || this.caller.request.resumeAfter !== undefined;
-  }
-
   private begin(): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
