streamworld: engines lose the only replica of their version

With places, the world's servers are engines with models, the order lease holder loads a model where its streams need it, and engines with the only replica of their version crash and come back empty.

--- a/test/streamworld.test.ts
+++ b/test/streamworld.test.ts
@@ -112,6 +112,35 @@
   t.true(findings.some((finding) => finding.endsWith('that broke went on')));
 });
 
+/**
+ * Engines that crash with the only replica of their version and come back empty, and callers that wait for a load and
+ * seldom lose their connections, so that most streams are taken up for want of a place.
+ */
+const PLACES = { lostPerMinute: 60 };
+const LOSING: Partial<Options> = { places: PLACES, patienceMs: 6000, lossMs: 60_000 };
+
+// Guards against streams that are refused for want of a place while servers of their version could load their model.
+for (const [name, rates] of Object.entries({
+  'nothing else happens': {},
+  'entries are frozen': { freeze: 12 },
+})) {
+  test(`streams go on where places of their version are lost, nearly as often as new ones begin: ${name}`, async (t) => {
+    t.deepEqual(await play(rates, LOSING, { aim: 0.9 }), []);
+  });
+}
+
+test('the checks find a plan that does not know software versions', async (t) => {
+  const places = { ...PLACES, knowsVersions: false };
+  const findings = await play({}, { ...LOSING, places }, { aim: 0.9, seeds: 2 * SEEDS });
+  t.true(findings.some((finding) => finding.endsWith('that broke went on')));
+});
+
+test('the checks find streams that are held for a load no longer than new requests', async (t) => {
+  const places = { ...PLACES, holdsStreams: false };
+  const findings = await play({}, { ...LOSING, places }, { aim: 0.9 });
+  t.true(findings.some((finding) => finding.endsWith('that broke went on')));
+});
+
 test('streams of one version are taken up at any entry', async (t) => {
   t.deepEqual(await play({ restart: 20, isolate: 6 }, { releaseEveryMs: Infinity }), []);
 });
--- a/test/support/listserver.ts
+++ b/test/support/listserver.ts
@@ -1,4 +1,4 @@
-import type { Clock, Ms, UpstreamId } from '../../src/base/index.js';
+import type { Clock, ModelId, Ms, UpstreamId } from '../../src/base/index.js';
 import type { ListStore } from './liststore.js';
 import { serverRecord } from './serverrecord.js';
 
@@ -13,6 +13,8 @@
 const EMPTY_MS = 6000;
 /** It serves on for this long after its record was removed. */
 const LINGER_MS = 4000;
+/** More streams than an engine gets in any of the worlds. */
+const ENGINE_SLOTS = 64;
 
 /** One start of a server, which writes its record to the store. */
 export class ListServer {
@@ -41,6 +43,12 @@
 
   private servesUntilMs: Ms = Infinity;
 
+  /** Models in its memory; undefined if it is a plain server. */
+  private models: Set<ModelId> | undefined;
+
+  /** Since when it is down after a crash from which it returns; Infinity while it is not. */
+  downSinceMs: Ms = Infinity;
+
   constructor(
     readonly id: UpstreamId,
     private readonly clock: Clock,
@@ -59,7 +67,7 @@
 
   /** True while it answers requests: it serves on for a while after it has left. */
   get isServing(): boolean {
-    return this.clock.nowMs() < this.servesUntilMs;
+    return this.clock.nowMs() < this.servesUntilMs && this.downSinceMs === Infinity;
   }
 
   /** True while it holds no model after a start under its id, and refuses requests. */
@@ -84,6 +92,30 @@
     this.unlist();
   }
 
+  /** Loads a model; its record shows it at once. */
+  hold(model: ModelId): void {
+    this.models ??= new Set();
+    this.models.add(model);
+    this.write();
+  }
+
+  holds(model: ModelId): boolean {
+    return this.models?.has(model) ?? false;
+  }
+
+  /** Ends at once, and starts again under its id with the same software and an empty memory. */
+  crashAndReturn(downMs: Ms): void {
+    if (!this.isReady || this.downSinceMs < Infinity) return;
+    this.startCount += 1;
+    this.downSinceMs = this.clock.nowMs();
+    this.unlist();
+    this.clock.after(downMs, () => {
+      this.downSinceMs = Infinity;
+      this.models = new Set();
+      this.write();
+    });
+  }
+
   get isCut(): boolean {
     return this.clock.nowMs() < this.cutUntilMs;
   }
@@ -161,11 +193,13 @@
     const { id, sequence, state, softwareVersion: version = 'v1' } = this;
     const number = Number(id.replaceAll(/\D/g, ''));
     const address = `10.0.${Math.floor(number / 200)}.${number % 200}:1`;
-    return serverRecord({ address, state, seq: sequence, version });
+    const models = this.models && [...this.models].map((name) => ({ name, version: 1 }));
+    const engine = models && { models, slots: ENGINE_SLOTS };
+    return serverRecord({ address, state, seq: sequence, version, ...engine });
   }
 
   private write(): boolean {
-    if (this.state === 'ended' || this.isCut) return false;
+    if (this.state === 'ended' || this.isCut || this.downSinceMs < Infinity) return false;
     this.sequence += 1;
     if (!this.store.put(this.key, this.record())) return false;
     this.writtenAtMs = this.clock.nowMs();
--- a/test/support/streamworld.ts
+++ b/test/support/streamworld.ts
@@ -1,15 +1,19 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import type { Ms, RequestId, ServiceId } from '../../src/base/index.js';
+import type { ModelId, Ms, RequestId, ServiceId } from '../../src/base/index.js';
 import type { Route, RouteTable } from '../../src/core/routetable/index.js';
+import { DemandMeter } from '../../src/direct/orders/index.js';
 import { RetryBudgets } from '../../src/direct/retrybudgets.js';
+import type { Target } from '../../src/direct/route/index.js';
 import { Run } from '../../src/direct/run/index.js';
 import type { Serving } from '../../src/direct/serving.js';
+import { TargetFinder } from '../../src/direct/targetfinder.js';
 import type { UpstreamLink } from '../../src/port/index.js';
 import { fakeServing } from './fakeserving.js';
 import type { ListEntry } from './listentry.js';
 import type { ListServer } from './listserver.js';
 import { ListWorld } from './listworld.js';
+import { StreamPlaces } from './streamplaces.js';
 
 type WorldOptions = ConstructorParameters<typeof ListWorld>[0];
 type Call = Parameters<UpstreamLink['send']>[0];
@@ -23,6 +27,17 @@
   readonly versionsAtOnce?: number;
   /** Mean time after which a caller loses its connection. */
   readonly lossMs?: Ms;
+  /** Set if the servers are engines with models, which are planned and lost. */
+  readonly places?: {
+    /** Mean number of servers in a minute that crash with the only replica of their version and come back empty. */
+    readonly lostPerMinute: number;
+    /** False plants a defect: the plan does not know software versions. */
+    readonly knowsVersions?: boolean;
+    /** False plants a defect: streams wait for a load no longer than new requests. */
+    readonly holdsStreams?: boolean;
+  };
+  /** Time without an event after which a caller leaves; 2 s if not set. */
+  readonly patienceMs?: Ms;
   /** Number of tries of a caller; 3 if not set. */
   readonly maxTries?: number;
 }
@@ -31,6 +46,7 @@
 interface Stream {
   readonly name: string;
   readonly length: number;
+  readonly model: ModelId | undefined;
   readonly untilMs: Ms;
   lastId: number;
   /** Request that the first event came with. */
@@ -80,6 +96,11 @@
   routesByHost: new Map([['h', [ROUTE]]]),
   services: new Map(),
 } as unknown as RouteTable;
+const MODELS = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6'] as ModelId[];
+/** A server that has crashed comes back after at most this long. */
+const DOWN_MS = 3000;
+const STEP_MS = 10;
+const MS_PER_MINUTE = 60_000;
 const REPORT_MS = 100;
 const START_EVERY_MS = 100;
 const EVENT_MS = 100;
@@ -119,6 +140,10 @@
 
   private readonly cutters = new Map<ListEntry, Set<() => void>>();
 
+  private readonly places: StreamPlaces | undefined;
+
+  private readonly modelOf = new Map<RequestId, ModelId | undefined>();
+
   private requestCount = 0;
 
   private readonly due = { report: 0, start: 0 };
@@ -142,6 +167,12 @@
       Object.assign(entry, { members, table: TABLE });
       entry.history.table(TABLE, 0);
     }
+    const { places } = options;
+    if (places) {
+      const { clock, servers } = this.list;
+      const { knowsVersions = true } = places;
+      this.places = new StreamPlaces({ clock, servers, models: MODELS, knowsVersions });
+    }
     this.list.onStep = () => this.step();
   }
 
@@ -159,6 +190,7 @@
   private step(): void {
     const nowMs = this.list.clock.nowMs();
     this.cutStopped();
+    this.changePlaces();
     if (nowMs >= this.due.report) {
       this.due.report = nowMs + REPORT_MS;
       for (const entry of this.list.entries) entry.tick();
@@ -169,6 +201,16 @@
     }
   }
 
+  private changePlaces(): void {
+    if (!this.places) return;
+    this.places.step();
+    const { lostPerMinute } = this.options.places!;
+    if (this.random(MS_PER_MINUTE) >= lostPerMinute * STEP_MS) return;
+    const only = this.places.only();
+    const lost = only[Math.floor(this.random(only.length))];
+    lost?.crashAndReturn(this.random(DOWN_MS));
+  }
+
   /** Breaks the runs of servers that have stopped, and the connections to entries whose process has ended. */
   private cutStopped(): void {
     for (const run of [...this.runs]) {
@@ -186,6 +228,7 @@
     const stream: Stream = {
       name: `stream-${this.streams.length}`,
       length: 5 + Math.floor(this.random(MAX_EVENTS)),
+      model: this.places && MODELS[Math.floor(this.random(MODELS.length))],
       untilMs: this.list.clock.nowMs() + TIMEOUT_MS,
       lastId: 0,
       first: undefined,
@@ -234,6 +277,7 @@
     this.cutters.set(entry, cutters);
     const subject = stream;
     const { fleet } = entry;
+    const { patienceMs = PATIENCE_MS } = this.options;
     let isOver = false;
     let gone = ignore;
     let lastMs = clock.nowMs();
@@ -252,7 +296,7 @@
     };
     const watch = () => {
       if (isOver) return;
-      if (clock.nowMs() - lastMs >= PATIENCE_MS) cut();
+      if (clock.nowMs() - lastMs >= patienceMs) cut();
       else clock.after(PATIENCE_MS / 8, watch);
     };
     cutters.add(cut);
@@ -260,6 +304,7 @@
     clock.after(PATIENCE_MS / 8, watch);
     this.requestCount += 1;
     const id = `r${this.requestCount}` as RequestId;
+    this.modelOf.set(id, stream.model);
     const received = (chunk: Buffer) => {
       if (isOver) return true;
       lastMs = clock.nowMs();
@@ -278,6 +323,7 @@
       headers: [],
       sharedParts: [],
       body: Buffer.alloc(0),
+      model: stream.model,
       deadlineMs: Math.max(1, stream.untilMs - clock.nowMs()),
       resumeAfter: stream.lastId > 0 ? String(stream.lastId) : undefined,
       resumes: stream.first,
@@ -339,6 +385,11 @@
     const bound = { ratio: 10, slack: 10_000, windowMs: 1000 };
     const budgets = new RetryBudgets({ clock, ...bound, parts: () => 1 });
     const { fleet, origins } = entry;
+    const meter = new DemandMeter(entry.name, entry.name);
+    const log = { info: ignore, warn: ignore, error: ignore };
+    const ask = (target: Target) => entry.call(() => this.places!.find(target));
+    const finder = new TargetFinder({ clock, log, fleet, meter, ask, ordersInMs: () => 0 });
+    const held = this.options.places?.holdsStreams === false ? { isContinued: false } : {};
     const serving = fakeServing({
       clock,
       fleet,
@@ -347,8 +398,7 @@
       table: TABLE,
       decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
       budgetOf: (service) => budgets.of(service),
-      waitForTarget: () =>
-        Promise.resolve({ type: 'unavailable', reason: 'no-upstream', detail: '' }),
+      waitForTarget: (target, waiter) => finder.waitForTarget(target, { ...waiter, ...held }),
     });
     this.servings.set(entry, { fleet, serving });
     return serving;
@@ -412,7 +462,8 @@
         deliver(() => receiver.failed(failure));
       },
     };
-    if (server.isEmpty) {
+    const model = this.modelOf.get(call.requestId);
+    if (server.isEmpty || (model !== undefined && !server.holds(model))) {
       const refused = { ...HEAD, status: 421, isNotRun: true };
       deliver(() => receiver.head(refused));
       return;
