Streams at entries out of step: cut from the others, suspended, early retries

streamworld gets two troubles of an entry (cut off from the other entries alone; a suspension, after which timers are late and calls of other entries are read after callers' requests), servers with a late first event, and runs that break before it, so that requests are sent again at other software. Six new scenarios.

--- a/test/streamversions.test.ts
+++ b/test/streamversions.test.ts
@@ -1,4 +1,6 @@
 import test, { type ExecutionContext } from 'ava';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { RequestId } from '../src/base/index.js';
 import { PlatformServer } from '../standin/platform/index.js';
 import { callEntry } from './support/callentry.js';
 import { PartialStream } from './support/partialstream.js';
@@ -12,6 +14,8 @@
 /** Far below the deadline of a request. */
 const AT_ONCE_MS = 2000;
 const ENTRY_COUNT = 3;
+/** Other entries are told of a stream within some tens of ms. */
+const TOLD_MS = 300;
 /** Number of events of a whole stream. */
 const EVENT_COUNT = 5;
 
@@ -118,6 +122,31 @@
   t.is(other.runs.length, 0);
 });
 
+// Guards against an entry that misses the second of two messages and continues the stream at the first one's version.
+test('other entries are told of a stream only when its version is certain', async (t) => {
+  const rig = openRig(t);
+  const [first, other] = [engine('e1', 'v1', 'z1'), engine('e2', 'v1.1', 'z2')];
+  await rig.start([first, other], true, ENTRY_COUNT);
+  await rig.untilAcquainted();
+  first.behaviors.push('silent');
+  other.behaviors.push('paused');
+  const stream = new PartialStream(rig.portOf(0), { id: FIRST_ID, path: PATH, headers: MODEL });
+  await rig.until(() => first.runs.length === 1);
+  await pause(TOLD_MS);
+  const entries = Array.from({ length: ENTRY_COUNT }, (_, at) => rig.entryOf(at));
+  t.deepEqual(
+    entries.map(({ origins }) => origins.size),
+    [0, 0, 0],
+  );
+  first.close();
+  await rig.until(() => stream.eventCount === 1);
+  await untilCopied(rig);
+  for (const { origins } of entries) {
+    const answer = origins.answer(FIRST_ID as RequestId);
+    t.is(answer.type === 'known' ? answer.origin.softwareVersion : answer.type, 'v1.1');
+  }
+});
+
 test('a stream that its caller takes up goes on with the weights that began it', async (t) => {
   const rig = openRig(t);
   const first = engine('e1', 'v1', 'z1');
--- a/test/streamworld.test.ts
+++ b/test/streamworld.test.ts
@@ -112,6 +112,37 @@
   t.true(findings.some((finding) => finding.endsWith('that broke went on')));
 });
 
+/**
+ * An entry is out of step (cut off, frozen or suspended) half of the time, beside releases. Requests are often sent
+ * again before their first event, also to other software, and callers lose their connections often.
+ */
+const OUT_OF_STEP: Partial<Options> = {
+  firstEventMs: 1500,
+  earlyLoss: 0.4,
+  lossMs: 1500,
+  maxTries: 6,
+};
+const TROUBLES: Readonly<Record<string, Rates>> = {
+  'from the other entries': { cutPeers: 60 },
+  'from the store': { cutEntry: 60 },
+  'from the other entries and the store': { isolate: 60 },
+  'by a freeze': { freeze: 60 },
+  'by a suspension': { suspend: 60 },
+  'in all these ways': { cutPeers: 15, cutEntry: 15, isolate: 15, freeze: 15, suspend: 15 },
+};
+
+// Guards against an entry that has missed what others were told since, and continues a stream at other software.
+for (const [name, rates] of Object.entries(TROUBLES)) {
+  test(`no stream is joined at an entry that is out of step ${name}`, async (t) => {
+    t.deepEqual(await play(rates, OUT_OF_STEP), []);
+  });
+}
+
+test('the checks find an origin that is told before it is certain', async (t) => {
+  const findings = await play({ isolate: 60 }, { ...OUT_OF_STEP, tellsAtSend: true }, { seeds: 8 });
+  t.true(findings.some((finding) => finding.includes('stream-')));
+});
+
 test('streams of one version are taken up at any entry', async (t) => {
   t.deepEqual(await play({ restart: 20, isolate: 6 }, { releaseEveryMs: Infinity }), []);
 });
--- a/test/support/listentry.ts
+++ b/test/support/listentry.ts
@@ -43,6 +43,9 @@
 const LATENCY_MS = 1;
 /** How much longer than its wait an entry waits for another entry's answer. */
 const MARGIN_MS = 200;
+/** After a suspension: the next check of the clock, and the turn of the event loop that reads a new connection. */
+const LATE_TIMERS_MS = 50;
+const LATE_READ_MS = 20;
 
 /** One process of an entry that follows the list of upstreams, directly or through the holder of the lease. */
 export class ListEntry {
@@ -71,6 +74,12 @@
 
   private isolatedUntilMs: Ms = -Infinity;
 
+  /** Calls of other entries that arrived before are handled only now. */
+  private readsPeersAtMs: Ms = -Infinity;
+
+  /** Timers that were due before fire only now. */
+  private timersFromMs: Ms = -Infinity;
+
   private failingCalls = 0;
 
   private holder: string | undefined;
@@ -114,6 +123,16 @@
     this.frozenUntilMs = this.options.clock.nowMs() + forMs;
   }
 
+  /**
+   * Suspends its host: time goes on for its clock, its timers are late by a check of the clock, and it reads what other
+   * entries have sent after what its callers have, as new connections are accepted first.
+   */
+  suspend(forMs: Ms): void {
+    this.freeze(forMs);
+    this.readsPeersAtMs = this.frozenUntilMs + LATE_READ_MS;
+    this.timersFromMs = this.frozenUntilMs + LATE_TIMERS_MS;
+  }
+
   /** Cuts the entry off from the store; other entries still reach it. */
   cut(forMs: Ms): void {
     this.cutUntilMs = this.options.clock.nowMs() + forMs;
@@ -125,6 +144,11 @@
     this.isolatedUntilMs = this.cutUntilMs;
   }
 
+  /** Cuts the entry off from all other entries; it still reaches the store. */
+  cutPeers(forMs: Ms): void {
+    this.isolatedUntilMs = this.options.clock.nowMs() + forMs;
+  }
+
   /** Lets the next calls to the store fail, as the store may refuse any call. */
   failCalls(count: number): void {
     this.failingCalls = count;
@@ -189,6 +213,7 @@
   async call<T>(act: () => T): Promise<T | undefined> {
     const { process } = this;
     await this.whenRunning();
+    await this.until(this.readsPeersAtMs);
     return process === this.process && !this.isIsolated ? act() : undefined;
   }
 
@@ -348,9 +373,11 @@
       after: (delayMs, act) => {
         let isCancelled = false;
         clock.after(delayMs, () => {
-          void this.whenRunning().then(() => {
-            if (!isCancelled && process === this.process) act();
-          });
+          void this.whenRunning()
+            .then(() => this.until(this.timersFromMs))
+            .then(() => {
+              if (!isCancelled && process === this.process) act();
+            });
         });
         return () => {
           isCancelled = true;
@@ -361,10 +388,15 @@
 
   /** Resolves once the entry is not frozen. */
   whenRunning(): Promise<void> {
-    if (!this.isFrozen) return Promise.resolve();
+    return this.until(this.frozenUntilMs);
+  }
+
+  private until(atMs: Ms): Promise<void> {
     const { clock } = this.options;
+    const leftMs = atMs - clock.nowMs();
+    if (leftMs <= 0) return Promise.resolve();
     return new Promise((resolve) => {
-      clock.after(this.frozenUntilMs - clock.nowMs(), resolve);
+      clock.after(leftMs, resolve);
     });
   }
 
--- a/test/support/listworld.ts
+++ b/test/support/listworld.ts
@@ -29,6 +29,9 @@
   readonly freeze?: number;
   readonly cutEntry?: number;
   readonly isolate?: number;
+  /** An entry is cut off from the others, not from the store. */
+  readonly cutPeers?: number;
+  readonly suspend?: number;
   readonly restart?: number;
   /** All entries are killed at once; in half of the cases all servers are replaced before, at or after it. */
   readonly restartAll?: number;
@@ -223,6 +226,8 @@
     freeze: () => this.trouble((entry, forMs) => entry.freeze(forMs)),
     cutEntry: () => this.trouble((entry, forMs) => entry.cut(forMs)),
     isolate: () => this.trouble((entry, forMs) => entry.isolate(forMs)),
+    cutPeers: () => this.trouble((entry, forMs) => entry.cutPeers(forMs)),
+    suspend: () => this.trouble((entry, forMs) => entry.suspend(forMs)),
     restart: () => this.trouble((entry) => entry.restart()),
     restartAll: () => this.killAll(),
   };
--- a/test/support/streamworld.ts
+++ b/test/support/streamworld.ts
@@ -23,6 +23,12 @@
   readonly versionsAtOnce?: number;
   /** Mean time after which a caller loses its connection. */
   readonly lossMs?: Ms;
+  /** Longest time until a server's first event; a tenth of a second if not set. */
+  readonly firstEventMs?: Ms;
+  /** Share of the runs that break before their first event, so that the entry sends the request elsewhere. */
+  readonly earlyLoss?: number;
+  /** Plants a defect: an entry tells with what a stream begins when it sends the request. */
+  readonly tellsAtSend?: boolean;
   /** Number of tries of a caller; 3 if not set. */
   readonly maxTries?: number;
 }
@@ -383,6 +389,12 @@
         return;
       }
       sent.isSent = true;
+      if (this.options.tellsAtSend && call.resumeAfter === undefined) {
+        const { softwareVersion } = server;
+        const origin = { service: SERVICE, softwareVersion, weightsVersion: undefined };
+        const stream = { id: call.requestId, route: ROUTE, model: undefined, origin };
+        entry.origins.record({ ...stream, keepMs: TIMEOUT_MS });
+      }
       this.serve(server, call, receiver, deliver);
     };
     if (this.random(1) < 0.5) write();
@@ -431,6 +443,13 @@
       this.runs.delete(run);
       deliver(() => receiver.end());
     };
-    clock.after(EVENT_MS * this.random(1), step);
+    const { firstEventMs = EVENT_MS, earlyLoss = 0 } = this.options;
+    const firstMs = firstEventMs * this.random(1);
+    clock.after(firstMs, step);
+    if (earlyLoss > 0 && this.random(1) < earlyLoss) {
+      clock.after(this.random(firstMs), () => {
+        if (this.runs.has(run)) run.fail();
+      });
+    }
   }
 }
