Tell other entries with what a stream began only once it is certain

Cause: the origin was recorded, copied to two entries and stored when a request was sent. A request that broke before its first event was sent again at other software and the new origin was told to the same entries. An entry that missed the second message (lost in a cut, unread in its sockets, or in the next stored batch) had the first one as its own knowledge and asked nobody.

Why it works: an origin is told right before the caller gets the first event, and from then on the stream is bound to it; so no message is ever corrected, and an entry that misses one knows nothing instead of something wrong. The price: a stream whose entry is killed within some 10 ms after the first event is known to nobody and refused.

--- a/src/direct/origin/origincopy.ts
+++ b/src/direct/origin/origincopy.ts
@@ -6,7 +6,7 @@
   /** The caller's request that the first event comes with. */
   readonly id: RequestId;
   readonly origin: StreamOrigin;
-  /** Rises with each change of a stream's origin, as its request may be sent again before its first event. */
+  /** Rises with each record of the stream at one entry. Earlier versions told an origin that could still change. */
   readonly sequence: number;
   /** How much longer its caller may take the stream up. */
   readonly keepMs: Ms;
--- a/src/direct/origin/origins.ts
+++ b/src/direct/origin/origins.ts
@@ -107,7 +107,7 @@
     return this.table.size;
   }
 
-  /** Records with what a stream begins, or goes on; called when its request is sent, before its first event. */
+  /** Records with what a stream begins, or goes on; called right before its caller gets the first event. */
   record({ id, route, model, origin, keepMs }: Beginning): void {
     const nowMs = this.options.clock.nowMs();
     const known = this.table.get(id, nowMs);
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -25,8 +25,6 @@
   readonly state: UpstreamState;
   /** Returns true if the request, for which the upstream was chosen at `chosenAtMs`, may still be sent there. */
   readonly maySend: (chosenAtMs: Ms) => boolean;
-  /** Called with what the stream begins with, if this attempt brings its first event. */
-  readonly begins: (origin: StreamOrigin) => void;
   /** Called once, when the attempt is over. */
   readonly over: (end: AttemptEnd | { readonly type: 'answered' }) => void;
 }
@@ -103,7 +101,7 @@
     serving.began(target);
   }
 
-  /** Records with what the stream begins if this attempt brings its first event. */
+  /** Notes with what the stream begins if this attempt brings its first event. */
   private recordOrigin(): void {
     const { serving, state, target, record } = this.options;
     const { softwareVersion, models } = serving.fleet.get(state.info.id)?.info ?? state.info;
@@ -111,15 +109,12 @@
     const weightsVersion = weights === undefined ? undefined : String(weights);
     this.origin = { service: target.service, softwareVersion, weightsVersion };
     record.softwareVersions.push(softwareVersion);
-    this.options.begins(this.origin);
   }
 
   /** Returns the origin with the weights that the upstream names: the list may show earlier ones. */
   private originWith({ weightsVersion = this.origin?.weightsVersion }: Head): StreamOrigin {
-    const origin = { ...this.origin!, weightsVersion };
-    if (weightsVersion !== this.origin!.weightsVersion) this.options.begins(origin);
-    this.origin = origin;
-    return origin;
+    this.origin = { ...this.origin!, weightsVersion };
+    return this.origin;
   }
 
   /** Cancels the attempt. Returns true if the upstream may have run it. */
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -63,7 +63,11 @@
   /** A failure that an upstream answered, for the caller if no later attempt gets an answer. */
   private fallback: { head: Head; held: Buffer[] } | undefined;
 
-  constructor(private readonly caller: Caller) {}
+  constructor(
+    private readonly caller: Caller,
+    /** Called with what a stream begins with, right before a part of it is sent to the caller. */
+    private readonly begins: (origin: StreamOrigin) => void,
+  ) {}
 
   get requestId(): RequestId {
     return this.caller.request.id;
@@ -112,11 +116,12 @@
     this.mayBeEmpty = this.mayBeEmptyStream(head);
     this.isEmpty = true;
     this.reader = undefined;
-    if (!isStream || (isResumable && !isEvents)) {
+    const isHeld = !isStream || (isResumable && !isEvents);
+    this.nextOrigin = isHeld ? undefined : origin;
+    if (isHeld) {
       this.held = [];
       return;
     }
-    this.nextOrigin = origin;
     // A resumable stream begins with its first event: until then another upstream may answer instead.
     if (!isResumable) {
       if (isEvents) this.reader = new EventReader();
@@ -175,6 +180,7 @@
     if (this.hasBegun) return;
     this.hasBegun = true;
     this.origin = this.nextOrigin;
+    if (this.origin) this.begins(this.origin);
     const { status, headers } = this.head!;
     this.caller.begin(status, headers);
   }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -127,7 +127,7 @@
     private readonly over: () => void,
   ) {
     this.route = admitted.route;
-    this.reply = new Reply(admitted.caller);
+    this.reply = new Reply(admitted.caller, (origin) => this.streamBegins(origin));
     this.suspicion = new Suspicion(serving.poison, admitted.caller.request);
     const attempt = () => this.attempt();
     const refuse = (detail: string, ms: Ms) => this.giveUp('upstreams-full', detail, ms);
@@ -549,19 +549,22 @@
     }
     const over = (end: AttemptEnd | { readonly type: 'answered' }) => this.attemptOver(end);
     const maySend = (chosenAtMs: Ms) => this.maySend(state, chosenAtMs);
-    const begins = (origin: StreamOrigin) => this.streamBegins(origin);
     const options = { serving, suspicion, reply, record, route, target, state };
     this.tried.add(state.info.id);
     this.logRetry(state, nowMs);
     this.queue.sent(target, this.urgency.rank);
-    this.current = new Attempt({ ...options, maySend, begins, over });
+    this.current = new Attempt({ ...options, maySend, over });
     this.current.begin(this.callTo(state));
   }
 
-  /** Tells with what the stream begins, so that its caller can take it up at any entry. */
+  /**
+   * Tells with what the stream begins, so that its caller can take it up at any entry. Called once its first event is
+   * there: earlier the request may still be sent to other software, and an entry that missed the correction would
+   * continue the stream with what it was told first.
+   */
   private streamBegins(origin: StreamOrigin): void {
     const { route, caller, serving } = this;
-    if (!route.isResumable || this.origin) return;
+    if (!route.isResumable || this.resumed?.origin) return;
     const { id, model, deadlineMs = route.timeoutMs } = caller.request;
     serving.origins.record({ id, route, model, origin, keepMs: deadlineMs });
   }
