Drop versions from the stored record only by a list that is newer than the record

Callers may see: a stream that began at a new version is continued at the only one that the record still names (ORDER).

Cause: an entry whose write of the record conflicts takes the stored record from the answer, ahead of its list. It then dropped from it each version that its own list did not have, as one that was not listed for two minutes: after a freeze or a cut from the store (the write goes through another entry), and while a version of another service is due to be recorded. The record then named one version, by which any entry infers, until the other was recorded again.

--- a/src/core/origin/originhistory.ts
+++ b/src/core/origin/originhistory.ts
@@ -109,8 +109,11 @@
     return this.streamVersions.heard(record, revision, nowMs);
   }
 
-  /** Returns the record of versions that has to be written; undefined if it is up to date. */
-  versionsToStore(nowMs: Ms): ReturnType<StreamVersions['next']> {
+  /**
+   * Returns the record of versions that has to be written; undefined if it is up to date. All changes of the list up to
+   * `knownAtMs` are known.
+   */
+  versionsToStore(nowMs: Ms, knownAtMs: Ms): ReturnType<StreamVersions['next']> {
     if (this.completedAtMs === Infinity) return undefined;
     const fromMs = nowMs - Math.min(MAX_WINDOW_MS, this.longestTimeoutMs + MARGIN_MS);
     this.software.forget(fromMs);
@@ -119,7 +122,7 @@
     const listed = this.software.listedNow() as Map<ServiceId, string[]>;
     const isExpired = (service: ServiceId, version: string) =>
       isCovered && !this.software.since(service, fromMs).includes(version);
-    return this.streamVersions.next({ listed, isExpired }, nowMs);
+    return this.streamVersions.next({ listed, knownAtMs, isExpired }, nowMs);
   }
 
   /** Returns true if a resumable stream may begin at an upstream. */
@@ -139,7 +142,8 @@
     if (service === undefined || services.length > 1 || !isCovered) return undefined;
     const hasOtherWeights =
       model !== undefined && this.weights.since(weightsKey(service, model), fromMs).length > 1;
-    return hasOtherWeights ? undefined : this.onlySoftware(service);
+    const hasOtherSoftware = this.software.since(service, fromMs).length > 1;
+    return hasOtherWeights || hasOtherSoftware ? undefined : this.onlySoftware(service);
   }
 
   /** Returns the origin of a stream that began at this service, if it can have begun at one software version alone. */
--- a/src/core/origin/streamversions.ts
+++ b/src/core/origin/streamversions.ts
@@ -7,6 +7,8 @@
 interface Listing {
   /** Versions by service that are listed now. */
   readonly listed: ReadonlyMap<ServiceId, readonly string[]>;
+  /** All changes of the list up to this time are known. */
+  readonly knownAtMs: Ms;
   /** True if no stream can still go on that began at the version. */
   readonly isExpired: (service: ServiceId, version: string) => boolean;
 }
@@ -106,12 +108,15 @@
   private nextVersions(
     service: ServiceId,
     before: ServiceVersions | undefined,
-    { listed, isExpired }: Listing,
+    { listed, knownAtMs, isExpired }: Listing,
     nowMs: Ms,
   ): ServiceVersions {
     const known = before?.versions ?? (this.isIncomplete ? [UNKNOWN_VERSION] : []);
     const settledBefore = before?.settledCount ?? 0;
-    const kept = known.filter((version) => !isExpired(service, version));
+    // A list that is older than the record may lack a version that another process has recorded, and at which streams
+    // have begun; an old list may lack one that is listed again.
+    const mayDrop = knownAtMs > this.readAtMs && nowMs - knownAtMs <= this.settleMs;
+    const kept = known.filter((version) => !mayDrop || !isExpired(service, version));
     const added = (listed.get(service) ?? []).filter((version) => !known.includes(version));
     const versions = [...kept, ...added];
     const settled = known.filter((version, at) => at < settledBefore && kept.includes(version));
--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -641,6 +641,7 @@
       key: this.versionsKey,
       history: this.originHistory,
       isHolder: () => this.orderLease.isHolder(),
+      listAgeMs: () => this.follower.knownAgeMs(),
       swap: (swap) => this.swap(swap),
       changed: () => {
         this.setStreamGate();
--- a/src/direct/origin/versionkeeper.ts
+++ b/src/direct/origin/versionkeeper.ts
@@ -11,6 +11,8 @@
   readonly key: string;
   readonly history: OriginHistory;
   readonly isHolder: () => boolean;
+  /** Returns the greatest possible age of the list of upstreams. */
+  readonly listAgeMs: () => Ms;
   readonly swap: (swap: Swap) => ReturnType<ChangeFeed['swap']>;
   /** Called when the versions at which streams may begin have changed. */
   readonly changed: () => void;
@@ -73,10 +75,10 @@
 
   /** Writes the record if it is due. Called several times a second. */
   tick(): void {
-    const { history, clock, isHolder } = this.options;
+    const { history, clock, isHolder, listAgeMs } = this.options;
     const nowMs = clock.nowMs();
     if (this.isWriting || nowMs < this.retryAtMs) return;
-    const next = history.versionsToStore(nowMs);
+    const next = history.versionsToStore(nowMs, nowMs - listAgeMs());
     if (!next) {
       this.staleSinceMs = undefined;
       return;
--- a/test/support/listentry.ts
+++ b/test/support/listentry.ts
@@ -293,6 +293,7 @@
       key: VERSIONS_KEY,
       history,
       isHolder: () => this.isHolder,
+      listAgeMs: () => this.follower.knownAgeMs(),
       swap: (swap) => this.feed.swap(swap),
       changed: () => {
         fleet.setStreamGate((upstream) => history.mayBegin(upstream));
