Infer by an old list only if no other entry knows a later record of versions

Callers may see: a stream that began at a new version is taken up at an entry that was cut from the store for 2 to 30 s and goes on at the version that this entry knows alone (ORDER).

Cause: two other entries' word that they keep no copy was taken to mean that the stream began while one version served. It means that only if the copies were sent to the entries that are asked; a copy that failed, a list of members that differs, or an entry that has just woken and has not read its sockets yet give the same answer.

Evidence: test/origins.test.ts, second test, fails without it (inferred, where another entry knows a later record).

Why it works: an entry that denies names the revision of the record of versions that it knows. The second version of a service stands in the record 2.1 s before a stream begins at it, so an entry in step knows it; a later record than one's own shows that one is out of step. Answers of earlier releases have no revision and confirm nothing.

--- a/src/core/origin/originhistory.ts
+++ b/src/core/origin/originhistory.ts
@@ -64,6 +64,11 @@
 
   private tableVersion: number | undefined;
 
+  /** Revision of the record of versions that is known; 0 without one. */
+  get versionsRevision(): Revision {
+    return this.streamVersions.recordRevision;
+  }
+
   /** Records what an upstream lists. Returns true if more origins may have become possible. */
   upstream(upstream: Upstream, nowMs: Ms): boolean {
     const { id, service, softwareVersion = NO_VERSION } = upstream;
--- a/src/core/origin/streamversions.ts
+++ b/src/core/origin/streamversions.ts
@@ -49,6 +49,11 @@
     private readonly settleMs: Ms,
   ) {}
 
+  /** Revision of the record that is known; 0 without one. */
+  get recordRevision(): Revision {
+    return this.revision;
+  }
+
   /** Applies what the store holds; `record` is undefined if it is unreadable or absent. Returns false if it is not new. */
   heard(record: VersionRecord | undefined, revision: Revision, nowMs: Ms): boolean {
     const isOld = revision === ABSENT ? !this.isReadable : revision <= this.revision;
--- a/src/direct/orders/peershapes.ts
+++ b/src/direct/orders/peershapes.ts
@@ -156,7 +156,7 @@
   storeOrigins: object({ isStored: boolean }),
   origin: variant('type', {
     known: object({ origin, sequence: count, ageMs: amount }),
-    unknown: object({ keptMs: number }),
+    unknown: object({ keptMs: number, versionsRevision: optional(count) }),
   }),
   suspects: any,
   lift: any,
--- a/src/direct/origin/origins.ts
+++ b/src/direct/origin/origins.ts
@@ -1,4 +1,4 @@
-import type { Clock, ModelId, Ms, RequestId } from '../../base/index.js';
+import type { Clock, ModelId, Ms, RequestId, Revision } from '../../base/index.js';
 import {
   copyHolders,
   type Member,
@@ -46,8 +46,8 @@
 /** A change of the list is known to every entry that is not disturbed within this time. */
 const LIST_FRESH_MS = 2000;
 /**
- * Where other entries have answered that they keep no copy, the stream began while its entry saw one version alone, so
- * the list only has to show the same one.
+ * Where other entries have answered that they keep no copy and know no later record of versions, the stream began while
+ * its entry saw one version alone, so the list only has to show the same one.
  */
 const LIST_CONFIRMED_MS = 30_000;
 /** Other entries that have to answer so: of the two that keep a copy one may have started again. */
@@ -75,9 +75,22 @@
   return newest;
 }
 
-/** Returns how many entries keep no copy of a stream that may have begun within this time. */
-function denialCount(answers: readonly (OriginAnswer | undefined)[], withinMs: Ms): number {
-  return answers.filter((answer) => answer?.type === 'unknown' && answer.keptMs >= withinMs).length;
+/**
+ * Returns true if enough entries keep no copy of a stream that may have begun within this time. An entry that knows a
+ * later record of versions shows that this one is out of step: the stream may have begun at a version of that record.
+ */
+function isConfirmed(
+  answers: readonly (OriginAnswer | undefined)[],
+  withinMs: Ms,
+  ownRevision: Revision,
+): boolean {
+  let count = 0;
+  for (const answer of answers) {
+    if (answer?.type !== 'unknown') continue;
+    if ((answer.versionsRevision ?? Infinity) > ownRevision) return false;
+    if (answer.keptMs >= withinMs) count += 1;
+  }
+  return count >= CONFIRMATIONS;
 }
 
 /** Knows with what streams began, also those that other entries have begun, so that they go on with the same. */
@@ -152,7 +165,10 @@
   answer(id: RequestId): OriginAnswer {
     const nowMs = this.options.clock.nowMs();
     const known = this.table.get(id, nowMs);
-    if (!known) return { type: 'unknown', keptMs: Math.round(nowMs - this.startedAtMs) };
+    if (!known) {
+      const { versionsRevision } = this.options.history;
+      return { type: 'unknown', keptMs: Math.round(nowMs - this.startedAtMs), versionsRevision };
+    }
     const { origin, sequence, sinceMs } = known;
     return { type: 'known', origin, sequence, ageMs: Math.round(nowMs - sinceMs) };
   }
@@ -189,8 +205,11 @@
     const answers = await this.askHolders(id);
     const copy = newestOf(answers);
     if (copy) return { origin: copy.origin, source: 'copy', ageMs: copy.ageMs };
-    const isConfirmed = denialCount(answers, route.timeoutMs) >= CONFIRMATIONS;
-    return this.inferred(route, model, isConfirmed ? LIST_CONFIRMED_MS : LIST_FRESH_MS);
+    const { versionsRevision } = this.options.history;
+    const maxListAgeMs = isConfirmed(answers, route.timeoutMs, versionsRevision)
+      ? LIST_CONFIRMED_MS
+      : LIST_FRESH_MS;
+    return this.inferred(route, model, maxListAgeMs);
   }
 
   private inferred(route: Route, model: ModelId | undefined, maxListAgeMs: Ms): FoundOrigin {
--- /dev/null
+++ b/test/origins.test.ts
@@ -0,0 +1,82 @@
+import test from 'ava';
+import { VirtualClock, type RequestId, type Revision, type ServiceId } from '../src/base/index.js';
+import { OriginHistory } from '../src/core/origin/index.js';
+import type { Route, RouteTable } from '../src/core/routetable/index.js';
+import type { Upstream } from '../src/core/upstreams/index.js';
+import type { Caller } from '../src/direct/caller.js';
+import { Origins, type FoundOrigin, type OriginAnswer } from '../src/direct/origin/index.js';
+
+const SERVICE = 's' as ServiceId;
+const RECORD_REVISION = 7 as Revision;
+const LATER_REVISION = 9 as Revision;
+const OLD_LIST_MS = 10_000;
+const LONG_MS = 60_000;
+const ROUTE = {
+  name: 'streams',
+  host: 'h',
+  pathPrefix: '/',
+  timeoutMs: 12_000,
+  destinations: [{ service: SERVICE, weight: 1 }],
+  isResumable: true,
+} as unknown as Route;
+const TABLE = { version: 1, routesByHost: new Map([['h', [ROUTE]]]) } as unknown as RouteTable;
+const MEMBERS = Array.from({ length: 4 }, (_, at) => ({
+  entry: `e${at}`,
+  address: `e${at}`,
+  availabilityZone: `z${at % 2}`,
+}));
+const REQUEST = { id: 'r2', resumes: 'r1' as RequestId } as unknown as Caller['request'];
+
+/** Takes a stream up at an entry whose list is old, while the others answer that they keep no copy. */
+function takeUp(
+  listAgeMs: number,
+  revisions: readonly (Revision | undefined)[],
+): Promise<FoundOrigin> {
+  const clock = new VirtualClock();
+  const history = new OriginHistory();
+  const upstream = { id: 'u1', service: SERVICE, softwareVersion: 'v1', models: new Map() };
+  history.table(TABLE, 0);
+  history.upstream(upstream as unknown as Upstream, 0);
+  const services = [{ service: SERVICE, versions: ['v1'], settledCount: 1 }];
+  history.versionsStored({ services }, RECORD_REVISION, 0);
+  history.complete(undefined, false, 0);
+  clock.advanceTo(LONG_MS);
+  const left = [...revisions];
+  const origins = new Origins({
+    clock,
+    log: { info() {}, warn() {}, error() {} },
+    metrics: { count() {}, gauge() {}, histogram() {} },
+    entry: 'e0',
+    history,
+    members: () => MEMBERS,
+    listAgeMs: () => listAgeMs,
+    copy: () => Promise.resolve(true),
+    store: () => {},
+    ask: () => {
+      const versionsRevision = left.length > 1 ? left.shift() : left[0];
+      return Promise.resolve({
+        type: 'unknown',
+        keptMs: LONG_MS,
+        versionsRevision,
+      } as OriginAnswer);
+    },
+  });
+  return origins.find(REQUEST, ROUTE);
+}
+
+test('an entry with an old list infers an origin where others know the same record of versions', async (t) => {
+  const { origin, source } = await takeUp(OLD_LIST_MS, [RECORD_REVISION]);
+  t.is(source, 'inferred');
+  t.is(origin?.softwareVersion, 'v1');
+});
+
+// Guards against an entry that missed a release and takes the others' lack of a copy for its own version.
+test('an entry with an old list infers no origin where another knows a later record of versions', async (t) => {
+  t.is((await takeUp(OLD_LIST_MS, [LATER_REVISION])).source, 'unknown');
+  t.is((await takeUp(OLD_LIST_MS, [LATER_REVISION, RECORD_REVISION])).source, 'unknown');
+  t.is((await takeUp(OLD_LIST_MS, [undefined])).source, 'unknown');
+});
+
+test('an entry with a fresh list infers an origin by itself', async (t) => {
+  t.is((await takeUp(1000, [LATER_REVISION])).source, 'inferred');
+});
