--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -63,7 +63,11 @@
   /** A failure that an upstream answered, for the caller if no later attempt gets an answer. */
   private fallback: { head: Head; held: Buffer[] } | undefined;
 
-  constructor(private readonly caller: Caller) {}
+  constructor(
+    private readonly caller: Caller,
+    /** Called with what a stream begins with, right before a part of it is sent to the caller. */
+    private readonly begins: (origin: StreamOrigin) => void,
+  ) {}
 
   get requestId(): RequestId {
     return this.caller.request.id;
@@ -129,12 +133,13 @@
     this.isEvents = isEvents;
     this.isEmpty = true;
     this.reader = undefined;
-    if (!isStream || (isResumable && !isEvents)) {
+    const isHeld = !isStream || (isResumable && !isEvents);
+    this.nextOrigin = isHeld ? undefined : origin;
+    if (isHeld) {
       this.held = [];
       return;
     }
     this.isContinuation = this.hasBegun || this.caller.request.resumeAfter !== undefined;
-    this.nextOrigin = origin;
     // A resumable stream begins with its first event: until then another upstream may answer instead.
     if (!isResumable) {
       if (isEvents) this.reader = new EventReader();
@@ -188,6 +193,7 @@
     if (this.hasBegun) return;
     this.hasBegun = true;
     this.origin = this.nextOrigin;
+    if (this.origin) this.begins(this.origin);
     const { status, headers } = this.head!;
     this.caller.begin(status, headers);
   }
