Read to the end before closing a connection after its last answer

A caller that was still writing (the rest of a refused body, or a further request on a connection that a stop closes) got EPIPE or ECONNRESET in place of an answer that the entry had written and counted as answered.

Cause: Node's server closes a connection at once after an answer with `Connection: close`. With unread bytes in it the kernel sends a reset, and the caller's next write fails before it has read the answer.

Callers in the tests write everything before they read.

Now the sending side alone is ended, what still arrives is discarded, and the connection is closed once the caller has ended its side, or after 1 s. Requests that are read after that answer are not run. Connections whose caller asked for the close itself are closed as before: nothing follows its request.

--- a/src/shell/http1/index.ts
+++ b/src/shell/http1/index.ts
@@ -5,3 +5,4 @@
 export type { Http1Call } from './http1call.js';
 export type { Http1Receiver } from './http1receiver.js';
 export type { Http1Exchange } from './http1exchange.js';
+export { lingerAfter } from './lingerafter.js';
--- /dev/null
+++ b/test/unreadclose.test.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+import { connect } from 'node:net';
+import { systemClock } from '../src/base/index.js';
+import type { Caller } from '../src/direct/index.js';
+import { HttpCallerServer } from '../platform/httpcallerserver.js';
+
+const LOG = { info() {}, warn() {}, error() {} };
+const METRICS = { count() {}, gauge() {}, histogram() {} };
+const LIMITS = { headerTimeoutMs: 10_000, idleTimeoutMs: 15_000, headerBytes: 16_384 };
+/** Larger than what the kernel buffers of a connection, so that a part is unread when the answer is written. */
+const LARGE_BYTES = 16_000_000;
+
+function headOf(length: number): string {
+  return `POST /a/1 HTTP/1.1\r\nHost: h\r\nTarragonstile-Request-Id: 1\r\nContent-Length: ${length}\r\n\r\n`;
+}
+
+const LARGE = Buffer.concat([Buffer.from(headOf(LARGE_BYTES)), Buffer.alloc(LARGE_BYTES, 'x')]);
+
+async function open(): Promise<{ server: HttpCallerServer; port: number }> {
+  const entry = {
+    limits: { ...LIMITS, bodyBytes: 1_000_000 },
+    accept(caller: Caller) {
+      caller.begin(200, ['Content-Length', '2']);
+      caller.write(Buffer.from('ok'));
+      caller.end();
+    },
+  };
+  const server = new HttpCallerServer(entry as never, systemClock, LOG, METRICS);
+  return { server, port: await server.listen('127.0.0.1', 0) };
+}
+
+/** Writes everything before it reads, as simple clients do. Resolves with the answer, or with what ended the connection. */
+function writeThenRead(port: number, bytes: Buffer): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? error.message));
+    socket.write(bytes, () => {
+      socket.on('data', (chunk) => {
+        text += chunk.toString();
+      });
+      socket.on('end', () => socket.destroy());
+      socket.on('close', () => resolve(text));
+    });
+  });
+}
+
+// A close with unread bytes makes the kernel send a reset, which overtook the answer before it.
+test('a refusal is not lost while its caller still writes the body', async (t) => {
+  const { server, port } = await open();
+  t.regex(await writeThenRead(port, LARGE), /^HTTP\/1\.1 413 /);
+  server.close();
+});
+
+test('the refusal of a stopping process is not lost while its caller still writes the body', async (t) => {
+  const { server, port } = await open();
+  server.leave(-Infinity);
+  t.regex(await writeThenRead(port, LARGE), /^HTTP\/1\.1 503 /);
+  server.close();
+});
+
+test('the last answer of a stopping process is not lost to a further request that its caller writes', async (t) => {
+  const { server, port } = await open();
+  server.leave(Infinity);
+  const first = Buffer.from(`${headOf(2)}xy`);
+  const text = await writeThenRead(port, Buffer.concat([first, LARGE]));
+  t.regex(text, /^HTTP\/1\.1 200 [^]*ok/);
+  server.close();
+});
