Product path: do not take cut answers without a length for whole

Callers saw: at entry and sidecar, a success without a length whose connection is reset, or that ends after its head, came as a whole, short or empty 200.

Cause: undici reports a reset of such an answer as its end, and the drivers of engines and services asked no further.

The pool of an upstream has a client that knows resets of its socket before undici ends the answer, and fails such answers. Streams of engines were right: they need their [DONE].

--- a/src/shell/engine/httpengine.ts
+++ b/src/shell/engine/httpengine.ts
@@ -1,4 +1,4 @@
-import { Pool, type Dispatcher } from 'undici';
+import type { Dispatcher, Pool } from 'undici';
 import type { Result } from 'ts-results';
 import { result, type RequestId } from '../../base/index.js';
 import type {
@@ -14,6 +14,7 @@
 import { continuedBody } from './continuedbody.js';
 import { engineAnswer } from './engineanswer.js';
 import { failureOf } from './failureof.js';
+import { upstreamPool } from './upstreampool.js';
 
 const ADMIN_TIMEOUT_MS = 2000;
 
@@ -22,7 +23,7 @@
   private readonly pool: Pool;
 
   constructor(url: string, connections: number) {
-    this.pool = new Pool(url, { connections, bodyTimeout: 0, headersTimeout: 0 });
+    this.pool = upstreamPool(url, connections);
   }
 
   generate(
--- a/src/shell/engine/httpservice.ts
+++ b/src/shell/engine/httpservice.ts
@@ -1,10 +1,11 @@
-import { Pool } from 'undici';
+import type { Pool } from 'undici';
 import type { Result } from 'ts-results';
 import { result } from '../../base/index.js';
 import type { AnswerStream, EngineFailure, PlainService } from '../../port/index.js';
 import { discard } from './discard.js';
 import { failureOf } from './failureof.js';
 import { httpAnswer } from './httpanswer.js';
+import { upstreamPool } from './upstreampool.js';
 
 const asOnePiece = (chunk: Buffer) => ({ payload: chunk, tokenCount: 0 });
 
@@ -19,7 +20,7 @@
   private readonly pool: Pool;
 
   constructor(url: string, connections: number) {
-    this.pool = new Pool(url, { connections, bodyTimeout: 0, headersTimeout: 0 });
+    this.pool = upstreamPool(url, connections);
   }
 
   async call(
--- a/src/shell/http1/channel.ts
+++ b/src/shell/http1/channel.ts
@@ -4,6 +4,7 @@
 import type { Http1Exchange } from './http1exchange.js';
 import type { Connection } from './connection.js';
 import { isInvalidCall } from './isinvalidcall.js';
+import { framingOf } from './framingof.js';
 import { isMalformed } from './ismalformed.js';
 import { openConnection } from './openconnection.js';
 
@@ -20,22 +21,6 @@
 
 const WITHHELD = 'The request was withheld: its sender no longer permits it.';
 
-/** The last transfer coding decides: after any other than `chunked` the connection ends the body (RFC 9112, section 6.3). */
-const ENDS_CHUNKED = /(^|[\s,])chunked\s*$/i;
-
-function framingOf(method: string, status: number, headers: readonly string[]): Framing {
-  if (method === 'HEAD' || status === 204 || status === 304) return 'length';
-  let framing: Framing = 'connection';
-  for (let at = 0; at < headers.length; at += 2) {
-    const name = headers[at]!.toLowerCase();
-    if (name === 'content-length') framing = 'length';
-    else if (name === 'transfer-encoding') {
-      framing = ENDS_CHUNKED.test(headers[at + 1]!) ? 'chunks' : 'connection';
-    }
-  }
-  return framing;
-}
-
 /** Connection pool of one address. A connection carries one call at a time; the one used last is reused first. */
 export class Channel {
   private readonly idle: Connection[] = [];
