Check less often for capacity in the long waits of streams

A stream may wait until 0.8 of its time has passed; checks every 20 ms, each a whole choice, cost a small core too much where many streams wait at a full engine. The 100 ms are chosen by that reasoning, not measured.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -32,6 +32,9 @@
 const STOPPING_RETRY_AFTER_MS = 20;
 /** Interval between checks for capacity. */
 const CAPACITY_CHECK_MS = 20;
+/** The same for a stream that goes on, which may wait for many seconds, after its first second: it spares the processor. */
+const LONG_WAIT_CHECK_MS = 100;
+const LONG_WAIT_MS = 1000;
 /** Bound of the searches by one request: an upstream reported as ready may refuse, and may then be found again. */
 const MAX_TARGET_WAITS = 4;
 /** An id of an event is the upstream's text. */
@@ -430,7 +433,10 @@
   /** Waits as long as the target latency allows, then refuses the request. */
   private waitForCapacity(): void {
     if (this.mayWaitForCapacity()) {
-      this.clock.after(CAPACITY_CHECK_MS, () => this.attempt());
+      const heldMs = this.clock.nowMs() - this.caller.request.arrivedAtMs;
+      const isLong = this.origin !== undefined && heldMs >= LONG_WAIT_MS;
+      const checkMs = isLong ? LONG_WAIT_CHECK_MS : CAPACITY_CHECK_MS;
+      this.clock.after(checkMs, () => this.attempt());
       return;
     }
     this.giveUp(
