Handle SIGTERM from the first module on

A SIGTERM during a start ended the process by the signal, which is taken for a crash. Between the listen call for callers and the end of the start it did so with connections that were accepted, whose callers got a reset.

Cause: the handler of SIGTERM was set last, after the readiness and metrics listeners. Besides, all static imports are loaded before the first module runs, so that the handler of SIGHUP stood late as well.

Both handlers are now set by the first module, and platform/main.ts loads all others after it. Until the process begins to listen SIGTERM exits with code 0, as nothing was accepted; later it is remembered and the planned stop runs as soon as the start is complete. A signal before Node runs the first module still ends the process.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,8 +1,9 @@
-// Bundles platform/main.ts into one file, so that a start reads one file instead of hundreds.
+// Bundles the entry into one file, so that a start reads one file instead of hundreds. In one file platform/run.ts needs
+// no platform/main.ts before it: its first module, the signal handlers, waits for no other file.
 import { build } from 'esbuild';
 
 await build({
-  entryPoints: ['platform/main.ts'],
+  entryPoints: ['platform/run.ts'],
   outfile: 'target/entry.mjs',
   bundle: true,
   minify: true,
