Refuse records that are nested too deeply or too large before they are parsed

Cause, as shown here: a record is parsed whole by each entry, twice whenever it is written. What walks a parsed record by recursion, a log line or JSON that is written again, overflows the stack: the records of stream versions, origins and the order lease did so by fields that nobody reads, and on the product path service documents (parser of JSON with comments), upstream values and key mappings. Records of servers decode without an exception. That the reporter's processes ended this way is not shown.

core/shape.parseJson checks length and levels (64) before it parses; servers have 64 KB, own records 256 KB. Documents of the product path have neither. Requests and answers between entries use it too.

--- a/bench/table.ts
+++ b/bench/table.ts
@@ -20,6 +20,7 @@
   'mesh-fanout': async () => (await import('./meshfanout.js')).meshFanout,
   'mesh-spread': async () => (await import('./meshspread.js')).meshSpread,
   'mesh-store-calls': async () => (await import('./meshstorecalls.js')).meshStoreCalls,
+  'record-cost': async () => (await import('./recordcost.js')).recordCost,
   'shared-rate': async () => (await import('./sharedrate.js')).sharedRate,
   policy: async () => (await import('./policy.js')).policy,
   'access-cost': async () => (await import('./accesscost.js')).accessCost,
--- a/src/core/acceptance/decodestored.ts
+++ b/src/core/acceptance/decodestored.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'ts-results';
 import { result, type Failure } from '../../base/index.js';
+import { parseJson } from '../shape/index.js';
 import type { StoredService } from './storedservice.js';
 
 interface StoredValueFailure extends Failure {
@@ -12,12 +13,8 @@
 
 /** Decodes the value stored under a service's key. */
 export function decodeStored(value: string): Result<StoredService, StoredValueFailure> {
-  let stored: Partial<StoredService> | null;
-  try {
-    stored = JSON.parse(value) as Partial<StoredService> | null;
-  } catch {
-    return unreadable('The value under the service key is not JSON.');
-  }
+  const stored = parseJson(value) as Partial<StoredService> | null | undefined;
+  if (stored === undefined) return unreadable('The value under the service key is not JSON.');
   if (stored?.format !== 1) {
     return unreadable('The value under the service key has an unknown format.');
   }
--- a/src/core/document/readdocument.ts
+++ b/src/core/document/readdocument.ts
@@ -1,6 +1,7 @@
-import { parse, type ParseError } from 'jsonc-parser';
+import type { ParseError } from 'jsonc-parser';
 import type { Result } from 'ts-results';
 import { result, type Failure } from '../../base/index.js';
+import { parseDocument } from '../text/index.js';
 import { schemaFindings } from './schemafindings.js';
 import type { ServiceDocument } from './servicedocument.js';
 
@@ -10,7 +11,7 @@
  */
 export function readDocument(text: string): Result<ServiceDocument, Failure> {
   const errors: ParseError[] = [];
-  const value: unknown = parse(text, errors, { allowTrailingComma: true });
+  const value = parseDocument(text, errors);
   const [syntax] = errors;
   if (syntax) {
     return result.Err({ type: 'document-syntax', detail: `At offset ${syntax.offset}.` });
--- a/src/core/text/index.ts
+++ b/src/core/text/index.ts
@@ -5,6 +5,7 @@
 export type { Hunk } from './hunk.js';
 export { locate } from './locate.js';
 export { normalise } from './normalise.js';
+export { parseDocument } from './parsedocument.js';
 export { patchLines } from './patchlines.js';
 export { position } from './position.js';
 export { suggest } from './suggest.js';
--- a/src/direct/orders/orderleasekeeper.ts
+++ b/src/direct/orders/orderleasekeeper.ts
@@ -11,7 +11,7 @@
   type OrderLeaseRecord,
   type OrderLeaseState,
 } from '../../core/orderlease/index.js';
-import { shape } from '../../core/shape/index.js';
+import { maxRecordLength, parseJson, shape } from '../../core/shape/index.js';
 import type { ChangeFeed, KeyValue, Log, Swap } from '../../port/index.js';
 
 /** Options of an order lease keeper. */
@@ -56,12 +56,8 @@
 
 /** Reads a record, which may come from another writer. */
 function parse(text: string): OrderLeaseRecord | undefined {
-  try {
-    const read: unknown = JSON.parse(text);
-    return isRecord(read) ? (read as OrderLeaseRecord) : undefined;
-  } catch {
-    return undefined;
-  }
+  const read = parseJson(text, maxRecordLength);
+  return isRecord(read) ? (read as OrderLeaseRecord) : undefined;
 }
 
 /**
--- a/src/direct/orders/peers.ts
+++ b/src/direct/orders/peers.ts
@@ -15,6 +15,7 @@
   Swap,
   SwapOutcome,
 } from '../../port/index.js';
+import { parseJson } from '../../core/shape/index.js';
 import { callOnce, Channel } from '../../shell/http1/index.js';
 import type { ListedSuspect } from '../../core/poison/index.js';
 import type { OriginAnswer, OriginCopy } from '../origin/index.js';
@@ -121,11 +122,7 @@
 
 /** Parses a body; undefined if it is not JSON. */
 function parse(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString('utf8'));
-  } catch {
-    return undefined;
-  }
+  return parseJson(body.toString('utf8'));
 }
 
 async function readBody(request: IncomingMessage): Promise<unknown> {
--- a/src/direct/origin/originstore.ts
+++ b/src/direct/origin/originstore.ts
@@ -1,6 +1,6 @@
 import type { Clock, Ms, RequestId, Revision } from '../../base/index.js';
 import type { StreamOrigin } from '../../core/origin/index.js';
-import { shape } from '../../core/shape/index.js';
+import { maxRecordLength, parseJson, shape } from '../../core/shape/index.js';
 import type { ChangeFeed, KeyValue, Log, Metrics, Swap } from '../../port/index.js';
 import type { OriginCopy } from './origincopy.js';
 
@@ -75,17 +75,13 @@
 }
 
 function decode(text: string): OriginCopy[] | undefined {
-  try {
-    const read: unknown = JSON.parse(text);
-    if (!isBatch(read)) return undefined;
-    const { origins, streams } = read as StoredBatch;
-    return streams.flatMap(([id, sequence, index, keepMs]) => {
-      const origin = origins[index];
-      return origin ? [{ id, sequence, origin, keepMs }] : [];
-    });
-  } catch {
-    return undefined;
-  }
+  const read = parseJson(text, maxRecordLength);
+  if (!isBatch(read)) return undefined;
+  const { origins, streams } = read as StoredBatch;
+  return streams.flatMap(([id, sequence, index, keepMs]) => {
+    const origin = origins[index];
+    return origin ? [{ id, sequence, origin, keepMs }] : [];
+  });
 }
 
 /**
--- a/src/direct/origin/versionkeeper.ts
+++ b/src/direct/origin/versionkeeper.ts
@@ -1,7 +1,7 @@
 import type { Clock, Ms, Revision } from '../../base/index.js';
 import { hash32 } from '../../core/hash/index.js';
 import type { OriginHistory, VersionRecord } from '../../core/origin/index.js';
-import { shape } from '../../core/shape/index.js';
+import { maxRecordLength, parseJson, shape } from '../../core/shape/index.js';
 import type { ChangeFeed, KeyValue, Log, Swap } from '../../port/index.js';
 
 interface VersionKeeperOptions {
@@ -34,12 +34,8 @@
 });
 
 function decode(text: string): VersionRecord | undefined {
-  try {
-    const read: unknown = JSON.parse(text);
-    return isRecord(read) ? (read as VersionRecord) : undefined;
-  } catch {
-    return undefined;
-  }
+  const read = parseJson(text, maxRecordLength);
+  return isRecord(read) ? (read as VersionRecord) : undefined;
 }
 
 /** Keeps the record of the software versions at which resumable streams may begin. Any entry may write it. */
--- a/src/entry/planner/plannerlease.ts
+++ b/src/entry/planner/plannerlease.ts
@@ -7,6 +7,7 @@
   type LeaseEvent,
   type LeaseState,
 } from '../../core/planlease/index.js';
+import { parseJson, shape } from '../../core/shape/index.js';
 import type { Context } from '../component/index.js';
 
 const ABSENT = 0 as Revision;
@@ -16,12 +17,11 @@
   readonly hostId?: string;
 }
 
+const isLeaseValue = shape.object({ nonce: shape.optional(shape.string) });
+
 function nonceOf(value: string): string | undefined {
-  try {
-    return (JSON.parse(value) as LeaseValue).nonce;
-  } catch {
-    return undefined;
-  }
+  const read = parseJson(value);
+  return isLeaseValue(read) ? (read as LeaseValue).nonce : undefined;
 }
 
 /** Holds the planner lease of one service: performs the lease core's effects at the store and reports the answers. */
--- a/src/shell/mesh/recordof.ts
+++ b/src/shell/mesh/recordof.ts
@@ -1,5 +1,6 @@
-import { parse } from 'jsonc-parser';
 import type { MeshRecord } from '../../core/mesh/index.js';
+import { parseJson, shape } from '../../core/shape/index.js';
+import { parseDocument } from '../../core/text/index.js';
 import type { KeyValue } from '../../port/index.js';
 import { sidecarAddressesOf } from './sidecaraddressesof.js';
 
@@ -7,19 +8,18 @@
   readonly document?: string;
 }
 
+const isStoredValue = shape.object({ document: shape.optional(shape.string) });
+const isRegional = shape.object({ region: shape.optional(shape.string) });
 const EMPTY = new Uint8Array(0);
 
 function textOf(value: string): string {
-  try {
-    return (JSON.parse(value) as StoredValue).document ?? '';
-  } catch {
-    return '';
-  }
+  const read = parseJson(value);
+  return isStoredValue(read) ? ((read as StoredValue).document ?? '') : '';
 }
 
 function regionOf(text: string): string | undefined {
-  const document = parse(text, [], { allowTrailingComma: true }) as { region?: string } | undefined;
-  return document?.region;
+  const document = parseDocument(text);
+  return isRegional(document) ? (document as { readonly region?: string }).region : undefined;
 }
 
 /**
