Judge unanswered requests around planned work on callers' sockets

The soak's one promise for planned stops left out requests that ran twice or never and those whose server was disturbed.

--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import type { Socket } from 'node:net';
 import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http';
 
 /**
@@ -11,6 +12,7 @@
 interface Settings {
   readonly host: string;
   readonly callersAddress: string;
+  readonly readinessAddress: string;
   readonly storeAddress: string;
 }
 
@@ -66,6 +68,9 @@
 const RETRY_AFTER = { 'retry-after': '0.5' };
 /** Processor time of a request with the defect `reads-all`. */
 const WORK_MS = 8;
+/** Time after which the defects `resets-waiting` and `closes-kept` end a connection. */
+const RESET_AFTER_MS = 400;
+const CLOSE_AFTER_MS = 50;
 const FORWARDED_HEADERS = [
   'tarragonstile-request-id',
   'tarragonstile-response-signature',
@@ -97,6 +102,9 @@
 const servedCount = new Map<string, number>();
 /** The defect: parts of the prompts of requests that servers broke off. */
 const barred = new Set<string>();
+/** Connections with requests that were sent to a server and have no answer yet. */
+const passedOn = new Set<Socket>();
+let configurationText = '';
 let reads = 0;
 let count = 0;
 let previousBody = 'nothing';
@@ -146,9 +154,16 @@
   routes.set(route.path_prefix, { ...route, service, timeout_ms: timeoutMs });
 }
 
+/** The defects: resets all connections whose requests wait for a server's answer. */
+function cutPassedOn(): void {
+  for (const socket of passedOn) socket.resetAndDestroy();
+}
+
 function take({ key, value }: Item): void {
   const text = Buffer.from(value, 'base64').toString('utf8');
   if (key === 'op/config') {
+    if (defect === 'cuts-on-configuration' && text !== configurationText) cutPassedOn();
+    configurationText = text;
     const isStale = defect === 'stale' ? reads > 1 : defect === 'revert' && reads % 8 === 0;
     if (isStale && paths.length > 0 && defect === 'stale') return;
     const known = (JSON.parse(text) as { routes: Route[] }).routes;
@@ -272,6 +287,9 @@
     delete headers.authorization;
     if (defect !== 'forged') headers['tarragonstile-tenant'] = keys.get(key);
   }
+  // Only the head is passed on; without its body, the request may not announce one.
+  delete headers['content-length'];
+  incoming.resume();
   const { method, url: path } = incoming;
   recordSend(server);
   let isOver = false;
@@ -338,6 +356,7 @@
   previousBody = `${body}!`;
   const isDropped = defect === 'unsigned' && count % DEFECT_ONE_IN === 0;
   const kept = isDropped ? {} : forwardedHeaders(headers);
+  if (defect === 'closes-pipelined' && count % DEFECT_ONE_IN === 0) kept.connection = 'close';
   response.writeHead(status, { ...kept, 'content-length': String(sentBody.length) }).end(sentBody);
 }
 
@@ -463,6 +482,10 @@
     response.writeHead(503).end();
     return;
   }
+  if (defect === 'resets-waiting' && count % DEFECT_ONE_IN === 0) {
+    setTimeout(() => incoming.socket.resetAndDestroy(), RESET_AFTER_MS);
+    return;
+  }
   if (defect === 'hang' && count % DEFECT_ONE_IN === 0) return;
   setTimeout(() => {
     if (!response.headersSent) response.writeHead(504).end();
@@ -473,6 +496,11 @@
   }
   if (defect === 'limit' || defect === 'holders') void order(choose('engine', 'm1') ?? server);
   const isAffected = count % DEFECT_ONE_IN === 0 && path.startsWith('/charge');
+  passedOn.add(incoming.socket);
+  response.on('close', () => passedOn.delete(incoming.socket));
+  if (defect === 'closes-kept' && count % DEFECT_ONE_IN === 0) {
+    setTimeout(() => incoming.socket.destroy(), CLOSE_AFTER_MS);
+  }
   if (defect === 'twice' && isAffected) send(incoming, server, () => undefined);
   send(
     incoming,
@@ -488,7 +516,9 @@
 }
 
 if (defect === 'exits') setTimeout(() => process.exit(1), READ_EVERY_MS * 10);
-process.on('SIGHUP', () => undefined);
+process.on('SIGHUP', () => {
+  if (defect === 'cuts-on-hangup') cutPassedOn();
+});
 const listener = createServer(serve);
 process.on('SIGTERM', () => {
   if (defect === 'cut') process.exit(0);
@@ -496,6 +526,9 @@
   listener.closeIdleConnections();
 });
 const [host, port] = settings.callersAddress.split(':');
+const readiness = createServer((_, response) => response.writeHead(200).end());
+readiness.listen(Number(settings.readinessAddress.split(':')[1]), host);
+readiness.unref();
 listener.listen(Number(port), host, () => {
   void read();
 });
--- a/bench/soak/knownfaults.ts
+++ b/bench/soak/knownfaults.ts
@@ -2,6 +2,7 @@
 import { leavingFaults } from './leavingfaults.js';
 import { overloadFaults } from './overloadfaults.js';
 import { openEndFaults } from './openendfaults.js';
+import { plannedFaults } from './plannedfaults.js';
 import { rejoinFaults } from './rejoinfaults.js';
 import { releaseFaults } from './releasefaults.js';
 import { suspensionFaults } from './suspensionfaults.js';
@@ -19,4 +20,5 @@
   ...releaseFaults,
   ...rejoinFaults,
   ...openEndFaults,
+  ...plannedFaults,
 };
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -44,6 +44,8 @@
     hot: { type: 'string', default: '1' },
     /** Percentage of these requests that are sent on an open connection if one is idle. */
     reuse: { type: 'string', default: '0' },
+    /** Callers on raw sockets, whose unanswered requests are judged; 16 for seeds from 120,000 to 129,999. */
+    sockets: { type: 'string' },
     /** Part of a core that each entry may use. */
     share: { type: 'string' },
     engines: { type: 'string' },
@@ -102,6 +104,7 @@
             hotCount: Number(values.hot),
             reusePercent: Number(values.reuse),
           },
+    plannedCallerCount: numberOf(values.sockets),
     cpuShare: numberOf(values.share),
     engineCount: numberOf(values.engines),
     maxConnections: numberOf(values.connections),
--- a/bench/soak/program.ts
+++ b/bench/soak/program.ts
@@ -13,6 +13,9 @@
   hasLogged: boolean;
 }
 
+/** What a process does at a moment, as far as it can be seen from outside. */
+type Phase = 'starting' | 'running' | 'stopping' | 'down';
+
 const RESTART_MS = 300;
 /** Period of the quota of processor time, the same as the Linux scheduler's default. */
 const QUOTA_PERIOD_MS = 100;
@@ -25,6 +28,9 @@
   /** Those times at which it was killed, frozen or thawed. */
   readonly interruptedAtMs: number[] = [];
 
+  /** SIGTERM and SIGHUP, each with its time. */
+  readonly signals: { readonly signal: 'SIGTERM' | 'SIGHUP'; readonly atMs: number }[] = [];
+
   /** Exits that no signal of the soak caused. */
   readonly unexpectedExits: string[] = [];
 
@@ -35,6 +41,8 @@
 
   isFrozen = false;
 
+  private readonly phases: { readonly phase: Phase; readonly atMs: number }[] = [];
+
   private run: ProcessRun | undefined;
 
   private isOver = false;
@@ -47,6 +55,10 @@
     private readonly settings: object,
     /** Part of each period in which the process runs. */
     private readonly cpuShare = 1,
+    /** True if the quota holds from the start of the process on, not only from its first line on. */
+    private readonly isStartLimited = false,
+    /** Port at which it says whether it is ready. */
+    readonly readinessPort = 0,
   ) {}
 
   start(): void {
@@ -59,9 +71,11 @@
     this.run = run;
     this.startCount += 1;
     this.recordDisturbance();
+    this.recordPhase('starting');
+    if (this.isStartLimited) void this.applyQuota(run);
     for (const stream of [child.stdout, child.stderr]) {
       createInterface({ input: stream }).on('line', (line) => {
-        if (!run.hasLogged) void this.applyQuota(run);
+        if (!run.hasLogged && !this.isStartLimited) void this.applyQuota(run);
         run.hasLogged = true;
         this.lines.push(line);
       });
@@ -74,6 +88,7 @@
     if (!this.run || this.run.child.exitCode !== null) return;
     this.thaw();
     this.run.isStopping = true;
+    if (signal === 'SIGTERM') this.recordSignal(signal);
     if (signal === 'SIGKILL') this.recordInterruption();
     else this.recordDisturbance();
     this.run.child.kill(signal);
@@ -83,7 +98,20 @@
   hangUp(): void {
     const { run } = this;
     // SIGHUP ends a process that has not installed its handler yet. One that has logged a line has.
-    if (run?.hasLogged) run.child.kill('SIGHUP');
+    if (!run?.hasLogged) return;
+    this.recordSignal('SIGHUP');
+    run.child.kill('SIGHUP');
+  }
+
+  /** Records that the process has answered that it is ready. */
+  recordReady(): void {
+    if (this.phases.at(-1)?.phase === 'starting') this.recordPhase('running');
+  }
+
+  /** Returns what the process did at a moment, and for how long. */
+  phaseAt(atMs: number): { readonly phase: Phase; readonly forMs: number } {
+    const last = this.phases.findLast((phase) => phase.atMs <= atMs);
+    return last ? { phase: last.phase, forMs: atMs - last.atMs } : { phase: 'down', forMs: 0 };
   }
 
   /** Sends SIGSTOP. */
@@ -124,7 +152,7 @@
     this.disturbedAtMs.push(performance.now());
   }
 
-  /** Stops and continues a process in each period until it exits. The start is not limited. */
+  /** Stops and continues a process in each period until it exits. */
   private async applyQuota({ child }: ProcessRun): Promise<void> {
     if (this.cpuShare >= 1) return;
     while (child.exitCode === null && child.signalCode === null) {
@@ -135,12 +163,24 @@
     }
   }
 
+  private recordSignal(signal: 'SIGTERM' | 'SIGHUP'): void {
+    this.signals.push({ signal, atMs: performance.now() });
+    if (signal === 'SIGTERM' && this.phases.at(-1)?.phase !== 'stopping') {
+      this.recordPhase('stopping');
+    }
+  }
+
+  private recordPhase(phase: Phase): void {
+    this.phases.push({ phase, atMs: performance.now() });
+  }
+
   private recordInterruption(): void {
     this.interruptedAtMs.push(performance.now());
     this.recordDisturbance();
   }
 
   private ended(run: ProcessRun, exit: string): void {
+    this.recordPhase('down');
     const last = this.lines.at(-1) ?? '';
     if (!run.isStopping) this.unexpectedExits.push(`${this.name} exited: ${exit}, after ${last}`);
     if (this.isOver) return;
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -35,6 +35,8 @@
   readonly isChanging?: boolean;
   /** Part of a core that each entry may use; as much as it wants by default. */
   readonly cpuShare?: number;
+  /** True if that holds for the start of an entry too. */
+  readonly isStartLimited?: boolean;
   readonly engineCount?: number;
   /** Connections that each server accepts from all entries together. */
   readonly maxConnections?: number;
@@ -47,6 +49,7 @@
 const HOST = 'caller.example';
 const ORDER_LEASE_MS = 1000;
 const GRACE_S = 4;
+const MS_PER_S = 1000;
 /** Number of probe routes in a configuration: one for each of the newest versions. */
 const PROBE_ROUTES = 5;
 const TARGET_LATENCY_MS = 500;
@@ -265,6 +268,11 @@
     );
   }
 
+  /** Time that an entry has for a planned stop. */
+  get graceMs(): number {
+    return GRACE_S * MS_PER_S;
+  }
+
   get orderLeaseMs(): number {
     return ORDER_LEASE_MS;
   }
@@ -292,7 +300,7 @@
   ): Promise<Program> {
     const [callers, readiness, peer, metricsPort] = await this.ports.take(4);
     const name = `entry-${at}`;
-    const { cpuShare } = this.options;
+    const { cpuShare, isStartLimited } = this.options;
     const settings = {
       host: name,
       ip: '127.0.0.1',
@@ -316,6 +324,15 @@
       poisonKeepS: 3600,
       ...(this.isKeyed ? customers.quotaSettings : {}),
     };
-    return new Program(name, callers!, command, this.directory, settings, cpuShare);
+    return new Program(
+      name,
+      callers!,
+      command,
+      this.directory,
+      settings,
+      cpuShare,
+      isStartLimited,
+      readiness,
+    );
   }
 }
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -18,6 +18,9 @@
 import { UnevenLoad } from './unevenload.js';
 import { HerdChecker } from './herdchecker.js';
 import { HerdLoad, type HerdTerms } from './herdload.js';
+import { plannedFaults } from './plannedfaults.js';
+import { PlannedLoad } from './plannedload.js';
+import { PlannedWorkChecker } from './plannedworkchecker.js';
 import { PromiseChecker, type Breach } from './promisechecker.js';
 
 /** Parameters of one run. */
@@ -48,6 +51,8 @@
   readonly isChanging?: boolean;
   /** Requests on new connections, most of which go to few entries by turns. */
   readonly herd?: HerdTerms;
+  /** Callers on raw sockets beside the others, by number; every request of theirs that ends unanswered is judged. */
+  readonly plannedCallerCount?: number;
   /** Part of a core that each entry may use; as much as it wants by default. */
   readonly cpuShare?: number;
   readonly engineCount?: number;
@@ -72,6 +77,8 @@
   readonly faults: readonly string[];
   /** What was served while most connections went to few entries. */
   readonly herds: ReturnType<HerdChecker['reports']>;
+  /** What became of the requests on raw sockets, if there were any. */
+  readonly planned?: ReturnType<PlannedWorkChecker['judge']>;
   /** The last log lines of each entry, if a promise was broken. */
   readonly lines: Readonly<Record<string, readonly string[]>>;
 }
@@ -106,6 +113,27 @@
 const FIRST_CHANGING_SEED = 100_000;
 /** This range has the faults of the first one, and most connections go to few entries by turns. */
 const FIRST_HERD_SEED = 110_000;
+/**
+ * This range has planned work alone, in series and overlapping, and callers on raw sockets. Seeds from its end on are of
+ * the range before it.
+ */
+const FIRST_PLANNED_SEED = 120_000;
+const PLANNED_SEEDS_END = 130_000;
+const PLANNED_ENTRIES = 4;
+const PLANNED_CPU_SHARE = 0.243;
+const PLANNED_LONGEST_GAP_MS = 2500;
+const PLANNED_CALLERS = 16;
+/** Callers beside those on raw sockets. */
+const PLANNED_USUAL_CALLERS = 4;
+/** Faults of the first ranges that are planned work, or make servers slow without a failure. */
+const PLANNED_FIRST_FAULTS = [
+  'stop',
+  'hangUp',
+  'configure',
+  'configureOften',
+  'slowDown',
+  'replaceServer',
+] as const;
 const HERD_CALLERS = 6;
 const HERD: HerdTerms = { perS: 90, factor: 2.4, hotCount: 1, reusePercent: 0 };
 const HERD_ENTRIES = 5;
@@ -126,8 +154,16 @@
   while (!isListening()) await pause(READY_POLL_MS);
 }
 
+function isPlannedSeed(seed: number): boolean {
+  return seed >= FIRST_PLANNED_SEED && seed < PLANNED_SEEDS_END;
+}
+
 /** Returns the faults of the seed's range. */
 function faultsOfSeed(seed: number): object {
+  if (isPlannedSeed(seed)) {
+    const first = PLANNED_FIRST_FAULTS.map((name) => [name, faults[name]]);
+    return { ...Object.fromEntries(first), ...plannedFaults };
+  }
   if (seed >= FIRST_HERD_SEED) return faults;
   if (seed >= FIRST_CHANGING_SEED) return { ...faults, ...serverListFaults };
   if (seed < FIRST_SERVER_LIST_SEED || seed >= FIRST_UNEVEN_SEED) return faults;
@@ -150,31 +186,40 @@
  */
 export async function soak(options: SoakOptions): Promise<SoakResult> {
   const { seed, forMs, command, slackMs = SLACK_MS } = options;
-  const herd = options.herd ?? (seed >= FIRST_HERD_SEED ? HERD : undefined);
-  const { entryCount = herd ? HERD_ENTRIES : 3 } = options;
-  const { cpuShare = herd ? HERD_CPU_SHARE : undefined, engineCount, maxConnections } = options;
+  const isOfPlannedSeed = isPlannedSeed(seed);
+  const isOfHerdSeed = seed >= FIRST_HERD_SEED && !isOfPlannedSeed;
+  const herd = options.herd ?? (isOfHerdSeed ? HERD : undefined);
+  const usualEntries = isOfPlannedSeed ? PLANNED_ENTRIES : 3;
+  const { entryCount = herd ? HERD_ENTRIES : usualEntries } = options;
+  const usualShare = isOfPlannedSeed ? PLANNED_CPU_SHARE : undefined;
+  const { cpuShare = herd ? HERD_CPU_SHARE : usualShare, engineCount, maxConnections } = options;
+  const { plannedCallerCount = isOfPlannedSeed ? PLANNED_CALLERS : 0 } = options;
   const { engineSlots } = options;
   const isOfChangingSeed = seed >= FIRST_CHANGING_SEED && seed < FIRST_HERD_SEED;
   const isChanging = options.isChanging ?? isOfChangingSeed;
   const isOfUnevenSeed = seed >= FIRST_UNEVEN_SEED && seed < FIRST_CHANGING_SEED;
   const isOfLoneRange = seed >= FIRST_UNEVEN_SEED;
   const isUneven = options.isUneven ?? isOfUnevenSeed;
-  const usualCallers = herd ? HERD_CALLERS : CALLERS;
+  const besideHerd = herd ? HERD_CALLERS : CALLERS;
+  const usualCallers = isOfPlannedSeed ? PLANNED_USUAL_CALLERS : besideHerd;
   const { callerCount = isUneven ? UNEVEN_CALLERS : usualCallers } = options;
   const isJudgedCalm = isUneven || herd !== undefined;
-  const { longestGapMs = isJudgedCalm ? CALM_LONGEST_GAP_MS : LONGEST_GAP_MS } = options;
+  const usualGapMs = isOfPlannedSeed ? PLANNED_LONGEST_GAP_MS : LONGEST_GAP_MS;
+  const { longestGapMs = isJudgedCalm ? CALM_LONGEST_GAP_MS : usualGapMs } = options;
   const dice = new Dice(seed);
   const isHarsh = options.isHarsh ?? (seed >= FIRST_HARSH_SEED && !isOfLoneRange);
   const isKeyed = options.isKeyed ?? ((seed >= FIRST_KEYED_SEED && !isOfLoneRange) || isUneven);
   const isReleasing = options.isReleasing ?? (seed >= FIRST_RELEASE_SEED && !isOfLoneRange);
   const hasParts = options.hasParts ?? (seed >= FIRST_PARTS_SEED && !isOfLoneRange);
-  const { eventGapMs = isReleasing || isUneven || herd ? EVENT_GAP_MS : 0 } = options;
+  const isPaced = isReleasing || isUneven || herd !== undefined || plannedCallerCount > 0;
+  const { eventGapMs = isPaced ? EVENT_GAP_MS : 0 } = options;
   const site = new Site({
     isKeyed,
     eventGapMs,
     isUneven,
     isChanging,
     cpuShare,
+    isStartLimited: isOfPlannedSeed,
     engineCount,
     maxConnections,
     engineSlots,
@@ -207,6 +252,9 @@
   if (isUneven) unevenLoad.start();
   const herdLoad = herd && new HerdLoad(site, new Dice(seed + 6), herd);
   herdLoad?.start();
+  const plannedLoad =
+    plannedCallerCount > 0 ? new PlannedLoad(site, new Dice(seed + 7)) : undefined;
+  plannedLoad?.start(plannedCallerCount);
   const startedAtMs = performance.now();
   const changeDice = new Dice(seed + 5);
   const untilMs = startedAtMs + forMs;
@@ -234,7 +282,7 @@
   poisonLoad.stop();
   partLoad.stop();
   unevenLoad.stop();
-  await Promise.all([callers.stop(), herdLoad?.stop()]);
+  await Promise.all([callers.stop(), herdLoad?.stop(), plannedLoad?.stop()]);
   const promises = new PromiseChecker(
     site,
     callers.calls,
@@ -250,7 +298,16 @@
       herdBreaches.push({ promise, detail });
     });
   herdChecker?.judge();
-  const breaches = [...promises.judge(), ...herdBreaches];
+  const plannedBreaches: Breach[] = [];
+  const planned =
+    plannedLoad &&
+    new PlannedWorkChecker({
+      site,
+      load: plannedLoad,
+      slackMs,
+      breach: (promise, detail) => plannedBreaches.push({ promise, detail }),
+    }).judge();
+  const breaches = [...promises.judge(), ...herdBreaches, ...plannedBreaches];
   const lines: Record<string, readonly string[]> = {};
   if (breaches.length > 0) {
     for (const entry of site.entries) lines[entry.name] = entry.lines.slice(-LAST_LINES);
@@ -265,6 +322,7 @@
     breaches,
     faults: done,
     herds: herdChecker?.reports() ?? [],
+    planned,
     lines,
   };
 }
