--- a/test/streamworld.test.ts
+++ b/test/streamworld.test.ts
@@ -1,21 +1,15 @@
 import test from 'ava';
-import { codec } from '../platform/codec.js';
 import type { Origins } from '../src/direct/origin/index.js';
 import { GuessingHistory } from './support/guessinghistory.js';
 import { PresentHistory } from './support/presenthistory.js';
-import { StreamWorld } from './support/streamworld.js';
+import { playStreams } from './support/playstreams.js';
+import { streamSeeds } from './support/streamseeds.js';
+import type { StreamWorld } from './support/streamworld.js';
 
 type Options = ConstructorParameters<typeof StreamWorld>[0];
 type Rates = Options['rates'];
 type OriginsOptions = ConstructorParameters<typeof Origins>[0];
 
-/** For a longer run: STREAM_SEEDS=100 npx ava --timeout=20m dist/test/streamworld.test.js. */
-const SEEDS = Number(process.env.STREAM_SEEDS ?? 2);
-const DAY_MS = 60_000;
-const RELEASE_EVERY_MS = 12_000;
-/** Streams that are taken up below which their share shows nothing. */
-const MIN_TAKEN_UP = 12;
-const CHANGES: Rates = { drain: 20, leave: 10, crash: 6 };
 const REPLACED: Rates = { drain: 0, leave: 0, replaceAll: 12 };
 /** A release that leaves no server of the version before, and callers that lose their connections often. */
 const REPLACING: Partial<Options> = { releaseEveryMs: 4000, versionsAtOnce: 1, lossMs: 1000 };
@@ -52,49 +46,9 @@
   },
 };
 
-/** Plays seeds of a scenario and returns what breaks a rule. */
-async function play(
-  rates: Rates,
-  options: Partial<Options> = {},
-  { seeds = SEEDS, dayMs = DAY_MS, aim = 0 } = {},
-): Promise<string[]> {
-  const findings: string[] = [];
-  const begun = { count: 0, served: 0 };
-  const takenUp = { count: 0, served: 0 };
-  const waits = { begun: { count: 0, served: 0 }, takenUp: { count: 0, served: 0 } };
-  for (let seed = 1; seed <= seeds; seed += 1) {
-    const world = new StreamWorld({
-      seed,
-      codec,
-      releaseEveryMs: RELEASE_EVERY_MS,
-      rates: { ...CHANGES, ...rates },
-      ...options,
-    });
-    await world.run(dayMs);
-    for (const finding of world.findings) findings.push(`${seed}: ${finding}`);
-    for (const [sum, part] of [
-      [begun, world.begun],
-      [takenUp, world.takenUp],
-      [waits.begun, world.waits.begun],
-      [waits.takenUp, world.waits.takenUp],
-    ] as const) {
-      sum.count += part.count;
-      sum.served += part.served;
-    }
-  }
-  const share = takenUp.served / takenUp.count;
-  const isLost = share < begun.served / begun.count / 2;
-  const { count, served } = waits.takenUp;
-  const isShort = served / count < (waits.begun.served / waits.begun.count) * aim;
-  if (takenUp.count < MIN_TAKEN_UP) findings.push(`${takenUp.count} streams taken up`);
-  else if (isLost) findings.push(`${takenUp.served} of ${takenUp.count} taken up went on`);
-  if (isShort) findings.push(`${served} of ${count} streams that broke went on`);
-  return findings;
-}
-
 for (const [name, disturbances] of Object.entries(SCENARIOS)) {
   test(`no stream holds events of two versions, and those that are taken up go on: ${name}`, async (t) => {
-    t.deepEqual(await play(disturbances), []);
+    t.deepEqual(await playStreams(disturbances), []);
   });
 }
 
@@ -103,71 +57,52 @@
 
 // Guards against streams that are refused after a kill of all entries, as nobody is left to know with what they began.
 test('streams go on after all entries were killed at once, nearly as often as new ones begin', async (t) => {
-  t.deepEqual(await play({ restartAll: 12 }, PATIENT, { aim: 0.9, seeds: 2 * SEEDS }), []);
+  t.deepEqual(
+    await playStreams({ restartAll: 12 }, PATIENT, { aim: 0.9, seeds: 2 * streamSeeds }),
+    [],
+  );
 });
 
 test('the checks find origins that are lost with all entries', async (t) => {
   const origins = (options: OriginsOptions) => ({ ...options, store: () => {} });
-  const findings = await play({ restartAll: 12 }, { ...PATIENT, parts: { origins } }, { aim: 0.9 });
-  t.true(findings.some((finding) => finding.endsWith('that broke went on')));
-});
-
-/**
- * Engines that crash with the only replica of their version and come back empty, and callers that wait for a load and
- * seldom lose their connections, so that most streams are taken up for want of a place.
- */
-const PLACES = { lostPerMinute: 60 };
-const LOSING: Partial<Options> = { places: PLACES, patienceMs: 6000, lossMs: 60_000 };
-
-// Guards against streams that are refused for want of a place while servers of their version could load their model.
-for (const [name, rates] of Object.entries({
-  'nothing else happens': {},
-  'entries are frozen': { freeze: 12 },
-})) {
-  test(`streams go on where places of their version are lost, nearly as often as new ones begin: ${name}`, async (t) => {
-    t.deepEqual(await play(rates, LOSING, { aim: 0.9 }), []);
-  });
-}
-
-test('the checks find a plan that does not know software versions', async (t) => {
-  const places = { ...PLACES, knowsVersions: false };
-  const findings = await play({}, { ...LOSING, places }, { aim: 0.9, seeds: 2 * SEEDS });
-  t.true(findings.some((finding) => finding.endsWith('that broke went on')));
-});
-
-test('the checks find streams that are held for a load no longer than new requests', async (t) => {
-  const places = { ...PLACES, holdsStreams: false };
-  const findings = await play({}, { ...LOSING, places }, { aim: 0.9 });
+  const findings = await playStreams(
+    { restartAll: 12 },
+    { ...PATIENT, parts: { origins } },
+    { aim: 0.9 },
+  );
   t.true(findings.some((finding) => finding.endsWith('that broke went on')));
 });
 
 test('streams of one version are taken up at any entry', async (t) => {
-  t.deepEqual(await play({ restart: 20, isolate: 6 }, { releaseEveryMs: Infinity }), []);
+  t.deepEqual(await playStreams({ restart: 20, isolate: 6 }, { releaseEveryMs: Infinity }), []);
 });
 
 test('the checks find memories of one entry alone', async (t) => {
   const copy = () => Promise.resolve(false);
   const silent = { copy, store: () => {}, ask: () => Promise.resolve(undefined) };
   const origins = (options: OriginsOptions) => ({ ...options, ...silent });
-  const findings = await play({}, { parts: { origins } });
+  const findings = await playStreams({}, { parts: { origins } });
   t.true(findings.some((finding) => finding.endsWith('taken up went on')));
 });
 
 test('the checks find streams of unknown begin that are sent on', async (t) => {
-  const findings = await play({ restart: 20 }, { parts: { history: () => new GuessingHistory() } });
+  const findings = await playStreams(
+    { restart: 20 },
+    { parts: { history: () => new GuessingHistory() } },
+  );
   t.true(findings.some((finding) => finding.includes('stream-')));
 });
 
 test('the checks find an inference from what is listed now', async (t) => {
   const parts = { history: () => new PresentHistory() };
-  const findings = await play({ ...REPLACED, isolate: 30 }, { ...REPLACING, parts });
+  const findings = await playStreams({ ...REPLACED, isolate: 30 }, { ...REPLACING, parts });
   t.true(findings.some((finding) => finding.includes('stream-')));
 });
 
 test('the checks find an inference from a list of any age', async (t) => {
   const parts = { origins: (options: OriginsOptions) => ({ ...options, listAgeMs: () => 0 }) };
   const rates = { ...REPLACED, isolate: 60 };
-  const findings = await play(
+  const findings = await playStreams(
     rates,
     { ...REPLACING, parts, troubleMs: 9000 },
     {
