Drain daemons that get SIGTERM while they start

A SIGTERM between the listen call of `tarragonstile entry` or `sidecar` and the end of its start ended the process by the signal, with whatever it had accepted.

Cause: the handlers of SIGTERM and SIGINT were set after the start.

Evidence: test/daemonsignal.test.ts; the same program with the former call ended by SIGTERM.

The handlers are set before the start, and the daemon is drained once it has started. SIGTERM while modules are loaded still ends the process by the signal: nothing is accepted then, and the command line has other commands that should end at once.

--- a/src/command/entry.ts
+++ b/src/command/entry.ts
@@ -16,6 +16,6 @@
     const { flags } = await this.parse(EntryCommand);
     const settings = loadSettings(flags.settings, entrySchema);
     if (settings.err) throw new FailureError(settings.val);
-    await runUntilStopped(await startEntry(settings.val));
+    await runUntilStopped(() => startEntry(settings.val));
   }
 }
--- a/src/command/rununtilstopped.ts
+++ b/src/command/rununtilstopped.ts
@@ -13,12 +13,17 @@
   for (const signal of SIGNALS) process.on(signal, act);
 }
 
-/** Prints the port, waits for SIGTERM or SIGINT and drains the daemon. A second signal skips the rest of the drain. */
-export async function runUntilStopped(daemon: Daemon): Promise<void> {
-  process.stdout.write(`${JSON.stringify({ port: daemon.port, pid: process.pid })}\n`);
-  await new Promise<void>((resolve) => {
+/**
+ * Starts a daemon, prints its port, waits for SIGTERM or SIGINT and drains the daemon. A further signal during the drain
+ * skips the rest of it. A signal during the start takes effect after it: the daemon may have accepted requests by then.
+ */
+export async function runUntilStopped(start: () => Promise<Daemon>): Promise<void> {
+  const stopped = new Promise<void>((resolve) => {
     onSignal(resolve);
   });
+  const daemon = await start();
+  process.stdout.write(`${JSON.stringify({ port: daemon.port, pid: process.pid })}\n`);
+  await stopped;
   onSignal(() => daemon.expire());
   await daemon.stop();
   process.exit(0);
--- a/src/command/sidecar.ts
+++ b/src/command/sidecar.ts
@@ -16,6 +16,6 @@
     const { flags } = await this.parse(SidecarCommand);
     const settings = loadSettings(flags.settings, sidecarSchema);
     if (settings.err) throw new FailureError(settings.val);
-    await runUntilStopped(await startSidecar(settings.val));
+    await runUntilStopped(() => startSidecar(settings.val));
   }
 }
