Do not relay the bytes of records that no entry reads

A record of another writer of 1 MB, under a key of a server or any other key, went in full from the sharing entry to each other one, before or beside the news that they wait for, again whenever it was written.

Cause: the change log kept changes of every key, and bounded large records under the own prefix alone. Evidence: the new test of sharedfeed got both records in full before.

Keys that no entry reads are left out; an unreadable record of a server beyond 64 KB is relayed without its bytes and so stays unreadable. Smaller ones are relayed whole, as an entry of another release may read them.

--- a/src/direct/sync/changelog.ts
+++ b/src/direct/sync/changelog.ts
@@ -54,7 +54,7 @@
   add(after: Revision, { changes, revision }: Changes, sentAtMs: Ms): void {
     if (after !== this.lastRevision) this.restart(after);
     for (const change of changes) {
-      if (this.isNews(change)) this.keep(change);
+      if (this.isRead(keyOf(change)) && this.isNews(change)) this.keep(this.reduced(change));
     }
     const excess = this.kept.length - MAX_CHANGES;
     if (excess > 0) {
@@ -113,6 +113,23 @@
     this.kept.push(change);
   }
 
+  /** Returns true for the keys that entries read; any process can write others. */
+  private isRead(key: string): boolean {
+    const { codec } = this;
+    return (
+      codec.upstreamOf(key) !== undefined || codec.isTable(key) || key.startsWith(codec.ownPrefix)
+    );
+  }
+
+  /** Leaves out the bytes of an unreadable record that is too large for an upstream: it stays unreadable. */
+  private reduced(change: Change): Change {
+    if (change.type === 'deleted') return change;
+    const { key, value } = change.item;
+    const isUnreadable = this.codec.upstreamOf(key) !== undefined && !this.values.has(key);
+    if (!isUnreadable || value.length <= MAX_LARGE_BYTES) return change;
+    return { ...change, item: { ...change.item, value: '' } };
+  }
+
   private restart(after: Revision): void {
     this.kept = [];
     this.values.clear();
--- a/test/sharedfeed.test.ts
+++ b/test/sharedfeed.test.ts
@@ -118,6 +118,28 @@
   );
 });
 
+// Guards against news of upstreams that wait at other entries for a large record that none of them can use.
+test('records that no entry reads are passed on without their bytes, or not at all', async (t) => {
+  const pair = new Pair();
+  const large = 'x'.repeat(1_000_000);
+  const put = (key: string, revision: number): Changes[number] => ({
+    type: 'put',
+    item: { key, value: large, revision: revision as Revision },
+  });
+  pair.answers.push(answerOf(8, [put('servers/odd', 5), put('other/odd', 6), heartbeat(8, 1)]));
+  await pair.read(4);
+  const answer = await pair.ask(4);
+  const { changes, revision } = (answer as Extract<ChangesAnswer, { ok: true }>).val;
+  t.is(revision, 8 as Revision);
+  t.deepEqual(
+    changes.map((change) => change.type === 'put' && [change.item.key, change.item.value.length]),
+    [
+      ['servers/odd', 0],
+      ['servers/u1', serverRecord({ state: 'ready', seq: 1 }).length],
+    ],
+  );
+});
+
 test('a waiting request is answered with the next change', async (t) => {
   const pair = new Pair();
   pair.answers.push(answerOf(5, [heartbeat(5, 1)]), answerOf(6, [heartbeat(6, 2, 'draining')]));
