--- a/bench/soak/answerreader.ts
+++ b/bench/soak/answerreader.ts
@@ -11,6 +11,8 @@
 const LENGTH = /^content-length: *(\d+)/im;
 const CHUNKED = /^transfer-encoding: *chunked/im;
 const CLOSES = /^connection: *close/im;
+/** Enough to show whether an event or a chunk was cut. */
+const END_LENGTH = 24;
 const FIRST_FINAL_STATUS = 200;
 
 /** Returns where a body in chunks ends; undefined if it is not complete. */
@@ -37,6 +39,11 @@
     return this.text.length;
   }
 
+  /** The last characters of these. */
+  get pendingEnd(): string {
+    return this.text.slice(-END_LENGTH);
+  }
+
   /** Returns the answers that are complete with this chunk. */
   push(chunk: Buffer): Answer[] {
     this.text += chunk.toString('latin1');
--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -522,6 +522,7 @@
 const listener = createServer(serve);
 process.on('SIGTERM', () => {
   if (defect === 'cut') process.exit(0);
+  if (defect === 'cuts-on-stop') cutPassedOn();
   listener.close(() => process.exit(0));
   listener.closeIdleConnections();
 });
--- a/bench/soak/plannedload.ts
+++ b/bench/soak/plannedload.ts
@@ -163,6 +163,7 @@
       sentAtMs: undefined,
       status: undefined,
       receivedBytes: 0,
+      receivedEnd: '',
       isWhole: false,
       endedAtMs: undefined,
       errorCode: undefined,
--- a/bench/soak/plannedworkchecker.ts
+++ b/bench/soak/plannedworkchecker.ts
@@ -187,6 +187,7 @@
     return [
       `${id} (${kind}) at ${program.name}`,
       `ended ${rounded(untilMs - sentAtMs)} after its last byte, ${receivedBytes} bytes received`,
+      ...(receivedBytes > 0 ? [`the last ones ${JSON.stringify(request.receivedEnd)}`] : []),
       request.hasGivenUp ? 'by its caller' : (request.errorCode ?? `status ${request.status}`),
       earlierCount === 0 ? 'first on its connection' : `${earlierCount} earlier on its connection`,
       request.isKept ? 'kept' : 'one request only',
--- a/bench/soak/socketconnection.ts
+++ b/bench/soak/socketconnection.ts
@@ -92,7 +92,9 @@
   private receive(chunk: Buffer): void {
     for (const answer of this.reader.push(chunk)) this.answer(answer);
     const [next] = this.waiting;
-    if (next) next.receivedBytes = this.reader.pendingBytes;
+    if (!next) return;
+    next.receivedBytes = this.reader.pendingBytes;
+    next.receivedEnd = this.reader.pendingEnd;
   }
 
   private finish(): void {
--- a/bench/soak/socketrequest.ts
+++ b/bench/soak/socketrequest.ts
@@ -17,6 +17,8 @@
   status: number | undefined;
   /** Bytes of its answer that arrived, whole or not. */
   receivedBytes: number;
+  /** The last characters of an answer that was not complete. */
+  receivedEnd: string;
   /** True if the answer was complete by its HTTP framing. */
   isWhole: boolean;
   endedAtMs: number | undefined;
--- a/test/soakdefects.test.ts
+++ b/test/soakdefects.test.ts
@@ -26,6 +26,8 @@
   readonly isKeyed?: boolean;
   /** New connections a second, most of which go to one entry by turns. */
   readonly herdPerS?: number;
+  /** Number of callers on raw sockets. */
+  readonly socketCount?: number;
 }
 
 /** Defects to plant, with the promise that each breaks. */
@@ -77,6 +79,48 @@
     forS: 7,
     gapMs: 300,
   },
+  'cuts-on-stop': {
+    promise: 'planned work cuts no request that was passed on',
+    faultNames: ['stop', 'slowDown'],
+    forS: 5,
+    gapMs: 500,
+    socketCount: 24,
+  },
+  'cuts-on-hangup': {
+    promise: 'planned work cuts no request that was passed on',
+    faultNames: ['hangUp', 'slowDown'],
+    forS: 5,
+    gapMs: 500,
+    socketCount: 24,
+  },
+  'cuts-on-configuration': {
+    promise: 'planned work cuts no request that was passed on',
+    faultNames: ['configure', 'slowDown'],
+    forS: 5,
+    gapMs: 500,
+    socketCount: 24,
+  },
+  'resets-waiting': {
+    promise: 'planned work ends no request that has waited',
+    faultNames: ['hangUp'],
+    forS: 5,
+    gapMs: 500,
+    socketCount: 24,
+  },
+  'closes-pipelined': {
+    promise: 'planned work ends no pipelined request that has waited',
+    faultNames: ['hangUp', 'slowDown'],
+    forS: 6,
+    gapMs: 300,
+    socketCount: 48,
+  },
+  'closes-kept': {
+    promise: 'a request passed on from a kept connection is answered',
+    faultNames: ['slowDown'],
+    forS: 5,
+    gapMs: 500,
+    socketCount: 24,
+  },
   'sends-on': {
     promise: 'a poison request is not sent on',
     faultNames: ['hangUp'],
@@ -218,7 +262,7 @@
 for (const [defect, planted] of Object.entries(DEFECTS)) {
   const { promise, faultNames, forS = FOR_S, gapMs = 900, isHarsh = false } = planted;
   const { isKeyed = false, isReleasing = false, hasParts = false, callerCount } = planted;
-  const { isUneven = false, isChanging = false, herdPerS } = planted;
+  const { isUneven = false, isChanging = false, herdPerS, socketCount } = planted;
   test.serial(`the soak finds the planted defect ${defect}`, async (t) => {
     const { breaches, asked, answered, faults } = await runSoak(
       ...['--seed', '7', '--for', String(forS), '--gap', String(gapMs)],
@@ -230,6 +274,7 @@
       ...(isUneven ? ['--uneven'] : []),
       ...(isChanging ? ['--changing'] : []),
       ...(herdPerS === undefined ? [] : ['--herd', String(herdPerS), '--share', '1']),
+      ...(socketCount === undefined ? [] : ['--sockets', String(socketCount)]),
       ...(callerCount === undefined ? [] : ['--callers', String(callerCount)]),
     );
     const isFound = breaches.some((breach) => breach.promise === promise);
