--- a/bench/soak/badentry.ts
+++ b/bench/soak/badentry.ts
@@ -104,6 +104,8 @@
 const barred = new Set<string>();
 /** Connections with requests that were sent to a server and have no answer yet. */
 const passedOn = new Set<Socket>();
+/** Connections with requests that the defect `closes-pipelined` does not handle. */
+const unhandled = new Set<Socket>();
 let configurationText = '';
 let reads = 0;
 let count = 0;
@@ -356,7 +358,7 @@
   previousBody = `${body}!`;
   const isDropped = defect === 'unsigned' && count % DEFECT_ONE_IN === 0;
   const kept = isDropped ? {} : forwardedHeaders(headers);
-  if (defect === 'closes-pipelined' && count % DEFECT_ONE_IN === 0) kept.connection = 'close';
+  if (response.socket && unhandled.has(response.socket)) kept.connection = 'close';
   response.writeHead(status, { ...kept, 'content-length': String(sentBody.length) }).end(sentBody);
 }
 
@@ -482,6 +484,10 @@
     response.writeHead(503).end();
     return;
   }
+  if (defect === 'closes-pipelined' && passedOn.has(incoming.socket)) {
+    unhandled.add(incoming.socket);
+    return;
+  }
   if (defect === 'resets-waiting' && count % DEFECT_ONE_IN === 0) {
     setTimeout(() => incoming.socket.resetAndDestroy(), RESET_AFTER_MS);
     return;
--- a/bench/soak/ports.ts
+++ b/bench/soak/ports.ts
@@ -1,4 +1,8 @@
 import { createServer, type Server } from 'node:net';
+import { pause } from './pause.js';
+
+/** Pause between two attempts to take a part, which may all be taken for a while. */
+const CLAIM_EVERY_MS = 20;
 
 /** A range of ports. */
 interface PortRange {
@@ -33,6 +37,9 @@
   /** First port of the part that belongs to this process. */
   private own: Promise<number> | undefined;
 
+  /** Listens on the first port of that part. */
+  private holder: Server | undefined;
+
   constructor(private readonly range: PortRange) {}
 
   async take(count: number): Promise<number[]> {
@@ -48,6 +55,18 @@
     return ports;
   }
 
+  /** Gives the part back, so that a process with many runs does not take the whole range. */
+  async release(): Promise<void> {
+    await this.own;
+    this.own = undefined;
+    this.allocated.clear();
+    await new Promise<void>((resolve) => {
+      if (this.holder) this.holder.close(() => resolve());
+      else resolve();
+    });
+    this.holder = undefined;
+  }
+
   private async claim(): Promise<number> {
     const { first, count, countPerProcess } = this.range;
     for (;;) {
@@ -55,7 +74,9 @@
       const port = first + part * countPerProcess;
       const server = await listen(port);
       server?.unref();
+      this.holder = server;
       if (server) return port;
+      await pause(CLAIM_EVERY_MS);
     }
   }
 }
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -103,7 +103,7 @@
  * Below the range from which the kernel takes the local ports of outgoing connections. Such a connection could
  * otherwise take the port of an entry while that is down.
  */
-const PORT_RANGE = { first: 20_000, count: 10_000, countPerProcess: 400 };
+const PORT_RANGE = { first: 12_000, count: 18_000, countPerProcess: 400 };
 
 /**
  * The deployment under test: real entries as processes, a stand-in store and stand-in servers. A proxy stands on
@@ -280,6 +280,7 @@
   async close(): Promise<void> {
     this.isClosed = true;
     await Promise.all(this.entries.map((entry) => entry.close()));
+    await this.ports.release();
     this.store.close();
     for (const proxy of this.storeProxies) proxy.close();
     for (const { server, proxy } of this.servers) {
--- a/test/soakports.test.ts
+++ b/test/soakports.test.ts
@@ -17,3 +17,14 @@
   const given = [...(await one.take(8)), ...(await other.take(8))];
   t.is(new Set(given).size, given.length);
 });
+
+// A process with many runs kept a part for each, until every other soak on the machine waited for ports forever.
+test('a part of the range that was given back is free for another process', async (t) => {
+  const range = { first: 19_960, count: 12, countPerProcess: 12 };
+  const one = new Ports(range);
+  await one.take(3);
+  await one.release();
+  const other = new Ports(range);
+  t.is((await other.take(3)).length, 3);
+  await one.release();
+});
