Soak: entries cut off from each other around releases

New faults, played only where they are named: cutEntries, isolate and outOfStepInRelease. Each connection from one entry to another goes through a proxy of its pair: a module that is loaded before the entry's own redirects the ports, since entries announce the address at which they listen.

--- a/bench/soak/knownfaults.ts
+++ b/bench/soak/knownfaults.ts
@@ -1,5 +1,6 @@
 import { faults } from './faults.js';
 import { leavingFaults } from './leavingfaults.js';
+import { outOfStepFaults } from './outofstepfaults.js';
 import { overloadFaults } from './overloadfaults.js';
 import { openEndFaults } from './openendfaults.js';
 import { rejoinFaults } from './rejoinfaults.js';
@@ -19,4 +20,5 @@
   ...releaseFaults,
   ...rejoinFaults,
   ...openEndFaults,
+  ...outOfStepFaults,
 };
--- a/bench/soak/ports.ts
+++ b/bench/soak/ports.ts
@@ -33,8 +33,15 @@
   /** First port of the part that belongs to this process. */
   private own: Promise<number> | undefined;
 
+  private claimed: Server | undefined;
+
   constructor(private readonly range: PortRange) {}
 
+  /** Gives the part back; a process that runs many deployments in turn would otherwise take all parts. */
+  close(): void {
+    this.claimed?.close();
+  }
+
   async take(count: number): Promise<number[]> {
     this.own ??= this.claim();
     const first = (await this.own) + 1;
@@ -54,8 +61,10 @@
       const part = Math.floor(Math.random() * Math.floor(count / countPerProcess));
       const port = first + part * countPerProcess;
       const server = await listen(port);
-      server?.unref();
-      if (server) return port;
+      if (!server) continue;
+      server.unref();
+      this.claimed = server;
+      return port;
     }
   }
 }
--- a/bench/soak/site.ts
+++ b/bench/soak/site.ts
@@ -9,6 +9,7 @@
 } from '../../standin/platform/index.js';
 import { changingRoutes } from './changingroutes.js';
 import { customers } from './customers.js';
+import { PeerRelays } from './peerrelays.js';
 import { Ports } from './ports.js';
 import { Program } from './program.js';
 import { Proxy } from './proxy.js';
@@ -40,6 +41,8 @@
   readonly maxConnections?: number;
   /** Slots that engines announce; they are not enforced. */
   readonly engineSlots?: number;
+  /** True if the entries reach each other through proxies. */
+  readonly hasPeerRelays?: boolean;
 }
 
 const ZONES = ['z1', 'z2'];
@@ -114,6 +117,11 @@
   /** Proxies in front of the store, one for each entry. */
   readonly storeProxies: Proxy[] = [];
 
+  /** Proxies between the entries; none are open without `hasPeerRelays`. */
+  readonly peerRelays = new PeerRelays();
+
+  private readonly peerPorts = new Map<string, number>();
+
   /** All servers since the start, including those that have left. */
   readonly servers: ListedServer[] = [];
 
@@ -176,8 +184,11 @@
     for (let at = 0; at < entryCount; at += 1) {
       const proxy = new Proxy(storePort);
       this.storeProxies.push(proxy);
-      this.entries.push(await this.entry(at, await proxy.listen(), command));
+      const { hasPeerRelays = false } = this.options;
+      const run = hasPeerRelays ? PeerRelays.command(command) : command;
+      this.entries.push(await this.entry(at, await proxy.listen(), run));
     }
+    if (this.options.hasPeerRelays) await this.peerRelays.open(this.peerPorts, this.directory);
     for (const entry of this.entries) entry.start();
   }
 
@@ -274,6 +285,8 @@
     await Promise.all(this.entries.map((entry) => entry.close()));
     this.store.close();
     for (const proxy of this.storeProxies) proxy.close();
+    this.peerRelays.close();
+    this.ports.close();
     for (const { server, proxy } of this.servers) {
       proxy.close();
       server.close();
@@ -292,6 +305,7 @@
   ): Promise<Program> {
     const [callers, readiness, peer, metricsPort] = await this.ports.take(4);
     const name = `entry-${at}`;
+    this.peerPorts.set(name, peer!);
     const { cpuShare } = this.options;
     const settings = {
       host: name,
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -10,6 +10,7 @@
 import { leavingFaults } from './leavingfaults.js';
 import { releaseFaults } from './releasefaults.js';
 import { openEndFaults } from './openendfaults.js';
+import { outOfStepFaults } from './outofstepfaults.js';
 import { overloadFaults } from './overloadfaults.js';
 import { reportedStateFaults } from './reportedstatefaults.js';
 import { pause } from './pause.js';
@@ -178,6 +179,7 @@
     engineCount,
     maxConnections,
     engineSlots,
+    hasPeerRelays: options.faultNames?.some((name) => Object.hasOwn(outOfStepFaults, name)),
   });
   const isSuspendable = isHarsh && command === entryCommand;
   await site.start(
--- a/test/soakports.test.ts
+++ b/test/soakports.test.ts
@@ -17,3 +17,13 @@
   const given = [...(await one.take(8)), ...(await other.take(8))];
   t.is(new Set(given).size, given.length);
 });
+
+// A soak of 25 seeds in one process took all parts and waited without end, and so did all other soaks.
+test('a process that has closed its ports leaves its part to others', async (t) => {
+  const range = { ...RANGE, first: 19_960 };
+  for (let round = 0; round < 3; round += 1) {
+    const ports = new Ports(range);
+    t.is((await ports.take(3)).length, 3);
+    ports.close();
+  }
+});
