Test that a server listed later is used beside many odd records

Guards against one odd record that ends an entry or stops it from following the list, under keys of servers, of the system and others, for an entry that runs and one that starts.

--- a/test/foreignrecords.test.ts
+++ b/test/foreignrecords.test.ts
@@ -194,3 +194,40 @@
   await rig.untilLogged(1, 'store regained');
   t.is((await lookUp(rig)).status, 200);
 });
+
+/** Odd records: deep, with numbers out of range, or with names of a prototype. */
+const ODD: readonly string[] = [
+  `${'['.repeat(100_000)}${']'.repeat(100_000)}`,
+  `{"extra":${'['.repeat(20_000)}${']'.repeat(20_000)},${serverRecord(RECORD).slice(1)}`,
+  serverRecord({ ...RECORD, seq: 1 }).replace('"seq":1', '"seq":1e400'),
+  serverRecord({ ...RECORD, address: '127.0.0.1:65536' }),
+  `{"__proto__":{"state":"ready"},${serverRecord({ ...RECORD, service: '__proto__' }).slice(1)}`,
+  `{"services":[{"service":"s","versions":["v1"],"settledCount":1,"x":${'['.repeat(20_000)}${']'.repeat(20_000)}}]}`,
+  `{"suspects":[{"trait":"t","service":"s","sinceWallMs":1e400,"crashes":[]}]}`,
+  `{"origins":${'['.repeat(20_000)}${']'.repeat(20_000)},"streams":[]}`,
+  'x'.repeat(500_000),
+];
+
+// Guards against one odd record that ends an entry, or stops it from following the list: servers that are listed later are
+// used, also by an entry that starts beside such records.
+test('a server that is listed later is used beside many odd records', async (t) => {
+  const rig = await startRig(t);
+  await rig.untilLogged(1, 'order turn taken');
+  const own = keysOf(rig).filter((key) => !key.startsWith('servers/') && key !== 'op/config');
+  for (const [at, text] of ODD.entries()) {
+    for (const key of [`servers/odd-${at}`, `other/odd-${at}`, `tarragonstile/odd-${at}`, ...own]) {
+      rig.store.put(key, text);
+    }
+  }
+  const later = new PlatformServer('p2', 'plain');
+  await rig.add(later);
+  await rig.startEntry(1);
+  await rig.until(() => rig.entryOf(1).isReady());
+  await rig.untilLogged(2, 'upstream listed', ({ upstream }) => upstream === 'p2');
+  rig.store.remove('servers/p1');
+  await rig.untilLogged(2, 'upstream gone', ({ upstream }) => upstream === 'p1');
+  for (const port of [rig.portOf(0), rig.portOf(1)]) {
+    t.is((await callEntry(port, { path: '/lookup/1' })).status, 200);
+  }
+  t.is(later.runs.length, 2);
+});
