Let time pass between the waits of a stream, and retry it after a crash before its first event

Cause: a stream skips upstreams that count as lost, but the block of the others was not seen beside one, so that each wait ended at once for an upstream that may not be used. A request that had been sent once gave up where one that had not been sent waits. A load that the holder had announced counted as time without its word, and an upstream that answers others but opens no connection was tried each 50 ms.

A block is looked for among the upstreams that may be chosen, at least 50 ms lie between two waits, and more after each attempt that reaches nothing; what the holder announces counts from the time for which it was announced.

--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -348,11 +348,15 @@
     return enginePlaces({ slots: info.slots, ...capacity, targetMs, isUrgent });
   }
 
-  /** Returns why no upstream that holds the target may be sent a request now: the block that ends first. */
-  blockFor(target: Target, nowMs: Ms, requestId: string): Block | undefined {
+  /**
+   * Returns why no upstream that holds the target may be sent a request now: the block that ends first. One that counts
+   * as lost cannot be chosen either unless `includesLost` is set.
+   */
+  blockFor(target: Target, nowMs: Ms, requestId: string, includesLost = true): Block | undefined {
     let first: Block | undefined;
-    for (const { info } of this.holding(target, nowMs)) {
-      const block = this.gate.blockOf(info, nowMs, requestId);
+    for (const state of this.holding(target, nowMs)) {
+      if (!includesLost && this.isLost(state, nowMs)) continue;
+      const block = this.gate.blockOf(state.info, nowMs, requestId);
       if (!block) return undefined;
       if (!first || block.opensInMs < first.opensInMs) first = block;
     }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -101,8 +101,14 @@
   /** When the wait for a target that is under way began. */
   private waitingFromMs: Ms | undefined;
 
-  /** Since when no upstream could be reached; undefined if the last attempt reached one. */
-  private strandedAtMs: Ms | undefined;
+  /** True from a wait for a target until an attempt has reached an upstream. */
+  private isUnreached = false;
+
+  /** How long the request has waited without word of a load since it last reached an upstream. */
+  private unplannedMs: Ms = 0;
+
+  /** Attempts that reached no upstream since the last one that did. */
+  private unreachedCount = 0;
 
   private readonly suspicion: Suspicion;
 
@@ -279,9 +285,8 @@
     const nowMs = clock.nowMs();
     // A request without a model has no alternative to an upstream that may be lost; a model can be loaded elsewhere.
     // A stream that has waited does so until the upstream may be tried again.
-    const isStranded = this.strandedAtMs !== undefined;
     const includesLost =
-      request.model === undefined ? !isStranded : this.hasWaitedForTarget && !origin;
+      request.model === undefined ? !this.isUnreached : this.hasWaitedForTarget && !origin;
     const mustAsk = this.suspicion.permission() === 'ask-first';
     const isTrial = mustAsk || this.suspicion.isTrial;
     const requestId = request.id;
@@ -294,7 +299,7 @@
       isUrgent: this.urgency.isFirst || this.isReturn,
       seed: hash32(requestId),
     });
-    const block = state ? undefined : serving.fleet.blockFor(this.target, nowMs, requestId);
+    const block = state ? undefined : this.blockFor(nowMs, includesLost);
     if (!state) this.queue.leave();
     const hold = state && this.holdFor(state, nowMs);
     if (hold) hold();
@@ -307,6 +312,12 @@
     else this.tryAgainLater();
   }
 
+  /** Returns the block that a request waits for; a stream cannot be sent to an upstream that counts as lost. */
+  private blockFor(nowMs: Ms, includesLost: boolean): Block | undefined {
+    const { id } = this.caller.request;
+    return this.serving.fleet.blockFor(this.target!, nowMs, id, includesLost || !this.origin);
+  }
+
   /** Returns false if the stream began at a service that a new configuration has taken off the route. */
   private isOnRoute(): boolean {
     return this.route.destinations.some(({ service }) => service === this.service);
@@ -514,7 +525,8 @@
       this.waitForConnection();
       return;
     }
-    if (this.ranCount > 0 || (this.hasTriedAll && !this.origin)) {
+    // A stream may run again within its attempts, and can go on nowhere else.
+    if (!this.origin && (this.ranCount > 0 || this.hasTriedAll)) {
       this.giveUp('upstreams-full', 'No upstream could take the request.', this.retryAfterMs());
       return;
     }
@@ -526,7 +538,8 @@
   /** Delay before an upstream that refused is tried again. */
   private get roundMs(): Ms {
     if (!this.origin) return NEXT_ROUND_MS;
-    const at = Math.min(Math.max(1, this.refusedCount), STREAM_ROUND_MS.length) - 1;
+    const failedCount = this.unreachedCount > 0 ? this.unreachedCount : this.refusedCount;
+    const at = Math.min(Math.max(1, failedCount), STREAM_ROUND_MS.length) - 1;
     return STREAM_ROUND_MS[at]!;
   }
 
@@ -555,24 +568,26 @@
     const target = this.target!;
     const { request } = this.caller;
     const nowMs = this.clock.nowMs();
-    this.strandedAtMs ??= nowMs;
     const waiter = {
       heldMs: nowMs - request.arrivedAtMs,
       remainingMs: this.untilMs - nowMs,
       targetMs: this.route.targetLatencyMs,
       isContinued: target.origin !== undefined,
-      waitedMs: nowMs - this.strandedAtMs,
+      unplannedMs: this.unplannedMs,
       place: this.place(),
       isOver: () => this.isOver,
     };
     this.hasWaitedForTarget = true;
+    this.isUnreached = true;
     this.targetWaitCount += 1;
     this.waitingFromMs = nowMs;
     void this.serving.waitForTarget(target, waiter).then((found) => {
       if (this.isOver) return;
       this.endTargetWait();
-      if (found.type === 'ready') this.attemptAgain(nowMs);
-      else this.giveUp(found.reason, found.detail, found.retryAfterMs);
+      if (found.type === 'ready') {
+        this.unplannedMs = found.unplannedMs ?? 0;
+        this.attemptAgain(nowMs);
+      } else this.giveUp(found.reason, found.detail, found.retryAfterMs);
     });
   }
 
@@ -590,7 +605,8 @@
       return;
     }
     this.tried.clear();
-    const leftMs = this.refusedCount === 0 ? 0 : waitedFromMs + this.roundMs - this.clock.nowMs();
+    // An upstream that is reported as ready may not be eligible here, so that some time passes between two waits.
+    const leftMs = waitedFromMs + this.roundMs - this.clock.nowMs();
     if (leftMs <= 0) this.attempt();
     else this.clock.after(leftMs, () => this.attempt());
   }
@@ -690,10 +706,15 @@
       this.attempt();
       return;
     }
-    // Each such end is followed by a wait, so that a stream may have any number of them before its deadline.
+    // A stream waits longer after each such end, and may have any number of them before its deadline.
     const isUnreachable = end.type === 'not-run' && end.isUnreachable === true;
-    if (!isUnreachable) this.strandedAtMs = undefined;
     const isUncounted = isUnreachable && this.origin !== undefined;
+    if (isUnreachable) this.unreachedCount += 1;
+    else {
+      this.unreachedCount = 0;
+      this.isUnreached = false;
+      this.unplannedMs = 0;
+    }
     if (end.type === 'not-run') this.refusedCount += isUncounted ? 0 : 1;
     else this.ranCount += 1;
     if (end.type === 'answered') this.finish();
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -14,7 +14,8 @@
 
 /** Whether a request's target was made ready. */
 type TargetResult =
-  | { readonly type: 'ready' }
+  /** `unplannedMs`: how long it has waited without word from the order lease holder; absent: 0. */
+  | { readonly type: 'ready'; readonly unplannedMs?: Ms }
   | {
       readonly type: 'unavailable';
       readonly reason: string;
--- a/src/direct/targetfinder.ts
+++ b/src/direct/targetfinder.ts
@@ -64,10 +64,10 @@
 
   private async wait(target: Target, waiter: TargetWaiter, startedAtMs: Ms): Promise<TargetResult> {
     const { clock } = this.options;
-    let unplannedFromMs = startedAtMs - (waiter.waitedMs ?? 0);
+    let unplannedFromMs = startedAtMs - (waiter.unplannedMs ?? 0);
     for (;;) {
       const found = await this.ask(target);
-      if (this.isReady(target, found)) return { type: 'ready' };
+      if (this.isReady(target, found)) return this.ready(unplannedFromMs);
       const end = this.endOf(target, waiter);
       if (end) return end;
       const inMs = found?.type === 'later' ? found.inMs : this.options.ordersInMs() + UNPLANNED_MS;
@@ -75,8 +75,9 @@
       const heldMs = waiter.heldMs + passedMs;
       const remainingMs = waiter.remainingMs - passedMs;
       const isUnderWay = found?.type === 'later' && found.isUnderWay;
-      if (found?.type === 'later') unplannedFromMs = clock.nowMs();
-      const unplannedMs = clock.nowMs() - unplannedFromMs;
+      // The holder's word holds until the load should be done.
+      if (found?.type === 'later') unplannedFromMs = clock.nowMs() + inMs;
+      const unplannedMs = this.since(unplannedFromMs);
       const times = { inMs, heldMs, remainingMs, unplannedMs };
       const decision = holdOrRefuse({ ...waiter, ...times, isUnderWay });
       if (decision.type === 'refuse') {
@@ -88,10 +89,18 @@
       // Waits at least once, even if no time is left, because the loop must not block the event loop.
       do await this.pause(POLL_MS);
       while (clock.nowMs() < untilMs && !this.isLoaded(target) && !this.endOf(target, waiter));
-      if (this.isLoaded(target)) return { type: 'ready' };
+      if (this.isLoaded(target)) return this.ready(unplannedFromMs);
     }
   }
 
+  private since(atMs: Ms): Ms {
+    return Math.max(0, this.options.clock.nowMs() - atMs);
+  }
+
+  private ready(unplannedFromMs: Ms): TargetResult {
+    return { type: 'ready', unplannedMs: this.since(unplannedFromMs) };
+  }
+
   /** Returns why a wait is of no use any more; undefined if it may be. */
   private endOf({ origin }: Target, { isOver }: TargetWaiter): TargetResult | undefined {
     if (isOver?.()) {
--- a/src/direct/targetwaiter.ts
+++ b/src/direct/targetwaiter.ts
@@ -5,8 +5,8 @@
 
 /** Properties of a waiting request that decide how long it waits. */
 export interface TargetWaiter extends Omit<ResidencyWait, Computed> {
-  /** How long it has waited before without an upstream that it could reach; absent: 0. */
-  readonly waitedMs?: Ms;
+  /** How long it has waited before without word from the order lease holder; absent: 0. */
+  readonly unplannedMs?: Ms;
   /** Returns true once nobody waits for the answer any more; absent: somebody does. */
   readonly isOver?: () => boolean;
 }
--- a/test/support/takeuprig.ts
+++ b/test/support/takeuprig.ts
@@ -16,8 +16,8 @@
 type Receiver = Parameters<UpstreamLink['send']>[1];
 type Admitted = ConstructorParameters<typeof Run>[1];
 
-/** What a request meets at an upstream. `unsendable`: the request cannot be written. */
-type Condition = 'serving' | 'down' | 'empty' | 'full' | 'unsendable';
+/** What a request meets at an upstream. `unsendable`: it cannot be written; `crashing`: it ends its connection and the next one opens none. */
+type Condition = 'serving' | 'down' | 'empty' | 'full' | 'unsendable' | 'crashing';
 
 /** How a request ended, as its caller sees it. */
 interface Ended {
@@ -70,7 +70,18 @@
 
   private readonly conditions = new Map<string, Condition>();
 
-  private readonly fleet = new Fleet('z');
+  /** When upstreams that have asked for a pause may be sent requests again. */
+  private readonly blockedUntilMs = new Map<string, Ms>();
+
+  private readonly fleet = new Fleet('z', {
+    blockOf: ({ id }, nowMs) => {
+      const opensInMs = (this.blockedUntilMs.get(id) ?? 0) - nowMs;
+      return opensInMs > 0 ? { reason: 'paused', opensInMs } : undefined;
+    },
+    maySend: () => true,
+    wanted: ignore,
+    useSlot: ignore,
+  });
 
   private readonly meter = new DemandMeter('e', 'a');
 
@@ -78,6 +89,9 @@
 
   private requestCount = 0;
 
+  /** Number of questions to the order lease holder. */
+  askCount = 0;
+
   constructor(private readonly origin: Partial<StreamOrigin> = {}) {
     const { clock, fleet, meter } = this;
     const log = {
@@ -87,7 +101,10 @@
       warn: ignore,
       error: ignore,
     };
-    const ask = (target: Target) => Promise.resolve(this.answer(target));
+    const ask = (target: Target) => {
+      this.askCount += 1;
+      return Promise.resolve(this.answer(target));
+    };
     const finder = new TargetFinder({ clock, log, fleet, meter, ask, ordersInMs: () => 0 });
     const budgets = new RetryBudgets({
       clock,
@@ -136,6 +153,17 @@
     this.fleet.remove(id as UpstreamId);
   }
 
+  /** Keeps requests from an upstream until then. */
+  block(id: string, untilMs: Ms): void {
+    this.blockedUntilMs.set(id, untilMs);
+  }
+
+  /** Records that an upstream has answered another request. */
+  answerAnother(id: string): void {
+    const state = this.fleet.get(id as UpstreamId)!;
+    this.fleet.recordOutcome(state, 'answered', { service: SERVICE }, this.clock.nowMs());
+  }
+
   setCondition(id: string, condition: Condition): void {
     this.conditions.set(id, condition);
   }
@@ -213,6 +241,10 @@
   }
 
   private respond(condition: Condition, receiver: Receiver): void {
+    if (condition === 'crashing') {
+      receiver.failed({ type: 'upstream-lost', detail: '', mayHaveRun: true });
+      return;
+    }
     const isNotRun = condition !== 'serving';
     const status = { serving: 200, empty: 421, full: 503 }[condition as 'empty'] ?? 200;
     receiver.head({ status, headers: [], isNotRun, isForRequest: true, hasLength: false });
--- a/test/takeup.test.ts
+++ b/test/takeup.test.ts
@@ -204,3 +204,68 @@
   t.true(Math.abs((line!.targetWaitMs as number) - 1000) <= AT_ONCE_MS);
   t.deepEqual(rig.counted, ['stream-version-gone']);
 });
+
+// Guards against an event loop that stands still: each wait for an upstream ended at once for one that may not be used.
+test('a stream waits for an upstream that has asked for a pause, beside one that is unreachable', async (t) => {
+  const rig = rigOf();
+  rig.list('u3', 'v1', [TakeUpRig.model]);
+  rig.answer = () => ({ type: 'ready', upstream: 'u3' as UpstreamId });
+  rig.setCondition('u1', 'down');
+  rig.block('u3', 3000);
+  rig.takeUp();
+  await rig.pass(4000);
+  t.deepEqual(
+    rig.ended.map(({ status }) => status),
+    [200],
+  );
+  t.true(rig.askCount < 100, `${rig.askCount}`);
+});
+
+// Guards against a refusal after some milliseconds where the request was already at the upstream as it crashed.
+test('a stream whose only upstream crashes before the first event goes on once it is back', async (t) => {
+  const rig = rigOf();
+  rig.answer = () => READY;
+  rig.setCondition('u1', 'crashing');
+  rig.takeUp();
+  await rig.pass(10);
+  rig.setCondition('u1', 'down');
+  await rig.pass(1000);
+  rig.setCondition('u1', 'serving');
+  await rig.pass(4000);
+  t.deepEqual(
+    rig.ended.map(({ status }) => status),
+    [200],
+  );
+});
+
+// Guards against tries every 50 ms at an upstream that serves kept connections and accepts no new ones.
+test('a stream tries ever less often at an upstream that opens no connection but answers others', async (t) => {
+  const rig = rigOf();
+  rig.answer = () => READY;
+  rig.setCondition('u1', 'down');
+  rig.takeUp();
+  for (let round = 0; round < 400; round += 1) {
+    rig.answerAnother('u1');
+    await rig.pass(20);
+  }
+  t.true(rig.sends.length <= 12, `${rig.sends.length}`);
+});
+
+// Guards against a long wait for a load that counts as one without word from the holder.
+test('a stream that has waited for a load survives one connection that is refused', async (t) => {
+  const rig = rigOf();
+  rig.list('u1', 'v1');
+  rig.answer = loadingUntil(rig, 5000);
+  rig.takeUp();
+  await rig.pass(5000);
+  rig.list('u1', 'v1', [TakeUpRig.model]);
+  rig.setCondition('u1', 'down');
+  await rig.pass(60);
+  rig.answer = () => READY;
+  rig.setCondition('u1', 'serving');
+  await rig.pass(4000);
+  t.deepEqual(
+    rig.ended.map(({ status }) => status),
+    [200],
+  );
+});
