--- a/test/unreadclose.test.ts
+++ b/test/unreadclose.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import { connect } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { systemClock } from '../src/base/index.js';
 import type { Caller } from '../src/direct/index.js';
 import { HttpCallerServer } from '../platform/httpcallerserver.js';
@@ -67,3 +68,61 @@
   t.regex(text, /^HTTP\/1\.1 200 [^]*ok/);
   server.close();
 });
+
+/** A server whose requests are kept by the test, which answers them. */
+async function openHeld(): Promise<{ server: HttpCallerServer; port: number; held: Caller[] }> {
+  const held: Caller[] = [];
+  const entry = { limits: undefined, accept: (caller: Caller) => held.push(caller) };
+  const server = new HttpCallerServer(entry as never, systemClock, LOG, METRICS);
+  return { server, port: await server.listen('127.0.0.1', 0), held };
+}
+
+async function until(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await nextTurn();
+}
+
+// Guards against pipelined requests that were passed on and lost behind an answer that closes the connection.
+test('a stop closes a connection only after the answer to the last request that was read on it', async (t) => {
+  const { server, port, held } = await openHeld();
+  const answered = writeThenRead(port, Buffer.from(`${headOf(1)}x${headOf(1)}y`));
+  await until(() => held.length === 2);
+  server.leave(Infinity);
+  for (const caller of held) {
+    caller.begin(200, ['Content-Length', '2']);
+    caller.write(Buffer.from('ok'));
+    caller.end();
+  }
+  const text = await answered;
+  t.is(text.match(/HTTP\/1\.1 200 /g)?.length, 2);
+  t.is(text.match(/connection: close/gi)?.length, 1);
+  t.is(server.unwritten, 0);
+  server.close();
+});
+
+// Guards against an answer that is cut while a slow caller still receives it.
+test('closing the listener does not cut an answer that has ended and is still being sent', async (t) => {
+  const { server, port, held } = await openHeld();
+  const socket = connect(port, '127.0.0.1');
+  socket.pause();
+  socket.write(`${headOf(1)}x`);
+  await until(() => held.length === 1);
+  server.leave(Infinity);
+  const [caller] = held;
+  caller!.begin(200, ['Content-Length', String(LARGE_BYTES)]);
+  caller!.write(Buffer.alloc(LARGE_BYTES, 'z'));
+  caller!.end();
+  server.shut();
+  await until(() => !server.isListening);
+  let bytes = 0;
+  socket.on('data', (chunk) => {
+    bytes += chunk.length;
+  });
+  await new Promise((resolve) => {
+    socket.on('close', resolve);
+    socket.on('end', () => socket.destroy());
+    socket.on('error', () => undefined);
+    socket.resume();
+  });
+  t.true(bytes > LARGE_BYTES, `${bytes}`);
+  server.close();
+});
