--- a/src/core/eventstream/eventreader.ts
+++ b/src/core/eventstream/eventreader.ts
@@ -23,7 +23,7 @@
   /** True once the closing event `[DONE]` has ended. */
   isDone = false;
 
-  /** True once an event has ended: comments are none. */
+  /** True once an event has ended. Comments are not events. */
   hasEvent = false;
 
   private readonly lines = new LineReader(
--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -41,7 +41,7 @@
   /** Answers with a problem document; only before `begin`. */
   refuse(refusal: Refusal): void;
   /** Records that the request is passed on to an upstream. */
-  sending?(): void;
+  onSend?(): void;
   /** Breaks the connection, so that a partial answer does not look complete. */
   cut(): void;
   /** Calls back when the caller accepts more data again. */
--- a/src/direct/origin/origincopy.ts
+++ b/src/direct/origin/origincopy.ts
@@ -6,7 +6,7 @@
   /** The caller's request that the first event comes with. */
   readonly id: RequestId;
   readonly origin: StreamOrigin;
-  /** Rises with each record of the stream at one entry. Earlier versions told an origin that could still change. */
+  /** Rises with each record of the stream at one entry. Entries of earlier releases correct an origin with a higher number. */
   readonly sequence: number;
   /** How much longer its caller may take the stream up. */
   readonly keepMs: Ms;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -625,7 +625,7 @@
     this.tried.add(state.info.id);
     this.logRetry(state, nowMs);
     this.queue.sent(target, this.urgency.rank);
-    this.caller.sending?.();
+    this.caller.onSend?.();
     this.current = new Attempt({ ...options, maySend, over });
     this.current.begin(this.callTo(state));
   }
--- a/src/direct/targetwaiter.ts
+++ b/src/direct/targetwaiter.ts
@@ -7,6 +7,6 @@
 export interface TargetWaiter extends Omit<ResidencyWait, Computed> {
   /** How long it has waited before without word from the order lease holder; absent: 0. */
   readonly unplannedMs?: Ms;
-  /** Returns true once nobody waits for the answer any more; absent: somebody does. */
+  /** Returns true once nobody waits for the answer any more; absent: it never does. */
   readonly isOver?: () => boolean;
 }
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -31,7 +31,7 @@
   socket.end(`HTTP/1.1 ${status} \r\n${head}\r\n${body}`);
 }
 
-/** Wraps a listener so that it refuses requests with header names that are none. */
+/** Wraps a listener so that it refuses requests with invalid header names. */
 function refuseInvalidNames(listen: RequestListener): RequestListener {
   return (request, response) => {
     if (invalidFieldName(request.rawHeaders) === undefined) {
--- a/src/shell/engine/upstreampool.ts
+++ b/src/shell/engine/upstreampool.ts
@@ -10,7 +10,7 @@
 
 const FIRST_NON_SUCCESS_STATUS = 300;
 
-/** A connection to an upstream that fails answers which undici takes for whole though they were cut. */
+/** A connection to an upstream. Answers that were cut fail also where undici takes them for whole. */
 class UpstreamClient extends Client {
   /** True once the connection was reset. */
   private isReset = false;
--- a/test/callerconnections.test.ts
+++ b/test/callerconnections.test.ts
@@ -80,7 +80,7 @@
   const accepted = rig.accepted();
   const socket = await rig.open();
   socket.write(`${HEAD}xy`);
-  (await accepted).sending!();
+  (await accepted).onSend!();
   rig.clock.advanceTo(7000);
   socket.destroy();
   const line = await rig.recorded();
--- a/test/coldstart.test.ts
+++ b/test/coldstart.test.ts
@@ -26,8 +26,7 @@
   });
 }
 
-// The first request of a process at 0.243 of a core took over 200 ms, and all connections that had come meanwhile were
-// reset unread, though the process could answer them within milliseconds after that.
+// Guards against callers that are reset unread because the first request of a process takes long.
 test('connections that wait behind one slow turn of the event loop are not reset', async (t) => {
   let count = 0;
   const entry = {
