Retry only streams that are taken up after a crash before their first event

The retry is for requests that take a stream up, which have no event of their own yet; a stream that breaks within its answer is cut at once as before. The test is unchanged.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -525,8 +525,9 @@
       this.waitForConnection();
       return;
     }
-    // A stream may run again within its attempts, and can go on nowhere else.
-    if (!this.origin && (this.ranCount > 0 || this.hasTriedAll)) {
+    // A stream that is taken up may run again within its attempts, and can go on nowhere else.
+    const isTakenUp = this.origin !== undefined && !this.reply.hasBegun;
+    if ((this.ranCount > 0 && !isTakenUp) || (this.hasTriedAll && !this.origin)) {
       this.giveUp('upstreams-full', 'No upstream could take the request.', this.retryAfterMs());
       return;
     }
