--- a/test/streamplaces.test.ts
+++ b/test/streamplaces.test.ts
@@ -9,7 +9,7 @@
  * Engines that crash with the only replica of their version and come back empty, and callers that wait for a load and
  * seldom lose their connections, so that most streams are taken up for want of a place.
  */
-const PLACES = { lostPerMinute: 60 };
+const PLACES = { lostPerMinute: 120 };
 const LOSING: Partial<Options> = { places: PLACES, patienceMs: 6000, lossMs: 60_000 };
 
 // Guards against streams that are refused for want of a place while servers of their version could load their model.
