--- a/scripts/judge.js
+++ b/scripts/judge.js
@@ -17,20 +17,35 @@
   return new Map(lines.map((line) => [line.split('|')[0].trim(), line]));
 }
 
+/** Lines of a failed test's diagnosis that are printed. */
+const MAX_DETAIL_LINES = 40;
+
 const known = readKnown(knownFile);
 const seen = new Map();
 const passed = [];
 const failed = [];
+/** Diagnosis of each failed test, which the runner indents below its verdict. */
+const details = new Map();
+let detail = [];
 for (const line of readFileSync(0, 'utf8').split('\n')) {
   const match = /^(not ok|ok) \d+ - (.*?)(?: # (SKIP|TODO).*)?$/.exec(line);
-  if (!match) continue;
+  if (!match) {
+    if (line.startsWith('  ')) detail.push(line);
+    continue;
+  }
   const [, verdict, title, directive] = match;
   const isGood = verdict === 'ok' && directive === undefined;
   seen.set(title, isGood);
+  detail = [];
+  if (!isGood) details.set(title, detail);
   (isGood ? passed : failed).push(title);
 }
 const isKnown = (title) => known.has(title) && !title.startsWith(BY_HAND);
 const wrong = failed.filter((title) => !isKnown(title)).map((title) => `failed: ${title}`);
+for (const title of failed.filter((failure) => !isKnown(failure))) {
+  console.log(`not ok - ${title}`);
+  for (const line of details.get(title).slice(0, MAX_DETAIL_LINES)) console.log(line);
+}
 for (const [title, line] of known) {
   if (title.startsWith(BY_HAND)) console.log(`known red, ${line}`);
   else if (!seen.has(title)) wrong.push(`listed as known red, not found: ${title}`);
--- a/test/judge.test.ts
+++ b/test/judge.test.ts
@@ -40,3 +40,10 @@
   t.is(judge('ok 1 - a › passes\n', '', '1').status, 1);
   t.is(judge('ok 1 - a › left out # SKIP\nok 2 - b › good\n', '').status, 1);
 });
+
+// Guards against a CI run whose only trace is the name of the test that failed.
+test('what a failing test reported is printed, unless it is listed as known', (t) => {
+  const tap = `${TAP}  ---\n    message: 3 of 4\n  ...\nok 3 - a › passes too\n`;
+  t.regex(judge(tap, '').stdout, /^not ok - a › fails\n {2}---\n {4}message: 3 of 4$/m);
+  t.notRegex(judge(tap, 'a › fails | c | 1\n').stdout, /3 of 4/);
+});
