--- a/src/core/overload/overloadrules.ts
+++ b/src/core/overload/overloadrules.ts
@@ -11,6 +11,11 @@
    * accepted. A busy process at 0.243 of a core makes some 40 turns within `standingMs`.
    */
   standingTurns: 16,
+  /**
+   * For this long after it began to listen a process refuses by an answer what it does not accept. It runs most code for
+   * the first time then, and callers cannot tell a connection that is reset beside a restart from a lost request.
+   */
+  startingMs: 5000,
   /** Least interval of accepts while shedding: a process that reports itself ready has to go on accepting connections. */
   acceptEveryMs: 50,
 } as const;
--- a/src/core/overload/stepoverload.ts
+++ b/src/core/overload/stepoverload.ts
@@ -31,12 +31,13 @@
 }
 
 const HANDLERS: { readonly [Type in OverloadEvent['type']]: Handler<Type> } = {
-  connection: (before, _event, nowMs) => {
+  connection: (before, { mayClose }, nowMs) => {
     const state = { ...before, standingSinceMs: before.standingSinceMs ?? nowMs };
     const isDue = nowMs - state.acceptedAtMs >= rules.acceptEveryMs;
     if (state.phase === 'open' || isDue) {
       return { state: { ...state, acceptedAtMs: nowMs }, effects: [{ type: 'accept' }] };
     }
+    if (!mayClose) return { state, effects: [{ type: 'refuse' }] };
     return {
       state: { ...state, closedCount: state.closedCount + 1 },
       effects: [{ type: 'close' }],
@@ -57,7 +58,7 @@
   },
 };
 
-/** Decides whether a process accepts a connection or closes it, by how long the accept queue has been standing. */
+/** Decides whether a process accepts a connection, refuses its request or closes it, by how long the accept queue has been standing. */
 export function stepOverload(
   state: OverloadState,
   event: OverloadEvent,
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -83,7 +83,8 @@
     log,
     decided: (fate) => metrics.count('connection', 1, { fate }),
     polled: (delayMs) => metrics.histogram('read_delay_ms', delayMs),
+    mayClose: () => true,
   });
-  gateConnections(server, (socket) => gate.admit(socket));
+  gateConnections(server, (socket) => gate.admit(socket) !== 'closed-unread');
   return { server, connections };
 }
--- a/src/shell/accept/acceptgate.ts
+++ b/src/shell/accept/acceptgate.ts
@@ -5,19 +5,25 @@
 
 type Event = Parameters<typeof stepOverload>[1];
 type Effects = ReturnType<typeof stepOverload>['effects'];
+/** `refused`: accepted, to refuse its request by an answer. */
+type Fate = 'accepted' | 'refused' | 'closed-unread';
+
+const FATES = { accept: 'accepted', refuse: 'refused', close: 'closed-unread' } as const;
 
 /** Options of an accept gate. */
 interface AcceptGateOptions {
   readonly clock: Clock;
   readonly log: Log;
   /** Called with what becomes of each connection. */
-  readonly decided: (fate: 'accepted' | 'closed-unread') => void;
+  readonly decided: (fate: Fate) => void;
+  /** Returns true if connections may be closed unread. */
+  readonly mayClose: () => boolean;
   /** Called with the time that the event loop took to poll once more after it had accepted a connection. */
   readonly polled: (delayMs: Ms) => void;
 }
 
 /**
- * Closes new connections unread while the accept queue is standing. libuv accepts one connection in each turn of the
+ * Refuses new connections, or closes them unread, while the accept queue is standing. libuv accepts one connection in each turn of the
  * event loop, so that the queue was empty if a turn brings none.
  */
 export class AcceptGate {
@@ -30,17 +36,19 @@
 
   constructor(private readonly options: AcceptGateOptions) {}
 
-  /** Returns true if a new connection is accepted; otherwise closes it. */
-  admit(socket: Socket): boolean {
+  /** Decides what becomes of a new connection, and closes it if need be. */
+  admit(socket: Socket): Fate {
     this.count += 1;
     if (!this.isWatching) {
       this.isWatching = true;
       setImmediate(() => this.watchPoll());
     }
-    const isAccepted = this.step({ type: 'connection' }).some(({ type }) => type === 'accept');
-    if (!isAccepted) socket.resetAndDestroy();
-    this.options.decided(isAccepted ? 'accepted' : 'closed-unread');
-    return isAccepted;
+    const { mayClose, decided } = this.options;
+    const [effect] = this.step({ type: 'connection', mayClose: mayClose() });
+    const fate = FATES[effect!.type as keyof typeof FATES];
+    if (fate === 'closed-unread') socket.resetAndDestroy();
+    decided(fate);
+    return fate;
   }
 
   /** Observes the next turn of the event loop, and those after it while each brings a connection. */
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -44,7 +44,8 @@
       nowMs = arrivesAtMs;
       continue;
     }
-    const { state: next, effects } = stepOverload(state, { type: 'connection' }, nowMs);
+    const connection = { type: 'connection', mayClose: true } as const;
+    const { state: next, effects } = stepOverload(state, connection, nowMs);
     state = next;
     const isAccepted = effects[0]!.type === 'accept';
     if (isAccepted) {
@@ -96,7 +97,7 @@
     },
   } as unknown as Socket;
   const log = { info() {}, warn() {}, error() {} };
-  const gate = new AcceptGate({ clock, log, decided() {}, polled() {} });
+  const gate = new AcceptGate({ clock, log, decided() {}, polled() {}, mayClose: () => true });
   const turn = () => new Promise(setImmediate);
   // Each turn brings a connection, until the queue has been standing for too long.
   for (let atMs = 0; atMs <= overloadRules.standingMs + 20; atMs += 10) {
@@ -107,6 +108,6 @@
   t.true(closedCount > 0);
   for (let count = 0; count < 3; count += 1) await turn();
   const before = closedCount;
-  t.true(gate.admit(socket));
+  t.is(gate.admit(socket), 'accepted');
   t.is(closedCount, before);
 });
