--- a/src/shell/accept/acceptgate.ts
+++ b/src/shell/accept/acceptgate.ts
@@ -23,8 +23,8 @@
 }
 
 /**
- * Refuses new connections, or closes them unread, while the accept queue is standing. libuv accepts one connection in each turn of the
- * event loop, so that the queue was empty if a turn brings none.
+ * Refuses new connections, or closes them unread, while the accept queue is standing. libuv accepts one connection in
+ * each turn of the event loop, so that the queue was empty if a turn brings none.
  */
 export class AcceptGate {
   private state = initialOverload();
--- a/test/unreadclose.test.ts
+++ b/test/unreadclose.test.ts
@@ -99,6 +99,85 @@
   server.close();
 });
 
+/** Answers with what a stopping entry sends, before the further requests that have arrived are read. */
+const ENDS: Readonly<Record<string, (caller: Caller) => void>> = {
+  'an answer': (caller) => {
+    caller.begin(200, ['Content-Length', '2']);
+    caller.write(Buffer.from('ok'));
+    caller.end();
+  },
+  'a refusal': (caller) => {
+    caller.refuse({ status: 503, type: 'upstreams-full', detail: '', executed: 'no' });
+  },
+};
+
+// Guards against requests that lie unread while the answer before them closes their connection.
+for (const [name, answer] of Object.entries(ENDS)) {
+  test(`a stop answers a pipelined request that has arrived behind ${name}`, async (t) => {
+    const { server, port, held } = await openHeld();
+    const socket = connect(port, '127.0.0.1');
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += chunk.toString();
+    });
+    socket.on('end', () => socket.destroy());
+    const closed = new Promise((resolve) => {
+      socket.on('close', resolve);
+    });
+    socket.write(`${headOf(1)}x`);
+    await until(() => held.length === 1);
+    server.leave(Infinity);
+    await new Promise((resolve) => {
+      socket.write(`${headOf(1)}y`, resolve);
+    });
+    answer(held[0]!);
+    await until(() => held.length === 2 || socket.destroyed);
+    if (held[1]) answer(held[1]);
+    await closed;
+    t.is(text.match(/HTTP\/1\.1 /g)?.length, 2);
+    t.is(text.match(/connection: close/gi)?.length, 1);
+    server.close();
+  });
+}
+
+// Guards against an unread request behind an answer whose head was sent before the stop began.
+test('the end of a stream does not close its connection while a further request lies unread', async (t) => {
+  const { server, port, held } = await openHeld();
+  const socket = connect(port, '127.0.0.1');
+  let text = '';
+  socket.on('data', (chunk) => {
+    text += chunk.toString();
+  });
+  socket.on('end', () => socket.destroy());
+  const closed = new Promise((resolve) => {
+    socket.on('close', resolve);
+  });
+  socket.write(`${headOf(1)}x`);
+  await until(() => held.length === 1);
+  held[0]!.begin(200, []);
+  held[0]!.write(Buffer.from('id: 1\n\n'));
+  server.leave(Infinity);
+  await new Promise((resolve) => {
+    socket.write(`${headOf(1)}y`, resolve);
+  });
+  held[0]!.end();
+  await until(() => held.length === 2 || socket.destroyed);
+  if (held[1]) ENDS['an answer']!(held[1]);
+  await closed;
+  t.is(text.match(/HTTP\/1\.1 200 /g)?.length, 2);
+  server.close();
+});
+
+// Guards against a refusal of a stopping process behind which a further request is not answered.
+test('a stopping process refuses each of several pipelined requests', async (t) => {
+  const { server, port } = await open();
+  server.leave(-Infinity);
+  const text = await writeThenRead(port, Buffer.from(`${headOf(1)}x${headOf(1)}y${headOf(1)}z`));
+  t.is(text.match(/HTTP\/1\.1 503 /g)?.length, 3);
+  t.is(text.match(/connection: close/gi)?.length, 1);
+  server.close();
+});
+
 // Guards against an answer that is cut while a slow caller still receives it.
 test('closing the listener does not cut an answer that has ended and is still being sent', async (t) => {
   const { server, port, held } = await openHeld();
