Close a stopping entry's listener although connections still arrive

Cause: the listener closed only after 200 ms without an arrival. Callers that do not ask for readiness kept it open until the end of the grace period, so that the exit reset what had come last.

Why it works: from the phase on in which requests that wait are refused, the listener closes as soon as a turn of the event loop has found the accept queue empty. What was accepted before is answered in the rest of the grace period; later callers are refused a connection, which says that nothing was run. plannedstop.test expects the further action.

--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -9,6 +9,8 @@
   leave(untilMs: Ms): void;
   /** Refuses requests from now on; closes the listener and idle connections once nothing arrives on them. */
   shut(): void;
+  /** Closes the listener, after `shut`, although connections still arrive: as soon as none waits to be accepted. */
+  closeListener(): void;
   /** True while new connections are accepted. */
   readonly isListening: boolean;
   /** Number of requests that were read and whose answers are not written yet. */
@@ -39,7 +41,10 @@
     void entry.release();
   },
   finishing: ({ server }) => server.shut(),
-  refusing: ({ entry }) => entry.stopWaiting(),
+  refusing: ({ entry, server }) => {
+    entry.stopWaiting();
+    server.closeListener();
+  },
   ending: ({ entry }) => entry.endAll(),
   over: () => {},
 };
--- a/src/shell/accept/acceptgate.ts
+++ b/src/shell/accept/acceptgate.ts
@@ -36,6 +36,11 @@
 
   constructor(private readonly options: AcceptGateOptions) {}
 
+  /** True if the last turn of the event loop found no connection in the accept queue. */
+  get isQueueEmpty(): boolean {
+    return !this.isWatching;
+  }
+
   /** Decides what becomes of a new connection, and closes it if need be. */
   admit(socket: Socket): Fate {
     this.count += 1;
@@ -69,7 +74,7 @@
     const { state, effects } = stepOverload(this.state, event, this.options.clock.nowMs());
     this.state = state;
     for (const effect of effects) {
-      if (effect.type !== 'drained') continue;
+      if (effect.type !== 'drained' || effect.closedCount === 0) continue;
       const { closedCount, sheddingForMs } = effect;
       const fields = { closedCount, sheddingForMs: Math.round(sheddingForMs) };
       this.options.log.warn('connections closed unread', fields);
--- a/test/httpcallerserver.test.ts
+++ b/test/httpcallerserver.test.ts
@@ -177,3 +177,26 @@
   t.is(await ended, '503');
   server.close();
 });
+
+/** Connections that a load balancer without health checks opens meanwhile. */
+const LATE_CALLERS = 200;
+
+// Guards against a listener that stays open until the process exits, which resets the requests that it has just accepted.
+test('a stop closes the listener although connections still arrive, and answers those that it accepted', async (t) => {
+  const { server, port } = await open(systemClock);
+  server.leave(-Infinity);
+  server.shut();
+  server.closeListener();
+  const ends = new Set<string>();
+  for (let count = 0; count < LATE_CALLERS && server.isListening; count += 1) {
+    const socket = connect(port, '127.0.0.1');
+    socket.write(WHOLE_REQUEST);
+    ends.add(await ending(socket));
+  }
+  t.false(server.isListening);
+  ends.delete('ECONNREFUSED');
+  t.true(ends.size === 0 || ends.has('503'), [...ends].join());
+  ends.delete('503');
+  t.deepEqual([...ends], []);
+  server.close();
+});
--- a/test/plannedstop.test.ts
+++ b/test/plannedstop.test.ts
@@ -34,6 +34,7 @@
   const server = {
     leave: act('leave'),
     shut: act('shut'),
+    closeListener: act('close listener'),
     get isListening() {
       return !actions.includes('shut');
     },
@@ -80,7 +81,7 @@
 test('a process that cannot write its answers exits before it would be killed', async (t) => {
   const ended = await stop(() => 1);
   t.true(ended.atMs < GRACE_MS);
-  t.deepEqual(ended.actions, ['retire', 'leave', 'shut', 'refuse', 'end']);
+  t.deepEqual(ended.actions, ['retire', 'leave', 'shut', 'refuse', 'close listener', 'end']);
 });
 
 test('phases keep their order for short grace periods as well', (t) => {
