Plan for streams that wait at a version only where several serve

Callers saw: after a crash, models with many requests waited longer for a place, also on deployments whose servers all run one version.

Cause: the gain of a first replica at a version at which streams wait, and the rule that keeps the last one, applied with one version as well. There a stream can go on wherever its model is, so that both only put rare models before busy ones for the 6 s after the last such request.

Why it works: with one version the plan is the one without such requests.

--- a/src/core/allocation/lacksversion.ts
+++ b/src/core/allocation/lacksversion.ts
@@ -7,11 +7,13 @@
  * than one at `except`.
  */
 export function lacksVersion(
-  { input }: LoadProjection,
+  { input, hasSeveralVersions }: LoadProjection,
   { model, sites }: HeldModel,
   { upstream: { softwareVersion } }: Site,
   except?: Site,
 ): boolean {
+  // Where one version serves a stream can go on wherever its model is, like any other request.
+  if (!hasSeveralVersions) return false;
   const continuedAt = input.demand.get(model)?.continuedAt;
   if (softwareVersion === undefined || !continuedAt?.has(softwareVersion)) return false;
   return !sites.some(
--- a/src/core/allocation/loadprojection.ts
+++ b/src/core/allocation/loadprojection.ts
@@ -31,6 +31,9 @@
   /** Incremented when a replica is added or removed: invalidates cached losses. */
   version = 0;
 
+  /** True if engines run different versions of their software. */
+  readonly hasSeveralVersions: boolean;
+
   private readonly onTimeShare: number;
 
   /** Requests per second that an engine answers with all slots occupied. */
@@ -39,6 +42,8 @@
   constructor(readonly input: PlanInput) {
     const { engine, upstreams, demand, promptsPerGap } = input;
     this.onTimeShare = onTimeFill(promptsPerGap);
+    this.hasSeveralVersions =
+      new Set(upstreams.map(({ softwareVersion }) => softwareVersion)).size > 1;
     this.sites = upstreams.map((upstream) => this.siteOf(upstream));
     const slots = Math.max(1, ...upstreams.map((upstream) => upstream.slots));
     let load = 0;
--- a/test/allocation.test.ts
+++ b/test/allocation.test.ts
@@ -320,3 +320,48 @@
   const [move] = planMoves(input(upstreams, demand, ['m1', 'm2', 'm3']), 1);
   t.not(move?.upstream, 'u1' as UpstreamId);
 });
+
+// Guards against a model in demand that finds no memory where all servers run one version: no replica is at a wrong one.
+test('streams that wait to be continued keep no replica of their model where one version serves', (t) => {
+  const versions = { softwareVersion: 'v1' };
+  const upstreams = [
+    upstream('u1', ['m1', 'm2'], versions),
+    upstream('u2', ['m2', 'm3'], versions),
+  ];
+  const movesWith = (continued: Partial<ModelDemand>) =>
+    planMoves(
+      input(
+        upstreams,
+        {
+          m1: { idleMs: 3000, ...continued },
+          m2: { concurrency: 12, perSecond: 6, idleMs: 0 },
+          m3: { concurrency: 6, perSecond: 3, idleMs: 0, ...continued },
+          m4: { waiting: 20, perSecond: 5, idleMs: 0 },
+        },
+        ['m1', 'm2', 'm3', 'm4'],
+      ),
+      4,
+    ).map(({ model, upstream: id, evicted }) => `${model} ${id} ${evicted.join()}`);
+  t.deepEqual(movesWith({ continuedAt: new Set(['v1']) }), movesWith({}));
+});
+
+// Guards against loads for one lost stream that come before those for models with many requests.
+test('a stream that waits to be continued does not go before busy models where one version serves', (t) => {
+  const versions = { softwareVersion: 'v1' };
+  const upstreams = [upstream('u1', ['m3', 'm4'], versions), upstream('u2', ['m3'], versions)];
+  const movesWith = (continued: Partial<ModelDemand>) =>
+    planMoves(
+      input(
+        upstreams,
+        {
+          m1: { waiting: 1, idleMs: 0, ...continued },
+          m2: { waiting: 3, perSecond: 0.1, idleMs: 0 },
+          m3: { concurrency: 6, perSecond: 3, idleMs: 0 },
+          m4: { concurrency: 6, perSecond: 3, idleMs: 0 },
+        },
+        ['m1', 'm2', 'm3', 'm4'],
+      ),
+      1,
+    ).map(({ model, upstream: id }) => `${model} ${id}`);
+  t.deepEqual(movesWith({ continuedAt: new Set(['v1']) }), movesWith({}));
+});
