Cut a stream that has broken at once where it cannot go on

Callers saw: a stream broke because its server had crashed, and the connection stood open without an event for seconds; the caller's own time-out ended it, too late to take the stream up at another entry.

Cause: the waits for requests that take a stream up applied to each request with an origin, which a stream also has once it has begun here.

Why it works: the waits ask whether the request takes a stream up and has brought nothing of it yet. A stream that has begun here is continued at another upstream or cut, as before, and its caller can take it up, which waits.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -169,6 +169,11 @@
     return this.reply.origin ?? this.resumed?.origin;
   }
 
+  /** True if the request takes up a stream that an earlier one began, and has brought nothing of it yet. */
+  private get isTakingUp(): boolean {
+    return this.resumed?.origin !== undefined && !this.reply.hasBegun;
+  }
+
   private get service(): ServiceId {
     return this.origin?.service ?? pickService(this.route, this.caller.request.id);
   }
@@ -286,7 +291,7 @@
     // A request without a model has no alternative to an upstream that may be lost; a model can be loaded elsewhere.
     // A stream that has waited does so until the upstream may be tried again.
     const includesLost =
-      request.model === undefined ? !this.isUnreached : this.hasWaitedForTarget && !origin;
+      request.model === undefined ? !this.isUnreached : this.hasWaitedForTarget && !this.isTakingUp;
     const mustAsk = this.suspicion.permission() === 'ask-first';
     const isTrial = mustAsk || this.suspicion.isTrial;
     const requestId = request.id;
@@ -308,14 +313,14 @@
     else if (state) this.send(state, route);
     else if (block && !this.mayBeLoaded()) this.waitForSlot(block);
     else if (this.isHeldByTried(nowMs)) this.tryAgainLater();
-    else if (origin || this.targetWaitCount < MAX_TARGET_WAITS) this.waitForTarget();
+    else if (this.isTakingUp || this.targetWaitCount < MAX_TARGET_WAITS) this.waitForTarget();
     else this.tryAgainLater();
   }
 
   /** Returns the block that a request waits for; a stream cannot be sent to an upstream that counts as lost. */
   private blockFor(nowMs: Ms, includesLost: boolean): Block | undefined {
     const { id } = this.caller.request;
-    return this.serving.fleet.blockFor(this.target!, nowMs, id, includesLost || !this.origin);
+    return this.serving.fleet.blockFor(this.target!, nowMs, id, includesLost || !this.isTakingUp);
   }
 
   /** Returns false if the stream began at a service that a new configuration has taken off the route. */
@@ -445,7 +450,7 @@
   private waitForCapacity(): void {
     if (this.mayWaitForCapacity()) {
       const heldMs = this.clock.nowMs() - this.caller.request.arrivedAtMs;
-      const isLong = this.origin !== undefined && heldMs >= LONG_WAIT_MS;
+      const isLong = this.isTakingUp && heldMs >= LONG_WAIT_MS;
       const checkMs = isLong ? LONG_WAIT_CHECK_MS : CAPACITY_CHECK_MS;
       this.clock.after(checkMs, () => this.attempt());
       return;
@@ -508,7 +513,7 @@
     const { arrivedAtMs } = this.caller.request;
     const targetMs = this.route.targetLatencyMs;
     const wholeMs = this.untilMs - arrivedAtMs;
-    const waitMs = this.origin
+    const waitMs = this.isTakingUp
       ? continuedHoldMs(wholeMs)
       : capacityWaitMs({ targetMs, wholeMs, isReturn: this.isReturn });
     return waitMs - (this.clock.nowMs() - arrivedAtMs);
@@ -526,8 +531,7 @@
       return;
     }
     // A stream that is taken up may run again within its attempts, and can go on nowhere else.
-    const isTakenUp = this.origin !== undefined && !this.reply.hasBegun;
-    if ((this.ranCount > 0 && !isTakenUp) || (this.hasTriedAll && !this.origin)) {
+    if (!this.isTakingUp && (this.ranCount > 0 || this.hasTriedAll)) {
       this.giveUp('upstreams-full', 'No upstream could take the request.', this.retryAfterMs());
       return;
     }
@@ -538,7 +542,7 @@
 
   /** Delay before an upstream that refused is tried again. */
   private get roundMs(): Ms {
-    if (!this.origin) return NEXT_ROUND_MS;
+    if (!this.isTakingUp) return NEXT_ROUND_MS;
     const failedCount = this.unreachedCount > 0 ? this.unreachedCount : this.refusedCount;
     const at = Math.min(Math.max(1, failedCount), STREAM_ROUND_MS.length) - 1;
     return STREAM_ROUND_MS[at]!;
@@ -573,7 +577,7 @@
       heldMs: nowMs - request.arrivedAtMs,
       remainingMs: this.untilMs - nowMs,
       targetMs: this.route.targetLatencyMs,
-      isContinued: target.origin !== undefined,
+      isContinued: this.isTakingUp,
       unplannedMs: this.unplannedMs,
       place: this.place(),
       isOver: () => this.isOver,
@@ -601,7 +605,7 @@
 
   /** Goes on after a wait since `waitedFromMs`: the holder may still report as ready what has just refused. */
   private attemptAgain(waitedFromMs: Ms): void {
-    if (!this.origin) {
+    if (!this.isTakingUp) {
       this.attempt();
       return;
     }
@@ -709,7 +713,7 @@
     }
     // A stream waits longer after each such end, and may have any number of them before its deadline.
     const isUnreachable = end.type === 'not-run' && end.isUnreachable === true;
-    const isUncounted = isUnreachable && this.origin !== undefined;
+    const isUncounted = isUnreachable && this.isTakingUp;
     if (isUnreachable) this.unreachedCount += 1;
     else {
       this.unreachedCount = 0;
--- /dev/null
+++ b/test/brokenstreams.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava';
+import { TakeUpRig } from './support/takeuprig.js';
+
+/** Far below the time for which a request that takes a stream up may be held. */
+const AT_ONCE_MS = 500;
+
+/** An entry that has just found an upstream unreachable when a stream breaks there; another one could load the model. */
+async function broken(): Promise<TakeUpRig> {
+  const rig = new TakeUpRig();
+  rig.list('u1', 'v1', [TakeUpRig.model]);
+  rig.list('u2', 'v1');
+  rig.setCondition('u1', 'breaking');
+  rig.begin();
+  await rig.pass(50);
+  rig.setCondition('u1', 'down');
+  rig.begin();
+  return rig;
+}
+
+// Guards against a caller that is kept from taking its stream up at another entry, and times out instead.
+test('a stream that breaks within its answer is cut at once where its upstream is unreachable', async (t) => {
+  const rig = await broken();
+  await rig.pass(19_000);
+  t.is(rig.cutAtMs.length, 1);
+  t.true(rig.cutAtMs[0]! < AT_ONCE_MS, `${rig.cutAtMs[0]}`);
+});
+
+// Guards against the same beside a load that takes longer than callers of streams wait for an event.
+test('a stream that breaks within its answer is cut at once where its model is ready in 10 s', async (t) => {
+  const rig = await broken();
+  rig.answer = () => ({ type: 'later', inMs: 10_000, isUnderWay: false });
+  await rig.pass(19_000);
+  t.is(rig.cutAtMs.length, 1);
+  t.true(rig.cutAtMs[0]! < AT_ONCE_MS, `${rig.cutAtMs[0]}`);
+});
--- a/test/support/takeuprig.ts
+++ b/test/support/takeuprig.ts
@@ -16,8 +16,17 @@
 type Receiver = Parameters<UpstreamLink['send']>[1];
 type Admitted = ConstructorParameters<typeof Run>[1];
 
-/** What a request meets at an upstream. `unsendable`: it cannot be written; `crashing`: it ends its connection and the next one opens none. */
-type Condition = 'serving' | 'down' | 'empty' | 'full' | 'unsendable' | 'crashing';
+/**
+ * What a request meets at an upstream. `unsendable`: it cannot be written; `crashing`: it ends its connection and the
+ * next one opens none; `breaking`: its stream breaks after one event.
+ */
+type Condition = 'serving' | 'down' | 'empty' | 'full' | 'unsendable' | 'crashing' | 'breaking';
+
+/** Limits of the retry budget of the service. */
+interface BudgetLimits {
+  readonly ratio: number;
+  readonly slack: number;
+}
 
 /** How a request ended, as its caller sees it. */
 interface Ended {
@@ -32,6 +41,7 @@
 const DEADLINE_MS = 20_000;
 const STEP_MS = 5;
 const ANSWER_MS = 1;
+const BREAK_MS = 200;
 const ROUTE: Route = {
   name: 'streams',
   host: 'h',
@@ -56,6 +66,9 @@
 
   readonly ended: Ended[] = [];
 
+  /** When answers that had begun were cut. */
+  readonly cutAtMs: Ms[] = [];
+
   /** Upstreams of the requests that were sent, or that could not be. */
   readonly sends: string[] = [];
 
@@ -92,7 +105,10 @@
   /** Number of questions to the order lease holder. */
   askCount = 0;
 
-  constructor(private readonly origin: Partial<StreamOrigin> = {}) {
+  constructor(
+    private readonly origin: Partial<StreamOrigin> = {},
+    limits: BudgetLimits = { ratio: 10, slack: 100 },
+  ) {
     const { clock, fleet, meter } = this;
     const log = {
       info: (message: string, fields: Readonly<Record<string, unknown>> = {}) => {
@@ -108,8 +124,7 @@
     const finder = new TargetFinder({ clock, log, fleet, meter, ask, ordersInMs: () => 0 });
     const budgets = new RetryBudgets({
       clock,
-      ratio: 10,
-      slack: 100,
+      ...limits,
       windowMs: 1000,
       parts: () => 1,
     });
@@ -117,7 +132,7 @@
       clock,
       fleet,
       log,
-      origins: { find: () => Promise.resolve(this.found()) } as never,
+      origins: { find: () => Promise.resolve(this.found()), record: ignore } as never,
       link: { send: this.send.bind(this) } as unknown as UpstreamLink,
       decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
       budgetOf: (service) => budgets.of(service),
@@ -170,6 +185,15 @@
 
   /** Starts a request that takes a stream up, and returns what its caller does to leave. */
   takeUp(): () => void {
+    return this.start({ model: MODEL, resumeAfter: '1', resumes: 'first' });
+  }
+
+  /** Starts a request for a new stream. */
+  begin(model: ModelId = MODEL): () => void {
+    return this.start({ model });
+  }
+
+  private start(fields: Readonly<Record<string, string>>): () => void {
     this.requestCount += 1;
     let leave = ignore;
     const request = {
@@ -178,9 +202,7 @@
       headers: [],
       sharedParts: [],
       body: Buffer.alloc(0),
-      model: MODEL,
-      resumeAfter: '1',
-      resumes: 'first',
+      ...fields,
       arrivedAtMs: this.clock.nowMs(),
     };
     const caller = {
@@ -190,7 +212,7 @@
       refuse: ({ status, type }: { status: number; type: string }) => this.over({ status, type }),
       write: () => true,
       end: ignore,
-      cut: ignore,
+      cut: () => this.cutAtMs.push(this.clock.nowMs()),
       onFree: ignore,
       onGone: (act: () => void) => {
         leave = act;
@@ -245,10 +267,18 @@
       receiver.failed({ type: 'upstream-lost', detail: '', mayHaveRun: true });
       return;
     }
-    const isNotRun = condition !== 'serving';
+    const isBreaking = condition === 'breaking';
+    const isNotRun = condition !== 'serving' && !isBreaking;
     const status = { serving: 200, empty: 421, full: 503 }[condition as 'empty'] ?? 200;
-    receiver.head({ status, headers: [], isNotRun, isForRequest: true, hasLength: false });
+    const headers = isBreaking ? ['Content-Type', 'text/event-stream'] : [];
+    receiver.head({ status, headers, isNotRun, isForRequest: true, hasLength: false });
     if (isNotRun) return;
+    if (isBreaking) {
+      receiver.data(Buffer.from('id: 1\ndata: x\n\n'));
+      const failure = { type: 'upstream-lost', detail: '', mayHaveRun: true } as const;
+      this.clock.after(BREAK_MS, () => receiver.failed(failure));
+      return;
+    }
     receiver.data(Buffer.from('id: 2\ndata: x\n\n'));
     receiver.end();
   }
