Return the retry of a request that waits for a load at its version

Callers saw: requests that one server had refused were not tried at another one (502 or 503 upstream-failed, outcome budget-spent) while streams that had been taken up waited for loads.

Cause: a request reserves its retry before it waits, and a reservation counts in every window of the budget. That was meant for waits of 1.5 s at most; a stream that is taken up may wait for 0.8 of its time.

Why it works: the reservation is returned when such a wait begins, and the send reserves again. A stream that finds the budget spent then is refused.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -586,6 +586,8 @@
     this.isUnreached = true;
     this.targetWaitCount += 1;
     this.waitingFromMs = nowMs;
+    // It may wait for many seconds, in which other requests can use the retry.
+    if (this.isTakingUp) this.retryCharge.settle();
     void this.serving.waitForTarget(target, waiter).then((found) => {
       if (this.isOver) return;
       this.endTargetWait();
--- a/test/brokenstreams.test.ts
+++ b/test/brokenstreams.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava';
+import type { ModelId } from '../src/base/index.js';
 import { TakeUpRig } from './support/takeuprig.js';
 
 /** Far below the time for which a request that takes a stream up may be held. */
 const AT_ONCE_MS = 500;
+const OTHER_MODEL = 'm2' as ModelId;
 
 /** An entry that has just found an upstream unreachable when a stream breaks there; another one could load the model. */
 async function broken(): Promise<TakeUpRig> {
@@ -33,3 +35,20 @@
   t.is(rig.cutAtMs.length, 1);
   t.true(rig.cutAtMs[0]! < AT_ONCE_MS, `${rig.cutAtMs[0]}`);
 });
+
+// Guards against retries of other requests that find the budget spent by streams that wait and send nothing.
+test('a stream that waits for a load does not use up the retry budget of other requests', async (t) => {
+  const rig = new TakeUpRig({}, { ratio: 0, slack: 1 });
+  rig.list('u1', 'v1', [TakeUpRig.model]);
+  rig.setCondition('u1', 'empty');
+  rig.answer = () => ({ type: 'later', inMs: 4000, isUnderWay: true });
+  rig.takeUp();
+  await rig.pass(1500);
+  rig.list('u5', 'v1', [OTHER_MODEL]);
+  rig.list('u6', 'v1', [OTHER_MODEL]);
+  for (const id of ['u5', 'u6']) rig.setCondition(id, 'full');
+  rig.begin(OTHER_MODEL);
+  for (const id of ['u5', 'u6']) rig.setCondition(id, 'serving');
+  await rig.pass(1000);
+  t.is(rig.ended.at(-1)!.status, 200, JSON.stringify(rig.lines.at(-1)));
+});
