Do not count an answer without an event as a crash of its upstream

Callers saw: requests that share a caller or a part of a prompt could be refused as request-ends-upstreams, though no server had crashed.

Cause: since a stream that ends before any event is a broken one, of the type upstream-lost, which is recorded as a crash of the upstream.

Why it works: an answer that is whole by its framing shows that its server has not crashed; it counts as a wrong answer, is tried elsewhere as before, and blames nothing.

--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -262,7 +262,10 @@
     const { reply } = this.options;
     const { status, incompleteDetail: detail } = reply;
     if (detail !== undefined) {
-      this.onFailure({ type: 'upstream-lost', detail, mayHaveRun: true });
+      // By its framing the upstream has sent the answer whole, so that it has not crashed.
+      const isFramed = this.head!.hasLength && !reply.isInsideEvent;
+      const type = isFramed ? 'upstream-wrong-answer' : 'upstream-lost';
+      this.onFailure({ type, detail, mayHaveRun: true });
       return;
     }
     this.leave();
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -91,13 +91,18 @@
     return this.held !== undefined;
   }
 
+  /** True if the last answer is a stream whose last event is incomplete so far. */
+  get isInsideEvent(): boolean {
+    return this.isEvents && ((this.reader ?? this.assembler)?.isInsideEvent ?? false);
+  }
+
   /** Why the last answer is incomplete if it has ended; undefined if it is complete. */
   get incompleteDetail(): string | undefined {
     if (!this.isEvents) {
       return this.isEmpty && !this.mayLackBody ? 'The answer ended before its body.' : undefined;
     }
     const events = this.reader ?? this.assembler;
-    if (events?.isInsideEvent) return 'The stream ended inside an event.';
+    if (this.isInsideEvent) return 'The stream ended inside an event.';
     const isComplete = events?.hasEvent || this.mayLackEvents;
     return isComplete ? undefined : 'The stream ended before any event.';
   }
--- a/test/brokenstreams.test.ts
+++ b/test/brokenstreams.test.ts
@@ -52,3 +52,15 @@
   await rig.pass(1000);
   t.is(rig.ended.at(-1)!.status, 200, JSON.stringify(rig.lines.at(-1)));
 });
+
+// Guards against prompts and callers that count as crashing upstreams which have answered and serve on.
+test('an answer of length 0 to a stream that is taken up is not recorded as a crash of its upstream', async (t) => {
+  const rig = new TakeUpRig();
+  rig.list('u1', 'v1', [TakeUpRig.model]);
+  rig.list('u2', 'v1', [TakeUpRig.model]);
+  for (const id of ['u1', 'u2']) rig.setCondition(id, 'eventless');
+  rig.takeUp();
+  await rig.pass(5000);
+  t.is(rig.ended.length, 1);
+  t.is(rig.crashCount, 0);
+});
--- a/test/support/takeuprig.ts
+++ b/test/support/takeuprig.ts
@@ -18,9 +18,11 @@
 
 /**
  * What a request meets at an upstream. `unsendable`: it cannot be written; `crashing`: it ends its connection and the
- * next one opens none; `breaking`: its stream breaks after one event.
+ * next one opens none; `breaking`: its stream breaks after one event; `eventless`: its answer
+ * has a length of 0.
  */
-type Condition = 'serving' | 'down' | 'empty' | 'full' | 'unsendable' | 'crashing' | 'breaking';
+type Condition =
+  'serving' | 'down' | 'empty' | 'full' | 'unsendable' | 'crashing' | 'breaking' | 'eventless';
 
 /** Limits of the retry budget of the service. */
 interface BudgetLimits {
@@ -102,6 +104,9 @@
 
   private requestCount = 0;
 
+  /** Number of runs that were recorded as a crash of their upstream. */
+  crashCount = 0;
+
   /** Number of questions to the order lease holder. */
   askCount = 0;
 
@@ -133,6 +138,13 @@
       fleet,
       log,
       origins: { find: () => Promise.resolve(this.found()), record: ignore } as never,
+      poison: {
+        isIdle: true,
+        answered: ignore,
+        recordCrash: () => {
+          this.crashCount += 1;
+        },
+      } as never,
       link: { send: this.send.bind(this) } as unknown as UpstreamLink,
       decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
       budgetOf: (service) => budgets.of(service),
@@ -268,10 +280,16 @@
       return;
     }
     const isBreaking = condition === 'breaking';
-    const isNotRun = condition !== 'serving' && !isBreaking;
+    const isNotRun = !['serving', 'breaking', 'eventless'].includes(condition);
     const status = { serving: 200, empty: 421, full: 503 }[condition as 'empty'] ?? 200;
     const headers = isBreaking ? ['Content-Type', 'text/event-stream'] : [];
-    receiver.head({ status, headers, isNotRun, isForRequest: true, hasLength: false });
+    receiver.head({
+      status,
+      headers,
+      isNotRun,
+      isForRequest: true,
+      hasLength: condition === 'eventless',
+    });
     if (isNotRun) return;
     if (isBreaking) {
       receiver.data(Buffer.from('id: 1\ndata: x\n\n'));
@@ -279,7 +297,7 @@
       this.clock.after(BREAK_MS, () => receiver.failed(failure));
       return;
     }
-    receiver.data(Buffer.from('id: 2\ndata: x\n\n'));
+    if (condition !== 'eventless') receiver.data(Buffer.from('id: 2\ndata: x\n\n'));
     receiver.end();
   }
 }
