Plant the defects of streamworld where the software of a stream is judged

Developers saw: two checks of streamworld (`the checks find streams of unknown begin that are sent on`, `the checks find an inference from what is listed now`) found none of the defects that they plant.

Cause: added a condition to `onlyOrigin`, ahead of `onlySoftware`, which the planted classes replace: nothing is inferred while the list has had a second version.

Why it works: all that decides on the software of a stream stands in `onlySoftware` again, so that a class that replaces it replaces the whole decision. What the product does is the same.

--- a/src/core/origin/originhistory.ts
+++ b/src/core/origin/originhistory.ts
@@ -147,14 +147,14 @@
     if (service === undefined || services.length > 1 || !isCovered) return undefined;
     const hasOtherWeights =
       model !== undefined && this.weights.since(weightsKey(service, model), fromMs).length > 1;
-    const hasOtherSoftware = this.software.since(service, fromMs).length > 1;
-    return hasOtherWeights || hasOtherSoftware ? undefined : this.onlySoftware(service);
+    return hasOtherWeights ? undefined : this.onlySoftware(service, fromMs);
   }
 
-  /** Returns the origin of a stream that began at this service, if it can have begun at one software version alone. */
-  protected onlySoftware(service: ServiceId): StreamOrigin | undefined {
+  /** Returns the origin of a stream that began at this service since then, if only one software version is possible. */
+  protected onlySoftware(service: ServiceId, fromMs: Ms): StreamOrigin | undefined {
     const version = this.streamVersions.only(service);
-    if (version === undefined) return undefined;
+    const hasOther = this.software.since(service, fromMs).length > 1;
+    if (version === undefined || hasOther) return undefined;
     const softwareVersion = version === NO_VERSION ? undefined : version;
     return { service, softwareVersion, weightsVersion: undefined };
   }
