Infer the recorded version of a stream while a second one is listed but not recorded

Callers saw: after a kill of all entries beside a release, streams that had begun in the calm time before it were refused (`stream-origin-unknown`) although servers of their version were there.

Cause: since nothing is inferred while the list has another version than the record.

Why it works: no stream begins at a second version until 2.1 s after it was recorded, so a list of at most 2 s whose record names one version still shows with what a stream can have begun, whatever else is listed. Older lists (up to 30 s, confirmed by others) infer as before, and other entries are told as early as before.

--- a/src/core/origin/originhistory.ts
+++ b/src/core/origin/originhistory.ts
@@ -127,7 +127,10 @@
     const listed = this.software.listedNow() as Map<ServiceId, string[]>;
     const isExpired = (service: ServiceId, version: string) =>
       isCovered && !this.software.since(service, fromMs).includes(version);
-    return this.streamVersions.next({ listed, knownAtMs, isExpired }, nowMs);
+    const recent = isCovered
+      ? (this.software.allSince(fromMs) as Map<ServiceId, string[]>)
+      : undefined;
+    return this.streamVersions.next({ listed, knownAtMs, isExpired, recent }, nowMs);
   }
 
   /** Returns true if a resumable stream may begin at an upstream. */
@@ -135,8 +138,28 @@
     return this.streamVersions.mayBegin(service, softwareVersion);
   }
 
-  /** Returns the only origin that a stream of the route may have; undefined if there may be several. */
+  /**
+   * Returns the only origin that a stream of the route may have, as long as no other version is listed either; undefined
+   * if there may be several, now or soon.
+   */
   onlyOrigin(route: Route, model: ModelId | undefined, nowMs: Ms): StreamOrigin | undefined {
+    return this.possibleOrigin(route, model, nowMs, false);
+  }
+
+  /**
+   * Returns the only origin with which a stream of the route can have begun; undefined if there may be several. No stream
+   * begins at a listed version that a complete record lacks.
+   */
+  onlyOriginBegun(route: Route, model: ModelId | undefined, nowMs: Ms): StreamOrigin | undefined {
+    return this.possibleOrigin(route, model, nowMs, this.streamVersions.hasAllVersions);
+  }
+
+  private possibleOrigin(
+    route: Route,
+    model: ModelId | undefined,
+    nowMs: Ms,
+    mayListOthers: boolean,
+  ): StreamOrigin | undefined {
     const fromMs = nowMs - windowOf(route);
     const services: ServiceId[] = [];
     for (const [service, untilMs] of this.services.get(routeKey(route)) ?? []) {
@@ -147,13 +170,17 @@
     if (service === undefined || services.length > 1 || !isCovered) return undefined;
     const hasOtherWeights =
       model !== undefined && this.weights.since(weightsKey(service, model), fromMs).length > 1;
-    return hasOtherWeights ? undefined : this.onlySoftware(service, fromMs);
+    return hasOtherWeights ? undefined : this.onlySoftware(service, fromMs, mayListOthers);
   }
 
   /** Returns the origin of a stream that began at this service since then, if only one software version is possible. */
-  protected onlySoftware(service: ServiceId, fromMs: Ms): StreamOrigin | undefined {
+  protected onlySoftware(
+    service: ServiceId,
+    fromMs: Ms,
+    mayListOthers: boolean,
+  ): StreamOrigin | undefined {
     const version = this.streamVersions.only(service);
-    const hasOther = this.software.since(service, fromMs).length > 1;
+    const hasOther = !mayListOthers && this.software.since(service, fromMs).length > 1;
     if (version === undefined || hasOther) return undefined;
     const softwareVersion = version === NO_VERSION ? undefined : version;
     return { service, softwareVersion, weightsVersion: undefined };
--- a/src/core/origin/streamversions.ts
+++ b/src/core/origin/streamversions.ts
@@ -11,6 +11,8 @@
   readonly knownAtMs: Ms;
   /** True if no stream can still go on that began at the version. */
   readonly isExpired: (service: ServiceId, version: string) => boolean;
+  /** Versions by service that were listed since the oldest stream that may go on; undefined if not known so far back. */
+  readonly recent?: ReadonlyMap<ServiceId, readonly string[]> | undefined;
 }
 
 /** Stands for all versions of a time of which nothing is known. */
@@ -25,6 +27,14 @@
   );
 }
 
+function hasAll(services: VersionRecord['services'], recent: Listing['recent']): boolean {
+  if (!recent) return false;
+  const recorded = new Map(services.map(({ service, versions }) => [service, versions]));
+  return [...recent].every(([service, versions]) =>
+    versions.every((version) => recorded.get(service)?.includes(version)),
+  );
+}
+
 /**
  * The software versions at which resumable streams may begin. A version has to stand in the stored record first, and the
  * second one of a service for as long as the state may be old by which an entry infers that there is one alone. So
@@ -41,6 +51,9 @@
   /** False while there is no record, or another writer has replaced it. */
   private isReadable = false;
 
+  /** True if the record is known to have every version at which a stream may still go on. */
+  private isComplete = false;
+
   /** True if versions may have been recorded that this process does not know. */
   private isIncomplete = false;
 
@@ -60,6 +73,7 @@
     if (isOld) return false;
     this.revision = revision;
     this.isReadable = record !== undefined;
+    this.isComplete = record?.isComplete === true;
     if (!record) {
       this.isIncomplete ||= this.readAtMs === Infinity;
       return true;
@@ -80,6 +94,11 @@
     if (this.readAtMs === Infinity && hasPredecessor) this.isIncomplete = true;
   }
 
+  /** Returns true if the record has every version at which a stream may still go on, whoever has written it. */
+  get hasAllVersions(): boolean {
+    return this.isReadable && this.isComplete;
+  }
+
   /** Returns true if a resumable stream may begin at a version. */
   mayBegin(service: ServiceId, version: string): boolean {
     const known = this.isReadable ? this.services.get(service) : undefined;
@@ -107,20 +126,36 @@
       if (versions.versions.length > 0) services.push({ service, ...versions });
       if (!isSame(before, versions)) isChanged = true;
     }
-    return isChanged ? { record: { services }, expectedRevision: this.revision } : undefined;
+    const isConfirmed = this.isOlderThan(listing, nowMs) && hasAll(services, listing.recent);
+    const isComplete = this.isComplete || this.isFirst() || isConfirmed;
+    if (isComplete && !this.isComplete) isChanged = true;
+    if (!isChanged) return undefined;
+    const record = isComplete ? { services, isComplete } : { services };
+    return { record, expectedRevision: this.revision };
+  }
+
+  /** Returns true if there was no record before, and no process that may have lost one. */
+  private isFirst(): boolean {
+    return this.revision === ABSENT && this.readAtMs === Infinity && !this.isIncomplete;
+  }
+
+  /** Returns true if the list is up to date and has every server whose version the record can name. */
+  private isOlderThan({ knownAtMs }: Listing, nowMs: Ms): boolean {
+    return knownAtMs > this.readAtMs && nowMs - knownAtMs <= this.settleMs;
   }
 
   private nextVersions(
     service: ServiceId,
     before: ServiceVersions | undefined,
-    { listed, knownAtMs, isExpired }: Listing,
+    listing: Listing,
     nowMs: Ms,
   ): ServiceVersions {
+    const { listed, isExpired } = listing;
     const known = before?.versions ?? (this.isIncomplete ? [UNKNOWN_VERSION] : []);
     const settledBefore = before?.settledCount ?? 0;
     // A list that is older than the record may lack a version that another process has recorded, and at which streams
     // have begun; an old list may lack one that is listed again.
-    const mayDrop = knownAtMs > this.readAtMs && nowMs - knownAtMs <= this.settleMs;
+    const mayDrop = this.isOlderThan(listing, nowMs);
     const kept = known.filter((version) => !mayDrop || !isExpired(service, version));
     const added = (listed.get(service) ?? []).filter((version) => !known.includes(version));
     const versions = [...kept, ...added];
--- a/src/core/origin/versionhistory.ts
+++ b/src/core/origin/versionhistory.ts
@@ -44,15 +44,15 @@
 
   /** Returns the versions that are listed now, by key. */
   listedNow(): Map<string, string[]> {
+    return this.allSince(Infinity);
+  }
+
+  /** Returns the versions that were listed at this time or later, by key. */
+  allSince(fromMs: Ms): Map<string, string[]> {
     const listed = new Map<string, string[]>();
-    for (const [key, listings] of this.listings) {
-      const versions = [...listings].filter(([, { count }]) => count > 0);
-      if (versions.length > 0) {
-        listed.set(
-          key,
-          versions.map(([version]) => version),
-        );
-      }
+    for (const key of this.listings.keys()) {
+      const versions = this.since(key, fromMs);
+      if (versions.length > 0) listed.set(key, versions);
     }
     return listed;
   }
--- a/src/core/origin/versionrecord.ts
+++ b/src/core/origin/versionrecord.ts
@@ -9,4 +9,9 @@
     /** Streams may begin at this many of the versions; every entry knows of the others before they may. */
     readonly settledCount: number;
   }[];
+  /**
+   * True if no version is missing at which a stream may still go on. Entries of earlier releases may drop one that they
+   * have not read of; they do not write this.
+   */
+  readonly isComplete?: boolean;
 }
--- a/src/direct/origin/origins.ts
+++ b/src/direct/origin/origins.ts
@@ -214,8 +214,13 @@
 
   private inferred(route: Route, model: ModelId | undefined, maxListAgeMs: Ms): FoundOrigin {
     const { history, clock, listAgeMs } = this.options;
-    const origin = history.onlyOrigin(route, model, clock.nowMs());
-    if (!origin || listAgeMs() > maxListAgeMs) return { origin: undefined, source: 'unknown' };
+    const nowMs = clock.nowMs();
+    const ageMs = listAgeMs();
+    const origin =
+      ageMs > LIST_FRESH_MS
+        ? history.onlyOrigin(route, model, nowMs)
+        : history.onlyOriginBegun(route, model, nowMs);
+    if (!origin || ageMs > maxListAgeMs) return { origin: undefined, source: 'unknown' };
     return { origin, source: 'inferred' };
   }
 
--- a/src/direct/origin/versionkeeper.ts
+++ b/src/direct/origin/versionkeeper.ts
@@ -33,6 +33,7 @@
       settledCount: shape.count,
     }),
   ),
+  isComplete: shape.optional(shape.boolean),
 });
 
 function decode(text: string): VersionRecord | undefined {
--- a/test/origins.test.ts
+++ b/test/origins.test.ts
@@ -27,18 +27,28 @@
 }));
 const REQUEST = { id: 'r2', resumes: 'r1' as RequestId } as unknown as Caller['request'];
 
+/** Versions that the entry knows. */
+interface Known {
+  readonly versions: string[];
+  readonly listed: readonly string[];
+  readonly isComplete: boolean;
+}
+
 /** Takes a stream up at an entry whose list is old, while the others answer that they keep no copy. */
 function takeUp(
   listAgeMs: number,
   revisions: readonly (Revision | undefined)[],
+  { versions = ['v1'], listed = ['v1'], isComplete }: Partial<Known> = {},
 ): Promise<FoundOrigin> {
   const clock = new VirtualClock();
   const history = new OriginHistory();
-  const upstream = { id: 'u1', service: SERVICE, softwareVersion: 'v1', models: new Map() };
   history.table(TABLE, 0);
-  history.upstream(upstream as unknown as Upstream, 0);
-  const services = [{ service: SERVICE, versions: ['v1'], settledCount: 1 }];
-  history.versionsStored({ services }, RECORD_REVISION, 0);
+  for (const softwareVersion of listed) {
+    const upstream = { id: softwareVersion, service: SERVICE, softwareVersion, models: new Map() };
+    history.upstream(upstream as unknown as Upstream, 0);
+  }
+  const services = [{ service: SERVICE, versions, settledCount: 1 }];
+  history.versionsStored({ services, isComplete }, RECORD_REVISION, 0);
   history.complete(undefined, false, 0);
   clock.advanceTo(LONG_MS);
   const left = [...revisions];
@@ -80,3 +90,25 @@
 test('an entry with a fresh list infers an origin by itself', async (t) => {
   t.is((await takeUp(1000, [LATER_REVISION])).source, 'inferred');
 });
+
+// Guards against streams that are refused after a kill of all entries while servers of a new version join: an entry that
+// starts reads of both versions at once, before the second one stands in the record.
+test('an origin is inferred while the list has a version at which no stream can have begun yet', async (t) => {
+  const listed = ['v1', 'v2'];
+  const found = await takeUp(1000, [RECORD_REVISION], { listed, isComplete: true });
+  t.is(found.source, 'inferred');
+  t.is(found.origin?.softwareVersion, 'v1');
+});
+
+test('no origin is inferred where the list has a version that may have been dropped from the record', async (t) => {
+  const listed = ['v1', 'v2'];
+  t.is((await takeUp(1000, [RECORD_REVISION], { listed })).source, 'unknown');
+  t.is((await takeUp(1000, [RECORD_REVISION], { listed, isComplete: false })).source, 'unknown');
+  const isOld = await takeUp(OLD_LIST_MS, [RECORD_REVISION], { listed, isComplete: true });
+  t.is(isOld.source, 'unknown');
+});
+
+test('no origin is inferred once the record names a second version', async (t) => {
+  const known = { versions: ['v1', 'v2'], listed: ['v1', 'v2'], isComplete: true };
+  t.is((await takeUp(1000, [RECORD_REVISION], known)).source, 'unknown');
+});
--- a/test/versionkeeper.test.ts
+++ b/test/versionkeeper.test.ts
@@ -61,7 +61,7 @@
     this.history.table(TABLE, 0);
   }
 
-  /** Another entry writes the record. */
+  /** Another entry writes the record, as earlier releases do. */
   write(services: Services): void {
     const record = {
       services: services.map(([service, versions, settledCount]) => ({
@@ -96,6 +96,10 @@
     }
   }
 
+  isComplete(): boolean {
+    return (JSON.parse(this.stored!.value) as { isComplete?: boolean }).isComplete ?? false;
+  }
+
   versionsOf(service: string): string[] {
     const { services } = JSON.parse(this.stored!.value) as {
       services: { service: string; versions: string[] }[];
@@ -103,6 +107,10 @@
     return services.find((one) => one.service === service)?.versions ?? [];
   }
 
+  onlyVersionBegun(): string | undefined {
+    return this.history.onlyOriginBegun(ROUTE, undefined, this.clock.nowMs())?.softwareVersion;
+  }
+
   onlyVersion(): string | undefined {
     return this.history.onlyOrigin(ROUTE, undefined, this.clock.nowMs())?.softwareVersion;
   }
@@ -180,3 +188,35 @@
   keeping.list('a2', 's', 'v2');
   t.is(keeping.onlyVersion(), undefined);
 });
+
+test('a new version that is listed leaves the one at which streams have begun, until it is recorded', async (t) => {
+  const keeping = await start();
+  t.true(keeping.isComplete());
+  keeping.list('a2', 's', 'v2');
+  t.is(keeping.onlyVersionBegun(), 'v1');
+  await keeping.run(1000);
+  t.deepEqual(keeping.versionsOf('s'), ['v1', 'v2']);
+  t.true(keeping.isComplete());
+  t.is(keeping.onlyVersionBegun(), undefined);
+});
+
+// Guards against a record of an earlier release that lacks a version at which streams go on, taken for a complete one.
+test('a record of an earlier release counts as complete only by a newer list that has been followed for long', async (t) => {
+  const keeping = await start();
+  keeping.write([['s', ['v1'], 1]]);
+  keeping.list('a2', 's', 'v2');
+  await keeping.run(100);
+  t.is(keeping.onlyVersionBegun(), undefined);
+  keeping.gone('a2');
+  keeping.follow();
+  t.is(keeping.onlyVersionBegun(), undefined);
+  await keeping.run(1000);
+  t.false(keeping.isComplete());
+  keeping.gone('b1');
+  await keeping.run(COVERED_MS);
+  t.false(keeping.isComplete());
+  keeping.follow();
+  await keeping.run(1000);
+  t.true(keeping.isComplete());
+  t.is(keeping.onlyVersionBegun(), 'v1');
+});
