Spread the tries of callers whose stream's version has gone over the time that they have left

Callers saw: a request that takes up a stream of whose version no server is left was refused with `Retry-After` 250 ms. A caller that honours it uses up its few tries within a second, while a server that crashed and comes back is listed again after seconds.

Cause: `stream-version-gone` had the time of full upstreams, at once and after a wait.

Evidence: test/takeup.test.ts, `a stream whose version has gone is refused with a time for another try that grows with the time left`, fails without it (250).

Why it works: the time is 0.2 to 0.32 of what is left until the deadline, as for models that are nowhere, which callers accept (up to a third); it differs between requests, so that they do not come back at once.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -274,8 +274,7 @@
       isResumable: route.isResumable || undefined,
     };
     if (origin && !serving.fleet.mayContinue(origin)) {
-      const detail = 'No upstream runs the software version that the stream began with.';
-      this.giveUp('stream-version-gone', detail);
+      this.versionGone();
       return;
     }
     if (!serving.mayWait) {
@@ -312,6 +311,16 @@
     else this.tryAgainLater();
   }
 
+  /**
+   * Refuses a stream of whose version no upstream is left. Only one that returns can serve it, which takes seconds, so
+   * that the caller's few tries are spread over the time that it has left.
+   */
+  private versionGone(): void {
+    const detail = 'No upstream runs the software version that the stream began with.';
+    const remainingMs = this.untilMs - this.clock.nowMs();
+    this.giveUp('stream-version-gone', detail, spreadRetryAfterMs(remainingMs, this.place()));
+  }
+
   /** Returns the block that a request waits for; a stream cannot be sent to an upstream that counts as lost. */
   private blockFor(nowMs: Ms, includesLost: boolean): Block | undefined {
     const { id } = this.caller.request;
@@ -588,7 +597,8 @@
       if (found.type === 'ready') {
         this.unplannedMs = found.unplannedMs ?? 0;
         this.attemptAgain(nowMs);
-      } else this.giveUp(found.reason, found.detail, found.retryAfterMs);
+      } else if (found.reason === 'stream-version-gone') this.versionGone();
+      else this.giveUp(found.reason, found.detail, found.retryAfterMs);
     });
   }
 
--- a/test/support/takeuprig.ts
+++ b/test/support/takeuprig.ts
@@ -6,6 +6,7 @@
 import { DemandMeter, type FindAnswer } from '../../src/direct/orders/index.js';
 import { RetryBudgets } from '../../src/direct/retrybudgets.js';
 import { Fleet, type Target } from '../../src/direct/route/index.js';
+import type { Refusal } from '../../src/direct/refusal.js';
 import { Run } from '../../src/direct/run/index.js';
 import type { Serving } from '../../src/direct/serving.js';
 import { TargetFinder } from '../../src/direct/targetfinder.js';
@@ -23,6 +24,7 @@
 interface Ended {
   readonly status: number;
   readonly type?: string;
+  readonly retryAfterMs?: Ms;
   readonly atMs: Ms;
 }
 
@@ -187,7 +189,8 @@
       request,
       isPresent: true,
       begin: (status: number) => this.over({ status }),
-      refuse: ({ status, type }: { status: number; type: string }) => this.over({ status, type }),
+      refuse: ({ status, type, retryAfterMs }: Refusal) =>
+        this.over({ status, type, retryAfterMs }),
       write: () => true,
       end: ignore,
       cut: ignore,
--- a/test/takeup.test.ts
+++ b/test/takeup.test.ts
@@ -4,6 +4,9 @@
 
 /** Far below the deadline of a request. */
 const AT_ONCE_MS = 200;
+/** A fifth of the 19 s that are left; callers accept up to a third of them. */
+const MIN_SPREAD_MS = 3700;
+const MAX_ACCEPTED_MS = 6300;
 const READY = { type: 'ready', upstream: 'u1' as UpstreamId } as const;
 
 /** One upstream of v1 with the model, and one of another version. */
@@ -269,3 +272,23 @@
     [200],
   );
 });
+
+// Guards against callers that use up their tries within a second, while a version that returns takes several.
+test('a stream whose version has gone is refused with a time for another try that grows with the time left', async (t) => {
+  const rig = rigOf();
+  rig.list('u1', 'v1');
+  rig.answer = loadingUntil(rig, 6000);
+  rig.takeUp();
+  await rig.pass(1000);
+  rig.unlist('u1');
+  rig.takeUp();
+  await rig.pass(AT_ONCE_MS);
+  t.deepEqual(
+    rig.ended.map(({ type }) => type),
+    ['stream-version-gone', 'stream-version-gone'],
+  );
+  for (const { retryAfterMs = 0 } of rig.ended) {
+    t.true(retryAfterMs >= MIN_SPREAD_MS, `${retryAfterMs}`);
+    t.true(retryAfterMs <= MAX_ACCEPTED_MS, `${retryAfterMs}`);
+  }
+});
