--- a/test/support/takeuprig.ts
+++ b/test/support/takeuprig.ts
@@ -6,6 +6,7 @@
 import { DemandMeter, type FindAnswer } from '../../src/direct/orders/index.js';
 import { RetryBudgets } from '../../src/direct/retrybudgets.js';
 import { Fleet, type Target } from '../../src/direct/route/index.js';
+import type { Refusal } from '../../src/direct/refusal.js';
 import { Run } from '../../src/direct/run/index.js';
 import type { Serving } from '../../src/direct/serving.js';
 import { TargetFinder } from '../../src/direct/targetfinder.js';
@@ -34,6 +35,7 @@
 interface Ended {
   readonly status: number;
   readonly type?: string;
+  readonly retryAfterMs?: Ms;
   readonly atMs: Ms;
 }
 
@@ -221,7 +223,8 @@
       request,
       isPresent: true,
       begin: (status: number) => this.over({ status }),
-      refuse: ({ status, type }: { status: number; type: string }) => this.over({ status, type }),
+      refuse: ({ status, type, retryAfterMs }: Refusal) =>
+        this.over({ status, type, retryAfterMs }),
       write: () => true,
       end: ignore,
       cut: () => this.cutAtMs.push(this.clock.nowMs()),
