Send refusals of unread bodies whole on the path with sidecars

Callers saw: EPIPE or ECONNRESET in place of a refusal (413, 401, an invalid header name, connections-full) while they still wrote the request's body.

Cause: Node closes a connection right after an answer with `Connection: close`. The kernel resets a connection that is closed with unread bytes, and the reset overtakes the answer.

Why it works: such an answer ends the sending side; what the caller still writes is read and discarded until it ends its side, for 1 s at most. Requests that are read behind the announced close are ignored, as their answers could not be sent.

--- a/src/entry/handler/readbody.ts
+++ b/src/entry/handler/readbody.ts
@@ -22,10 +22,7 @@
     request.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length;
       if (sizeBytes <= limitBytes) chunks.push(chunk);
-      else {
-        request.pause();
-        resolve(tooLarge(limitBytes));
-      }
+      else resolve(tooLarge(limitBytes));
     });
     request.on('end', () => resolve(result.Ok(Buffer.concat(chunks))));
     request.on('error', () => resolve(result.Err(refuse('cancelled', 'The caller has gone.'))));
--- a/src/entry/handler/refusecaller.ts
+++ b/src/entry/handler/refusecaller.ts
@@ -1,6 +1,7 @@
 import type { Refusal } from '../../wire/index.js';
-import { sendProblem } from '../sendproblem.js';
 import type { EntryContext } from '../entrycontext.js';
+import { lastAnswer } from '../lastanswer.js';
+import { sendProblem } from '../sendproblem.js';
 import type { Caller } from './caller.js';
 
 function hasBody({ headers }: Caller['request']): boolean {
@@ -10,8 +11,8 @@
 /** Refuses a request that has not been sent to any upstream. */
 export function refuseCaller(context: EntryContext, caller: Caller, refusal: Refusal): void {
   const { requestId, request, response } = caller;
-  // The rest of the body is not read, so the connection cannot be reused.
-  if (!request.complete && hasBody(request)) response.setHeader('connection', 'close');
+  // The rest of the body is discarded, so the connection cannot be reused.
+  if (!request.complete && hasBody(request)) lastAnswer.announce(response, context.clock);
   sendProblem(response, refusal, requestId);
   context.metrics.count('request', 1, { end: refusal.type });
   context.log.info('request', { requestId, end: refusal.type, detail: refusal.detail });
--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -3,12 +3,14 @@
 import { toNodeHandler } from 'h3/node';
 import type { H3 } from 'h3';
 import { nanoid } from 'nanoid';
+import type { Clock } from '../base/index.js';
 import { refuse } from '../core/refusal/index.js';
 import { AcceptGate, gateConnections } from '../shell/accept/index.js';
 import { invalidFieldName } from '../shell/http1/index.js';
 import { callerServer, type KeySettings } from '../shell/tls/index.js';
 import { Connections } from './connections.js';
 import type { EntryContext } from './entrycontext.js';
+import { lastAnswer } from './lastanswer.js';
 import { problem } from './problem.js';
 import { sendProblem } from './sendproblem.js';
 
@@ -32,19 +34,23 @@
 }
 
 /** Wraps a listener so that it refuses requests with invalid header names. */
-function refuseInvalidNames(listen: RequestListener): RequestListener {
+function refuseInvalidNames(clock: Clock, listen: RequestListener): RequestListener {
   return (request, response) => {
     if (invalidFieldName(request.rawHeaders) === undefined) {
       listen(request, response);
       return;
     }
-    response.setHeader('connection', 'close');
+    lastAnswer.announce(response, clock);
     sendProblem(response, refuse('malformed', 'The request has an invalid header name.'), nanoid());
   };
 }
 
 /** Wraps a listener so that it refuses requests on connections past the limit. */
-function refuseOverLimit(connections: Connections, listen: RequestListener): RequestListener {
+function refuseOverLimit(
+  clock: Clock,
+  connections: Connections,
+  listen: RequestListener,
+): RequestListener {
   return (request, response) => {
     if (connections.isAdmitted(request.socket)) {
       listen(request, response);
@@ -52,11 +58,19 @@
     }
     const options = { retryAfterMs: RETRY_AFTER_MS };
     const detail = `This entry has ${connections.limit} connections.`;
-    response.setHeader('connection', 'close');
+    lastAnswer.announce(response, clock);
     sendProblem(response, refuse('connections-full', detail, options), nanoid());
   };
 }
 
+/** Wraps a listener so that it ignores requests behind an answer that closes the connection. */
+function ignoreAfterLast(listen: RequestListener): RequestListener {
+  return (request, response) => {
+    if (lastAnswer.isAnnounced(request.socket)) request.resume();
+    else listen(request, response);
+  };
+}
+
 /** An HTTP server and its caller connections. */
 interface Listener {
   readonly server: Server;
@@ -76,7 +90,8 @@
   });
   const connections = new Connections(server, limits.connections);
   const listen = toNodeHandler(app) as unknown as RequestListener;
-  server.on('request', refuseOverLimit(connections, refuseInvalidNames(listen)));
+  const checked = refuseOverLimit(clock, connections, refuseInvalidNames(clock, listen));
+  server.on('request', ignoreAfterLast(checked));
   server.on('clientError', refuseUnparsable);
   const gate = new AcceptGate({
     clock,
