--- a/src/shell/http1/index.ts
+++ b/src/shell/http1/index.ts
@@ -6,4 +6,5 @@
 export type { Http1Call } from './http1call.js';
 export type { Http1Receiver } from './http1receiver.js';
 export type { Http1Exchange } from './http1exchange.js';
+export { linger } from './linger.js';
 export { lingerAfter } from './lingerafter.js';
