Refuse by an answer what the path with sidecars cannot read around a start or a stop

Callers saw ECONNRESET in place of an answer from an entry that had begun to listen within the last 5 s, or that was stopping.

Cause: the accept gate of src/entry could close connections unread in every phase.

Why it works: in these phases the gate accepts what it would have closed, and the request is refused (entry-busy, not run) once its head is read. Over TLS the refused connection is recognised by its remote address and port, as a request refers to another socket there; no test runs this over TLS.

--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -4,10 +4,12 @@
 import type { H3 } from 'h3';
 import { nanoid } from 'nanoid';
 import type { Clock } from '../base/index.js';
+import { mayClose } from '../core/overload/index.js';
 import { refuse } from '../core/refusal/index.js';
 import { AcceptGate, gateConnections } from '../shell/accept/index.js';
 import { invalidFieldName, linger } from '../shell/http1/index.js';
 import { callerServer, type KeySettings } from '../shell/tls/index.js';
+import { BusyConnections } from './busyconnections.js';
 import { Connections } from './connections.js';
 import type { EntryContext } from './entrycontext.js';
 import { lastAnswer } from './lastanswer.js';
@@ -74,6 +76,20 @@
   };
 }
 
+/** Wraps a listener so that it refuses requests on connections that this entry cannot read in time. */
+function refuseBusy(clock: Clock, busy: BusyConnections, listen: RequestListener): RequestListener {
+  return (request, response) => {
+    if (!busy.has(request.socket)) {
+      listen(request, response);
+      return;
+    }
+    const options = { retryAfterMs: RETRY_AFTER_MS };
+    const detail = 'More connections wait at this entry than it can read in time.';
+    lastAnswer.announce(response, clock);
+    sendProblem(response, refuse('entry-busy', detail, options), nanoid());
+  };
+}
+
 /** Wraps a listener so that it ignores requests behind an answer that closes the connection. */
 function ignoreAfterLast(connections: Connections, listen: RequestListener): RequestListener {
   return (request, response) => {
@@ -96,7 +112,7 @@
 /** Creates the HTTP server of an entry, with its limits. */
 export function createListener(
   app: H3,
-  { clock, log, metrics, limits }: EntryContext,
+  { clock, log, metrics, limits, gate: requestGate }: EntryContext,
   tls: KeySettings | null | undefined,
 ): Listener {
   const server = callerServer(tls, log, {
@@ -107,17 +123,26 @@
   const connections = new Connections(server, limits.connections, clock);
   const listen = toNodeHandler(app) as unknown as RequestListener;
   const checked = refuseOverLimit(clock, connections, refuseInvalidNames(clock, listen));
-  server.on('request', ignoreAfterLast(connections, checked));
+  const busy = new BusyConnections();
+  server.on('request', ignoreAfterLast(connections, refuseBusy(clock, busy, checked)));
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     refuseUnparsable(clock, connections, error, socket);
   });
+  let listeningSinceMs = Infinity;
+  server.once('listening', () => {
+    listeningSinceMs = clock.nowMs();
+  });
   const gate = new AcceptGate({
     clock,
     log,
     decided: (fate) => metrics.count('connection', 1, { fate }),
     polled: (delayMs) => metrics.histogram('read_delay_ms', delayMs),
-    mayClose: () => true,
+    mayClose: () => mayClose(clock.nowMs() - listeningSinceMs, !requestGate.ready()),
+  });
+  gateConnections(server, (socket) => {
+    const fate = gate.admit(socket);
+    if (fate === 'refused') busy.add(socket);
+    return fate !== 'closed-unread';
   });
-  gateConnections(server, (socket) => gate.admit(socket) !== 'closed-unread');
   return { server, connections };
 }
