Wait at the end of a stop for callers that still write

Callers saw EPIPE in place of two complete answers when an entry ended in the phase `ending` while they still wrote the body of the second request.

Cause: in that phase the process exits as soon as the answers are handed to the kernel. The exit closes connections with unread bytes, and the reset overtakes the answers.

Why it works: the stop also waits until callers have ended the connections whose close was announced.

Changed test: the stand-in for the server in plannedstop has the new property, 0 throughout. Its checks are unchanged.

--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -13,6 +13,8 @@
   readonly isListening: boolean;
   /** Number of requests that were read and whose answers are not written yet. */
   readonly unwritten: number;
+  /** Number of connections that close after their last answer and that their callers have not ended yet. */
+  readonly closing: number;
   connections(): Promise<number>;
 }
 
@@ -65,13 +67,16 @@
       BEGIN[ORDER[startedPhases]!](options, startedAtMs);
     }
     const { inFlight } = entry;
-    const { unwritten } = server;
+    const { unwritten, closing } = server;
     const connections = await server.connections();
     const isQuiet = inFlight === 0 && unwritten === 0;
     const isShut = !server.isListening;
-    const isDone = isQuiet && isShut && (phase === 'ending' || connections === 0);
+    // An exit resets connections whose callers still write, which would overtake the answers on them.
+    const isUnused = connections === 0 || (phase === 'ending' && closing === 0);
+    const isDone = isQuiet && isShut && isUnused;
     if (isDone || phase === 'over') {
-      log.info('stopped', { phase, inFlight, unwritten, connections, tookMs: Math.round(tookMs) });
+      const left = { inFlight, unwritten, connections, closing };
+      log.info('stopped', { phase, ...left, tookMs: Math.round(tookMs) });
       return;
     }
     await new Promise<void>((resolve) => {
--- a/test/plannedstop.test.ts
+++ b/test/plannedstop.test.ts
@@ -40,6 +40,7 @@
     get unwritten() {
       return left(clock.nowMs(), actions);
     },
+    closing: 0,
     connections: () => Promise.resolve(left(clock.nowMs(), actions)),
   };
   const log = { info() {}, warn() {}, error() {} };
