--- a/src/entry/listener.ts
+++ b/src/entry/listener.ts
@@ -3,12 +3,16 @@
 import { toNodeHandler } from 'h3/node';
 import type { H3 } from 'h3';
 import { nanoid } from 'nanoid';
+import type { Clock } from '../base/index.js';
+import { mayClose } from '../core/overload/index.js';
 import { refuse } from '../core/refusal/index.js';
 import { AcceptGate, gateConnections } from '../shell/accept/index.js';
-import { invalidFieldName } from '../shell/http1/index.js';
+import { invalidFieldName, linger } from '../shell/http1/index.js';
 import { callerServer, type KeySettings } from '../shell/tls/index.js';
+import { BusyConnections } from './busyconnections.js';
 import { Connections } from './connections.js';
 import type { EntryContext } from './entrycontext.js';
+import { lastAnswer } from './lastanswer.js';
 import { problem } from './problem.js';
 import { sendProblem } from './sendproblem.js';
 
@@ -22,29 +26,44 @@
 
 type RequestListener = (request: IncomingMessage, response: ServerResponse) => void;
 
-function refuseUnparsable(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable) return;
+/** Answers what cannot be parsed, after the answers to the requests before it, and closes the connection. */
+function refuseUnparsable(
+  clock: Clock,
+  connections: Connections,
+  error: NodeJS.ErrnoException,
+  socket: Socket,
+): void {
+  if (lastAnswer.isAnnounced(socket)) return;
+  lastAnswer.announceFor(socket);
   const type = REFUSAL_TYPES[error.code ?? ''] ?? 'malformed';
   const { status, headers, body } = problem(refuse(type, error.message), nanoid());
   const lines = Object.entries({ ...headers, connection: 'close', 'content-length': body.length });
   const head = lines.map(([name, value]) => `${name}: ${value}\r\n`).join('');
-  socket.end(`HTTP/1.1 ${status} \r\n${head}\r\n${body}`);
+  connections.whenAnswered(socket, () => {
+    if (!socket.writable) return;
+    socket.write(`HTTP/1.1 ${status} \r\n${head}\r\n${body}`);
+    linger(socket, clock);
+  });
 }
 
 /** Wraps a listener so that it refuses requests with invalid header names. */
-function refuseInvalidNames(listen: RequestListener): RequestListener {
+function refuseInvalidNames(clock: Clock, listen: RequestListener): RequestListener {
   return (request, response) => {
     if (invalidFieldName(request.rawHeaders) === undefined) {
       listen(request, response);
       return;
     }
-    response.setHeader('connection', 'close');
+    lastAnswer.announce(response, clock);
     sendProblem(response, refuse('malformed', 'The request has an invalid header name.'), nanoid());
   };
 }
 
 /** Wraps a listener so that it refuses requests on connections past the limit. */
-function refuseOverLimit(connections: Connections, listen: RequestListener): RequestListener {
+function refuseOverLimit(
+  clock: Clock,
+  connections: Connections,
+  listen: RequestListener,
+): RequestListener {
   return (request, response) => {
     if (connections.isAdmitted(request.socket)) {
       listen(request, response);
@@ -52,11 +71,38 @@
     }
     const options = { retryAfterMs: RETRY_AFTER_MS };
     const detail = `This entry has ${connections.limit} connections.`;
-    response.setHeader('connection', 'close');
+    lastAnswer.announce(response, clock);
     sendProblem(response, refuse('connections-full', detail, options), nanoid());
   };
 }
 
+/** Wraps a listener so that it refuses requests on connections that this entry cannot read in time. */
+function refuseBusy(clock: Clock, busy: BusyConnections, listen: RequestListener): RequestListener {
+  return (request, response) => {
+    if (!busy.has(request.socket)) {
+      listen(request, response);
+      return;
+    }
+    const options = { retryAfterMs: RETRY_AFTER_MS };
+    const detail = 'More connections wait at this entry than it can read in time.';
+    lastAnswer.announce(response, clock);
+    sendProblem(response, refuse('entry-busy', detail, options), nanoid());
+  };
+}
+
+/** Wraps a listener so that it ignores requests behind an answer that closes the connection. */
+function ignoreAfterLast(connections: Connections, listen: RequestListener): RequestListener {
+  return (request, response) => {
+    if (lastAnswer.isAnnounced(request.socket)) {
+      request.resume();
+      return;
+    }
+    connections.begin(response);
+    lastAnswer.begin(response);
+    listen(request, response);
+  };
+}
+
 /** An HTTP server and its caller connections. */
 interface Listener {
   readonly server: Server;
@@ -66,7 +112,7 @@
 /** Creates the HTTP server of an entry, with its limits. */
 export function createListener(
   app: H3,
-  { clock, log, metrics, limits }: EntryContext,
+  { clock, log, metrics, limits, gate: requestGate }: EntryContext,
   tls: KeySettings | null | undefined,
 ): Listener {
   const server = callerServer(tls, log, {
@@ -74,17 +120,29 @@
     requestTimeout: limits.requestTimeoutMs,
     headersTimeout: limits.requestTimeoutMs,
   });
-  const connections = new Connections(server, limits.connections);
+  const connections = new Connections(server, limits.connections, clock);
   const listen = toNodeHandler(app) as unknown as RequestListener;
-  server.on('request', refuseOverLimit(connections, refuseInvalidNames(listen)));
-  server.on('clientError', refuseUnparsable);
+  const checked = refuseOverLimit(clock, connections, refuseInvalidNames(clock, listen));
+  const busy = new BusyConnections();
+  server.on('request', ignoreAfterLast(connections, refuseBusy(clock, busy, checked)));
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    refuseUnparsable(clock, connections, error, socket);
+  });
+  let listeningSinceMs = Infinity;
+  server.once('listening', () => {
+    listeningSinceMs = clock.nowMs();
+  });
   const gate = new AcceptGate({
     clock,
     log,
     decided: (fate) => metrics.count('connection', 1, { fate }),
     polled: (delayMs) => metrics.histogram('read_delay_ms', delayMs),
-    mayClose: () => true,
+    mayClose: () => mayClose(clock.nowMs() - listeningSinceMs, !requestGate.ready()),
+  });
+  gateConnections(server, (socket) => {
+    const fate = gate.admit(socket);
+    if (fate === 'refused') busy.add(socket);
+    return fate !== 'closed-unread';
   });
-  gateConnections(server, (socket) => gate.admit(socket) !== 'closed-unread');
   return { server, connections };
 }
