Test that a stop closes idle connections over TLS

Idle connections are counted by bytes on the path with sidecars, and those of the handshake must not make a connection look busy.

--- a/test/tls.test.ts
+++ b/test/tls.test.ts
@@ -166,6 +166,25 @@
   engine.close();
 });
 
+// Guards against a stop that waits for connections which carry no request.
+test('a stop closes idle connections over TLS', async (t) => {
+  const entry = await entryFor(9, {
+    tls: { ...keys('entry'), caFile: null },
+    peerTls: keys('entry'),
+  });
+  const ca = readFileSync(join(FIXTURES, 'authority.crt'));
+  const sockets = [0, 1].map(() => connect({ port: entry.port, host: '127.0.0.1', ca }));
+  await Promise.all(sockets.map((socket) => once(socket, 'secureConnect')));
+  const [used] = sockets;
+  used!.write('GET /healthz HTTP/1.1\r\nHost: caller.example\r\n\r\n');
+  await once(used!, 'data');
+  const ended = Promise.all(sockets.map((socket) => once(socket.resume(), 'end')));
+  const startedAtMs = performance.now();
+  await entry.stop();
+  t.true(performance.now() - startedAtMs < COMMON_SETTINGS.drainTimeoutMs);
+  await ended;
+});
+
 test('the last valid keys stay in use while certificate and key do not match', (t) => {
   const files = keys('entry');
   const opened = KeyFiles.open(files, createLog('test', 'error')).unwrap();
