End an order lease by the time of the write that took it

An entry that read, as the outcome of its own write, a record with its nonce and a sentAtMs to come held the lease until another record was read: 1e308 set both the end of the lease and its next renewal out of reach, so that the next holder gave orders beside it.

Cause: the times of the lease were taken from the record, which any process can write. No write of this process is sent after the one that was answered; the earlier of the two times counts now, which a record cannot prolong.

--- a/src/core/orderlease/onwriteresult.ts
+++ b/src/core/orderlease/onwriteresult.ts
@@ -24,11 +24,13 @@
     seen !== undefined && seen.revision > revision && seen.value.nonce !== state.nonce;
   if (value.nonce !== state.nonce || isOvertaken) return onRecord(state, value, revision, nowMs);
   const next = onRecord(state, value, revision, nowMs);
+  // No write of this process was sent after this one: a later time is not its own and must not prolong the lease.
+  const sentAtMs = Math.min(value.sentAtMs, write.value.sentAtMs);
   const own = {
     epoch: state.own?.epoch ?? (Number(revision) as Epoch),
     revision,
-    renewAtMs: value.sentAtMs + renewEveryMs,
-    validUntilMs: value.sentAtMs + ttlMs - orderTimeoutMs,
+    renewAtMs: sentAtMs + renewEveryMs,
+    validUntilMs: sentAtMs + ttlMs - orderTimeoutMs,
     ordersFromMs: state.own?.ordersFromMs ?? write.ordersFromMs,
   };
   return { ...next, own };
