Bound the time until an entry asks for a slot again

The answer to a request for a slot names a time. One answer of 1e308 ms kept an entry from asking for slots at that upstream for good.

--- a/src/direct/selfreport/slotclient.ts
+++ b/src/direct/selfreport/slotclient.ts
@@ -94,7 +94,7 @@
       return;
     }
     const waitMs = answer?.type === 'later' ? answer.inMs : rateRules.minBackoffMs;
-    updated.closedUntilMs = nowMs + waitMs;
+    updated.closedUntilMs = nowMs + Math.min(waitMs, rateRules.maxBackoffMs);
   }
 
   /** Returns a slot for a request. For a short time only the request that waited for a slot may use it. */
