Bound the backlog that a quota refusal sets

One answer of the quota holder with a large retryAfterMs made every later refusal of the customer name the longest time, 10 s, for as long as that answer said. The holder itself names maxRetryAfterMs at most, which bounds what an entry keeps now.

--- a/src/core/quota/localbucket.ts
+++ b/src/core/quota/localbucket.ts
@@ -68,7 +68,7 @@
   onRefused(retryAfterMs: Ms, backoffMs: Ms, nowMs: Ms): void {
     this.wasRefused = true;
     this.backoffUntilMs = nowMs + backoffMs;
-    this.servedAtMs = nowMs + retryAfterMs;
+    this.servedAtMs = nowMs + Math.min(retryAfterMs, quotaLimits.maxRetryAfterMs);
   }
 
   isBackingOff(nowMs: Ms): boolean {
