Print what led to a broken promise about orders in suspendholder

The program prints each breach with its detail and, if a promise about orders was broken, suspensions, all orders and the entries' lines about them, which tell such an order from one decided after the suspension.

--- a/bench/soak/suspendholder.ts
+++ b/bench/soak/suspendholder.ts
@@ -3,12 +3,12 @@
 import { pause } from './pause.js';
 import { Site } from './site.js';
 import { suspendedCommand } from './suspendedcommand.js';
-import { PromiseChecker } from './promisechecker.js';
+import { PromiseChecker, type Breach } from './promisechecker.js';
 
 /**
  * Repeatedly suspends the host of the order lease holder until another entry has taken over, while callers request
  * models that have to be loaded, and prints the promises that were broken. With the argument `steady`, entries use a
- * clock that does not advance during a suspension.
+ * clock that does not advance during a suspension. If a promise about orders was broken, prints what led to it.
  */
 const isSteady = process.argv[2] === 'steady';
 /** The defect does not show in every round: the resumed entry has to give an order before it checks its lease. */
@@ -16,6 +16,8 @@
 const CALLERS = 24;
 const SLACK_MS = 8000;
 const ORDER_PROMISES = new Set(['orders have one holder at a time', 'fencing tokens rise']);
+/** Log lines about single orders, the order lease and suspensions. */
+const ORDER_LINE = /"message":"(order"|order turn|host was suspended|no clock)/;
 /** Time for a resumed holder to give its orders: they come within one planning round. */
 const AFTER_THAW_MS = 1000;
 /** An engine restarts with empty memory this often, so that there is always something to order. */
@@ -44,9 +46,33 @@
   while (holder().name === than) await pause(5);
 }
 
-function brokenPromises(): string[] {
-  const breaches = new PromiseChecker(site, callers.calls, SLACK_MS).judge();
-  return breaches.map(({ promise }) => promise);
+function findBreaches(): readonly Breach[] {
+  return new PromiseChecker(site, callers.calls, SLACK_MS).judge();
+}
+
+function breaksOrderPromise(breaches: readonly Breach[]): boolean {
+  return breaches.some(({ promise }) => ORDER_PROMISES.has(promise));
+}
+
+/**
+ * Returns the suspensions, all orders as the engines received them, and the entries' log lines about orders and the order
+ * lease, by the same clock. The `tookMs` of an order tells one that was sent before the suspension and arrived after it
+ * from one that was decided after it.
+ */
+function orderHistory(): object {
+  const orders = site.servers.flatMap(({ server }) =>
+    server.orderLog.map(({ order, atMs }) => ({ atMs, server: server.id, ...order })),
+  );
+  orders.sort((a, b) => a.atMs - b.atMs);
+  return {
+    wallAtZeroMs: performance.timeOrigin,
+    suspensions: entries.map(({ name, interruptedAtMs }) => ({ name, interruptedAtMs })),
+    orders,
+    lines: entries.map(({ name, lines }) => ({
+      name,
+      lines: lines.filter((line) => ORDER_LINE.test(line)),
+    })),
+  };
 }
 
 while (!entries.every(({ lines }) => lines.some((line) => line.includes('state read')))) {
@@ -68,10 +94,12 @@
   for (const { server } of engines) server.restart();
   suspended.thaw();
   await pause(AFTER_THAW_MS);
-  if (brokenPromises().some((promise) => ORDER_PROMISES.has(promise))) break;
+  if (breaksOrderPromise(findBreaches())) break;
 }
 clearInterval(restarting);
 await callers.stop();
-console.log(JSON.stringify(brokenPromises()));
+const breaches = findBreaches();
+const history = breaksOrderPromise(breaches) ? orderHistory() : undefined;
+console.log(JSON.stringify({ breaches, history }));
 await site.close();
 process.exit(0);
