Bound the length of suspect records and configurations before parsing

A record of suspects, a configuration or the record of a service document was parsed at any length. Each entry parses each of them, so that a text of some MB of another writer holds up the event loop of every entry.

Suspects: 524,288 characters; a full record of 256 suspects with 17 companions each has 392,754. Paths of callers' requests are in it, so that the writer could exceed the bound: it leaves out the longest runs, as it does beyond 256. Configurations and records of documents: 4,194,304 characters; generated ones of the design size have 2,041,258 (1,200 models, 5,000 customers, indented) and 1,566,494 (1,200 models, 12,000 upstreams, indented).

--- a/src/core/shape/index.ts
+++ b/src/core/shape/index.ts
@@ -2,5 +2,6 @@
 export type { Check } from './check.js';
 export { isDeep } from './isdeep.js';
 export { parseJson } from './parsejson.js';
+export { maxDocumentLength } from './maxdocumentlength.js';
 export { maxRecordLength } from './maxrecordlength.js';
 export { shape } from './shape.js';
--- a/src/direct/poison/suspectstore.ts
+++ b/src/direct/poison/suspectstore.ts
@@ -2,6 +2,7 @@
 import { partTrait, type Suspect } from '../../core/poison/index.js';
 import type { ChangeFeed, KeyValue, Log, Swap } from '../../port/index.js';
 import { decodeSuspects } from './decodesuspects.js';
+import { maxSuspectsLength } from './maxsuspectslength.js';
 import type { SuspectTable } from './suspecttable.js';
 
 /** The record that the store holds of one upstream's crash. */
@@ -49,10 +50,11 @@
  */
 const RETRY_MS = 2000;
 /**
- * Bound on the suspects of one record, beyond which the longest runs are left out: the contents and parts of twice the
+ * Bound on the suspects of one record, which has a bound of length as well; beyond them the longest runs are left out: the contents and parts of twice the
  * number of requests that an upstream runs at once.
  */
 const MAX_SUSPECTS = 256;
+const EMPTY_LENGTH = JSON.stringify({ suspects: [] }).length;
 const ABSENT = 0 as Revision;
 
 /**
@@ -146,7 +148,13 @@
       crashes: suspect.crashes.filter((crash) => crash.upstream === upstream),
     }));
     ownCrashOnly.sort((a, b) => a.crashes[0]!.runMs - b.crashes[0]!.runMs);
-    return ownCrashOnly.slice(0, MAX_SUSPECTS);
+    let length = EMPTY_LENGTH;
+    const first = ownCrashOnly.slice(0, MAX_SUSPECTS);
+    const end = first.findIndex((suspect) => {
+      length += JSON.stringify(suspect).length + 1;
+      return length > maxSuspectsLength;
+    });
+    return end < 0 ? first : first.slice(0, end);
   }
 
   private async write(upstream: UpstreamId, nowMs: Ms): Promise<void> {
