Bound the time for which a copy of a stream's origin is kept

Copies of origins come from the store and from other entries with the time for which they are to be kept. One record with a large time was kept for weeks, and, as eviction stops at the first record that has not expired, kept all later ones up to the bound of 32,768 records as well. The entry that begins a stream names ten minutes at most; the table keeps none for longer now.

--- a/src/direct/origin/origins.ts
+++ b/src/direct/origin/origins.ts
@@ -11,6 +11,7 @@
 import { CopyOutbox } from './copyoutbox.js';
 import type { FoundOrigin } from './foundorigin.js';
 import type { OriginAnswer } from './originanswer.js';
+import { maxKeepMs } from './maxkeepms.js';
 import type { OriginCopy } from './origincopy.js';
 import { OriginTable } from './origintable.js';
 import { PendingCopies } from './pendingcopies.js';
@@ -54,7 +55,6 @@
 const CONFIRMATIONS = 2;
 /** A caller may be a little later than it has announced. */
 const KEEP_MARGIN_MS = 5000;
-const MAX_KEEP_MS = 600_000;
 
 function isSameOrigin(one: StreamOrigin, other: StreamOrigin): boolean {
   return (
@@ -125,7 +125,7 @@
     const nowMs = this.options.clock.nowMs();
     const known = this.table.get(id, nowMs);
     const sequence = (known?.sequence ?? 0) + 1;
-    const keptMs = Math.min(MAX_KEEP_MS, keepMs + KEEP_MARGIN_MS);
+    const keptMs = Math.min(maxKeepMs, keepMs + KEEP_MARGIN_MS);
     const copy = { id, origin, sequence, keepMs: Math.round(keptMs) };
     this.table.put(copy, nowMs);
     // An origin that others were told of has to be told again when it changes.
--- a/src/direct/origin/origintable.ts
+++ b/src/direct/origin/origintable.ts
@@ -1,5 +1,6 @@
 import type { Ms, RequestId } from '../../base/index.js';
 import type { StreamOrigin } from '../../core/origin/index.js';
+import { maxKeepMs } from './maxkeepms.js';
 import type { OriginCopy } from './origincopy.js';
 
 /** What is known of one stream. */
@@ -25,8 +26,9 @@
   put({ id, origin, sequence, keepMs }: OriginCopy, nowMs: Ms): void {
     const known = this.records.get(id);
     if (known && known.sequence > sequence) return;
+    const untilMs = nowMs + Math.min(keepMs, maxKeepMs);
     this.records.delete(id);
-    this.records.set(id, { origin, sequence, sinceMs: nowMs, untilMs: nowMs + keepMs });
+    this.records.set(id, { origin, sequence, sinceMs: nowMs, untilMs });
     this.evict(nowMs);
   }
 
