Read the records of service documents at any length again

A bound of 4 MiB on the text of such a record made a longer one an empty record, which reads like a removed document: its service would have gone from every entry. Nothing refuses such a document when it is applied.

Documents come from the operators of the system, and no other writer's record is read as one, so that the bound guarded little. recordlengths expects a longer record to be read now, in place of its removal.

--- a/src/shell/mesh/recordof.ts
+++ b/src/shell/mesh/recordof.ts
@@ -1,5 +1,5 @@
 import type { MeshRecord } from '../../core/mesh/index.js';
-import { maxDocumentLength, parseJson, shape } from '../../core/shape/index.js';
+import { parseJson, shape } from '../../core/shape/index.js';
 import { parseDocument } from '../../core/text/index.js';
 import type { KeyValue } from '../../port/index.js';
 import { sidecarAddressesOf } from './sidecaraddressesof.js';
@@ -13,7 +13,7 @@
 const EMPTY = new Uint8Array(0);
 
 function textOf(value: string): string {
-  const read = parseJson(value, maxDocumentLength);
+  const read = parseJson(value);
   return isStoredValue(read) ? ((read as StoredValue).document ?? '') : '';
 }
 
