--- a/test/unreadclose.test.ts
+++ b/test/unreadclose.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { connect } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
-import { systemClock } from '../src/base/index.js';
+import { systemClock, VirtualClock } from '../src/base/index.js';
 import type { Caller } from '../src/direct/index.js';
 import { HttpCallerServer } from '../platform/httpcallerserver.js';
 
@@ -69,6 +69,35 @@
   server.close();
 });
 
+/** Turns of the event loop in which the other end of a connection has read what was written. */
+const DELIVERY_TURNS = 100;
+
+// Guards against a refusal that is lost to a caller with a slow link, which takes long to write the body.
+test('a refusal is not lost while its caller writes the body for longer than a connection lingers', async (t) => {
+  const clock = new VirtualClock();
+  const entry = { limits: { ...LIMITS, bodyBytes: 10 }, accept: () => undefined };
+  const server = new HttpCallerServer(entry as never, clock, LOG, METRICS);
+  const port = await server.listen('127.0.0.1', 0);
+  const socket = connect({ port, host: '127.0.0.1', noDelay: true });
+  let end = '';
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    end = error.code ?? error.message;
+  });
+  socket.write(headOf(LARGE_BYTES));
+  for (let part = 0; part < 5; part += 1) {
+    socket.write('x'.repeat(100));
+    for (let turn = 0; turn < DELIVERY_TURNS; turn += 1) await nextTurn();
+    clock.advanceTo(clock.nowMs() + 900);
+  }
+  t.is(end, '');
+  t.is(await server.connections(), 1);
+  t.regex(String(socket.read()), /^HTTP\/1\.1 413 /);
+  // A caller that sends nothing more is not waited for.
+  clock.advanceTo(clock.nowMs() + 2000);
+  while ((await server.connections()) > 0) await nextTurn();
+  server.close();
+});
+
 /** A server whose requests are kept by the test, which answers them. */
 async function openHeld(): Promise<{ server: HttpCallerServer; port: number; held: Caller[] }> {
   const held: Caller[] = [];
