--- a/src/direct/poison/suspectstore.ts
+++ b/src/direct/poison/suspectstore.ts
@@ -50,8 +50,8 @@
  */
 const RETRY_MS = 2000;
 /**
- * Bound on the suspects of one record, which has a bound of length as well; beyond them the longest runs are left out: the contents and parts of twice the
- * number of requests that an upstream runs at once.
+ * Bound on the suspects of one record: the contents and parts of twice the number of requests that an upstream runs at
+ * once. Beyond it, and beyond the length of a record, the longest runs are left out.
  */
 const MAX_SUSPECTS = 256;
 const EMPTY_LENGTH = JSON.stringify({ suspects: [] }).length;
