Refuse what has arrived before a process that got no processor exits

Cause: an exit at the end of the grace period followed from a timer at once. A process that had no processor for a while (a quota, a busy host) finds its timers late, and runs them before it reads what has arrived meanwhile.

The new test of httpcallerserver gets seven resets without the change.

A process that is killed first loses nothing by it. plannedstop.test expects the further action.

--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -18,6 +18,8 @@
   /** Number of connections that close after their last answer and that their callers have not ended yet. */
   readonly closing: number;
   connections(): Promise<number>;
+  /** Reads and refuses what has arrived, within a bounded number of turns of the event loop. */
+  refuseArrived(): Promise<void>;
 }
 
 type Phase = ReturnType<typeof stopPhase>;
@@ -80,6 +82,8 @@
     const isUnused = connections === 0 || (phase === 'ending' && closing === 0);
     const isDone = isQuiet && isShut && isUnused;
     if (isDone || phase === 'over') {
+      // A process that got no processor for a while finds late timers before requests that have long arrived.
+      if (!isDone) await server.refuseArrived();
       const left = { inFlight, unwritten, connections, closing };
       log.info('stopped', { phase, ...left, tookMs: Math.round(tookMs) });
       return;
--- a/test/httpcallerserver.test.ts
+++ b/test/httpcallerserver.test.ts
@@ -200,3 +200,31 @@
   t.deepEqual([...ends], []);
   server.close();
 });
+
+const WAITING_CALLERS = 6;
+
+// Guards against requests that lie unread in a process that has got no processor until it has to exit.
+test('a process that has to exit refuses the requests that have arrived meanwhile', async (t) => {
+  const { server, port } = await open(systemClock);
+  const kept = connect(port, '127.0.0.1');
+  kept.write(WHOLE_REQUEST);
+  await once(kept, 'data');
+  const ends = Array.from({ length: WAITING_CALLERS }, () => {
+    const socket = connect(port, '127.0.0.1');
+    socket.write(WHOLE_REQUEST);
+    return ending(socket);
+  });
+  ends.push(ending(kept));
+  kept.write(WHOLE_REQUEST);
+  // The kernel establishes the connections at once.
+  await new Promise<void>((resolve) => {
+    process.nextTick(resolve);
+  });
+  server.shut();
+  await server.refuseArrived();
+  server.close();
+  t.deepEqual(
+    await Promise.all(ends),
+    Array.from({ length: WAITING_CALLERS + 1 }, () => '503'),
+  );
+});
--- a/test/plannedstop.test.ts
+++ b/test/plannedstop.test.ts
@@ -42,6 +42,10 @@
       return left(clock.nowMs(), actions);
     },
     closing: 0,
+    refuseArrived: () => {
+      actions.push('refuse arrived');
+      return Promise.resolve();
+    },
     connections: () => Promise.resolve(left(clock.nowMs(), actions)),
   };
   const log = { info() {}, warn() {}, error() {} };
@@ -82,7 +86,15 @@
 test('a process that cannot write its answers exits before it would be killed', async (t) => {
   const ended = await stop(() => 1);
   t.true(ended.atMs < GRACE_MS);
-  t.deepEqual(ended.actions, ['retire', 'leave', 'shut', 'refuse', 'close listener', 'end']);
+  t.deepEqual(ended.actions, [
+    'retire',
+    'leave',
+    'shut',
+    'refuse',
+    'close listener',
+    'end',
+    'refuse arrived',
+  ]);
 });
 
 test('phases keep their order for short grace periods as well', (t) => {
