--- a/src/shell/http1/linger.ts
+++ b/src/shell/http1/linger.ts
@@ -4,7 +4,7 @@
 /** A caller that sends nothing for this long has had the time to read the answer and to close its side. */
 const LINGER_MS: Ms = 1000;
 /** Bound on how often a caller that still sends is waited for again. */
-const MAX_WAITS = 10;
+const MAX_WAITS = 4;
 
 /**
  * Ends the sending side; closes once the caller has ended its side too, or after a bound. The kernel resets a connection
