Test entries against upstreams that send without end, failing, as processes

The stand-in for servers answers whatever it is asked with a head of its own and bytes that go on until the connection closes, in twenty kinds. An entry with the heap limit of deploy/system.toml (160 MB) and three servers of each kind is asked by 60 callers, three times each.

--- a/standin/platform/index.ts
+++ b/standin/platform/index.ts
@@ -3,3 +3,5 @@
 export { PlatformStore } from './platformstore.js';
 export { configurationOf } from './configurationof.js';
 export { SlotGate } from './slotgate.js';
+export type { Endless } from './endless.js';
+export { endlessKinds } from './endlesskinds.js';
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { LoopbackServer } from '../loopbackserver.js';
 import { sendJson } from '../sendjson.js';
+import type { Endless } from './endless.js';
+import { sendEndless } from './sendendless.js';
 import type { SlotGate } from './slotgate.js';
 
 /** How a server handles the next request. */
@@ -127,6 +129,9 @@
   /** How the next requests are handled; `serve` once the list is empty. */
   readonly behaviors: ServerBehavior[] = [];
 
+  /** What it sends to whatever it is asked, also to orders and for reports; undefined while it is sound. */
+  endless: Endless | undefined;
+
   /** Headers of the requests that were run, in order. */
   readonly runs: IncomingMessage['headers'][] = [];
 
@@ -287,6 +292,10 @@
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+    if (this.endless) {
+      sendEndless(request.socket, this.endless, this.headersOf(request, 'serve'));
+      return;
+    }
     if (request.headers['tarragonstile-expect-instance'] !== this.id) {
       sendJson(response, 421, {});
       return;
--- a/test/support/platformtarget.ts
+++ b/test/support/platformtarget.ts
@@ -11,12 +11,28 @@
 const HOST = 'caller.example';
 const MIB = 1_048_576;
 const BODY_BYTES = MIB;
-/** The machine of the entry, smaller than those that entries run on. */
-const MACHINE = { memoryMb: 240, maxDescriptors: 600 };
-const HEAP_MB = 96;
+const MAX_DESCRIPTORS = 600;
+
+/** The host of the entry under test, and what it serves. */
+interface PlatformTargetOptions {
+  readonly memoryMb: number;
+  /** Heap limit of the entry. */
+  readonly heapMb: number;
+  /** Number of servers of each service: `plain`, and `engine` with the model `m1`. */
+  readonly servers: number;
+}
+
+/** Smaller than the hosts that entries run on. */
+const SMALL: PlatformTargetOptions = { memoryMb: 240, heapMb: 96, servers: 1 };
+
+/** An entry of platform/ in a process of its own, with its servers. */
+interface PlatformTarget extends CrowdTarget {
+  readonly servers: readonly PlatformServer[];
+}
+
 const REQUEST_HEAD = `POST /lookup/1 HTTP/1.1\r\nHost: ${HOST}\r\nTarragonstile-Request-Id: 1\r\n`;
 
-function settingsOf(ports: CrowdTarget['ports'], storeAddress: string): object {
+function settingsOf(ports: CrowdTarget['ports'], storeAddress: string, memoryMb: number): object {
   const at = (port: number | undefined) => `127.0.0.1:${port}`;
   return {
     host: 'entry-1',
@@ -24,7 +40,8 @@
     availabilityZone: 'z1',
     cpuShare: 0.5,
     cores: 1,
-    ...MACHINE,
+    memoryMb,
+    maxDescriptors: MAX_DESCRIPTORS,
     callersAddress: at(ports.callers),
     readinessAddress: at(ports.readiness),
     peerPorts: [ports.peers, ports.peers],
@@ -44,7 +61,13 @@
 }
 
 function configuration(): object {
-  const routes = [{ name: 'lookup', kind: 'idempotent', service: 'plain' }];
+  const stream = { kind: 'streaming', service: 'engine' };
+  const routes = [
+    { name: 'lookup', kind: 'idempotent', service: 'plain', maxAttempts: 2 },
+    { name: 'charge', kind: 'non_idempotent', service: 'plain' },
+    { name: 'draft', ...stream },
+    { name: 'batch', ...stream, maxAttempts: 2, resumable: true },
+  ];
   const limits = {
     max_header_bytes: 16_384,
     max_body_bytes: BODY_BYTES,
@@ -54,13 +77,29 @@
   return { ...configurationOf(1, HOST, routes), limits };
 }
 
-/** Starts the built entry of platform/ with stand-ins for its store and one server, and waits until it is ready. */
-export async function startPlatformTarget(): Promise<CrowdTarget> {
+function createServers(count: number): readonly PlatformServer[] {
+  const servers: PlatformServer[] = [];
+  for (let at = 1; at <= count; at += 1) {
+    const engine = new PlatformServer(`e${at}`, 'engine');
+    engine.models.set('m1', new Set());
+    servers.push(new PlatformServer(`s${at}`, 'plain'), engine);
+  }
+  return servers;
+}
+
+/** Starts the built entry of platform/ with stand-ins for its store and servers, and waits until it is ready. */
+export async function startPlatformTarget({
+  memoryMb,
+  heapMb,
+  servers: serverCount,
+}: PlatformTargetOptions = SMALL): Promise<PlatformTarget> {
   const store = new PlatformStore();
   const storeAddress = await store.listen();
-  const server = new PlatformServer('s1', 'plain', 'z1');
-  await server.listen();
-  store.put('servers/s1', server.entry());
+  const servers = createServers(serverCount);
+  for (const server of servers) {
+    await server.listen();
+    store.put(`servers/${server.id}`, server.entry());
+  }
   store.put('op/config', configuration());
   const ports = {
     callers: await freePort(),
@@ -70,8 +109,8 @@
   };
   const directory = mkdtempSync(join(tmpdir(), 'tarragonstile-crowd-'));
   const file = join(directory, 'entry.jsonc');
-  writeFileSync(file, JSON.stringify(settingsOf(ports, storeAddress)));
-  const args = [`--max-old-space-size=${HEAP_MB}`, ...entryCommand.slice(1)];
+  writeFileSync(file, JSON.stringify(settingsOf(ports, storeAddress, memoryMb)));
+  const args = [`--max-old-space-size=${heapMb}`, ...entryCommand.slice(1)];
   const process = new ObservedProcess(args, { TARRAGONSTILE_NODE_FILE: file });
   const isReady = async () => {
     const probe = await sendRaw(
@@ -88,9 +127,10 @@
   return {
     process,
     ports,
+    servers,
     bodyBytes: BODY_BYTES,
-    memoryBytes: MACHINE.memoryMb * MIB,
-    maxDescriptors: MACHINE.maxDescriptors,
+    memoryBytes: memoryMb * MIB,
+    maxDescriptors: MAX_DESCRIPTORS,
     requestHead: REQUEST_HEAD,
     ask: async () => ((await isReady()) ? send('Content-Length: 2', 'xy') : 0),
     askChunked: (chunkBytes) => {
@@ -104,7 +144,7 @@
       process.kill();
       await process.untilQuiet();
       store.close();
-      server.close();
+      for (const server of servers) server.close();
       rmSync(directory, { recursive: true });
     },
   };
