Log which upstream's answers come in many pieces, and what a process holds

The record of the incident names no upstream, no length of an answer and no memory, so a faulty upstream and a faulty caller look alike in it.

The lines `answer rejected`, `run broke off` and `request` have the bytes and pieces of the answers read; `process stood still` has the memory inside and outside V8's heap and the address whose answers came in most pieces since the tick before; metrics count bytes and pieces and show the memory.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -151,6 +151,9 @@
 
   private tickedAtMs: Ms = 0;
 
+  /** The address whose answers came in most pieces before the last tick. */
+  private busiest: ReturnType<UpstreamLink['busiest']>;
+
   private isStopping = false;
 
   private isClosed = false;
@@ -459,6 +462,11 @@
     this.context.metrics.count('direct.attempt', 1, { outcome });
   }
 
+  received(bytes: number, pieces: number): void {
+    this.context.metrics.count('direct.answer_bytes', bytes);
+    this.context.metrics.count('direct.answer_pieces', pieces);
+  }
+
   streamBroke(next: string, position: 'known' | 'unknown'): void {
     this.context.metrics.count('direct.stream_break', 1, { next, position });
   }
@@ -535,6 +543,7 @@
 
   private tick(): void {
     const nowMs = this.clock.nowMs();
+    this.busiest = this.link.busiest();
     if (nowMs - this.tickedAtMs > STALL_MS) this.resumed(nowMs);
     const lagMs = Math.max(0, nowMs - this.tickedAtMs - TICK_MS);
     this.context.metrics.histogram('direct.loop_lag_ms', lagMs);
@@ -554,11 +563,21 @@
 
   private resumed(nowMs: Ms): void {
     this.fleet.resumed(nowMs);
-    this.log.warn('process stood still', { sinceTickMs: Math.round(nowMs - this.tickedAtMs) });
+    const { heapUsed, external } = process.memoryUsage();
+    this.log.warn('process stood still', {
+      sinceTickMs: Math.round(nowMs - this.tickedAtMs),
+      heapBytes: heapUsed,
+      externalBytes: external,
+      busiestUpstream: this.busiest?.address,
+      pieces: this.busiest?.pieces,
+    });
   }
 
   private measure(): void {
     const { metrics } = this.context;
+    const { heapUsed, external } = process.memoryUsage();
+    metrics.gauge('direct.heap_bytes', heapUsed);
+    metrics.gauge('direct.external_bytes', external);
     metrics.gauge('direct.in_flight', this.runs.size);
     metrics.gauge('direct.configuration_version', this.table?.version ?? 0);
     metrics.gauge('direct.store_silent_ms', this.follower.silentMs());
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -324,6 +324,7 @@
       runMs: Math.round(runMs),
       sharedParts: reply.sharedParts,
       answer: this.answerFields(nowMs),
+      ...this.receivedFields(),
       othersThere: state.inFlight,
       isLeaving,
       detail,
@@ -335,10 +336,22 @@
   private onWrongAnswer(detail: string): void {
     const { serving, state, reply } = this.options;
     const runMs = Math.round(serving.clock.nowMs() - this.sentAtMs);
-    const fields = { requestId: reply.requestId, upstream: state.info.id, runMs, detail };
+    const fields = {
+      requestId: reply.requestId,
+      upstream: state.info.id,
+      runMs,
+      ...this.receivedFields(),
+      detail,
+    };
     serving.log.warn('answer rejected', fields);
   }
 
+  /** Returns fields for log lines: a faulty upstream may send few bytes in very many pieces. */
+  private receivedFields(): object {
+    const { bytes, pieces } = this.sent?.received ?? {};
+    return { answerBytes: bytes, answerPieces: pieces };
+  }
+
   /** Returns fields for the log line of a broken run: how far its answer had come; undefined if none had begun. */
   private answerFields(nowMs: Ms): object | undefined {
     if (!this.head) return undefined;
@@ -359,8 +372,12 @@
 
   /** Stops counting the request as in flight at the upstream. */
   private leave(): void {
-    const { serving, state, target } = this.options;
+    const { serving, state, target, record } = this.options;
     this.isUnderWay = false;
+    const { bytes = 0, pieces = 0 } = this.sent?.received ?? {};
+    record.answerBytes += bytes;
+    record.answerPieces += pieces;
+    serving.received(bytes, pieces);
     state.inFlight -= 1;
     if (this.isPrefilling) state.prefillCount -= 1;
     else if (this.lastEventAtMs !== undefined) state.streamCount -= 1;
--- a/src/direct/run/runrecord.ts
+++ b/src/direct/run/runrecord.ts
@@ -11,6 +11,9 @@
   /** Age of the list of upstreams when the last upstream was chosen. */
   listAgeMs: Ms | undefined;
   longestGapMs: Ms;
+  /** Size of the bodies of all answers, and the pieces in which they were read. */
+  answerBytes: number;
+  answerPieces: number;
   /** Time spent waiting while engines processed other prompts. */
   pacedMs: Ms;
   /** Time spent waiting for upstreams that are rate limited or paused. */
--- a/src/port/upstreamlink.ts
+++ b/src/port/upstreamlink.ts
@@ -36,6 +36,8 @@
 interface SentRequest {
   /** False until the first byte of the request has left this process. */
   readonly isSent: boolean;
+  /** Size of the answer's body so far, and in how many pieces it was read: at least one for each chunk. */
+  readonly received: { readonly bytes: number; readonly pieces: number };
   cancel(): void;
   resume(): void;
 }
@@ -82,6 +84,8 @@
 export interface UpstreamLink {
   /** Sends a request. Returns undefined if all connections that this process may open there are in use. */
   send(call: UpstreamCall, receiver: UpstreamReceiver): SentRequest | undefined;
+  /** Returns the address whose answers came in most pieces since the last call; undefined if none came. */
+  busiest(): { readonly address: string; readonly pieces: number } | undefined;
   /** Calls `maySend` right before the first byte is sent; if it returns false, the outcome is `unsent`. */
   order(order: UpstreamOrder, timeoutMs: Ms, maySend: () => boolean): Promise<OrderOutcome>;
   /** Reads the upstream's report; undefined if it does not answer. */
--- a/src/shell/http1/channel.ts
+++ b/src/shell/http1/channel.ts
@@ -31,6 +31,8 @@
 
   private maxConnections: number;
 
+  private pieceCount = 0;
+
   constructor(
     private readonly address: string,
     private readonly options: ChannelOptions,
@@ -61,6 +63,13 @@
     return this.connections.size;
   }
 
+  /** Returns in how many pieces answers were read since the last call. */
+  takePieceCount(): number {
+    const { pieceCount } = this;
+    this.pieceCount = 0;
+    return pieceCount;
+  }
+
   /** Closes idle connections now, and each other connection after its running call. */
   retire(): void {
     this.isRetired = true;
@@ -90,6 +99,7 @@
     });
     return {
       isSent: false,
+      received: { bytes: 0, pieces: 0 },
       cancel: () => {
         isOver = true;
       },
@@ -120,6 +130,7 @@
     let isOver = false;
     let framing: Framing = 'length';
     let resume = () => {};
+    const received = { bytes: 0, pieces: 0 };
     const fail = (type: FailureType, detail: string) => {
       if (isOver) return;
       isOver = true;
@@ -167,6 +178,9 @@
         },
         onData: (chunk: Buffer) => {
           counted.bodyBytes += chunk.length;
+          received.bytes += chunk.length;
+          received.pieces += 1;
+          this.pieceCount += 1;
           return isOver || receiver.data(Buffer.from(chunk));
         },
         onComplete: () => {
@@ -191,6 +205,7 @@
       get isSent() {
         return isSent;
       },
+      received,
       cancel: () => {
         if (isOver) return;
         isOver = true;
--- a/test/support/runrig.ts
+++ b/test/support/runrig.ts
@@ -9,6 +9,8 @@
 import type { UpstreamLink } from '../../src/port/index.js';
 import { fakeServing } from './fakeserving.js';
 
+const UNREAD = { bytes: 0, pieces: 0 };
+
 type Call = Parameters<UpstreamLink['send']>[0];
 type Receiver = Parameters<UpstreamLink['send']>[1];
 type Admitted = ConstructorParameters<typeof Run>[1];
@@ -157,7 +159,7 @@
   }
 
   private send(call: Call, receiver: Receiver): ReturnType<UpstreamLink['send']> {
-    const sent = { isSent: false, cancel() {}, resume() {} };
+    const sent = { isSent: false, received: UNREAD, cancel() {}, resume() {} };
     const write = () => {
       if (!call.maySend()) {
         receiver.failed({ type: 'request-withheld', detail: '', mayHaveRun: false });
--- a/test/support/slotengine.ts
+++ b/test/support/slotengine.ts
@@ -1,6 +1,8 @@
 import type { Clock, Ms } from '../../src/base/index.js';
 import type { UpstreamLink } from '../../src/port/index.js';
 
+const UNREAD = { bytes: 0, pieces: 0 };
+
 type Send = Parameters<UpstreamLink['send']>;
 
 const FIRST_EVENT_MS = 10;
@@ -31,7 +33,7 @@
     if (this.isDown) {
       const lost = { type: 'upstream-unreachable', detail: '', mayHaveRun: false } as const;
       this.clock.after(1, () => receiver.failed(lost));
-      return { isSent: false, cancel: ignore, resume: ignore };
+      return { isSent: false, received: UNREAD, cancel: ignore, resume: ignore };
     }
     const begin = () => {
       this.running.add(receiver);
@@ -47,7 +49,7 @@
       if (this.queue.includes(begin)) this.queue.splice(this.queue.indexOf(begin), 1);
       else if (this.running.delete(receiver)) this.queue.shift()?.();
     };
-    return { isSent: true, cancel, resume: ignore };
+    return { isSent: true, received: UNREAD, cancel, resume: ignore };
   }
 
   /** Breaks all connections; no new ones open. */
--- a/test/support/streamworld.ts
+++ b/test/support/streamworld.ts
@@ -15,6 +15,8 @@
 import { ListWorld } from './listworld.js';
 import { StreamPlaces } from './streamplaces.js';
 
+const UNREAD = { bytes: 0, pieces: 0 };
+
 type WorldOptions = ConstructorParameters<typeof ListWorld>[0];
 type Call = Parameters<UpstreamLink['send']>[0];
 type Receiver = Parameters<UpstreamLink['send']>[1];
@@ -414,7 +416,7 @@
   private link(entry: ListEntry, call: Call, receiver: Receiver): ReturnType<UpstreamLink['send']> {
     const { clock, servers } = this.list;
     const { fleet } = entry;
-    const sent = { isSent: false, cancel: ignore, resume: ignore };
+    const sent = { isSent: false, received: UNREAD, cancel: ignore, resume: ignore };
     const server = servers.find(({ id }) => id === call.upstream)!;
     let isOver = false;
     sent.cancel = () => {
--- a/test/support/takeuprig.ts
+++ b/test/support/takeuprig.ts
@@ -13,6 +13,8 @@
 import type { UpstreamLink } from '../../src/port/index.js';
 import { fakeServing } from './fakeserving.js';
 
+const UNREAD = { bytes: 0, pieces: 0 };
+
 type Call = Parameters<UpstreamLink['send']>[0];
 type Receiver = Parameters<UpstreamLink['send']>[1];
 type Admitted = ConstructorParameters<typeof Run>[1];
@@ -263,7 +265,7 @@
   }
 
   private send({ upstream, maySend }: Call, receiver: Receiver): ReturnType<UpstreamLink['send']> {
-    const sent = { isSent: false, cancel: ignore, resume: ignore };
+    const sent = { isSent: false, received: UNREAD, cancel: ignore, resume: ignore };
     const condition = this.conditions.get(upstream) ?? 'serving';
     this.sends.push(upstream);
     const fail = (type: 'upstream-unreachable' | 'request-unsendable') =>
