--- a/src/shell/http1/callonce.ts
+++ b/src/shell/http1/callonce.ts
@@ -23,24 +23,34 @@
 /** Bound on the body of an answer that is collected: some times the largest one between entries. */
 const MAX_ANSWER_BYTES = 16_777_216;
 
+/** Limits of an answer, beside the time without a part of it. */
+interface AnswerLimits {
+  readonly maxBytes?: number;
+  /**
+   * Bound on the whole call, for answers that are small. Of a large one on a slow link it would discard what has arrived,
+   * and the same request would then be repeated without end.
+   */
+  readonly wholeMs?: Ms;
+}
+
 /**
  * Makes one call and collects its answer. Once nothing of the answer has arrived for `timeoutMs`, the connection is
- * closed and the call fails. A limit on the whole answer would discard a large one on a slow link, and the same request
- * would then be repeated without end.
+ * closed and the call fails.
  */
 export function callOnce(
   channel: Channel,
   call: Http1Call,
   clock: Clock,
   timeoutMs: Ms,
-  maxBytes = MAX_ANSWER_BYTES,
+  { maxBytes = MAX_ANSWER_BYTES, wholeMs = Infinity }: AnswerLimits = {},
 ): Promise<Result<Http1Answer, CallFailure>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let receivedBytes = 0;
     let status = 0;
     let headers: readonly string[] = [];
-    let arrivedAtMs = clock.nowMs();
+    const startedAtMs = clock.nowMs();
+    let arrivedAtMs = startedAtMs;
     let cancelTimeout = () => {};
     let isOver = false;
     const end = (outcome: Result<Http1Answer, CallFailure>) => {
@@ -79,13 +89,18 @@
     const giveUp = () => {
       const { isSent = false } = sent ?? {};
       sent?.cancel();
+      const isWhole = clock.nowMs() >= startedAtMs + wholeMs;
       const missing = status === 0 ? 'No answer' : 'No more of the answer';
-      fail(`${missing} within ${timeoutMs} ms.`, isSent);
+      const detail = isWhole
+        ? `The answer was not complete within ${wholeMs} ms.`
+        : `${missing} within ${timeoutMs} ms.`;
+      fail(detail, isSent);
     };
+    const endsAtMs = () => Math.min(arrivedAtMs + timeoutMs, startedAtMs + wholeMs);
     const checkAfter = (ms: Ms) => {
       const check = () => {
         if (isOver) return;
-        const leftMs = arrivedAtMs + timeoutMs - clock.nowMs();
+        const leftMs = endsAtMs() - clock.nowMs();
         if (leftMs > 0) checkAfter(leftMs);
         else giveUp();
       };
--- a/test/endlessbytes.test.ts
+++ b/test/endlessbytes.test.ts
@@ -43,7 +43,7 @@
   test(`${name} without end is not read until the memory is full`, async (t) => {
     const server = await RawServer.listen((socket) => flood(socket, endless));
     const channel = createChannel(server.address);
-    const answer = await callOnce(channel, CALL, systemClock, NEVER_MS, LIMIT_BYTES);
+    const answer = await callOnce(channel, CALL, systemClock, NEVER_MS, { maxBytes: LIMIT_BYTES });
     t.true(answer.err);
     await server.allClosed();
     t.true(server.sentBytes < MAX_SENT_BYTES, `${server.sentBytes}`);
--- a/test/support/platformtarget.ts
+++ b/test/support/platformtarget.ts
@@ -20,6 +20,9 @@
   readonly heapMb: number;
   /** Number of servers of each service: `plain`, and `engine` with the model `m1`. */
   readonly servers: number;
+  /** Slots of each server. */
+  readonly slots?: number;
+  readonly maxDescriptors?: number;
 }
 
 /** Smaller than the hosts that entries run on. */
@@ -32,7 +35,11 @@
 
 const REQUEST_HEAD = `POST /lookup/1 HTTP/1.1\r\nHost: ${HOST}\r\nTarragonstile-Request-Id: 1\r\n`;
 
-function settingsOf(ports: CrowdTarget['ports'], storeAddress: string, memoryMb: number): object {
+function settingsOf(
+  ports: CrowdTarget['ports'],
+  storeAddress: string,
+  { memoryMb, maxDescriptors }: { memoryMb: number; maxDescriptors: number },
+): object {
   const at = (port: number | undefined) => `127.0.0.1:${port}`;
   return {
     host: 'entry-1',
@@ -41,7 +48,7 @@
     cpuShare: 0.5,
     cores: 1,
     memoryMb,
-    maxDescriptors: MAX_DESCRIPTORS,
+    maxDescriptors,
     callersAddress: at(ports.callers),
     readinessAddress: at(ports.readiness),
     peerPorts: [ports.peers, ports.peers],
@@ -92,11 +99,14 @@
   memoryMb,
   heapMb,
   servers: serverCount,
+  slots,
+  maxDescriptors = MAX_DESCRIPTORS,
 }: PlatformTargetOptions = SMALL): Promise<PlatformTarget> {
   const store = new PlatformStore();
   const storeAddress = await store.listen();
   const servers = createServers(serverCount);
   for (const server of servers) {
+    if (slots !== undefined) server.slots = slots;
     await server.listen();
     store.put(`servers/${server.id}`, server.entry());
   }
@@ -109,7 +119,7 @@
   };
   const directory = mkdtempSync(join(tmpdir(), 'tarragonstile-crowd-'));
   const file = join(directory, 'entry.jsonc');
-  writeFileSync(file, JSON.stringify(settingsOf(ports, storeAddress, memoryMb)));
+  writeFileSync(file, JSON.stringify(settingsOf(ports, storeAddress, { memoryMb, maxDescriptors })));
   const args = [`--max-old-space-size=${heapMb}`, ...entryCommand.slice(1)];
   const process = new ObservedProcess(args, { TARRAGONSTILE_NODE_FILE: file });
   const isReady = async () => {
@@ -130,7 +140,7 @@
     servers,
     bodyBytes: BODY_BYTES,
     memoryBytes: memoryMb * MIB,
-    maxDescriptors: MAX_DESCRIPTORS,
+    maxDescriptors,
     requestHead: REQUEST_HEAD,
     ask: async () => ((await isReady()) ? send('Content-Length: 2', 'xy') : 0),
     askChunked: (chunkBytes) => {
