Send a request in a planned stop only if its answer fits

Callers saw: requests that came late in the grace of a planned stop were passed on and ended with 504 (executed: unknown) at its end, also those that may not be repeated.

Cause: whether a request is sent depended on fixed times (read within 2.8 s, sent within 0.75 of the grace), not on what its answer takes. The second time was applied by the 50 ms poll of the stop alone, so that a timer of a waiting request could run before it after a stall, and not at all to a request whose connection was still being opened.

Why it works: the entry remembers the longest answer by route and model over the last 30 to 60 s. While it stops, a request is sent only if that, or its own deadline, ends before unfinished requests are ended (core/plannedstop, fitsStop). This is checked when an upstream is chosen, again right before the request is written, and ten times a second for waiting ones. Where no answer is known, only requests that may be repeated are sent.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -1,6 +1,7 @@
 import {
   result,
   type Clock,
+  type ModelId,
   type Ms,
   type RequestId,
   type ServiceId,
@@ -9,6 +10,7 @@
 import { takeoverDelay } from '../core/orderlease/index.js';
 import type { CustomerSpec } from '../core/access/index.js';
 import { OriginHistory } from '../core/origin/index.js';
+import { fitsStop } from '../core/plannedstop/index.js';
 import { quotaParts } from '../core/quota/index.js';
 import type { RetryBudget } from '../core/retrybudget/index.js';
 import { sharedLoadRules } from '../core/sharedload/index.js';
@@ -21,6 +23,7 @@
 } from '../core/routetable/index.js';
 import type { Upstream } from '../core/upstreams/index.js';
 import type { ChangeFeed, KeyValue, Log, Metrics, Swap, UpstreamLink } from '../port/index.js';
+import { AnswerTimeTable } from './answertimetable.js';
 import type { Caller } from './caller.js';
 import type { DirectSettings } from './directsettings.js';
 import { ConnectionLedger, ConnectionShares } from './connections/index.js';
@@ -99,8 +102,6 @@
 
   table: RouteTable | undefined;
 
-  mayWait = true;
-
   private readonly budgets: RetryBudgets;
 
   private readonly follower: Follower;
@@ -156,6 +157,14 @@
 
   private isStopping = false;
 
+  /** In a planned stop: from when on no request is sent any more. */
+  private sendsUntilMs: Ms = Infinity;
+
+  /** In a planned stop: when requests without a complete answer are ended. */
+  private endsAtMs: Ms = Infinity;
+
+  private readonly answerTimes = new AnswerTimeTable();
+
   private isClosed = false;
 
   constructor(private readonly context: DirectContext) {
@@ -369,17 +378,41 @@
     this.context.metrics.count('direct.refused', 1, labels);
   }
 
-  /** Reports not ready to the load balancer; requests in flight continue. */
-  retire(): void {
+  /**
+   * Reports not ready to the load balancer; requests in flight continue. No request is sent to an upstream from
+   * `sendsUntilMs` on, and none whose answer is not expected by `endsAtMs`.
+   */
+  retire(sendsUntilMs: Ms = Infinity, endsAtMs: Ms = Infinity): void {
     this.isStopping = true;
+    this.sendsUntilMs = sendsUntilMs;
+    this.endsAtMs = endsAtMs;
+  }
+
+  get mayWait(): boolean {
+    return this.clock.nowMs() < this.sendsUntilMs;
   }
 
   /** Refuses all requests that wait, now and from now on. */
   stopWaiting(): void {
-    this.mayWait = false;
+    this.sendsUntilMs = -Infinity;
     for (const run of [...this.runs]) run.stopWaiting();
   }
 
+  fitsStop(route: Route, model: ModelId | undefined, remainingMs: Ms): boolean {
+    if (this.endsAtMs === Infinity) return true;
+    const isStream = route.kind === 'streaming';
+    return fitsStop({
+      times: this.answerTimes.get(route.name, model),
+      remainingMs,
+      leftMs: this.endsAtMs - this.clock.nowMs(),
+      isRepeatable: isStream ? route.isResumable : route.kind === 'idempotent',
+    });
+  }
+
+  answered(route: Route, model: ModelId | undefined, tookMs: Ms): void {
+    this.answerTimes.record(route.name, model, tookMs, this.clock.nowMs());
+  }
+
   /** Gives every request its final answer, whether or not its upstream has finished. */
   endAll(): void {
     for (const intake of [...this.intakes]) intake.endNow();
@@ -475,6 +508,7 @@
 
   setTable(table: RouteTable): void {
     this.table = table;
+    this.answerTimes.setTable(table);
     this.originHistory.table(table, this.clock.nowMs());
     this.origins.tick();
     this.dispatcher.table = table;
@@ -552,6 +586,7 @@
     const mayTake = this.follower.steadyMs() > TAKE_AFTER_MS;
     const isDue = this.orderLease.isHolder() || mayTake;
     if (this.hasState && !this.isStopping && isDue) this.orderLease.tick();
+    if (this.isStopping) for (const run of [...this.runs]) run.refuseIfLate();
     this.dispatcher.tick();
     this.poison.tick();
     if (this.hasState) this.versionKeeper.tick();
--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -1,5 +1,5 @@
 import type { Clock, Ms } from '../base/index.js';
-import { stopPhase, acceptRequestsMs } from '../core/plannedstop/index.js';
+import { acceptRequestsMs, stopPhase, stopTimes } from '../core/plannedstop/index.js';
 import type { Log } from '../port/index.js';
 import type { DirectEntry } from './directentry.js';
 
@@ -40,7 +40,8 @@
 /** Actions at the start of each phase. */
 const BEGIN: Readonly<Record<Phase, (options: PlannedStopOptions, startedAtMs: Ms) => void>> = {
   listening: ({ entry, server, graceMs }, startedAtMs) => {
-    entry.retire();
+    const { refusingMs, endingMs } = stopTimes(graceMs);
+    entry.retire(startedAtMs + refusingMs, startedAtMs + endingMs);
     server.leave(startedAtMs + acceptRequestsMs(graceMs));
     void entry.release();
   },
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -83,6 +83,9 @@
   /** The attempt under way. */
   private current: Attempt | undefined;
 
+  /** When the last attempt began. */
+  private sentAtMs: Ms = 0;
+
   private readonly reply: Reply;
 
   /** True once every upstream that holds the target has been tried. */
@@ -226,6 +229,11 @@
     this.giveUp('stopping', 'This entry is about to end.', STOPPING_RETRY_AFTER_MS);
   }
 
+  /** Refuses the request if it waits and a planned stop leaves too little time for its answer. */
+  refuseIfLate(): void {
+    if (!this.fitsStop(this.route)) this.stopWaiting();
+  }
+
   /** Ends the request because the process ends: it is refused, or cut if its answer has begun. */
   endNow(): void {
     this.abandon('stopping', 'This entry ended before an answer came.');
@@ -284,7 +292,7 @@
       this.versionGone();
       return;
     }
-    if (!serving.mayWait) {
+    if (!serving.mayWait || !this.fitsStop(route)) {
       this.stopWaiting();
       return;
     }
@@ -328,6 +336,13 @@
     this.giveUp('stream-version-gone', detail, spreadRetryAfterMs(remainingMs, this.place()));
   }
 
+  /** Returns true if a planned stop leaves enough time for the answer. A request that may have run is not refused. */
+  private fitsStop(route: Route): boolean {
+    if (this.ranCount > 0 || this.reply.hasBegun) return true;
+    const remainingMs = this.untilMs - this.clock.nowMs();
+    return this.serving.fitsStop(route, this.caller.request.model, remainingMs);
+  }
+
   /** Returns the block that a request waits for; a stream cannot be sent to an upstream that counts as lost. */
   private blockFor(nowMs: Ms, includesLost: boolean): Block | undefined {
     const { id } = this.caller.request;
@@ -645,6 +660,7 @@
     this.logRetry(state, nowMs);
     this.queue.sent(target, this.urgency.rank);
     this.caller.onSend?.();
+    this.sentAtMs = nowMs;
     this.current = new Attempt({ ...options, maySend, over });
     this.current.begin(this.callTo(state));
   }
@@ -679,6 +695,8 @@
     const nowMs = clock.nowMs();
     const mayRun =
       nowMs < this.untilMs &&
+      serving.mayWait &&
+      this.fitsStop(this.route) &&
       this.suspicion.permission() === 'free' &&
       serving.decideAccess(admitted.caller.request)?.type === 'allowed' &&
       admitted.charge.covers(this.ranCount);
@@ -736,8 +754,11 @@
     }
     if (end.type === 'not-run') this.refusedCount += isUncounted ? 0 : 1;
     else this.ranCount += 1;
-    if (end.type === 'answered') this.finish();
-    else this.decide(end);
+    if (end.type === 'answered') {
+      const tookMs = this.clock.nowMs() - this.sentAtMs;
+      this.serving.answered(this.route, this.caller.request.model, tookMs);
+      this.finish();
+    } else this.decide(end);
   }
 
   private finish(): void {
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -1,4 +1,4 @@
-import type { Clock, Ms, ServiceId, UpstreamId } from '../base/index.js';
+import type { Clock, ModelId, Ms, ServiceId, UpstreamId } from '../base/index.js';
 import type { RetryBudget } from '../core/retrybudget/index.js';
 import type { CustomerSpec } from '../core/access/index.js';
 import type { AccessDecision, Route, RouteTable } from '../core/routetable/index.js';
@@ -38,6 +38,10 @@
   readonly table: RouteTable | undefined;
   /** False late in a planned stop: requests not yet sent to an upstream are refused. */
   readonly mayWait: boolean;
+  /** Returns false if a planned stop would end a request that is sent now before its answer is complete. */
+  fitsStop(route: Route, model: ModelId | undefined, remainingMs: Ms): boolean;
+  /** Records how long an upstream took for a complete answer. */
+  answered(route: Route, model: ModelId | undefined, tookMs: Ms): void;
   /** Decides whether the configuration in force allows a request; undefined while there is none. */
   decideAccess(request: Caller['request']): AccessDecision | undefined;
   /** Counts a request that was refused before it was run. */
--- a/test/support/fakeserving.ts
+++ b/test/support/fakeserving.ts
@@ -2,6 +2,7 @@
 
 const ignore = () => {};
 const COUNTERS = [
+  'answered',
   'arrived',
   'waiting',
   'began',
@@ -27,6 +28,7 @@
     waitline: { wakeAt: ignore } as never,
     table: { services: new Map() } as never,
     mayWait: true,
+    fitsStop: () => true,
     listAgeMs: () => 0,
     connectionLimit: () => 100,
     lackedConnection() {},
--- a/test/support/runrig.ts
+++ b/test/support/runrig.ts
@@ -1,5 +1,6 @@
 import { VirtualClock } from '../../src/base/index.js';
 import type { ServiceId, UpstreamId, ModelId, Ms, RequestId } from '../../src/base/index.js';
+import { fitsStop, type AnswerTimes } from '../../src/core/plannedstop/index.js';
 import type { Route } from '../../src/core/routetable/index.js';
 import type { Upstream } from '../../src/core/upstreams/index.js';
 import { RetryBudgets } from '../../src/direct/retrybudgets.js';
@@ -55,6 +56,14 @@
   /** Upstreams that refuse each request without running it. */
   readonly refusing = new Set<string>();
 
+  /** In a planned stop: from when on no request is sent, and when requests without a complete answer are ended. */
+  stop: { readonly sendsUntilMs: Ms; readonly endsAtMs: Ms } | undefined;
+
+  /** Answers that the entry has seen so far. */
+  answerTimes: AnswerTimes | undefined;
+
+  private readonly runs: Run[] = [];
+
   /** Time that a new connection to an upstream takes; 0: there is an open one. */
   openMs: Ms = 0;
 
@@ -79,6 +88,16 @@
         new Promise((resolve) => {
           this.loaded.push(() => resolve({ type: 'ready' }));
         }),
+      fitsStop: (_route, _model, remainingMs) =>
+        fitsStop({
+          times: this.answerTimes,
+          remainingMs,
+          leftMs: (this.stop?.endsAtMs ?? Infinity) - clock.nowMs(),
+          isRepeatable: true,
+        }),
+    });
+    Object.defineProperty(this.serving, 'mayWait', {
+      get: () => clock.nowMs() < (this.stop?.sendsUntilMs ?? Infinity),
     });
   }
 
@@ -112,6 +131,11 @@
     await this.settle();
   }
 
+  /** Has all requests checked that may be too late for the stop, as an entry does in each of its ticks. */
+  refuseLate(): void {
+    for (const run of this.runs) run.refuseIfLate();
+  }
+
   /** Starts requests and runs until those that do not wait have ended. */
   async ask(count: number): Promise<void> {
     for (let at = 0; at < count; at += 1) this.start();
@@ -127,7 +151,7 @@
     await new Promise(setImmediate);
   }
 
-  private start(): void {
+  start(): void {
     this.requestCount += 1;
     const arrivedAtMs = this.clock.nowMs();
     this.requestTimes.push(arrivedAtMs);
@@ -155,7 +179,9 @@
     };
     const charge = { cost: 0, covers: () => true, settle: ignore };
     const admitted = { caller, route: ROUTE, charge } as unknown as Admitted;
-    new Run(this.serving, admitted, ignore).start();
+    const run = new Run(this.serving, admitted, ignore);
+    this.runs.push(run);
+    run.start();
   }
 
   private send(call: Call, receiver: Receiver): ReturnType<UpstreamLink['send']> {
