Read answers that have arrived before a stop ends their requests

Callers saw: 504 (executed: unknown) at the end of a planned stop for a request whose server had answered, where the entry had got no processor for a while.

Cause: after a stall the event loop runs the late timer of the stop before it reads sockets, and the request was ended at once. A deadline that passes reads first already.

Evidence: latestop, 'an answer that lies unread ...', in which the stop ends requests right after the server has written its answer: 504 before, 200 with the change.

Why it works: the request is ended after everything that has arrived was read (afterReads). The stop waits for that: it polls until no request is in flight, and in its last phase refuseArrived takes further turns while answers are unwritten.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -236,7 +236,11 @@
 
   /** Ends the request because the process ends: it is refused, or cut if its answer has begun. */
   endNow(): void {
-    this.abandon('stopping', 'This entry ended before an answer came.');
+    const detail = 'This entry ended before an answer came.';
+    const end = () => this.abandon('stopping', detail);
+    // After a stall the stop goes on before the answer is read that may lie in the socket.
+    if (this.current) afterReads(this.clock, end);
+    else end();
   }
 
   private progress(): Progress {
--- a/test/latestop.test.ts
+++ b/test/latestop.test.ts
@@ -4,6 +4,9 @@
 import { join } from 'node:path';
 import { promisify } from 'node:util';
 import { fitsStop, recordAnswer, type AnswerTimes } from '../src/core/plannedstop/index.js';
+import { PlatformServer } from '../standin/platform/index.js';
+import { callEntry } from './support/callentry.js';
+import { PlatformRig } from './support/platformrig.js';
 import { RunRig } from './support/runrig.js';
 
 const SCRIPT = join(import.meta.dirname, '..', 'bench', 'soak', 'stoplate.js');
@@ -114,3 +117,24 @@
     stdout,
   );
 });
+
+// Guards against a stop that gives up answers which arrived while its process got no processor.
+test.serial(
+  'an answer that lies unread when a stop ends its request reaches the caller',
+  async (t) => {
+    const server = new PlatformServer('p1', 'plain');
+    const rig = new PlatformRig();
+    await rig.start([server]);
+    t.teardown(() => rig.close());
+    const call = { method: 'POST', path: '/charge/1', body: 'x' };
+    const { status: before } = await callEntry(rig.port, call);
+    t.is(before, 200);
+    // The server has written its answer once this is called.
+    server.behaviors.shift = () => {
+      setImmediate(() => rig.entry.endAll());
+      return 'serve';
+    };
+    const { status } = await callEntry(rig.port, call);
+    t.is(status, 200);
+  },
+);
