Name a short Retry-After for requests that a stop ends unsent

Callers saw: a request that a planned stop ended before it was sent was told to come back after 0.25 s, others that the stop refused after 0.02 s.

Cause: the end of a stop and a time-out shared the value for full upstreams.

Why it works: another entry accepts the request at once, which is what the short value stands for in every other refusal of a stop.

--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -237,7 +237,7 @@
   /** Ends the request because the process ends: it is refused, or cut if its answer has begun. */
   endNow(): void {
     const detail = 'This entry ended before an answer came.';
-    const end = () => this.abandon('stopping', detail);
+    const end = () => this.abandon('stopping', detail, STOPPING_RETRY_AFTER_MS);
     // After a stall the stop goes on before the answer is read that may lie in the socket.
     if (this.current) afterReads(this.clock, end);
     else end();
@@ -839,11 +839,11 @@
   }
 
   private timeout(): void {
-    this.abandon('timeout', 'No answer came in time.');
+    this.abandon('timeout', 'No answer came in time.', RETRY_AFTER_MS);
   }
 
   /** Ends the request now, with the attempt under way, which may have run. */
-  private abandon(type: string, detail: string): void {
+  private abandon(type: string, detail: string, retryAfterMs: Ms): void {
     if (this.isOver) return;
     if (this.withdraw(type)) this.ranCount += 1;
     if (this.reply.hasBegun) {
@@ -852,7 +852,7 @@
       return;
     }
     if (this.ranCount > 0) this.refuse(504, type, detail);
-    else this.refuse(503, type, detail, RETRY_AFTER_MS);
+    else this.refuse(503, type, detail, retryAfterMs);
   }
 
   /**
--- a/test/latestop.test.ts
+++ b/test/latestop.test.ts
@@ -138,3 +138,16 @@
     t.is(status, 200);
   },
 );
+
+test('a request that a stop ends before it was sent is told to come back at once', async (t) => {
+  const rig = new RunRig(BOUND);
+  rig.add('u1');
+  rig.openMs = 500;
+  rig.start();
+  rig.endNow();
+  await new Promise(setImmediate);
+  await new Promise(setImmediate);
+  await new Promise(setImmediate);
+  t.deepEqual(rig.statuses, [503]);
+  t.deepEqual(rig.retryAfterMs, [20]);
+});
--- a/test/support/runrig.ts
+++ b/test/support/runrig.ts
@@ -3,6 +3,7 @@
 import { fitsStop, type AnswerTimes } from '../../src/core/plannedstop/index.js';
 import type { Route } from '../../src/core/routetable/index.js';
 import type { Upstream } from '../../src/core/upstreams/index.js';
+import type { Refusal } from '../../src/direct/index.js';
 import { RetryBudgets } from '../../src/direct/retrybudgets.js';
 import { Fleet } from '../../src/direct/route/index.js';
 import { Run } from '../../src/direct/run/index.js';
@@ -53,6 +54,9 @@
   /** Status of each request that has ended. */
   readonly statuses: number[] = [];
 
+  /** When the callers that were refused are told to come back. */
+  readonly retryAfterMs: (Ms | undefined)[] = [];
+
   /** Upstreams that refuse each request without running it. */
   readonly refusing = new Set<string>();
 
@@ -136,6 +140,11 @@
     for (const run of this.runs) run.refuseIfLate();
   }
 
+  /** Ends all requests, as a stop does when its time is over. */
+  endNow(): void {
+    for (const run of this.runs) run.endNow();
+  }
+
   /** Starts requests and runs until those that do not wait have ended. */
   async ask(count: number): Promise<void> {
     for (let at = 0; at < count; at += 1) this.start();
@@ -169,7 +178,10 @@
       request,
       isPresent: true,
       begin: (status: number) => this.statuses.push(status),
-      refuse: ({ status }: { status: number }) => this.statuses.push(status),
+      refuse: ({ status, retryAfterMs }: Refusal) => {
+        this.statuses.push(status);
+        this.retryAfterMs.push(retryAfterMs);
+      },
       write: () => true,
       end: ignore,
       cut: ignore,
