Count the grace period of a stop from its signal

Callers saw (by reasoning, not observed in a run): an entry that is told to stop during its start is killed in the middle of its planned stop.

Cause: a SIGTERM during the start leads to a stop after it, and the grace period was counted from there, while the platform counts it from the signal.

Evidence: plannedstop, 'the grace period counts from the signal ...': a stop that was requested half a grace period earlier ended after the kill before, and in all its phases ahead of it with the change.

--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -29,6 +29,8 @@
   readonly entry: DirectEntry;
   readonly server: CallerServer;
   readonly graceMs: Ms;
+  /** When the stop was requested, from which on the grace period counts; absent: now. */
+  readonly requestedAtMs?: Ms;
   readonly clock: Clock;
   readonly log: Log;
   /** Called at the start of each phase. */
@@ -63,7 +65,7 @@
  */
 export async function plannedStop(options: PlannedStopOptions): Promise<void> {
   const { entry, server, graceMs, clock, log } = options;
-  const startedAtMs = clock.nowMs();
+  const startedAtMs = options.requestedAtMs ?? clock.nowMs();
   log.info('stopping', { inFlight: entry.inFlight });
   let startedPhases = 0;
   for (;;) {
--- a/test/plannedstop.test.ts
+++ b/test/plannedstop.test.ts
@@ -16,8 +16,12 @@
 }
 
 /** Stops an entry in virtual time; `left` returns the number of unwritten answers, given the time and past actions. */
-async function stop(left: (nowMs: number, actions: readonly string[]) => number): Promise<Ended> {
+async function stop(
+  left: (nowMs: number, actions: readonly string[]) => number,
+  requestedBeforeMs = 0,
+): Promise<Ended> {
   const clock = new VirtualClock();
+  clock.advanceTo(requestedBeforeMs);
   const actions: string[] = [];
   const act = (name: string) => () => {
     actions.push(name);
@@ -50,7 +54,14 @@
   };
   const log = { info() {}, warn() {}, error() {} };
   let isOver = false;
-  const options = { entry: entry as never, server, graceMs: GRACE_MS, clock, log };
+  const options = {
+    entry: entry as never,
+    server,
+    graceMs: GRACE_MS,
+    requestedAtMs: 0,
+    clock,
+    log,
+  };
   void plannedStop(options).then(() => {
     isOver = true;
   });
@@ -97,6 +108,13 @@
   ]);
 });
 
+// Guards against a stop that is killed in its middle, because it was requested seconds before, during the start.
+test('the grace period counts from the signal, also if the process could stop only later', async (t) => {
+  const ended = await stop(() => 1, GRACE_MS / 2);
+  t.true(ended.atMs < GRACE_MS);
+  t.deepEqual(ended.actions.slice(-3), ['close listener', 'end', 'refuse arrived']);
+});
+
 test('phases keep their order for short grace periods as well', (t) => {
   for (const graceMs of [1000, 2000, 4000, 8000, 30_000]) {
     const phases = new Set<string>();
