--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -1,5 +1,5 @@
 import type { Clock, Ms } from '../base/index.js';
-import { stopPhase, acceptRequestsMs } from '../core/plannedstop/index.js';
+import { acceptRequestsMs, stopPhase, stopTimes } from '../core/plannedstop/index.js';
 import type { Log } from '../port/index.js';
 import type { DirectEntry } from './directentry.js';
 
@@ -29,6 +29,8 @@
   readonly entry: DirectEntry;
   readonly server: CallerServer;
   readonly graceMs: Ms;
+  /** When the stop was requested, from which on the grace period counts; absent: now. */
+  readonly requestedAtMs?: Ms;
   readonly clock: Clock;
   readonly log: Log;
   /** Called at the start of each phase. */
@@ -40,7 +42,8 @@
 /** Actions at the start of each phase. */
 const BEGIN: Readonly<Record<Phase, (options: PlannedStopOptions, startedAtMs: Ms) => void>> = {
   listening: ({ entry, server, graceMs }, startedAtMs) => {
-    entry.retire();
+    const { refusingMs, endingMs } = stopTimes(graceMs);
+    entry.retire(startedAtMs + refusingMs, startedAtMs + endingMs);
     server.leave(startedAtMs + acceptRequestsMs(graceMs));
     void entry.release();
   },
@@ -62,7 +65,7 @@
  */
 export async function plannedStop(options: PlannedStopOptions): Promise<void> {
   const { entry, server, graceMs, clock, log } = options;
-  const startedAtMs = clock.nowMs();
+  const startedAtMs = options.requestedAtMs ?? clock.nowMs();
   log.info('stopping', { inFlight: entry.inFlight });
   let startedPhases = 0;
   for (;;) {
