--- a/test/support/platformtarget.ts
+++ b/test/support/platformtarget.ts
@@ -119,7 +119,10 @@
   };
   const directory = mkdtempSync(join(tmpdir(), 'tarragonstile-crowd-'));
   const file = join(directory, 'entry.jsonc');
-  writeFileSync(file, JSON.stringify(settingsOf(ports, storeAddress, { memoryMb, maxDescriptors })));
+  writeFileSync(
+    file,
+    JSON.stringify(settingsOf(ports, storeAddress, { memoryMb, maxDescriptors })),
+  );
   const args = [`--max-old-space-size=${heapMb}`, ...entryCommand.slice(1)];
   const process = new ObservedProcess(args, { TARRAGONSTILE_NODE_FILE: file });
   const isReady = async () => {
