--- a/src/direct/plannedstop.ts
+++ b/src/direct/plannedstop.ts
@@ -15,7 +15,10 @@
   readonly isListening: boolean;
   /** Number of requests that were read and whose answers are not written yet. */
   readonly unwritten: number;
-  /** Number of connections that close after their last answer and that their callers have not ended yet. */
+  /**
+   * Number of connections that close after their last answer and that their callers have not ended yet, or whose callers
+   * may be sending a further request.
+   */
   readonly closing: number;
   connections(): Promise<number>;
   /** Reads and refuses what has arrived, within a bounded number of turns of the event loop. */
