--- a/bench/soak/program.ts
+++ b/bench/soak/program.ts
@@ -155,6 +155,11 @@
     await once(run.child, 'exit');
   }
 
+  /** Id of the current process. */
+  get pid(): number {
+    return this.run!.child.pid!;
+  }
+
   /** Records the greatest resident memory of the current process so far. */
   recordMemory(): void {
     try {
--- a/bench/table.ts
+++ b/bench/table.ts
@@ -31,6 +31,7 @@
   'path-link': async () => (await import('./pathlink.js')).pathLink,
   'path-throughput': async () => (await import('./paththroughput.js')).pathThroughput,
   'path-latency': async () => (await import('./pathlatency.js')).pathLatency,
+  'platform-events': async () => (await import('./platformevents.js')).platformEvents,
   'path-idle': async () => (await import('./pathidle.js')).pathIdle,
   'placement-study': async () => (await import('./placement/study.js')).placementStudy,
 };
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -113,7 +113,6 @@
 /** Time that a plain request takes at the usual pace, where slots are enforced. */
 const PLAIN_WORK_MS = 250;
 const MS_PER_S = 1000;
-const EVENTS = 5;
 const BODY = 'the whole answer';
 
 /** Returns the ids of the parts of a request's prompt, but for the last one. */
@@ -174,6 +173,9 @@
   /** Version of its software, as its record and its streams' events name it. */
   softwareVersion = 'v1';
 
+  /** Events of a whole stream. */
+  eventCount = 5;
+
   /** Pause before each event of a stream, in ms. */
   eventGapMs = 0;
 
@@ -451,7 +453,8 @@
     const lines = [...head, ['content-type', 'text/event-stream']].map(
       ([name, value]) => `${name}: ${value}\r\n`,
     );
-    const last = behavior === 'unframed-whole' ? EVENTS : Math.min(from + 1, EVENTS - 1);
+    const { eventCount } = this;
+    const last = behavior === 'unframed-whole' ? eventCount : Math.min(from + 1, eventCount - 1);
     let events = '';
     for (let id = from; id <= last; id += 1) events += this.eventOf(id);
     if (behavior === 'unframed-cut') events += this.eventOf(last + 1).slice(0, 8);
@@ -551,7 +554,7 @@
   /** Writes the events from this one on, each after a pause. */
   private writePaced(response: ServerResponse, id: number): void {
     if (response.destroyed) return;
-    if (id > EVENTS) {
+    if (id > this.eventCount) {
       response.end();
       return;
     }
@@ -600,7 +603,7 @@
       this.writePaced(response, from + 1);
       return;
     }
-    for (let id = from + 1; id <= EVENTS; id += 1) {
+    for (let id = from + 1; id <= this.eventCount; id += 1) {
       const event = this.eventOf(id);
       if (behavior === 'cut' && id === from + 3) {
         // Cuts the stream in the middle of an event.
