--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -66,7 +66,8 @@
   /** Parts of its prompt but the last. */
   readonly sharedParts: readonly string[];
   readonly atMs: number;
-  readonly behavior: ServerBehavior;
+  /** `endless` if its answer had no end. */
+  readonly behavior: ServerBehavior | 'endless';
   /** Customer that the entry named in the request. */
   readonly customer: string | undefined;
   /** True if the request carried the caller's own credential. */
@@ -112,7 +113,6 @@
 /** Time that a plain request takes at the usual pace, where slots are enforced. */
 const PLAIN_WORK_MS = 250;
 const MS_PER_S = 1000;
-const EVENTS = 5;
 const BODY = 'the whole answer';
 
 /** Returns the ids of the parts of a request's prompt, but for the last one. */
@@ -173,6 +173,9 @@
   /** Version of its software, as its record and its streams' events name it. */
   softwareVersion = 'v1';
 
+  /** Events of a whole stream. */
+  eventCount = 5;
+
   /** Pause before each event of a stream, in ms. */
   eventGapMs = 0;
 
@@ -293,6 +296,8 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
     if (this.endless) {
+      const isRun = request.url !== '/order' && request.url !== '/report';
+      if (isRun) this.record(request, response, 'endless');
       sendEndless(request.socket, this.endless, this.headersOf(request, 'serve'));
       return;
     }
@@ -378,25 +383,7 @@
       this.refuse(request, response, behavior === 'pause');
       return;
     }
-    this.runs.push(request.headers);
-    const id = String(request.headers['tarragonstile-request-id']);
-    const path = request.url ?? '';
-    const { headers } = request;
-    const sharedParts = sharedPartsOf(request);
-    const record: RequestRecord = {
-      id,
-      path,
-      sharedParts,
-      atMs: performance.now(),
-      behavior,
-      customer: headers['tarragonstile-tenant'] as string | undefined,
-      hasCredential: headers.authorization !== undefined,
-      closedAtMs: undefined,
-    };
-    this.requestLog.push(record);
-    response.on('close', () => {
-      record.closedAtMs = performance.now();
-    });
+    const { sharedParts } = this.record(request, response, behavior);
     const crashAfterMs = this.crashDelayMsByPath.get(request.url ?? '');
     if (crashAfterMs !== undefined) {
       setTimeout(() => this.crash(), crashAfterMs);
@@ -420,6 +407,30 @@
     }
   }
 
+  private record(
+    request: IncomingMessage,
+    response: ServerResponse,
+    behavior: RequestRecord['behavior'],
+  ): RequestRecord {
+    const { headers } = request;
+    this.runs.push(headers);
+    const record: RequestRecord = {
+      id: String(headers['tarragonstile-request-id']),
+      path: request.url ?? '',
+      sharedParts: sharedPartsOf(request),
+      atMs: performance.now(),
+      behavior,
+      customer: headers['tarragonstile-tenant'] as string | undefined,
+      hasCredential: headers.authorization !== undefined,
+      closedAtMs: undefined,
+    };
+    this.requestLog.push(record);
+    response.on('close', () => {
+      record.closedAtMs = performance.now();
+    });
+    return record;
+  }
+
   private crashUnder(
     request: IncomingMessage,
     response: ServerResponse,
@@ -442,7 +453,8 @@
     const lines = [...head, ['content-type', 'text/event-stream']].map(
       ([name, value]) => `${name}: ${value}\r\n`,
     );
-    const last = behavior === 'unframed-whole' ? EVENTS : Math.min(from + 1, EVENTS - 1);
+    const { eventCount } = this;
+    const last = behavior === 'unframed-whole' ? eventCount : Math.min(from + 1, eventCount - 1);
     let events = '';
     for (let id = from; id <= last; id += 1) events += this.eventOf(id);
     if (behavior === 'unframed-cut') events += this.eventOf(last + 1).slice(0, 8);
@@ -542,7 +554,7 @@
   /** Writes the events from this one on, each after a pause. */
   private writePaced(response: ServerResponse, id: number): void {
     if (response.destroyed) return;
-    if (id > EVENTS) {
+    if (id > this.eventCount) {
       response.end();
       return;
     }
@@ -591,7 +603,7 @@
       this.writePaced(response, from + 1);
       return;
     }
-    for (let id = from + 1; id <= EVENTS; id += 1) {
+    for (let id = from + 1; id <= this.eventCount; id += 1) {
       const event = this.eventOf(id);
       if (behavior === 'cut' && id === from + 3) {
         // Cuts the stream in the middle of an event.
