--- a/src/sidecar/replay.ts
+++ b/src/sidecar/replay.ts
@@ -2,7 +2,7 @@
 import { Executed, type TicketEntry } from '../wire/index.js';
 import type { AnswerSink } from './answersink.js';
 
-/** Splits a recorded body into the pieces in which it was first sent. */
+/** Splits a recorded body into the pieces in which it is sent. */
 function* piecesOf({ body, pieceBytes }: TicketEntry): Iterable<Buffer> {
   let start = 0;
   for (const sizeBytes of pieceBytes) {
--- a/src/wire/gen/tarragonstile.ts
+++ b/src/wire/gen/tarragonstile.ts
@@ -251,7 +251,7 @@
   /** Hash of method, path and body of the request that used the ticket. */
   readonly requestHash: string;
   readonly service: string;
-  /** Sizes of the data frames that the body was sent in. */
+  /** Sizes of the data frames in which a repeat is sent the body. */
   readonly pieceBytes: readonly number[];
 }
 
