End requests whose answers go on without anything for their callers

Cause: after its deadline a request was given up only while no answer had begun. Once it had, only the absence of frames ended it, although the caller gets nothing of an answer that is held or of an event that is not complete.

A request of whose answer nothing was passed on ends lateAnswerMs after its deadline with answer-stalled (504, executed: unknown), as docs/operators/path.md already said. An answer that its caller is being sent goes on as before, until the caller leaves.

--- a/src/entry/entrylimits.ts
+++ b/src/entry/entrylimits.ts
@@ -26,6 +26,6 @@
   readonly stallMs: Ms;
   /** A caller that reads nothing for this long is disconnected. */
   readonly callerStallMs: Ms;
-  /** How long past its deadline a request that was sent to an upstream still waits for the answer to start. */
+  /** How long past its deadline a request that was sent to an upstream still waits for a first part of the answer. */
   readonly lateAnswerMs: Ms;
 }
--- a/src/entry/requestrun.ts
+++ b/src/entry/requestrun.ts
@@ -124,7 +124,9 @@
       this.abandon(refuse('answer-stalled', 'The upstream stopped sending its answer.', UNKNOWN));
     }
     const lateAtMs = this.prepared.deadlineAtMs + limits.lateAnswerMs;
-    if (this.state.phase === 'asking' && nowMs > lateAtMs) {
+    // Bytes that bring a caller nothing, of an event without end for example, do not prolong the wait.
+    const isWaiting = !this.answer.hasSent && this.state.phase !== 'choosing';
+    if (isWaiting && nowMs > lateAtMs) {
       this.expire(refuse('answer-stalled', 'No answer came.', UNKNOWN));
     }
   }
