Do not close a connection of the product's path right after an answer

Callers saw (product's path; shown on the class alone, not with processes): a request that is sent on a kept connection right behind a stream that began before the stop is met by the close of that connection, of which no answer has told.

Cause: once nothing is in flight, a stop closes connections without a request every 20 ms. One that has just been opened was given 200 ms for its first request, one that has just got an answer was given none for its next.

Evidence: productkept: the connection was closed at once before; with the change a further request on it is answered, and it is closed later.

Why it works: the same 200 ms count from the last answer. The stop stays bounded by drainTimeoutMs and the 500 ms after it.

--- a/src/entry/connections.ts
+++ b/src/entry/connections.ts
@@ -7,16 +7,15 @@
 /** Connections past the limit that are open at once to receive a refusal; any further ones are closed unanswered. */
 const REFUSED_CONNECTIONS = 64;
 
-/** The first request of a connection that was opened less than this ago may be on its way. */
-const FIRST_REQUEST_WITHIN_MS: Ms = 200;
+/** A request may be on its way on a connection that was opened, or got an answer, less than this ago. */
+const REQUEST_WITHIN_MS: Ms = 200;
 
 /** A connection of a caller. */
 interface Connection {
-  readonly openedAtMs: Ms;
+  /** When it was opened, or when an answer was last sent completely. */
+  usedAtMs: Ms;
   /** Bytes read up to the last complete answer; more of them belong to a request that is not read completely. */
   answeredAtBytes: number;
-  /** True once an answer was sent completely. */
-  isUsed: boolean;
   /** Answers that are not sent completely, in the order of their requests. */
   readonly open: Set<ServerResponse>;
   /** Called once the requests that were read completely are answered. */
@@ -61,7 +60,7 @@
     response.once('close', () => {
       connection.open.delete(response);
       connection.answeredAtBytes = response.req.socket.bytesRead;
-      connection.isUsed = true;
+      connection.usedAtMs = this.clock.nowMs();
       notifyAnswered(connection);
     });
   }
@@ -80,9 +79,9 @@
    */
   closeUnused(): void {
     const nowMs = this.clock.nowMs();
-    for (const [socket, { open, answeredAtBytes, isUsed, openedAtMs }] of this.open) {
+    for (const [socket, { open, answeredAtBytes, usedAtMs }] of this.open) {
       const isIdle = open.size === 0 && socket.bytesRead === answeredAtBytes;
-      const isExpected = !isUsed && nowMs - openedAtMs < FIRST_REQUEST_WITHIN_MS;
+      const isExpected = nowMs - usedAtMs < REQUEST_WITHIN_MS;
       if (isIdle && !isExpected && socket.writable) linger(socket, this.clock);
     }
   }
@@ -94,10 +93,9 @@
     }
     if (this.accept(socket)) this.admitted.add(socket);
     this.open.set(socket, {
-      openedAtMs: this.clock.nowMs(),
+      usedAtMs: this.clock.nowMs(),
       // Over TLS, those of the handshake.
       answeredAtBytes: socket.bytesRead,
-      isUsed: false,
       open: new Set(),
       whenAnswered: undefined,
     });
