Take upstreams out of service after rejected answers, and probe them

What callers saw: with one faulty upstream of three, requests that may not be repeated went on to be sent there and ended with 502; and an upstream whose fault was over got no requests any more.

Cause: a rejected answer only raised the moving share of failures, which weighs against load: the upstream is used while others are loaded, and only attempts there reduce the share, so that nothing brings it back.

`core/ejection`: out of service for 200 ms after a rejected answer, twice as long each time up to 10 s, then one request at a time as a probe, one that may be repeated or, 10 s later, any. A sound answer to a later request restores it. Requests under way at the rejection are no further evidence, so that a single crossed answer costs 200 ms. If all upstreams of a target are ejected, the least recently rejected one is tried; a request that may be repeated tries one before it is refused for want of capacity. The state goes with the incarnation. Three answers in a row that have begun and have no end in time (not held up by their caller, streams only inside an event) count as one rejection. A choice without ejected upstreams costs one check for each candidate.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -462,6 +462,10 @@
     this.context.metrics.count('direct.attempt', 1, { outcome });
   }
 
+  ejected(reason: string): void {
+    this.context.metrics.count('direct.ejection', 1, { reason });
+  }
+
   received(bytes: number, pieces: number): void {
     this.context.metrics.count('direct.answer_bytes', bytes);
     this.context.metrics.count('direct.answer_pieces', pieces);
@@ -584,6 +588,7 @@
     if (this.hasState) metrics.gauge('direct.list_age_ms', this.follower.knownAgeMs());
     metrics.gauge('direct.gives_orders', this.orderLease.mayOrder() ? 1 : 0);
     metrics.gauge('direct.upstreams_lost', this.fleet.lost(this.clock.nowMs()).length);
+    metrics.gauge('direct.upstreams_ejected', this.fleet.ejectedCount);
     metrics.gauge('direct.upstreams_limited', this.gate.limitedCount());
     metrics.gauge('direct.origins_kept', this.origins.size);
     metrics.gauge('direct.queue_length', this.waitline.size);
--- a/src/direct/route/choiceoptions.ts
+++ b/src/direct/route/choiceoptions.ts
@@ -8,6 +8,11 @@
   readonly includesLost?: boolean;
   /** The request is suspected and may crash the upstream that runs it. */
   readonly isTrial?: boolean;
+  /**
+   * Whether the request could be repeated after a failed probe of an ejected upstream; absent: it is used as none. The
+   * upstream may be chosen all the same if there is no other.
+   */
+  readonly probes?: 'repeatable' | 'unrepeatable';
   /** Identifies the request: a slot may be reserved for it. */
   readonly requestId?: string;
   /** Time left until a first event is late; used for load-aware services, like the following ones. */
--- a/src/direct/route/fleet.ts
+++ b/src/direct/route/fleet.ts
@@ -6,6 +6,14 @@
   onWorkPercent,
   paceAt,
 } from '../../core/hostpace/index.js';
+import {
+  initialEjection,
+  onEndless,
+  onRejected,
+  onSound,
+  probe,
+  type EjectionState,
+} from '../../core/ejection/index.js';
 import { initialLimit, engineLimitRules, maxFill, onGap } from '../../core/enginelimit/index.js';
 import { isLoadAware, type LoadAwareSetting } from '../../core/loadmode/index.js';
 import { expectedAnswerMs, learnService, mayJoin } from '../../core/plainwait/index.js';
@@ -37,7 +45,7 @@
 import type { UpstreamState } from './upstreamstate.js';
 
 /** Outcome of an attempt, as far as it is evidence on the upstream. */
-type Outcome = 'answered' | 'full' | 'missing' | 'failed' | 'unreachable';
+type Outcome = 'answered' | 'full' | 'missing' | 'failed' | 'rejected' | 'unreachable';
 
 /** Load and pace as an upstream reports them in an answer. */
 interface ReportedLoad {
@@ -81,6 +89,7 @@
 const AVOID_MS: Readonly<Record<Outcome, Ms>> = {
   answered: 0,
   failed: 0,
+  rejected: 0,
   missing: 0,
   full: FULL_MS,
   unreachable: UNREACHABLE_MS,
@@ -114,6 +123,9 @@
 export class Fleet {
   private readonly states = new Map<UpstreamId, UpstreamState>();
 
+  /** Upstreams out of service because their answers were rejected; usually none. */
+  private readonly ejected = new Set<UpstreamState>();
+
   private readonly byService = new Map<ServiceId, Set<UpstreamState>>();
 
   /** Reused from choice to choice, because entries with a small part of a core make hundreds of them per second. */
@@ -203,6 +215,7 @@
       gapTargetMs: Infinity,
       serviceMs: Infinity,
       limit: initialLimit(),
+      ejection: initialEjection(),
       hints: new Map(),
     };
     this.states.set(info.id, state);
@@ -215,6 +228,7 @@
     const state = this.states.get(id);
     if (!state) return;
     this.states.delete(id);
+    this.ejected.delete(state);
     this.byService.get(state.info.service)?.delete(state);
   }
 
@@ -235,13 +249,91 @@
    * moment only: where a connection has to be opened first, `maySend` has to be asked again right before the send.
    */
   choose(target: Target, nowMs: Ms, choosing: ChoiceOptions = {}): UpstreamState | undefined {
-    if (this.isLoadAware(target.service)) return this.chooseByForecast(target, nowMs, choosing);
+    if (this.ejected.size > 0) {
+      const probed = this.chooseProbe(target, nowMs, choosing);
+      if (probed) return probed;
+    }
+    const chosen = this.isLoadAware(target.service)
+      ? this.chooseByForecast(target, nowMs, choosing)
+      : this.chooseByCost(target, nowMs, choosing);
+    if (chosen || this.ejected.size === 0) return chosen;
+    // One in service that was tried already may have been full: an attempt there is worth more than one here.
+    const untried = { includesLost: choosing.includesLost };
+    if (this.hasInService(target, nowMs, untried)) return undefined;
+    return this.chooseEjected(target, nowMs, choosing);
+  }
+
+  /** Returns an ejected upstream for which the request is a probe that is due. */
+  private chooseProbe(
+    target: Target,
+    nowMs: Ms,
+    choosing: ChoiceOptions,
+  ): UpstreamState | undefined {
+    const { tried, isTrial = false, probes, requestId, targetMs } = choosing;
+    if (probes === undefined || isTrial || (tried && tried.size > 0)) return undefined;
+    for (const state of this.ejected) {
+      if (!probe.isDue(state.ejection, probes === 'repeatable', nowMs)) continue;
+      if (!this.isCandidate(state, target, nowMs, choosing)) continue;
+      // It can be sent at once, so that nothing waits for an upstream that may be faulty.
+      const isAvoided = state.avoidUntilMs > nowMs || this.isLost(state, nowMs);
+      if (isAvoided || this.isFull(state, false, nowMs, targetMs)) continue;
+      if (!this.gate.blockOf(state.info, nowMs, requestId)) return state;
+    }
+    return undefined;
+  }
+
+  /** Returns the least recently rejected of the ejected upstreams, preferably one with a free slot. */
+  chooseEjected(target: Target, nowMs: Ms, choosing: ChoiceOptions): UpstreamState | undefined {
+    let best: UpstreamState | undefined;
+    let isBestFull = true;
+    for (const state of this.ejected) {
+      if (!this.isCandidate(state, target, nowMs, choosing)) continue;
+      if (this.gate.blockOf(state.info, nowMs, choosing.requestId)) continue;
+      const isFull = this.load(state.info.id, nowMs) >= state.info.slots;
+      const isEarlier = !best || state.ejection.rejectedAtMs < best.ejection.rejectedAtMs;
+      const isBetter = isFull === isBestFull ? isEarlier : isBestFull;
+      if (best && !isBetter) continue;
+      best = state;
+      isBestFull = isFull;
+    }
+    return best;
+  }
+
+  /** Returns true if an upstream that is not ejected could be chosen, now or once it is not blocked. */
+  private hasInService(target: Target, nowMs: Ms, choosing: ChoiceOptions): boolean {
+    for (const state of this.upstreamsOf(target.service)) {
+      if (!state.ejection.isEjected && this.isCandidate(state, target, nowMs, choosing)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns true if a request may be sent to an upstream, as far as the target and its own attempts are concerned. */
+  private isCandidate(
+    state: UpstreamState,
+    target: Target,
+    nowMs: Ms,
+    { tried, includesLost = true }: ChoiceOptions,
+  ): boolean {
+    const { info } = state;
+    if (info.service !== target.service || info.isLeaving || tried?.has(info.id)) return false;
+    return has(state, target, nowMs) && (includesLost || !this.isLost(state, nowMs));
+  }
+
+  /** Chooses the upstream with the least cost. */
+  private chooseByCost(
+    target: Target,
+    nowMs: Ms,
+    choosing: ChoiceOptions,
+  ): UpstreamState | undefined {
     const { tried, includesLost = true, isTrial = false, requestId } = choosing;
     let best: UpstreamState | undefined;
     let bestCost = Infinity;
     let bestBlocked: UpstreamState | undefined;
     let blockedCost = Infinity;
     for (const state of this.upstreamsOf(target.service)) {
+      if (state.ejection.isEjected) continue;
       if (state.info.isLeaving || tried?.has(state.info.id) || !has(state, target, nowMs)) continue;
       if (!includesLost && this.isLost(state, nowMs)) continue;
       const risk = isTrial && this.hasOnlyReplica(state, nowMs) ? ONLY_REPLICA_COST : 0;
@@ -299,6 +391,7 @@
     const isEngine = target.model !== undefined;
     this.candidateCount = 0;
     for (const state of this.upstreamsOf(target.service)) {
+      if (state.ejection.isEjected) continue;
       if (state.info.isLeaving || tried?.has(state.info.id) || !has(state, target, nowMs)) continue;
       const isLost = this.isLost(state, nowMs);
       if (isLost && !includesLost) continue;
@@ -354,7 +447,10 @@
    */
   blockFor(target: Target, nowMs: Ms, requestId: string, includesLost = true): Block | undefined {
     let first: Block | undefined;
+    const choosing = { includesLost };
+    const skipsEjected = this.ejected.size > 0 && this.hasInService(target, nowMs, choosing);
     for (const state of this.holding(target, nowMs)) {
+      if (skipsEjected && state.ejection.isEjected) continue;
       if (!includesLost && this.isLost(state, nowMs)) continue;
       const block = this.gate.blockOf(state.info, nowMs, requestId);
       if (!block) return undefined;
@@ -423,7 +519,7 @@
   recordOutcome(state: UpstreamState, outcome: Outcome, target: Target, nowMs: Ms): void {
     const draft = state;
     const failed = outcome === 'failed' || outcome === 'unreachable' ? 1 : 0;
-    if (failed === 1) draft.failedAtMs = nowMs;
+    if (failed === 1 || outcome === 'rejected') draft.failedAtMs = nowMs;
     if (outcome === 'answered') Object.assign(draft, { answeredAtMs: nowMs, lostAtMs: -Infinity });
     // An upstream that lacks, right after a failure, a model that it holds according to the list has restarted.
     const hasRestarted =
@@ -431,7 +527,8 @@
       target.adapter === undefined &&
       state.failedAtMs > state.answeredAtMs;
     if (outcome === 'unreachable' || hasRestarted) draft.lostAtMs = nowMs;
-    if (outcome !== 'full' && outcome !== 'missing') {
+    // Rejected answers eject the upstream: a share that only answers reduce would keep it unused after that.
+    if (outcome !== 'full' && outcome !== 'missing' && outcome !== 'rejected') {
       draft.failureShare += (failed - state.failureShare) * FAILURE_WEIGHT;
     }
     const avoidMs = AVOID_MS[outcome];
@@ -439,6 +536,55 @@
     if (outcome === 'missing') this.hint(state, target, false, nowMs);
   }
 
+  /** Records a rejected answer to a request sent at `sentAtMs`. Returns true if it ejects the upstream, or for longer. */
+  recordRejected(state: UpstreamState, sentAtMs: Ms, nowMs: Ms): boolean {
+    return this.eject(state, onRejected(state.ejection, sentAtMs, nowMs));
+  }
+
+  /** Records an answer that had no end when its request's time was over. Returns true if it ejects the upstream. */
+  recordEndless(state: UpstreamState, sentAtMs: Ms, nowMs: Ms): boolean {
+    return this.eject(state, onEndless(state.ejection, sentAtMs, nowMs));
+  }
+
+  /** Records a sound answer to a request sent at `sentAtMs`. Returns true if it ends an ejection. */
+  recordSound(state: UpstreamState, sentAtMs: Ms): boolean {
+    const wasEjected = state.ejection.isEjected;
+    this.setEjection(state, onSound(state.ejection, sentAtMs));
+    return wasEjected && !state.ejection.isEjected && this.states.get(state.info.id) === state;
+  }
+
+  /** Returns true if a request that is sent now is the probe of an ejected upstream: `endProbe` has to follow. */
+  beginProbe(state: UpstreamState, nowMs: Ms): boolean {
+    if (!probe.isDue(state.ejection, true, nowMs)) return false;
+    this.setEjection(state, probe.begin(state.ejection));
+    return true;
+  }
+
+  /** Ends a probe. What its answer shows is recorded after that. */
+  endProbe(state: UpstreamState, nowMs: Ms): void {
+    this.setEjection(state, probe.end(state.ejection, nowMs));
+  }
+
+  /** Number of upstreams that are out of service because their answers were rejected. */
+  get ejectedCount(): number {
+    return this.ejected.size;
+  }
+
+  /** Returns true if an upstream that this entry still knows is now ejected until another time than before. */
+  private eject(state: UpstreamState, next: EjectionState): boolean {
+    const { untilMs } = state.ejection;
+    this.setEjection(state, next);
+    return this.ejected.has(state) && next.untilMs !== untilMs;
+  }
+
+  private setEjection(state: UpstreamState, next: EjectionState): void {
+    const draft = state;
+    draft.ejection = next;
+    if (!next.isEjected) this.ejected.delete(state);
+    // An attempt may end after its upstream has left the list, or has started again under the same id.
+    else if (this.states.get(state.info.id) === state) this.ejected.add(state);
+  }
+
   isLost(state: UpstreamState, nowMs: Ms): boolean {
     return nowMs - state.lostAtMs < UNREACHABLE_MS || this.isSilent(state, nowMs);
   }
--- a/src/direct/route/upstreamstate.ts
+++ b/src/direct/route/upstreamstate.ts
@@ -1,5 +1,6 @@
 import type { Ms } from '../../base/index.js';
 import type { Pace } from '../../core/hostpace/index.js';
+import type { EjectionState } from '../../core/ejection/index.js';
 import type { LimitState } from '../../core/enginelimit/index.js';
 import type { Upstream } from '../../core/upstreams/index.js';
 import type { SendCounter } from './sendcounter.js';
@@ -51,6 +52,8 @@
   serviceMs: Ms;
   /** Concurrency limit, found from the gaps between events. */
   limit: LimitState;
+  /** Whether it is out of service because its answers were rejected. */
+  ejection: EjectionState;
   /** `model` or `model/adapter` that was found missing or was loaded, before the list shows it. */
   readonly hints: Map<string, { readonly isThere: boolean; readonly untilMs: Ms }>;
 }
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -32,6 +32,8 @@
 /** Statuses from here on are failures of the upstream; lower ones are passed on to the caller. */
 const FIRST_FAILURE_STATUS = 500;
 const FIRST_NON_SUCCESS_STATUS = 300;
+/** An answer that began later than this before its request's time was over may have been late rather than endless. */
+const MIN_ENDLESS_MS = 1000;
 /** Answered by another incarnation than the requested one, or by an upstream that lacks the model. */
 const WRONG_UPSTREAM_STATUS = 421;
 
@@ -63,6 +65,12 @@
 
   private headAtMs: Ms = 0;
 
+  /** True if the request is the probe of an ejected upstream. */
+  private isProbe = false;
+
+  /** True once the caller has not accepted data at once. */
+  private wasPaused = false;
+
   /** True for a stream whose first event has not arrived. */
   private isPrefilling = false;
 
@@ -74,6 +82,7 @@
     const { fleet, clock, link } = serving;
     const nowMs = clock.nowMs();
     fleet.recordSend(state, nowMs, call.requestId);
+    this.isProbe = fleet.beginProbe(state, nowMs);
     let isChosenNow = true;
     const maySend = () => {
       const isAllowed = isChosenNow || this.options.maySend(nowMs);
@@ -87,6 +96,7 @@
       serving.attempted('no-connection');
       serving.lackedConnection(state.info.id);
       fleet.recordOutcome(state, 'full', target, nowMs);
+      this.endProbe();
       this.options.over({ type: 'not-run', wasSent: false, isUnconnected: true });
       return;
     }
@@ -122,6 +132,7 @@
     const mayHaveRun = this.sent?.isSent ?? false;
     this.note(outcome);
     this.leave();
+    if (outcome === 'timeout') this.recordEndless();
     this.sent?.cancel();
     return mayHaveRun;
   }
@@ -160,7 +171,9 @@
     if (!reply.canTake(head)) {
       this.sent?.cancel();
       const detail = `The upstream answered ${head.status} to the continuation of a stream.`;
-      this.onFailure({ type: 'upstream-wrong-answer', detail, mayHaveRun: true });
+      const failure = { type: 'upstream-wrong-answer', detail, mayHaveRun: true } as const;
+      // An answer of an error status is sound: the upstream may be right to refuse the position.
+      this.onFailure(failure, head.status < FIRST_NON_SUCCESS_STATUS);
       return;
     }
     this.head = head;
@@ -202,7 +215,9 @@
     }
     if (route.kind === 'streaming') this.recordEvent();
     const isAccepted = reply.data(chunk);
+    this.wasPaused ||= !isAccepted;
     if (reply.isEventTooLarge) this.endEndlessEvent();
+    else if (this.isProbe && this.isWholeSoFar) this.recordSound();
     return isAccepted;
   }
 
@@ -213,6 +228,13 @@
     this.onFailure({ type: 'upstream-wrong-answer', detail, mayHaveRun: true });
   }
 
+  /** True if a stream has had an event and is between two: a probe need not wait for the end of a long stream. */
+  private get isWholeSoFar(): boolean {
+    const { route, reply } = this.options;
+    const isStream = route.kind === 'streaming' && this.isSuccess;
+    return isStream && reply.incompleteDetail === undefined;
+  }
+
   private get isSuccess(): boolean {
     const { status = FIRST_FAILURE_STATUS } = this.head ?? {};
     return status < FIRST_NON_SUCCESS_STATUS;
@@ -271,6 +293,7 @@
     this.leave();
     const isFailure = status >= FIRST_FAILURE_STATUS;
     this.recordOutcome(isFailure ? 'failed' : 'answered');
+    this.recordSound();
     this.note(String(status));
     this.recordShortAnswer();
     this.options.over({ type: isFailure && reply.isHeld ? 'failed' : 'answered' });
@@ -285,7 +308,10 @@
     suspicion.recordEnd({ ...this.seenRun(), answerBeganAtMs }, end);
   }
 
-  private onFailure({ type, detail, mayHaveRun }: Failure): void {
+  private onFailure(
+    { type, detail, mayHaveRun }: Failure,
+    isRejected = type === 'upstream-wrong-answer',
+  ): void {
     this.leave();
     this.note(type);
     if (type === 'request-withheld' || type === 'request-unsendable') {
@@ -296,7 +322,8 @@
     if (type === 'upstream-unreachable') this.logUnsent(type, detail);
     if (type === 'upstream-lost') this.onConnectionLost(detail);
     if (type === 'upstream-wrong-answer') this.onWrongAnswer(detail);
-    this.recordOutcome(mayHaveRun ? 'failed' : 'unreachable');
+    if (mayHaveRun && isRejected) this.recordRejected(detail);
+    else this.recordOutcome(mayHaveRun ? 'failed' : 'unreachable');
     if (mayHaveRun) this.options.over({ type: 'broken' });
     else this.options.over({ type: 'not-run', wasSent: false, isUnreachable: true });
   }
@@ -346,6 +373,57 @@
     serving.log.warn('answer rejected', fields);
   }
 
+  private recordRejected(detail: string): void {
+    const { serving, state } = this.options;
+    this.recordOutcome('rejected');
+    const nowMs = serving.clock.nowMs();
+    if (serving.fleet.recordRejected(state, this.sentAtMs, nowMs)) {
+      this.logEjected('rejected', detail);
+    }
+  }
+
+  /**
+   * Records an answer that was under way when the request's time was over. Events may arrive slowly for good reasons,
+   * but seldom in parts, and a caller that reads slowly holds up any answer.
+   */
+  private recordEndless(): void {
+    const { serving, state, route, reply } = this.options;
+    const { answerBeganAtMs } = this;
+    const nowMs = serving.clock.nowMs();
+    if (this.wasPaused || answerBeganAtMs === undefined) return;
+    if (route.kind === 'streaming' && !reply.isInsideEvent) return;
+    if (nowMs - answerBeganAtMs < MIN_ENDLESS_MS) return;
+    const detail = 'Several answers had no end in time.';
+    if (serving.fleet.recordEndless(state, this.sentAtMs, nowMs)) {
+      this.logEjected('endless', detail);
+    }
+  }
+
+  private logEjected(reason: 'rejected' | 'endless', detail: string): void {
+    const { serving, state } = this.options;
+    const { rejectedCount: count, rejectedAtMs, untilMs } = state.ejection;
+    const forMs = Math.round(untilMs - rejectedAtMs);
+    serving.ejected(reason);
+    serving.log.warn('upstream ejected', { upstream: state.info.id, reason, detail, count, forMs });
+  }
+
+  private endProbe(): void {
+    const { serving, state } = this.options;
+    if (this.isProbe) serving.fleet.endProbe(state, serving.clock.nowMs());
+    this.isProbe = false;
+  }
+
+  private recordSound(): void {
+    const { serving, state } = this.options;
+    this.endProbe();
+    const { rejectedCount: count, rejectedAtMs } = state.ejection;
+    if (!serving.fleet.recordSound(state, this.sentAtMs)) return;
+    const sinceRejectedMs = Math.round(serving.clock.nowMs() - rejectedAtMs);
+    serving.log.info('upstream restored', { upstream: state.info.id, count, sinceRejectedMs });
+    // Requests may wait for a slot.
+    serving.waitline.wakeAt(state.info.id);
+  }
+
   /** Returns fields for log lines: a faulty upstream may send few bytes in very many pieces. */
   private receivedFields(): object {
     const { bytes, pieces } = this.sent?.received ?? {};
@@ -382,6 +460,7 @@
     if (this.isPrefilling) state.prefillCount -= 1;
     else if (this.lastEventAtMs !== undefined) state.streamCount -= 1;
     this.isPrefilling = false;
+    this.endProbe();
     serving.left(target, serving.clock.nowMs() - this.sentAtMs);
     serving.waitline.wakeAt(state.info.id);
   }
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -13,7 +13,7 @@
 import { quotaRefusal, type Admitted } from '../intake/index.js';
 import { afterReads } from '../../shell/loop/index.js';
 import type { Refusal } from '../refusal.js';
-import type { Block, Target, UpstreamState } from '../route/index.js';
+import type { Block, Fleet, Target, UpstreamState } from '../route/index.js';
 import type { Serving } from '../serving.js';
 import type { FoundOrigin } from '../origin/index.js';
 import { Attempt } from './attempt.js';
@@ -110,6 +110,9 @@
   /** Attempts that reached no upstream since the last one that did. */
   private unreachedCount = 0;
 
+  /** True while an ejected upstream is tried, because none in service could take the request. */
+  private usesEjected = false;
+
   private readonly suspicion: Suspicion;
 
   /** The request was refused before, and its caller retries. */
@@ -296,7 +299,7 @@
     const mustAsk = this.suspicion.permission() === 'ask-first';
     const isTrial = mustAsk || this.suspicion.isTrial;
     const requestId = request.id;
-    const state = serving.fleet.choose(this.target, nowMs, {
+    const choosing: Parameters<Fleet['chooseEjected']>[2] = {
       tried: this.tried,
       includesLost,
       isTrial,
@@ -304,7 +307,8 @@
       targetMs: route.targetLatencyMs - (nowMs - request.arrivedAtMs),
       isUrgent: this.urgency.isFirst || this.isReturn,
       seed: hash32(requestId),
-    });
+    };
+    const state = this.choose(choosing, nowMs);
     const block = state ? undefined : this.blockFor(nowMs, includesLost);
     if (!state) this.queue.leave();
     const hold = state && this.holdFor(state, nowMs);
@@ -318,6 +322,38 @@
     else this.tryAgainLater();
   }
 
+  /** Chooses an upstream; an ejected one that is due for a probe only if the request can be sent there at once. */
+  private choose(
+    choosing: Parameters<Fleet['chooseEjected']>[2],
+    nowMs: Ms,
+  ): UpstreamState | undefined {
+    const { fleet } = this.serving;
+    const target = this.target!;
+    if (this.usesEjected) return fleet.chooseEjected(target, nowMs, choosing);
+    const { isRepeatable, ranCount, maxAttempts } = this.progress();
+    const probes = isRepeatable && ranCount + 1 < maxAttempts ? 'repeatable' : 'unrepeatable';
+    const state = fleet.choose(target, nowMs, { ...choosing, probes });
+    if (!state?.ejection.isEjected || !this.timerFor(state, nowMs)) return state;
+    return fleet.choose(target, nowMs, choosing);
+  }
+
+  /**
+   * Tries an ejected upstream before a request is refused for want of capacity. Returns false if none can be tried, or
+   * if the request may not be repeated: it would rather be refused as not run than end without an answer.
+   */
+  private triesEjected(): boolean {
+    const { clock, serving, tried } = this;
+    if (this.usesEjected || serving.fleet.ejectedCount === 0) return false;
+    if (!this.progress().isRepeatable) return false;
+    const choosing = { tried, includesLost: false };
+    const state = serving.fleet.chooseEjected(this.target!, clock.nowMs(), choosing);
+    if (!state || this.timerFor(state, clock.nowMs())) return false;
+    this.usesEjected = true;
+    this.attempt();
+    this.usesEjected = false;
+    return true;
+  }
+
   /**
    * Refuses a stream of whose version no upstream is left. Only one that returns can serve it, which takes seconds, so
    * that the caller's few tries are spread over the time that it has left.
@@ -439,6 +475,7 @@
       this.clock.after(plainWaitRules.recheckMs, () => this.attempt());
       return;
     }
+    if (this.triesEjected()) return;
     const retryAfterMs = spreadRetryAfterMs(wholeMs - heldMs, this.place());
     this.giveUp('upstreams-full', 'The queue of every upstream is too long.', retryAfterMs);
   }
@@ -466,6 +503,7 @@
       this.clock.after(checkMs, () => this.attempt());
       return;
     }
+    if (this.triesEjected()) return;
     this.giveUp(
       'upstreams-full',
       'Every upstream that could take the request is full.',
@@ -487,6 +525,7 @@
     const waitMs = this.reply.hasBegun ? this.untilMs - nowMs : this.remainingWaitMs();
     const isKnown = Number.isFinite(opensInMs);
     if (waitMs <= 0 || (isKnown && opensInMs > waitMs)) {
+      if (this.triesEjected()) return;
       const afterMs = Math.max(RETRY_AFTER_MS, isKnown ? opensInMs : 0);
       const { end, detail } = BLOCKED[reason];
       const spreadMs = this.place() * Math.min(afterMs, MAX_RETRY_AFTER_MS);
@@ -543,6 +582,7 @@
     }
     // A stream that is taken up may run again within its attempts, and can go on nowhere else.
     if (!this.isTakingUp && (this.ranCount > 0 || this.hasTriedAll)) {
+      if (this.triesEjected()) return;
       this.giveUp('upstreams-full', 'No upstream could take the request.', this.retryAfterMs());
       return;
     }
@@ -562,6 +602,7 @@
   /** Waits as long as the target latency allows for a connection, of which others may be lent within milliseconds. */
   private waitForConnection(): void {
     if (!this.reply.hasBegun && !this.mayWaitForCapacity()) {
+      if (this.triesEjected()) return;
       const detail = 'Every connection that this entry may open to the upstreams is in use.';
       this.giveUp('connections-in-use', detail, RETRY_AFTER_MS);
       return;
--- a/src/direct/serving.ts
+++ b/src/direct/serving.ts
@@ -67,6 +67,8 @@
   left(target: Target, tookMs: Ms): void;
   /** Counts an attempt at an upstream by its outcome. */
   attempted(outcome: string): void;
+  /** Counts an ejection of an upstream. */
+  ejected(reason: string): void;
   /** Counts what was read of an answer's body. */
   received(bytes: number, pieces: number): void;
   /** Counts a stream that broke off, by what follows and whether the position to continue from is known. */
--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -66,7 +66,8 @@
   /** Parts of its prompt but the last. */
   readonly sharedParts: readonly string[];
   readonly atMs: number;
-  readonly behavior: ServerBehavior;
+  /** `endless`: as the server's `endless` says. */
+  readonly behavior: ServerBehavior | 'endless';
   /** Customer that the entry named in the request. */
   readonly customer: string | undefined;
   /** True if the request carried the caller's own credential. */
@@ -111,6 +112,8 @@
 const SLOW_MS = 400;
 /** Time that a plain request takes at the usual pace, where slots are enforced. */
 const PLAIN_WORK_MS = 250;
+/** Paths of requests that an entry sends on its own account. */
+const CONTROL_PATHS: ReadonlySet<string> = new Set(['/order', '/report']);
 const MS_PER_S = 1000;
 const EVENTS = 5;
 const BODY = 'the whole answer';
@@ -293,6 +296,7 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
     if (this.endless) {
+      if (!CONTROL_PATHS.has(request.url ?? '')) this.record(request, response, 'endless');
       sendEndless(request.socket, this.endless, this.headersOf(request, 'serve'));
       return;
     }
@@ -379,24 +383,7 @@
       return;
     }
     this.runs.push(request.headers);
-    const id = String(request.headers['tarragonstile-request-id']);
-    const path = request.url ?? '';
-    const { headers } = request;
-    const sharedParts = sharedPartsOf(request);
-    const record: RequestRecord = {
-      id,
-      path,
-      sharedParts,
-      atMs: performance.now(),
-      behavior,
-      customer: headers['tarragonstile-tenant'] as string | undefined,
-      hasCredential: headers.authorization !== undefined,
-      closedAtMs: undefined,
-    };
-    this.requestLog.push(record);
-    response.on('close', () => {
-      record.closedAtMs = performance.now();
-    });
+    const { sharedParts } = this.record(request, response, behavior);
     const crashAfterMs = this.crashDelayMsByPath.get(request.url ?? '');
     if (crashAfterMs !== undefined) {
       setTimeout(() => this.crash(), crashAfterMs);
@@ -420,6 +407,29 @@
     }
   }
 
+  private record(
+    request: IncomingMessage,
+    response: ServerResponse,
+    behavior: RequestRecord['behavior'],
+  ): RequestRecord {
+    const { headers } = request;
+    const record: RequestRecord = {
+      id: String(headers['tarragonstile-request-id']),
+      path: request.url ?? '',
+      sharedParts: sharedPartsOf(request),
+      atMs: performance.now(),
+      behavior,
+      customer: headers['tarragonstile-tenant'] as string | undefined,
+      hasCredential: headers.authorization !== undefined,
+      closedAtMs: undefined,
+    };
+    this.requestLog.push(record);
+    response.on('close', () => {
+      record.closedAtMs = performance.now();
+    });
+    return record;
+  }
+
   private crashUnder(
     request: IncomingMessage,
     response: ServerResponse,
--- a/test/support/fakeserving.ts
+++ b/test/support/fakeserving.ts
@@ -7,6 +7,7 @@
   'began',
   'left',
   'attempted',
+  'ejected',
   'received',
   'streamBroke',
   'ended',
--- a/test/support/runrig.ts
+++ b/test/support/runrig.ts
@@ -5,6 +5,7 @@
 import { RetryBudgets } from '../../src/direct/retrybudgets.js';
 import { Fleet } from '../../src/direct/route/index.js';
 import { Run } from '../../src/direct/run/index.js';
+import { Waitline } from '../../src/direct/waitline/index.js';
 import type { Serving } from '../../src/direct/serving.js';
 import type { UpstreamLink } from '../../src/port/index.js';
 import { fakeServing } from './fakeserving.js';
@@ -26,6 +27,7 @@
 const MODEL = 'm1' as ModelId;
 const WAIT_MS = 30_000;
 const ANSWER_MS = 1;
+const SETTLE_TURNS = 3;
 const ROUTE: Route = {
   name: 'lookup',
   host: 'h',
@@ -55,10 +57,22 @@
   /** Upstreams that refuse each request without running it. */
   readonly refusing = new Set<string>();
 
+  /** Upstreams whose answers are rejected. */
+  readonly rejecting = new Set<string>();
+
+  /** Upstreams whose answers begin and have no end. */
+  readonly endless = new Set<string>();
+
+  /** Time that an answer takes. */
+  answerMs: Ms = ANSWER_MS;
+
+  /** Messages of the entry's log, and the upstreams that they name. */
+  readonly lines: { readonly message: string; readonly upstream: unknown }[] = [];
+
   /** Time that a new connection to an upstream takes; 0: there is an open one. */
   openMs: Ms = 0;
 
-  private readonly fleet = new Fleet('z');
+  readonly fleet = new Fleet('z');
 
   private readonly serving: Serving;
 
@@ -66,14 +80,27 @@
 
   private requestCount = 0;
 
-  constructor(readonly bound: { ratio: number; slack: number; windowMs: Ms }) {
+  private readonly route: Route;
+
+  constructor(
+    readonly bound: { ratio: number; slack: number; windowMs: Ms },
+    route: Partial<Route> = {},
+  ) {
     const { clock, fleet } = this;
+    this.route = { ...ROUTE, ...route };
+    const write = (message: string, { upstream }: { readonly upstream?: unknown } = {}) => {
+      this.lines.push({ message, upstream });
+    };
     const budgets = new RetryBudgets({ clock, ...bound, parts: () => 1 });
+    const log = { info: write, warn: write, error: write };
+    const metrics = { count() {}, gauge() {}, histogram() {}, remove() {} };
     this.serving = fakeServing({
       clock,
       fleet,
       link: { send: this.send.bind(this) } as unknown as UpstreamLink,
-      decideAccess: () => ({ type: 'allowed', route: ROUTE }) as never,
+      log,
+      waitline: new Waitline({ clock, fleet, log, metrics, waiting() {} }),
+      decideAccess: () => ({ type: 'allowed', route: this.route }) as never,
       budgetOf: (service) => budgets.of(service),
       waitForTarget: () =>
         new Promise((resolve) => {
@@ -94,9 +121,9 @@
   }
 
   /** Adds an upstream that has the model. */
-  add(id: string): void {
+  add(id: string, slots = 1000): void {
     const models = new Map([[MODEL, { version: 1, adapters: new Set<string>() }]]);
-    const info = { id, service: SERVICE, address: id, availabilityZone: 'z', slots: 1000 };
+    const info = { id, service: SERVICE, address: id, availabilityZone: 'z', slots };
     this.fleet.put({ ...info, isLeaving: false, models } as unknown as Upstream);
   }
 
@@ -123,8 +150,9 @@
     await this.settle();
   }
 
+  /** Waits for what an entry does after everything that has arrived was read. */
   private async settle(): Promise<void> {
-    await new Promise(setImmediate);
+    for (let turn = 0; turn < SETTLE_TURNS; turn += 1) await new Promise(setImmediate);
   }
 
   private start(): void {
@@ -154,7 +182,7 @@
       whenPresent: (act: () => void) => act(),
     };
     const charge = { cost: 0, covers: () => true, settle: ignore };
-    const admitted = { caller, route: ROUTE, charge } as unknown as Admitted;
+    const admitted = { caller, route: this.route, charge } as unknown as Admitted;
     new Run(this.serving, admitted, ignore).start();
   }
 
@@ -175,7 +203,13 @@
 
   private arrive({ requestId, upstream }: Call, receiver: Receiver): void {
     this.arrivals.push({ requestId, upstream, atMs: this.clock.nowMs() });
-    this.clock.after(ANSWER_MS, () => {
+    if (this.rejecting.has(upstream)) {
+      const failure = { type: 'upstream-wrong-answer', detail: 'No answer.' } as const;
+      this.clock.after(ANSWER_MS, () => receiver.failed({ ...failure, mayHaveRun: true }));
+      return;
+    }
+    const isEndless = this.endless.has(upstream);
+    this.clock.after(isEndless ? ANSWER_MS : this.answerMs, () => {
       const isNotRun = this.refusing.has(upstream);
       const status = isNotRun ? 503 : 200;
       receiver.head({
@@ -185,7 +219,10 @@
         isForRequest: true,
         hasLength: true,
       });
-      if (!isNotRun) receiver.end();
+      if (isEndless) receiver.data(Buffer.from('data: '));
+      if (isEndless || isNotRun) return;
+      receiver.data(Buffer.from('data: x\n\n'));
+      receiver.end();
     });
   }
 }
