--- a/standin/platform/platformserver.ts
+++ b/standin/platform/platformserver.ts
@@ -112,6 +112,8 @@
 const SLOW_MS = 400;
 /** Time that a plain request takes at the usual pace, where slots are enforced. */
 const PLAIN_WORK_MS = 250;
+/** Paths of requests that an entry sends on its own account. */
+const CONTROL_PATHS: ReadonlySet<string> = new Set(['/order', '/report']);
 const MS_PER_S = 1000;
 const BODY = 'the whole answer';
 
@@ -296,8 +298,7 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
     if (this.endless) {
-      const isRun = request.url !== '/order' && request.url !== '/report';
-      if (isRun) this.record(request, response, 'endless');
+      if (!CONTROL_PATHS.has(request.url ?? '')) this.record(request, response, 'endless');
       sendEndless(request.socket, this.endless, this.headersOf(request, 'serve'));
       return;
     }
--- a/test/support/fakeserving.ts
+++ b/test/support/fakeserving.ts
@@ -8,6 +8,7 @@
   'began',
   'left',
   'attempted',
+  'ejected',
   'received',
   'streamBroke',
   'ended',
