Keep held answers and incomplete events in blocks

What callers saw: an upstream that sends one byte for each read makes an entry run out of memory with answers far below their bounds, as chunks of one byte did; merging the pieces of one read does not help there.

Cause: held answers, failures that are set aside, incomplete events and the answers of callOnce were lists of the pieces read, an object each. A held answer was written to its caller piece by piece, without regard to whether the caller accepts more, and LineReader joined the whole line again for each piece. Class: bounds are in bytes, memory follows pieces.

They are kept in a BodyBuffer now, which moves to src/core so that cores can use it; ChargedBuffer tells its owner what it keeps. A partial line grows by doubling.

--- a/src/shell/body/bodybuffer.ts
+++ b/src/core/bodybuffer/bodybuffer.ts
@@ -2,7 +2,7 @@
 const BLOCK_BYTES = 65_536;
 
 /**
- * The part of a request's body that has been read. Chunks are copied into blocks, so that the memory that a body takes
+ * The part of a body that has been read. Chunks are copied into blocks, so that the memory that a body takes
  * follows its length: a chunk of its own is an object of 100 bytes or more, whatever its length.
  */
 export class BodyBuffer {
@@ -19,7 +19,7 @@
 
   constructor(
     private readonly limitBytes: number,
-    /** Length that the request declares; undefined for a chunked body. */
+    /** Length that the message declares; undefined for a chunked body. */
     private readonly declaredBytes: number | undefined,
     /** Called before a block is added, with its size. */
     private readonly onGrow: (bytes: number) => void = () => undefined,
@@ -55,6 +55,8 @@
   clear(): void {
     this.blocks.length = 0;
     this.freeBytes = 0;
+    this.sizeBytes = 0;
+    this.capacityBytes = 0;
   }
 
   private grow(neededBytes: number): void {
--- a/src/core/eventstream/eventsplitter.ts
+++ b/src/core/eventstream/eventsplitter.ts
@@ -1,3 +1,4 @@
+import { ChargedBuffer } from '../bodybuffer/index.js';
 import { EventReader } from './eventreader.js';
 
 /** One or more complete events of a stream. */
@@ -16,18 +17,20 @@
 export class EventSplitter {
   private readonly reader: EventReader;
 
-  private rest: Buffer[] = [];
+  /** The first bytes of the incomplete event. */
+  private readonly rest: ChargedBuffer;
 
-  private restBytes = 0;
+  /** True once an incomplete event is larger than an event can be; its end is not to be waited for. */
+  isEventTooLarge = false;
 
-  /** `position` is the id after which the stream continues an earlier one. */
-  constructor(position?: string) {
+  constructor(
+    /** Id after which the stream continues an earlier one. */
+    position?: string,
+    /** Takes changes of the memory that the incomplete event takes. */
+    charge?: (bytes: number) => void,
+  ) {
     this.reader = new EventReader(position);
-  }
-
-  /** True if the incomplete event is larger than an event can be; its end is not to be waited for. */
-  get isEventTooLarge(): boolean {
-    return this.restBytes > MAX_EVENT_BYTES;
+    this.rest = new ChargedBuffer(MAX_EVENT_BYTES, charge);
   }
 
   /** True if the last event is incomplete so far. */
@@ -49,15 +52,14 @@
   split(chunk: Buffer): Piece | undefined {
     const { reader } = this;
     const { eventCount } = reader;
+    if (this.isEventTooLarge) return undefined;
     const completeBytes = reader.read(chunk);
     if (completeBytes === 0) {
       this.hold(chunk);
       return undefined;
     }
     const last = chunk.subarray(0, completeBytes);
-    const payload = this.rest.length === 0 ? last : Buffer.concat([...this.rest, last]);
-    this.rest = [];
-    this.restBytes = 0;
+    const payload = this.rest.sizeBytes === 0 ? last : Buffer.concat([this.rest.take(), last]);
     if (completeBytes < chunk.length) this.hold(chunk.subarray(completeBytes));
     return {
       payload,
@@ -66,8 +68,14 @@
     };
   }
 
+  /** Discards the incomplete event. Nothing may be read afterwards. */
+  clear(): void {
+    this.rest.clear();
+  }
+
   private hold(bytes: Buffer): void {
-    this.rest.push(bytes);
-    this.restBytes += bytes.length;
+    if (!this.isEventTooLarge && this.rest.add(bytes)) return;
+    this.isEventTooLarge = true;
+    this.rest.clear();
   }
 }
--- a/src/core/eventstream/linereader.ts
+++ b/src/core/eventstream/linereader.ts
@@ -3,14 +3,19 @@
 const EMPTY = Buffer.alloc(0);
 const BYTE_ORDER_MARK = Buffer.from([0xef, 0xbb, 0xbf]);
 
-/** Takes a complete line, without its end: `bytes` from `start` to `end`. The next line begins at `next` of the chunk. */
+/**
+ * Takes a complete line, without its end: `bytes` from `start` to `end`, which may be overwritten afterwards. The next
+ * line begins at `next` of the chunk.
+ */
 type OnLine = (bytes: Buffer, start: number, end: number, next: number) => void;
 
 /** Splits bytes that arrive in chunks into lines, each of which ends with LF, CR LF or CR. */
 export class LineReader {
-  /** First bytes of a line whose end has not arrived. */
+  /** Holds the first bytes of a line whose end has not arrived; grows by doubling, so that small pieces cost little. */
   private partial: Buffer = EMPTY;
 
+  private partialBytes = 0;
+
   /** True if the last byte read was a CR: an LF that follows belongs to the same line end. */
   private isAfterCr = false;
 
@@ -24,7 +29,7 @@
 
   /** True if the last line is incomplete so far. */
   get isInsideLine(): boolean {
-    return this.partial.length > 0;
+    return this.partialBytes > 0;
   }
 
   /** Reads a chunk. Returns the number of its first bytes that belong to the end of the line before. */
@@ -49,11 +54,11 @@
   }
 
   private takeLine(chunk: Buffer, start: number, end: number, next: number): void {
-    if (this.partial.length > 0) {
+    if (this.partialBytes > 0) {
       this.keep(chunk, start, end);
-      const line = this.partial;
-      this.partial = EMPTY;
-      this.emit(line, 0, line.length, next);
+      const lineBytes = this.partialBytes;
+      this.partialBytes = 0;
+      this.emit(this.partial, 0, lineBytes, next);
     } else {
       this.emit(chunk, start, end, next);
     }
@@ -69,9 +74,15 @@
   }
 
   private keep(chunk: Buffer, start: number, end: number): void {
-    const lackBytes = this.maxPartialBytes - this.partial.length;
-    if (start === end || lackBytes <= 0) return;
-    const added = chunk.subarray(start, Math.min(end, start + lackBytes));
-    this.partial = Buffer.concat([this.partial, added]);
+    const addedBytes = Math.min(end - start, this.maxPartialBytes - this.partialBytes);
+    if (addedBytes <= 0) return;
+    const neededBytes = this.partialBytes + addedBytes;
+    if (neededBytes > this.partial.length) {
+      const grown = Buffer.allocUnsafe(Math.max(neededBytes, 2 * this.partial.length));
+      this.partial.copy(grown, 0, 0, this.partialBytes);
+      this.partial = grown;
+    }
+    chunk.copy(this.partial, this.partialBytes, start, start + addedBytes);
+    this.partialBytes = neededBytes;
   }
 }
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -1,4 +1,5 @@
 import type { RequestId } from '../../base/index.js';
+import { ChargedBuffer } from '../../core/bodybuffer/index.js';
 import { EventReader } from '../../core/eventstream/index.js';
 import type { StreamOrigin } from '../../core/origin/index.js';
 import type { UpstreamReceiver } from '../../port/index.js';
@@ -56,12 +57,10 @@
   /** True if no bytes of the last answer have arrived. */
   private isEmpty = true;
 
-  private held: Buffer[] | undefined;
-
-  private heldBytes = 0;
+  private held: ChargedBuffer | undefined;
 
   /** A failure that an upstream answered, for the caller if no later attempt gets an answer. */
-  private fallback: { head: Head; held: Buffer[] } | undefined;
+  private fallback: { head: Head; held: ChargedBuffer } | undefined;
 
   constructor(
     private readonly caller: Caller,
@@ -141,7 +140,7 @@
     const isHeld = !isStream || (isResumable && !isEvents);
     this.nextOrigin = isHeld ? undefined : origin;
     if (isHeld) {
-      this.held = [];
+      this.held = new ChargedBuffer(MAX_HELD_BYTES);
       return;
     }
     this.isContinuation = this.hasBegun || this.caller.request.resumeAfter !== undefined;
@@ -159,11 +158,10 @@
   /** Passes on or buffers a chunk. Returns false while the caller accepts no more data. */
   data(chunk: Buffer): boolean {
     this.isEmpty = false;
+    if (this.held?.add(chunk)) return true;
     if (this.held) {
-      this.held.push(chunk);
-      this.heldBytes += chunk.length;
-      if (this.heldBytes > MAX_HELD_BYTES) this.release();
-      return true;
+      this.release();
+      return this.caller.write(chunk);
     }
     this.reader?.read(chunk);
     const payload = this.assembler ? this.assembler.take(chunk) : chunk;
@@ -174,16 +172,20 @@
 
   /** Discards the buffered answer, as the request is sent again; a failure is kept in case no better answer arrives. */
   setAside(isFailure: boolean): void {
-    if (isFailure) this.fallback = { head: this.head!, held: this.held! };
+    if (isFailure) {
+      this.fallback?.held.clear();
+      this.fallback = { head: this.head!, held: this.held! };
+    } else this.held?.clear();
     this.held = undefined;
-    this.heldBytes = 0;
   }
 
   /** Restores a failure that was set aside as the answer; false if there is none, or another answer has begun. */
   useFallback(): boolean {
     if (!this.fallback || this.hasBegun) return false;
+    this.held?.clear();
     this.head = this.fallback.head;
     this.held = this.fallback.held;
+    this.fallback = undefined;
     return true;
   }
 
@@ -205,9 +207,9 @@
 
   /** Sends the buffered answer: it is complete, or too large to be buffered further. */
   private release(): void {
-    const { held } = this;
+    const body = this.held!.take();
     this.held = undefined;
     this.begin();
-    for (const chunk of held ?? []) this.caller.write(chunk);
+    if (body.length > 0) this.caller.write(body);
   }
 }
--- a/src/shell/body/readwithin.ts
+++ b/src/shell/body/readwithin.ts
@@ -1,4 +1,4 @@
-import { BodyBuffer } from './bodybuffer.js';
+import { BodyBuffer } from '../../core/bodybuffer/index.js';
 
 /** Reads a whole body. Returns undefined, without reading on, if it is larger than the limit. */
 export async function readWithin(
--- a/src/shell/http1/callonce.ts
+++ b/src/shell/http1/callonce.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'ts-results';
 import { result, type Clock, type Failure, type Ms } from '../../base/index.js';
+import { BodyBuffer } from '../body/index.js';
 import { afterReads } from '../loop/index.js';
 import type { Channel } from './channel.js';
 import type { Http1Call } from './http1call.js';
@@ -45,7 +46,7 @@
   { maxBytes = MAX_ANSWER_BYTES, wholeMs = Infinity }: AnswerLimits = {},
 ): Promise<Result<Http1Answer, CallFailure>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const body = new BodyBuffer(maxBytes, undefined);
     let receivedBytes = 0;
     let status = 0;
     let headers: readonly string[] = [];
@@ -55,6 +56,7 @@
     let isOver = false;
     const end = (outcome: Result<Http1Answer, CallFailure>) => {
       isOver = true;
+      body.clear();
       cancelTimeout();
       resolve(outcome);
     };
@@ -69,14 +71,14 @@
       data(chunk) {
         arrivedAtMs = clock.nowMs();
         receivedBytes += chunk.length;
-        if (receivedBytes > maxBytes) {
+        if (!body.add(chunk)) {
           sent?.cancel();
           fail(`The answer has more than ${maxBytes} bytes.`, true);
-        } else chunks.push(chunk);
+        }
         return true;
       },
       end() {
-        end(result.Ok({ status, headers, body: Buffer.concat(chunks) }));
+        end(result.Ok({ status, headers, body: body.take() }));
       },
       failed(failure) {
         fail(failure.detail, failure.sent);
--- a/test/bodybuffer.test.ts
+++ b/test/bodybuffer.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import fc from 'fast-check';
-import { BodyBuffer } from '../src/shell/body/bodybuffer.js';
+import { BodyBuffer } from '../src/core/bodybuffer/index.js';
 
 const BLOCK_BYTES = 65_536;
 
