Charge what is held of upstreams' answers to callers' memory

What callers saw: upstreams that begin answers of 260 KB and do not end them take an entry's memory past its host's, with no answer beyond its own bound.

Cause: an answer, a failure that is set aside and an incomplete event may each take 262,144 bytes; their sum had no bound, only the number of connections to upstreams.

Each is charged to its request in the account of ConnectionGuard where its block is taken, and given back where it is passed on, set aside, discarded or ended; what waits behind an earlier answer on a connection that closes is charged too. From the low water mark on, answers are passed on rather than held, so that sound ones are not lost. Over the limit, requests whose answer takes 16 KB and stands for a second go, by bytes and time; beyond 1.5 times the limit also those that go on, as incomplete events cannot be passed on. The caller gets 502 entry-memory (may have run) or its stream is cut, the attempt is cancelled, and the line `answer given up for memory` names the upstream. Answers that take less than 16 KB are not chosen.

Properties and seeds in heldanswers, connectionguard and callermemory: what is charged is what is held, never negative, and nothing once all is over.

--- a/src/core/callermemory/callermemoryrules.ts
+++ b/src/core/callermemory/callermemoryrules.ts
@@ -19,4 +19,10 @@
   minIdleMs: 1000,
   /** A connection whose answer was not read for this long may be closed when memory runs out. */
   unreadMs: 5000,
+  /** Answers that hold less are not given up: that frees hardly more than the request itself takes. */
+  minAnswerBytes: 16_384,
+  /** An answer of which no further block has come for this long may be given up when memory runs out. */
+  answerIdleMs: 1000,
+  /** Beyond this multiple of the limit, answers that go on are given up as well. */
+  severe: 1.5,
 } as const;
--- a/src/direct/caller.ts
+++ b/src/direct/caller.ts
@@ -42,6 +42,12 @@
   refuse(refusal: Refusal): void;
   /** Records that the request is passed on to an upstream. */
   onSend?(): void;
+  /** Charges memory that is taken for its answer; negative when it is given back. */
+  charge(bytes: number): void;
+  /** True if little memory is left, so that answers are to be passed on rather than held. */
+  readonly isMemoryShort: boolean;
+  /** Calls back when the memory that is held for its answer has to be given back. */
+  onEvict(act: () => void): void;
   /** Breaks the connection, so that a partial answer does not look complete. */
   cut(): void;
   /** Calls back when the caller accepts more data again. */
--- a/src/direct/run/attempt.ts
+++ b/src/direct/run/attempt.ts
@@ -137,6 +137,20 @@
     return mayHaveRun;
   }
 
+  /** Logs that the attempt is cancelled for the memory that is held of its answer. */
+  logGivenUp(heldBytes: number): void {
+    const { serving, state, reply } = this.options;
+    const nowMs = serving.clock.nowMs();
+    serving.log.warn('answer given up for memory', {
+      requestId: reply.requestId,
+      upstream: state.info.id,
+      heldBytes,
+      runMs: Math.round(nowMs - this.sentAtMs),
+      answer: this.answerFields(nowMs),
+      ...this.receivedFields(),
+    });
+  }
+
   /** Resumes reading: the caller accepts more data. */
   resume(): void {
     this.sent?.resume();
--- a/src/direct/run/eventassembler.ts
+++ b/src/direct/run/eventassembler.ts
@@ -4,7 +4,7 @@
 
 /** Passes on only complete events of a stream, and keeps the id after which it can be continued. */
 export class EventAssembler {
-  private splitter = new EventSplitter();
+  private splitter: EventSplitter;
 
   /** True until the first events of a continuation have come. */
   private isContinuing = false;
@@ -14,6 +14,11 @@
 
   lastId: string | undefined;
 
+  /** `charge` takes changes of the memory that an incomplete event takes. */
+  constructor(private readonly charge: (bytes: number) => void) {
+    this.splitter = new EventSplitter(undefined, charge);
+  }
+
   get isEventTooLarge(): boolean {
     return this.splitter.isEventTooLarge;
   }
@@ -41,10 +46,16 @@
     return hasMark ? payload.subarray(BYTE_ORDER_MARK.length) : payload;
   }
 
+  /** Frees the incomplete event, once nothing more is read of its answer. */
+  clear(): void {
+    this.splitter.clear();
+  }
+
   /** Discards an incomplete event: another upstream sends it again. */
   restart(): void {
     this.lacksEvent = this.splitter.isInsideEvent || (this.lacksEvent && !this.splitter.hasEvent);
-    this.splitter = new EventSplitter(this.lastId);
+    this.splitter.clear();
+    this.splitter = new EventSplitter(this.lastId, this.charge);
     this.isContinuing = this.lastId !== undefined;
   }
 }
--- a/src/direct/run/reply.ts
+++ b/src/direct/run/reply.ts
@@ -11,6 +11,7 @@
 /** A plain answer up to this size is buffered until it is complete, so that a broken one can be repeated. */
 const MAX_HELD_BYTES = 262_144;
 const FIRST_NON_SUCCESS_STATUS = 300;
+const FIRST_FAILURE_STATUS = 500;
 
 /** How an upstream's answer is passed on to its caller. */
 interface ReplyMode {
@@ -59,6 +60,14 @@
 
   private held: ChargedBuffer | undefined;
 
+  /** Memory that is held of upstreams' answers. */
+  heldBytes = 0;
+
+  private readonly charge = (bytes: number) => {
+    this.heldBytes += bytes;
+    this.caller.charge(bytes);
+  };
+
   /** A failure that an upstream answered, for the caller if no later attempt gets an answer. */
   private fallback: { head: Head; held: ChargedBuffer } | undefined;
 
@@ -140,7 +149,7 @@
     const isHeld = !isStream || (isResumable && !isEvents);
     this.nextOrigin = isHeld ? undefined : origin;
     if (isHeld) {
-      this.held = new ChargedBuffer(MAX_HELD_BYTES);
+      this.held = new ChargedBuffer(MAX_HELD_BYTES, this.charge);
       return;
     }
     this.isContinuation = this.hasBegun || this.caller.request.resumeAfter !== undefined;
@@ -151,14 +160,14 @@
     } else if (this.assembler) {
       this.assembler.restart();
     } else {
-      this.assembler = new EventAssembler();
+      this.assembler = new EventAssembler(this.charge);
     }
   }
 
   /** Passes on or buffers a chunk. Returns false while the caller accepts no more data. */
   data(chunk: Buffer): boolean {
     this.isEmpty = false;
-    if (this.held?.add(chunk)) return true;
+    if (this.held && !this.mustPassOn && this.held.add(chunk)) return true;
     if (this.held) {
       this.release();
       return this.caller.write(chunk);
@@ -173,10 +182,27 @@
   /** Discards the buffered answer, as the request is sent again; a failure is kept in case no better answer arrives. */
   setAside(isFailure: boolean): void {
     if (isFailure) {
-      this.fallback?.held.clear();
+      this.dropFallback();
       this.fallback = { head: this.head!, held: this.held! };
     } else this.held?.clear();
     this.held = undefined;
+    this.assembler?.clear();
+  }
+
+  /** Discards a failure that was set aside. Returns false if there is none. */
+  dropFallback(): boolean {
+    const { fallback } = this;
+    this.fallback = undefined;
+    fallback?.held.clear();
+    return fallback !== undefined;
+  }
+
+  /** Frees what is held, once nothing more is read or sent. */
+  discard(): void {
+    this.held?.clear();
+    this.held = undefined;
+    this.assembler?.clear();
+    this.dropFallback();
   }
 
   /** Restores a failure that was set aside as the answer; false if there is none, or another answer has begun. */
@@ -196,9 +222,15 @@
     this.caller.end();
   }
 
+  /** True if the answer is not to be held for lack of memory; a failure may be tried again elsewhere. */
+  private get mustPassOn(): boolean {
+    return this.caller.isMemoryShort && this.status < FIRST_FAILURE_STATUS;
+  }
+
   private begin(): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
+    this.dropFallback();
     this.origin = this.nextOrigin;
     if (this.origin) this.begins(this.origin);
     const { status, headers } = this.head!;
--- a/src/direct/run/run.ts
+++ b/src/direct/run/run.ts
@@ -198,6 +198,7 @@
     const { caller, serving } = this;
     const { request } = caller;
     caller.onGone(() => this.gone());
+    caller.onEvict(() => this.evict());
     const { route } = this;
     const deadlineMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     this.untilMs = request.arrivedAtMs + deadlineMs;
@@ -883,8 +884,20 @@
     this.abandon('timeout', 'No answer came in time.', RETRY_AFTER_MS);
   }
 
+  /** Gives back the memory that is held of answers. Goes on if that is a failure that was set aside. */
+  private evict(): void {
+    if (this.isOver) return;
+    this.reply.dropFallback();
+    const { heldBytes } = this.reply;
+    const { current } = this;
+    if (heldBytes === 0 || !current) return;
+    const detail = 'This entry has no memory left for the answer, of which nothing more has come.';
+    current.logGivenUp(heldBytes);
+    this.abandon('entry-memory', detail, RETRY_AFTER_MS, 502);
+  }
+
   /** Ends the request now, with the attempt under way, which may have run. */
-  private abandon(type: string, detail: string, retryAfterMs: Ms): void {
+  private abandon(type: string, detail: string, retryAfterMs: Ms, status = 504): void {
     if (this.isOver) return;
     if (this.withdraw(type)) this.ranCount += 1;
     if (this.reply.hasBegun) {
@@ -892,7 +905,7 @@
       this.close(type);
       return;
     }
-    if (this.ranCount > 0) this.refuse(504, type, detail);
+    if (this.ranCount > 0) this.refuse(status, type, detail);
     else this.refuse(503, type, detail, retryAfterMs);
   }
 
@@ -916,6 +929,7 @@
   private close(end: string, retryAfterMs?: Ms): void {
     if (this.isOver) return;
     this.isOver = true;
+    this.reply.discard();
     this.endTargetWait();
     this.forgetTimer();
     this.queue.leave();
--- a/src/shell/callers/callerconnection.ts
+++ b/src/shell/callers/callerconnection.ts
@@ -1,9 +1,23 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Ms } from '../../base/index.js';
-import { callerMemoryRules as rules } from '../../core/callermemory/index.js';
+import { callerMemoryRules as rules, mayEvictAnswer } from '../../core/callermemory/index.js';
 import { CallerHold } from './callerhold.js';
 
+/** Account of all requests of a listener. */
+type Account = Parameters<typeof mayEvictAnswer>[1];
+
+/** What a connection uses of its listener. */
+interface ConnectionOptions {
+  /** Takes a change of the memory that is held. */
+  readonly charged: (bytes: number) => void;
+  readonly isMemoryShort: () => boolean;
+  readonly nowMs: () => Ms;
+  /** Most requests that are served at a time. */
+  readonly maxUnderWay: number;
+  readonly countChunk: (sizeBytes: number) => void;
+}
+
 /** A connection of a caller, with what its requests hold. */
 export class CallerConnection {
   readonly holds = new Set<CallerHold>();
@@ -30,15 +44,21 @@
 
   private underWayCount = 0;
 
+  /** When it was last observed that bytes had been read or sent. */
+  progressAtMs: Ms;
+
+  readonly countChunk: (sizeBytes: number) => void;
+
+  readonly isMemoryShort: () => boolean;
+
   constructor(
     readonly socket: Socket,
-    /** When it was last observed that bytes had been read or sent. */
-    public progressAtMs: Ms,
-    private readonly charged: (bytes: number) => void,
-    /** Most requests that are served at a time. */
-    private readonly maxUnderWay: number,
-    readonly countChunk: (sizeBytes: number) => void,
-  ) {}
+    private readonly options: ConnectionOptions,
+  ) {
+    this.progressAtMs = options.nowMs();
+    this.countChunk = options.countChunk;
+    this.isMemoryShort = options.isMemoryShort;
+  }
 
   begin(response: ServerResponse, nowMs: Ms): CallerHold {
     const hold = new CallerHold(response, this);
@@ -97,11 +117,30 @@
     return this.holds.size === 0 && this.unsentBytes === 0 && !this.isEnded;
   }
 
-  /** True while it waits for its caller. A request that was read whole, alone on its connection, gets its answer. */
-  isEvictable(nowMs: Ms): boolean {
+  /**
+   * True while it waits for its caller, or for an upstream that has sent a part of its answer. Other requests that were
+   * read whole, alone on their connection, get their answer.
+   */
+  isEvictable(nowMs: Ms, account: Account): boolean {
     if (this.holds.size > 1) return true;
     if (this.unsentBytes > 0 && nowMs - this.progressAtMs >= rules.unreadMs) return true;
-    return this.isReadingBody;
+    return this.isReadingBody || this.evictableAnswer(nowMs, account) !== undefined;
+  }
+
+  /** Returns the only request if it may be ended for the answer that is held for it. */
+  evictableAnswer(nowMs: Ms, account: Account): CallerHold | undefined {
+    const [only] = this.holds;
+    if (this.holds.size !== 1 || !only?.onEvict) return undefined;
+    const { answerBytes: heldBytes, answerAtMs } = only;
+    const answer = { heldBytes, idleMs: nowMs - answerAtMs };
+    return mayEvictAnswer(answer, account) ? only : undefined;
+  }
+
+  /** Memory of answers that are held for its requests. */
+  get answerBytes(): number {
+    let bytes = 0;
+    for (const { answerBytes } of this.holds) bytes += answerBytes;
+    return bytes;
   }
 
   /** True if it has one request, whose body is being read. */
@@ -113,7 +152,7 @@
   /** Begins to serve the requests whose turn it is. */
   serveNext(): void {
     for (const hold of this.holds) {
-      if (this.underWayCount >= this.maxUnderWay) return;
+      if (this.underWayCount >= this.options.maxUnderWay) return;
       const { onTurn } = hold;
       if (!onTurn) continue;
       hold.onTurn = undefined;
@@ -130,8 +169,17 @@
     this.add(bytes);
   }
 
+  /** Charges memory of an answer to a request, unless it was released. */
+  chargeAnswer(hold: CallerHold, bytes: number): void {
+    if (!this.holds.has(hold)) return;
+    const answerBytes = hold.answerBytes + bytes;
+    const answerAtMs = bytes > 0 ? this.options.nowMs() : hold.answerAtMs;
+    Object.assign(hold, { answerBytes, answerAtMs });
+    this.charge(hold, bytes);
+  }
+
   private add(bytes: number): void {
     this.heldBytes += bytes;
-    this.charged(bytes);
+    this.options.charged(bytes);
   }
 }
--- a/src/shell/callers/connectionguard.ts
+++ b/src/shell/callers/connectionguard.ts
@@ -37,8 +37,8 @@
   readonly limits: () => GuardLimits;
   /** Called with the reason for each connection that is closed. */
   readonly closed: (reason: CloseReason) => void;
-  /** Called regularly while there are connections, with the memory of all requests. */
-  readonly observed: (heldBytes: number) => void;
+  /** Called regularly while there are connections, with the memory of all requests and the part of it for answers. */
+  readonly observed: (heldBytes: number, answerBytes: number) => void;
 }
 
 const SWEEP_MS: Ms = 250;
@@ -138,13 +138,13 @@
       if (bytes > 0) this.makeRoom();
     };
     const { requestsUnderWay } = limits();
-    const connection = new CallerConnection(
-      socket,
-      clock.nowMs(),
+    const connection = new CallerConnection(socket, {
       charged,
-      requestsUnderWay,
-      this.pacer.counter(socket),
-    );
+      isMemoryShort: () => this.heldBytes > limits().heldBytes * rules.lowWater,
+      nowMs: () => clock.nowMs(),
+      maxUnderWay: requestsUnderWay,
+      countChunk: this.pacer.counter(socket),
+    });
     this.connections.set(socket, connection);
     this.openCount += 1;
     socket.once('close', () => {
@@ -162,19 +162,36 @@
     if (this.heldBytes <= limitBytes) return;
     const nowMs = clock.nowMs();
     if (nowMs < this.searchAtMs) return;
+    const account = { totalBytes: this.heldBytes, limitBytes };
     const holders = [...this.connections.values()]
-      .filter((connection) => connection.isEvictable(nowMs))
+      .filter((connection) => connection.isEvictable(nowMs, account))
       .map((connection) => {
-        const { heldBytes, progressAtMs } = connection;
+        const { heldBytes } = connection;
+        const answer = connection.evictableAnswer(nowMs, account);
+        const progressAtMs = answer?.answerAtMs ?? connection.progressAtMs;
         return { id: connection, heldBytes, progressAtMs };
       });
     const excessBytes = this.heldBytes - limitBytes * rules.lowWater;
     for (const connection of chooseEvictions(holders, excessBytes, nowMs)) {
-      this.end(connection, 'memory');
+      const answer = connection.evictableAnswer(nowMs, account);
+      if (answer) this.evictAnswer(answer);
+      else this.end(connection, 'memory');
     }
     if (this.isFull) this.searchAtMs = nowMs + SEARCH_EVERY_MS;
   }
 
+  /** Gives up the answer that is held for a request, once what has taken the memory has returned. */
+  private evictAnswer(hold: CallerHold): void {
+    const { onEvict } = hold;
+    if (!onEvict) return;
+    // Not chosen again before it has given its memory back.
+    Object.assign(hold, { onEvict: undefined });
+    queueMicrotask(() => {
+      Object.assign(hold, { onEvict });
+      onEvict();
+    });
+  }
+
   private end(connection: CallerConnection, reason: CloseReason): void {
     const { socket, holds, isReadingBody } = connection;
     const [first] = holds;
@@ -218,8 +235,14 @@
 
   private sweep(): void {
     const nowMs = this.options.clock.nowMs();
-    for (const connection of this.connections.values()) this.check(connection, nowMs);
-    this.options.observed(this.heldBytes);
+    let answerBytes = 0;
+    for (const connection of this.connections.values()) {
+      this.check(connection, nowMs);
+      answerBytes += connection.answerBytes;
+    }
+    // Answers that stand take no further memory, which is when room is made otherwise.
+    this.makeRoom();
+    this.options.observed(this.heldBytes, answerBytes);
   }
 
   /** Closes a connection whose caller has made no progress for too long. */
--- a/src/shell/log/createboundedlog.ts
+++ b/src/shell/log/createboundedlog.ts
@@ -26,8 +26,12 @@
 /** No lines are written while this much output is buffered: about 3 s at the full rate. */
 const MAX_BUFFERED_BYTES = 262_144;
 const REQUEST_MESSAGE = 'request';
-/** An overloaded process closes hundreds of connections a second; a few lines show why, the counter how many. */
+/**
+ * An overloaded process closes hundreds of connections and gives up as many answers a second; a few lines show why, the
+ * counters how many.
+ */
 const CONNECTION_MESSAGES = new Set([
+  'answer given up for memory',
   'connection ended without an answer',
   'caller connection closed',
 ]);
--- a/standin/platform/endlesskinds.ts
+++ b/standin/platform/endlesskinds.ts
@@ -28,6 +28,12 @@
   'a failure in chunks of one byte': chunks(ONE_BYTE, '500 Internal Server Error'),
   'a refusal in chunks of one byte': chunks(ONE_BYTE, '503 Service Unavailable'),
   'chunks of 4 KiB that stop': { ...chunks(chunk('x'.repeat(4096))), times: 65 },
+  'a held answer that stops': { ...chunks(chunk('x'.repeat(4096))), times: 63 },
+  'a held failure that stops': {
+    ...chunks(chunk('x'.repeat(4096)), '500 Internal Server Error'),
+    times: 63,
+  },
+  'an event that stops': { ...events(chunk('data: '.repeat(200))), times: 215 },
   'chunks of 64 KiB': chunks(chunk('x'.repeat(65_536))),
   'a body without a length': { status: OK, fields: '\r\n', piece: 'x'.repeat(1024) },
   'events in chunks of one byte': events(
--- a/test/callermemory.test.ts
+++ b/test/callermemory.test.ts
@@ -4,6 +4,7 @@
   callerMemoryLimit,
   callerMemoryRules,
   chooseEvictions,
+  mayEvictAnswer,
 } from '../src/core/callermemory/index.js';
 
 const MIB = 1_048_576;
@@ -55,3 +56,21 @@
     t.true(roomBytes >= 4 * MIB, `${memoryMb} MB`);
   }
 });
+
+// Under the limit nobody has to go, and an answer that goes on is worth more than one that stands.
+test('only large answers that stand are given up, unless the limit is far exceeded', (t) => {
+  const { answerIdleMs, minAnswerBytes, severe } = callerMemoryRules;
+  const drawn = fc.record({
+    heldBytes: fc.integer({ min: 0, max: MIB }),
+    idleMs: fc.integer({ min: 0, max: 3 * answerIdleMs }),
+    totalBytes: fc.integer({ min: 0, max: 20 * MIB }),
+  });
+  const limitBytes = 8 * MIB;
+  fc.assert(
+    fc.property(drawn, ({ heldBytes, idleMs, totalBytes }) => {
+      const mayGo = mayEvictAnswer({ heldBytes, idleMs }, { totalBytes, limitBytes });
+      if (totalBytes <= limitBytes || heldBytes < minAnswerBytes) t.false(mayGo);
+      else t.is(mayGo, idleMs >= answerIdleMs || totalBytes > severe * limitBytes);
+    }),
+  );
+});
--- a/test/connectionguard.test.ts
+++ b/test/connectionguard.test.ts
@@ -4,7 +4,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { systemClock, VirtualClock, type Clock } from '../src/base/index.js';
-import { ConnectionGuard, readBody } from '../src/shell/callers/index.js';
+import { ConnectionGuard, readBody, type CallerHold } from '../src/shell/callers/index.js';
 import { silentLog } from './support/silentlog.js';
 
 const LIMIT_BYTES = 400_000;
@@ -26,6 +26,8 @@
   readonly outcomes: string[];
   readonly reasons: string[];
   readonly unanswered: ServerResponse[];
+  /** What the requests hold that were begun. */
+  readonly holds: CallerHold[];
   close(): void;
 }
 
@@ -34,6 +36,7 @@
   const outcomes: string[] = [];
   const reasons: string[] = [];
   const unanswered: ServerResponse[] = [];
+  const holds: CallerHold[] = [];
   const guard = new ConnectionGuard({
     clock,
     log: silentLog,
@@ -43,6 +46,7 @@
   });
   const server = createServer((request, response) => {
     const hold = guard.begin(response);
+    holds.push(hold);
     const end = (outcome: string) => {
       outcomes.push(outcome);
       if (outcome === 'read' && request.url !== '/') unanswered.push(response);
@@ -63,7 +67,7 @@
     server.closeAllConnections();
     server.close();
   };
-  return { guard, port, outcomes, reasons, unanswered, close };
+  return { guard, port, outcomes, reasons, unanswered, holds, close };
 }
 
 function send(port: number, text: string): Socket {
@@ -195,3 +199,117 @@
   t.deepEqual(rig.reasons, ['unread-answers']);
   rig.close();
 });
+
+const WAITING = 'GET /wait HTTP/1.1\r\nHost: h\r\n\r\n';
+const BLOCK_BYTES = 65_536;
+
+interface Answers {
+  readonly rig: Rig;
+  readonly clock: VirtualClock;
+  readonly sockets: readonly Socket[];
+  /** Requests whose answer was given up, in order. */
+  readonly evicted: number[];
+}
+
+function answer(response: ServerResponse, status: number): void {
+  if (!response.headersSent) response.writeHead(status).end();
+}
+
+/** Opens connections with one request each, which wait for their answers. */
+async function openAnswers(count: number): Promise<Answers> {
+  const clock = new VirtualClock();
+  const rig = await open({}, clock);
+  const sockets = Array.from({ length: count }, () => send(rig.port, WAITING));
+  await until(() => rig.unanswered.length === count);
+  const evicted: number[] = [];
+  for (const [at, hold] of rig.holds.entries()) {
+    hold.onEvict = () => {
+      evicted.push(at);
+      hold.chargeAnswer(-hold.answerBytes);
+      answer(hold.response, 502);
+    };
+  }
+  return { rig, clock, sockets, evicted };
+}
+
+function closeAnswers({ rig, sockets }: Answers): void {
+  for (const socket of sockets) socket.destroy();
+  rig.close();
+}
+
+test('answers that stand are given up for one that goes on, and none for a newcomer', async (t) => {
+  const answers = await openAnswers(5);
+  const { rig, clock, evicted } = answers;
+  const [, standing, other, goingOn, newcomer] = rig.holds;
+  standing!.chargeAnswer(2 * BLOCK_BYTES);
+  other!.chargeAnswer(BLOCK_BYTES);
+  clock.advanceTo(1500);
+  goingOn!.chargeAnswer(BLOCK_BYTES);
+  newcomer!.chargeAnswer(4096);
+  t.deepEqual(evicted, []);
+  goingOn!.chargeAnswer(BLOCK_BYTES);
+  await until(() => evicted.length > 0);
+  t.deepEqual(evicted, [1]);
+  t.true(rig.guard.heldBytes <= LIMIT_BYTES);
+  closeAnswers(answers);
+});
+
+test('answers that go on are given up only far beyond the limit', async (t) => {
+  const answers = await openAnswers(4);
+  const { rig, evicted } = answers;
+  for (const hold of rig.holds) hold.chargeAnswer(2 * BLOCK_BYTES);
+  t.true(rig.guard.heldBytes > LIMIT_BYTES);
+  await new Promise(setImmediate);
+  t.deepEqual(evicted, []);
+  answers.clock.advanceTo(100);
+  rig.holds[0]!.chargeAnswer(2 * BLOCK_BYTES);
+  await until(() => evicted.length > 0);
+  t.is(evicted[0], 0);
+  t.true(rig.guard.heldBytes <= 1.5 * LIMIT_BYTES);
+  closeAnswers(answers);
+});
+
+test('answers that stand are given up without another one that needs memory', async (t) => {
+  const answers = await openAnswers(4);
+  const { rig, clock, evicted } = answers;
+  for (const hold of rig.holds) hold.chargeAnswer(2 * BLOCK_BYTES);
+  for (let atMs = 250; atMs <= 2000 && evicted.length === 0; atMs += 250) {
+    clock.advanceTo(atMs);
+    await new Promise(setImmediate);
+    await new Promise(setImmediate);
+  }
+  t.true(evicted.length > 0 && evicted.length < 4, `${evicted.length}`);
+  t.true(rig.guard.heldBytes <= LIMIT_BYTES);
+  closeAnswers(answers);
+});
+
+/** Takes and gives back memory for answers at random, ends requests in each way, and checks the account. */
+async function accountsForAnswers(t: ExecutionContext, seed: number): Promise<void> {
+  const answers = await openAnswers(12);
+  const { rig, clock, sockets } = answers;
+  const random = xoroshiro128plus(seed);
+  for (let step = 0; step < 300; step += 1) {
+    const at = uniformInt(random, 0, rig.holds.length - 1);
+    const hold = rig.holds[at]!;
+    const act = uniformInt(random, 0, 19);
+    if (act < 11) hold.chargeAnswer(uniformInt(random, 1, BLOCK_BYTES));
+    else if (act < 17) hold.chargeAnswer(-uniformInt(random, 0, hold.answerBytes));
+    else if (act === 17 && step > 100) answer(hold.response, 200);
+    else if (act === 18 && step > 100) sockets[at]!.destroy();
+    else clock.advanceTo(clock.nowMs() + uniformInt(random, 1, 2000));
+    if (step % 10 === 0) await new Promise(setImmediate);
+    t.true(rig.guard.heldBytes >= 0);
+    t.true(hold.answerBytes >= 0 && hold.heldBytes >= hold.answerBytes);
+  }
+  for (const socket of sockets) socket.destroy();
+  await until(() => rig.guard.heldBytes === 0);
+  for (const hold of rig.holds) hold.chargeAnswer(BLOCK_BYTES);
+  t.is(rig.guard.heldBytes, 0);
+  rig.close();
+}
+
+for (const seed of [1, 2, 3, 4, 5]) {
+  test(`memory of answers is given back, however their requests end: seed ${seed}`, async (t) => {
+    await accountsForAnswers(t, seed);
+  });
+}
--- a/test/support/platformtarget.ts
+++ b/test/support/platformtarget.ts
@@ -23,6 +23,8 @@
   /** Slots of each server. */
   readonly slots?: number;
   readonly maxDescriptors?: number;
+  /** Connections that each server accepts, which all entries share. */
+  readonly maxConnections?: number;
 }
 
 /** Smaller than the hosts that entries run on. */
@@ -67,7 +69,7 @@
   };
 }
 
-function configuration(): object {
+function configuration(maxConnections?: number): object {
   const stream = { kind: 'streaming', service: 'engine' };
   const routes = [
     { name: 'lookup', kind: 'idempotent', service: 'plain', maxAttempts: 2 },
@@ -81,7 +83,7 @@
     header_timeout_ms: 10_000,
     idle_timeout_ms: 60_000,
   };
-  return { ...configurationOf(1, HOST, routes), limits };
+  return { ...configurationOf(1, HOST, routes, undefined, { maxConnections }), limits };
 }
 
 function createServers(count: number): readonly PlatformServer[] {
@@ -101,6 +103,7 @@
   servers: serverCount,
   slots,
   maxDescriptors = MAX_DESCRIPTORS,
+  maxConnections,
 }: PlatformTargetOptions = SMALL): Promise<PlatformTarget> {
   const store = new PlatformStore();
   const storeAddress = await store.listen();
@@ -110,7 +113,7 @@
     await server.listen();
     store.put(`servers/${server.id}`, server.entry());
   }
-  store.put('op/config', configuration());
+  store.put('op/config', configuration(maxConnections));
   const ports = {
     callers: await freePort(),
     readiness: await freePort(),
--- a/test/support/queueworld.ts
+++ b/test/support/queueworld.ts
@@ -209,6 +209,9 @@
       onGone: (act: () => void) => {
         draft.leave = act;
       },
+      charge: () => undefined,
+      isMemoryShort: false,
+      onEvict: () => undefined,
       whenPresent: (act: () => void) => {
         this.clock.after(confirmMs, () => {
           caller.isPresent = true;
--- a/test/support/runrig.ts
+++ b/test/support/runrig.ts
@@ -215,6 +215,9 @@
       cut: ignore,
       onFree: ignore,
       onGone: ignore,
+      charge: () => undefined,
+      isMemoryShort: false,
+      onEvict: () => undefined,
       whenPresent: (act: () => void) => act(),
     };
     const charge = { cost: 0, covers: () => true, settle: ignore };
--- a/test/support/streamworld.ts
+++ b/test/support/streamworld.ts
@@ -349,6 +349,9 @@
       onGone: (act: () => void) => {
         gone = act;
       },
+      charge: () => undefined,
+      isMemoryShort: false,
+      onEvict: () => undefined,
       whenPresent: (act: () => void) => act(),
     };
     const charge = { cost: 0, covers: () => true, settle: ignore };
--- a/test/support/takeuprig.ts
+++ b/test/support/takeuprig.ts
@@ -234,6 +234,9 @@
       onGone: (act: () => void) => {
         leave = act;
       },
+      charge: () => undefined,
+      isMemoryShort: false,
+      onEvict: () => undefined,
       whenPresent: (act: () => void) => act(),
     };
     const charge = { cost: 0, covers: () => true, settle: ignore };
