Refuse requests that wait for their quota when a stop sends no more

Callers saw: a request for whose quota the entry was asking another one got its refusal at the end of a planned stop, up to 1.5 s after it was certain, and was then told to come back after 1 ms.

Cause: only requests whose quota is paid were refused when the stop sends no more.

Evidence: latestop, 'a request that waits for its quota ...': still in flight before, refused with 503 and a Retry-After of 20 ms with the change.

Why it works: both kinds are refused at the same moment, with the same Retry-After.

--- a/src/direct/directentry.ts
+++ b/src/direct/directentry.ts
@@ -395,6 +395,7 @@
   /** Refuses all requests that wait, now and from now on. */
   stopWaiting(): void {
     this.sendsUntilMs = -Infinity;
+    for (const intake of [...this.intakes]) intake.endNow();
     for (const run of [...this.runs]) run.stopWaiting();
   }
 
--- a/src/direct/intake/intake.ts
+++ b/src/direct/intake/intake.ts
@@ -8,6 +8,8 @@
 
 /** The configuration is read within about this time, or the retry reaches another entry that has read it. */
 const NO_TABLE_RETRY_AFTER_MS = 250;
+/** While this entry stops, another one accepts the request at once. */
+const STOPPING_RETRY_AFTER_MS = 20;
 
 const REFUSALS = {
   'no-configuration': {
@@ -60,7 +62,8 @@
   /** Refuses the request if it is not decided yet: the process is about to end. */
   endNow(): void {
     const detail = 'This entry is about to end.';
-    this.refuse({ status: 503, type: 'stopping', detail, executed: 'no', retryAfterMs: 0 });
+    const retryAfterMs = STOPPING_RETRY_AFTER_MS;
+    this.refuse({ status: 503, type: 'stopping', detail, executed: 'no', retryAfterMs });
   }
 
   private decide(taken: PaymentResult, admitted: Admitted): void {
--- a/test/latestop.test.ts
+++ b/test/latestop.test.ts
@@ -151,3 +151,22 @@
   t.deepEqual(rig.statuses, [503]);
   t.deepEqual(rig.retryAfterMs, [20]);
 });
+
+// Guards against a request that waits to the end of a stop although it is sure to be refused.
+test('a request that waits for its quota is refused once a stop sends no more requests', async (t) => {
+  const rig = new PlatformRig();
+  rig.customers = [{ name: 'large', keys: ['key-of-large'], rate: 10, burst: 10 }];
+  await rig.start([new PlatformServer('p1', 'plain')]);
+  t.teardown(() => rig.close());
+  Object.assign(rig.entry.quota, { take: () => undefined, ask: () => new Promise(() => {}) });
+  const headers = { Authorization: 'Bearer key-of-large' };
+  const asked = callEntry(rig.port, { method: 'POST', path: '/charge/1', headers, body: 'x' });
+  await rig.until(() => rig.entry.inFlight === 1);
+  rig.entry.stopWaiting();
+  t.is(rig.entry.inFlight, 0);
+  rig.entry.endAll();
+  const { status, head, body } = await asked;
+  t.is(status, 503);
+  t.regex(head, /retry-after: 0\.020/i);
+  t.regex(body, /stopping/);
+});
