Read one connection with a large body per iteration of the event loop

Cause: every such connection was read in each iteration, up to 2 MiB of it, and one connection is accepted per iteration: the accept queue stood for more than 200 ms, which is an overload. Only very small chunks were paced.

The size of a chunk counts besides its number, so that a body waits its turn after 256 KiB; usual bodies never wait.

--- a/src/shell/callers/callerconnection.ts
+++ b/src/shell/callers/callerconnection.ts
@@ -37,7 +37,7 @@
     private readonly charged: (bytes: number) => void,
     /** Most requests that are served at a time. */
     private readonly maxUnderWay: number,
-    readonly countChunk: () => void,
+    readonly countChunk: (sizeBytes: number) => void,
   ) {}
 
   begin(response: ServerResponse, nowMs: Ms): CallerHold {
--- a/src/shell/callers/callerhold.ts
+++ b/src/shell/callers/callerhold.ts
@@ -6,7 +6,7 @@
 /** The connection of a request. */
 interface Owner {
   charge(hold: CallerHold, bytes: number): void;
-  readonly countChunk: () => void;
+  readonly countChunk: (sizeBytes: number) => void;
   serveNext(): void;
 }
 
@@ -41,8 +41,8 @@
   }
 
   /** Has to be called for each chunk of the body. */
-  countChunk(): void {
-    this.owner.countChunk();
+  countChunk(sizeBytes: number): void {
+    this.owner.countChunk(sizeBytes);
   }
 
   /** Calls a function that serves the request, at once or when earlier ones on its connection are answered. */
--- a/src/shell/callers/chunkpacer.ts
+++ b/src/shell/callers/chunkpacer.ts
@@ -1,24 +1,31 @@
 import type { Socket } from 'node:net';
 
-/** Bodies in chunks of usual sizes have fewer. */
-const CHUNKS_PER_TURN = 1024;
+/** What may be read of a body before it waits: 1,024 very small chunks or 256 KiB. Usual bodies have less. */
+const COST_PER_TURN = 1024;
+/** Bytes that cost as much to read as a chunk does by itself. */
+const BYTES_PER_CHUNK = 256;
 
 /**
- * Bounds the time that one iteration of the event loop takes for bodies in very small chunks, each of which costs as much
- * as a large one: reads one such connection per iteration, in turn.
+ * Bounds the time that one iteration of the event loop takes for bodies that are large, or in very small chunks, each of
+ * which costs as much as a large one: reads one such connection per iteration, in turn. Connections that wait to be
+ * accepted, one per iteration, would count as an overload otherwise.
  */
 export class ChunkPacer {
   private readonly waiting = new Set<Socket>();
 
   private isScheduled = false;
 
-  /** Returns a function to be called for each chunk that is read on a connection. */
-  counter(socket: Socket): () => void {
-    let chunkCount = 0;
-    return () => {
-      chunkCount += 1;
-      if (chunkCount % CHUNKS_PER_TURN === 0) this.wait(socket);
-      if (chunkCount !== CHUNKS_PER_TURN) return;
+  /** Returns a function to be called with the size of each chunk that is read on a connection. */
+  counter(socket: Socket): (sizeBytes: number) => void {
+    let cost = 0;
+    let isPaced = false;
+    return (sizeBytes) => {
+      cost += 1 + sizeBytes / BYTES_PER_CHUNK;
+      if (cost < COST_PER_TURN) return;
+      cost = 0;
+      this.wait(socket);
+      if (isPaced) return;
+      isPaced = true;
       // A body that wants more data resumes its socket.
       socket.on('resume', () => {
         if (this.waiting.has(socket)) socket.pause();
--- a/src/shell/callers/readbody.ts
+++ b/src/shell/callers/readbody.ts
@@ -43,7 +43,7 @@
     onDrop: (reason: 'memory' | 'idle-body') => discard(() => dropped(reason)),
   });
   request.on('data', (chunk: Buffer) => {
-    hold.countChunk();
+    hold.countChunk(chunk.length);
     if (!isOver && !body.add(chunk)) discard(tooLarge);
   });
   request.on('end', () => finish(() => read(body.take())));
