Merge the pieces of answers that one read brings on the sidecars' path too

What callers saw: the upstream of a sidecar answered in chunks of one byte; the sidecar ended with 'Reached heap limit' within 2 s (heap limit 160 MB, 60 callers), and all its requests ended with sidecar-lost (502). Requests after that were refused until the entry tried the upstream again.

Cause: the parser reports each chunk by itself, undici's body stream keeps each as a Buffer of its own, and its bound of 64 KiB is in bytes.

Connections to upstreams are AnswerSockets, and a PieceMerger stands between the parser and undici's body stream, as on the platform's path: readers get blocks whose number follows bytes, and a paused parser reads on only when its turn has come and the reader accepts more. With TLS (https upstreams) pieces are merged, but heads and framing are not bounded by the socket.

--- a/src/shell/engine/upstreampool.ts
+++ b/src/shell/engine/upstreampool.ts
@@ -1,27 +1,37 @@
 import type { Socket } from 'node:net';
 import { Client, Pool, type Dispatcher } from 'undici';
-import { framingOf } from '../http1/index.js';
+import { AnswerSocket, framingOf, PieceMerger } from '../http1/index.js';
+import { openUpstreamSocket } from './openupstreamsocket.js';
 
 type Handler = Dispatcher.DispatchHandler;
 type Connect = (
-  options: object,
+  target: { readonly protocol: string; readonly hostname: string; readonly port: string },
   done: (error: Error | null, socket: Socket | null) => void,
 ) => void;
 
+const FIRST_FINAL_STATUS = 200;
 const FIRST_NON_SUCCESS_STATUS = 300;
 
-/** A connection to an upstream. Answers that were cut fail also where undici takes them for whole. */
+/**
+ * A connection to an upstream. Answers that were cut fail also where undici takes them for whole. What one read brought of
+ * a body is passed on as one block, since the parser reports each chunk by itself.
+ */
 class UpstreamClient extends Client {
+  /** Undefined with TLS. */
+  private answerSocket: AnswerSocket | undefined;
+
   /** True once the connection was reset. */
   private isReset = false;
 
   constructor(origin: URL, options: { readonly connect?: unknown }) {
     const connect = options.connect as Connect;
-    const observed: Connect = (target, done) =>
-      connect(target, (error, socket) => {
+    const observed: Connect = (target, done) => {
+      const open: Connect = target.protocol === 'https:' ? connect : openUpstreamSocket;
+      open(target, (error, socket) => {
         if (socket) this.observe(socket);
         done(error, socket);
       });
+    };
     super(origin, { ...options, connect: observed as never });
   }
 
@@ -32,6 +42,7 @@
   /** Called before undici listens to the socket, so that a reset is known before undici ends the answer. */
   private observe(socket: Socket): void {
     this.isReset = false;
+    this.answerSocket = socket instanceof AnswerSocket ? socket : undefined;
     socket.on('error', () => {
       this.isReset = true;
     });
@@ -48,28 +59,48 @@
   private guarded(method: string, handler: Handler): Handler {
     let isOpenEnded = false;
     let mayLackBody = true;
+    let resumeParser = () => {};
+    const merger = new PieceMerger({
+      deliver: (bytes) => handler.onData?.(bytes) ?? true,
+      resumeParser: () => resumeParser(),
+    });
     return {
-      onConnect: (abort) => handler.onConnect?.(abort),
+      onConnect: (abort) => {
+        this.answerSocket?.begin();
+        handler.onConnect?.(abort);
+      },
       onUpgrade: (...upgrade) => handler.onUpgrade?.(...upgrade),
       onBodySent: (...sent) => handler.onBodySent?.(...sent),
       onResponseStarted: () => handler.onResponseStarted?.(),
       onHeaders: (status, raw, resume, text) => {
+        if (status < FIRST_FINAL_STATUS) {
+          return handler.onHeaders?.(status, raw, resume, text) ?? true;
+        }
+        resumeParser = resume;
+        this.answerSocket?.progress(0);
         const headers = raw.map((part) => part.toString('latin1'));
         isOpenEnded = framingOf(method, status, headers) === 'connection';
         mayLackBody = status >= FIRST_NON_SUCCESS_STATUS;
-        return handler.onHeaders?.(status, raw, resume, text) ?? true;
+        return handler.onHeaders?.(status, raw, () => merger.resume(), text) ?? true;
       },
       onData: (chunk) => {
         mayLackBody = true;
-        return handler.onData?.(chunk) ?? true;
+        this.answerSocket?.progress(chunk.length);
+        return merger.add(chunk);
       },
       onComplete: (trailers) => {
+        merger.flush();
+        merger.end();
         const isCut = isOpenEnded && (this.isReset || !mayLackBody);
         if (isCut) {
           handler.onError?.(new Error('The connection ended before the answer was whole.'));
         } else handler.onComplete?.(trailers);
       },
-      onError: (error) => handler.onError?.(error),
+      onError: (error) => {
+        merger.flush();
+        merger.end();
+        handler.onError?.(error);
+      },
     };
   }
 }
--- a/test/support/asker.ts
+++ b/test/support/asker.ts
@@ -5,6 +5,8 @@
   readonly port: number;
   /** The request without its id: `@id` stands for it. */
   readonly text: string;
+  /** The caller leaves once it has got more of the answer than this. */
+  readonly maxBytes?: number;
 }
 
 /** How a request ended, without its body. */
@@ -17,7 +19,7 @@
 const STATUS_BYTES = 32;
 
 /** Sends one request on a connection of its own; resolves when that has closed. */
-function ask({ port, text }: Asked, id: string): Promise<AskedEnd> {
+function ask({ port, text, maxBytes = Infinity }: Asked, id: string): Promise<AskedEnd> {
   return new Promise((resolve) => {
     let first = '';
     let bodyBytes = 0;
@@ -25,6 +27,7 @@
     socket.on('data', (bytes) => {
       if (first.length < STATUS_BYTES) first += bytes.toString('latin1', 0, STATUS_BYTES);
       bodyBytes += bytes.length;
+      if (bodyBytes > maxBytes) socket.destroy();
     });
     socket.on('error', () => undefined);
     socket.on('close', () => {
