Bound the memory of all answers that an entry holds until they are whole

What callers saw: with an upstream that sends bodies without end (chunks of 64 KiB, or no length) and 60 callers an entry took 487 to 627 MB of a host of 350 MB, as each answer is held up to 4 MiB before its status is sent.

Cause: each answer had a bound, their sum had none, and what was held was one slice of a message for each frame.

Evidence: four tests of test/crowd/productupstreams failed before (chunks of 64 KiB read and unread, bodies without a length for lookups and completions).

Held answers are copied into blocks that limits.heldAnswersBytes (16 MiB) bounds together. Past it the one that takes most is passed on as it comes, as an answer above heldAnswerBytes already was; a new answer is never refused. The run learns of that before it decides about another attempt: without this step the last test of test/heldanswers does not end, as an attempt follows after the caller has got a part. What a failed attempt held is given up.

--- a/src/entry/answer/body.ts
+++ b/src/entry/answer/body.ts
@@ -12,4 +12,6 @@
    * a complete error response is still possible.
    */
   fail(refusal: Refusal): boolean;
+  /** Gives up what is held. */
+  discard(): void;
 }
--- a/src/entry/answer/bufferedbody.ts
+++ b/src/entry/answer/bufferedbody.ts
@@ -1,5 +1,14 @@
 import type { ServerResponse } from 'node:http';
+import { BodyBuffer } from '../../shell/body/index.js';
 import type { Body } from './body.js';
+import type { HeldAnswers } from './heldanswers.js';
+
+/** What bounds the memory that held answers take. */
+interface Bounds {
+  /** Largest answer that is held. */
+  readonly limitBytes: number;
+  readonly heldAnswers: HeldAnswers;
+}
 
 /**
  * A body that is buffered until it is complete, so that a failure can still change the status code. Past the limit the
@@ -8,25 +17,26 @@
 export class BufferedBody implements Body {
   hasSent = false;
 
-  private readonly held: Buffer[] = [];
+  private readonly held: BodyBuffer;
 
-  private sizeBytes = 0;
+  private isFree = true;
 
   constructor(
     private readonly response: ServerResponse,
-    private readonly limitBytes: number,
+    private readonly bounds: Bounds,
     private readonly writeHead: (sizeBytes?: number) => void,
     private readonly beforeHead: (send: () => void) => void,
-  ) {}
+  ) {
+    this.held = new BodyBuffer(bounds.limitBytes, undefined);
+  }
 
   data(payload: Buffer): boolean {
-    if (this.hasSent) return this.response.write(payload);
-    this.held.push(payload);
-    this.sizeBytes += payload.length;
-    if (this.sizeBytes <= this.limitBytes) return true;
-    this.hasSent = true;
-    this.writeHead();
-    return this.response.write(Buffer.concat(this.held.splice(0)));
+    if (!this.hasSent && this.held.add(payload)) {
+      this.bounds.heldAnswers.record(this, this.held.capacityBytes);
+      return !this.hasSent || this.isFree;
+    }
+    if (!this.hasSent) this.passOn();
+    return this.response.write(payload);
   }
 
   end(): void {
@@ -34,9 +44,11 @@
       this.response.end();
       return;
     }
+    const body = this.held.take();
+    this.discard();
     this.beforeHead(() => {
-      this.writeHead(this.sizeBytes);
-      this.response.end(Buffer.concat(this.held));
+      this.writeHead(body.length);
+      this.response.end(body);
     });
   }
 
@@ -45,4 +57,17 @@
     this.response.destroy();
     return true;
   }
+
+  /** Sends what is held, and the rest as it arrives. */
+  passOn(): void {
+    this.hasSent = true;
+    this.writeHead();
+    this.isFree = this.response.write(this.held.take());
+    this.discard();
+  }
+
+  discard(): void {
+    this.held.clear();
+    this.bounds.heldAnswers.forget(this);
+  }
 }
--- a/src/entry/answer/calleranswer.ts
+++ b/src/entry/answer/calleranswer.ts
@@ -5,6 +5,8 @@
 import { BufferedBody } from './bufferedbody.js';
 import { StreamedBody } from './streamedbody.js';
 
+type Bounds = ConstructorParameters<typeof BufferedBody>[1];
+
 const NO_BODY_STATUS = new Set([204, 304]);
 
 function isStream(headers: readonly Header[]): boolean {
@@ -20,7 +22,7 @@
   constructor(
     private readonly response: ServerResponse,
     private readonly requestId: string,
-    private readonly bufferedBytes: number,
+    private readonly bounds: Bounds,
     /** Calls a function that sends the head of the answer, at once or later. */
     private readonly beforeHead: (send: () => void) => void,
   ) {}
@@ -34,9 +36,10 @@
     if (this.hasSent) return;
     const { response, requestId, beforeHead } = this;
     const writeHead = (sizeBytes?: number) => this.writeHead(status, headers, sizeBytes);
+    this.discard();
     this.body = isStream(headers)
       ? new StreamedBody(response, requestId, writeHead)
-      : new BufferedBody(response, this.bufferedBytes, writeHead, beforeHead);
+      : new BufferedBody(response, this.bounds, writeHead, beforeHead);
   }
 
   /** Returns false if the caller does not keep up: see `onDrain`. */
@@ -55,9 +58,15 @@
 
   fail(refusal: Refusal): void {
     if (this.body?.fail(refusal)) return;
+    this.discard();
     this.beforeHead(() => sendProblem(this.response, refusal, this.requestId));
   }
 
+  /** Gives up what is held of the answer. */
+  discard(): void {
+    this.body?.discard();
+  }
+
   /** Disconnects a caller that has stopped reading. */
   disconnect(): void {
     this.response.destroy();
--- a/src/entry/answer/streamedbody.ts
+++ b/src/entry/answer/streamedbody.ts
@@ -32,4 +32,6 @@
     this.response.end(`event: error\ndata: ${body}\n\n`);
     return true;
   }
+
+  discard(): void {}
 }
--- a/src/entry/createentrycontext.ts
+++ b/src/entry/createentrycontext.ts
@@ -6,6 +6,7 @@
 import { createMetrics } from '../shell/metric/index.js';
 import { createStore } from '../shell/store/index.js';
 import { peerCredentials } from '../shell/tls/index.js';
+import { HeldAnswers } from './answer/index.js';
 import { defaultLimits } from './defaultlimits.js';
 import type { EntryContext } from './entrycontext.js';
 import type { EntrySettings } from './entrysettings.js';
@@ -69,6 +70,7 @@
     limits,
     gate: new Gate(limits),
     guard,
+    heldAnswers: new HeldAnswers(limits.heldAnswersBytes),
     keys: new KeyIndex(),
     hashPrefix: h64ToString,
     runs: new Set(),
--- a/src/entry/defaultlimits.ts
+++ b/src/entry/defaultlimits.ts
@@ -11,6 +11,7 @@
   headerBytes: 16_384,
   requestTimeoutMs: 30_000,
   heldAnswerBytes: 4_194_304,
+  heldAnswersBytes: 16_777_216,
   continuationBytes: 65_536,
   stallMs: 30_000,
   callerStallMs: 60_000,
--- a/src/entry/entrycontext.ts
+++ b/src/entry/entrycontext.ts
@@ -1,6 +1,7 @@
 import type { ConnectionGuard } from '../shell/callers/index.js';
 import type { MeshBoard } from '../shell/mesh/index.js';
 import type { PeerCredentials } from '../shell/tls/index.js';
+import type { HeldAnswers } from './answer/index.js';
 import type { EntryLimits } from './entrylimits.js';
 import type { Gate } from './gate.js';
 import type { KeyIndex } from './keyindex.js';
@@ -20,6 +21,8 @@
   readonly gate: Gate;
   /** Bounds what callers' requests hold. */
   readonly guard: ConnectionGuard;
+  /** Bounds what answers hold that are sent once they are complete. */
+  readonly heldAnswers: HeldAnswers;
   readonly keys: KeyIndex;
   /** Hashes the leading block of a prompt. */
   readonly hashPrefix: (text: string) => string;
--- a/src/entry/entrylimits.ts
+++ b/src/entry/entrylimits.ts
@@ -20,6 +20,8 @@
   readonly requestTimeoutMs: Ms;
   /** An answer that is not a stream is buffered until it is complete, up to this size. */
   readonly heldAnswerBytes: number;
+  /** Memory that all such answers may take together; past it the largest is sent as it arrives. */
+  readonly heldAnswersBytes: number;
   /** Sent text that is buffered per stream, so that another engine can continue it after a failure. */
   readonly continuationBytes: number;
   /** A stream that receives no frame for this long counts as broken. */
--- a/src/entry/handler/serve.ts
+++ b/src/entry/handler/serve.ts
@@ -34,9 +34,10 @@
     refuseCaller(context, caller, binding.val);
     return;
   }
-  const { heldAnswerBytes } = context.limits;
+  const { heldAnswers, limits } = context;
+  const bounds = { limitBytes: limits.heldAnswerBytes, heldAnswers };
   const beforeHead = (send: () => void) => lastAnswer.beforeHead(context, response, send);
-  const answer = new CallerAnswer(response, requestId, heldAnswerBytes, beforeHead);
+  const answer = new CallerAnswer(response, requestId, bounds, beforeHead);
   const prepared = { requestId, target, head, binding: binding.val, deadlineAtMs };
   const run = new RequestRun(context, prepared, answer);
   context.runs.add(run);
--- a/src/entry/requestrun.ts
+++ b/src/entry/requestrun.ts
@@ -132,8 +132,14 @@
   }
 
   private step(event: AttemptEvent): void {
+    // A held answer is also passed on when other answers need its memory.
+    if (this.answer.hasSent && !this.state.passed && event.type !== 'passed') {
+      this.step({ type: 'passed' });
+    }
     const { state, effects } = stepAttempt(this.state, event, this.context.clock.nowMs());
     this.state = state;
+    // What is held of a failed attempt must not be passed on.
+    if (state.phase === 'choosing' && !this.answer.hasSent) this.answer.discard();
     this.perform(effects);
   }
 
@@ -319,6 +325,7 @@
   private close(end: string): void {
     if (this.closed) return;
     this.closed = true;
+    this.answer.discard();
     this.cancelDeadline();
     this.context.router.release(this.prepared.target.service, this.prepared.requestId);
     const { metrics, clock, log } = this.context;
--- a/test/crowd/productupstreams.test.ts
+++ b/test/crowd/productupstreams.test.ts
@@ -13,6 +13,8 @@
   'chunks of one byte that stop': ['lookup'],
   'a failure in chunks of one byte': ['whole', 'lookup'],
   'a refusal in chunks of one byte': ['stream'],
+  'chunks of 64 KiB': ['lookup'],
+  'a body without a length': ['lookup', 'whole'],
   'events in chunks of one byte': ['stream'],
   'one event in chunks of one byte': ['stream'],
   'one event': ['stream'],
@@ -41,6 +43,7 @@
 
 const UNREAD: readonly (readonly [Kind, Load['request']])[] = [
   ['chunks of one byte', 'lookup'],
+  ['chunks of 64 KiB', 'lookup'],
   ['small events', 'stream'],
 ];
 
