--- a/test/heldanswers.test.ts
+++ b/test/heldanswers.test.ts
@@ -127,6 +127,20 @@
   t.is(rig.chargedBytes, 0);
 });
 
+test('of two failures the later one is kept, and the memory of the earlier one is given back', (t) => {
+  const rig = createReply();
+  const { reply, writes } = rig;
+  for (const text of ['first', 'second']) {
+    reply.take(headOf(500), PLAIN);
+    reply.data(Buffer.from(text));
+    reply.setAside(true);
+  }
+  t.true(reply.useFallback());
+  reply.end();
+  t.is(Buffer.concat(writes).toString(), 'second');
+  t.is(rig.chargedBytes, 0);
+});
+
 type Act = (rig: ReplyRig, bytes: number) => void;
 
 /** What may happen to a reply while its attempts run, in any order that an attempt can cause. */
@@ -162,7 +176,7 @@
     act: fc.constantFrom(...ACTS),
     bytes: fc.integer({ min: 1, max: 100_000 }),
   }),
-  { maxLength: 40 },
+  { minLength: 20, maxLength: 60, size: 'max' },
 );
 
 test('what is charged for answers is what is held, and nothing once the request is over', (t) => {
