Keep a body of one small piece as it is

What would be seen: reading a stream whose events arrive in two pieces took twice the time, as each incomplete event got a block of 4 KiB of its own.

The first piece is kept without a copy if the memory behind it is at most 8 KiB, and 4 KiB are charged for it; a second piece moves both into blocks. A slice of a larger read is copied as before, since it keeps the whole read in memory and only 4 KiB would be charged.

--- a/test/heldanswers.test.ts
+++ b/test/heldanswers.test.ts
@@ -53,6 +53,24 @@
   return Object.assign(state, { reply, writes, ends });
 }
 
+// Most answers and incomplete events are one piece: a block for each cost twice the time of reading a stream.
+test('the only piece of a body is kept as it is if it takes little memory, and is charged', (t) => {
+  let chargedBytes = 0;
+  const buffer = new ChargedBuffer(100_000, (bytes) => {
+    chargedBytes += bytes;
+  });
+  const piece = Buffer.from('piece');
+  buffer.add(piece);
+  t.true(chargedBytes >= piece.length);
+  t.is(buffer.take(), piece);
+  t.is(chargedBytes, 0);
+  // A slice would keep the whole of a large block in memory, which is not charged.
+  const slice = Buffer.alloc(BLOCK_BYTES).subarray(0, 5);
+  buffer.add(slice);
+  t.not(buffer.take().buffer, slice.buffer);
+  t.is(chargedBytes, 0);
+});
+
 // Kept piece by piece, an answer took a hundred bytes or more of memory for each of its bytes.
 test('an answer that arrives byte by byte is kept and passed on in blocks', (t) => {
   const { reply, writes, ends } = createReply();
