Tell a cut answer from a malformed one by the end of its connection

What callers saw: nothing by itself; an upstream that crashed in the middle of a chunked answer with `Connection: close` counted as one that sends something else than an answer, so that its request was not suspected of ending it, and the upstream would be taken out of service as faulty.

Cause: the parser's error for a connection that ends inside an answer was recognised by a code that the parser's client no longer sets. The end of the connection tells the same.

--- a/src/shell/http1/channel.ts
+++ b/src/shell/http1/channel.ts
@@ -145,7 +145,9 @@
       receiver.failed({ type, detail, sent: isSent });
     };
     const typeOf = (error: Error): FailureType => {
-      if (isSent) return isMalformed(error) ? 'answer-malformed' : 'connection-lost';
+      // The parser rejects the end of a connection inside an answer, too.
+      const isCut = connection.hasEnded || !isMalformed(error);
+      if (isSent) return isCut ? 'connection-lost' : 'answer-malformed';
       if (isWithheld) return 'withheld';
       return isInvalidCall(error) ? 'call-invalid' : 'connection-failed';
     };
--- a/src/shell/http1/connection.ts
+++ b/src/shell/http1/connection.ts
@@ -7,5 +7,7 @@
   /** Undefined until the first request is sent. */
   socket: AnswerSocket | undefined;
   isBroken: boolean;
+  /** True once the peer has ended its side and all that it sent was read. */
+  hasEnded: boolean;
   isClosed: boolean;
 }
--- a/src/shell/http1/openconnection.ts
+++ b/src/shell/http1/openconnection.ts
@@ -37,6 +37,7 @@
   }
   const state = {
     isBroken: false,
+    hasEnded: false,
     isClosed: false,
     socket: undefined as AnswerSocket | undefined,
   };
@@ -64,6 +65,7 @@
     // A reset that arrives together with data is reported as an ordinary end. Only a reset socket has no remote
     // address any more.
     socket.on('end', () => {
+      state.hasEnded = true;
       if (socket.remoteAddress === undefined) state.isBroken = true;
     });
     socket.once('connect', () => {
