Bound the lines of a head or a trailer that has not ended

Cause: the parser's client keeps two buffers for each field until the head ends, 3.2 MB for 60 KB of fields; the bound is in bytes. The same class as chunks.

The socket counts the lines of what it hands out before a head is found, and whenever the slice before brought nothing, and closes beyond 256.

--- a/src/shell/http1/answersocket.ts
+++ b/src/shell/http1/answersocket.ts
@@ -7,10 +7,27 @@
 /** Bound on a head or a trailer, and on what may stand between two parts of a body. */
 const MAX_UNUSED_BYTES = 65_536;
 
+/** Bound on the lines of a head or a trailer. The parser keeps objects for each field, however short. */
+const MAX_FIELD_LINES = 256;
+
 /** Bytes of an answer beside its body. Chunks of one byte have five times as many. */
 const MAX_FRAMING_BYTES = 262_144;
 const MAX_FRAMING_RATIO = 16;
 
+const LF = 0x0a;
+const CR = 0x0d;
+
+/** Returns the number of lines in `bytes` before the first empty one. */
+function countLines(bytes: Buffer): number {
+  let count = 0;
+  for (let at = bytes.indexOf(LF); at >= 0; at = bytes.indexOf(LF, at + 1)) {
+    count += 1;
+    const next = bytes[at + 1];
+    if (next === LF || (next === CR && bytes[at + 2] === LF)) return count;
+  }
+  return count;
+}
+
 /**
  * Connection to an upstream. Hands the parser what was read in slices, and closes once the peer has sent more outside a
  * body than an answer can have: the parser bounds the size of header fields only, and creates an error for each field
@@ -26,6 +43,12 @@
   /** The same when a head or a part of a body was last found. */
   private takenAtProgress = 0;
 
+  /** Lines that the parser has taken since then. */
+  private fieldLines = 0;
+
+  /** True until a head was found. */
+  private isBeforeHead = true;
+
   /** Body bytes of the answer to the last request. */
   private bodyBytes = 0;
 
@@ -35,6 +58,8 @@
   begin(): void {
     this.takenBefore = this.takenBytes;
     this.takenAtProgress = this.takenBytes;
+    this.fieldLines = 0;
+    this.isBeforeHead = true;
     this.bodyBytes = 0;
   }
 
@@ -42,6 +67,8 @@
   progress(bodyBytes: number): void {
     this.bodyBytes += bodyBytes;
     this.takenAtProgress = this.takenBytes;
+    this.fieldLines = 0;
+    this.isBeforeHead = false;
   }
 
   /**
@@ -67,6 +94,8 @@
     if (this.destroyed || restBytes <= 0 || this.hasMuchFraming) return this.reject();
     const bytes = super.read(Math.min(waitingBytes, restBytes, SLICE_BYTES)) as Buffer | null;
     if (!bytes) return null;
+    if (this.isBeforeHead || unusedBytes > 0) this.fieldLines += countLines(bytes);
+    if (this.fieldLines > MAX_FIELD_LINES) return this.reject();
     this.takenBytes += bytes.length;
     return bytes;
   }
--- a/test/answersocket.test.ts
+++ b/test/answersocket.test.ts
@@ -3,6 +3,7 @@
 import { flood } from './support/flood.js';
 import { RawServer } from './support/rawserver.js';
 
+const FIELDS = { head: 'HTTP/1.1 200 OK\r\n', piece: 'A: b\r\n' };
 /** Largest head that an upstream may send. */
 const MAX_HEAD_BYTES = 65_536;
 /** Fewer than the framing that an answer with one byte of body for each of them may have. */
@@ -29,6 +30,9 @@
   return socket;
 }
 
+/** Lines that a head may have. */
+const MAX_LINES = 256;
+
 /** Reads all that a socket hands out. Returns the number of bytes. */
 async function readAll(socket: AnswerSocket): Promise<number> {
   let takenBytes = 0;
@@ -44,6 +48,25 @@
   t.is(await readAll(socket), MAX_HEAD_BYTES);
 });
 
+test('header fields without end do not reach the parser beyond the lines of a head', async (t) => {
+  const socket = await connectTo(t, FIELDS);
+  t.true((await readAll(socket)) <= MAX_LINES * FIELDS.piece.length);
+});
+
+test('a head with many lines of a body behind it is read', async (t) => {
+  const socket = await connectTo(t, { head: 'HTTP/1.1 200 OK\r\nA: b\r\n\r\n', piece: '\n\n' });
+  let takenBytes = 0;
+  socket.on('readable', () => {
+    for (let bytes = socket.read(); bytes; bytes = socket.read()) {
+      takenBytes += bytes.length;
+      socket.progress(bytes.length);
+    }
+    if (takenBytes > MAX_HEAD_BYTES) socket.destroy();
+  });
+  await closed(socket);
+  t.true(takenBytes > MAX_HEAD_BYTES);
+});
+
 test('what waits while a socket is held neither counts as framing nor grows', async (t) => {
   const socket = await connectTo(t, { head: '', piece: 'x' });
   let mostWaiting = 0;
