--- a/test/sharedloadentry.test.ts
+++ b/test/sharedloadentry.test.ts
@@ -23,7 +23,7 @@
     },
     ...{ clock, log: LOG, metrics: METRICS, codec: { watchedPrefix: '', ownPrefix: 'own/' } },
     feed: { list: () => never, changes: () => never, swap: () => never },
-    link: { close() {} },
+    link: { close() {}, busiest: () => undefined },
   } as unknown as ConstructorParameters<typeof DirectEntry>[0]);
   const times: number[] = [];
   const reporter = { report: () => times.push(clock.nowMs()), close() {} };
