Refuse no request for answers that stand before these are given up

Cause: one limit for what callers hold and for answers, and an answer may go only after a second. Bodies that were being read were refused for it as well, and a connection with several requests was closed for one answer.

Callers have the whole limit; with answers it may be exceeded by half. Beyond that the answers that hold most go at once, each for itself, also of several on one connection, and what is about to be given back is no longer counted. The memory is bounded as before.

--- a/src/core/callermemory/callermemoryrules.ts
+++ b/src/core/callermemory/callermemoryrules.ts
@@ -23,6 +23,6 @@
   minAnswerBytes: 16_384,
   /** An answer of which no further block has come for this long may be given up when memory runs out. */
   answerIdleMs: 1000,
-  /** Beyond this multiple of the limit, answers that go on are given up as well. */
+  /** Bound on requests and answers together, as a multiple of the limit: answers that go on are given up as well. */
   severe: 1.5,
 } as const;
--- a/src/core/callermemory/index.ts
+++ b/src/core/callermemory/index.ts
@@ -2,4 +2,6 @@
 export { callerMemoryLimit } from './callermemorylimit.js';
 export { callerMemoryRules } from './callermemoryrules.js';
 export { chooseEvictions } from './chooseevictions.js';
+export { isCallerMemoryFull } from './iscallermemoryfull.js';
 export { mayEvictAnswer } from './mayevictanswer.js';
+export type { Holder } from './holder.js';
--- a/src/shell/callers/callerconnection.ts
+++ b/src/shell/callers/callerconnection.ts
@@ -1,16 +1,13 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Ms } from '../../base/index.js';
-import { callerMemoryRules as rules, mayEvictAnswer } from '../../core/callermemory/index.js';
+import { callerMemoryRules as rules } from '../../core/callermemory/index.js';
 import { CallerHold } from './callerhold.js';
 
-/** Account of all requests of a listener. */
-type Account = Parameters<typeof mayEvictAnswer>[1];
-
 /** What a connection uses of its listener. */
 interface ConnectionOptions {
-  /** Takes a change of the memory that is held. */
-  readonly charged: (bytes: number) => void;
+  /** Takes a change of the memory that is held, and of the part of it that is held of answers. */
+  readonly charged: (bytes: number, answerBytes: number) => void;
   readonly isMemoryShort: () => boolean;
   readonly nowMs: () => Ms;
   /** Most requests that are served at a time. */
@@ -71,7 +68,7 @@
 
   release(hold: CallerHold): void {
     if (!this.holds.delete(hold)) return;
-    this.add(-hold.heldBytes);
+    this.add(-hold.heldBytes, -hold.answerBytes);
     if (hold.isUnderWay) this.underWayCount -= 1;
     this.serveNext();
   }
@@ -117,30 +114,11 @@
     return this.holds.size === 0 && this.unsentBytes === 0 && !this.isEnded;
   }
 
-  /**
-   * True while it waits for its caller, or for an upstream that has sent a part of its answer. Other requests that were
-   * read whole, alone on their connection, get their answer.
-   */
-  isEvictable(nowMs: Ms, account: Account): boolean {
+  /** True while it waits for its caller. A request that was read whole, alone on its connection, gets its answer. */
+  isEvictable(nowMs: Ms): boolean {
     if (this.holds.size > 1) return true;
     if (this.unsentBytes > 0 && nowMs - this.progressAtMs >= rules.unreadMs) return true;
-    return this.isReadingBody || this.evictableAnswer(nowMs, account) !== undefined;
-  }
-
-  /** Returns the only request if it may be ended for the answer that is held for it. */
-  evictableAnswer(nowMs: Ms, account: Account): CallerHold | undefined {
-    const [only] = this.holds;
-    if (this.holds.size !== 1 || !only?.onEvict) return undefined;
-    const { answerBytes: heldBytes, answerAtMs } = only;
-    const answer = { heldBytes, idleMs: nowMs - answerAtMs };
-    return mayEvictAnswer(answer, account) ? only : undefined;
-  }
-
-  /** Memory of answers that are held for its requests. */
-  get answerBytes(): number {
-    let bytes = 0;
-    for (const { answerBytes } of this.holds) bytes += answerBytes;
-    return bytes;
+    return this.isReadingBody;
   }
 
   /** True if it has one request, whose body is being read. */
@@ -174,12 +152,13 @@
     if (!this.holds.has(hold)) return;
     const answerBytes = hold.answerBytes + bytes;
     const answerAtMs = bytes > 0 ? this.options.nowMs() : hold.answerAtMs;
-    Object.assign(hold, { answerBytes, answerAtMs });
-    this.charge(hold, bytes);
+    const heldBytes = hold.heldBytes + bytes;
+    Object.assign(hold, { heldBytes, answerBytes, answerAtMs });
+    this.add(bytes, bytes);
   }
 
-  private add(bytes: number): void {
+  private add(bytes: number, answerBytes = 0): void {
     this.heldBytes += bytes;
-    this.options.charged(bytes);
+    this.options.charged(bytes, answerBytes);
   }
 }
--- a/src/shell/callers/connectionguard.ts
+++ b/src/shell/callers/connectionguard.ts
@@ -2,7 +2,13 @@
 import type { Socket } from 'node:net';
 import type { Clock, Ms } from '../../base/index.js';
 import { chooseIdle } from '../../core/callerconnections/index.js';
-import { callerMemoryRules as rules, chooseEvictions } from '../../core/callermemory/index.js';
+import {
+  callerMemoryRules as rules,
+  chooseEvictions,
+  isCallerMemoryFull,
+  mayEvictAnswer,
+  type Holder,
+} from '../../core/callermemory/index.js';
 import type { Log } from '../../port/index.js';
 import { linger } from '../http1/index.js';
 import { afterReads } from '../loop/index.js';
@@ -57,6 +63,9 @@
   /** Memory of all requests. */
   heldBytes = 0;
 
+  /** Part of it that is held of upstreams' answers. */
+  answerBytes = 0;
+
   /** Number of connections that this process has not closed. */
   private openCount = 0;
 
@@ -66,6 +75,12 @@
 
   private searchAtMs: Ms = -Infinity;
 
+  /** The same when requests are refused for lack of memory. */
+  private fullSearchAtMs: Ms = -Infinity;
+
+  /** Memory of answers that are being given up. */
+  private leavingBytes = 0;
+
   constructor(private readonly options: ConnectionGuardOptions) {}
 
   /**
@@ -126,15 +141,27 @@
 
   /** True if no memory is left and no connection can be closed for it, so that requests have to be refused. */
   get isFull(): boolean {
-    return this.heldBytes > this.options.limits().heldBytes;
+    const { callerBytes, keptBytes: totalBytes } = this;
+    return isCallerMemoryFull({ callerBytes, totalBytes }, this.options.limits().heldBytes);
+  }
+
+  /** Memory of all requests without that of answers that are being given up. */
+  private get keptBytes(): number {
+    return this.heldBytes - this.leavingBytes;
+  }
+
+  /** Memory of all requests without that of answers. */
+  private get callerBytes(): number {
+    return this.heldBytes - this.answerBytes;
   }
 
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known) return known;
     const { clock, limits } = this.options;
-    const charged = (bytes: number) => {
+    const charged = (bytes: number, answerBytes: number) => {
       this.heldBytes += bytes;
+      this.answerBytes += answerBytes;
       if (bytes > 0) this.makeRoom();
     };
     const { requestsUnderWay } = limits();
@@ -159,35 +186,55 @@
   private makeRoom(): void {
     const { clock, limits } = this.options;
     const limitBytes = limits().heldBytes;
-    if (this.heldBytes <= limitBytes) return;
+    if (this.keptBytes <= limitBytes) return;
     const nowMs = clock.nowMs();
-    if (nowMs < this.searchAtMs) return;
-    const account = { totalBytes: this.heldBytes, limitBytes };
+    const wasFull = this.isFull;
+    if (nowMs < (wasFull ? this.fullSearchAtMs : this.searchAtMs)) return;
+    this.evictAnswers(limitBytes, nowMs);
+    if (this.isFull) this.closeConnections(limitBytes, nowMs);
+    if (this.isFull) this.fullSearchAtMs = nowMs + SEARCH_EVERY_MS;
+    if (this.keptBytes > limitBytes) this.searchAtMs = nowMs + SEARCH_EVERY_MS;
+  }
+
+  private evictAnswers(limitBytes: number, nowMs: Ms): void {
+    const account = { totalBytes: this.keptBytes, limitBytes };
+    const holders: Holder<CallerHold>[] = [];
+    for (const { holds } of this.connections.values()) {
+      for (const hold of holds) {
+        const { answerBytes: heldBytes, answerAtMs: progressAtMs, onEvict } = hold;
+        const answer = { heldBytes, idleMs: nowMs - progressAtMs };
+        if (onEvict && mayEvictAnswer(answer, account)) {
+          holders.push({ id: hold, heldBytes, progressAtMs });
+        }
+      }
+    }
+    const excessBytes = this.keptBytes - limitBytes * rules.lowWater;
+    for (const hold of chooseEvictions(holders, excessBytes, nowMs)) this.evictAnswer(hold);
+  }
+
+  private closeConnections(limitBytes: number, nowMs: Ms): void {
     const holders = [...this.connections.values()]
-      .filter((connection) => connection.isEvictable(nowMs, account))
+      .filter((connection) => connection.isEvictable(nowMs))
       .map((connection) => {
-        const { heldBytes } = connection;
-        const answer = connection.evictableAnswer(nowMs, account);
-        const progressAtMs = answer?.answerAtMs ?? connection.progressAtMs;
+        const { heldBytes, progressAtMs } = connection;
         return { id: connection, heldBytes, progressAtMs };
       });
-    const excessBytes = this.heldBytes - limitBytes * rules.lowWater;
+    const excessBytes = this.callerBytes - limitBytes * rules.lowWater;
     for (const connection of chooseEvictions(holders, excessBytes, nowMs)) {
-      const answer = connection.evictableAnswer(nowMs, account);
-      if (answer) this.evictAnswer(answer);
-      else this.end(connection, 'memory');
+      this.end(connection, 'memory');
     }
-    if (this.isFull) this.searchAtMs = nowMs + SEARCH_EVERY_MS;
   }
 
   /** Gives up the answer that is held for a request, once what has taken the memory has returned. */
   private evictAnswer(hold: CallerHold): void {
-    const { onEvict } = hold;
+    const { onEvict, answerBytes } = hold;
     if (!onEvict) return;
+    this.leavingBytes += answerBytes;
     // Not chosen again before it has given its memory back.
     Object.assign(hold, { onEvict: undefined });
     queueMicrotask(() => {
       Object.assign(hold, { onEvict });
+      this.leavingBytes -= answerBytes;
       onEvict();
     });
   }
@@ -235,14 +282,10 @@
 
   private sweep(): void {
     const nowMs = this.options.clock.nowMs();
-    let answerBytes = 0;
-    for (const connection of this.connections.values()) {
-      this.check(connection, nowMs);
-      answerBytes += connection.answerBytes;
-    }
+    for (const connection of this.connections.values()) this.check(connection, nowMs);
     // Answers that stand take no further memory, which is when room is made otherwise.
     this.makeRoom();
-    this.options.observed(this.heldBytes, answerBytes);
+    this.options.observed(this.heldBytes, this.answerBytes);
   }
 
   /** Closes a connection whose caller has made no progress for too long. */
--- a/test/callermemory.test.ts
+++ b/test/callermemory.test.ts
@@ -4,6 +4,7 @@
   callerMemoryLimit,
   callerMemoryRules,
   chooseEvictions,
+  isCallerMemoryFull,
   mayEvictAnswer,
 } from '../src/core/callermemory/index.js';
 
@@ -74,3 +75,14 @@
     }),
   );
 });
+
+// Stalled answers made entries refuse every second request while there was memory for requests.
+test('requests are not refused for answers alone before these are given up', (t) => {
+  const limitBytes = 8 * MIB;
+  const isFull = (callerBytes: number, answerBytes: number) =>
+    isCallerMemoryFull({ callerBytes, totalBytes: callerBytes + answerBytes }, limitBytes);
+  t.false(isFull(MIB, 10 * MIB));
+  t.false(isFull(8 * MIB, 0));
+  t.true(isFull(8 * MIB + 1, 0));
+  t.true(isFull(MIB, 12 * MIB));
+});
--- a/test/connectionguard.test.ts
+++ b/test/connectionguard.test.ts
@@ -313,3 +313,44 @@
     await accountsForAnswers(t, seed);
   });
 }
+
+test('a body that is being read is not refused for answers that stand', async (t) => {
+  const answers = await openAnswers(3);
+  const { rig, clock, evicted } = answers;
+  const reading = send(rig.port, UNFINISHED);
+  await until(() => rig.holds.length === 4 && rig.holds[3]!.heldBytes > 80_000);
+  for (const hold of rig.holds.slice(0, 3)) hold.chargeAnswer(2 * BLOCK_BYTES);
+  await new Promise(setImmediate);
+  t.true(rig.guard.heldBytes > LIMIT_BYTES);
+  t.false(rig.guard.isFull);
+  clock.advanceTo(1500);
+  rig.holds[0]!.chargeAnswer(1);
+  await until(() => evicted.length > 0);
+  t.deepEqual(rig.reasons, []);
+  t.true(rig.guard.heldBytes <= LIMIT_BYTES);
+  reading.destroy();
+  closeAnswers(answers);
+});
+
+test('of several requests on a connection, the one whose answer stands is given up, and the others go on', async (t) => {
+  const clock = new VirtualClock();
+  const rig = await open({}, clock);
+  const socket = send(rig.port, WAITING.repeat(3));
+  await until(() => rig.unanswered.length === 3);
+  const evicted: number[] = [];
+  for (const [at, hold] of rig.holds.entries()) {
+    hold.onEvict = () => {
+      evicted.push(at);
+      hold.chargeAnswer(-hold.answerBytes);
+    };
+  }
+  rig.holds[1]!.chargeAnswer(LIMIT_BYTES - BLOCK_BYTES);
+  clock.advanceTo(1500);
+  rig.holds[2]!.chargeAnswer(2 * BLOCK_BYTES);
+  await until(() => evicted.length > 0);
+  t.deepEqual(evicted, [1]);
+  t.deepEqual(rig.reasons, []);
+  t.false(socket.destroyed);
+  socket.destroy();
+  rig.close();
+});
--- a/test/crowd/platformanswers.test.ts
+++ b/test/crowd/platformanswers.test.ts
@@ -19,3 +19,15 @@
     callers: 400,
   });
 }
+
+// Requests were refused as long as the answers that stood filled the memory.
+test(
+  'platform, held answers: requests to sound servers beside events that stop',
+  withstandsHeldAnswers,
+  {
+    endless: endlessKinds['an event that stops'],
+    route: 'batch',
+    callers: 200,
+    asksOthers: true,
+  },
+);
--- a/test/support/withstandsheldanswers.ts
+++ b/test/support/withstandsheldanswers.ts
@@ -10,6 +10,8 @@
   /** Route of the requests. */
   readonly route: 'lookup' | 'batch';
   readonly callers: number;
+  /** Sends an ordinary request to the sound servers of the other service after each of these. */
+  readonly asksOthers?: boolean;
 }
 
 /** What the answers hold together is more than this host has beside an idle entry. */
@@ -33,22 +35,31 @@
   batch: [...FIELDS, 'Tarragonstile-Model: m1'],
 };
 
+const SERVICES: Readonly<Record<HeldLoad['route'], string>> = { lookup: 'plain', batch: 'engine' };
+
+function requestTo(route: HeldLoad['route'], id: string): string {
+  const head = `POST /${route}/1 HTTP/1.1\r\n${ROUTE_FIELDS[route].join('\r\n')}\r\n\r\n`;
+  return head.replace('@id', id);
+}
+
 /** Checks that what an entry holds of all answers together is bounded, and that every caller is answered. */
 export async function withstandsHeldAnswers(
   t: ExecutionContext,
-  { endless, route, callers }: HeldLoad,
+  { endless, route, callers, asksOthers }: HeldLoad,
 ): Promise<void> {
   const target = await startPlatformTarget(HOST);
   const { process, ports, servers, memoryBytes } = target;
   try {
     t.is(await target.ask(), 200);
     t.log(`before ${process.peakBytes()}`);
-    for (const server of servers) server.endless = endless;
+    const service = SERVICES[route];
+    for (const server of servers) if (server.service === service) server.endless = endless;
+    const others: ReturnType<typeof askAll>[] = [];
     const asked: ReturnType<typeof askAll>[] = [];
     for (let caller = 0; caller < callers; caller += 1) {
-      const head = `POST /${route}/1 HTTP/1.1\r\n${ROUTE_FIELDS[route].join('\r\n')}\r\n\r\n`;
-      const text = head.replace('@id', `r${caller}`);
-      asked.push(askAll({ port: ports.callers!, text }, 1, 1));
+      const port = ports.callers!;
+      asked.push(askAll({ port, text: requestTo(route, `r${caller}`) }, 1, 1));
+      if (asksOthers) others.push(askAll({ port, text: requestTo('lookup', `o${caller}`) }, 1, 1));
       // Connections come no faster than the entry accepts them: it closes some of a burst unread.
       await sendRaw(ports.readiness!, PROBE);
     }
@@ -58,6 +69,8 @@
     t.log(`peak ${process.peakBytes()}, statuses ${JSON.stringify([...statuses])}`);
     t.true(process.isAlive, `The process ended:\n${process.text.slice(-2000)}`);
     t.false(statuses.has(0));
+    const lost = (await Promise.all(others)).flat().filter(({ status }) => status !== 200);
+    t.deepEqual(lost, []);
     for (const server of servers) server.endless = undefined;
     t.is(await target.ask(), 200);
     const peakBytes = process.peakBytes();
