--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -216,6 +216,7 @@
     server.onChange = () => store.put(`servers/${server.id}`, server.entry());
     servers.push(server);
     store.put(`servers/${server.id}`, server.entry());
+    return server;
   };
   for (let at = 0; at < plainCount; at += 1) await add('plain', []);
   for (let at = 0; at < otherCount; at += 1) await add('other', []);
@@ -275,12 +276,7 @@
   for (const entry of entries) await entry.start();
   for (const entry of entries) await entry.waitReady();
   return {
-    store,
-    storeAddress,
-    servers,
-    entries,
-    configure,
-    stop,
+    store, storeAddress, servers, entries, configure, addServer: add, stop,
   };
 }
 
