Review: at the bound of connections new callers are closed unread

With 2,925 kept connections, each inside the idle timeout, every new connection is closed when the next one is accepted: no answer for 15 s while the entry says that it is ready (RECOVER).

--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -1,4 +1,4 @@
-/* eslint import-x/extensions: off, import-x/no-useless-path-segments: off, no-await-in-loop: off, no-restricted-syntax: off,
+/* eslint no-continue: off, import-x/extensions: off, import-x/no-useless-path-segments: off, no-await-in-loop: off, no-restricted-syntax: off,
    n/no-unsupported-features/node-builtins: off, n/no-process-exit: off, max-classes-per-file: off, no-use-before-define: off,
    no-void: off, @stylistic/max-len: off */
 // Common parts of the scripts of this review: one small deployment on loopback with the project's own entry, started by the
@@ -8,7 +8,7 @@
 import {
   mkdtemp, readFile, rm, writeFile,
 } from 'node:fs/promises';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import { request as httpRequest } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -276,10 +276,163 @@
   for (const entry of entries) await entry.start();
   for (const entry of entries) await entry.waitReady();
   return {
-    store, storeAddress, servers, entries, configure, addServer: add, stop,
+    store,
+    storeAddress,
+    servers,
+    entries,
+    configure,
+    addServer: add,
+    stop,
   };
 }
 
+/** Settings of a machine of the grown sites (`limits` there), by its memory. */
+export const GROWN_MACHINES = {
+  small: {
+    cpuShare: 0.243,
+    cores: 1,
+    memoryMb: 250,
+    maxDescriptors: 4100,
+  },
+  large: {
+    cpuShare: 0.675,
+    cores: 2,
+    memoryMb: 602,
+    maxDescriptors: 8192,
+  },
+};
+
+/** The raw bytes of an ordinary request without a body. */
+export function plainRequest(deadlineMs = 3000) {
+  const lines = Object.entries(requestHeaders(deadlineMs)).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  return `GET /lookup/x HTTP/1.1\r\n${lines.join('')}\r\n`;
+}
+
+/**
+ * New callers that try one connection after the other: each opens one, sends its request `delayMs` later and waits for the
+ * answer.
+ */
+export class Newcomers {
+  constructor(port, { count, delayMs, pauseMs }) {
+    Object.assign(this, {
+      port,
+      count,
+      delayMs,
+      pauseMs,
+      isOver: false,
+    });
+    /** One entry a connection: its caller, when it was opened, and how it ended and when. */
+    this.tries = [];
+  }
+
+  async run() {
+    const callers = Array.from({ length: this.count }, async (_, caller) => {
+      await pause((caller * this.pauseMs) / this.count);
+      while (!this.isOver) {
+        const atMs = performance.now();
+        const end = await this.connect();
+        this.tries.push({
+          caller,
+          atMs,
+          end,
+          endedAtMs: performance.now(),
+        });
+        await pause(this.pauseMs);
+      }
+    });
+    await Promise.all(callers);
+  }
+
+  connect() {
+    return new Promise((resolve) => {
+      const socket = connect(this.port, '127.0.0.1');
+      let received = '';
+      const timer = setTimeout(() => {
+        resolve('no answer');
+        socket.destroy();
+      }, 3000);
+      socket.on('error', () => undefined);
+      socket.on('connect', () => {
+        setTimeout(() => {
+          if (socket.writable) socket.write(plainRequest());
+        }, this.delayMs);
+      });
+      socket.on('data', (data) => {
+        received += data.toString('latin1');
+        const status = /^HTTP\/1\.1 (\d+)/.exec(received)?.[1];
+        if (status === undefined) return;
+        resolve(status);
+        socket.destroy();
+      });
+      socket.on('close', () => {
+        clearTimeout(timer);
+        resolve('closed unread');
+      });
+    });
+  }
+
+  /** Number of tries by how they ended. */
+  counts() {
+    const counts = {};
+    for (const { end } of this.tries) counts[end] = (counts[end] ?? 0) + 1;
+    return counts;
+  }
+
+  /**
+   * Returns the longest time in which no connection was taken, and how many callers tried in it. A connection was taken if
+   * its request was answered.
+   */
+  longestGap(fromMs, untilMs) {
+    const taken = this.tries
+      .filter(({ end }) => /^\d+$/.test(end))
+      .map(({ endedAtMs }) => endedAtMs);
+    const times = [
+      fromMs,
+      ...taken.filter((atMs) => atMs > fromMs && atMs < untilMs).sort((a, b) => a - b),
+      untilMs,
+    ];
+    let longest = { gapMs: 0, callers: 0, fromMs };
+    for (let at = 1; at < times.length; at += 1) {
+      const gapMs = times[at] - times[at - 1];
+      if (gapMs <= longest.gapMs) continue;
+      const inGap = this.tries.filter(({ atMs }) => atMs > times[at - 1] && atMs < times[at]);
+      longest = {
+        gapMs,
+        callers: new Set(inGap.map(({ caller }) => caller)).size,
+        fromMs: times[at - 1],
+      };
+    }
+    return longest;
+  }
+}
+
+/**
+ * Lets new callers try for `forMs`, and returns whether RECOVER is broken: the entry says that it is ready and takes no new
+ * connection for `contactMs`, while seven callers or more try.
+ */
+export async function playNewcomers(record, entry, options, forMs, contactMs) {
+  const newcomers = new Newcomers(entry.port, options);
+  const fromMs = performance.now();
+  const running = newcomers.run();
+  const unready = [];
+  while (performance.now() - fromMs < forMs) {
+    if (!(await entry.isReady())) unready.push(performance.now());
+    await pause(500);
+  }
+  const untilMs = performance.now();
+  newcomers.isOver = true;
+  await running;
+  const gap = newcomers.longestGap(fromMs, untilMs);
+  const isReady = !unready.some((atMs) => atMs >= gap.fromMs && atMs <= gap.fromMs + gap.gapMs);
+  record.note(`new callers: connections by end ${JSON.stringify(newcomers.counts())}`);
+  record.note(
+    `longest time in which no new connection was taken: ${Math.round(gap.gapMs)} ms (bound ${contactMs}), callers that tried in it: ${gap.callers} (7 or more count), ready all the while: ${isReady}`,
+  );
+  return gap.gapMs > contactMs && gap.callers >= 7 && isReady;
+}
+
 /**
  * Runs a case: `play` returns true if the rule was broken. Exits with 1 then, with 0 if it held, and with 2 if the case
  * could not run. `TROUBLE=0` plays it without the disruption.
