Review: a holder that has released the order lease takes it again

A renewal that the store leaves unanswered is repeated through another entry after SIGTERM has released the lease; the answer makes the stopping process holder again, and it goes on with orders.

--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -200,6 +200,8 @@
   engineCount = 2,
   settings = {},
   routes = ROUTES,
+  names = [],
+  storeFor,
 } = {}) {
   const directory = await mkdtemp(join(tmpdir(), 'tarragonstile-review-'));
   const store = new PlatformStore();
@@ -230,7 +232,7 @@
   configure();
   const entries = [];
   for (let at = 0; at < entryCount; at += 1) {
-    const name = `entry-${at}`;
+    const name = names[at] ?? `entry-${at}`;
     const ports = [];
     for (let count = 0; count < 4; count += 1) ports.push(await freePort());
     const [callers, readiness, peer, metricsPort] = ports;
@@ -249,7 +251,7 @@
           readinessAddress: `127.0.0.1:${readiness}`,
           peerPorts: [peer, peer],
           metricsPort,
-          storeAddress,
+          storeAddress: storeFor ? await storeFor(name, storeAddress) : storeAddress,
           leastLeaseMs: 1000,
           heartbeatMs: 1200,
           graceS: 8,
