--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -2,9 +2,7 @@
    n/no-unsupported-features/node-builtins: off, n/no-process-exit: off, max-classes-per-file: off, no-use-before-define: off,
    no-void: off, @stylistic/max-len: off */
 // A part of prompts crashes each server that begins an answer on it. It is the twentieth part of each prompt.
-import {
-  call, pause, requestHeaders, runCase,
-} from '../rig-2.mjs';
+import { call, pause, requestHeaders, runCase } from '../rig-2.mjs';
 
 const CONTACT_MS = 3000;
 /** TERMS.md, BUDGET: "more than three requests with a part that crashes servers". */
--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -5,9 +5,7 @@
 // command of the deploy file, and the project's stand-ins for the store and the servers.
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import {
-  mkdtemp, readFile, rm, writeFile,
-} from 'node:fs/promises';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import { connect, createServer } from 'node:net';
 import { request as httpRequest } from 'node:http';
 import { tmpdir } from 'node:os';
@@ -92,7 +90,8 @@
   async memory() {
     try {
       const status = await readFile(`/proc/${this.child.pid}/status`, 'utf8');
-      const mb = (name) => Math.round(Number(new RegExp(`${name}:\\s+(\\d+)`).exec(status)[1]) / 1024);
+      const mb = (name) =>
+        Math.round(Number(new RegExp(`${name}:\\s+(\\d+)`).exec(status)[1]) / 1024);
       return { nowMb: mb('VmRSS'), peakMb: mb('VmHWM') };
     } catch {
       return undefined;
@@ -122,12 +121,11 @@
 }
 
 /** Makes one call on a connection of its own. Never rejects. */
-export function call({
-  port, path, method = 'GET', headers = {}, body, timeoutMs = 5000,
-}) {
+export function call({ port, path, method = 'GET', headers = {}, body, timeoutMs = 5000 }) {
   const startedAtMs = performance.now();
   return new Promise((resolve) => {
-    const end = (outcome) => resolve({ ...outcome, tookMs: Math.round(performance.now() - startedAtMs) });
+    const end = (outcome) =>
+      resolve({ ...outcome, tookMs: Math.round(performance.now() - startedAtMs) });
     const request = httpRequest({
       host: '127.0.0.1',
       port,
