--- /dev/null
+++ b/review/rig-2.mjs
@@ -0,0 +1,335 @@
+/* eslint import-x/extensions: off, import-x/no-useless-path-segments: off, no-await-in-loop: off, no-restricted-syntax: off,
+   n/no-unsupported-features/node-builtins: off, n/no-process-exit: off, max-classes-per-file: off, no-use-before-define: off,
+   no-void: off, @stylistic/max-len: off */
+// Common parts of the scripts of this review: one small deployment on loopback with the project's own entry, started by the
+// command of the deploy file, and the project's stand-ins for the store and the servers.
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import {
+  mkdtemp, readFile, rm, writeFile,
+} from 'node:fs/promises';
+import { createServer } from 'node:net';
+import { request as httpRequest } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { configurationOf, PlatformServer, PlatformStore } from '../dist/standin/platform/index.js';
+
+export const HOST = 'caller.example';
+const MAX_CASE_MS = 110_000;
+const ROOT = join(import.meta.dirname, '..');
+/** Limits as `fleetbench wire` shows them for the site. */
+export const LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 4_194_304,
+  header_timeout_ms: 3000,
+  idle_timeout_ms: 15_000,
+};
+
+export function pause(ms) {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+async function freePort() {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address();
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+async function deployCommand() {
+  const text = await readFile(join(ROOT, 'deploy', 'system.toml'), 'utf8');
+  const [, command] = /^run = "(.*)"$/m.exec(text);
+  return command.split(' ');
+}
+
+/** An entry process of the deploy file. */
+class Entry {
+  constructor(name, settings, directory) {
+    Object.assign(this, {
+      name,
+      settings,
+      directory,
+      exit: undefined,
+      lines: [],
+    });
+    this.port = Number(settings.callersAddress.split(':')[1]);
+    this.readyPort = Number(settings.readinessAddress.split(':')[1]);
+  }
+
+  async start() {
+    const file = join(this.directory, `${this.name}.jsonc`);
+    await writeFile(file, JSON.stringify(this.settings));
+    const [program, ...args] = await deployCommand();
+    const { PATH, HOME, LANG } = process.env;
+    const env = {
+      PATH,
+      HOME,
+      LANG,
+      TARRAGONSTILE_NODE_FILE: file,
+    };
+    const child = spawn(program, args, { cwd: ROOT, env, stdio: ['ignore', 'pipe', 'pipe'] });
+    this.child = child;
+    this.exit = undefined;
+    for (const stream of [child.stdout, child.stderr]) {
+      let rest = '';
+      stream.on('data', (chunk) => {
+        const parts = (rest + chunk).split('\n');
+        rest = parts.pop();
+        this.lines.push(...parts);
+      });
+    }
+    child.on('exit', (code, signal) => {
+      if (this.child === child) this.exit = { code, signal };
+    });
+  }
+
+  /** Resident memory in MB, now and at its peak. */
+  async memory() {
+    try {
+      const status = await readFile(`/proc/${this.child.pid}/status`, 'utf8');
+      const mb = (name) => Math.round(Number(new RegExp(`${name}:\\s+(\\d+)`).exec(status)[1]) / 1024);
+      return { nowMb: mb('VmRSS'), peakMb: mb('VmHWM') };
+    } catch {
+      return undefined;
+    }
+  }
+
+  async isReady() {
+    const answer = await call({ port: this.readyPort, path: '/readiness', timeoutMs: 1000 });
+    return answer.status === 200;
+  }
+
+  async waitReady() {
+    for (let count = 0; count < 200; count += 1) {
+      if (await this.isReady()) return;
+      await pause(100);
+    }
+    throw new Error(`${this.name} is not ready: ${this.lines.slice(-5).join(' | ')}`);
+  }
+
+  async close() {
+    const { child } = this;
+    if (!child || child.exitCode !== null || child.signalCode !== null) return;
+    child.kill('SIGCONT');
+    child.kill('SIGKILL');
+    await once(child, 'exit');
+  }
+}
+
+/** Makes one call on a connection of its own. Never rejects. */
+export function call({
+  port, path, method = 'GET', headers = {}, body, timeoutMs = 5000,
+}) {
+  const startedAtMs = performance.now();
+  return new Promise((resolve) => {
+    const end = (outcome) => resolve({ ...outcome, tookMs: Math.round(performance.now() - startedAtMs) });
+    const request = httpRequest({
+      host: '127.0.0.1',
+      port,
+      path,
+      method,
+      headers,
+      agent: false,
+    });
+    const timer = setTimeout(() => {
+      request.destroy();
+      end({ error: 'timeout' });
+    }, timeoutMs);
+    request.on('error', (error) => {
+      clearTimeout(timer);
+      end({ error: error.code ?? error.message });
+    });
+    request.on('response', (response) => {
+      const chunks = [];
+      response.on('data', (chunk) => chunks.push(chunk));
+      response.on('error', (error) => end({ status: response.statusCode, error: error.code }));
+      response.on('end', () => {
+        clearTimeout(timer);
+        end({
+          status: response.statusCode,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString(),
+        });
+      });
+    });
+    request.end(body);
+  });
+}
+
+let callCount = 0;
+
+/** Headers of an ordinary request. */
+export function requestHeaders(deadlineMs = 2000, more = {}) {
+  callCount += 1;
+  return {
+    Host: HOST,
+    'Tarragonstile-Request-Id': `r${process.pid.toString(16)}-${callCount}`,
+    'Tarragonstile-Deadline-Ms': String(deadlineMs),
+    ...more,
+  };
+}
+
+const ROUTES = [
+  {
+    name: 'lookup',
+    kind: 'idempotent',
+    service: 'plain',
+    maxAttempts: 2,
+  },
+  { name: 'charge', kind: 'non_idempotent', service: 'plain' },
+  { name: 'draft', kind: 'streaming', service: 'engine' },
+  {
+    name: 'batch',
+    kind: 'streaming',
+    service: 'engine',
+    maxAttempts: 2,
+    resumable: true,
+  },
+];
+
+/** Starts a store, servers and entries with the settings of a small deployment. */
+export async function startSite({
+  entryCount = 1,
+  plainCount = 3,
+  otherCount = 0,
+  engineCount = 2,
+  settings = {},
+  routes = ROUTES,
+} = {}) {
+  const directory = await mkdtemp(join(tmpdir(), 'tarragonstile-review-'));
+  const store = new PlatformStore();
+  const storeAddress = await store.listen();
+  const servers = [];
+  const add = async (service, models) => {
+    const server = new PlatformServer(
+      `s${servers.length + 1}`,
+      service,
+      `z${(servers.length % 2) + 1}`,
+    );
+    for (const model of models) server.models.set(model, new Set());
+    await server.listen();
+    server.onChange = () => store.put(`servers/${server.id}`, server.entry());
+    servers.push(server);
+    store.put(`servers/${server.id}`, server.entry());
+  };
+  for (let at = 0; at < plainCount; at += 1) await add('plain', []);
+  for (let at = 0; at < otherCount; at += 1) await add('other', []);
+  for (let at = 0; at < engineCount; at += 1) await add('engine', [`m${(at % 2) + 1}`]);
+  let version = 0;
+  const configure = (nextRoutes = routes, limits = LIMITS) => {
+    version += 1;
+    store.put('op/config', { ...configurationOf(version, HOST, nextRoutes), limits });
+    return version;
+  };
+  configure();
+  const entries = [];
+  for (let at = 0; at < entryCount; at += 1) {
+    const name = `entry-${at}`;
+    const ports = [];
+    for (let count = 0; count < 4; count += 1) ports.push(await freePort());
+    const [callers, readiness, peer, metricsPort] = ports;
+    entries.push(
+      new Entry(
+        name,
+        {
+          host: name,
+          ip: '127.0.0.1',
+          availabilityZone: `z${(at % 2) + 1}`,
+          cpuShare: 0.513,
+          cores: 1,
+          memoryMb: 350,
+          maxDescriptors: 4200,
+          callersAddress: `127.0.0.1:${callers}`,
+          readinessAddress: `127.0.0.1:${readiness}`,
+          peerPorts: [peer, peer],
+          metricsPort,
+          storeAddress,
+          leastLeaseMs: 1000,
+          heartbeatMs: 1200,
+          graceS: 8,
+          retryRatio: 0.2,
+          retrySlack: 56,
+          retryWindowS: 10,
+          orderTurnMs: 3000,
+          loadWindowS: 5,
+          loadOvershoot: 1.1,
+          loadAware: 'auto',
+          poisonKeepS: 86_400,
+          ...settings,
+        },
+        directory,
+      ),
+    );
+  }
+  const stop = async () => {
+    for (const entry of entries) await entry.close();
+    for (const server of servers) server.close();
+    store.close();
+    await rm(directory, { recursive: true, force: true });
+  };
+  for (const entry of entries) await entry.start();
+  for (const entry of entries) await entry.waitReady();
+  return {
+    store,
+    storeAddress,
+    servers,
+    entries,
+    configure,
+    stop,
+  };
+}
+
+/**
+ * Runs a case: `play` returns true if the rule was broken. Exits with 1 then, with 0 if it held, and with 2 if the case
+ * could not run. `TROUBLE=0` plays it without the disruption.
+ */
+export async function runCase(directory, play) {
+  const record = new RecordFile(join(directory, 'record.txt'));
+  const sites = [];
+  const start = async (options) => {
+    const site = await startSite(options);
+    sites.push(site);
+    return site;
+  };
+  const isTroubled = process.env.TROUBLE !== '0';
+  record.note(isTroubled ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
+  let code = 2;
+  const timer = setTimeout(() => {
+    record.note('could not run: it took too long');
+    for (const site of sites) for (const { child } of site.entries) child.kill('SIGKILL');
+    void record.write().then(() => process.exit(2));
+  }, MAX_CASE_MS);
+  try {
+    code = (await play({ record, start, isTroubled })) ? 1 : 0;
+    record.note(code === 1 ? 'the rule was broken' : 'the rule held');
+  } catch (error) {
+    record.note(`could not run: ${error.stack}`);
+  }
+  clearTimeout(timer);
+  for (const site of sites) await site.stop();
+  await record.write();
+  process.exit(code);
+}
+
+/** Writes the lines of a record to a file, one after the other. */
+export class RecordFile {
+  constructor(file) {
+    this.file = file;
+    this.lines = [];
+    this.startedAtMs = performance.now();
+  }
+
+  note(text) {
+    const atS = ((performance.now() - this.startedAtMs) / 1000).toFixed(3);
+    this.lines.push(`${atS} ${text}`);
+  }
+
+  async write() {
+    await writeFile(this.file, `${this.lines.join('\n')}\n`);
+  }
+}
